Ledger and claims as pure decision classes, with a property test

Cause: the two promises that everything rests on (spend within the budget, at most once) have to hold before any socket exists.

Change: escrow grants over sharded ledger records, bills written in the same transaction that moves the amounts (ledger/), claims created before a call is sent (claim/), a state-chart reader (chart/), and the base types.

Ruled out: resolving a write whose answer was lost from the watch alone. The first version did not resolve it there at all: a delayed first attempt could land, the watch moved the cached revision past it, and the second attempt then stored the same bills again.

--- /dev/null
+++ b/base/digest.h
@@ -0,0 +1,28 @@
+// Digests and text encodings, all by OpenSSL.
+
+#ifndef QUAYTRACK_BASE_DIGEST_H_
+#define QUAYTRACK_BASE_DIGEST_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace quaytrack {
+
+// SHA-256 of `data`, 64 lower-case hex digits.
+std::string Sha256Hex(std::string_view data);
+
+std::string HexEncode(std::string_view bytes);
+std::string Base64Encode(std::string_view bytes);
+
+// Empty when `text` is not valid padded base64.
+std::optional<std::string> Base64Decode(std::string_view text);
+
+// A stable 64-bit hash (FNV-1a with a final mix). Stable across processes and
+// versions, as shard and rendezvous choices must agree between routers.
+std::uint64_t StableHash(std::string_view data);
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_BASE_DIGEST_H_
--- /dev/null
+++ b/base/rate.h
@@ -0,0 +1,45 @@
+// An exponentially decaying rate: units per second over the last `tau`.
+//
+//   DecayingRate rate(30s);
+//   rate.Add(now, 120);
+//   rate.PerSecond(now);
+
+#ifndef QUAYTRACK_BASE_RATE_H_
+#define QUAYTRACK_BASE_RATE_H_
+
+#include <cmath>
+
+#include "base/clock.h"
+
+namespace quaytrack {
+
+class DecayingRate {
+ public:
+  explicit DecayingRate(Duration tau) : tau_(ToSeconds(tau)) {}
+
+  void Add(Instant now, double units) {
+    Decay(now);
+    weight_ += units;
+  }
+
+  double PerSecond(Instant now) const { return weight_ * Factor(now) / tau_; }
+
+ private:
+  double Factor(Instant now) const {
+    if (now <= last_) return 1.0;
+    return std::exp(-ToSeconds(now - last_) / tau_);
+  }
+
+  void Decay(Instant now) {
+    weight_ *= Factor(now);
+    if (now > last_) last_ = now;
+  }
+
+  double tau_;
+  double weight_ = 0;
+  Instant last_{};
+};
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_BASE_RATE_H_
--- /dev/null
+++ b/chart/chart.h
@@ -0,0 +1,179 @@
+// State charts kept in files and interpreted by the code.
+//
+// A chart says which states something can be in, which events can reach it, and
+// what each event does in each state. Keeping this in a file, and not in nested
+// ifs, lets a reader see the whole life of a request on one page, and lets a
+// check prove that no event was forgotten:
+//
+//   {"name": "door", "initial": "open", "final": ["gone"],
+//    "states": {
+//      "open":   {"on": {"push": {"to": "shut", "do": "latch"}},
+//                 "ignore": ["burn"]},
+//      "shut":   {"on": {"burn": {"to": "gone"}}, "ignore": ["push"]},
+//      "gone":   {"ignore": ["push", "burn"]}}}
+//
+// A chart is bound to three enums (states, events, actions) through their name
+// tables; binding fails unless names and enums agree exactly.
+//
+//   auto chart = BindChart<DoorState, DoorEvent, DoorAction>(text);
+//   ChartMachine machine(*chart);
+//   DoorAction act = machine.Apply(DoorEvent::kPush);
+//
+// The form follows Harel, "Statecharts" (1987), without nesting.
+
+#ifndef QUAYTRACK_CHART_CHART_H_
+#define QUAYTRACK_CHART_CHART_H_
+
+#include <array>
+#include <boost/leaf.hpp>
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/enum_table.h"
+
+namespace quaytrack {
+
+// Why a chart was refused. `detail` names the state or event at fault.
+enum class ChartFault {
+  kNotJson,
+  kUnknownState,
+  kUnknownEvent,
+  kUnknownAction,
+  kMissingState,
+  kMissingEvent,
+  kUnreachableState,
+  kNoWayOut,
+};
+
+template <>
+struct EnumTable<ChartFault> {
+  static constexpr auto kEntries = std::to_array<EnumEntry<ChartFault>>(
+      {{ChartFault::kNotJson, "not JSON of the chart form"},
+       {ChartFault::kUnknownState, "names a state that the code lacks"},
+       {ChartFault::kUnknownEvent, "names an event that the code lacks"},
+       {ChartFault::kUnknownAction, "names an action that the code lacks"},
+       {ChartFault::kMissingState, "lacks a state that the code has"},
+       {ChartFault::kMissingEvent, "lacks an event in a state"},
+       {ChartFault::kUnreachableState, "has a state that nothing reaches"},
+       {ChartFault::kNoWayOut, "has a state that reaches no final state"}});
+};
+
+struct ChartError {
+  ChartFault fault{};
+  std::string detail;
+};
+
+namespace chart_internal {
+
+// One arrow, by index into the name tables. No action is -1.
+struct Arrow {
+  int to = 0;
+  int action = -1;
+};
+
+// A checked chart without types. arrows[state * events + event].
+struct Table {
+  int initial = 0;
+  std::vector<bool> final_states;
+  std::vector<Arrow> arrows;
+};
+
+struct Names {
+  std::vector<std::string_view> states;
+  std::vector<std::string_view> events;
+  std::vector<std::string_view> actions;
+};
+
+// Reads and checks `text` against the names that the code knows.
+boost::leaf::result<Table> ReadTable(std::string_view text, const Names& names);
+
+template <NamedEnum E>
+std::vector<std::string_view> NameList() {
+  std::vector<std::string_view> out;
+  for (const auto& it : EnumTable<E>::kEntries) out.push_back(it.name);
+  return out;
+}
+
+template <NamedEnum E>
+std::size_t IndexOf(E value) {
+  std::size_t n = 0;
+  for (const auto& it : EnumTable<E>::kEntries) {
+    if (it.value == value) return n;
+    ++n;
+  }
+  return n;
+}
+
+}  // namespace chart_internal
+
+// A chart bound to its enums. The first entry of `Action`'s table is the
+// action of arrows that do nothing.
+template <NamedEnum State, NamedEnum Event, NamedEnum Action>
+class Chart {
+ public:
+  explicit Chart(chart_internal::Table table) : table_(std::move(table)) {}
+
+  State Initial() const { return StateAt(table_.initial); }
+  bool IsFinal(State state) const {
+    return table_.final_states[chart_internal::IndexOf(state)];
+  }
+  State Next(State state, Event event) const {
+    return StateAt(ArrowOf(state, event).to);
+  }
+  Action ActionOf(State state, Event event) const {
+    const int n = ArrowOf(state, event).action;
+    const auto& entries = EnumTable<Action>::kEntries;
+    return entries[static_cast<std::size_t>(n < 0 ? 0 : n)].value;
+  }
+
+ private:
+  static State StateAt(int n) {
+    return EnumTable<State>::kEntries[static_cast<std::size_t>(n)].value;
+  }
+  const chart_internal::Arrow& ArrowOf(State state, Event event) const {
+    const std::size_t events = EnumTable<Event>::kEntries.size();
+    return table_.arrows[chart_internal::IndexOf(state) * events +
+                         chart_internal::IndexOf(event)];
+  }
+
+  chart_internal::Table table_;
+};
+
+// Reads, checks and binds a chart.
+template <NamedEnum State, NamedEnum Event, NamedEnum Action>
+boost::leaf::result<Chart<State, Event, Action>> BindChart(
+    std::string_view text) {
+  using chart_internal::NameList;
+  const chart_internal::Names names{NameList<State>(), NameList<Event>(),
+                                    NameList<Action>()};
+  BOOST_LEAF_AUTO(table, chart_internal::ReadTable(text, names));
+  return Chart<State, Event, Action>(std::move(table));
+}
+
+// One thing moving through a chart, which must outlive it.
+template <NamedEnum State, NamedEnum Event, NamedEnum Action>
+class ChartMachine {
+ public:
+  explicit ChartMachine(const Chart<State, Event, Action>& chart)
+      : chart_(&chart), state_(chart.Initial()) {}
+
+  State state() const { return state_; }
+  bool done() const { return chart_->IsFinal(state_); }
+
+  // Takes the arrow for `event`; returns what to do.
+  Action Apply(Event event) {
+    const Action out = chart_->ActionOf(state_, event);
+    state_ = chart_->Next(state_, event);
+    return out;
+  }
+
+ private:
+  const Chart<State, Event, Action>* chart_;
+  State state_;
+};
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_CHART_CHART_H_
--- /dev/null
+++ b/claim/claim.h
@@ -0,0 +1,218 @@
+// Claims: a call that must not be repeated runs at most once.
+//
+// Before such a call is sent, its (customer, key) is claimed by creating a key
+// in the key-value service that must not exist yet. Whoever finds the key there
+// doesn't send. So two routers with the same retry can't both send, and a
+// router that dies after claiming leaves a mark that stops everybody else: the
+// call may have run, nobody can know, and the caller is told so ("unknown").
+//
+//   ClaimBook claims(self, {});
+//   switch (claims.Begin(now, key, digest, request).kind) {
+//     case ClaimAnswerKind::kWait: ...   // a ClaimEvent follows
+//     case ClaimAnswerKind::kReplay: ... // done before; same answer again
+//     ...
+//   }
+//   while (auto commit = claims.Next(now)) {
+//     perform it as one transaction, then claims.OnCommit(...);
+//   }
+//
+// Writes are grouped: one transaction carries up to `max_group` claims. A
+// rejected transaction returns the present values of all its keys, from which
+// each claim in it is resolved by itself. A claim whose write got no answer is
+// written again with the same content; the request id in it tells a router its
+// own claim from another's, so a lost answer costs nothing but time.
+//
+// Time alone never frees a claim. A claim is deleted only by its owner, when it
+// knows that no byte of the call was sent. Otherwise it stays for the retention
+// period, which the service's own lease ends.
+
+#ifndef QUAYTRACK_CLAIM_CLAIM_H_
+#define QUAYTRACK_CLAIM_CLAIM_H_
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/enum_table.h"
+#include "base/ids.h"
+
+namespace quaytrack {
+
+struct ClaimKey {
+  CustomerName customer;
+  IdempotencyKey key;
+  auto operator<=>(const ClaimKey&) const = default;
+};
+
+// What is stored of a claimed call.
+enum class ClaimState {
+  kClaimed,  // may be running, or may have died with its router
+  kDone,     // ran; the answer is kept
+  kUnknown,  // was sent and the answer was lost; will never be run again
+};
+
+template <>
+struct EnumTable<ClaimState> {
+  static constexpr auto kEntries =
+      std::to_array<EnumEntry<ClaimState>>({{ClaimState::kClaimed, "claimed"},
+                                            {ClaimState::kDone, "done"},
+                                            {ClaimState::kUnknown, "unknown"}});
+};
+
+// The target's answer, kept so that a retry gets the same one.
+struct KeptAnswer {
+  int status = 0;
+  std::string content_type;
+  std::string body;
+  // The body was larger than the limit and is not kept.
+  bool too_large = false;
+
+  bool operator==(const KeptAnswer&) const = default;
+};
+
+struct ClaimEntry {
+  ClaimState state{};
+  Incarnation owner;
+  RequestId request;
+  // Digest of method, path and body: the same key with another call is an
+  // error of the caller.
+  std::string digest;
+  KeptAnswer answer;
+  std::int64_t at_ms = 0;
+
+  bool operator==(const ClaimEntry&) const = default;
+};
+
+std::string EncodeClaim(const ClaimEntry& entry);
+std::optional<ClaimEntry> DecodeClaim(std::string_view text);
+
+enum class ClaimAnswerKind {
+  kWait,       // being written; an event follows
+  kJoin,       // running on this router under another request; an event follows
+  kReplay,     // done before: give `entry.answer`
+  kUnknown,    // may have run: never run again
+  kMismatch,   // the key was used for another call
+  kElsewhere,  // claimed by another router; come back later
+};
+
+struct ClaimAnswer {
+  ClaimAnswerKind kind{};
+  ClaimEntry entry;
+};
+
+// One write of a group.
+enum class ClaimWriteKind { kCreate, kReplace, kDelete };
+
+struct ClaimWrite {
+  ClaimWriteKind kind{};
+  ClaimKey key;
+  ClaimEntry entry;
+  // For kReplace and kDelete: the revision that must still be current.
+  std::int64_t revision = 0;
+};
+
+// One transaction: all writes, or none and the present values.
+struct ClaimCommit {
+  std::vector<ClaimWrite> writes;
+};
+
+enum class ClaimOutcome { kApplied, kRejected, kUnknown };
+
+// A present value, in the order of the commit's writes.
+struct FoundClaim {
+  bool exists = false;
+  std::int64_t revision = 0;
+  ClaimEntry entry;
+};
+
+enum class ClaimEventKind {
+  kClaimed,   // `request` owns the claim: send the call
+  kResolved,  // `request` waited and `answer` says what to tell its caller
+};
+
+struct ClaimEvent {
+  ClaimEventKind kind{};
+  RequestId request;
+  ClaimAnswer answer;
+};
+
+struct ClaimOptions {
+  Duration group_delay = std::chrono::milliseconds(3);
+  Duration retry_after_failure = std::chrono::milliseconds(100);
+  std::size_t max_group = 40;
+  // Resolved claims remembered in memory, so that most retries need no read.
+  std::size_t remembered = 10000;
+};
+
+class ClaimBook {
+ public:
+  ClaimBook(Incarnation self, ClaimOptions options);
+
+  ClaimAnswer Begin(Instant now, const ClaimKey& key, const std::string& digest,
+                    const RequestId& request, std::int64_t wall_ms);
+
+  // The caller of `request` gave up before the claim was written. Nothing was
+  // sent; the claim is withdrawn as soon as its write is resolved.
+  void Abandon(Instant now, const ClaimKey& key, const RequestId& request);
+
+  // The owner's three ways to end a claim.
+  void Done(Instant now, const ClaimKey& key, KeptAnswer answer);
+  void Lost(Instant now, const ClaimKey& key);
+  void NotSent(Instant now, const ClaimKey& key);
+
+  std::optional<ClaimCommit> Next(Instant now);
+  // `found` is given with kRejected, one for each write.
+  void OnCommit(Instant now, ClaimOutcome outcome, std::int64_t revision,
+                const std::vector<FoundClaim>& found);
+
+  std::vector<ClaimEvent> TakeEvents();
+
+  // Claims of this router that are not stored in their last form.
+  std::size_t Unstored() const { return queue_.size() + in_flight_.size(); }
+  bool reachable() const { return reachable_; }
+
+ private:
+  struct Local {
+    ClaimEntry entry;
+    std::int64_t revision = 0;
+    bool owned = false;        // this router's own claim, known to be stored
+    bool writing = false;      // its creation is not resolved
+    bool abandoned = false;    // withdraw it once resolved
+    bool withdrawing = false;  // its deletion is being written
+    std::vector<RequestId> joined;
+  };
+
+  ClaimAnswer AnswerFrom(const ClaimEntry& entry,
+                         const std::string& digest) const;
+  void Enqueue(Instant now, ClaimWrite write);
+  void Resolve(Instant now, const ClaimWrite& write, const FoundClaim& found);
+  void OnCreated(Instant now, const ClaimKey& key, std::int64_t revision);
+  void OnTaken(const ClaimKey& key, const ClaimEntry& entry);
+  void OnStored(const ClaimWrite& write, std::int64_t revision);
+  void TellJoined(Local& local);
+  void Finish(Instant now, const ClaimKey& key, ClaimState state,
+              KeptAnswer answer);
+  void Remember(const ClaimKey& key);
+
+  Incarnation self_;
+  ClaimOptions options_;
+  std::map<ClaimKey, Local> locals_;
+  std::deque<ClaimKey> remembered_;
+  std::deque<ClaimWrite> queue_;
+  std::vector<ClaimWrite> in_flight_;
+  Instant due_{};
+  bool reachable_ = true;
+  std::vector<ClaimEvent> events_;
+};
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_CLAIM_CLAIM_H_
--- /dev/null
+++ b/ledger/sync.cc
@@ -0,0 +1,485 @@
+#include "ledger/sync.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace quaytrack {
+namespace {
+
+Tokens GrantIn(const BudgetEntry& entry, const Incarnation& who) {
+  auto it = entry.grants.find(who);
+  return it == entry.grants.end() ? 0 : it->second;
+}
+
+void SetGrant(BudgetEntry& entry, const Incarnation& who, Tokens amount) {
+  if (amount == 0) {
+    entry.grants.erase(who);
+  } else {
+    entry.grants[who] = amount;
+  }
+}
+
+Tokens WantedByOthers(const BudgetEntry& entry, const Incarnation& self) {
+  Tokens sum = 0;
+  for (const auto& [who, n] : entry.wanted) {
+    if (who != self) sum += n;
+  }
+  return sum;
+}
+
+// The bundle with the higher version decides the limit, whoever writes.
+void FreshenLimit(const BudgetSetting& setting, std::uint64_t version,
+                  BudgetEntry& entry) {
+  const bool newer = version > entry.bundle_version;
+  if (!newer || setting.limit == entry.bundle_limit) return;
+  entry.bundle_limit = setting.limit;
+  entry.bundle_version = version;
+}
+
+// Sum of the first waiting holds, in arrival order, that `room` can take. If
+// even the first is too large it is the answer, so that it is asked for.
+Tokens WaitingThatFits(const std::deque<WaitingHold>& waiting, Tokens room) {
+  Tokens sum = 0;
+  for (const WaitingHold& it : waiting) {
+    if (sum > 0 && sum + it.amount > room) break;
+    sum += it.amount;
+  }
+  return sum;
+}
+
+}  // namespace
+
+LedgerSync::LedgerSync(Incarnation self, LedgerSyncOptions options)
+    : self_(std::move(self)), options_(options) {}
+
+void LedgerSync::SetBudgets(std::uint64_t bundle_version,
+                            const std::vector<BudgetSetting>& budgets) {
+  bundle_version_ = bundle_version;
+  settings_.clear();
+  for (const BudgetSetting& it : budgets) {
+    settings_[it.name] = it;
+    accounts_[it.name];
+    dirty_.insert(it.name);
+    const int shard = ShardOf(it.name);
+    if (!cache_.contains(shard)) must_read_.insert(shard);
+  }
+}
+
+void LedgerSync::SetWitness(const Incarnation& witness) {
+  witness_ = witness;
+  UpdateRecordedWitness();
+}
+
+HoldOutcome LedgerSync::Hold(Instant now, const RequestId& request,
+                             const BudgetName& budget, Tokens amount) {
+  if (fenced_) return HoldOutcome::kFenced;
+  if (!settings_.contains(budget)) return HoldOutcome::kUnknownBudget;
+  Account& account = accounts_[budget];
+  const bool first_in_line = account.waiting().empty();
+  if (first_in_line && account.TryHold(request, amount)) {
+    return HoldOutcome::kHeld;
+  }
+  if (CachedEntry(budget) != nullptr &&
+      MostThatCouldBeHad(budget, account) < amount) {
+    return HoldOutcome::kExhausted;
+  }
+  if (!reachable_ || draining_) return HoldOutcome::kUnavailable;
+  account.waiting().push_back({request, amount, now});
+  dirty_.insert(budget);
+  return HoldOutcome::kWaiting;
+}
+
+std::uint64_t LedgerSync::Settle(Instant now, Bill& bill) {
+  Account& account = accounts_[bill.budget];
+  bill.tokens = account.Settle(now, bill.request_id, bill.tokens);
+  const bool full =
+      !open_.empty() && open_.back().bills.size() >= options_.max_batch;
+  if (open_.empty() || full) open_.push_back({next_seq_++, {}});
+  const bool again =
+      !bill.marker.empty() && !unwritten_markers_.insert(bill.marker).second;
+  if (again) {
+    account.Forgive(bill.tokens);
+    events_.push_back({LedgerEventKind::kBillDropped, bill.request_id, {}, 0});
+    bill.tokens = 0;
+  } else {
+    open_.back().bills.push_back(bill);
+  }
+  if (!account.waiting().empty()) ServeWaiting(now);
+  return open_.back().seq;
+}
+
+void LedgerSync::Release(const RequestId& request, const BudgetName& budget) {
+  Account& account = accounts_[budget];
+  account.Release(request);
+  std::erase_if(account.waiting(),
+                [&](const WaitingHold& it) { return it.request == request; });
+  dirty_.insert(budget);
+}
+
+std::optional<LedgerAction> LedgerSync::Next(Instant now) {
+  if (fenced_ || phase_ != Phase::kIdle || now < not_before_) {
+    return std::nullopt;
+  }
+  // A watch may have shown that an attempt won. Only a fresh snapshot of all
+  // attempted records can resolve it.
+  if (SealedIsApplied())
+    must_read_.insert(attempted_.begin(), attempted_.end());
+  if (!must_read_.empty()) return StartRead();
+  if (now < last_commit_ + options_.commit_spacing) return std::nullopt;
+  MarkAllDirty(now);
+  if (!sealed_ && !open_.empty()) SealOpenBatch();
+  ShardMap work;
+  for (int shard : attempted_) Touch(work, shard);
+  TouchForWitness(work);
+  AddBills(work);
+  PlanDirtyBudgets(now, work);
+  if (work.empty()) {
+    // A sealed batch without bills (all were dropped) needs no write.
+    if (sealed_) ResolveSealed(now);
+    return std::nullopt;
+  }
+  return FinishCommit(now, std::move(work));
+}
+
+ReadShards LedgerSync::StartRead() {
+  phase_ = Phase::kReading;
+  ReadShards out;
+  out.shards.assign(must_read_.begin(), must_read_.end());
+  if (!sealed_) return out;
+  for (const Bill& it : sealed_->bills) {
+    if (!it.marker.empty()) out.markers.push_back(it.marker);
+  }
+  return out;
+}
+
+void LedgerSync::MarkAllDirty(Instant now) {
+  if (!draining_ && now < last_adjust_ + options_.adjust_every) return;
+  last_adjust_ = now;
+  for (const auto& [name, it] : settings_) dirty_.insert(name);
+}
+
+void LedgerSync::SealOpenBatch() {
+  sealed_ = std::move(open_.front());
+  open_.pop_front();
+  for (const Bill& it : sealed_->bills) sealed_costs_[it.budget] += it.tokens;
+}
+
+ShardState& LedgerSync::Touch(ShardMap& work, int shard) {
+  auto [it, inserted] = work.try_emplace(shard);
+  if (inserted) {
+    auto cached = cache_.find(shard);
+    if (cached != cache_.end()) it->second = cached->second;
+    it->second.shard = shard;
+  }
+  return it->second;
+}
+
+void LedgerSync::TouchForWitness(ShardMap& work) {
+  if (witness_ == recorded_witness_) return;
+  for (int shard : joined_) Touch(work, shard);
+}
+
+void LedgerSync::AddBills(ShardMap& work) {
+  if (!sealed_) return;
+  for (const Bill& it : sealed_->bills) {
+    ShardState& state = Touch(work, ShardOf(it.budget));
+    BudgetEntry& entry = state.record.budgets[it.budget];
+    entry.settled += it.tokens;
+    SetGrant(entry, self_, GrantIn(entry, self_) - it.tokens);
+  }
+}
+
+void LedgerSync::PlanDirtyBudgets(Instant now, ShardMap& work) {
+  for (const BudgetName& name : dirty_) {
+    auto setting = settings_.find(name);
+    if (setting == settings_.end()) continue;
+    const int shard = ShardOf(name);
+    auto touched = work.find(shard);
+    const LedgerRecord& record =
+        touched != work.end() ? touched->second.record : cache_[shard].record;
+    auto it = record.budgets.find(name);
+    const bool known = it != record.budgets.end();
+    const BudgetEntry before = known ? it->second : BudgetEntry();
+    Tokens returned = 0;
+    BudgetEntry after = PlannedEntry(now, setting->second, before, &returned);
+    if (known && after == before) continue;
+    accounts_[name].SetReturning(returned);
+    Touch(work, shard).record.budgets[name] = std::move(after);
+  }
+  dirty_.clear();
+}
+
+BudgetEntry LedgerSync::PlannedEntry(Instant now, const BudgetSetting& setting,
+                                     const BudgetEntry& entry,
+                                     Tokens* returned) const {
+  BudgetEntry out = entry;
+  FreshenLimit(setting, bundle_version_, out);
+  const GrantPlan plan = PlanFor(now, setting, out);
+  SetGrant(out, self_, GrantIn(out, self_) + plan.delta);
+  if (plan.short_by > 0) {
+    out.wanted[self_] = plan.short_by;
+  } else {
+    out.wanted.erase(self_);
+  }
+  *returned = std::max<Tokens>(0, -plan.delta);
+  return out;
+}
+
+GrantPlan LedgerSync::PlanFor(Instant now, const BudgetSetting& setting,
+                              const BudgetEntry& entry) const {
+  const Account& account = accounts_.at(setting.name);
+  GrantView view;
+  view.granted = GrantIn(entry, self_);
+  view.in_use =
+      account.HeldTotal() + account.unwritten() - SealedCost(setting.name);
+  view.rate = account.Rate(now);
+  view.free = entry.Free();
+  view.remaining = entry.Limit() - entry.settled;
+  view.wanted_by_others = WantedByOthers(entry, self_);
+  const Tokens room =
+      std::max<Tokens>(view.free, 0) + view.granted - view.in_use;
+  view.waiting = WaitingThatFits(account.waiting(), room);
+  if (!draining_) return PlanGrant(view, setting.policy);
+  GrantPlan all_back;
+  all_back.delta = -std::max<Tokens>(0, view.granted - view.in_use);
+  return all_back;
+}
+
+LedgerCommit LedgerSync::FinishCommit(Instant now, ShardMap&& work) {
+  if (!sealed_) {
+    if (open_.empty()) open_.push_back({next_seq_++, {}});
+    SealOpenBatch();
+  }
+  LedgerCommit out;
+  out.batch = *sealed_;
+  for (auto& [shard, state] : work) {
+    state.record.writers[self_] = {sealed_->seq, witness_};
+    attempted_.insert(shard);
+    out.shards.push_back(std::move(state));
+  }
+  phase_ = Phase::kCommitting;
+  last_commit_ = now;
+  in_flight_ = out;
+  return out;
+}
+
+void LedgerSync::OnRead(Instant now,
+                        std::optional<std::vector<ShardState>> states,
+                        const std::set<std::string>& existing_markers) {
+  phase_ = Phase::kIdle;
+  reachable_ = states.has_value();
+  if (!states) {
+    not_before_ = now + options_.retry_after_failure;
+    return;
+  }
+  for (const ShardState& it : *states) {
+    must_read_.erase(it.shard);
+    CacheIfNewer(it);
+  }
+  FenceIfRemoved();
+  if (fenced_) return;
+  if (AppliedIn(*states)) {
+    ResolveSealed(now);
+  } else if (!SealedIsApplied()) {
+    DropBilledTwice(existing_markers);
+  }
+  for (const auto& [name, it] : settings_) dirty_.insert(name);
+  ServeWaiting(now);
+}
+
+void LedgerSync::OnCommit(Instant now, CommitOutcome outcome,
+                          std::int64_t revision) {
+  phase_ = Phase::kIdle;
+  reachable_ = outcome != CommitOutcome::kUnknown;
+  if (outcome == CommitOutcome::kApplied) {
+    for (ShardState& it : in_flight_.shards) {
+      it.revision = revision;
+      CacheIfNewer(it);
+    }
+    ResolveSealed(now);
+    return;
+  }
+  must_read_.insert(attempted_.begin(), attempted_.end());
+  if (outcome == CommitOutcome::kUnknown) {
+    not_before_ = now + options_.retry_after_failure;
+  }
+}
+
+void LedgerSync::OnWatched(Instant now, const ShardState& state) {
+  CacheIfNewer(state);
+  FenceIfRemoved();
+  for (const auto& [name, it] : state.record.budgets) dirty_.insert(name);
+  ServeWaiting(now);
+}
+
+void LedgerSync::CacheIfNewer(const ShardState& state) {
+  auto [it, inserted] = cache_.try_emplace(state.shard, state);
+  if (inserted || state.revision < it->second.revision) return;
+  it->second = state;
+}
+
+bool LedgerSync::ShowsSealed(const ShardState& state) const {
+  if (!sealed_ || !attempted_.contains(state.shard)) return false;
+  auto writer = state.record.writers.find(self_);
+  if (writer == state.record.writers.end()) return false;
+  return writer->second.seq >= sealed_->seq;
+}
+
+bool LedgerSync::SealedIsApplied() const {
+  return std::any_of(cache_.begin(), cache_.end(),
+                     [&](const auto& it) { return ShowsSealed(it.second); });
+}
+
+bool LedgerSync::AppliedIn(const std::vector<ShardState>& snapshot) const {
+  return std::any_of(snapshot.begin(), snapshot.end(),
+                     [&](const ShardState& it) { return ShowsSealed(it); });
+}
+
+void LedgerSync::ResolveSealed(Instant now) {
+  for (int shard : attempted_) {
+    AdoptRecord(cache_[shard], true);
+    joined_.insert(shard);
+  }
+  for (const Bill& it : sealed_->bills) unwritten_markers_.erase(it.marker);
+  events_.push_back({LedgerEventKind::kBillsWritten, {}, {}, sealed_->seq});
+  sealed_.reset();
+  sealed_costs_.clear();
+  attempted_.clear();
+  UpdateRecordedWitness();
+  ServeWaiting(now);
+}
+
+void LedgerSync::AdoptRecord(const ShardState& state, bool sealed_applied) {
+  for (auto& [name, account] : accounts_) {
+    if (ShardOf(name) != state.shard) continue;
+    auto it = state.record.budgets.find(name);
+    const Tokens granted =
+        it == state.record.budgets.end() ? 0 : GrantIn(it->second, self_);
+    account.OnRecorded(granted, sealed_applied ? SealedCost(name) : 0);
+  }
+}
+
+void LedgerSync::DropBilledTwice(
+    const std::set<std::string>& existing_markers) {
+  if (!sealed_ || existing_markers.empty()) return;
+  std::erase_if(sealed_->bills, [&](const Bill& it) {
+    if (it.marker.empty() || !existing_markers.contains(it.marker)) {
+      return false;
+    }
+    accounts_[it.budget].Forgive(it.tokens);
+    sealed_costs_[it.budget] -= it.tokens;
+    unwritten_markers_.erase(it.marker);
+    events_.push_back({LedgerEventKind::kBillDropped, it.request_id, {}, 0});
+    return true;
+  });
+}
+
+void LedgerSync::UpdateRecordedWitness() {
+  Incarnation common = witness_;
+  for (int shard : joined_) {
+    auto state = cache_.find(shard);
+    if (state == cache_.end()) continue;
+    auto writer = state->second.record.writers.find(self_);
+    if (writer == state->second.record.writers.end()) continue;
+    if (writer->second.witness != witness_) common = Incarnation();
+  }
+  recorded_witness_ = common;
+}
+
+void LedgerSync::FenceIfRemoved() {
+  for (int shard : joined_) {
+    if (cache_[shard].record.writers.contains(self_)) continue;
+    if (!fenced_) events_.push_back({LedgerEventKind::kFenced, {}, {}, 0});
+    fenced_ = true;
+  }
+  if (!fenced_) return;
+  for (auto& [name, account] : accounts_) {
+    while (!account.waiting().empty()) Refuse(account, HoldRefusal::kFenced);
+  }
+}
+
+void LedgerSync::ServeWaiting(Instant) {
+  for (auto& [name, account] : accounts_) {
+    std::deque<WaitingHold>& waiting = account.waiting();
+    while (!waiting.empty()) {
+      const WaitingHold& first = waiting.front();
+      if (!account.TryHold(first.request, first.amount)) break;
+      events_.push_back({LedgerEventKind::kHoldGranted, first.request, {}, 0});
+      waiting.pop_front();
+    }
+    RefuseHopeless(name, account);
+  }
+}
+
+void LedgerSync::RefuseHopeless(const BudgetName& name, Account& account) {
+  if (CachedEntry(name) == nullptr) return;
+  while (!account.waiting().empty()) {
+    const Tokens most = MostThatCouldBeHad(name, account);
+    if (account.waiting().front().amount <= most) return;
+    Refuse(account, HoldRefusal::kExhausted);
+  }
+}
+
+void LedgerSync::Refuse(Account& account, HoldRefusal refusal) {
+  events_.push_back({LedgerEventKind::kHoldRefused,
+                     account.waiting().front().request, refusal, 0});
+  account.waiting().pop_front();
+}
+
+Tokens LedgerSync::MostThatCouldBeHad(const BudgetName& name,
+                                      const Account& account) const {
+  const BudgetEntry* entry = CachedEntry(name);
+  if (entry == nullptr) return 0;
+  const Tokens in_use = account.HeldTotal() + account.unwritten();
+  auto setting = settings_.find(name);
+  if (setting == settings_.end()) return 0;
+  BudgetEntry fresh = *entry;
+  FreshenLimit(setting->second, bundle_version_, fresh);
+  return fresh.Limit() - fresh.settled - in_use;
+}
+
+const BudgetEntry* LedgerSync::CachedEntry(const BudgetName& name) const {
+  auto state = cache_.find(ShardOf(name));
+  if (state == cache_.end()) return nullptr;
+  auto it = state->second.record.budgets.find(name);
+  return it == state->second.record.budgets.end() ? nullptr : &it->second;
+}
+
+Tokens LedgerSync::SealedCost(const BudgetName& name) const {
+  auto it = sealed_costs_.find(name);
+  return it == sealed_costs_.end() ? 0 : it->second;
+}
+
+void LedgerSync::Tick(Instant now) {
+  for (auto& [name, account] : accounts_) {
+    while (!account.waiting().empty() &&
+           account.waiting().front().since + options_.hold_wait <= now) {
+      Refuse(account,
+             reachable_ ? HoldRefusal::kExhausted : HoldRefusal::kUnavailable);
+      dirty_.insert(name);
+    }
+  }
+}
+
+bool LedgerSync::Drained() const {
+  if (UnwrittenBills() > 0 || sealed_) return false;
+  return std::all_of(accounts_.begin(), accounts_.end(),
+                     [](const auto& it) { return it.second.granted() == 0; });
+}
+
+std::vector<LedgerEvent> LedgerSync::TakeEvents() {
+  return std::exchange(events_, {});
+}
+
+std::size_t LedgerSync::UnwrittenBills() const {
+  std::size_t n = sealed_ ? sealed_->bills.size() : 0;
+  for (const BillBatch& it : open_) n += it.bills.size();
+  return n;
+}
+
+const ShardState* LedgerSync::CachedShard(int shard) const {
+  auto it = cache_.find(shard);
+  return it == cache_.end() ? nullptr : &it->second;
+}
+
+}  // namespace quaytrack
--- /dev/null
+++ b/ledger/sync.h
@@ -0,0 +1,263 @@
+// LedgerSync keeps one router's accounts and the shared ledger in step.
+//
+// Spending is local and immediate:
+//
+//   LedgerSync ledger(self, {});
+//   ledger.SetBudgets(bundle_version, settings);
+//   switch (ledger.Hold(now, request, budget, worst_case)) {...}
+//   ledger.Settle(now, request, bill);          // or Release(request)
+//
+// Everything else is a cycle that the caller drives with the key-value service:
+//
+//   while (auto action = ledger.Next(now)) {
+//     perform it, then call OnRead(...) or OnCommit(...);
+//   }
+//   for (const LedgerEvent& it : ledger.TakeEvents()) {...}
+//
+// One commit is one transaction: it compares the revision of each record that
+// it replaces, writes one batch of bills create-only, and moves the amounts, so
+// that records and bills agree in every revision.
+//
+// Lost answers. A commit whose answer is lost may have been applied, or may
+// still be applied later. The batch keeps its sequence number until some
+// attempt is known to be in the record: every attempt for one number replaces
+// at least the records of the attempts before it, at their compared revisions,
+// so at most one of them can win, and the record's `writers[self].seq` says
+// whether one has. It is resolved from one snapshot of all those records (a
+// watch alone shows one record and may be ahead of the others). Until then all
+// that such an attempt may have given back counts as gone, and nothing that it
+// may have taken counts as owned.
+//
+// Being declared dead. Recovery removes `writers[self]`. A router that finds
+// its entry missing has been replaced; it reports kFenced and must stop.
+
+#ifndef QUAYTRACK_LEDGER_SYNC_H_
+#define QUAYTRACK_LEDGER_SYNC_H_
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/enum_table.h"
+#include "base/ids.h"
+#include "ledger/account.h"
+#include "ledger/bill.h"
+#include "ledger/grant_policy.h"
+#include "ledger/record.h"
+
+namespace quaytrack {
+
+// A budget as the bundle describes it.
+struct BudgetSetting {
+  BudgetName name;
+  Tokens limit = 0;
+  BudgetPolicy policy;
+};
+
+struct LedgerSyncOptions {
+  // Shortest time between two commits; bounds KV writes a second.
+  Duration commit_spacing = std::chrono::milliseconds(100);
+  // How long a request may wait for a larger grant.
+  Duration hold_wait = std::chrono::milliseconds(800);
+  // How often grants are compared with their targets when nothing else is due.
+  Duration adjust_every = std::chrono::seconds(1);
+  // Pause after a failed read or commit.
+  Duration retry_after_failure = std::chrono::milliseconds(200);
+  // Bills in one batch at most; the rest waits for the next.
+  std::size_t max_batch = 1000;
+};
+
+enum class HoldOutcome {
+  kHeld,
+  kWaiting,      // a kHoldGranted or kHoldRefused event follows
+  kExhausted,    // the budget can't cover it
+  kUnavailable,  // the own grant can't, and the ledger can't be reached
+  kUnknownBudget,
+  kFenced,
+};
+
+// Why a waiting hold was refused.
+enum class HoldRefusal { kExhausted, kUnavailable, kFenced };
+
+// A record as it was read, or as it stands after a commit.
+struct ShardState {
+  int shard = 0;
+  // Revision of the last change; 0 when the key doesn't exist.
+  std::int64_t revision = 0;
+  LedgerRecord record;
+};
+
+// Read these records as one snapshot, and tell which of `markers` exist. One
+// snapshot, because a record that shows a batch must not be combined with an
+// older state of another record that the same batch changed.
+struct ReadShards {
+  std::vector<int> shards;
+  std::vector<std::string> markers;
+};
+
+// Replace `shards` if each still has its revision, and, if the batch has bills,
+// create its journal key and the markers that its bills name; all or nothing.
+struct LedgerCommit {
+  std::vector<ShardState> shards;
+  BillBatch batch;
+};
+
+using LedgerAction = std::variant<ReadShards, LedgerCommit>;
+
+enum class CommitOutcome { kApplied, kRejected, kUnknown };
+
+enum class LedgerEventKind {
+  kHoldGranted,   // `request` may start
+  kHoldRefused,   // `request` must be refused for `refusal`
+  kBillsWritten,  // bills up to `seq` are stored
+  kBillDropped,   // `request`'s bill existed already; not billed again
+  kFenced,        // this incarnation was declared dead
+};
+
+struct LedgerEvent {
+  LedgerEventKind kind{};
+  RequestId request;
+  HoldRefusal refusal{};
+  std::uint64_t seq = 0;
+};
+
+template <>
+struct EnumTable<HoldRefusal> {
+  static constexpr auto kEntries = std::to_array<EnumEntry<HoldRefusal>>(
+      {{HoldRefusal::kExhausted, "budget_exhausted"},
+       {HoldRefusal::kUnavailable, "budget_unavailable"},
+       {HoldRefusal::kFenced, "router_stopping"}});
+};
+
+class LedgerSync {
+ public:
+  LedgerSync(Incarnation self, LedgerSyncOptions options);
+
+  // Takes the budgets of a newer bundle. Budgets that it no longer names keep
+  // their running requests but take no new ones.
+  void SetBudgets(std::uint64_t bundle_version,
+                  const std::vector<BudgetSetting>& budgets);
+
+  // Names the peer that keeps copies of this router's unwritten bills. It
+  // counts as the witness once `recorded_witness` shows it.
+  void SetWitness(const Incarnation& witness);
+  const Incarnation& recorded_witness() const { return recorded_witness_; }
+
+  HoldOutcome Hold(Instant now, const RequestId& request,
+                   const BudgetName& budget, Tokens amount);
+
+  // Ends a hold with a bill. `bill.tokens` is cut to the hold. Returns the
+  // sequence number of the batch that will carry the bill.
+  std::uint64_t Settle(Instant now, Bill& bill);
+
+  // Ends a hold, or a wait for one, without a bill.
+  void Release(const RequestId& request, const BudgetName& budget);
+
+  // The next thing to do, if any is due and none is in flight.
+  std::optional<LedgerAction> Next(Instant now);
+
+  // The result of a ReadShards; empty `states` when the service didn't answer.
+  void OnRead(Instant now, std::optional<std::vector<ShardState>> states,
+              const std::set<std::string>& existing_markers);
+  void OnCommit(Instant now, CommitOutcome outcome, std::int64_t revision);
+
+  // A watch reported a newer record.
+  void OnWatched(Instant now, const ShardState& state);
+
+  // Refuses holds that have waited too long.
+  void Tick(Instant now);
+
+  // Gives back every idle amount at the next commits and takes none; for a
+  // planned stop. Finished when `Drained`.
+  void StartDrain() { draining_ = true; }
+  bool Drained() const;
+
+  std::vector<LedgerEvent> TakeEvents();
+
+  // For status pages and tests.
+  const std::map<BudgetName, Account>& accounts() const { return accounts_; }
+  bool fenced() const { return fenced_; }
+  bool KvReachable() const { return reachable_; }
+  std::size_t UnwrittenBills() const;
+  // The latest known record of a shard; null before the first read.
+  const ShardState* CachedShard(int shard) const;
+
+ private:
+  enum class Phase { kIdle, kReading, kCommitting };
+  using ShardMap = std::map<int, ShardState>;
+
+  ReadShards StartRead();
+  void MarkAllDirty(Instant now);
+  void SealOpenBatch();
+  ShardState& Touch(ShardMap& work, int shard);
+  void TouchForWitness(ShardMap& work);
+  void AddBills(ShardMap& work);
+  void PlanDirtyBudgets(Instant now, ShardMap& work);
+  BudgetEntry PlannedEntry(Instant now, const BudgetSetting& setting,
+                           const BudgetEntry& entry, Tokens* returned) const;
+  GrantPlan PlanFor(Instant now, const BudgetSetting& setting,
+                    const BudgetEntry& entry) const;
+  LedgerCommit FinishCommit(Instant now, ShardMap&& work);
+  Tokens SealedCost(const BudgetName& name) const;
+  bool ShowsSealed(const ShardState& state) const;
+  bool SealedIsApplied() const;
+  bool AppliedIn(const std::vector<ShardState>& snapshot) const;
+  void ResolveSealed(Instant now);
+  void AdoptRecord(const ShardState& state, bool sealed_applied);
+  void CacheIfNewer(const ShardState& state);
+  void DropBilledTwice(const std::set<std::string>& existing_markers);
+  void UpdateRecordedWitness();
+  void ServeWaiting(Instant now);
+  void RefuseHopeless(const BudgetName& name, Account& account);
+  void Refuse(Account& account, HoldRefusal refusal);
+  Tokens MostThatCouldBeHad(const BudgetName& name,
+                            const Account& account) const;
+  const BudgetEntry* CachedEntry(const BudgetName& name) const;
+  void FenceIfRemoved();
+
+  Incarnation self_;
+  LedgerSyncOptions options_;
+  std::uint64_t bundle_version_ = 0;
+  std::map<BudgetName, BudgetSetting> settings_;
+  std::map<BudgetName, Account> accounts_;
+  std::map<int, ShardState> cache_;
+  std::set<int> must_read_;
+  // Records in which this incarnation has an entry.
+  std::set<int> joined_;
+
+  Phase phase_ = Phase::kIdle;
+  std::uint64_t next_seq_ = 1;
+  // Batches that still take bills (the last) or wait to be written.
+  std::deque<BillBatch> open_;
+  // The batch that is being written; its bills change no more.
+  std::optional<BillBatch> sealed_;
+  // Sum of the sealed bills of each budget.
+  std::map<BudgetName, Tokens> sealed_costs_;
+  std::set<std::string> unwritten_markers_;
+  // Budgets whose entry may need a change.
+  std::set<BudgetName> dirty_;
+  // Records that unresolved attempts for `sealed_` may have replaced.
+  std::set<int> attempted_;
+  LedgerCommit in_flight_;
+
+  Instant last_commit_{};
+  Instant not_before_{};
+  Instant last_adjust_{};
+  bool reachable_ = false;
+  bool draining_ = false;
+  bool fenced_ = false;
+  Incarnation witness_;
+  Incarnation recorded_witness_;
+  std::vector<LedgerEvent> events_;
+};
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_LEDGER_SYNC_H_
--- /dev/null
+++ b/ledger/testing/sync_test.cc
@@ -0,0 +1,221 @@
+#include "ledger/sync.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "ledger/testing/fake_ledger_store.h"
+
+namespace quaytrack {
+namespace {
+
+using std::chrono::milliseconds;
+
+const BudgetName kBudget{"b"};
+
+Bill MakeBill(const std::string& request, Tokens tokens,
+              const std::string& marker = "") {
+  Bill out;
+  out.bill_id = request;
+  out.budget = kBudget;
+  out.request_id = RequestId(request);
+  out.tokens = tokens;
+  out.marker = marker;
+  return out;
+}
+
+// One router with a store that answers at once.
+struct Router {
+  Router(const std::string& name, FakeLedgerStore& s, Tokens limit)
+      : self(name), store(s), ledger(self, {}) {
+    ledger.SetBudgets(1, {{kBudget, limit, {std::chrono::seconds(10), 32}}});
+  }
+
+  // Drives the cycle until nothing is due at `now`.
+  void Run(Instant now) {
+    while (auto action = ledger.Next(now)) {
+      if (auto* read = std::get_if<ReadShards>(&*action)) {
+        ledger.OnRead(now, store.Read(read->shards), store.markers());
+        continue;
+      }
+      const bool ok = store.Apply(self, std::get<LedgerCommit>(*action));
+      ledger.OnCommit(now,
+                      ok ? CommitOutcome::kApplied : CommitOutcome::kRejected,
+                      store.revision());
+    }
+    for (auto& it : ledger.TakeEvents()) events.push_back(it);
+  }
+
+  Incarnation self;
+  FakeLedgerStore& store;
+  LedgerSync ledger;
+  std::vector<LedgerEvent> events;
+};
+
+struct Fixture {
+  FakeLedgerStore store;
+  Instant now{std::chrono::hours(1)};
+  void Pass(Duration d) { now += d; }
+};
+
+BOOST_FIXTURE_TEST_SUITE(LedgerSyncTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(SpendsLocallyOnceGranted) {
+  Router r("vm-1@1", store, 32000);
+  r.Run(now);
+  BOOST_TEST(store.Budget(kBudget).Outstanding() == 1000);
+  BOOST_TEST(
+      (r.ledger.Hold(now, RequestId("q"), kBudget, 600) == HoldOutcome::kHeld));
+  Bill bill = MakeBill("q", 250);
+  r.ledger.Settle(now, bill);
+  Pass(milliseconds(200));
+  r.Run(now);
+  BOOST_TEST(store.Budget(kBudget).settled == 250);
+  BOOST_TEST(store.bills().size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(BillIsCutToItsHold) {
+  Router r("vm-1@1", store, 32000);
+  r.Run(now);
+  r.ledger.Hold(now, RequestId("q"), kBudget, 100);
+  Bill bill = MakeBill("q", 5000);
+  r.ledger.Settle(now, bill);
+  BOOST_TEST(bill.tokens == 100);
+}
+
+BOOST_AUTO_TEST_CASE(LargerNeedWaitsForAGrant) {
+  Router r("vm-1@1", store, 32000);
+  r.Run(now);
+  const auto outcome = r.ledger.Hold(now, RequestId("q"), kBudget, 20000);
+  BOOST_TEST((outcome == HoldOutcome::kWaiting));
+  Pass(milliseconds(200));
+  r.Run(now);
+  BOOST_REQUIRE(!r.events.empty());
+  BOOST_TEST((r.events.back().kind == LedgerEventKind::kHoldGranted ||
+              r.events.front().kind == LedgerEventKind::kHoldGranted));
+}
+
+BOOST_AUTO_TEST_CASE(MoreThanTheBudgetIsRefusedAtOnce) {
+  Router r("vm-1@1", store, 1000);
+  r.Run(now);
+  const auto outcome = r.ledger.Hold(now, RequestId("q"), kBudget, 1001);
+  BOOST_TEST((outcome == HoldOutcome::kExhausted));
+}
+
+BOOST_AUTO_TEST_CASE(IdleGrantIsCalledBackForOneInNeed) {
+  Router a("vm-1@1", store, 1000);
+  Router b("vm-2@1", store, 1000);
+  a.Run(now);
+  a.ledger.Hold(now, RequestId("warm"), kBudget, 900);
+  Pass(milliseconds(200));
+  a.Run(now);
+  a.ledger.Release(RequestId("warm"), kBudget);
+  // `a` sits on 900 or more; `b` needs 800.
+  b.Run(now);
+  b.ledger.Hold(now, RequestId("q"), kBudget, 800);
+  Pass(milliseconds(200));
+  b.Run(now);
+  BOOST_TEST(store.Budget(kBudget).wanted.size() == 1U);
+  a.ledger.OnWatched(now, store.Read(ShardOf(kBudget)));
+  a.Run(now);
+  b.ledger.OnWatched(now, store.Read(ShardOf(kBudget)));
+  Pass(milliseconds(200));
+  b.Run(now);
+  bool granted = false;
+  for (const auto& it : b.events) {
+    granted = granted || it.kind == LedgerEventKind::kHoldGranted;
+  }
+  BOOST_TEST(granted);
+  BOOST_TEST(store.Budget(kBudget).wanted.empty());
+}
+
+BOOST_AUTO_TEST_CASE(LostAnswerIsFoundInTheRecord) {
+  Router r("vm-1@1", store, 32000);
+  r.Run(now);
+  r.ledger.Hold(now, RequestId("q"), kBudget, 600);
+  Bill bill = MakeBill("q", 250);
+  r.ledger.Settle(now, bill);
+  Pass(milliseconds(200));
+  auto action = r.ledger.Next(now);
+  BOOST_REQUIRE(std::holds_alternative<LedgerCommit>(*action));
+  store.Apply(r.self, std::get<LedgerCommit>(*action));
+  r.ledger.OnCommit(now, CommitOutcome::kUnknown, 0);
+  Pass(milliseconds(500));
+  r.Run(now);
+  BOOST_TEST(store.Budget(kBudget).settled == 250);
+  BOOST_TEST(store.bills().size() == 1U);
+  BOOST_TEST(r.ledger.UnwrittenBills() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(SameKeyAtTwoRoutersIsBilledOnce) {
+  Router a("vm-1@1", store, 32000);
+  Router b("vm-2@1", store, 32000);
+  for (Router* r : {&a, &b}) {
+    r->Run(now);
+    r->ledger.Hold(now, RequestId(r->self.value), kBudget, 300);
+    Bill bill = MakeBill(r->self.value, 200, "clinic/key-1");
+    r->ledger.Settle(now, bill);
+  }
+  Pass(milliseconds(200));
+  a.Run(now);
+  b.Run(now);
+  Pass(milliseconds(200));
+  b.Run(now);
+  BOOST_TEST(store.bills().size() == 1U);
+  BOOST_TEST(store.Budget(kBudget).settled == 200);
+  BOOST_TEST(b.ledger.UnwrittenBills() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(RemovedWriterIsFenced) {
+  Router r("vm-1@1", store, 32000);
+  r.Run(now);
+  LedgerRecord record = store.Read(ShardOf(kBudget)).record;
+  record.writers.clear();
+  record.budgets[kBudget].grants.clear();
+  store.Put(ShardOf(kBudget), record);
+  r.ledger.OnWatched(now, store.Read(ShardOf(kBudget)));
+  const auto outcome = r.ledger.Hold(now, RequestId("q"), kBudget, 1);
+  BOOST_TEST((outcome == HoldOutcome::kFenced));
+}
+
+BOOST_AUTO_TEST_CASE(DrainGivesEverythingBack) {
+  Router r("vm-1@1", store, 32000);
+  r.Run(now);
+  BOOST_TEST(store.Budget(kBudget).Outstanding() > 0);
+  r.ledger.StartDrain();
+  Pass(milliseconds(200));
+  r.Run(now);
+  BOOST_TEST(store.Budget(kBudget).Outstanding() == 0);
+  BOOST_TEST(r.ledger.Drained());
+}
+
+BOOST_AUTO_TEST_CASE(LoweredLimitTakesNoMore) {
+  Router r("vm-1@1", store, 32000);
+  r.Run(now);
+  r.ledger.Hold(now, RequestId("q"), kBudget, 900);
+  r.ledger.SetBudgets(2, {{kBudget, 500, {std::chrono::seconds(10), 32}}});
+  Pass(milliseconds(1200));
+  r.Run(now);
+  BOOST_TEST(store.Budget(kBudget).Limit() == 500);
+  BOOST_TEST(store.Budget(kBudget).Outstanding() == 900);
+  const auto outcome = r.ledger.Hold(now, RequestId("p"), kBudget, 50);
+  BOOST_TEST((outcome == HoldOutcome::kExhausted));
+}
+
+BOOST_AUTO_TEST_CASE(UnreachableLedgerRefusesAtOnceWhatDoesNotFit) {
+  Router r("vm-1@1", store, 32000);
+  r.Run(now);
+  r.ledger.Hold(now, RequestId("p"), kBudget, 10);
+  Bill bill = MakeBill("p", 10);
+  r.ledger.Settle(now, bill);
+  Pass(milliseconds(200));
+  r.ledger.Next(now);
+  r.ledger.OnCommit(now, CommitOutcome::kUnknown, 0);
+  auto outcome = r.ledger.Hold(now, RequestId("q"), kBudget, 5000);
+  BOOST_TEST((outcome == HoldOutcome::kUnavailable));
+  outcome = r.ledger.Hold(now, RequestId("s"), kBudget, 100);
+  BOOST_TEST((outcome == HoldOutcome::kHeld));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace quaytrack
