--- /dev/null
+++ b/base/events.h
@@ -0,0 +1,98 @@
+// The catalogue of log events. Every log line carries one of these numbers, so
+// that operators can search for a number and not for wording.
+// docs/EVENTS.md explains each; a test holds the two equal.
+
+#ifndef QUAYTRACK_BASE_EVENTS_H_
+#define QUAYTRACK_BASE_EVENTS_H_
+
+#include <array>
+#include <string_view>
+
+namespace quaytrack {
+
+enum class LogLevel { kDebug, kInfo, kWarn, kError };
+
+enum class Event {
+  // 10xx: the process.
+  kStarted = 1001,
+  kReady = 1002,
+  kDrainStarted = 1003,
+  kDrainFinished = 1004,
+  kDrainTimedOut = 1005,
+  kSettingRejected = 1006,
+  kFenced = 1007,
+  // 11xx: the key-value service and membership.
+  kKvLost = 1101,
+  kKvBack = 1102,
+  kRegistered = 1103,
+  kWatchRestarted = 1104,
+  kVmListLost = 1105,
+  kVmListBack = 1106,
+  kRouterRecovered = 1107,
+  kRecoveryFailed = 1108,
+  kWitnessChanged = 1109,
+  kPeerLinkLost = 1110,
+  kPeerMessageRefused = 1111,
+  // 12xx: bundles.
+  kBundleTaken = 1201,
+  kBundleRefused = 1202,
+  // 13xx: targets.
+  kTargetLeaving = 1301,
+  kTargetFailed = 1302,
+  kBreakerOpened = 1303,
+  kUsageMissing = 1304,
+  kUsageTooLarge = 1305,
+  // 14xx: requests, bills and claims.
+  kRequestRefused = 1401,
+  kRequestFinished = 1402,
+  kCallerGone = 1403,
+  kBillsWritten = 1404,
+  kBillDropped = 1405,
+  kBillUnprotected = 1406,
+  kClaimUnknown = 1407,
+};
+
+struct EventInfo {
+  Event event;
+  LogLevel level;
+  std::string_view name;
+};
+
+inline constexpr auto kEventCatalogue = std::to_array<EventInfo>({
+    {Event::kStarted, LogLevel::kInfo, "started"},
+    {Event::kReady, LogLevel::kInfo, "ready"},
+    {Event::kDrainStarted, LogLevel::kInfo, "drain_started"},
+    {Event::kDrainFinished, LogLevel::kInfo, "drain_finished"},
+    {Event::kDrainTimedOut, LogLevel::kWarn, "drain_timed_out"},
+    {Event::kSettingRejected, LogLevel::kError, "setting_rejected"},
+    {Event::kFenced, LogLevel::kError, "fenced"},
+    {Event::kKvLost, LogLevel::kWarn, "kv_lost"},
+    {Event::kKvBack, LogLevel::kInfo, "kv_back"},
+    {Event::kRegistered, LogLevel::kInfo, "registered"},
+    {Event::kWatchRestarted, LogLevel::kInfo, "watch_restarted"},
+    {Event::kVmListLost, LogLevel::kWarn, "vm_list_lost"},
+    {Event::kVmListBack, LogLevel::kInfo, "vm_list_back"},
+    {Event::kRouterRecovered, LogLevel::kInfo, "router_recovered"},
+    {Event::kRecoveryFailed, LogLevel::kWarn, "recovery_failed"},
+    {Event::kWitnessChanged, LogLevel::kInfo, "witness_changed"},
+    {Event::kPeerLinkLost, LogLevel::kWarn, "peer_link_lost"},
+    {Event::kPeerMessageRefused, LogLevel::kWarn, "peer_message_refused"},
+    {Event::kBundleTaken, LogLevel::kInfo, "bundle_taken"},
+    {Event::kBundleRefused, LogLevel::kWarn, "bundle_refused"},
+    {Event::kTargetLeaving, LogLevel::kInfo, "target_leaving"},
+    {Event::kTargetFailed, LogLevel::kWarn, "target_failed"},
+    {Event::kBreakerOpened, LogLevel::kWarn, "breaker_opened"},
+    {Event::kUsageMissing, LogLevel::kWarn, "usage_missing"},
+    {Event::kUsageTooLarge, LogLevel::kWarn, "usage_too_large"},
+    {Event::kRequestRefused, LogLevel::kDebug, "request_refused"},
+    {Event::kRequestFinished, LogLevel::kDebug, "request_finished"},
+    {Event::kCallerGone, LogLevel::kDebug, "caller_gone"},
+    {Event::kBillsWritten, LogLevel::kDebug, "bills_written"},
+    {Event::kBillDropped, LogLevel::kInfo, "bill_dropped"},
+    {Event::kBillUnprotected, LogLevel::kWarn, "bill_unprotected"},
+    {Event::kClaimUnknown, LogLevel::kInfo, "claim_unknown"},
+});
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_BASE_EVENTS_H_
--- /dev/null
+++ b/base/log.cc
@@ -0,0 +1,108 @@
+#include "base/log.h"
+
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+#include <nlohmann/json.hpp>
+
+namespace quaytrack {
+namespace {
+
+LogFormat g_format = LogFormat::kText;
+LogLevel g_level = LogLevel::kInfo;
+
+const log4cxx::LoggerPtr& Logger() {
+  static const log4cxx::LoggerPtr kLogger =
+      log4cxx::Logger::getLogger("quaytrack");
+  return kLogger;
+}
+
+const EventInfo& InfoOf(Event event) {
+  for (const EventInfo& it : kEventCatalogue) {
+    if (it.event == event) return it;
+  }
+  return kEventCatalogue[0];
+}
+
+log4cxx::LevelPtr LevelOf(LogLevel level) {
+  switch (level) {
+    case LogLevel::kDebug:
+      return log4cxx::Level::getDebug();
+    case LogLevel::kInfo:
+      return log4cxx::Level::getInfo();
+    case LogLevel::kWarn:
+      return log4cxx::Level::getWarn();
+    case LogLevel::kError:
+      return log4cxx::Level::getError();
+  }
+  return log4cxx::Level::getInfo();
+}
+
+std::string EventNumber(Event event) {
+  return "QT" + std::to_string(static_cast<int>(event));
+}
+
+std::string AsJson(const EventInfo& info,
+                   std::initializer_list<LogField> fields) {
+  nlohmann::ordered_json out = {{"event", EventNumber(info.event)},
+                                {"name", info.name},
+                                {"level", NameOf(info.level)}};
+  for (const LogField& it : fields) out[std::string(it.name)] = it.value;
+  return out.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+// Values with a space, a quote or a control character are quoted, so that a
+// caller's text can't forge a line.
+std::string Quoted(const std::string& value) {
+  const bool plain = !value.empty() &&
+                     value.find_first_of(" \"\\=") == std::string::npos &&
+                     value.find_first_of("\r\n\t") == std::string::npos;
+  if (plain) return value;
+  return nlohmann::json(value).dump(-1, ' ', true,
+                                    nlohmann::json::error_handler_t::replace);
+}
+
+std::string AsText(const EventInfo& info,
+                   std::initializer_list<LogField> fields) {
+  std::string out = EventNumber(info.event);
+  out += ' ';
+  out += info.name;
+  for (const LogField& it : fields) {
+    out += ' ';
+    out += it.name;
+    out += '=';
+    out += Quoted(it.value);
+  }
+  return out;
+}
+
+}  // namespace
+
+void SetUpLog(LogFormat format, LogLevel level) {
+  g_format = format;
+  g_level = level;
+  // The JSON line carries its level itself.
+  const char* pattern = format == LogFormat::kJson
+                            ? "%m%n"
+                            : "%d{yyyy-MM-ddTHH:mm:ss.SSS}{GMT}Z %p %m%n";
+  auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
+  auto appender = std::make_shared<log4cxx::ConsoleAppender>(
+      layout, log4cxx::ConsoleAppender::getSystemErr());
+  log4cxx::Logger::getRootLogger()->removeAllAppenders();
+  log4cxx::BasicConfigurator::configure(appender);
+  log4cxx::Logger::getRootLogger()->setLevel(LevelOf(level));
+}
+
+bool LogEnabled(Event event) { return InfoOf(event).level >= g_level; }
+
+void LogEvent(Event event, std::initializer_list<LogField> fields) {
+  const EventInfo& info = InfoOf(event);
+  if (info.level < g_level) return;
+  const std::string line = g_format == LogFormat::kJson ? AsJson(info, fields)
+                                                        : AsText(info, fields);
+  LOG4CXX_LOG(Logger(), LevelOf(info.level), line);
+}
+
+}  // namespace quaytrack
--- /dev/null
+++ b/bundle/signing.h
@@ -0,0 +1,50 @@
+// Sign-off of bundles: Ed25519 signatures of two different operators.
+//
+// A signature covers the version and the digest of the text, so a signed text
+// can't be presented under another version. The operators' public keys are part
+// of each router's settings and not of the bundle, as a bundle must not be able
+// to name its own signers.
+
+#ifndef QUAYTRACK_BUNDLE_SIGNING_H_
+#define QUAYTRACK_BUNDLE_SIGNING_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace quaytrack {
+
+inline constexpr std::size_t kSignaturesNeeded = 2;
+
+// A key pair, both parts base64 of the 32 raw bytes.
+struct OperatorKeyPair {
+  std::string private_key;
+  std::string public_key;
+};
+
+struct BundleSignature {
+  std::string operator_name;
+  std::string signature;  // base64
+};
+
+// Public keys by operator.
+using OperatorKeys = std::map<std::string, std::string>;
+
+OperatorKeyPair MakeOperatorKeyPair();
+
+// Empty when `private_key` isn't a key.
+std::optional<std::string> SignBundle(const std::string& private_key,
+                                      std::uint64_t version,
+                                      std::string_view text);
+
+// How many different known operators validly signed this version and text.
+std::size_t CountValidSignatures(const OperatorKeys& keys,
+                                 std::uint64_t version, std::string_view text,
+                                 const std::vector<BundleSignature>& given);
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_BUNDLE_SIGNING_H_
--- a/chart/chart.cc
+++ b/chart/chart.cc
@@ -46,7 +46,8 @@
 // Reads one state's arrows into `arrows`, which has a slot for each event.
 leaf::result<void> ReadState(int state, const Json& json, const Names& names,
                              std::vector<std::optional<Arrow>>& arrows) {
-  for (const auto& [event, arrow] : json.value("on", Json::object()).items()) {
+  const Json on = json.value("on", Json::object());
+  for (const auto& [event, arrow] : on.items()) {
     BOOST_LEAF_AUTO(n, EventIndex(names, event));
     BOOST_LEAF_AUTO(read, ReadArrow(arrow, names));
     arrows[static_cast<std::size_t>(n)] = read;
--- /dev/null
+++ b/chart/embedded.h
@@ -0,0 +1,14 @@
+// The texts of chart/charts/*.json, so that the shipped binary is one file.
+
+#ifndef QUAYTRACK_CHART_EMBEDDED_H_
+#define QUAYTRACK_CHART_EMBEDDED_H_
+
+namespace quaytrack {
+
+extern const char kClaimChart[];
+extern const char kDrainChart[];
+extern const char kForwardChart[];
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_CHART_EMBEDDED_H_
--- a/claim/claim.cc
+++ b/claim/claim.cc
@@ -13,6 +13,7 @@
 std::string EncodeClaim(const ClaimEntry& entry) {
   return Json{{"state", NameOf(entry.state)},
               {"owner", entry.owner.value},
+              {"owner_registered", entry.owner_registered},
               {"request", entry.request.value},
               {"digest", entry.digest},
               {"status", entry.answer.status},
@@ -33,6 +34,7 @@
     if (!state || !body) return std::nullopt;
     out.state = *state;
     out.owner.value = json.at("owner").get<std::string>();
+    out.owner_registered = json.at("owner_registered").get<std::int64_t>();
     out.request.value = json.at("request").get<std::string>();
     out.digest = json.at("digest").get<std::string>();
     out.answer.status = json.at("status").get<int>();
@@ -80,6 +82,7 @@
   Local local;
   local.entry.state = ClaimState::kClaimed;
   local.entry.owner = self_;
+  local.entry.owner_registered = registered_;
   local.entry.request = request;
   local.entry.digest = digest;
   local.entry.at_ms = wall_ms;
--- a/claim/claim.h
+++ b/claim/claim.h
@@ -81,6 +81,8 @@
 struct ClaimEntry {
   ClaimState state{};
   Incarnation owner;
+  // Revision at which the owner registered; tells it from its successor.
+  std::int64_t owner_registered = 0;
   RequestId request;
   // Digest of method, path and body: the same key with another call is an
   // error of the caller.
@@ -156,6 +158,9 @@
  public:
   ClaimBook(Incarnation self, ClaimOptions options);
 
+  // The revision at which this incarnation registered.
+  void SetRegistered(std::int64_t revision) { registered_ = revision; }
+
   ClaimAnswer Begin(Instant now, const ClaimKey& key, const std::string& digest,
                     const RequestId& request, std::int64_t wall_ms);
 
@@ -203,6 +208,7 @@
   void Remember(const ClaimKey& key);
 
   Incarnation self_;
+  std::int64_t registered_ = 0;
   ClaimOptions options_;
   std::map<ClaimKey, Local> locals_;
   std::deque<ClaimKey> remembered_;
--- /dev/null
+++ b/cli/commands.h
@@ -0,0 +1,33 @@
+// The commands of the quaytrack binary beside `router`. Each adds itself to the
+// command line and, when it was asked for, leaves its result in `exit_code`.
+
+#ifndef QUAYTRACK_CLI_COMMANDS_H_
+#define QUAYTRACK_CLI_COMMANDS_H_
+
+#include <string>
+#include <vector>
+
+namespace CLI {
+class App;
+}
+
+namespace quaytrack {
+
+// Options that several commands share.
+struct CommonFlags {
+  std::vector<std::string> kv;
+  bool json = false;
+};
+
+void AddRouterCommand(CLI::App& app, int& exit_code);
+void AddBundleCommands(CLI::App& app, CommonFlags& common, int& exit_code);
+void AddBudgetCommands(CLI::App& app, CommonFlags& common, int& exit_code);
+void AddBillsCommand(CLI::App& app, CommonFlags& common, int& exit_code);
+void AddFleetCommands(CLI::App& app, CommonFlags& common, int& exit_code);
+
+// Adds the flag that every command with the key-value service needs.
+void AddKvFlag(CLI::App& command, CommonFlags& common);
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_CLI_COMMANDS_H_
--- /dev/null
+++ b/cli/kv_session.h
@@ -0,0 +1,44 @@
+// The key-value service for commands: each call waits for its answer.
+
+#ifndef QUAYTRACK_CLI_KV_SESSION_H_
+#define QUAYTRACK_CLI_KV_SESSION_H_
+
+#include <string>
+#include <vector>
+
+#include "net/http_client.h"
+#include "net/loop.h"
+#include "platform/kv.h"
+
+namespace quaytrack {
+
+class KvSession {
+ public:
+  explicit KvSession(std::vector<std::string> endpoints)
+      : http_(loop_), kv_(loop_, http_, {std::move(endpoints)}) {}
+
+  KvTxnReply Txn(const KvTxn& txn) {
+    KvTxnReply out;
+    kv_.Txn(txn, [&](const KvTxnReply& it) {
+      out = it;
+      loop_.Stop();
+    });
+    loop_.Run();
+    return out;
+  }
+
+  KvTxnReply Get(const std::string& key, bool prefix = false) {
+    KvTxn txn;
+    txn.gets.push_back({key, prefix});
+    return Txn(txn);
+  }
+
+ private:
+  Loop loop_;
+  HttpClient http_;
+  KvClient kv_;
+};
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_CLI_KV_SESSION_H_
--- a/ledger/record.cc
+++ b/ledger/record.cc
@@ -64,7 +64,9 @@
   }
   Json writers = Json::object();
   for (const auto& [who, it] : record.writers) {
-    writers[who.value] = {{"seq", it.seq}, {"witness", it.witness.value}};
+    writers[who.value] = {{"seq", it.seq},
+                          {"witness", it.witness.value},
+                          {"registered", it.registered}};
   }
   return Json{{"budgets", budgets}, {"writers", writers}}.dump();
 }
@@ -80,6 +82,7 @@
       WriterEntry& writer = out.writers[Incarnation(who)];
       writer.seq = it.at("seq").get<std::uint64_t>();
       writer.witness.value = it.at("witness").get<std::string>();
+      writer.registered = it.at("registered").get<std::int64_t>();
     }
     return out;
   } catch (const Json::exception&) {
--- a/ledger/record.h
+++ b/ledger/record.h
@@ -65,6 +65,8 @@
   std::uint64_t seq = 0;
   // The peer that keeps copies of its unwritten bills; empty for none.
   Incarnation witness;
+  // Revision at which the incarnation registered; orders those of one VM.
+  std::int64_t registered = 0;
 
   bool operator==(const WriterEntry&) const = default;
 };
--- a/ledger/sync.cc
+++ b/ledger/sync.cc
@@ -92,20 +92,32 @@
 std::uint64_t LedgerSync::Settle(Instant now, Bill& bill) {
   Account& account = accounts_[bill.budget];
   bill.tokens = account.Settle(now, bill.request_id, bill.tokens);
-  const bool full =
-      !open_.empty() && open_.back().bills.size() >= options_.max_batch;
-  if (open_.empty() || full) open_.push_back({next_seq_++, {}});
   const bool again =
       !bill.marker.empty() && !unwritten_markers_.insert(bill.marker).second;
   if (again) {
     account.Forgive(bill.tokens);
     events_.push_back({LedgerEventKind::kBillDropped, bill.request_id, {}, 0});
     bill.tokens = 0;
-  } else {
-    open_.back().bills.push_back(bill);
+    return 0;
   }
+  BillBatch& batch = OpenBatch(!bill.marker.empty());
+  batch.bills.push_back(bill);
+  const std::uint64_t seq = batch.seq;
   if (!account.waiting().empty()) ServeWaiting(now);
-  return open_.back().seq;
+  return seq;
+}
+
+// The batch that takes the next bill; a new one if the last is full.
+BillBatch& LedgerSync::OpenBatch(bool needs_marker) {
+  const auto has_marker = [](const Bill& it) { return !it.marker.empty(); };
+  bool full = open_.empty() || open_.back().bills.size() >= options_.max_batch;
+  if (!full && needs_marker) {
+    const auto& bills = open_.back().bills;
+    const auto n = std::count_if(bills.begin(), bills.end(), has_marker);
+    full = static_cast<std::size_t>(n) >= options_.max_markers;
+  }
+  if (full) open_.push_back({next_seq_++, {}});
+  return open_.back();
 }
 
 void LedgerSync::Release(const RequestId& request, const BudgetName& budget) {
@@ -253,7 +265,7 @@
   LedgerCommit out;
   out.batch = *sealed_;
   for (auto& [shard, state] : work) {
-    state.record.writers[self_] = {sealed_->seq, witness_};
+    state.record.writers[self_] = {sealed_->seq, witness_, registered_};
     attempted_.insert(shard);
     out.shards.push_back(std::move(state));
   }
@@ -467,6 +479,12 @@
                      [](const auto& it) { return it.second.granted() == 0; });
 }
 
+bool LedgerSync::Primed() const {
+  return std::all_of(settings_.begin(), settings_.end(), [&](const auto& it) {
+    return cache_.contains(ShardOf(it.first));
+  });
+}
+
 std::vector<LedgerEvent> LedgerSync::TakeEvents() {
   return std::exchange(events_, {});
 }
--- a/ledger/sync.h
+++ b/ledger/sync.h
@@ -72,6 +72,9 @@
   Duration retry_after_failure = std::chrono::milliseconds(200);
   // Bills in one batch at most; the rest waits for the next.
   std::size_t max_batch = 1000;
+  // Bills with a marker in one batch; each is two operations of a transaction,
+  // which the service limits to 128.
+  std::size_t max_markers = 50;
 };
 
 enum class HoldOutcome {
@@ -150,11 +153,15 @@
   void SetWitness(const Incarnation& witness);
   const Incarnation& recorded_witness() const { return recorded_witness_; }
 
+  // The revision at which this incarnation registered.
+  void SetRegistered(std::int64_t revision) { registered_ = revision; }
+
   HoldOutcome Hold(Instant now, const RequestId& request,
                    const BudgetName& budget, Tokens amount);
 
   // Ends a hold with a bill. `bill.tokens` is cut to the hold. Returns the
-  // sequence number of the batch that will carry the bill.
+  // sequence number of the batch that will carry the bill; 0 if the bill exists
+  // already and will not be written.
   std::uint64_t Settle(Instant now, Bill& bill);
 
   // Ends a hold, or a wait for one, without a bill.
@@ -185,6 +192,8 @@
   const std::map<BudgetName, Account>& accounts() const { return accounts_; }
   bool fenced() const { return fenced_; }
   bool KvReachable() const { return reachable_; }
+  // Every record that the bundle's budgets need has been read once.
+  bool Primed() const;
   std::size_t UnwrittenBills() const;
   // The latest known record of a shard; null before the first read.
   const ShardState* CachedShard(int shard) const;
@@ -205,6 +214,7 @@
   GrantPlan PlanFor(Instant now, const BudgetSetting& setting,
                     const BudgetEntry& entry) const;
   LedgerCommit FinishCommit(Instant now, ShardMap&& work);
+  BillBatch& OpenBatch(bool needs_marker);
   Tokens SealedCost(const BudgetName& name) const;
   bool ShowsSealed(const ShardState& state) const;
   bool SealedIsApplied() const;
@@ -253,6 +263,7 @@
   bool reachable_ = false;
   bool draining_ = false;
   bool fenced_ = false;
+  std::int64_t registered_ = 0;
   Incarnation witness_;
   Incarnation recorded_witness_;
   std::vector<LedgerEvent> events_;
--- a/ledger/testing/sync_test.cc
+++ b/ledger/testing/sync_test.cc
@@ -145,6 +145,31 @@
   BOOST_TEST(r.ledger.UnwrittenBills() == 0U);
 }
 
+// Found by the property test: the watch moved the cached revision past a late
+// attempt, and the next attempt stored the same bills again.
+BOOST_AUTO_TEST_CASE(LateAttemptSeenByTheWatchIsNotWrittenAgain) {
+  Router r("vm-1@1", store, 32000);
+  r.Run(now);
+  r.ledger.Hold(now, RequestId("q"), kBudget, 600);
+  Bill bill = MakeBill("q", 250);
+  r.ledger.Settle(now, bill);
+  Pass(milliseconds(200));
+  auto action = r.ledger.Next(now);
+  BOOST_REQUIRE(std::holds_alternative<LedgerCommit>(*action));
+  store.Delay(r.self, std::get<LedgerCommit>(*action));
+  r.ledger.OnCommit(now, CommitOutcome::kUnknown, 0);
+  Pass(milliseconds(500));
+  action = r.ledger.Next(now);
+  const auto& read = std::get<ReadShards>(*action);
+  r.ledger.OnRead(now, store.Read(read.shards), {});
+  store.ApplyLate(0);
+  r.ledger.OnWatched(now, store.Read(ShardOf(kBudget)));
+  Pass(milliseconds(500));
+  r.Run(now);
+  BOOST_TEST(store.bills().size() == 1U);
+  BOOST_TEST(store.Budget(kBudget).settled == 250);
+}
+
 BOOST_AUTO_TEST_CASE(SameKeyAtTwoRoutersIsBilledOnce) {
   Router a("vm-1@1", store, 32000);
   Router b("vm-2@1", store, 32000);
--- /dev/null
+++ b/member/vm_tracker.cc
@@ -0,0 +1,58 @@
+#include "member/vm_tracker.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace quaytrack {
+
+using Json = nlohmann::json;
+
+std::optional<std::vector<VmEntry>> DecodeVmList(std::string_view text) {
+  try {
+    const Json json = Json::parse(text);
+    std::vector<VmEntry> out;
+    for (const Json& it : json.at("vms")) {
+      const auto state = FromName<VmState>(it.at("state").get<std::string>());
+      if (!state) return std::nullopt;
+      out.push_back({VmName(it.at("name").get<std::string>()), *state});
+    }
+    return out;
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+void VmTracker::OnList(Instant now, const std::vector<VmEntry>& list) {
+  const bool broken = !unbroken_since_ || now - last_ > options_.gap;
+  if (broken) {
+    unbroken_since_ = now;
+    absent_since_.clear();
+  }
+  last_ = now;
+  std::map<VmName, VmState> before;
+  before.swap(listed_);
+  for (const VmEntry& it : list) {
+    listed_[it.name] = it.state;
+    absent_since_.erase(it.name);
+  }
+  for (const auto& [vm, state] : before) {
+    if (!listed_.contains(vm)) absent_since_.emplace(vm, now);
+  }
+}
+
+bool VmTracker::Leaving(const VmName& vm) const {
+  auto it = listed_.find(vm);
+  return it != listed_.end() && it->second == VmState::kLeaving;
+}
+
+bool VmTracker::ProvenDead(Instant now, const VmName& vm) const {
+  if (!unbroken_since_ || listed_.contains(vm)) return false;
+  if (now - last_ > options_.gap) return false;
+  // A VM that these lists never showed is absent since the first of them.
+  auto it = absent_since_.find(vm);
+  const Instant since =
+      it == absent_since_.end() ? *unbroken_since_ : it->second;
+  return last_ - since > options_.lag;
+}
+
+}  // namespace quaytrack
--- /dev/null
+++ b/net/address.h
@@ -0,0 +1,34 @@
+// A numeric address and port, "10.1.0.7:8000".
+
+#ifndef QUAYTRACK_NET_ADDRESS_H_
+#define QUAYTRACK_NET_ADDRESS_H_
+
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace quaytrack {
+
+struct Address {
+  std::string host;
+  std::uint16_t port = 0;
+};
+
+// Empty if `text` isn't of that form.
+inline std::optional<Address> ParseAddress(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos || colon == 0) return std::nullopt;
+  const std::string_view port = text.substr(colon + 1);
+  Address out;
+  out.host = std::string(text.substr(0, colon));
+  const char* end = port.data() + port.size();
+  const auto [stop, ec] = std::from_chars(port.data(), end, out.port);
+  if (ec != std::errc() || stop != end) return std::nullopt;
+  return out;
+}
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_NET_ADDRESS_H_
--- /dev/null
+++ b/net/http_client.cc
@@ -0,0 +1,219 @@
+#include "net/http_client.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <utility>
+
+#include "net/address.h"
+
+namespace quaytrack {
+namespace {
+
+timeval ToTimeval(Duration d) {
+  const auto us = std::chrono::duration_cast<std::chrono::microseconds>(d);
+  timeval out{};
+  out.tv_sec = static_cast<time_t>(us.count() / 1000000);
+  out.tv_usec = static_cast<suseconds_t>(us.count() % 1000000);
+  return out;
+}
+
+evhttp_cmd_type MethodOf(const std::string& name) {
+  if (name == "POST") return EVHTTP_REQ_POST;
+  if (name == "PUT") return EVHTTP_REQ_PUT;
+  if (name == "DELETE") return EVHTTP_REQ_DELETE;
+  if (name == "PATCH") return EVHTTP_REQ_PATCH;
+  if (name == "HEAD") return EVHTTP_REQ_HEAD;
+  return EVHTTP_REQ_GET;
+}
+
+std::string HeaderOf(evhttp_request* request, const char* name) {
+  const char* out =
+      evhttp_find_header(evhttp_request_get_input_headers(request), name);
+  return out == nullptr ? "" : out;
+}
+
+}  // namespace
+
+// One connection and what is known of the request on it.
+struct HttpCall::Connection {
+  std::string address;
+  evhttp_connection* handle = nullptr;
+  // A byte of the present request has been handed to the kernel.
+  bool write_began = false;
+
+  ~Connection() {
+    if (handle != nullptr) evhttp_connection_free(handle);
+  }
+
+  static void OnOutput(evbuffer*, const evbuffer_cb_info* info, void* self) {
+    if (info->n_deleted > 0) static_cast<Connection*>(self)->write_began = true;
+  }
+};
+
+std::shared_ptr<HttpCall> HttpClient::Start(HttpRequest request,
+                                            HttpCall::Handlers handlers) {
+  std::shared_ptr<HttpCall> out(
+      new HttpCall(*this, std::move(request), std::move(handlers)));
+  out->self_ = out;
+  out->Send();
+  return out;
+}
+
+HttpClient::ConnectionPtr HttpClient::Take(const HttpRequest& request) {
+  auto& idle = idle_[request.address];
+  if (!request.fresh_connection && !idle.empty()) {
+    auto out = std::move(idle.back());
+    idle.pop_back();
+    return out;
+  }
+  const auto at = ParseAddress(request.address);
+  if (!at) return nullptr;
+  auto out = std::make_shared<HttpCall::Connection>();
+  out->address = request.address;
+  out->handle = evhttp_connection_base_bufferevent_new(
+      loop_.base(), nullptr, nullptr, at->host.c_str(), at->port);
+  bufferevent* bev = evhttp_connection_get_bufferevent(out->handle);
+  evbuffer_add_cb(bufferevent_get_output(bev), HttpCall::Connection::OnOutput,
+                  out.get());
+  return out;
+}
+
+void HttpClient::GiveBack(ConnectionPtr connection) {
+  auto& idle = idle_[connection->address];
+  if (idle.size() < kIdlePerAddress) {
+    idle.push_back(std::move(connection));
+    return;
+  }
+  // Freed after the current callback, as evhttp is still using it.
+  loop_.Post(
+      [connection = std::move(connection)]() mutable { connection.reset(); });
+}
+
+HttpCall::HttpCall(HttpClient& client, HttpRequest request, Handlers handlers)
+    : client_(client),
+      spec_(std::move(request)),
+      handlers_(std::move(handlers)) {}
+
+HttpCall::~HttpCall() = default;
+
+void HttpCall::Send() {
+  connection_ = client_.Take(spec_);
+  if (!connection_) {
+    client_.loop_.Post(
+        [self = self_] { self->Finish(HttpEnd::kNotSent, nullptr); });
+    return;
+  }
+  connection_->write_began = false;
+  const timeval tv = ToTimeval(spec_.idle_timeout);
+  evhttp_connection_set_timeout_tv(connection_->handle, &tv);
+  request_ = evhttp_request_new(OnDone, this);
+  evhttp_request_set_error_cb(request_,
+                              [](evhttp_request_error error, void* self) {
+                                OnError(static_cast<int>(error), self);
+                              });
+  evhttp_request_set_header_cb(request_, OnHead);
+  if (handlers_.data) evhttp_request_set_chunked_cb(request_, OnData);
+  evkeyvalq* headers = evhttp_request_get_output_headers(request_);
+  evhttp_add_header(headers, "Host", spec_.address.c_str());
+  for (const HttpHeader& it : spec_.headers) {
+    evhttp_add_header(headers, it.name.c_str(), it.value.c_str());
+  }
+  evbuffer_add(evhttp_request_get_output_buffer(request_), spec_.body.data(),
+               spec_.body.size());
+  evhttp_make_request(connection_->handle, request_, MethodOf(spec_.method),
+                      spec_.path.c_str());
+}
+
+int HttpCall::OnHead(evhttp_request* request, void* self) {
+  const std::shared_ptr<HttpCall> keep = static_cast<HttpCall*>(self)->self_;
+  if (!keep || !keep->handlers_.head) return 0;
+  keep->handlers_.head(evhttp_request_get_response_code(request),
+                       HeaderOf(request, "Content-Type"));
+  return 0;
+}
+
+void HttpCall::OnData(evhttp_request* request, void* self) {
+  const std::shared_ptr<HttpCall> keep = static_cast<HttpCall*>(self)->self_;
+  if (keep) keep->handlers_.data(evhttp_request_get_input_buffer(request));
+}
+
+void HttpCall::OnError(int error, void* self) {
+  if (error == EVREQ_HTTP_TIMEOUT) {
+    static_cast<HttpCall*>(self)->timed_out_ = true;
+  }
+}
+
+void HttpCall::OnDone(evhttp_request* request, void* self) {
+  auto* it = static_cast<HttpCall*>(self);
+  if (!it->self_) return;
+  const bool answered =
+      request != nullptr && evhttp_request_get_response_code(request) != 0;
+  if (answered) {
+    it->Finish(HttpEnd::kComplete, request);
+  } else if (!it->connection_->write_began) {
+    it->Finish(HttpEnd::kNotSent, nullptr);
+  } else {
+    it->Finish(it->timed_out_ ? HttpEnd::kTimedOut : HttpEnd::kBroken, nullptr);
+  }
+}
+
+void HttpCall::Finish(HttpEnd end, evhttp_request* request) {
+  const std::shared_ptr<HttpCall> keep = std::exchange(self_, nullptr);
+  if (!keep) return;
+  request_ = nullptr;
+  HttpResult result;
+  result.end = end;
+  if (request != nullptr) {
+    result.status = evhttp_request_get_response_code(request);
+    result.content_type = HeaderOf(request, "Content-Type");
+    evbuffer* in = evhttp_request_get_input_buffer(request);
+    result.body.resize(evbuffer_get_length(in));
+    evbuffer_remove(in, result.body.data(), result.body.size());
+  }
+  ReleaseConnection(end == HttpEnd::kComplete && !spec_.fresh_connection);
+  const Handlers handlers = std::exchange(handlers_, {});
+  if (handlers.end) handlers.end(result);
+}
+
+void HttpCall::ReleaseConnection(bool reusable) {
+  if (!connection_) return;
+  if (reusable) {
+    client_.GiveBack(std::move(connection_));
+    return;
+  }
+  client_.loop_.Post(
+      [connection = std::move(connection_)]() mutable { connection.reset(); });
+}
+
+void HttpCall::Cancel() {
+  const std::shared_ptr<HttpCall> keep = std::exchange(self_, nullptr);
+  if (!keep) return;
+  // This may run inside one of the handlers, and evhttp may still call back
+  // until its connection is freed. So both live until the loop's next turn.
+  client_.loop_.Post([keep, connection = std::move(connection_)]() mutable {
+    connection.reset();
+    keep->handlers_ = {};
+  });
+}
+
+void HttpCall::PauseReading() {
+  if (!connection_) return;
+  bufferevent_disable(evhttp_connection_get_bufferevent(connection_->handle),
+                      EV_READ);
+}
+
+void HttpCall::ResumeReading() {
+  if (!connection_) return;
+  bufferevent_enable(evhttp_connection_get_bufferevent(connection_->handle),
+                     EV_READ);
+}
+
+}  // namespace quaytrack
--- /dev/null
+++ b/net/http_server.cc
@@ -0,0 +1,258 @@
+#include "net/http_server.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+#include <utility>
+
+#include "net/address.h"
+
+namespace quaytrack {
+namespace {
+
+constexpr int kAllMethods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
+                            EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH |
+                            EVHTTP_REQ_HEAD | EVHTTP_REQ_OPTIONS;
+
+const char* MethodName(evhttp_cmd_type type) {
+  switch (type) {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_POST:
+      return "POST";
+    case EVHTTP_REQ_PUT:
+      return "PUT";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
+    case EVHTTP_REQ_PATCH:
+      return "PATCH";
+    case EVHTTP_REQ_HEAD:
+      return "HEAD";
+    case EVHTTP_REQ_OPTIONS:
+      return "OPTIONS";
+    default:
+      return "UNKNOWN";
+  }
+}
+
+void AddHeaders(evhttp_request* request, const std::string& content_type,
+                const std::vector<HttpHeader>& headers) {
+  evkeyvalq* out = evhttp_request_get_output_headers(request);
+  if (!content_type.empty()) {
+    evhttp_add_header(out, "Content-Type", content_type.c_str());
+  }
+  for (const HttpHeader& it : headers) {
+    evhttp_add_header(out, it.name.c_str(), it.value.c_str());
+  }
+}
+
+int SocketOf(evhttp_connection* connection) {
+  return bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+}
+
+// A token must not wait for the next one.
+void DisableNagle(evhttp_connection* connection) {
+  const int on = 1;
+  setsockopt(SocketOf(connection), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+}  // namespace
+
+HttpExchange::HttpExchange(Loop& loop, evhttp_request* request)
+    : loop_(loop),
+      request_(request),
+      connection_(evhttp_request_get_connection(request)) {
+  evhttp_connection_set_closecb(connection_, OnClosed, this);
+  DisableNagle(connection_);
+  WatchPeer();
+}
+
+HttpExchange::~HttpExchange() {
+  if (request_ != nullptr) {
+    if (started_) {
+      EndStream();
+    } else {
+      Reply({500, "text/plain", {}, "the request was dropped\n"});
+    }
+  }
+  *alive_ = false;
+}
+
+void HttpExchange::WatchPeer() {
+  close_event_ = event_new(loop_.base(), SocketOf(connection_), EV_CLOSED,
+                           OnPeerClosed, this);
+  event_add(close_event_, nullptr);
+}
+
+void HttpExchange::StopWatching() {
+  if (close_event_ != nullptr) event_free(close_event_);
+  close_event_ = nullptr;
+  if (connection_ != nullptr) {
+    evhttp_connection_set_closecb(connection_, nullptr, nullptr);
+  }
+}
+
+void HttpExchange::OnPeerClosed(int, short, void* self) {
+  static_cast<HttpExchange*>(self)->MarkGone();
+}
+
+void HttpExchange::OnClosed(evhttp_connection*, void* self) {
+  auto* it = static_cast<HttpExchange*>(self);
+  it->connection_ = nullptr;
+  if (it->close_event_ != nullptr) event_free(it->close_event_);
+  it->close_event_ = nullptr;
+  it->MarkGone();
+}
+
+void HttpExchange::MarkGone() {
+  if (gone_) return;
+  gone_ = true;
+  // Posted, as libevent is in the middle of closing the connection.
+  loop_.Post([this, alive = alive_] {
+    if (*alive && on_gone_) on_gone_();
+  });
+}
+
+std::string HttpExchange::method() const {
+  return MethodName(evhttp_request_get_command(request_));
+}
+
+std::string HttpExchange::path() const {
+  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request_);
+  const char* out = uri == nullptr ? nullptr : evhttp_uri_get_path(uri);
+  return out == nullptr ? "" : out;
+}
+
+std::string HttpExchange::query() const {
+  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request_);
+  const char* out = uri == nullptr ? nullptr : evhttp_uri_get_query(uri);
+  return out == nullptr ? "" : out;
+}
+
+std::optional<std::string> HttpExchange::Header(const char* name) const {
+  const char* out =
+      evhttp_find_header(evhttp_request_get_input_headers(request_), name);
+  if (out == nullptr) return std::nullopt;
+  return std::string(out);
+}
+
+int HttpExchange::HeaderCount(const char* name) const {
+  int n = 0;
+  const evkeyvalq* headers = evhttp_request_get_input_headers(request_);
+  for (const evkeyval* it = headers->tqh_first; it != nullptr;
+       it = it->next.tqe_next) {
+    if (strcasecmp(it->key, name) == 0) ++n;
+  }
+  return n;
+}
+
+std::string HttpExchange::Body() const {
+  evbuffer* in = evhttp_request_get_input_buffer(request_);
+  const std::size_t size = evbuffer_get_length(in);
+  std::string out(size, '\0');
+  evbuffer_copyout(in, out.data(), size);
+  return out;
+}
+
+void HttpExchange::Reply(const HttpReply& reply) {
+  if (request_ == nullptr) return;
+  StopWatching();
+  AddHeaders(request_, reply.content_type, reply.headers);
+  evbuffer* body = evbuffer_new();
+  evbuffer_add(body, reply.body.data(), reply.body.size());
+  evhttp_send_reply(std::exchange(request_, nullptr), reply.status, nullptr,
+                    body);
+  evbuffer_free(body);
+}
+
+void HttpExchange::StartStream(int status, const std::string& content_type,
+                               const std::vector<HttpHeader>& headers) {
+  started_ = true;
+  AddHeaders(request_, content_type, headers);
+  evhttp_send_reply_start(request_, status, nullptr);
+}
+
+void HttpExchange::Write(evbuffer* data) {
+  if (request_ == nullptr || connection_ == nullptr) return;
+  evhttp_send_reply_chunk_with_cb(request_, data, OnChunkSent, this);
+}
+
+void HttpExchange::Write(std::string_view data) {
+  evbuffer* buf = evbuffer_new();
+  evbuffer_add(buf, data.data(), data.size());
+  Write(buf);
+  evbuffer_free(buf);
+}
+
+void HttpExchange::OnChunkSent(evhttp_connection*, void* self) {
+  auto* it = static_cast<HttpExchange*>(self);
+  if (it->on_drained_) it->on_drained_();
+}
+
+void HttpExchange::EndStream() {
+  if (request_ == nullptr) return;
+  StopWatching();
+  evhttp_send_reply_end(std::exchange(request_, nullptr));
+}
+
+void HttpExchange::Abort() {
+  if (request_ == nullptr) return;
+  if (connection_ != nullptr) shutdown(SocketOf(connection_), SHUT_RDWR);
+  EndStream();
+}
+
+std::size_t HttpExchange::Unsent() const {
+  if (connection_ == nullptr) return 0;
+  bufferevent* bev = evhttp_connection_get_bufferevent(connection_);
+  return evbuffer_get_length(bufferevent_get_output(bev));
+}
+
+HttpServer::HttpServer(Loop& loop, HttpServerOptions options)
+    : loop_(loop), http_(evhttp_new(loop.base())) {
+  evhttp_set_gencb(http_, OnRequest, this);
+  evhttp_set_allowed_methods(http_, kAllMethods);
+  evhttp_set_max_body_size(http_,
+                           static_cast<ev_ssize_t>(options.max_body_bytes));
+  evhttp_set_max_headers_size(
+      http_, static_cast<ev_ssize_t>(options.max_header_bytes));
+  const auto seconds =
+      std::chrono::duration_cast<std::chrono::seconds>(options.idle_timeout);
+  evhttp_set_timeout(http_, static_cast<int>(seconds.count()));
+}
+
+HttpServer::~HttpServer() { evhttp_free(http_); }
+
+std::uint16_t HttpServer::Listen(const std::string& address) {
+  const auto at = ParseAddress(address);
+  if (!at) return 0;
+  evhttp_bound_socket* it =
+      evhttp_bind_socket_with_handle(http_, at->host.c_str(), at->port);
+  if (it == nullptr) return 0;
+  sockets_.push_back(it);
+  sockaddr_in bound{};
+  socklen_t size = sizeof bound;
+  getsockname(evhttp_bound_socket_get_fd(it),
+              reinterpret_cast<sockaddr*>(&bound), &size);
+  return ntohs(bound.sin_port);
+}
+
+void HttpServer::StopListening() {
+  for (evhttp_bound_socket* it : sockets_) evhttp_del_accept_socket(http_, it);
+  sockets_.clear();
+}
+
+void HttpServer::OnRequest(evhttp_request* request, void* self) {
+  auto* it = static_cast<HttpServer*>(self);
+  it->handler_(std::make_shared<HttpExchange>(it->loop_, request));
+}
+
+}  // namespace quaytrack
--- /dev/null
+++ b/router/bill_gate.h
@@ -0,0 +1,53 @@
+// Holds back the end of an answer until its bill is safe.
+//
+// A bill is safe once it is stored in the key-value service, or once the
+// recorded witness has acknowledged a copy. When neither can be had the answer
+// must not hang: after `patience` it is let go, and counted as unprotected.
+// Until the service is back such a bill exists in this router's memory only.
+
+#ifndef QUAYTRACK_ROUTER_BILL_GATE_H_
+#define QUAYTRACK_ROUTER_BILL_GATE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/ids.h"
+
+namespace quaytrack {
+
+enum class BillSafety { kWritten, kWitnessed, kUnprotected };
+
+class BillGate {
+ public:
+  using Opened = std::function<void(const RequestId&, BillSafety)>;
+
+  BillGate(Duration patience, Opened opened)
+      : patience_(patience), opened_(std::move(opened)) {}
+
+  // `request`'s bill is in batch `seq`.
+  void Wait(Instant now, const RequestId& request, std::uint64_t seq);
+  void OnWritten(std::uint64_t seq);
+  void OnWitnessed(const RequestId& request);
+  void Tick(Instant now);
+
+  std::size_t size() const { return waiting_.size(); }
+
+ private:
+  struct Waiting {
+    std::uint64_t seq = 0;
+    Instant since{};
+  };
+  void Open(const std::vector<RequestId>& requests, BillSafety safety);
+
+  Duration patience_;
+  Opened opened_;
+  std::map<RequestId, Waiting> waiting_;
+};
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_ROUTER_BILL_GATE_H_
--- /dev/null
+++ b/router/bundle_driver.cc
@@ -0,0 +1,86 @@
+#include "router/bundle_driver.h"
+
+#include <utility>
+
+#include "base/log.h"
+#include "platform/keys.h"
+
+namespace quaytrack {
+namespace {
+
+constexpr Duration kReadEvery = std::chrono::seconds(3);
+
+}  // namespace
+
+BundleDriver::BundleDriver(Loop& loop, KvClient& kv, OperatorKeys keys,
+                           std::function<void()> taken)
+    : loop_(loop),
+      kv_(kv),
+      keeper_(std::move(keys)),
+      taken_(std::move(taken)),
+      read_timer_(loop.Every(kReadEvery, [this] { ReadHead(); })) {
+  loop_.Post([this] { ReadHead(); });
+}
+
+void BundleDriver::ReadHead() {
+  KvTxn txn;
+  txn.gets.push_back({keys::kBundleHead});
+  kv_.Txn(txn, [this](const KvTxnReply& reply) {
+    if (reply.end != KvEnd::kOk) return;
+    if (!watch_) StartWatch(reply.revision);
+    if (!reply.found[0].empty()) OnHead(reply.found[0][0].value);
+  });
+}
+
+void BundleDriver::StartWatch(std::int64_t revision) {
+  KvClient::WatchHandlers on;
+  on.events = [this](std::int64_t, const std::vector<KvWatchEvent>& events) {
+    for (const KvWatchEvent& it : events) {
+      if (!it.deleted) OnHead(it.item.value);
+    }
+  };
+  // The next read starts a new one.
+  on.broken = [this] { loop_.Post([this] { watch_.reset(); }); };
+  watch_ = kv_.StartWatch(keys::kBundleHead, revision, std::move(on));
+}
+
+void BundleDriver::OnHead(const std::string& text) {
+  const auto head = DecodeHead(text);
+  if (!head || !keeper_.IsNewer(*head)) return;
+  if (head->version == fetching_) return;
+  Fetch(*head);
+}
+
+void BundleDriver::Fetch(const BundleHead& head) {
+  fetching_ = head.version;
+  KvTxn txn;
+  for (const std::string& it : head.chunks) {
+    txn.gets.push_back({keys::BundleChunk(it)});
+  }
+  kv_.Txn(txn, [this, head](const KvTxnReply& reply) {
+    fetching_ = 0;
+    if (reply.end != KvEnd::kOk) return;
+    std::string text;
+    for (const auto& it : reply.found) {
+      if (!it.empty()) text += it[0].value;
+    }
+    Offer(head, text);
+  });
+}
+
+void BundleDriver::Offer(const BundleHead& head, const std::string& text) {
+  const BundleVerdict verdict = keeper_.Offer(head, text);
+  const std::string version = std::to_string(head.version);
+  if (verdict == BundleVerdict::kTaken) {
+    LogEvent(Event::kBundleTaken,
+             {{"version", version}, {"applied_by", head.applied_by}});
+    taken_();
+    return;
+  }
+  if (verdict == BundleVerdict::kNotNewer || refused_ == head.version) return;
+  refused_ = head.version;
+  LogEvent(Event::kBundleRefused,
+           {{"version", version}, {"why", std::string(NameOf(verdict))}});
+}
+
+}  // namespace quaytrack
--- /dev/null
+++ b/router/caller_api.h
@@ -0,0 +1,57 @@
+// What callers can ask for: model calls, the list of models, service calls.
+//
+// Reads and checks each request, and starts a Forward for it.
+
+#ifndef QUAYTRACK_ROUTER_CALLER_API_H_
+#define QUAYTRACK_ROUTER_CALLER_API_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "bundle/bundle.h"
+#include "net/http_server.h"
+#include "router/request_reader.h"
+#include "router/request_table.h"
+
+namespace quaytrack {
+
+class CallerApi {
+ public:
+  struct Options {
+    Duration default_deadline{};
+  };
+
+  CallerApi(RouterContext& context, RequestTable& requests, Options options);
+
+  void SetBundle(std::shared_ptr<const Bundle> bundle) {
+    bundle_ = std::move(bundle);
+  }
+  // While draining, new requests are refused.
+  void StopTaking() { stopping_ = true; }
+
+  void Handle(const std::shared_ptr<HttpExchange>& exchange);
+
+ private:
+  using ExchangePtr = std::shared_ptr<HttpExchange>;
+
+  boost::leaf::result<void> Route(const ExchangePtr& exchange);
+  boost::leaf::result<void> ListModels(const ExchangePtr& exchange);
+  boost::leaf::result<void> StartModelCall(const ExchangePtr& exchange,
+                                           ModelCallKind kind);
+  boost::leaf::result<void> StartServiceCall(const ExchangePtr& exchange,
+                                             const std::string& path);
+  RequestBasics MakeBasics(CallerHeaders headers);
+  void Answer(const ExchangePtr& exchange, const Refusal& refusal);
+
+  RouterContext& context_;
+  RequestTable& requests_;
+  Options options_;
+  std::shared_ptr<const Bundle> bundle_;
+  bool stopping_ = false;
+  std::uint64_t minted_ = 0;
+};
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_ROUTER_CALLER_API_H_
--- /dev/null
+++ b/router/charts.h
@@ -0,0 +1,157 @@
+// The router's state charts, bound to their enums.
+
+#ifndef QUAYTRACK_ROUTER_CHARTS_H_
+#define QUAYTRACK_ROUTER_CHARTS_H_
+
+#include "base/enum_table.h"
+#include "chart/chart.h"
+#include "chart/embedded.h"
+
+namespace quaytrack {
+
+// The life of one request: chart/charts/forward.json.
+enum class ForwardState {
+  kReceived,
+  kClaiming,
+  kAwaitingBudget,
+  kQueued,
+  kSent,
+  kAnswering,
+  kStoring,
+  kEnded,
+};
+enum class ForwardEvent {
+  kNeedClaim,
+  kNeedBudget,
+  kClaimWon,
+  kHoldGranted,
+  kTargetFound,
+  kAnswerBegan,
+  kTryAgain,
+  kAnswerComplete,
+  kAnswerBroke,
+  kRefused,
+  kCallerGone,
+  kBillStored,
+};
+enum class ForwardAction {
+  kNone,
+  kClaim,
+  kHold,
+  kFindTarget,
+  kSend,
+  kRelay,
+  kSettle,
+  kSettleBroken,
+  kCancel,
+  kRefuse,
+  kAbandon,
+  kFinish,
+};
+
+// A planned stop: chart/charts/drain.json.
+enum class DrainState {
+  kServing,
+  kUnready,
+  kFinishing,
+  kReturning,
+  kStopped,
+};
+enum class DrainEvent {
+  kStopAsked,
+  kBalancerNoticed,
+  kRequestsEnded,
+  kLedgerReturned,
+  kTimeUp,
+};
+enum class DrainAction {
+  kNone,
+  kReportUnready,
+  kStopListening,
+  kReturnGrants,
+  kExit,
+};
+
+template <>
+struct EnumTable<ForwardState> {
+  static constexpr auto kEntries = std::to_array<EnumEntry<ForwardState>>(
+      {{ForwardState::kReceived, "received"},
+       {ForwardState::kClaiming, "claiming"},
+       {ForwardState::kAwaitingBudget, "awaiting_budget"},
+       {ForwardState::kQueued, "queued"},
+       {ForwardState::kSent, "sent"},
+       {ForwardState::kAnswering, "answering"},
+       {ForwardState::kStoring, "storing"},
+       {ForwardState::kEnded, "ended"}});
+};
+
+template <>
+struct EnumTable<ForwardEvent> {
+  static constexpr auto kEntries = std::to_array<EnumEntry<ForwardEvent>>(
+      {{ForwardEvent::kNeedClaim, "need_claim"},
+       {ForwardEvent::kNeedBudget, "need_budget"},
+       {ForwardEvent::kClaimWon, "claim_won"},
+       {ForwardEvent::kHoldGranted, "hold_granted"},
+       {ForwardEvent::kTargetFound, "target_found"},
+       {ForwardEvent::kAnswerBegan, "answer_began"},
+       {ForwardEvent::kTryAgain, "try_again"},
+       {ForwardEvent::kAnswerComplete, "answer_complete"},
+       {ForwardEvent::kAnswerBroke, "answer_broke"},
+       {ForwardEvent::kRefused, "refused"},
+       {ForwardEvent::kCallerGone, "caller_gone"},
+       {ForwardEvent::kBillStored, "bill_stored"}});
+};
+
+template <>
+struct EnumTable<ForwardAction> {
+  static constexpr auto kEntries = std::to_array<EnumEntry<ForwardAction>>(
+      {{ForwardAction::kNone, "none"},
+       {ForwardAction::kClaim, "claim"},
+       {ForwardAction::kHold, "hold"},
+       {ForwardAction::kFindTarget, "find_target"},
+       {ForwardAction::kSend, "send"},
+       {ForwardAction::kRelay, "relay"},
+       {ForwardAction::kSettle, "settle"},
+       {ForwardAction::kSettleBroken, "settle_broken"},
+       {ForwardAction::kCancel, "cancel"},
+       {ForwardAction::kRefuse, "refuse"},
+       {ForwardAction::kAbandon, "abandon"},
+       {ForwardAction::kFinish, "finish"}});
+};
+
+template <>
+struct EnumTable<DrainState> {
+  static constexpr auto kEntries = std::to_array<EnumEntry<DrainState>>(
+      {{DrainState::kServing, "serving"},
+       {DrainState::kUnready, "unready"},
+       {DrainState::kFinishing, "finishing"},
+       {DrainState::kReturning, "returning"},
+       {DrainState::kStopped, "stopped"}});
+};
+
+template <>
+struct EnumTable<DrainEvent> {
+  static constexpr auto kEntries = std::to_array<EnumEntry<DrainEvent>>(
+      {{DrainEvent::kStopAsked, "stop_asked"},
+       {DrainEvent::kBalancerNoticed, "balancer_noticed"},
+       {DrainEvent::kRequestsEnded, "requests_ended"},
+       {DrainEvent::kLedgerReturned, "ledger_returned"},
+       {DrainEvent::kTimeUp, "time_up"}});
+};
+
+template <>
+struct EnumTable<DrainAction> {
+  static constexpr auto kEntries = std::to_array<EnumEntry<DrainAction>>(
+      {{DrainAction::kNone, "none"},
+       {DrainAction::kReportUnready, "report_unready"},
+       {DrainAction::kStopListening, "stop_listening"},
+       {DrainAction::kReturnGrants, "return_grants"},
+       {DrainAction::kExit, "exit"}});
+};
+
+using ForwardChart = Chart<ForwardState, ForwardEvent, ForwardAction>;
+using DrainChart = Chart<DrainState, DrainEvent, DrainAction>;
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_ROUTER_CHARTS_H_
--- /dev/null
+++ b/router/claim_driver.cc
@@ -0,0 +1,81 @@
+#include "router/claim_driver.h"
+
+#include <utility>
+
+#include "platform/keys.h"
+
+namespace quaytrack {
+namespace {
+
+constexpr Duration kGroupDelay = std::chrono::milliseconds(3);
+constexpr Duration kTick = std::chrono::milliseconds(50);
+
+FoundClaim ToFound(const std::vector<KvItem>& items) {
+  FoundClaim out;
+  if (items.empty()) return out;
+  out.exists = true;
+  out.revision = items[0].mod_revision;
+  // What can't be read may be anything: it counts as taken, never run again.
+  ClaimEntry unreadable;
+  unreadable.state = ClaimState::kUnknown;
+  out.entry = DecodeClaim(items[0].value).value_or(unreadable);
+  return out;
+}
+
+KvTxn ToTxn(const ClaimCommit& commit, std::int64_t lease) {
+  KvTxn out;
+  for (const ClaimWrite& it : commit.writes) {
+    const std::string key = keys::Claim(it.key);
+    const bool create = it.kind == ClaimWriteKind::kCreate;
+    out.compares.push_back(KvCompare::Revision(key, create ? 0 : it.revision));
+    out.else_gets.push_back({key});
+    if (it.kind == ClaimWriteKind::kDelete) {
+      out.deletes.push_back(key);
+    } else {
+      out.puts.push_back({key, EncodeClaim(it.entry), lease});
+    }
+  }
+  return out;
+}
+
+ClaimOutcome OutcomeOf(const KvTxnReply& reply) {
+  if (reply.end != KvEnd::kOk) return ClaimOutcome::kUnknown;
+  return reply.succeeded ? ClaimOutcome::kApplied : ClaimOutcome::kRejected;
+}
+
+}  // namespace
+
+ClaimDriver::ClaimDriver(Loop& loop, KvClient& kv, const Clock& clock,
+                         const RetentionLease& retention,
+                         const Incarnation& self, EventHandler handler)
+    : loop_(loop),
+      kv_(kv),
+      clock_(clock),
+      retention_(retention),
+      book_(self, ClaimOptions{.group_delay = kGroupDelay}),
+      handler_(std::move(handler)),
+      timer_(loop.Every(kTick, [this] { Pump(); })) {}
+
+void ClaimDriver::Kick() {
+  if (group_) return;
+  // A little after the group's delay, so that the group is due.
+  group_ = loop_.After(kGroupDelay + std::chrono::microseconds(200),
+                       [this] { Pump(); });
+}
+
+void ClaimDriver::Pump() {
+  group_.reset();
+  if (auto commit = book_.Next(clock_.Now())) Perform(*commit);
+  for (const ClaimEvent& it : book_.TakeEvents()) handler_(it);
+}
+
+void ClaimDriver::Perform(const ClaimCommit& commit) {
+  kv_.Txn(ToTxn(commit, retention_.lease()), [this](const KvTxnReply& reply) {
+    std::vector<FoundClaim> found;
+    for (const auto& it : reply.found) found.push_back(ToFound(it));
+    book_.OnCommit(clock_.Now(), OutcomeOf(reply), reply.revision, found);
+    Pump();
+  });
+}
+
+}  // namespace quaytrack
--- /dev/null
+++ b/router/json_check.h
@@ -0,0 +1,25 @@
+// Checks a JSON text for what parsers accept silently: nesting without bound
+// and the same field twice in one object.
+
+#ifndef QUAYTRACK_ROUTER_JSON_CHECK_H_
+#define QUAYTRACK_ROUTER_JSON_CHECK_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace quaytrack {
+
+inline constexpr int kMaxJsonDepth = 32;
+
+struct JsonFault {
+  std::string field;
+  std::string message;
+};
+
+// Empty if the text is JSON and has neither fault.
+std::optional<JsonFault> CheckJson(std::string_view text);
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_ROUTER_JSON_CHECK_H_
--- /dev/null
+++ b/router/ledger_driver.cc
@@ -0,0 +1,159 @@
+#include "router/ledger_driver.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "base/log.h"
+#include "platform/keys.h"
+
+namespace quaytrack {
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(25);
+constexpr Duration kWatchRetry = std::chrono::milliseconds(500);
+
+// A record as found, or an empty one if its key doesn't exist.
+ShardState ToState(int shard, const std::vector<KvItem>& found) {
+  ShardState out;
+  out.shard = shard;
+  if (found.empty()) return out;
+  out.revision = found[0].mod_revision;
+  out.record = DecodeRecord(found[0].value).value_or(LedgerRecord());
+  return out;
+}
+
+CommitOutcome OutcomeOf(const KvTxnReply& reply) {
+  if (reply.end == KvEnd::kUnknown) return CommitOutcome::kUnknown;
+  const bool applied = reply.end == KvEnd::kOk && reply.succeeded;
+  return applied ? CommitOutcome::kApplied : CommitOutcome::kRejected;
+}
+
+}  // namespace
+
+LedgerDriver::LedgerDriver(Loop& loop, KvClient& kv, const Clock& clock,
+                           const RetentionLease& retention, Incarnation self,
+                           LedgerSyncOptions options, EventHandler handler)
+    : loop_(loop),
+      kv_(kv),
+      clock_(clock),
+      retention_(retention),
+      self_(self),
+      sync_(std::move(self), options),
+      handler_(std::move(handler)),
+      timer_(loop.Every(kTick, [this] { Pump(); })) {}
+
+void LedgerDriver::Kick() {
+  if (std::exchange(kicked_, true)) return;
+  loop_.Post([this] {
+    kicked_ = false;
+    Pump();
+  });
+}
+
+void LedgerDriver::Pump() {
+  const Instant now = clock_.Now();
+  sync_.Tick(now);
+  if (auto action = sync_.Next(now)) Perform(*action);
+  for (const LedgerEvent& it : sync_.TakeEvents()) handler_(it);
+}
+
+void LedgerDriver::Perform(const LedgerAction& action) {
+  if (const auto* read = std::get_if<ReadShards>(&action)) {
+    Read(*read);
+  } else {
+    Commit(std::get<LedgerCommit>(action));
+  }
+}
+
+void LedgerDriver::Read(const ReadShards& read) {
+  // One transaction without comparisons is one snapshot.
+  KvTxn txn;
+  for (int it : read.shards) txn.gets.push_back({keys::Ledger(it)});
+  for (const std::string& it : read.markers) {
+    txn.gets.push_back({keys::Billed(it)});
+  }
+  kv_.Txn(txn, [this, read](const KvTxnReply& reply) {
+    const Instant now = clock_.Now();
+    if (reply.end != KvEnd::kOk) {
+      sync_.OnRead(now, std::nullopt, {});
+    } else {
+      std::vector<ShardState> states;
+      for (std::size_t n = 0; n < read.shards.size(); ++n) {
+        states.push_back(ToState(read.shards[n], reply.found[n]));
+      }
+      std::set<std::string> existing;
+      for (std::size_t n = 0; n < read.markers.size(); ++n) {
+        if (reply.found[read.shards.size() + n].empty()) continue;
+        existing.insert(read.markers[n]);
+      }
+      revision_ = std::max(revision_, reply.revision);
+      sync_.OnRead(now, std::move(states), existing);
+      if (!watch_) StartWatch();
+    }
+    ReportReachability();
+    Pump();
+  });
+}
+
+void LedgerDriver::Commit(const LedgerCommit& commit) {
+  KvTxn txn;
+  for (const ShardState& it : commit.shards) {
+    txn.compares.push_back(
+        KvCompare::Revision(keys::Ledger(it.shard), it.revision));
+    txn.puts.push_back({keys::Ledger(it.shard), EncodeRecord(it.record), 0});
+  }
+  if (!commit.batch.bills.empty()) {
+    const std::string journal = keys::Journal(self_, commit.batch.seq);
+    txn.compares.push_back(KvCompare::Revision(journal, 0));
+    txn.puts.push_back({journal, EncodeBatch(commit.batch), 0});
+  }
+  for (const Bill& it : commit.batch.bills) {
+    if (it.marker.empty()) continue;
+    txn.compares.push_back(KvCompare::Revision(keys::Billed(it.marker), 0));
+    txn.puts.push_back(
+        {keys::Billed(it.marker), it.bill_id, retention_.lease()});
+  }
+  kv_.Txn(txn, [this](const KvTxnReply& reply) {
+    revision_ = std::max(revision_, reply.revision);
+    sync_.OnCommit(clock_.Now(), OutcomeOf(reply), reply.revision);
+    ReportReachability();
+    Pump();
+  });
+}
+
+void LedgerDriver::ReportReachability() {
+  const bool reachable = sync_.KvReachable();
+  if (reachable == was_reachable_) return;
+  was_reachable_ = reachable;
+  LogEvent(reachable ? Event::kKvBack : Event::kKvLost, {{"by", "ledger"}});
+}
+
+void LedgerDriver::StartWatch() {
+  KvClient::WatchHandlers on;
+  on.events = [this](std::int64_t revision,
+                     const std::vector<KvWatchEvent>& events) {
+    revision_ = std::max(revision_, revision);
+    OnWatchEvents(events);
+  };
+  on.broken = [this] {
+    LogEvent(Event::kWatchRestarted, {{"prefix", keys::kLedgerPrefix}});
+    watch_retry_ = loop_.After(kWatchRetry, [this] { StartWatch(); });
+  };
+  watch_ = kv_.StartWatch(keys::kLedgerPrefix, revision_, std::move(on));
+}
+
+void LedgerDriver::OnWatchEvents(const std::vector<KvWatchEvent>& events) {
+  for (const KvWatchEvent& it : events) {
+    const std::string_view name = it.item.key;
+    int shard = 0;
+    const std::string_view number = name.substr(keys::kLedgerPrefix.size());
+    const char* end = number.data() + number.size();
+    const auto [stop, ec] = std::from_chars(number.data(), end, shard);
+    if (it.deleted || ec != std::errc() || stop != end) continue;
+    sync_.OnWatched(clock_.Now(), ToState(shard, {it.item}));
+  }
+  Pump();
+}
+
+}  // namespace quaytrack
--- /dev/null
+++ b/router/ledger_driver.h
@@ -0,0 +1,58 @@
+// Runs the LedgerSync cycle against the key-value service.
+
+#ifndef QUAYTRACK_ROUTER_LEDGER_DRIVER_H_
+#define QUAYTRACK_ROUTER_LEDGER_DRIVER_H_
+
+#include <functional>
+#include <memory>
+
+#include "base/clock.h"
+#include "ledger/sync.h"
+#include "net/loop.h"
+#include "platform/kv.h"
+#include "platform/retention_lease.h"
+
+namespace quaytrack {
+
+class LedgerDriver {
+ public:
+  using EventHandler = std::function<void(const LedgerEvent&)>;
+
+  LedgerDriver(Loop& loop, KvClient& kv, const Clock& clock,
+               const RetentionLease& retention, Incarnation self,
+               LedgerSyncOptions options, EventHandler handler);
+
+  LedgerSync& sync() { return sync_; }
+  const LedgerSync& sync() const { return sync_; }
+
+  // Looks for something to do soon; call after using `sync()`.
+  void Kick();
+
+ private:
+  void Pump();
+  void Perform(const LedgerAction& action);
+  void Read(const ReadShards& read);
+  void Commit(const LedgerCommit& commit);
+  void StartWatch();
+  void OnWatchEvents(const std::vector<KvWatchEvent>& events);
+  void ReportReachability();
+
+  Loop& loop_;
+  KvClient& kv_;
+  const Clock& clock_;
+  const RetentionLease& retention_;
+  Incarnation self_;
+  LedgerSync sync_;
+  EventHandler handler_;
+  std::unique_ptr<KvClient::Watch> watch_;
+  std::unique_ptr<Timer> timer_;
+  std::unique_ptr<Timer> watch_retry_;
+  bool kicked_ = false;
+  bool was_reachable_ = false;
+  // Newest revision seen; where a new watch starts.
+  std::int64_t revision_ = 0;
+};
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_ROUTER_LEDGER_DRIVER_H_
--- /dev/null
+++ b/router/membership.cc
@@ -0,0 +1,150 @@
+#include "router/membership.h"
+
+#include <utility>
+
+#include "base/log.h"
+#include "platform/keys.h"
+
+namespace quaytrack {
+namespace {
+
+constexpr Duration kKeepLeaseEvery = std::chrono::seconds(3);
+constexpr Duration kReadRegistryEvery = std::chrono::seconds(5);
+constexpr Duration kVmListTimeout = std::chrono::seconds(2);
+
+}  // namespace
+
+Membership::Membership(Loop& loop, KvClient& kv, HttpClient& http,
+                       const Clock& clock, Options options, Handlers handlers)
+    : loop_(loop),
+      kv_(kv),
+      http_(http),
+      clock_(clock),
+      options_(std::move(options)),
+      handlers_(std::move(handlers)),
+      vms_(options_.tracker),
+      lease_timer_(loop.Every(kKeepLeaseEvery, [this] { KeepLease(); })),
+      read_timer_(loop.Every(kReadRegistryEvery, [this] { ReadRegistry(); })),
+      vm_timer_(loop.Every(options_.vm_poll, [this] { PollVmList(); })) {
+  loop_.Post([this] {
+    KeepLease();
+    ReadRegistry();
+    PollVmList();
+  });
+}
+
+void Membership::KeepLease() {
+  if (lease_call_open_ || leaving_) return;
+  lease_call_open_ = true;
+  if (lease_ == 0) {
+    kv_.GrantLease(options_.lease_ttl.count(), [this](const KvLeaseReply& it) {
+      lease_call_open_ = false;
+      if (it.end != KvEnd::kOk) return;
+      lease_ = it.lease;
+      Register();
+    });
+    return;
+  }
+  kv_.KeepAlive(lease_, [this](const KvLeaseReply& it) {
+    lease_call_open_ = false;
+    // A lapsed lease took the registration with it.
+    const bool lapsed = it.end == KvEnd::kOk && it.ttl == 0;
+    if (!lapsed) return;
+    lease_ = 0;
+    KeepLease();
+  });
+}
+
+void Membership::Register() {
+  KvTxn txn;
+  txn.puts.push_back({keys::Router(options_.self.incarnation),
+                      EncodeRouter(options_.self), lease_});
+  kv_.Txn(txn, [this](const KvTxnReply& it) {
+    if (it.end != KvEnd::kOk || created_ != 0) return;
+    created_ = it.revision;
+    LogEvent(Event::kRegistered,
+             {{"incarnation", options_.self.incarnation.value}});
+    handlers_.registered(created_);
+  });
+}
+
+void Membership::SetBundleVersion(std::uint64_t version) {
+  options_.self.bundle_version = version;
+  if (lease_ != 0 && !leaving_) Register();
+}
+
+void Membership::Leave() {
+  leaving_ = true;
+  if (lease_ != 0) kv_.RevokeLease(lease_, [](KvEnd) {});
+}
+
+void Membership::ReadRegistry() {
+  KvTxn txn;
+  txn.gets.push_back({keys::kRouterPrefix, true});
+  kv_.Txn(txn, [this](const KvTxnReply& reply) {
+    if (reply.end != KvEnd::kOk) return;
+    std::vector<RouterEntry> entries;
+    for (const KvItem& it : reply.found[0]) {
+      auto entry = DecodeRouter(it.value);
+      if (!entry) continue;
+      entry->created = it.create_revision;
+      entries.push_back(*entry);
+    }
+    registry_.Reset(entries);
+    if (!watch_) StartWatch(reply.revision);
+    handlers_.changed();
+  });
+}
+
+void Membership::StartWatch(std::int64_t revision) {
+  KvClient::WatchHandlers on;
+  on.events = [this](std::int64_t, const std::vector<KvWatchEvent>& events) {
+    for (const KvWatchEvent& it : events) {
+      if (it.deleted) {
+        registry_.Remove(
+            Incarnation(it.item.key.substr(keys::kRouterPrefix.size())));
+        continue;
+      }
+      auto entry = DecodeRouter(it.item.value);
+      if (!entry) continue;
+      entry->created = it.item.create_revision;
+      registry_.Put(*entry);
+    }
+    handlers_.changed();
+  };
+  // The next read starts a new one.
+  on.broken = [this] { loop_.Post([this] { watch_.reset(); }); };
+  watch_ = kv_.StartWatch(keys::kRouterPrefix, revision, std::move(on));
+}
+
+void Membership::PollVmList() {
+  if (options_.vm_list_address.empty() || vm_call_open_) return;
+  vm_call_open_ = true;
+  HttpRequest request;
+  request.address = options_.vm_list_address;
+  request.path = options_.vm_list_path;
+  request.idle_timeout = kVmListTimeout;
+  HttpCall::Handlers on;
+  on.end = [this](const HttpResult& result) { OnVmList(result); };
+  http_.Start(std::move(request), std::move(on));
+}
+
+void Membership::OnVmList(const HttpResult& result) {
+  vm_call_open_ = false;
+  const auto list = result.ok() ? DecodeVmList(result.body) : std::nullopt;
+  if (list.has_value() != vm_list_ok_) {
+    vm_list_ok_ = list.has_value();
+    LogEvent(vm_list_ok_ ? Event::kVmListBack : Event::kVmListLost,
+             {{"address", options_.vm_list_address}});
+  }
+  if (!list) return;
+  vms_.OnList(clock_.Now(), *list);
+  handlers_.changed();
+}
+
+bool Membership::ProvenDead(const Incarnation& incarnation,
+                            std::int64_t created) const {
+  return registry_.ProvenDead(clock_.Now(), incarnation, created, vms_);
+}
+
+}  // namespace quaytrack
--- /dev/null
+++ b/router/membership.h
@@ -0,0 +1,83 @@
+// This router's registration, the other routers, and the VM list.
+
+#ifndef QUAYTRACK_ROUTER_MEMBERSHIP_H_
+#define QUAYTRACK_ROUTER_MEMBERSHIP_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/clock.h"
+#include "member/registry.h"
+#include "member/vm_tracker.h"
+#include "net/http_client.h"
+#include "net/loop.h"
+#include "platform/kv.h"
+
+namespace quaytrack {
+
+class Membership {
+ public:
+  struct Options {
+    RouterEntry self;
+    // Empty when there is no VM list.
+    std::string vm_list_address;
+    std::string vm_list_path = "/vms";
+    Duration vm_poll = std::chrono::milliseconds(500);
+    std::chrono::seconds lease_ttl{10};
+    VmTrackerOptions tracker;
+  };
+  struct Handlers {
+    // Registered at this revision.
+    std::function<void(std::int64_t created)> registered;
+    // The set of routers or of VMs changed.
+    std::function<void()> changed;
+  };
+
+  Membership(Loop& loop, KvClient& kv, HttpClient& http, const Clock& clock,
+             Options options, Handlers handlers);
+
+  const RouterRegistry& registry() const { return registry_; }
+  const VmTracker& vms() const { return vms_; }
+  const RouterEntry& self() const { return options_.self; }
+  bool registered() const { return created_ != 0; }
+
+  // Shown to operators in the registration.
+  void SetBundleVersion(std::uint64_t version);
+
+  // Takes the registration back, for a planned stop.
+  void Leave();
+
+  bool ProvenDead(const Incarnation& incarnation, std::int64_t created) const;
+
+ private:
+  void KeepLease();
+  void Register();
+  void ReadRegistry();
+  void StartWatch(std::int64_t revision);
+  void PollVmList();
+  void OnVmList(const HttpResult& result);
+
+  Loop& loop_;
+  KvClient& kv_;
+  HttpClient& http_;
+  const Clock& clock_;
+  Options options_;
+  Handlers handlers_;
+  RouterRegistry registry_;
+  VmTracker vms_;
+  std::int64_t lease_ = 0;
+  std::int64_t created_ = 0;
+  bool lease_call_open_ = false;
+  bool vm_call_open_ = false;
+  bool vm_list_ok_ = true;
+  bool leaving_ = false;
+  std::unique_ptr<KvClient::Watch> watch_;
+  std::unique_ptr<Timer> lease_timer_;
+  std::unique_ptr<Timer> read_timer_;
+  std::unique_ptr<Timer> vm_timer_;
+};
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_ROUTER_MEMBERSHIP_H_
--- /dev/null
+++ b/router/model_job.cc
@@ -0,0 +1,112 @@
+#include "router/model_job.h"
+
+#include <event2/buffer.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace quaytrack {
+namespace {
+
+// Bytes a token has on average, for requests whose engine never told.
+constexpr std::int64_t kBytesPerToken = 4;
+
+const char* PathOf(ModelCallKind kind) {
+  return kind == ModelCallKind::kChat ? "/v1/chat/completions"
+                                      : "/v1/completions";
+}
+
+}  // namespace
+
+ModelJob::ModelJob(ModelCall call, ModelSetting prices)
+    : call_(std::move(call)),
+      prices_(std::move(prices)),
+      relay_(call_.include_usage) {}
+
+HttpRequest ModelJob::Request(const std::string& address) {
+  HttpRequest out;
+  out.address = address;
+  out.method = "POST";
+  out.path = PathOf(call_.kind);
+  out.headers = {{"Content-Type", "application/json"}};
+  out.body = call_.engine_body;
+  return out;
+}
+
+void ModelJob::Begin(HttpExchange& exchange) {
+  exchange.StartStream(200, "text/event-stream",
+                       {{"Cache-Control", "no-cache"}});
+}
+
+int ModelJob::Relay(evbuffer* data, HttpExchange& exchange) {
+  evbuffer* out = evbuffer_new();
+  const RelayedPart part = relay_.Feed(data, out);
+  if (evbuffer_get_length(out) > 0) exchange.Write(out);
+  evbuffer_free(out);
+  return part.events;
+}
+
+AnswerKind ModelJob::Judge(const HttpResult& result) {
+  if (result.end != HttpEnd::kComplete) return AnswerKind::kFailed;
+  if (result.status == 429 || result.status == 503) {
+    return AnswerKind::kOverloaded;
+  }
+  if (result.status >= 400 && result.status < 500) return AnswerKind::kPassedOn;
+  if (result.status != 200) return AnswerKind::kFailed;
+  if (call_.stream) {
+    usage_ = relay_.usage();
+    return relay_.done() ? AnswerKind::kComplete : AnswerKind::kFailed;
+  }
+  answer_ = result;
+  usage_ = UsageFromJson(result.body);
+  return result.body.empty() ? AnswerKind::kFailed : AnswerKind::kComplete;
+}
+
+Tokens ModelJob::PriceOf(const Usage& usage) const {
+  return usage.prompt * prices_.price_prompt +
+         usage.output * prices_.price_output;
+}
+
+Usage ModelJob::Estimate() const {
+  return {call_.prompt_bytes / kBytesPerToken, relay_.events()};
+}
+
+Tokens ModelJob::Cost() const {
+  if (usage_) return PriceOf(*usage_);
+  // A complete answer whose engine reported nothing is billed at its worst
+  // case, as anything less might let spending pass the budget unseen.
+  LogEvent(Event::kUsageMissing, {{"model", call_.model.value}});
+  return call_.WorstCase(prices_);
+}
+
+Tokens ModelJob::CostIfCut() const {
+  return PriceOf(usage_ ? *usage_ : Estimate());
+}
+
+void ModelJob::Deliver(HttpExchange& exchange) {
+  if (call_.stream) {
+    exchange.Write(relay_.tail());
+    exchange.EndStream();
+    return;
+  }
+  HttpReply reply;
+  reply.status = answer_.status;
+  reply.content_type = answer_.content_type;
+  reply.body = std::move(answer_.body);
+  exchange.Reply(reply);
+}
+
+HttpRequest ModelJob::CancelRequest(const std::string& address,
+                                    const RequestId& request) const {
+  HttpRequest out;
+  out.address = address;
+  out.method = "POST";
+  out.path = "/v1/requests/" + request.value + "/cancel";
+  return out;
+}
+
+void ModelJob::OnCancelled(const HttpResult& result) {
+  if (result.ok()) usage_ = UsageFromJson(result.body);
+}
+
+}  // namespace quaytrack
--- /dev/null
+++ b/router/model_job.h
@@ -0,0 +1,47 @@
+// The part of a request that is particular to model calls.
+
+#ifndef QUAYTRACK_ROUTER_MODEL_JOB_H_
+#define QUAYTRACK_ROUTER_MODEL_JOB_H_
+
+#include <optional>
+#include <string>
+
+#include "router/forward.h"
+#include "router/sse_relay.h"
+
+namespace quaytrack {
+
+class ModelJob {
+ public:
+  static constexpr bool kCancellable = true;
+
+  // Prices are those of the bundle that the request was admitted under.
+  ModelJob(ModelCall call, ModelSetting prices);
+
+  HttpRequest Request(const std::string& address);
+  bool streams() const { return call_.stream; }
+  void Begin(HttpExchange& exchange);
+  int Relay(evbuffer* data, HttpExchange& exchange);
+  AnswerKind Judge(const HttpResult& result);
+  Tokens Cost() const;
+  Tokens CostIfCut() const;
+  void Deliver(HttpExchange& exchange);
+  KeptAnswer Kept() const { return {}; }
+  HttpRequest CancelRequest(const std::string& address,
+                            const RequestId& request) const;
+  void OnCancelled(const HttpResult& result);
+
+ private:
+  Tokens PriceOf(const Usage& usage) const;
+  Usage Estimate() const;
+
+  ModelCall call_;
+  ModelSetting prices_;
+  SseRelay relay_;
+  std::optional<Usage> usage_;
+  HttpResult answer_;
+};
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_ROUTER_MODEL_JOB_H_
--- /dev/null
+++ b/router/router.cc
@@ -0,0 +1,394 @@
+#include "router/router.h"
+
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <utility>
+
+#include "base/digest.h"
+#include "base/log.h"
+
+namespace quaytrack {
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+constexpr Duration kTick = std::chrono::milliseconds(50);
+// Longest time to give grants back at a planned stop.
+constexpr Duration kReturnTime = std::chrono::seconds(3);
+constexpr int kExitFenced = 75;
+
+// "<vm>@<start in ms>-<random>": unique even if the clock is set back.
+Incarnation MakeIncarnation(const std::string& vm, const Clock& clock) {
+  std::random_device seed;
+  const auto ms = clock.WallNow().time_since_epoch().count();
+  char buf[48];
+  std::snprintf(buf, sizeof buf, "%lld-%08x", static_cast<long long>(ms),
+                seed());
+  return Incarnation(vm + "@" + buf);
+}
+
+TargetBookOptions BookOptions(const RouterSettings& settings) {
+  TargetBookOptions out;
+  out.own_hall = HallName(settings.hall);
+  return out;
+}
+
+LedgerSyncOptions LedgerOptions(const RouterSettings& settings) {
+  LedgerSyncOptions out;
+  out.commit_spacing = settings.commit_spacing;
+  return out;
+}
+
+TargetSpec SpecOf(const TargetSetting& it) {
+  TargetSpec out;
+  out.name = it.name;
+  out.hall = it.hall;
+  out.slots = it.slots;
+  out.leaving = it.leaving;
+  for (const ModelName& model : it.models) out.groups.push_back(GroupOf(model));
+  if (!it.service.empty()) out.groups.push_back(GroupOf(it.service));
+  return out;
+}
+
+}  // namespace
+
+Router::Router(Loop& loop, const Clock& clock, RouterSettings settings,
+               const ForwardChart& forward_chart, const DrainChart& drain_chart)
+    : loop_(loop),
+      clock_(clock),
+      settings_(std::move(settings)),
+      self_(MakeIncarnation(settings_.vm, clock)),
+      http_(loop),
+      kv_(loop, http_, {settings_.kv}),
+      retention_(loop, kv_, clock, std::chrono::hours(24)),
+      targets_(BookOptions(settings_), StableHash(self_.value)),
+      gate_(settings_.bill_patience,
+            [this](const RequestId& request, BillSafety safety) {
+              requests_.With(request, [&](auto& it) { it.OnBillSafe(safety); });
+            }),
+      ledger_(loop, kv_, clock, retention_, self_, LedgerOptions(settings_),
+              [this](const LedgerEvent& it) { OnLedgerEvent(it); }),
+      claims_(loop, kv_, clock, retention_, self_,
+              [this](const ClaimEvent& it) { OnClaimEvent(it); }),
+      bundles_(loop, kv_, settings_.operator_keys, [this] { OnBundleTaken(); }),
+      loads_(loop, http_, clock, targets_),
+      context_{loop,
+               clock,
+               http_,
+               metrics_,
+               ledger_,
+               claims_,
+               targets_,
+               retries_,
+               gate_,
+               forward_chart,
+               self_,
+               queues_,
+               addresses_,
+               [this](const ClaimEntry& it) {
+                 return members_->ProvenDead(it.owner, it.owner_registered);
+               },
+               [this](const GroupName& it) { PumpLater(it); },
+               [this](const RequestId& it) {
+                 loop_.Post([this, it] { requests_.Remove(it); });
+               }},
+      callers_(context_, requests_, {settings_.default_deadline}),
+      caller_server_(loop, {settings_.max_body_bytes}),
+      admin_server_(loop, {}),
+      drain_(drain_chart),
+      tick_(loop.Every(kTick, [this] { Tick(); })) {
+  caller_server_.Serve(
+      [this](std::shared_ptr<HttpExchange> it) { callers_.Handle(it); });
+  admin_server_.Serve(
+      [this](std::shared_ptr<HttpExchange> it) { HandleAdmin(it); });
+}
+
+bool Router::Listen() {
+  const auto bind = [](HttpServer& server, const char* flag,
+                       std::string& address) {
+    const std::uint16_t port = server.Listen(address);
+    if (port == 0) {
+      LogEvent(Event::kSettingRejected,
+               {{"flag", flag}, {"value", address}, {"why", "can't bind"}});
+      return false;
+    }
+    address = address.substr(0, address.rfind(':') + 1) + std::to_string(port);
+    return true;
+  };
+  if (!bind(caller_server_, "--listen", settings_.listen)) return false;
+  if (!bind(admin_server_, "--admin-listen", settings_.admin_listen)) {
+    return false;
+  }
+  Membership::Options options;
+  options.self.incarnation = self_;
+  options.self.hall = HallName(settings_.hall);
+  options.self.peer_address = settings_.peer_listen;
+  options.self.admin_address = settings_.admin_listen;
+  options.vm_list_address = settings_.vm_list;
+  Membership::Handlers on;
+  on.registered = [this](std::int64_t created) {
+    ledger_.sync().SetRegistered(created);
+    claims_.book().SetRegistered(created);
+  };
+  on.changed = [this] { OnMembersChanged(); };
+  members_ = std::make_unique<Membership>(loop_, kv_, http_, clock_, options,
+                                          std::move(on));
+  LogEvent(Event::kStarted, {{"incarnation", self_.value},
+                             {"listen", settings_.listen},
+                             {"admin", settings_.admin_listen}});
+  // Whoever started the process learns from this line where it listens.
+  std::printf("listening %s %s\n", settings_.listen.c_str(),
+              settings_.admin_listen.c_str());
+  std::fflush(stdout);
+  return true;
+}
+
+void Router::OnLedgerEvent(const LedgerEvent& event) {
+  switch (event.kind) {
+    case LedgerEventKind::kHoldGranted:
+      requests_.With(event.request, [](auto& it) { it.OnHoldGranted(); });
+      return;
+    case LedgerEventKind::kHoldRefused:
+      requests_.With(event.request,
+                     [&](auto& it) { it.OnHoldRefused(event.refusal); });
+      return;
+    case LedgerEventKind::kBillsWritten:
+      gate_.OnWritten(event.seq);
+      return;
+    case LedgerEventKind::kBillDropped:
+      LogEvent(Event::kBillDropped, {{"request", event.request.value}});
+      return;
+    case LedgerEventKind::kFenced:
+      LogEvent(Event::kFenced, {{"incarnation", self_.value}});
+      exit_code_ = kExitFenced;
+      Drain();
+      return;
+  }
+}
+
+void Router::OnClaimEvent(const ClaimEvent& event) {
+  requests_.With(event.request, [&](auto& it) {
+    if (event.kind == ClaimEventKind::kClaimed) {
+      it.OnClaimWon();
+    } else {
+      it.OnClaimAnswer(event.answer);
+    }
+  });
+}
+
+void Router::OnBundleTaken() {
+  const std::shared_ptr<const Bundle> bundle = bundles_.keeper().bundle();
+  UpdateTargets(*bundle);
+  ledger_.sync().SetBudgets(bundle->version, bundle->budgets);
+  ledger_.Kick();
+  callers_.SetBundle(bundle);
+  if (members_) members_->SetBundleVersion(bundle->version);
+}
+
+void Router::UpdateTargets(const Bundle& bundle) {
+  std::vector<TargetSpec> specs;
+  std::vector<LoadPoller::Polled> polled;
+  for (const TargetSetting& it : bundle.targets) {
+    specs.push_back(SpecOf(it));
+    // Requests in flight may still need the address of a removed target.
+    addresses_[it.name] = it.address;
+    target_vms_[it.name] = it.vm;
+    if (it.kind == TargetKind::kEngine) polled.push_back({it.name, it.address});
+  }
+  targets_.SetTargets(specs);
+  loads_.SetTargets(std::move(polled));
+  UpdateLeaving();
+}
+
+void Router::OnMembersChanged() { UpdateLeaving(); }
+
+void Router::UpdateLeaving() {
+  if (!members_) return;
+  const std::shared_ptr<const Bundle> bundle = bundles_.keeper().bundle();
+  if (!bundle) return;
+  for (const TargetSetting& it : bundle->targets) {
+    if (it.vm.empty()) continue;
+    const bool leaving = it.leaving || members_->vms().Leaving(it.vm);
+    const auto n = targets_.Find(it.name);
+    if (!n || targets_.Spec(*n).leaving == leaving) continue;
+    targets_.SetLeaving(it.name, leaving);
+    if (leaving) {
+      LogEvent(Event::kTargetLeaving,
+               {{"target", it.name.value}, {"vm", it.vm.value}});
+    }
+  }
+}
+
+void Router::PumpLater(const GroupName& group) {
+  if (pump_due_.empty()) {
+    loop_.Post([this] {
+      const auto due = std::exchange(pump_due_, {});
+      for (const GroupName& it : due) PumpQueue(it);
+    });
+  }
+  pump_due_.insert(group);
+}
+
+void Router::PumpQueue(const GroupName& group) {
+  auto found = queues_.find(group);
+  if (found == queues_.end()) return;
+  WaitQueue& queue = found->second;
+  const Instant now = clock_.Now();
+  for (const QueuedRequest& it : queue.TakeExpired(now)) {
+    const Duration wait = queue.DrainTime(now);
+    requests_.With(it.request, [&](auto& f) { f.OnQueueExpired(wait); });
+  }
+  while (auto next = queue.Pop(now)) {
+    bool assigned = false;
+    const bool known = requests_.With(
+        next->request, [&](auto& it) { assigned = it.TryAssign(); });
+    if (!known || assigned) continue;
+    queue.Restore(std::move(*next));
+    return;
+  }
+}
+
+void Router::Tick() {
+  const Instant now = clock_.Now();
+  gate_.Tick(now);
+  requests_.ForEach([&](auto& it) { it.Tick(now); });
+  for (const auto& [group, queue] : queues_) PumpLater(group);
+  if (!announced_ready_ && Ready()) {
+    announced_ready_ = true;
+    LogEvent(Event::kReady, {{"incarnation", self_.value}});
+  }
+  CheckDrain();
+}
+
+bool Router::Ready() const {
+  const bool serving = drain_.state() == DrainState::kServing;
+  return serving && bundles_.keeper().bundle() != nullptr &&
+         ledger_.sync().Primed() && !ledger_.sync().fenced();
+}
+
+void Router::HandleAdmin(const std::shared_ptr<HttpExchange>& exchange) {
+  const std::string path = exchange->path();
+  if (path == "/healthz") {
+    exchange->Reply({200, "text/plain", {}, "ok\n"});
+  } else if (path == "/readyz") {
+    const bool ready = Ready();
+    exchange->Reply({ready ? 200 : 503,
+                     "text/plain",
+                     {},
+                     ready ? "ready\n" : "not ready\n"});
+  } else if (path == "/metrics") {
+    UpdateGauges();
+    exchange->Reply({200, "text/plain; version=0.0.4", {}, metrics_.Text()});
+  } else if (path == "/status") {
+    exchange->Reply({200, "application/json", {}, StatusJson()});
+  } else if (path == "/drain" && exchange->method() == "POST") {
+    exchange->Reply({202, "text/plain", {}, "draining\n"});
+    Drain();
+  } else {
+    exchange->Reply({404, "text/plain", {}, "nothing here\n"});
+  }
+}
+
+void Router::UpdateGauges() {
+  std::size_t queued = 0;
+  for (const auto& [group, queue] : queues_) queued += queue.size();
+  metrics_.SetGauge("requests", static_cast<double>(requests_.size()));
+  metrics_.SetGauge("queued", static_cast<double>(queued));
+  metrics_.SetGauge("unwritten_bills",
+                    static_cast<double>(ledger_.sync().UnwrittenBills()));
+  metrics_.SetGauge("unstored_claims",
+                    static_cast<double>(claims_.book().Unstored()));
+  metrics_.SetGauge("kv_calls", static_cast<double>(kv_.calls()));
+  metrics_.SetGauge("bundle_version",
+                    static_cast<double>(bundles_.keeper().version()));
+}
+
+std::string Router::StatusJson() const {
+  Json budgets = Json::array();
+  for (const auto& [name, it] : ledger_.sync().accounts()) {
+    budgets.push_back({{"budget", name.value},
+                       {"granted", it.granted()},
+                       {"available", it.Available()},
+                       {"held", it.HeldTotal()},
+                       {"unwritten", it.unwritten()},
+                       {"waiting", it.waiting().size()}});
+  }
+  Json targets = Json::array();
+  for (TargetIndex n = 0; n < targets_.size(); ++n) {
+    targets.push_back({{"target", targets_.Spec(n).name.value},
+                       {"in_flight", targets_.InFlight(n)},
+                       {"limit", targets_.LimitOf(n)},
+                       {"breaker", NameOf(targets_.BreakerOf(n))},
+                       {"leaving", targets_.Spec(n).leaving}});
+  }
+  Json routers = Json::array();
+  for (const auto& [name, it] : members_->registry().entries()) {
+    routers.push_back({{"incarnation", name.value},
+                       {"hall", it.hall.value},
+                       {"bundle_version", it.bundle_version}});
+  }
+  const Json out = {{"incarnation", self_.value},
+                    {"hall", settings_.hall},
+                    {"state", NameOf(drain_.state())},
+                    {"ready", Ready()},
+                    {"bundle_version", bundles_.keeper().version()},
+                    {"kv_reachable", ledger_.sync().KvReachable()},
+                    {"requests", requests_.size()},
+                    {"unwritten_bills", ledger_.sync().UnwrittenBills()},
+                    {"unstored_claims", claims_.book().Unstored()},
+                    {"kv_calls", kv_.calls()},
+                    {"budgets", budgets},
+                    {"targets", targets},
+                    {"routers", routers}};
+  return out.dump(2) + "\n";
+}
+
+// --- Planned stop ------------------------------------------------------------
+
+void Router::Drain() { ApplyDrain(DrainEvent::kStopAsked); }
+
+void Router::ApplyDrain(DrainEvent event) {
+  switch (drain_.Apply(event)) {
+    case DrainAction::kNone:
+      return;
+    case DrainAction::kReportUnready:
+      LogEvent(Event::kDrainStarted, {{"incarnation", self_.value}});
+      drain_timer_ = loop_.After(settings_.balancer_time, [this] {
+        ApplyDrain(DrainEvent::kBalancerNoticed);
+      });
+      return;
+    case DrainAction::kStopListening:
+      caller_server_.StopListening();
+      callers_.StopTaking();
+      drain_timer_ = loop_.After(settings_.drain_time, [this] {
+        LogEvent(Event::kDrainTimedOut,
+                 {{"requests", std::to_string(requests_.size())}});
+        ApplyDrain(DrainEvent::kTimeUp);
+      });
+      return;
+    case DrainAction::kReturnGrants:
+      ledger_.sync().StartDrain();
+      ledger_.Kick();
+      drain_timer_ =
+          loop_.After(kReturnTime, [this] { ApplyDrain(DrainEvent::kTimeUp); });
+      return;
+    case DrainAction::kExit:
+      members_->Leave();
+      LogEvent(Event::kDrainFinished, {{"incarnation", self_.value}});
+      // Lets the last replies and the lease's end leave the process.
+      exit_timer_ = loop_.After(kTick, [this] { loop_.Stop(); });
+      return;
+  }
+}
+
+void Router::CheckDrain() {
+  if (drain_.state() == DrainState::kFinishing && requests_.size() == 0) {
+    ApplyDrain(DrainEvent::kRequestsEnded);
+  }
+  if (drain_.state() != DrainState::kReturning) return;
+  const bool done = ledger_.sync().Drained() && claims_.book().Unstored() == 0;
+  if (done) ApplyDrain(DrainEvent::kLedgerReturned);
+}
+
+}  // namespace quaytrack
--- /dev/null
+++ b/router/router.h
@@ -0,0 +1,100 @@
+// The router process: everything else, wired together.
+
+#ifndef QUAYTRACK_ROUTER_ROUTER_H_
+#define QUAYTRACK_ROUTER_ROUTER_H_
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "base/clock.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "net/loop.h"
+#include "platform/kv.h"
+#include "platform/retention_lease.h"
+#include "router/bill_gate.h"
+#include "router/bundle_driver.h"
+#include "router/caller_api.h"
+#include "router/claim_driver.h"
+#include "router/context.h"
+#include "router/ledger_driver.h"
+#include "router/load_poller.h"
+#include "router/membership.h"
+#include "router/metrics.h"
+#include "router/request_table.h"
+#include "router/settings.h"
+
+namespace quaytrack {
+
+class Router {
+ public:
+  // The charts must outlive the router.
+  Router(Loop& loop, const Clock& clock, RouterSettings settings,
+         const ForwardChart& forward_chart, const DrainChart& drain_chart);
+
+  // Binds the addresses; false, with a message printed, if one is taken.
+  bool Listen();
+
+  // Starts a planned stop; `Loop::Run` returns when it is over.
+  void Drain();
+
+  // 0 after a planned stop, otherwise why the router gave up.
+  int exit_code() const { return exit_code_; }
+
+ private:
+  void OnLedgerEvent(const LedgerEvent& event);
+  void OnClaimEvent(const ClaimEvent& event);
+  void OnBundleTaken();
+  void OnMembersChanged();
+  void UpdateTargets(const Bundle& bundle);
+  void UpdateLeaving();
+  void PumpQueue(const GroupName& group);
+  void PumpLater(const GroupName& group);
+  void Tick();
+  void UpdateGauges();
+
+  bool Ready() const;
+  void HandleAdmin(const std::shared_ptr<HttpExchange>& exchange);
+  std::string StatusJson() const;
+
+  void ApplyDrain(DrainEvent event);
+  void CheckDrain();
+
+  Loop& loop_;
+  const Clock& clock_;
+  RouterSettings settings_;
+  Incarnation self_;
+  HttpClient http_;
+  KvClient kv_;
+  RetentionLease retention_;
+  Metrics metrics_;
+  TargetBook targets_;
+  RetryBudget retries_;
+  std::map<GroupName, WaitQueue> queues_;
+  std::map<TargetName, std::string> addresses_;
+  std::map<TargetName, VmName> target_vms_;
+  BillGate gate_;
+  LedgerDriver ledger_;
+  ClaimDriver claims_;
+  BundleDriver bundles_;
+  std::unique_ptr<Membership> members_;
+  LoadPoller loads_;
+  RequestTable requests_;
+  RouterContext context_;
+  CallerApi callers_;
+  HttpServer caller_server_;
+  HttpServer admin_server_;
+  ChartMachine<DrainState, DrainEvent, DrainAction> drain_;
+  std::set<GroupName> pump_due_;
+  std::unique_ptr<Timer> tick_;
+  std::unique_ptr<Timer> drain_timer_;
+  std::unique_ptr<Timer> exit_timer_;
+  bool announced_ready_ = false;
+  int exit_code_ = 0;
+};
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_ROUTER_ROUTER_H_
--- /dev/null
+++ b/router/sse_relay.cc
@@ -0,0 +1,122 @@
+#include "router/sse_relay.h"
+
+#include <event2/buffer.h>
+
+#include <nlohmann/json.hpp>
+
+namespace quaytrack {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kEventEnd = "\n\n";
+constexpr std::string_view kDone = "[DONE]";
+constexpr std::string_view kUsageField = "\"usage\"";
+constexpr std::string_view kDataPrefix = "data:";
+
+// Whether the text has a usage field with an object in it; engines write
+// "usage":null in the other events.
+bool MentionsUsage(std::string_view text) {
+  std::size_t at = text.find(kUsageField);
+  while (at != std::string_view::npos) {
+    const std::size_t value =
+        text.find_first_not_of(" :", at + kUsageField.size());
+    if (value != std::string_view::npos && text[value] == '{') return true;
+    at = text.find(kUsageField, at + 1);
+  }
+  return false;
+}
+
+bool EndsTheAnswer(std::string_view text) {
+  return text.find(kDone) != std::string_view::npos || MentionsUsage(text);
+}
+
+int CountEvents(std::string_view text) {
+  int n = 0;
+  for (std::size_t at = text.find(kEventEnd); at != std::string_view::npos;
+       at = text.find(kEventEnd, at + kEventEnd.size())) {
+    ++n;
+  }
+  return n;
+}
+
+std::string_view DataOf(std::string_view event) {
+  if (!event.starts_with(kDataPrefix)) return {};
+  event.remove_prefix(kDataPrefix.size());
+  const std::size_t first = event.find_first_not_of(" ");
+  return first == std::string_view::npos ? std::string_view()
+                                         : event.substr(first);
+}
+
+bool HasChoices(std::string_view event) {
+  return event.find("\"choices\":[]") == std::string_view::npos;
+}
+
+}  // namespace
+
+std::optional<Usage> UsageFromJson(std::string_view text) {
+  const Json json = Json::parse(text, nullptr, false);
+  if (!json.is_object() || !json.contains("usage")) return std::nullopt;
+  const Json& usage = json.at("usage");
+  if (!usage.is_object()) return std::nullopt;
+  const auto count = [&](const char* field) -> std::int64_t {
+    const bool present =
+        usage.contains(field) && usage.at(field).is_number_integer();
+    return present ? usage.at(field).get<std::int64_t>() : -1;
+  };
+  const Usage out{count("prompt_tokens"), count("completion_tokens")};
+  if (out.prompt < 0 || out.output < 0) return std::nullopt;
+  return out;
+}
+
+RelayedPart SseRelay::Feed(evbuffer* in, evbuffer* out) {
+  RelayedPart part;
+  const std::size_t size = evbuffer_get_length(in);
+  const char* data = reinterpret_cast<const char*>(evbuffer_pullup(in, -1));
+  if (data == nullptr) return part;
+  const std::string_view text(data, size);
+  const bool whole = partial_.empty() && text.ends_with(kEventEnd);
+  if (whole && !EndsTheAnswer(text)) {
+    part.events = CountEvents(text);
+    events_ += part.events;
+    evbuffer_add_buffer(out, in);
+    return part;
+  }
+  partial_ += text;
+  evbuffer_drain(in, size);
+  TakeEvents(out, part);
+  return part;
+}
+
+void SseRelay::TakeEvents(evbuffer* out, RelayedPart& part) {
+  std::size_t begin = 0;
+  std::size_t end = 0;
+  while ((end = partial_.find(kEventEnd, begin)) != std::string::npos) {
+    const std::size_t next = end + kEventEnd.size();
+    TakeEvent(std::string_view(partial_).substr(begin, next - begin), out,
+              part);
+    begin = next;
+  }
+  partial_.erase(0, begin);
+}
+
+void SseRelay::TakeEvent(std::string_view event, evbuffer* out,
+                         RelayedPart& part) {
+  const std::string_view data = DataOf(event);
+  if (data.starts_with(kDone)) {
+    done_ = true;
+    tail_ += event;
+    return;
+  }
+  if (MentionsUsage(data)) {
+    if (auto usage = UsageFromJson(data)) usage_ = usage;
+    // Some engines put the usage into the last token's event.
+    if (show_usage_ || HasChoices(data)) tail_ += event;
+    return;
+  }
+  ++part.events;
+  ++events_;
+  evbuffer_add(out, event.data(), event.size());
+}
+
+}  // namespace quaytrack
--- /dev/null
+++ b/testing/fault_proxy.cc
@@ -0,0 +1,185 @@
+// A TCP proxy that breaks what passes through it, on command:
+//
+//   pass          forwards both ways, after `delay_ms`;
+//   cut           closes every connection and takes no new one;
+//   freeze        keeps connections open and forwards nothing;
+//   drop_answers  forwards requests and throws answers away.
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <list>
+#include <memory>
+#include <string>
+
+#include "net/address.h"
+#include "testing/standin.h"
+#include "testing/standins.h"
+
+namespace quaytrack {
+namespace {
+
+enum class Mode { kPass, kCut, kFreeze, kDropAnswers };
+
+constexpr auto kModes =
+    std::to_array<EnumEntry<Mode>>({{Mode::kPass, "pass"},
+                                    {Mode::kCut, "cut"},
+                                    {Mode::kFreeze, "freeze"},
+                                    {Mode::kDropAnswers, "drop_answers"}});
+
+sockaddr_in SocketAddress(const Address& it) {
+  sockaddr_in out{};
+  out.sin_family = AF_INET;
+  out.sin_port = htons(it.port);
+  inet_pton(AF_INET, it.host.c_str(), &out.sin_addr);
+  return out;
+}
+
+class FaultProxy;
+
+// One proxied connection: a caller's side and the upstream's side.
+struct Link {
+  FaultProxy* proxy = nullptr;
+  bufferevent* caller = nullptr;
+  bufferevent* upstream = nullptr;
+  std::vector<std::unique_ptr<Timer>> delays;
+
+  ~Link() {
+    if (caller != nullptr) bufferevent_free(caller);
+    if (upstream != nullptr) bufferevent_free(upstream);
+  }
+};
+
+class FaultProxy {
+ public:
+  explicit FaultProxy(const Address& upstream)
+      : upstream_(SocketAddress(upstream)) {
+    standin_.OnPath("/control/mode",
+                    [this](const ExchangePtr& it) { SetMode(it); });
+  }
+
+  ~FaultProxy() {
+    if (listener_ != nullptr) evconnlistener_free(listener_);
+  }
+
+  // The proxied address is bound beside the two of the stand-in, and printed
+  // as the service's.
+  int Run(const StandinFlags& flags) {
+    const auto at = ParseAddress(flags.listen);
+    if (!at) return 2;
+    sockaddr_in address = SocketAddress(*at);
+    listener_ = evconnlistener_new_bind(
+        standin_.loop().base(), OnAccept, this,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+        reinterpret_cast<sockaddr*>(&address), sizeof address);
+    if (listener_ == nullptr) return 2;
+    socklen_t size = sizeof address;
+    getsockname(evconnlistener_get_fd(listener_),
+                reinterpret_cast<sockaddr*>(&address), &size);
+    std::printf("proxying 127.0.0.1:%d\n", ntohs(address.sin_port));
+    return standin_.Run("127.0.0.1:0", flags.admin);
+  }
+
+ private:
+  static void OnAccept(evconnlistener*, evutil_socket_t fd, sockaddr*, int,
+                       void* self) {
+    static_cast<FaultProxy*>(self)->Accept(fd);
+  }
+
+  void Accept(evutil_socket_t fd) {
+    if (mode_ == Mode::kCut) {
+      evutil_closesocket(fd);
+      return;
+    }
+    auto link = std::make_unique<Link>();
+    link->proxy = this;
+    event_base* base = standin_.loop().base();
+    link->caller = bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE);
+    link->upstream = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+    for (bufferevent* it : {link->caller, link->upstream}) {
+      bufferevent_setcb(it, OnRead, nullptr, OnEvent, link.get());
+      bufferevent_enable(it, EV_READ | EV_WRITE);
+    }
+    bufferevent_socket_connect(link->upstream,
+                               reinterpret_cast<sockaddr*>(&upstream_),
+                               sizeof upstream_);
+    links_.push_back(std::move(link));
+  }
+
+  static void OnRead(bufferevent* from, void* raw) {
+    auto* link = static_cast<Link*>(raw);
+    link->proxy->Forward(*link, from);
+  }
+
+  void Forward(Link& link, bufferevent* from) {
+    const bool answer = from == link.upstream;
+    if (mode_ == Mode::kFreeze) return;
+    if (mode_ == Mode::kDropAnswers && answer) {
+      evbuffer* in = bufferevent_get_input(from);
+      evbuffer_drain(in, evbuffer_get_length(in));
+      return;
+    }
+    bufferevent* to = answer ? link.caller : link.upstream;
+    if (delay_ms_ == 0) {
+      bufferevent_write_buffer(to, bufferevent_get_input(from));
+      return;
+    }
+    auto data = std::make_shared<std::string>();
+    evbuffer* in = bufferevent_get_input(from);
+    data->resize(evbuffer_get_length(in));
+    evbuffer_remove(in, data->data(), data->size());
+    link.delays.push_back(standin_.loop().After(
+        std::chrono::milliseconds(delay_ms_),
+        [to, data] { bufferevent_write(to, data->data(), data->size()); }));
+  }
+
+  static void OnEvent(bufferevent*, short what, void* raw) {
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) return;
+    auto* link = static_cast<Link*>(raw);
+    FaultProxy* proxy = link->proxy;
+    // What was read is passed on before both sides close.
+    proxy->Forward(*link, link->upstream);
+    proxy->standin_.loop().Post([proxy, link] { proxy->Drop(link); });
+  }
+
+  void Drop(Link* link) {
+    std::erase_if(links_, [link](const auto& it) { return it.get() == link; });
+  }
+
+  void SetMode(const ExchangePtr& exchange) {
+    const Params params(exchange->query());
+    delay_ms_ = params.Number("delay_ms", 0);
+    const std::string name = params.Text("mode");
+    for (const auto& it : kModes) {
+      if (it.name == name) mode_ = it.value;
+    }
+    if (mode_ == Mode::kCut) links_.clear();
+    if (mode_ == Mode::kPass) {
+      for (const auto& it : links_) {
+        Forward(*it, it->caller);
+        Forward(*it, it->upstream);
+      }
+    }
+    ReplyJson(exchange, "{}");
+  }
+
+  Standin standin_;
+  sockaddr_in upstream_;
+  evconnlistener* listener_ = nullptr;
+  std::list<std::unique_ptr<Link>> links_;
+  Mode mode_ = Mode::kPass;
+  int delay_ms_ = 0;
+};
+
+}  // namespace
+
+int RunFaultProxy(const StandinFlags& flags, const std::string& upstream) {
+  const auto at = ParseAddress(upstream);
+  return at ? FaultProxy(*at).Run(flags) : 2;
+}
+
+}  // namespace quaytrack
--- /dev/null
+++ b/testing/standin.h
@@ -0,0 +1,69 @@
+// What all stand-ins share: one loop, one HTTP server on two addresses (its
+// service and its controls), and the line that says where they are.
+//
+// A stand-in takes the place of a platform service or a target in tests and
+// demos. It speaks the published protocol, keeps its own book of what it did,
+// and can be told to misbehave:
+//
+//   POST /control/<what>?name=value&...
+
+#ifndef QUAYTRACK_TESTING_STANDIN_H_
+#define QUAYTRACK_TESTING_STANDIN_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/clock.h"
+#include "base/enum_table.h"
+#include "net/http_server.h"
+#include "net/loop.h"
+
+namespace quaytrack {
+
+using ExchangePtr = std::shared_ptr<HttpExchange>;
+
+// Query parameters of a request.
+class Params {
+ public:
+  explicit Params(const std::string& query);
+  std::string Text(const std::string& name) const;
+  int Number(const std::string& name, int fallback) const;
+
+ private:
+  std::map<std::string, std::string> values_;
+};
+
+class Standin {
+ public:
+  using Handler = std::function<void(const ExchangePtr&)>;
+
+  Standin();
+
+  Loop& loop() { return loop_; }
+  Instant Now() const { return clock_.Now(); }
+  const Clock& clock() const { return clock_; }
+
+  // Handlers of exact paths come first, then those of prefixes.
+  void OnPath(const std::string& path, Handler handler);
+  void OnPrefix(const std::string& prefix, Handler handler);
+
+  // Binds both addresses, prints them, and serves until SIGTERM.
+  int Run(const std::string& listen, const std::string& admin);
+
+ private:
+  void Handle(const ExchangePtr& exchange);
+
+  SystemClock clock_;
+  Loop loop_;
+  HttpServer server_;
+  std::map<std::string, Handler> paths_;
+  std::map<std::string, Handler> prefixes_;
+};
+
+void ReplyJson(const ExchangePtr& exchange, const std::string& json);
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_TESTING_STANDIN_H_
--- /dev/null
+++ b/testing/standins_main.cc
@@ -0,0 +1,50 @@
+// The stand-ins as commands of one program.
+
+#include <CLI/CLI.hpp>
+
+#include "base/log.h"
+#include "testing/standins.h"
+
+int main(int argc, char** argv) {
+  using quaytrack::EngineFlags;
+  using quaytrack::StandinFlags;
+  CLI::App app("Stand-ins for tests and demos.", "quaytrack_standins");
+  app.require_subcommand(1);
+  quaytrack::SetUpLog(quaytrack::LogFormat::kText, quaytrack::LogLevel::kWarn);
+  StandinFlags flags;
+  EngineFlags engine;
+  std::string name = "service";
+  std::string upstream;
+  int lag_ms = 500;
+  int rate_kb = 10240;
+  int code = 0;
+  const auto add = [&](const char* command, auto run) {
+    CLI::App* it = app.add_subcommand(command);
+    it->add_option("--listen", flags.listen);
+    it->add_option("--admin", flags.admin);
+    it->callback([&code, run] { code = run(); });
+    return it;
+  };
+  add("kv", [&] { return quaytrack::RunKvStandin(flags); });
+  CLI::App* it =
+      add("engine", [&] { return quaytrack::RunEngineStandin(flags, engine); });
+  it->add_option("--name", engine.name);
+  it->add_option("--slots", engine.slots);
+  it->add_option("--step-ms", engine.step_ms);
+  it->add_option("--prefill-us", engine.prefill_us_per_token);
+  it->add_option("--cache", engine.cache_prefixes);
+  it =
+      add("service", [&] { return quaytrack::RunServiceStandin(flags, name); });
+  it->add_option("--name", name);
+  it = add("vm_list",
+           [&] { return quaytrack::RunVmListStandin(flags, lag_ms); });
+  it->add_option("--lag-ms", lag_ms);
+  it = add("weight_store",
+           [&] { return quaytrack::RunWeightStandin(flags, rate_kb); });
+  it->add_option("--kb-per-second", rate_kb);
+  it = add("fault_proxy",
+           [&] { return quaytrack::RunFaultProxy(flags, upstream); });
+  it->add_option("--upstream", upstream)->required();
+  CLI11_PARSE(app, argc, argv);
+  return code;
+}
--- /dev/null
+++ b/testing/vm_list_standin.cc
@@ -0,0 +1,112 @@
+// A stand-in for the platform's VM list. Changes show after a lag.
+
+#include <csignal>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "testing/standin.h"
+#include "testing/standins.h"
+
+namespace quaytrack {
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+constexpr Duration kCheckEvery = std::chrono::milliseconds(50);
+
+class VmListStandin {
+ public:
+  explicit VmListStandin(int lag_ms) : lag_(std::chrono::milliseconds(lag_ms)) {
+    standin_.OnPath("/vms", [this](const ExchangePtr& it) { List(it); });
+    standin_.OnPath("/control/set", [this](const ExchangePtr& it) {
+      const Params params(it->query());
+      Later(params.Text("name"), params.Text("state"));
+      ReplyJson(it, "{}");
+    });
+    standin_.OnPath("/control/remove", [this](const ExchangePtr& it) {
+      Later(Params(it->query()).Text("name"), "");
+      ReplyJson(it, "{}");
+    });
+    standin_.OnPath("/control/watch", [this](const ExchangePtr& it) {
+      const Params params(it->query());
+      watched_[params.Text("name")] = params.Number("pid", 0);
+      shown_[params.Text("name")] = "live";
+      ReplyJson(it, "{}");
+    });
+    standin_.OnPath("/control/mode", [this](const ExchangePtr& it) {
+      hang_ = Params(it->query()).Text("mode") == "hang";
+      if (!hang_) held_.clear();
+      ReplyJson(it, "{}");
+    });
+    timer_ = standin_.loop().Every(kCheckEvery, [this] { Check(); });
+  }
+
+  int Run(const StandinFlags& flags) {
+    return standin_.Run(flags.listen, flags.admin);
+  }
+
+ private:
+  struct Change {
+    Instant shows_at{};
+    std::string name;
+    std::string state;  // empty: gone
+  };
+
+  void Later(const std::string& name, const std::string& state) {
+    changes_.push_back({standin_.Now() + lag_, name, state});
+  }
+
+  // The platform notices that a VM's process is gone, and the lag has passed.
+  void Check() {
+    for (auto it = watched_.begin(); it != watched_.end();) {
+      if (kill(it->second, 0) == 0) {
+        ++it;
+        continue;
+      }
+      Later(it->first, "");
+      it = watched_.erase(it);
+    }
+    const Instant now = standin_.Now();
+    std::erase_if(changes_, [&](const Change& it) {
+      if (it.shows_at > now) return false;
+      if (it.state.empty()) {
+        shown_.erase(it.name);
+      } else {
+        shown_[it.name] = it.state;
+      }
+      return true;
+    });
+  }
+
+  void List(const ExchangePtr& exchange) {
+    if (hang_) {
+      held_.push_back(exchange);
+      return;
+    }
+    Json vms = Json::array();
+    for (const auto& [name, state] : shown_) {
+      vms.push_back({{"name", name}, {"state", state}});
+    }
+    ReplyJson(exchange, Json{{"vms", vms}}.dump());
+  }
+
+  Standin standin_;
+  Duration lag_;
+  std::map<std::string, std::string> shown_;
+  std::map<std::string, int> watched_;
+  std::vector<Change> changes_;
+  std::vector<ExchangePtr> held_;
+  bool hang_ = false;
+  std::unique_ptr<Timer> timer_;
+};
+
+}  // namespace
+
+int RunVmListStandin(const StandinFlags& flags, int lag_ms) {
+  return VmListStandin(lag_ms).Run(flags);
+}
+
+}  // namespace quaytrack
