A dead router's bills are recovered by its witness

Cause: bills were stored in the key-value service before an answer ended, which costs a write for each group of answers, and a killed router took the bills of its running requests along; its grants stayed out for good.

Change: each router names a peer in another hall as its witness and tells it every request it sends and every bill, over a websocket link; an answer ends once the witness has the bill, and the ledger is written once a second. After proof of death the witness asks the engines what the open requests ran, writes the missing bills and returns the grants, in one transaction.

Ruled out: taking a lapsed lease as proof (a frozen router goes on), and reading the absence of a VM that was never listed as proof while it is registered (a new VM is listed late).

--- a/ledger/sync.cc
+++ b/ledger/sync.cc
@@ -85,6 +85,7 @@
   }
   if (!reachable_ || draining_) return HoldOutcome::kUnavailable;
   account.waiting().push_back({request, amount, now});
+  urgent_ = true;
   dirty_.insert(budget);
   return HoldOutcome::kWaiting;
 }
@@ -137,7 +138,8 @@
   if (SealedIsApplied())
     must_read_.insert(attempted_.begin(), attempted_.end());
   if (!must_read_.empty()) return StartRead();
-  if (now < last_commit_ + options_.commit_spacing) return std::nullopt;
+  if (now < last_commit_ + Spacing()) return std::nullopt;
+  urgent_ = false;
   MarkAllDirty(now);
   if (!sealed_ && !open_.empty()) SealOpenBatch();
   ShardMap work;
@@ -153,6 +155,12 @@
   return FinishCommit(now, std::move(work));
 }
 
+Duration LedgerSync::Spacing() const {
+  const bool witnessed = witness_link_ && !recorded_witness_.empty();
+  const bool relaxed = witnessed && !urgent_ && !draining_;
+  return relaxed ? options_.witnessed_spacing : options_.commit_spacing;
+}
+
 ReadShards LedgerSync::StartRead() {
   phase_ = Phase::kReading;
   ReadShards out;
@@ -320,7 +328,10 @@
 void LedgerSync::OnWatched(Instant now, const ShardState& state) {
   CacheIfNewer(state);
   FenceIfRemoved();
-  for (const auto& [name, it] : state.record.budgets) dirty_.insert(name);
+  for (const auto& [name, it] : state.record.budgets) {
+    dirty_.insert(name);
+    urgent_ = urgent_ || WantedByOthers(it, self_) > 0;
+  }
   ServeWaiting(now);
 }
 
--- a/ledger/sync.h
+++ b/ledger/sync.h
@@ -64,6 +64,9 @@
 struct LedgerSyncOptions {
   // Shortest time between two commits; bounds KV writes a second.
   Duration commit_spacing = std::chrono::milliseconds(100);
+  // The same while a witness has copies of all unwritten bills and nobody waits
+  // for a grant.
+  Duration witnessed_spacing = std::chrono::milliseconds(1000);
   // How long a request may wait for a larger grant.
   Duration hold_wait = std::chrono::milliseconds(800);
   // How often grants are compared with their targets when nothing else is due.
@@ -151,6 +154,8 @@
   // Names the peer that keeps copies of this router's unwritten bills. It
   // counts as the witness once `recorded_witness` shows it.
   void SetWitness(const Incarnation& witness);
+  // Whether the witness can be told anything at present.
+  void SetWitnessLink(bool up) { witness_link_ = up; }
   const Incarnation& recorded_witness() const { return recorded_witness_; }
 
   // The revision at which this incarnation registered.
@@ -202,6 +207,7 @@
   enum class Phase { kIdle, kReading, kCommitting };
   using ShardMap = std::map<int, ShardState>;
 
+  Duration Spacing() const;
   ReadShards StartRead();
   void MarkAllDirty(Instant now);
   void SealOpenBatch();
@@ -262,10 +268,13 @@
   Instant last_adjust_{};
   bool reachable_ = false;
   bool draining_ = false;
+  // Somebody waits for a grant that this router could take or give.
+  bool urgent_ = false;
   bool fenced_ = false;
   std::int64_t registered_ = 0;
   Incarnation witness_;
   Incarnation recorded_witness_;
+  bool witness_link_ = false;
   std::vector<LedgerEvent> events_;
 };
 
--- /dev/null
+++ b/ledger/witness.cc
@@ -0,0 +1,124 @@
+#include "ledger/witness.h"
+
+#include <utility>
+
+namespace quaytrack {
+namespace {
+
+// Lets one lambda for each message type act as a visitor.
+template <class... Fs>
+struct Overloaded : Fs... {
+  using Fs::operator()...;
+};
+template <class... Fs>
+Overloaded(Fs...) -> Overloaded<Fs...>;
+
+}  // namespace
+
+void WitnessFeed::Push(WitnessMessage message) {
+  if (!open_) return;
+  ++pushed_;
+  if (const auto* it = std::get_if<BillMessage>(&message)) {
+    unacked_.emplace_back(pushed_, it->bill.request_id);
+  }
+  outgoing_.push_back(std::move(message));
+}
+
+void WitnessFeed::OnIntent(const Intent& intent) {
+  intents_[intent.worst_case.request_id] = intent;
+  Push(IntentMessage{intent});
+}
+
+void WitnessFeed::OnBill(const Bill& bill, std::uint64_t seq) {
+  intents_.erase(bill.request_id);
+  bills_[bill.request_id] = {bill, seq};
+  Push(BillMessage{seq, bill});
+}
+
+void WitnessFeed::OnRelease(const RequestId& request) {
+  if (intents_.erase(request) > 0) Push(ReleaseMessage{request});
+}
+
+void WitnessFeed::OnWritten(std::uint64_t seq) {
+  const auto n = std::erase_if(
+      bills_, [seq](const auto& it) { return it.second.seq <= seq; });
+  if (n > 0) Push(WrittenMessage{seq});
+}
+
+void WitnessFeed::OnLinkOpen() {
+  open_ = true;
+  outgoing_.clear();
+  unacked_.clear();
+  pushed_ = 0;
+  acked_ = 0;
+  for (const auto& [request, it] : intents_) Push(IntentMessage{it});
+  for (const auto& [request, it] : bills_) Push(BillMessage{it.seq, it.bill});
+  Push(CaughtUpMessage{});
+  catch_up_ = pushed_;
+}
+
+void WitnessFeed::OnLinkClosed() {
+  open_ = false;
+  outgoing_.clear();
+  unacked_.clear();
+}
+
+std::vector<WitnessMessage> WitnessFeed::TakeOutgoing() {
+  return std::exchange(outgoing_, {});
+}
+
+std::vector<RequestId> WitnessFeed::OnAck(std::uint64_t n) {
+  std::vector<RequestId> out;
+  acked_ = n;
+  while (!unacked_.empty() && unacked_.front().first <= n) {
+    out.push_back(unacked_.front().second);
+    unacked_.pop_front();
+  }
+  return out;
+}
+
+void WitnessStore::Restart(const Incarnation& owner) {
+  Held& held = held_[owner];
+  // A link that never caught up adds to what the one before it knew.
+  held.now.intents.merge(held.before.intents);
+  held.now.bills.merge(held.before.bills);
+  held.before = std::exchange(held.now, {});
+}
+
+void WitnessStore::OnMessage(const Incarnation& owner,
+                             const WitnessMessage& message) {
+  Held& held = held_[owner];
+  WitnessCopy& copy = held.now;
+  std::visit(Overloaded{[&](const IntentMessage& it) {
+                          copy.intents[it.intent.worst_case.request_id] =
+                              it.intent;
+                        },
+                        [&](const BillMessage& it) {
+                          copy.intents.erase(it.bill.request_id);
+                          held.before.intents.erase(it.bill.request_id);
+                          copy.bills[it.bill.request_id] = it;
+                        },
+                        [&](const ReleaseMessage& it) {
+                          copy.intents.erase(it.request);
+                          held.before.intents.erase(it.request);
+                        },
+                        [&](const WrittenMessage& it) {
+                          std::erase_if(copy.bills, [&](const auto& bill) {
+                            return bill.second.seq <= it.seq;
+                          });
+                        },
+                        [&](const CaughtUpMessage&) { held.before = {}; }},
+             message);
+}
+
+std::optional<WitnessCopy> WitnessStore::Of(const Incarnation& owner) const {
+  auto it = held_.find(owner);
+  if (it == held_.end()) return std::nullopt;
+  WitnessCopy out = it->second.now;
+  WitnessCopy before = it->second.before;
+  out.intents.merge(before.intents);
+  out.bills.merge(before.bills);
+  return out;
+}
+
+}  // namespace quaytrack
--- a/member/registry.cc
+++ b/member/registry.cc
@@ -50,21 +50,23 @@
 bool RouterRegistry::ProvenDead(Instant now, const Incarnation& incarnation,
                                 std::int64_t created,
                                 const VmTracker& vms) const {
-  if (entries_.contains(incarnation)) return false;
   const VmName vm = VmOf(incarnation);
-  if (vms.ProvenDead(now, vm)) return true;
+  if (vms.Dropped(now, vm)) return true;
+  if (entries_.contains(incarnation)) return false;
+  if (vms.Absent(now, vm)) return true;
   auto latest = latest_.find(vm);
   if (latest == latest_.end() || created == 0) return false;
   return latest->second.incarnation != incarnation &&
          latest->second.created > created;
 }
 
-Incarnation RouterRegistry::WitnessFor(const RouterEntry& self) const {
+Incarnation RouterRegistry::WitnessFor(const RouterEntry& self,
+                                       const Incarnation& avoid) const {
   Incarnation best;
   bool best_elsewhere = false;
   std::uint64_t best_score = 0;
   for (const auto& [name, it] : entries_) {
-    if (VmOf(name) == VmOf(self.incarnation)) continue;
+    if (VmOf(name) == VmOf(self.incarnation) || name == avoid) continue;
     const bool elsewhere = it.hall != self.hall;
     const std::uint64_t score =
         StableHash(self.incarnation.value + "|" + name.value);
--- a/member/registry.h
+++ b/member/registry.h
@@ -51,8 +51,9 @@
 
   // The registered peer that should keep copies of `self`'s unwritten bills:
   // by rendezvous hash among other halls' routers, else among all others.
-  // Empty if there is none.
-  Incarnation WitnessFor(const RouterEntry& self) const;
+  // Empty if there is none. `avoid` is not chosen.
+  Incarnation WitnessFor(const RouterEntry& self,
+                         const Incarnation& avoid) const;
 
  private:
   std::map<Incarnation, RouterEntry> entries_;
--- a/member/vm_tracker.cc
+++ b/member/vm_tracker.cc
@@ -45,14 +45,21 @@
   return it != listed_.end() && it->second == VmState::kLeaving;
 }
 
-bool VmTracker::ProvenDead(Instant now, const VmName& vm) const {
-  if (!unbroken_since_ || listed_.contains(vm)) return false;
-  if (now - last_ > options_.gap) return false;
-  // A VM that these lists never showed is absent since the first of them.
+// Whether lists are coming in without a gap.
+bool VmTracker::Fresh(Instant now) const {
+  return unbroken_since_ && now - last_ <= options_.gap;
+}
+
+bool VmTracker::Dropped(Instant now, const VmName& vm) const {
   auto it = absent_since_.find(vm);
-  const Instant since =
-      it == absent_since_.end() ? *unbroken_since_ : it->second;
-  return last_ - since > options_.lag;
+  if (!Fresh(now) || it == absent_since_.end()) return false;
+  return last_ - it->second > options_.lag;
+}
+
+bool VmTracker::Absent(Instant now, const VmName& vm) const {
+  if (!Fresh(now) || listed_.contains(vm)) return false;
+  if (absent_since_.contains(vm)) return Dropped(now, vm);
+  return last_ - *unbroken_since_ > options_.lag;
 }
 
 }  // namespace quaytrack
--- a/member/vm_tracker.h
+++ b/member/vm_tracker.h
@@ -1,14 +1,17 @@
 // What the platform's VM list proves.
 //
-// The list shows live and leaving VMs, late. Two conclusions are drawn:
+// The list shows live and leaving VMs, late. Three conclusions are drawn:
 //
 //   Leaving(vm)     from the first list that says so: it gets no new work;
-//   ProvenDead(vm)  only when lists have lacked the VM, without a break, for
-//                   longer than the list's lag. A list that can't be had proves
-//                   nothing: the count starts again after a gap, as the VM may
-//                   have been listed meanwhile.
+//   Dropped(vm)     lists showed the VM, and have lacked it since, without a
+//                   break, for longer than the list's lag: it is gone;
+//   Absent(vm)      the same, or lists never showed it at all. A VM so new that
+//                   the list doesn't show it yet looks the same, so this proves
+//                   something only of VMs that are known to be old.
 //
-// A lapsed lease is no proof: its holder may be paused and go on.
+// A list that can't be had proves nothing: the count starts again after a gap,
+// as the VM may have been listed meanwhile. A lapsed lease is no proof either:
+// its holder may be paused and go on.
 
 #ifndef QUAYTRACK_MEMBER_VM_TRACKER_H_
 #define QUAYTRACK_MEMBER_VM_TRACKER_H_
@@ -57,9 +60,12 @@
 
   bool Listed(const VmName& vm) const { return listed_.contains(vm); }
   bool Leaving(const VmName& vm) const;
-  bool ProvenDead(Instant now, const VmName& vm) const;
+  bool Dropped(Instant now, const VmName& vm) const;
+  bool Absent(Instant now, const VmName& vm) const;
 
  private:
+  bool Fresh(Instant now) const;
+
   VmTrackerOptions options_;
   std::map<VmName, VmState> listed_;
   // Since when lists without a gap have lacked a VM that was once listed.
--- /dev/null
+++ b/net/peer_link.cc
@@ -0,0 +1,207 @@
+// Compiled as C++17: websocketpp 0.8 doesn't compile as C++20.
+
+#include "net/peer_link.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <utility>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/core.hpp>
+#include <websocketpp/config/core_client.hpp>
+#include <websocketpp/server.hpp>
+
+#include "net/address.h"
+
+namespace quaytrack {
+namespace {
+
+namespace ws = websocketpp;
+
+using ServerEndpoint = ws::server<ws::config::core>;
+using ClientEndpoint = ws::client<ws::config::core_client>;
+
+// A bound on what a peer may send as one message.
+constexpr std::size_t kLargestMessage = 4 * 1024 * 1024;
+
+sockaddr_in SocketAddress(const Address& it) {
+  sockaddr_in out{};
+  out.sin_family = AF_INET;
+  out.sin_port = htons(it.port);
+  inet_pton(AF_INET, it.host.c_str(), &out.sin_addr);
+  return out;
+}
+
+// One link over one bufferevent, for either end.
+template <class Endpoint>
+class WebsocketLink final
+    : public PeerLink,
+      public std::enable_shared_from_this<WebsocketLink<Endpoint>> {
+ public:
+  using ConnectionPtr = typename Endpoint::connection_ptr;
+
+  WebsocketLink(Loop& loop, bufferevent* bev) : loop_(loop), bev_(bev) {
+    endpoint_.clear_access_channels(ws::log::alevel::all);
+    endpoint_.clear_error_channels(ws::log::elevel::all);
+    endpoint_.set_max_message_size(kLargestMessage);
+  }
+
+  ~WebsocketLink() override {
+    if (connection_) connection_->set_close_handler(nullptr);
+    bufferevent_free(bev_);
+  }
+
+  void SetHandlers(Handlers handlers) override {
+    handlers_ = std::move(handlers);
+  }
+
+  void Send(const std::string& message) override {
+    if (closed_ || !connection_) return;
+    connection_->send(message, ws::frame::opcode::binary);
+  }
+
+  void Start(ConnectionPtr connection) {
+    connection_ = std::move(connection);
+    bufferevent_setcb(bev_, OnRead, nullptr, OnEvent, this);
+    bufferevent_enable(bev_, EV_READ | EV_WRITE);
+    connection_->set_write_handler(
+        [this](ws::connection_hdl, const char* data, std::size_t size) {
+          Write(data, size);
+          return ws::lib::error_code();
+        });
+    connection_->set_open_handler([this](ws::connection_hdl) {
+      if (handlers_.open) handlers_.open();
+    });
+    connection_->set_message_handler(
+        [this](ws::connection_hdl, typename Endpoint::message_ptr message) {
+          if (handlers_.message) handlers_.message(message->get_payload());
+        });
+    const auto lost = [this](ws::connection_hdl) { Close(); };
+    connection_->set_close_handler(lost);
+    connection_->set_fail_handler(lost);
+  }
+
+  Endpoint& endpoint() { return endpoint_; }
+  bufferevent* bev() { return bev_; }
+  // Called when a client's socket has connected.
+  std::function<void()> on_connected;
+
+ private:
+  static void OnRead(bufferevent* bev, void* self) {
+    const auto keep = static_cast<WebsocketLink*>(self)->shared_from_this();
+    evbuffer* in = bufferevent_get_input(bev);
+    std::string bytes(evbuffer_get_length(in), '\0');
+    evbuffer_remove(in, &bytes[0], bytes.size());
+    keep->connection_->read_all(bytes.data(), bytes.size());
+  }
+
+  static void OnEvent(bufferevent*, short what, void* self) {
+    const auto keep = static_cast<WebsocketLink*>(self)->shared_from_this();
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+      if (keep->on_connected) keep->on_connected();
+      return;
+    }
+    keep->Close();
+  }
+
+  void Write(const char* data, std::size_t size) {
+    if (closed_) return;
+    const evutil_socket_t fd = bufferevent_getfd(bev_);
+    const bool clear = evbuffer_get_length(bufferevent_get_output(bev_)) == 0;
+    ssize_t sent = 0;
+    if (clear && fd >= 0) sent = send(fd, data, size, MSG_NOSIGNAL);
+    const std::size_t done = sent > 0 ? static_cast<std::size_t>(sent) : 0;
+    if (done < size) bufferevent_write(bev_, data + done, size - done);
+  }
+
+  void Close() {
+    if (closed_) return;
+    closed_ = true;
+    bufferevent_disable(bev_, EV_READ | EV_WRITE);
+    loop_.Post([keep = this->shared_from_this()] {
+      if (keep->handlers_.closed) keep->handlers_.closed();
+      keep->handlers_ = {};
+    });
+  }
+
+  Loop& loop_;
+  bufferevent* bev_;
+  Endpoint endpoint_;
+  ConnectionPtr connection_;
+  Handlers handlers_;
+  bool closed_ = false;
+};
+
+void SetNoDelay(evutil_socket_t fd) {
+  const int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+}  // namespace
+
+std::shared_ptr<PeerLink> PeerLink::Connect(Loop& loop,
+                                            const std::string& address,
+                                            Handlers handlers) {
+  using Link = WebsocketLink<ClientEndpoint>;
+  const auto at = ParseAddress(address);
+  if (!at) return nullptr;
+  bufferevent* bev =
+      bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+  auto link = std::make_shared<Link>(loop, bev);
+  link->SetHandlers(std::move(handlers));
+  ws::lib::error_code ec;
+  auto connection =
+      link->endpoint().get_connection("ws://" + address + "/peer", ec);
+  if (ec) return nullptr;
+  link->Start(connection);
+  link->on_connected = [raw = link.get(), connection] {
+    SetNoDelay(bufferevent_getfd(raw->bev()));
+    raw->endpoint().connect(connection);
+  };
+  sockaddr_in target = SocketAddress(*at);
+  bufferevent_socket_connect(bev, reinterpret_cast<sockaddr*>(&target),
+                             sizeof target);
+  return link;
+}
+
+PeerServer::PeerServer(Loop& loop, Accepted accepted)
+    : loop_(loop), accepted_(std::move(accepted)) {}
+
+PeerServer::~PeerServer() {
+  if (listener_ != nullptr) evconnlistener_free(listener_);
+}
+
+std::uint16_t PeerServer::Listen(const std::string& address) {
+  const auto at = ParseAddress(address);
+  if (!at) return 0;
+  const auto on_accept = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int,
+                            void* raw) {
+    using Link = WebsocketLink<ServerEndpoint>;
+    auto* self = static_cast<PeerServer*>(raw);
+    SetNoDelay(fd);
+    bufferevent* bev =
+        bufferevent_socket_new(self->loop_.base(), fd, BEV_OPT_CLOSE_ON_FREE);
+    auto link = std::make_shared<Link>(self->loop_, bev);
+    auto connection = link->endpoint().get_connection();
+    link->Start(connection);
+    self->accepted_(link);
+    connection->start();
+  };
+  sockaddr_in bound = SocketAddress(*at);
+  listener_ = evconnlistener_new_bind(
+      loop_.base(), on_accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+      -1, reinterpret_cast<sockaddr*>(&bound), sizeof bound);
+  if (listener_ == nullptr) return 0;
+  socklen_t size = sizeof bound;
+  getsockname(evconnlistener_get_fd(listener_),
+              reinterpret_cast<sockaddr*>(&bound), &size);
+  return ntohs(bound.sin_port);
+}
+
+}  // namespace quaytrack
--- a/router/context.h
+++ b/router/context.h
@@ -21,6 +21,7 @@
 #include "router/claim_driver.h"
 #include "router/ledger_driver.h"
 #include "router/metrics.h"
+#include "router/peer_driver.h"
 
 namespace quaytrack {
 
@@ -34,6 +35,7 @@
   TargetBook& targets;
   RetryBudget& retries;
   BillGate& gate;
+  PeerDriver& peers;
   const ForwardChart& chart;
   Incarnation self;
   // Queues by group; made on first use.
--- a/router/forward.h
+++ b/router/forward.h
@@ -76,6 +76,8 @@
   { J::kCancellable } -> std::convertible_to<bool>;
   { job.CancelRequest(address, RequestId()) } -> std::same_as<HttpRequest>;
   { job.OnCancelled(result) } -> std::same_as<void>;
+  // What a witness must know to find out what this request cost.
+  { job.MakeIntent(address, Bill()) } -> std::same_as<Intent>;
 };
 
 template <ForwardJob Job>
@@ -122,6 +124,7 @@
   void Cancel();
   void Finish();
   void End();
+  Bill MakeBill(Tokens tokens) const;
   std::string BillId() const;
   std::string Marker() const;
 
--- a/router/forward_impl.h
+++ b/router/forward_impl.h
@@ -204,16 +204,22 @@
   }
 }
 
+template <ForwardJob Job>
+Bill Forward<Job>::MakeBill(Tokens tokens) const {
+  Bill out;
+  out.bill_id = BillId();
+  out.customer = basics_.headers.customer;
+  out.budget = basics_.budget;
+  out.request_id = basics_.request;
+  out.tokens = tokens;
+  out.at_ms = context_.clock.WallNow().time_since_epoch().count();
+  out.marker = Marker();
+  return out;
+}
+
 template <ForwardJob Job>
 void Forward<Job>::SettleAs(Tokens cost) {
-  Bill bill;
-  bill.bill_id = BillId();
-  bill.customer = basics_.headers.customer;
-  bill.budget = basics_.budget;
-  bill.request_id = basics_.request;
-  bill.tokens = cost;
-  bill.at_ms = context_.clock.WallNow().time_since_epoch().count();
-  bill.marker = Marker();
+  Bill bill = MakeBill(cost);
   if (cost > basics_.worst_case) {
     LogEvent(Event::kUsageTooLarge,
              {{"request", basics_.request.value},
@@ -225,6 +231,7 @@
   context_.ledger.Kick();
   held_ = false;
   if (seq == 0) {
+    context_.peers.OnRelease(basics_.request);
     context_.loop.Post([self = this->shared_from_this()] {
       self->OnBillSafe(BillSafety::kWritten);
     });
@@ -232,6 +239,7 @@
   }
   context_.metrics.CountBilled(bill.tokens);
   context_.gate.Wait(now, basics_.request, seq);
+  context_.peers.OnBill(bill, seq);
 }
 
 // The caller's key makes a retry elsewhere the same request; the digest keeps
@@ -340,6 +348,11 @@
   }
   request.idle_timeout = basics_.attempt_timeout;
   request.fresh_connection = !basics_.repeatable;
+  // Told before the target is, so that no request runs unknown to the witness.
+  if (Job::kCancellable || !basics_.repeatable) {
+    context_.peers.OnIntent(
+        job_.MakeIntent(request.address, MakeBill(basics_.worst_case)));
+  }
   HttpCall::Handlers on;
   const auto self = this->shared_from_this();
   if (job_.streams()) {
@@ -491,6 +504,7 @@
     context_.ledger.Kick();
   }
   held_ = false;
+  if (sent_once_) context_.peers.OnRelease(basics_.request);
   if (basics_.needs_claim) {
     const ClaimKey key{basics_.headers.customer, basics_.headers.key};
     context_.claims.book().Abandon(context_.Now(), key, basics_.request);
--- /dev/null
+++ b/router/ledger_codec.h
@@ -0,0 +1,23 @@
+// How ledger records and commits look in the key-value service.
+
+#ifndef QUAYTRACK_ROUTER_LEDGER_CODEC_H_
+#define QUAYTRACK_ROUTER_LEDGER_CODEC_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "ledger/sync.h"
+#include "platform/kv.h"
+
+namespace quaytrack {
+
+// A record as found, or an empty one if its key doesn't exist.
+ShardState ShardFromKv(int shard, const std::vector<KvItem>& found);
+
+// The transaction that writes a commit whose batch belongs to `writer`.
+KvTxn TxnFor(const Incarnation& writer, const LedgerCommit& commit,
+             std::int64_t marker_lease);
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_ROUTER_LEDGER_CODEC_H_
--- a/router/ledger_driver.cc
+++ b/router/ledger_driver.cc
@@ -6,6 +6,7 @@
 
 #include "base/log.h"
 #include "platform/keys.h"
+#include "router/ledger_codec.h"
 
 namespace quaytrack {
 namespace {
@@ -13,16 +14,6 @@
 constexpr Duration kTick = std::chrono::milliseconds(25);
 constexpr Duration kWatchRetry = std::chrono::milliseconds(500);
 
-// A record as found, or an empty one if its key doesn't exist.
-ShardState ToState(int shard, const std::vector<KvItem>& found) {
-  ShardState out;
-  out.shard = shard;
-  if (found.empty()) return out;
-  out.revision = found[0].mod_revision;
-  out.record = DecodeRecord(found[0].value).value_or(LedgerRecord());
-  return out;
-}
-
 CommitOutcome OutcomeOf(const KvTxnReply& reply) {
   if (reply.end == KvEnd::kUnknown) return CommitOutcome::kUnknown;
   const bool applied = reply.end == KvEnd::kOk && reply.succeeded;
@@ -80,7 +71,7 @@
     } else {
       std::vector<ShardState> states;
       for (std::size_t n = 0; n < read.shards.size(); ++n) {
-        states.push_back(ToState(read.shards[n], reply.found[n]));
+        states.push_back(ShardFromKv(read.shards[n], reply.found[n]));
       }
       std::set<std::string> existing;
       for (std::size_t n = 0; n < read.markers.size(); ++n) {
@@ -97,23 +88,7 @@
 }
 
 void LedgerDriver::Commit(const LedgerCommit& commit) {
-  KvTxn txn;
-  for (const ShardState& it : commit.shards) {
-    txn.compares.push_back(
-        KvCompare::Revision(keys::Ledger(it.shard), it.revision));
-    txn.puts.push_back({keys::Ledger(it.shard), EncodeRecord(it.record), 0});
-  }
-  if (!commit.batch.bills.empty()) {
-    const std::string journal = keys::Journal(self_, commit.batch.seq);
-    txn.compares.push_back(KvCompare::Revision(journal, 0));
-    txn.puts.push_back({journal, EncodeBatch(commit.batch), 0});
-  }
-  for (const Bill& it : commit.batch.bills) {
-    if (it.marker.empty()) continue;
-    txn.compares.push_back(KvCompare::Revision(keys::Billed(it.marker), 0));
-    txn.puts.push_back(
-        {keys::Billed(it.marker), it.bill_id, retention_.lease()});
-  }
+  const KvTxn txn = TxnFor(self_, commit, retention_.lease());
   kv_.Txn(txn, [this](const KvTxnReply& reply) {
     revision_ = std::max(revision_, reply.revision);
     sync_.OnCommit(clock_.Now(), OutcomeOf(reply), reply.revision);
@@ -151,7 +126,7 @@
     const char* end = number.data() + number.size();
     const auto [stop, ec] = std::from_chars(number.data(), end, shard);
     if (it.deleted || ec != std::errc() || stop != end) continue;
-    sync_.OnWatched(clock_.Now(), ToState(shard, {it.item}));
+    sync_.OnWatched(clock_.Now(), ShardFromKv(shard, {it.item}));
   }
   Pump();
 }
--- a/router/model_job.cc
+++ b/router/model_job.cc
@@ -109,4 +109,9 @@
   if (result.ok()) usage_ = UsageFromJson(result.body);
 }
 
+Intent ModelJob::MakeIntent(const std::string& address, Bill worst_case) const {
+  return {std::move(worst_case), address, prices_.price_prompt,
+          prices_.price_output};
+}
+
 }  // namespace quaytrack
--- a/router/model_job.h
+++ b/router/model_job.h
@@ -30,6 +30,7 @@
   HttpRequest CancelRequest(const std::string& address,
                             const RequestId& request) const;
   void OnCancelled(const HttpResult& result);
+  Intent MakeIntent(const std::string& address, Bill worst_case) const;
 
  private:
   Tokens PriceOf(const Usage& usage) const;
--- /dev/null
+++ b/router/recovery_driver.cc
@@ -0,0 +1,193 @@
+#include "router/recovery_driver.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+#include "platform/keys.h"
+#include "platform/kv_json.h"
+#include "router/ledger_codec.h"
+#include "router/sse_relay.h"
+
+namespace quaytrack {
+namespace {
+
+constexpr Duration kLookEvery = std::chrono::seconds(1);
+constexpr Duration kAskTimeout = std::chrono::seconds(2);
+// How far back in the dead router's journal its copied bills are looked for. A
+// copy is dropped when its batch is known to be written, so only the last few
+// can overlap.
+constexpr std::uint64_t kJournalOverlap = 64;
+
+}  // namespace
+
+RecoveryDriver::RecoveryDriver(Loop& loop, KvClient& kv, HttpClient& http,
+                               const RetentionLease& retention,
+                               LedgerDriver& ledger, Membership& members,
+                               PeerDriver& peers, Incarnation self)
+    : loop_(loop),
+      kv_(kv),
+      http_(http),
+      retention_(retention),
+      ledger_(ledger),
+      members_(members),
+      peers_(peers),
+      self_(std::move(self)),
+      timer_(loop.Every(kLookEvery, [this] { Look(); })) {}
+
+void RecoveryDriver::Look() {
+  stranded_ = 0;
+  for (int shard = 0; shard < kLedgerShards; ++shard) {
+    const ShardState* state = ledger_.sync().CachedShard(shard);
+    if (state == nullptr) continue;
+    for (const auto& [writer, entry] : state->record.writers) {
+      if (writer == self_ || jobs_.contains(writer)) continue;
+      if (!members_.ProvenDead(writer, entry.registered)) continue;
+      Consider(writer, entry, state->record);
+    }
+  }
+}
+
+void RecoveryDriver::Consider(const Incarnation& writer,
+                              const WriterEntry& entry,
+                              const LedgerRecord& record) {
+  if (entry.witness == self_) {
+    if (auto copy = peers_.store().Of(writer)) Begin(writer, *copy);
+    return;
+  }
+  if (!HoldsGrants(record, writer)) return Begin(writer, {});
+  // A witness that lives will act itself; if there is none, nobody can.
+  const bool witness_lives =
+      members_.registry().entries().contains(entry.witness);
+  if (witness_lives) return;
+  for (const auto& [name, it] : record.budgets) {
+    auto grant = it.grants.find(writer);
+    if (grant != it.grants.end()) stranded_ += grant->second;
+  }
+}
+
+void RecoveryDriver::Begin(const Incarnation& dead, const WitnessCopy& copy) {
+  auto job = std::make_shared<Job>();
+  job->input.dead = dead;
+  job->input.copy = copy;
+  jobs_[dead] = job;
+  job->unanswered = copy.intents.size();
+  if (job->unanswered == 0) return ReadSnapshot(job);
+  for (const auto& [request, it] : copy.intents) AskTarget(job, it);
+}
+
+// Asks a target what a request of the dead router cost; that also ends it.
+void RecoveryDriver::AskTarget(const JobPtr& job, const Intent& intent) {
+  if (intent.target_address.empty()) {
+    return OnTargetAnswer(job, intent, HttpResult{});
+  }
+  HttpRequest request;
+  request.address = intent.target_address;
+  request.method = "POST";
+  request.path =
+      "/v1/requests/" + intent.worst_case.request_id.value + "/cancel";
+  request.idle_timeout = kAskTimeout;
+  HttpCall::Handlers on;
+  on.end = [this, job, intent](const HttpResult& result) {
+    OnTargetAnswer(job, intent, result);
+  };
+  http_.Start(std::move(request), std::move(on));
+}
+
+void RecoveryDriver::OnTargetAnswer(const JobPtr& job, const Intent& intent,
+                                    const HttpResult& result) {
+  constexpr int kNotFound = 404;
+  const bool never_ran =
+      result.end == HttpEnd::kComplete && result.status == kNotFound;
+  if (!never_ran) {
+    // A target that can't tell may have run all of it.
+    Bill bill = intent.worst_case;
+    const auto usage = result.ok() ? UsageFromJson(result.body) : std::nullopt;
+    if (usage) {
+      const Tokens cost = usage->prompt * intent.price_prompt +
+                          usage->output * intent.price_output;
+      bill.tokens = std::min(bill.tokens, cost);
+    }
+    job->input.asked.push_back(bill);
+  }
+  if (--job->unanswered == 0) ReadSnapshot(job);
+}
+
+void RecoveryDriver::ReadSnapshot(const JobPtr& job) {
+  std::uint64_t last = 0;
+  KvTxn txn;
+  for (int shard = 0; shard < kLedgerShards; ++shard) {
+    txn.gets.push_back({keys::Ledger(shard)});
+    const ShardState* state = ledger_.sync().CachedShard(shard);
+    if (state == nullptr) continue;
+    auto writer = state->record.writers.find(job->input.dead);
+    if (writer == state->record.writers.end()) continue;
+    last = std::max(last, writer->second.seq);
+  }
+  const std::uint64_t from =
+      last > kJournalOverlap ? last - kJournalOverlap : 0;
+  KvGet journal{keys::Journal(job->input.dead, from)};
+  journal.end = PrefixEnd(keys::JournalOf(job->input.dead));
+  txn.gets.push_back(journal);
+  for (const auto& [request, it] : job->input.copy.bills) {
+    txn.gets.push_back({keys::Billed(it.bill.marker)});
+  }
+  for (const Bill& it : job->input.asked) {
+    txn.gets.push_back({keys::Billed(it.marker)});
+  }
+  kv_.Txn(txn,
+          [this, job](const KvTxnReply& reply) { OnSnapshot(job, reply); });
+}
+
+void RecoveryDriver::OnSnapshot(const JobPtr& job, const KvTxnReply& reply) {
+  if (reply.end != KvEnd::kOk) return Finish(job, false);
+  RecoveryInput& input = job->input;
+  input.shards.clear();
+  for (int shard = 0; shard < kLedgerShards; ++shard) {
+    const auto& found = reply.found[static_cast<std::size_t>(shard)];
+    input.shards.push_back(ShardFromKv(shard, found));
+  }
+  input.journal.clear();
+  for (const KvItem& it : reply.found[kLedgerShards]) {
+    if (auto batch = DecodeBatch(it.value)) input.journal.push_back(*batch);
+  }
+  input.existing_markers.clear();
+  std::size_t n = kLedgerShards + 1;
+  for (const auto& [request, it] : input.copy.bills) {
+    if (!reply.found[n++].empty()) {
+      input.existing_markers.insert(it.bill.marker);
+    }
+  }
+  for (const Bill& it : input.asked) {
+    if (!reply.found[n++].empty()) input.existing_markers.insert(it.marker);
+  }
+  const auto commit = PlanRecovery(input);
+  if (!commit) return Finish(job, true);
+  Write(job, *commit);
+}
+
+void RecoveryDriver::Write(const JobPtr& job, const LedgerCommit& commit) {
+  const KvTxn txn = TxnFor(job->input.dead, commit, retention_.lease());
+  kv_.Txn(txn, [this, job, commit](const KvTxnReply& reply) {
+    const bool done = reply.end == KvEnd::kOk && reply.succeeded;
+    if (done) {
+      LogEvent(Event::kRouterRecovered,
+               {{"incarnation", job->input.dead.value},
+                {"bills", std::to_string(commit.batch.bills.size())}});
+    }
+    Finish(job, done);
+  });
+}
+
+// A recovery that isn't done is begun anew at the next look, from a snapshot
+// that shows whether this one took effect.
+void RecoveryDriver::Finish(const JobPtr& job, bool done) {
+  if (done) {
+    peers_.Forget(job->input.dead);
+  } else {
+    LogEvent(Event::kRecoveryFailed, {{"incarnation", job->input.dead.value}});
+  }
+  loop_.Post([this, dead = job->input.dead] { jobs_.erase(dead); });
+}
+
+}  // namespace quaytrack
--- /dev/null
+++ b/router/recovery_driver.h
@@ -0,0 +1,70 @@
+// Closes the accounts of dead routers, as their witness.
+//
+// Every second it looks at all writers in the ledger records. For each that is
+// proven dead: if this router is its witness, it asks the targets what the open
+// requests cost and writes the recovery (ledger/recovery.h). An entry without
+// grants needs no witness; any router may remove it.
+
+#ifndef QUAYTRACK_ROUTER_RECOVERY_DRIVER_H_
+#define QUAYTRACK_ROUTER_RECOVERY_DRIVER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "ledger/recovery.h"
+#include "net/http_client.h"
+#include "net/loop.h"
+#include "platform/kv.h"
+#include "router/ledger_driver.h"
+#include "router/membership.h"
+#include "router/peer_driver.h"
+
+namespace quaytrack {
+
+class RecoveryDriver {
+ public:
+  RecoveryDriver(Loop& loop, KvClient& kv, HttpClient& http,
+                 const RetentionLease& retention, LedgerDriver& ledger,
+                 Membership& members, PeerDriver& peers, Incarnation self);
+
+  // Tokens in grants of dead routers that nobody can recover.
+  Tokens Stranded() const { return stranded_; }
+
+ private:
+  // One recovery on its way.
+  struct Job {
+    RecoveryInput input;
+    std::size_t unanswered = 0;
+  };
+  using JobPtr = std::shared_ptr<Job>;
+
+  void Look();
+  void Consider(const Incarnation& writer, const WriterEntry& entry,
+                const LedgerRecord& record);
+  void Begin(const Incarnation& dead, const WitnessCopy& copy);
+  void AskTarget(const JobPtr& job, const Intent& intent);
+  void OnTargetAnswer(const JobPtr& job, const Intent& intent,
+                      const HttpResult& result);
+  void ReadSnapshot(const JobPtr& job);
+  void OnSnapshot(const JobPtr& job, const KvTxnReply& reply);
+  void Write(const JobPtr& job, const LedgerCommit& commit);
+  void Finish(const JobPtr& job, bool done);
+
+  Loop& loop_;
+  KvClient& kv_;
+  HttpClient& http_;
+  const RetentionLease& retention_;
+  LedgerDriver& ledger_;
+  Membership& members_;
+  PeerDriver& peers_;
+  Incarnation self_;
+  std::map<Incarnation, JobPtr> jobs_;
+  Tokens stranded_ = 0;
+  std::unique_ptr<Timer> timer_;
+};
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_ROUTER_RECOVERY_DRIVER_H_
--- a/router/router.cc
+++ b/router/router.cc
@@ -72,6 +72,7 @@
       claims_(loop, kv_, clock, retention_, self_,
               [this](const ClaimEvent& it) { OnClaimEvent(it); }),
       bundles_(loop, kv_, settings_.operator_keys, [this] { OnBundleTaken(); }),
+      peers_(loop, self_, PeerHandlers()),
       loads_(loop, http_, clock, targets_),
       context_{loop,
                clock,
@@ -82,6 +83,7 @@
                targets_,
                retries_,
                gate_,
+               peers_,
                forward_chart,
                self_,
                queues_,
@@ -104,6 +106,20 @@
       [this](std::shared_ptr<HttpExchange> it) { HandleAdmin(it); });
 }
 
+PeerDriver::Handlers Router::PeerHandlers() {
+  PeerDriver::Handlers out;
+  out.caught_up = [this](const Incarnation& witness) {
+    ledger_.sync().SetWitness(witness);
+    ledger_.Kick();
+  };
+  out.witnessed = [this](const Incarnation& witness, const RequestId& it) {
+    // Copies at a peer that the ledger doesn't name would never be used.
+    if (ledger_.sync().recorded_witness() == witness) gate_.OnWitnessed(it);
+  };
+  out.link = [this](bool up) { ledger_.sync().SetWitnessLink(up); };
+  return out;
+}
+
 bool Router::Listen() {
   const auto bind = [](HttpServer& server, const char* flag,
                        std::string& address) {
@@ -120,6 +136,16 @@
   if (!bind(admin_server_, "--admin-listen", settings_.admin_listen)) {
     return false;
   }
+  const std::uint16_t peer_port = peers_.Listen(settings_.peer_listen);
+  if (peer_port == 0) {
+    LogEvent(Event::kSettingRejected, {{"flag", "--peer-listen"},
+                                       {"value", settings_.peer_listen},
+                                       {"why", "can't bind"}});
+    return false;
+  }
+  settings_.peer_listen =
+      settings_.peer_listen.substr(0, settings_.peer_listen.rfind(':') + 1) +
+      std::to_string(peer_port);
   Membership::Options options;
   options.self.incarnation = self_;
   options.self.hall = HallName(settings_.hall);
@@ -134,6 +160,8 @@
   on.changed = [this] { OnMembersChanged(); };
   members_ = std::make_unique<Membership>(loop_, kv_, http_, clock_, options,
                                           std::move(on));
+  recovery_ = std::make_unique<RecoveryDriver>(
+      loop_, kv_, http_, retention_, ledger_, *members_, peers_, self_);
   LogEvent(Event::kStarted, {{"incarnation", self_.value},
                              {"listen", settings_.listen},
                              {"admin", settings_.admin_listen}});
@@ -155,6 +183,7 @@
       return;
     case LedgerEventKind::kBillsWritten:
       gate_.OnWritten(event.seq);
+      peers_.OnWritten(event.seq);
       return;
     case LedgerEventKind::kBillDropped:
       LogEvent(Event::kBillDropped, {{"request", event.request.value}});
@@ -201,7 +230,10 @@
   UpdateLeaving();
 }
 
-void Router::OnMembersChanged() { UpdateLeaving(); }
+void Router::OnMembersChanged() {
+  UpdateLeaving();
+  if (members_) peers_.OnRegistry(members_->registry(), members_->self());
+}
 
 void Router::UpdateLeaving() {
   if (!members_) return;
@@ -300,6 +332,8 @@
   metrics_.SetGauge("unstored_claims",
                     static_cast<double>(claims_.book().Unstored()));
   metrics_.SetGauge("kv_calls", static_cast<double>(kv_.calls()));
+  metrics_.SetGauge("stranded_tokens",
+                    static_cast<double>(recovery_->Stranded()));
   metrics_.SetGauge("bundle_version",
                     static_cast<double>(bundles_.keeper().version()));
 }
@@ -338,6 +372,9 @@
                     {"unwritten_bills", ledger_.sync().UnwrittenBills()},
                     {"unstored_claims", claims_.book().Unstored()},
                     {"kv_calls", kv_.calls()},
+                    {"witness", ledger_.sync().recorded_witness().value},
+                    {"witness_for", peers_.store().owners()},
+                    {"stranded_tokens", recovery_->Stranded()},
                     {"budgets", budgets},
                     {"targets", targets},
                     {"routers", routers}};
--- a/router/router.h
+++ b/router/router.h
@@ -23,6 +23,8 @@
 #include "router/load_poller.h"
 #include "router/membership.h"
 #include "router/metrics.h"
+#include "router/peer_driver.h"
+#include "router/recovery_driver.h"
 #include "router/request_table.h"
 #include "router/settings.h"
 
@@ -44,6 +46,7 @@
   int exit_code() const { return exit_code_; }
 
  private:
+  PeerDriver::Handlers PeerHandlers();
   void OnLedgerEvent(const LedgerEvent& event);
   void OnClaimEvent(const ClaimEvent& event);
   void OnBundleTaken();
@@ -79,7 +82,9 @@
   LedgerDriver ledger_;
   ClaimDriver claims_;
   BundleDriver bundles_;
+  PeerDriver peers_;
   std::unique_ptr<Membership> members_;
+  std::unique_ptr<RecoveryDriver> recovery_;
   LoadPoller loads_;
   RequestTable requests_;
   RouterContext context_;
--- a/router/service_job.h
+++ b/router/service_job.h
@@ -40,6 +40,10 @@
     return {};
   }
   void OnCancelled(const HttpResult&) {}
+  // A plain service can't be asked what it ran.
+  Intent MakeIntent(const std::string&, Bill worst_case) const {
+    return {std::move(worst_case), "", 0, 0};
+  }
 
  private:
   // Larger answers are not kept for retries.
