--- a/claim/claim.cc
+++ b/claim/claim.cc
@@ -48,8 +48,9 @@
   }
 }
 
-ClaimBook::ClaimBook(Incarnation self, ClaimOptions options)
-    : self_(std::move(self)), options_(options) {}
+ClaimBook::ClaimBook(Incarnation self, ClaimOptions options,
+                     const ClaimChart& chart)
+    : self_(std::move(self)), options_(options), chart_(chart) {}
 
 ClaimAnswer ClaimBook::AnswerFrom(const ClaimEntry& entry,
                                   const std::string& digest) const {
@@ -68,27 +69,28 @@
 ClaimAnswer ClaimBook::Begin(Instant now, const ClaimKey& key,
                              const std::string& digest,
                              const RequestId& request, std::int64_t wall_ms) {
+  auto known = known_.find(key);
+  if (known != known_.end()) return AnswerFrom(known->second, digest);
   auto it = locals_.find(key);
   if (it != locals_.end()) {
     Local& local = it->second;
-    if (local.entry.digest != digest) {
-      return {ClaimAnswerKind::kMismatch, local.entry};
+    const bool ending = local.entry.state != ClaimState::kClaimed ||
+                        local.machine.state() == ClaimPhase::kWithdrawing;
+    if (ending || local.entry.digest != digest) {
+      return AnswerFrom(local.entry, digest);
     }
-    const bool running = local.entry.state == ClaimState::kClaimed;
-    if (!running || local.withdrawing) return AnswerFrom(local.entry, digest);
     local.joined.push_back(request);
     return {ClaimAnswerKind::kJoin, local.entry};
   }
-  Local local;
-  local.entry.state = ClaimState::kClaimed;
-  local.entry.owner = self_;
-  local.entry.owner_registered = registered_;
-  local.entry.request = request;
-  local.entry.digest = digest;
-  local.entry.at_ms = wall_ms;
-  local.writing = true;
-  Enqueue(now, {ClaimWriteKind::kCreate, key, local.entry, 0});
-  locals_.emplace(key, std::move(local));
+  ClaimEntry entry;
+  entry.state = ClaimState::kClaimed;
+  entry.owner = self_;
+  entry.owner_registered = registered_;
+  entry.request = request;
+  entry.digest = digest;
+  entry.at_ms = wall_ms;
+  Enqueue(now, {ClaimWriteKind::kCreate, key, entry, 0});
+  locals_.emplace(key, Local(chart_, std::move(entry)));
   return {ClaimAnswerKind::kWait, {}};
 }
 
@@ -96,47 +98,59 @@
                         const RequestId& request) {
   auto it = locals_.find(key);
   if (it == locals_.end()) return;
-  Local& local = it->second;
-  if (local.entry.request != request) {
-    std::erase(local.joined, request);
-    return;
-  }
-  if (local.writing) {
-    local.abandoned = true;
-  } else if (local.owned) {
-    NotSent(now, key);
+  if (it->second.entry.request == request) {
+    Apply(now, key, ClaimStep::kAbandoned);
+  } else {
+    std::erase(it->second.joined, request);
   }
 }
 
 void ClaimBook::Done(Instant now, const ClaimKey& key, KeptAnswer answer) {
-  Finish(now, key, ClaimState::kDone, std::move(answer));
+  auto it = locals_.find(key);
+  if (it == locals_.end()) return;
+  it->second.entry.state = ClaimState::kDone;
+  it->second.entry.answer = std::move(answer);
+  Apply(now, key, ClaimStep::kRan);
 }
 
 void ClaimBook::Lost(Instant now, const ClaimKey& key) {
-  Finish(now, key, ClaimState::kUnknown, {});
-}
-
-void ClaimBook::Finish(Instant now, const ClaimKey& key, ClaimState state,
-                       KeptAnswer answer) {
   auto it = locals_.find(key);
-  if (it == locals_.end() || !it->second.owned) return;
-  Local& local = it->second;
-  local.entry.state = state;
-  local.entry.answer = std::move(answer);
-  Enqueue(now, {ClaimWriteKind::kReplace, key, local.entry, local.revision});
-  TellJoined(local);
-  Remember(key);
+  if (it == locals_.end()) return;
+  it->second.entry.state = ClaimState::kUnknown;
+  Apply(now, key, ClaimStep::kLost);
 }
 
 void ClaimBook::NotSent(Instant now, const ClaimKey& key) {
+  Apply(now, key, ClaimStep::kNotSent);
+}
+
+void ClaimBook::Apply(Instant now, const ClaimKey& key, ClaimStep step) {
   auto it = locals_.find(key);
-  if (it == locals_.end() || !it->second.owned) return;
-  Local& local = it->second;
-  Enqueue(now, {ClaimWriteKind::kDelete, key, local.entry, local.revision});
-  // Whoever joined may try again by itself.
-  TellJoined(local);
-  local.owned = false;
-  local.withdrawing = true;
+  if (it == locals_.end()) return;
+  Do(now, key, it->second, it->second.machine.Apply(step));
+}
+
+void ClaimBook::Do(Instant now, const ClaimKey& key, Local& local,
+                   ClaimDeed deed) {
+  switch (deed) {
+    case ClaimDeed::kNone:
+      return;
+    case ClaimDeed::kTellOwner:
+      events_.push_back({ClaimEventKind::kClaimed, local.entry.request, {}});
+      return;
+    case ClaimDeed::kTellTaken:
+      events_.push_back({ClaimEventKind::kResolved, local.entry.request,
+                         AnswerFrom(known_[key], local.entry.digest)});
+      return;
+    case ClaimDeed::kStore:
+      Enqueue(now,
+              {ClaimWriteKind::kReplace, key, local.entry, local.revision});
+      return TellJoined(local);
+    case ClaimDeed::kDelete:
+      Enqueue(now, {ClaimWriteKind::kDelete, key, local.entry, local.revision});
+      // Whoever joined may try again by itself.
+      return TellJoined(local);
+  }
 }
 
 void ClaimBook::TellJoined(Local& local) {
@@ -185,87 +199,69 @@
     return;
   }
   for (std::size_t n = 0; n < writes.size(); ++n) {
-    const ClaimWrite& it = writes[n];
     if (outcome == ClaimOutcome::kRejected) {
-      Resolve(now, it, found[n]);
-    } else if (it.kind == ClaimWriteKind::kCreate) {
-      OnCreated(now, it.key, revision);
+      OnPresent(now, writes[n], found[n]);
     } else {
-      OnStored(it, revision);
+      OnWritten(now, writes[n], revision);
     }
   }
 }
 
-void ClaimBook::Resolve(Instant now, const ClaimWrite& write,
-                        const FoundClaim& found) {
-  if (write.kind == ClaimWriteKind::kCreate) {
-    if (!found.exists) {
-      queue_.push_front(write);
-    } else if (found.entry.request == write.entry.request) {
-      OnCreated(now, write.key, found.revision);
-    } else {
-      OnTaken(write.key, found.entry);
-    }
+// One write of a rejected group, and what the service holds under its key. The
+// rejection may have been another write's fault, or an earlier attempt of this
+// one may have been applied.
+void ClaimBook::OnPresent(Instant now, const ClaimWrite& write,
+                          const FoundClaim& found) {
+  if (write.kind != ClaimWriteKind::kCreate) {
+    const bool untouched = found.exists && found.revision == write.revision;
+    if (!untouched) return OnWritten(now, write, found.revision);
+    queue_.push_front(write);
     return;
   }
-  const bool untouched = found.exists && found.revision == write.revision;
-  if (untouched) {
+  if (!found.exists) {
     queue_.push_front(write);
+  } else if (found.entry.request == write.entry.request) {
+    OnWritten(now, write, found.revision);
   } else {
-    // An earlier attempt of the same write was applied.
-    OnStored(write, found.revision);
+    auto it = locals_.find(write.key);
+    known_[write.key] = found.entry;
+    Apply(now, write.key, ClaimStep::kTaken);
+    for (const RequestId& request : it->second.joined) {
+      events_.push_back({ClaimEventKind::kResolved, request,
+                         AnswerFrom(found.entry, it->second.entry.digest)});
+    }
+    locals_.erase(it);
+    // A claim that is still running elsewhere must be looked up each time.
+    known_.erase(write.key);
+    if (found.entry.state != ClaimState::kClaimed) {
+      Remember(write.key, found.entry);
+    }
   }
 }
 
-void ClaimBook::OnCreated(Instant now, const ClaimKey& key,
+void ClaimBook::OnWritten(Instant now, const ClaimWrite& write,
                           std::int64_t revision) {
-  Local& local = locals_[key];
-  local.writing = false;
-  local.owned = true;
-  local.revision = revision;
-  if (local.abandoned) {
-    NotSent(now, key);
-    return;
-  }
-  events_.push_back({ClaimEventKind::kClaimed, local.entry.request, {}});
-}
-
-void ClaimBook::OnTaken(const ClaimKey& key, const ClaimEntry& entry) {
-  Local local = std::move(locals_[key]);
-  locals_.erase(key);
-  const ClaimAnswer answer = AnswerFrom(entry, local.entry.digest);
-  if (!local.abandoned) {
-    events_.push_back({ClaimEventKind::kResolved, local.entry.request, answer});
-  }
-  for (const RequestId& it : local.joined) {
-    events_.push_back({ClaimEventKind::kResolved, it, answer});
-  }
-  if (entry.state == ClaimState::kClaimed) return;
-  Local known;
-  known.entry = entry;
-  locals_[key] = std::move(known);
-  Remember(key);
-}
-
-void ClaimBook::OnStored(const ClaimWrite& write, std::int64_t revision) {
   auto it = locals_.find(write.key);
   if (it == locals_.end()) return;
-  if (write.kind == ClaimWriteKind::kDelete) {
-    locals_.erase(it);
-  } else {
-    it->second.revision = revision;
+  Local& local = it->second;
+  local.revision = revision;
+  if (write.kind == ClaimWriteKind::kCreate) {
+    return Apply(now, write.key, ClaimStep::kCreated);
   }
+  Apply(now, write.key, ClaimStep::kWritten);
+  if (local.machine.state() == ClaimPhase::kStored) {
+    events_.push_back({ClaimEventKind::kStored, local.entry.request, {}});
+    Remember(write.key, local.entry);
+  }
+  locals_.erase(it);
 }
 
-void ClaimBook::Remember(const ClaimKey& key) {
+void ClaimBook::Remember(const ClaimKey& key, const ClaimEntry& entry) {
+  known_[key] = entry;
   remembered_.push_back(key);
-  while (remembered_.size() > options_.remembered) {
-    auto it = locals_.find(remembered_.front());
-    const bool stored =
-        it != locals_.end() && it->second.entry.state != ClaimState::kClaimed;
-    if (stored) locals_.erase(it);
-    remembered_.pop_front();
-  }
+  if (remembered_.size() <= options_.remembered) return;
+  known_.erase(remembered_.front());
+  remembered_.pop_front();
 }
 
 std::vector<ClaimEvent> ClaimBook::TakeEvents() {
--- a/claim/claim.h
+++ b/claim/claim.h
@@ -6,7 +6,7 @@
 // router that dies after claiming leaves a mark that stops everybody else: the
 // call may have run, nobody can know, and the caller is told so ("unknown").
 //
-//   ClaimBook claims(self, {});
+//   ClaimBook claims(self, {}, chart);
 //   switch (claims.Begin(now, key, digest, request).kind) {
 //     case ClaimAnswerKind::kWait: ...   // a ClaimEvent follows
 //     case ClaimAnswerKind::kReplay: ... // done before; same answer again
@@ -43,6 +43,7 @@
 #include "base/clock.h"
 #include "base/enum_table.h"
 #include "base/ids.h"
+#include "claim/claim_chart.h"
 
 namespace quaytrack {
 
@@ -138,6 +139,7 @@
 enum class ClaimEventKind {
   kClaimed,   // `request` owns the claim: send the call
   kResolved,  // `request` waited and `answer` says what to tell its caller
+  kStored,    // `request`'s end is stored: a retry anywhere finds it
 };
 
 struct ClaimEvent {
@@ -156,7 +158,8 @@
 
 class ClaimBook {
  public:
-  ClaimBook(Incarnation self, ClaimOptions options);
+  // The chart must outlive the book.
+  ClaimBook(Incarnation self, ClaimOptions options, const ClaimChart& chart);
 
   // The revision at which this incarnation registered.
   void SetRegistered(std::int64_t revision) { registered_ = revision; }
@@ -168,7 +171,8 @@
   // sent; the claim is withdrawn as soon as its write is resolved.
   void Abandon(Instant now, const ClaimKey& key, const RequestId& request);
 
-  // The owner's three ways to end a claim.
+  // The owner's three ways to end a claim: the call ran, it may have run, or it
+  // certainly didn't.
   void Done(Instant now, const ClaimKey& key, KeptAnswer answer);
   void Lost(Instant now, const ClaimKey& key);
   void NotSent(Instant now, const ClaimKey& key);
@@ -185,32 +189,35 @@
   bool reachable() const { return reachable_; }
 
  private:
+  // A claim of this router that is not in its last form yet.
   struct Local {
+    Local(const ClaimChart& chart, ClaimEntry e)
+        : entry(std::move(e)), machine(chart) {}
+
     ClaimEntry entry;
     std::int64_t revision = 0;
-    bool owned = false;        // this router's own claim, known to be stored
-    bool writing = false;      // its creation is not resolved
-    bool abandoned = false;    // withdraw it once resolved
-    bool withdrawing = false;  // its deletion is being written
+    ChartMachine<ClaimPhase, ClaimStep, ClaimDeed> machine;
+    // Requests that wait for the same call's end.
     std::vector<RequestId> joined;
   };
 
   ClaimAnswer AnswerFrom(const ClaimEntry& entry,
                          const std::string& digest) const;
+  void Apply(Instant now, const ClaimKey& key, ClaimStep step);
+  void Do(Instant now, const ClaimKey& key, Local& local, ClaimDeed deed);
   void Enqueue(Instant now, ClaimWrite write);
-  void Resolve(Instant now, const ClaimWrite& write, const FoundClaim& found);
-  void OnCreated(Instant now, const ClaimKey& key, std::int64_t revision);
-  void OnTaken(const ClaimKey& key, const ClaimEntry& entry);
-  void OnStored(const ClaimWrite& write, std::int64_t revision);
+  void OnPresent(Instant now, const ClaimWrite& write, const FoundClaim& found);
+  void OnWritten(Instant now, const ClaimWrite& write, std::int64_t revision);
   void TellJoined(Local& local);
-  void Finish(Instant now, const ClaimKey& key, ClaimState state,
-              KeptAnswer answer);
-  void Remember(const ClaimKey& key);
+  void Remember(const ClaimKey& key, const ClaimEntry& entry);
 
   Incarnation self_;
   std::int64_t registered_ = 0;
   ClaimOptions options_;
+  const ClaimChart& chart_;
   std::map<ClaimKey, Local> locals_;
+  // Ended claims, of this router and of others, and the order they came in.
+  std::map<ClaimKey, ClaimEntry> known_;
   std::deque<ClaimKey> remembered_;
   std::deque<ClaimWrite> queue_;
   std::vector<ClaimWrite> in_flight_;
--- a/cli/router_command.cc
+++ b/cli/router_command.cc
@@ -26,11 +26,10 @@
     "      --vm-list 10.0.0.6:80 --operator-key ann=KEY --operator-key "
     "ben=KEY\n";
 
-int Serve(const RouterSettings& settings, const ForwardChart& forward,
-          const DrainChart& drain) {
+int Serve(const RouterSettings& settings, const RouterCharts& charts) {
   const SystemClock clock;
   Loop loop;
-  Router router(loop, clock, settings, forward, drain);
+  Router router(loop, clock, settings, charts);
   if (!router.Listen()) return kExitRefused;
   for (int it : {SIGTERM, SIGINT}) {
     loop.OnSignal(it, [&] { router.Drain(); });
@@ -40,14 +39,8 @@
 }
 
 leaf::result<int> BindChartsAndServe(const RouterSettings& settings) {
-  using Forward = ForwardChart;
-  BOOST_LEAF_AUTO(
-      forward,
-      (BindChart<ForwardState, ForwardEvent, ForwardAction>(kForwardChart)));
-  BOOST_LEAF_AUTO(
-      drain, (BindChart<DrainState, DrainEvent, DrainAction>(kDrainChart)));
-  static_assert(std::is_same_v<decltype(forward), Forward>);
-  return Serve(settings, forward, drain);
+  BOOST_LEAF_AUTO(charts, BindRouterCharts());
+  return Serve(settings, charts);
 }
 
 int RunRouter(const RouterFlags& flags) {
--- a/router/charts.h
+++ b/router/charts.h
@@ -6,6 +6,7 @@
 #include "base/enum_table.h"
 #include "chart/chart.h"
 #include "chart/embedded.h"
+#include "claim/claim_chart.h"
 
 namespace quaytrack {
 
@@ -152,6 +153,23 @@
 using ForwardChart = Chart<ForwardState, ForwardEvent, ForwardAction>;
 using DrainChart = Chart<DrainState, DrainEvent, DrainAction>;
 
+// All charts of the router; bound once, at start.
+struct RouterCharts {
+  ForwardChart forward;
+  ClaimChart claim;
+  DrainChart drain;
+};
+
+inline boost::leaf::result<RouterCharts> BindRouterCharts() {
+  BOOST_LEAF_AUTO(
+      forward,
+      (BindChart<ForwardState, ForwardEvent, ForwardAction>(kForwardChart)));
+  BOOST_LEAF_AUTO(claim, BindClaimChart());
+  BOOST_LEAF_AUTO(
+      drain, (BindChart<DrainState, DrainEvent, DrainAction>(kDrainChart)));
+  return RouterCharts{std::move(forward), std::move(claim), std::move(drain)};
+}
+
 }  // namespace quaytrack
 
 #endif  // QUAYTRACK_ROUTER_CHARTS_H_
--- a/router/claim_driver.cc
+++ b/router/claim_driver.cc
@@ -47,12 +47,13 @@
 
 ClaimDriver::ClaimDriver(Loop& loop, KvClient& kv, const Clock& clock,
                          const RetentionLease& retention,
-                         const Incarnation& self, EventHandler handler)
+                         const Incarnation& self, const ClaimChart& chart,
+                         EventHandler handler)
     : loop_(loop),
       kv_(kv),
       clock_(clock),
       retention_(retention),
-      book_(self, ClaimOptions{.group_delay = kGroupDelay}),
+      book_(self, ClaimOptions{.group_delay = kGroupDelay}, chart),
       handler_(std::move(handler)),
       timer_(loop.Every(kTick, [this] { Pump(); })) {}
 
--- a/router/claim_driver.h
+++ b/router/claim_driver.h
@@ -20,7 +20,7 @@
 
   ClaimDriver(Loop& loop, KvClient& kv, const Clock& clock,
               const RetentionLease& retention, const Incarnation& self,
-              EventHandler handler);
+              const ClaimChart& chart, EventHandler handler);
 
   ClaimBook& book() { return book_; }
   const ClaimBook& book() const { return book_; }
--- a/router/forward.h
+++ b/router/forward.h
@@ -98,6 +98,7 @@
   bool TryAssign();
   void OnQueueExpired(Duration retry_after);
   void OnBillSafe(BillSafety safety);
+  void OnClaimStored();
   void Tick(Instant now);
 
   const RequestBasics& basics() const { return basics_; }
@@ -119,6 +120,7 @@
   void ReleaseTarget(TargetOutcome outcome);
   void SettleAs(Tokens cost);
   void EndClaim(bool answered);
+  void FinishWhenStored();
   void ReplyRefusal();
   void Abandon();
   void Cancel();
@@ -146,6 +148,10 @@
   bool paused_ = false;
   bool held_ = false;
   bool claimed_ = false;
+  // The claim's end is being stored; the answer waits for it.
+  bool storing_claim_ = false;
+  bool bill_safe_ = false;
+  Instant settled_at_{};
   bool sent_once_ = false;
   bool answered_ = false;
   bool joined_ = false;
--- a/router/forward_impl.h
+++ b/router/forward_impl.h
@@ -150,6 +150,7 @@
 void Forward<Job>::EndClaim(bool answered) {
   if (!claimed_) return;
   claimed_ = false;
+  storing_claim_ = true;
   const ClaimKey key{basics_.headers.customer, basics_.headers.key};
   ClaimBook& book = context_.claims.book();
   if (answered) {
@@ -227,6 +228,7 @@
               {"held", std::to_string(basics_.worst_case)}});
   }
   const Instant now = context_.Now();
+  settled_at_ = now;
   const std::uint64_t seq = context_.ledger.sync().Settle(now, bill);
   context_.ledger.Kick();
   held_ = false;
@@ -264,7 +266,21 @@
     context_.metrics.CountUnprotectedBill();
     LogEvent(Event::kBillUnprotected, {{"request", basics_.request.value}});
   }
-  Apply(ForwardEvent::kBillStored);
+  bill_safe_ = true;
+  FinishWhenStored();
+}
+
+// A caller that has its answer may ask again at once, at any router; the kept
+// answer must be there by then.
+template <ForwardJob Job>
+void Forward<Job>::OnClaimStored() {
+  storing_claim_ = false;
+  FinishWhenStored();
+}
+
+template <ForwardJob Job>
+void Forward<Job>::FinishWhenStored() {
+  if (bill_safe_ && !storing_claim_) Apply(ForwardEvent::kBillStored);
 }
 
 // --- Target ----------------------------------------------------------------
@@ -555,6 +571,9 @@
     }
     return;
   }
+  const bool stuck =
+      storing_claim_ && bill_safe_ && now - settled_at_ >= kClaimPatience;
+  if (state() == ForwardState::kStoring && stuck) return OnClaimStored();
   if (state() != ForwardState::kSent || !late) return;
   if (call_) call_->Cancel();
   call_.reset();
--- a/router/router.cc
+++ b/router/router.cc
@@ -54,7 +54,7 @@
 }  // namespace
 
 Router::Router(Loop& loop, const Clock& clock, RouterSettings settings,
-               const ForwardChart& forward_chart, const DrainChart& drain_chart)
+               const RouterCharts& charts)
     : loop_(loop),
       clock_(clock),
       settings_(std::move(settings)),
@@ -69,7 +69,7 @@
             }),
       ledger_(loop, kv_, clock, retention_, self_, LedgerOptions(settings_),
               [this](const LedgerEvent& it) { OnLedgerEvent(it); }),
-      claims_(loop, kv_, clock, retention_, self_,
+      claims_(loop, kv_, clock, retention_, self_, charts.claim,
               [this](const ClaimEvent& it) { OnClaimEvent(it); }),
       bundles_(loop, kv_, settings_.operator_keys, [this] { OnBundleTaken(); }),
       peers_(loop, self_, PeerHandlers()),
@@ -84,7 +84,7 @@
                retries_,
                gate_,
                peers_,
-               forward_chart,
+               charts.forward,
                self_,
                queues_,
                addresses_,
@@ -98,7 +98,7 @@
       callers_(context_, requests_, {settings_.default_deadline}),
       caller_server_(loop, {settings_.max_body_bytes}),
       admin_server_(loop, {}),
-      drain_(drain_chart),
+      drain_(charts.drain),
       tick_(loop.Every(kTick, [this] { Tick(); })) {
   caller_server_.Serve(
       [this](std::shared_ptr<HttpExchange> it) { callers_.Handle(it); });
@@ -198,10 +198,13 @@
 
 void Router::OnClaimEvent(const ClaimEvent& event) {
   requests_.With(event.request, [&](auto& it) {
-    if (event.kind == ClaimEventKind::kClaimed) {
-      it.OnClaimWon();
-    } else {
-      it.OnClaimAnswer(event.answer);
+    switch (event.kind) {
+      case ClaimEventKind::kClaimed:
+        return it.OnClaimWon();
+      case ClaimEventKind::kResolved:
+        return it.OnClaimAnswer(event.answer);
+      case ClaimEventKind::kStored:
+        return it.OnClaimStored();
     }
   });
 }
--- a/router/router.h
+++ b/router/router.h
@@ -34,7 +34,7 @@
  public:
   // The charts must outlive the router.
   Router(Loop& loop, const Clock& clock, RouterSettings settings,
-         const ForwardChart& forward_chart, const DrainChart& drain_chart);
+         const RouterCharts& charts);
 
   // Binds the addresses; false, with a message printed, if one is taken.
   bool Listen();
