Ledger records are no longer watched by every router

Cause: docs/CAPACITY.md's slopes: each write of a ledger record reached every router by its watch, about 5 KB/s for each router that writes; 42 KB/s at 8 routers, over the limit of 28 KB/s for control, and 2.5 MB/s at 500.

Ruled out: committing less often (5 s would do at 8 routers, but the window in which router and witness dying together lose bills grows with it).

Change: routers watch small "need" keys, written by a commit that asks for a grant to be given back, gives one back, tops a budget up, or closes a dead router's account. A record that others write too is read right before it is written; all records are read every 10 s in any case.

Also: code that stood twice (time conversion, socket addresses, test bills, mode tables of the stand-ins) stands once.

--- a/cli/budget_commands.cc
+++ b/cli/budget_commands.cc
@@ -115,6 +115,7 @@
       txn.compares.push_back(
           KvCompare::Revision(key, read.found[0][0].mod_revision));
       txn.puts.push_back({key, EncodeRecord(*record), 0});
+      txn.puts.push_back({keys::Need(ShardOf(name)), "budget add", 0});
       const KvTxnReply reply = kv.Txn(txn);
       if (reply.end != KvEnd::kOk || !reply.succeeded) continue;
     }
--- a/ledger/recovery.cc
+++ b/ledger/recovery.cc
@@ -60,7 +60,9 @@
       if (ShardOf(it.budget) != state.shard) continue;
       state.record.budgets[it.budget].settled += it.tokens;
     }
-    if (removed || billed.contains(state.shard)) out.shards.push_back(state);
+    if (!removed && !billed.contains(state.shard)) continue;
+    out.need.insert(state.shard);
+    out.shards.push_back(state);
   }
   if (!mentioned) return std::nullopt;
   return out;
--- a/ledger/sync.cc
+++ b/ledger/sync.cc
@@ -139,7 +139,12 @@
     must_read_.insert(attempted_.begin(), attempted_.end());
   if (!must_read_.empty()) return StartRead();
   if (now < last_commit_ + Spacing()) return std::nullopt;
-  urgent_ = false;
+  if (now >= last_refresh_ + options_.refresh_every) {
+    last_refresh_ = now;
+    Refresh();
+    return must_read_.empty() ? std::nullopt
+                              : std::optional<LedgerAction>(StartRead());
+  }
   MarkAllDirty(now);
   if (!sealed_ && !open_.empty()) SealOpenBatch();
   ShardMap work;
@@ -152,9 +157,31 @@
     if (sealed_) ResolveSealed(now);
     return std::nullopt;
   }
+  if (ReadBeforeCommit(work)) return StartRead();
+  urgent_ = false;
   return FinishCommit(now, std::move(work));
 }
 
+// Whether a record that others write too must be read before it is replaced;
+// then it will be.
+bool LedgerSync::ReadBeforeCommit(const ShardMap& work) {
+  for (const auto& [shard, state] : work) {
+    auto cached = cache_.find(shard);
+    const bool shared =
+        cached != cache_.end() && cached->second.record.writers.size() > 1;
+    if (shared && !fresh_.contains(shard)) must_read_.insert(shard);
+  }
+  return !must_read_.empty();
+}
+
+void LedgerSync::OnNeed(int shard) {
+  if (cache_.contains(shard)) must_read_.insert(shard);
+}
+
+void LedgerSync::Refresh() {
+  for (const auto& [name, it] : settings_) must_read_.insert(ShardOf(name));
+}
+
 Duration LedgerSync::Spacing() const {
   const bool witnessed = witness_link_ && !recorded_witness_.empty();
   const bool relaxed = witnessed && !urgent_ && !draining_;
@@ -224,6 +251,8 @@
     BudgetEntry after = PlannedEntry(now, setting->second, before, &returned);
     if (known && after == before) continue;
     accounts_[name].SetReturning(returned);
+    const bool helps = returned > 0 && WantedByOthers(before, self_) > 0;
+    if (helps || after.wanted != before.wanted) need_.insert(shard);
     Touch(work, shard).record.budgets[name] = std::move(after);
   }
   dirty_.clear();
@@ -281,6 +310,8 @@
     attempted_.insert(shard);
     out.shards.push_back(std::move(state));
   }
+  out.need = std::exchange(need_, {});
+  fresh_.clear();
   phase_ = Phase::kCommitting;
   last_commit_ = now;
   in_flight_ = out;
@@ -298,7 +329,9 @@
   }
   for (const ShardState& it : *states) {
     must_read_.erase(it.shard);
+    fresh_.insert(it.shard);
     CacheIfNewer(it);
+    NoticeNeeds(now, it);
   }
   FenceIfRemoved();
   if (fenced_) return;
@@ -332,13 +365,17 @@
 void LedgerSync::OnWatched(Instant now, const ShardState& state) {
   CacheIfNewer(state);
   FenceIfRemoved();
+  NoticeNeeds(now, state);
+  ServeWaiting(now);
+}
+
+void LedgerSync::NoticeNeeds(Instant now, const ShardState& state) {
   for (const auto& [name, it] : state.record.budgets) {
     dirty_.insert(name);
     if (WantedByOthers(it, self_) == 0) continue;
     scarce_at_[name] = now;
     urgent_ = true;
   }
-  ServeWaiting(now);
 }
 
 void LedgerSync::CacheIfNewer(const ShardState& state) {
--- a/ledger/sync.h
+++ b/ledger/sync.h
@@ -18,6 +18,11 @@
 // it replaces, writes one batch of bills create-only, and moves the amounts, so
 // that records and bills agree in every revision.
 //
+// Other routers' changes. Records are not watched: with many routers each write
+// would travel to all of them (docs/design/ledger.md has the figures). A record
+// that others write too is read right before it is written, and a small
+// message, `need`, asks others to read one out of turn.
+//
 // Lost answers. A commit whose answer is lost may have been applied, or may
 // still be applied later. The batch keeps its sequence number until some
 // attempt is known to be in the record: every attempt for one number replaces
@@ -69,6 +74,8 @@
   Duration witnessed_spacing = std::chrono::milliseconds(1000);
   // How long a request may wait for a larger grant.
   Duration hold_wait = std::chrono::milliseconds(800);
+  // How often all records are read although nobody said that they changed.
+  Duration refresh_every = std::chrono::seconds(10);
   // How often grants are compared with their targets when nothing else is due.
   Duration adjust_every = std::chrono::seconds(1);
   // After another router was in need, how long nothing extra is taken.
@@ -115,6 +122,9 @@
 struct LedgerCommit {
   std::vector<ShardState> shards;
   BillBatch batch;
+  // Shards whose other users should read them now: this commit asks for a grant
+  // to be given back, gives one back, or closes a dead router's account.
+  std::set<int> need;
 };
 
 using LedgerAction = std::variant<ReadShards, LedgerCommit>;
@@ -185,7 +195,12 @@
               const std::set<std::string>& existing_markers);
   void OnCommit(Instant now, CommitOutcome outcome, std::int64_t revision);
 
-  // A watch reported a newer record.
+  // Another router said (`LedgerCommit::need`) that this record should be read.
+  void OnNeed(int shard);
+  // The same for all records, when such a message may have been missed.
+  void Refresh();
+
+  // A newer record was seen in some other way.
   void OnWatched(Instant now, const ShardState& state);
 
   // Refuses holds that have waited too long.
@@ -214,6 +229,8 @@
 
   Duration Spacing() const;
   ReadShards StartRead();
+  bool ReadBeforeCommit(const ShardMap& work);
+  void NoticeNeeds(Instant now, const ShardState& state);
   void MarkAllDirty(Instant now);
   void SealOpenBatch();
   ShardState& Touch(ShardMap& work, int shard);
@@ -250,6 +267,11 @@
   std::map<BudgetName, Account> accounts_;
   std::map<int, ShardState> cache_;
   std::set<int> must_read_;
+  // Records read since the last commit.
+  std::set<int> fresh_;
+  // Shards to be named in the next commit's `need`.
+  std::set<int> need_;
+  Instant last_refresh_{};
   // Records in which this incarnation has an entry.
   std::set<int> joined_;
 
--- a/ledger/testing/recovery_test.cc
+++ b/ledger/testing/recovery_test.cc
@@ -3,25 +3,14 @@
 #include <boost/test/unit_test.hpp>
 
 #include "ledger/testing/fake_ledger_store.h"
+#include "ledger/testing/make_bill.h"
 #include "ledger/witness.h"
 
 namespace quaytrack {
 namespace {
 
-const BudgetName kBudget{"b"};
 const Incarnation kDead{"vm-1@1"};
 
-Bill MakeBill(const std::string& request, Tokens tokens,
-              const std::string& marker = "") {
-  Bill out;
-  out.bill_id = request;
-  out.budget = kBudget;
-  out.request_id = RequestId(request);
-  out.tokens = tokens;
-  out.marker = marker;
-  return out;
-}
-
 struct Fixture {
   Fixture() {
     LedgerRecord record;
--- a/ledger/testing/sync_property_test.cc
+++ b/ledger/testing/sync_property_test.cc
@@ -71,7 +71,11 @@
         break;
       case 5:
         node.ledger.Tick(now_);
-        node.ledger.OnWatched(now_, store_.Read(ShardOf(budget_)));
+        if (size % 2 == 0) {
+          node.ledger.OnWatched(now_, store_.Read(ShardOf(budget_)));
+        } else {
+          node.ledger.OnNeed(ShardOf(budget_));
+        }
         break;
       default:
         Drive(node, size);
--- a/ledger/testing/sync_test.cc
+++ b/ledger/testing/sync_test.cc
@@ -4,25 +4,13 @@
 #include <memory>
 
 #include "ledger/testing/fake_ledger_store.h"
+#include "ledger/testing/make_bill.h"
 
 namespace quaytrack {
 namespace {
 
 using std::chrono::milliseconds;
 
-const BudgetName kBudget{"b"};
-
-Bill MakeBill(const std::string& request, Tokens tokens,
-              const std::string& marker = "") {
-  Bill out;
-  out.bill_id = request;
-  out.budget = kBudget;
-  out.request_id = RequestId(request);
-  out.tokens = tokens;
-  out.marker = marker;
-  return out;
-}
-
 // One router with a store that answers at once.
 struct Router {
   Router(const std::string& name, FakeLedgerStore& s, Tokens limit)
@@ -37,7 +25,9 @@
         ledger.OnRead(now, store.Read(read->shards), store.markers());
         continue;
       }
-      const bool ok = store.Apply(self, std::get<LedgerCommit>(*action));
+      const LedgerCommit& commit = std::get<LedgerCommit>(*action);
+      const bool ok = store.Apply(self, commit);
+      last_need = commit.need;
       ledger.OnCommit(now,
                       ok ? CommitOutcome::kApplied : CommitOutcome::kRejected,
                       store.revision());
@@ -49,6 +39,7 @@
   FakeLedgerStore& store;
   LedgerSync ledger;
   std::vector<LedgerEvent> events;
+  std::set<int> last_need;
 };
 
 struct Fixture {
@@ -128,6 +119,50 @@
   BOOST_TEST(store.Budget(kBudget).wanted.empty());
 }
 
+// Without any watch: the message alone makes the others read and give back.
+BOOST_AUTO_TEST_CASE(NeedMakesOthersReadAndGiveBack) {
+  Router a("vm-1@1", store, 1000);
+  Router b("vm-2@1", store, 1000);
+  a.Run(now);
+  a.ledger.Hold(now, RequestId("warm"), kBudget, 900);
+  Pass(milliseconds(200));
+  a.Run(now);
+  a.ledger.Release(RequestId("warm"), kBudget);
+  b.Run(now);
+  b.ledger.Hold(now, RequestId("q"), kBudget, 800);
+  const int shard = ShardOf(kBudget);
+  Pass(milliseconds(200));
+  b.Run(now);
+  BOOST_TEST(b.last_need.contains(shard));
+  a.ledger.OnNeed(shard);
+  Pass(milliseconds(200));
+  a.Run(now);
+  BOOST_TEST(a.last_need.contains(shard));
+  b.ledger.OnNeed(shard);
+  Pass(milliseconds(200));
+  b.Run(now);
+  bool granted = false;
+  for (const auto& it : b.events) {
+    granted = granted || it.kind == LedgerEventKind::kHoldGranted;
+  }
+  BOOST_TEST(granted);
+}
+
+// A top-up, or anything else, is seen without a message too, if later.
+BOOST_AUTO_TEST_CASE(RecordsAreReadNowAndThenUnasked) {
+  Router r("vm-1@1", store, 1000);
+  r.Run(now);
+  LedgerRecord record = store.Read(ShardOf(kBudget)).record;
+  record.budgets[kBudget].added = 5000;
+  store.Put(ShardOf(kBudget), record);
+  auto outcome = r.ledger.Hold(now, RequestId("q"), kBudget, 3000);
+  BOOST_TEST((outcome == HoldOutcome::kExhausted));
+  Pass(std::chrono::seconds(11));
+  r.Run(now);
+  outcome = r.ledger.Hold(now, RequestId("q"), kBudget, 3000);
+  BOOST_TEST((outcome == HoldOutcome::kWaiting));
+}
+
 BOOST_AUTO_TEST_CASE(LostAnswerIsFoundInTheRecord) {
   Router r("vm-1@1", store, 32000);
   r.Run(now);
--- a/net/address.h
+++ b/net/address.h
@@ -3,6 +3,9 @@
 #ifndef QUAYTRACK_NET_ADDRESS_H_
 #define QUAYTRACK_NET_ADDRESS_H_
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
 #include <charconv>
 #include <cstdint>
 #include <optional>
@@ -29,6 +32,14 @@
   return out;
 }
 
+inline sockaddr_in ToSocketAddress(const Address& it) {
+  sockaddr_in out{};
+  out.sin_family = AF_INET;
+  out.sin_port = htons(it.port);
+  inet_pton(AF_INET, it.host.c_str(), &out.sin_addr);
+  return out;
+}
+
 }  // namespace quaytrack
 
 #endif  // QUAYTRACK_NET_ADDRESS_H_
--- a/net/http_client.cc
+++ b/net/http_client.cc
@@ -13,18 +13,11 @@
 #include <utility>
 
 #include "net/address.h"
+#include "net/timeval.h"
 
 namespace quaytrack {
 namespace {
 
-timeval ToTimeval(Duration d) {
-  const auto us = std::chrono::duration_cast<std::chrono::microseconds>(d);
-  timeval out{};
-  out.tv_sec = static_cast<time_t>(us.count() / 1000000);
-  out.tv_usec = static_cast<suseconds_t>(us.count() % 1000000);
-  return out;
-}
-
 evhttp_cmd_type MethodOf(const std::string& name) {
   if (name == "POST") return EVHTTP_REQ_POST;
   if (name == "PUT") return EVHTTP_REQ_PUT;
--- a/net/loop.cc
+++ b/net/loop.cc
@@ -1,22 +1,15 @@
 #include "net/loop.h"
 
 #include <event2/event.h>
-#include <sys/time.h>
 
 #include <csignal>
 #include <utility>
 
+#include "net/timeval.h"
+
 namespace quaytrack {
 namespace {
 
-timeval ToTimeval(Duration d) {
-  const auto us = std::chrono::duration_cast<std::chrono::microseconds>(d);
-  timeval out{};
-  out.tv_sec = static_cast<time_t>(us.count() / 1000000);
-  out.tv_usec = static_cast<suseconds_t>(us.count() % 1000000);
-  return out;
-}
-
 event_base* NewBase() {
   // Batches changes of the epoll set between two waits: a stream enables and
   // disables writing for each token, and most of those cancel out.
--- a/net/peer_link.cc
+++ b/net/peer_link.cc
@@ -2,7 +2,6 @@
 
 #include "net/peer_link.h"
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -30,14 +29,6 @@
 // A bound on what a peer may send as one message.
 constexpr std::size_t kLargestMessage = 4 * 1024 * 1024;
 
-sockaddr_in SocketAddress(const Address& it) {
-  sockaddr_in out{};
-  out.sin_family = AF_INET;
-  out.sin_port = htons(it.port);
-  inet_pton(AF_INET, it.host.c_str(), &out.sin_addr);
-  return out;
-}
-
 // One link over one bufferevent, for either end.
 template <class Endpoint>
 class WebsocketLink final
@@ -165,7 +156,7 @@
     SetNoDelay(bufferevent_getfd(raw->bev()));
     raw->endpoint().connect(connection);
   };
-  sockaddr_in target = SocketAddress(*at);
+  sockaddr_in target = ToSocketAddress(*at);
   bufferevent_socket_connect(bev, reinterpret_cast<sockaddr*>(&target),
                              sizeof target);
   return link;
@@ -194,7 +185,7 @@
     self->accepted_(link);
     connection->start();
   };
-  sockaddr_in bound = SocketAddress(*at);
+  sockaddr_in bound = ToSocketAddress(*at);
   listener_ = evconnlistener_new_bind(
       loop_.base(), on_accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
       -1, reinterpret_cast<sockaddr*>(&bound), sizeof bound);
--- a/router/ledger_codec.cc
+++ b/router/ledger_codec.cc
@@ -21,6 +21,9 @@
     out.compares.push_back(KvCompare::Revision(key, it.revision));
     out.puts.push_back({key, EncodeRecord(it.record), 0});
   }
+  for (int it : commit.need) {
+    out.puts.push_back({keys::Need(it), writer.value, 0});
+  }
   if (!commit.batch.bills.empty()) {
     const std::string journal = keys::Journal(writer, commit.batch.seq);
     out.compares.push_back(KvCompare::Revision(journal, 0));
--- a/router/ledger_driver.cc
+++ b/router/ledger_driver.cc
@@ -112,21 +112,25 @@
     OnWatchEvents(events);
   };
   on.broken = [this] {
-    LogEvent(Event::kWatchRestarted, {{"prefix", keys::kLedgerPrefix}});
-    watch_retry_ = loop_.After(kWatchRetry, [this] { StartWatch(); });
+    LogEvent(Event::kWatchRestarted, {{"prefix", keys::kNeedPrefix}});
+    // Whatever was said meanwhile has been missed.
+    watch_retry_ = loop_.After(kWatchRetry, [this] {
+      sync_.Refresh();
+      StartWatch();
+    });
   };
-  watch_ = kv_.StartWatch(keys::kLedgerPrefix, revision_, std::move(on));
+  watch_ = kv_.StartWatch(keys::kNeedPrefix, revision_, std::move(on));
 }
 
 void LedgerDriver::OnWatchEvents(const std::vector<KvWatchEvent>& events) {
   for (const KvWatchEvent& it : events) {
     const std::string_view name = it.item.key;
     int shard = 0;
-    const std::string_view number = name.substr(keys::kLedgerPrefix.size());
+    const std::string_view number = name.substr(keys::kNeedPrefix.size());
     const char* end = number.data() + number.size();
     const auto [stop, ec] = std::from_chars(number.data(), end, shard);
-    if (it.deleted || ec != std::errc() || stop != end) continue;
-    sync_.OnWatched(clock_.Now(), ShardFromKv(shard, {it.item}));
+    const bool readable = ec == std::errc() && stop == end;
+    if (readable && it.item.value != self_.value) sync_.OnNeed(shard);
   }
   Pump();
 }
--- a/testing/engine_standin.cc
+++ b/testing/engine_standin.cc
@@ -308,10 +308,7 @@
   void SetMode(const ExchangePtr& exchange) {
     const Params params(exchange->query());
     break_after_ = params.Number("after", 0);
-    const std::string name = params.Text("mode");
-    for (const auto& it : kModes) {
-      if (it.name == name) mode_ = it.value;
-    }
+    quaytrack::SetMode(params, kModes, mode_);
     ReplyJson(exchange, "{}");
   }
 
--- a/testing/fault_proxy.cc
+++ b/testing/fault_proxy.cc
@@ -5,7 +5,6 @@
 //   freeze        keeps connections open and forwards nothing;
 //   drop_answers  forwards requests and throws answers away.
 
-#include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -31,14 +30,6 @@
                                     {Mode::kFreeze, "freeze"},
                                     {Mode::kDropAnswers, "drop_answers"}});
 
-sockaddr_in SocketAddress(const Address& it) {
-  sockaddr_in out{};
-  out.sin_family = AF_INET;
-  out.sin_port = htons(it.port);
-  inet_pton(AF_INET, it.host.c_str(), &out.sin_addr);
-  return out;
-}
-
 class FaultProxy;
 
 // One proxied connection: a caller's side and the upstream's side.
@@ -57,7 +48,7 @@
 class FaultProxy {
  public:
   explicit FaultProxy(const Address& upstream)
-      : upstream_(SocketAddress(upstream)) {
+      : upstream_(ToSocketAddress(upstream)) {
     standin_.OnPath("/control/mode",
                     [this](const ExchangePtr& it) { SetMode(it); });
   }
@@ -71,7 +62,7 @@
   int Run(const StandinFlags& flags) {
     const auto at = ParseAddress(flags.listen);
     if (!at) return 2;
-    sockaddr_in address = SocketAddress(*at);
+    sockaddr_in address = ToSocketAddress(*at);
     listener_ = evconnlistener_new_bind(
         standin_.loop().base(), OnAccept, this,
         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
@@ -153,10 +144,7 @@
   void SetMode(const ExchangePtr& exchange) {
     const Params params(exchange->query());
     delay_ms_ = params.Number("delay_ms", 0);
-    const std::string name = params.Text("mode");
-    for (const auto& it : kModes) {
-      if (it.name == name) mode_ = it.value;
-    }
+    quaytrack::SetMode(params, kModes, mode_);
     if (mode_ == Mode::kCut) links_.clear();
     if (mode_ == Mode::kPass) {
       for (const auto& it : links_) {
--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -84,8 +84,7 @@
   for (auto& [name, it] : processes_) {
     if (it.alive) waitpid(it.pid, nullptr, 0);
   }
-  if (spec_.directory.empty() && getenv("KEEP") == nullptr)
-    std::filesystem::remove_all(directory_);
+  if (spec_.directory.empty()) std::filesystem::remove_all(directory_);
 }
 
 std::string Fleet::BinaryPath(const std::string& binary) const {
--- a/testing/kv_standin.cc
+++ b/testing/kv_standin.cc
@@ -446,18 +446,15 @@
 
   void SetMode(const ExchangePtr& exchange) {
     const Params params(exchange->query());
-    const std::string name = params.Text("mode");
     slow_ms_ = params.Number("ms", slow_ms_);
-    bool known = false;
-    for (const auto& it : kModes) {
-      if (it.name != name) continue;
-      mode_ = it.value;
-      known = true;
-    }
+    const bool known = quaytrack::SetMode(params, kModes, mode_);
     // An outage ends the watches too, as a restarted service would.
     if (mode_ == Mode::kRefuse || mode_ == Mode::kHang) EndWatches();
     if (mode_ == Mode::kNormal) held_.clear();
-    exchange->Reply({known ? 200 : 400, "text/plain", {}, name + "\n"});
+    exchange->Reply({known ? 200 : 400,
+                     "text/plain",
+                     {},
+                     known ? "set\n" : "no such mode\n"});
   }
 
   void EndWatches() {
--- a/testing/service_standin.cc
+++ b/testing/service_standin.cc
@@ -105,10 +105,7 @@
   }
 
   void SetMode(const ExchangePtr& exchange) {
-    const std::string name = Params(exchange->query()).Text("mode");
-    for (const auto& it : kModes) {
-      if (it.name == name) mode_ = it.value;
-    }
+    quaytrack::SetMode(Params(exchange->query()), kModes, mode_);
     ReplyJson(exchange, "{}");
   }
 
--- a/testing/standin.h
+++ b/testing/standin.h
@@ -62,6 +62,18 @@
   std::map<std::string, Handler> prefixes_;
 };
 
+// Sets `mode` to the entry that the query's "mode" names; false if none is.
+template <class Table, class Mode>
+bool SetMode(const Params& params, const Table& table, Mode& mode) {
+  const std::string name = params.Text("mode");
+  for (const auto& it : table) {
+    if (it.name != name) continue;
+    mode = it.value;
+    return true;
+  }
+  return false;
+}
+
 void ReplyJson(const ExchangePtr& exchange, const std::string& json);
 
 }  // namespace quaytrack
