Tests of one router cut off from the key-value service

Cause: docs/PROOF.md listed cuts as not proved although the proxy was there.

Change: process_kv_cut_test: one router's connections closed, frozen, or answers dropped, while the others work; the same and a kill; a claim during a freeze. Opened breakers and written batches are logged, as the catalogue says.

--- a/route/target_book.cc
+++ b/route/target_book.cc
@@ -180,11 +180,12 @@
   for (const GroupName& name : it.spec.groups) ++groups_[name].in_flight;
 }
 
-void TargetBook::OnEnd(Instant now, const TargetName& name,
+bool TargetBook::OnEnd(Instant now, const TargetName& name,
                        TargetOutcome outcome, Duration service_time) {
   const auto n = Find(name);
-  if (!n) return;
+  if (!n) return false;
   Target& it = targets_[*n];
+  const BreakerState state_before = it.breaker.state();
   const int before = it.in_flight;
   it.in_flight = std::max(0, it.in_flight - 1);
   for (const GroupName& group : it.spec.groups) --groups_[group].in_flight;
@@ -209,6 +210,8 @@
       it.breaker.OnNoVerdict();
       break;
   }
+  return it.breaker.state() == BreakerState::kOpen &&
+         state_before != BreakerState::kOpen;
 }
 
 void TargetBook::OnLoadReport(Instant now, const TargetName& name,
--- a/route/target_book.h
+++ b/route/target_book.h
@@ -116,7 +116,8 @@
   bool AnyUsable(Instant now, const GroupName& group) const;
 
   void OnSent(Instant now, TargetIndex n);
-  void OnEnd(Instant now, const TargetName& name, TargetOutcome outcome,
+  // Returns whether this opened the target's breaker.
+  bool OnEnd(Instant now, const TargetName& name, TargetOutcome outcome,
              Duration service_time);
   void OnLoadReport(Instant now, const TargetName& name,
                     const LoadReport& report);
--- a/router/forward_impl.h
+++ b/router/forward_impl.h
@@ -480,7 +480,9 @@
   if (!chosen_) return;
   chosen_.reset();
   const Instant now = context_.Now();
-  context_.targets.OnEnd(now, target_, outcome, now - sent_at_);
+  if (context_.targets.OnEnd(now, target_, outcome, now - sent_at_)) {
+    LogEvent(Event::kBreakerOpened, {{"target", target_.value}});
+  }
   context_.room_in(basics_.group);
 }
 
--- a/router/router.cc
+++ b/router/router.cc
@@ -186,6 +186,7 @@
                      [&](auto& it) { it.OnHoldRefused(event.refusal); });
       return;
     case LedgerEventKind::kBillsWritten:
+      LogEvent(Event::kBillsWritten, {{"seq", std::to_string(event.seq)}});
       gate_.OnWritten(event.seq);
       peers_.OnWritten(event.seq);
       return;
--- /dev/null
+++ b/testing/process/kv_cut_test.cc
@@ -0,0 +1,73 @@
+// One router is cut off from the key-value service while the others are not.
+
+#include "testing/process/fleet_fixture.h"
+
+namespace quaytrack {
+namespace {
+
+FleetSpec WithKvProxies() {
+  FleetSpec out;
+  out.proxy_kv = true;
+  return out;
+}
+
+struct CutFixture : FleetFixture {
+  CutFixture() : FleetFixture(WithKvProxies()) { AwaitWitnesses(); }
+
+  void SetProxy(const std::string& mode) {
+    fleet.Control("kv-proxy-1", "mode?mode=" + mode);
+  }
+
+  // Sends `count` chats to a router, one after the other.
+  int Serve(int router, int count, const std::string& name) {
+    int whole = 0;
+    for (int n = 0; n < count; ++n) {
+      const TestReply it =
+          fleet.Call(fleet.Router(router),
+                     Fleet::Chat(kLakhon, name + std::to_string(n), 3, true));
+      if (ReadStream(it.body).done) ++whole;
+    }
+    return whole;
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(CutRouterServesFromItsGrantAndBillsLater, CutFixture) {
+  for (const char* mode : {"cut", "freeze", "drop_answers"}) {
+    SetProxy(mode);
+    BOOST_TEST(Serve(1, 15, std::string(mode) + "-a") == 15);
+    BOOST_TEST(Serve(2, 15, std::string(mode) + "-b") == 15);
+    SetProxy("pass");
+    JudgeBills();
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(CutRouterThatDiesIsRecoveredByItsWitness, CutFixture) {
+  SetProxy("cut");
+  BOOST_TEST(Serve(1, 15, "dies") == 15);
+  fleet.Kill("router-1", SIGKILL);
+  JudgeBills();
+  BOOST_TEST(fleet.WaitFor([&] {
+    const nlohmann::json budget = Budget("lakhon");
+    for (const auto& it : budget["grants"].items()) {
+      if (it.key().starts_with("vm-router-1@")) return false;
+    }
+    return true;
+  }));
+}
+
+BOOST_FIXTURE_TEST_CASE(CutRouterClaimsNothing, CutFixture) {
+  SetProxy("freeze");
+  const TestRequest sign = Fleet::Service(kLakhon, "/sign", "{}", "cut-1");
+  const TestReply refused = fleet.Call(fleet.Router(1), sign);
+  BOOST_TEST(refused.Json()["ran"] == "no");
+  const TestReply other = fleet.Call(fleet.Router(2), sign);
+  BOOST_TEST(other.status == 200);
+  SetProxy("pass");
+  // Whatever became of the first router's claim, the call has run once.
+  BOOST_TEST(fleet.WaitFor(
+      [&] { return fleet.Call(fleet.Router(1), sign).body == other.body; }));
+  BOOST_TEST(ServiceRuns("cut-1") == 1);
+}
+
+}  // namespace
+}  // namespace quaytrack
