--- a/base/digest.cc
+++ b/base/digest.cc
@@ -1,6 +1,7 @@
 #include "base/digest.h"
 
 #include <openssl/evp.h>
+#include <openssl/rand.h>
 #include <openssl/sha.h>
 
 #include <array>
@@ -56,6 +57,13 @@
   return out;
 }
 
+std::string RandomHex(std::size_t bytes) {
+  std::string buf(bytes, '\0');
+  RAND_bytes(reinterpret_cast<unsigned char*>(buf.data()),
+             static_cast<int>(bytes));
+  return HexEncode(buf);
+}
+
 std::uint64_t StableHash(std::string_view data) {
   std::uint64_t h = 14695981039346656037ULL;
   for (char it : data) {
--- a/base/digest.h
+++ b/base/digest.h
@@ -3,6 +3,7 @@
 #ifndef QUAYTRACK_BASE_DIGEST_H_
 #define QUAYTRACK_BASE_DIGEST_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -19,6 +20,9 @@
 // Empty when `text` is not valid padded base64.
 std::optional<std::string> Base64Decode(std::string_view text);
 
+// `bytes` random bytes as hex; for names that must not collide.
+std::string RandomHex(std::size_t bytes);
+
 // A stable 64-bit hash (FNV-1a with a final mix). Stable across processes and
 // versions, as shard and rendezvous choices must agree between routers.
 std::uint64_t StableHash(std::string_view data);
--- a/cli/budget_commands.cc
+++ b/cli/budget_commands.cc
@@ -8,7 +8,7 @@
 #include <optional>
 #include <set>
 
-#include "bundle/signing.h"
+#include "base/digest.h"
 #include "cli/commands.h"
 #include "cli/exit_codes.h"
 #include "cli/kv_session.h"
@@ -93,10 +93,11 @@
 // the record tells this command its own write from another's.
 int AddToBudget(const BudgetFlags& flags, const CommonFlags& common) {
   constexpr int kTries = 8;
+  constexpr std::size_t kOperationIdBytes = 16;
   KvSession kv(common.kv);
   const BudgetName name(flags.budget);
   const std::string key = keys::Ledger(ShardOf(name));
-  const std::string operation = MakeOperatorKeyPair().public_key;
+  const std::string operation = RandomHex(kOperationIdBytes);
   for (int n = 0; n < kTries; ++n) {
     const KvTxnReply read = kv.Get(key);
     if (read.end != KvEnd::kOk) continue;
--- a/route/wait_queue.cc
+++ b/route/wait_queue.cc
@@ -46,16 +46,16 @@
 }
 
 void WaitQueue::Insert(QueuedRequest request, bool front) {
-  Class& klass = classes_[request.priority];
-  if (klass.size == 0) klass.pass = std::max(klass.pass, class_time_);
-  Flow& flow = klass.flows[request.customer];
-  if (flow.waiting.empty()) flow.pass = std::max(flow.pass, klass.flow_time);
+  ClassState& state = classes_[request.priority];
+  if (state.size == 0) state.pass = std::max(state.pass, class_time_);
+  Flow& flow = state.flows[request.customer];
+  if (flow.waiting.empty()) flow.pass = std::max(flow.pass, state.flow_time);
   if (front) {
     flow.waiting.push_front(std::move(request));
   } else {
     flow.waiting.push_back(std::move(request));
   }
-  ++klass.size;
+  ++state.size;
   ++size_;
 }
 
@@ -70,7 +70,7 @@
 }
 
 std::optional<QueuedRequest> WaitQueue::Pop(Instant now) {
-  Class* best_class = nullptr;
+  ClassState* best_class = nullptr;
   PriorityClass priority{};
   for (auto& [name, it] : classes_) {
     if (it.size == 0) continue;
@@ -100,8 +100,8 @@
 
 std::vector<QueuedRequest> WaitQueue::TakeExpired(Instant now) {
   std::vector<QueuedRequest> out;
-  for (auto& [name, klass] : classes_) {
-    for (auto it = klass.flows.begin(); it != klass.flows.end();) {
+  for (auto& [name, state] : classes_) {
+    for (auto it = state.flows.begin(); it != state.flows.end();) {
       std::deque<QueuedRequest>& waiting = it->second.waiting;
       for (auto q = waiting.begin(); q != waiting.end();) {
         if (q->deadline > now) {
@@ -110,25 +110,25 @@
         }
         out.push_back(std::move(*q));
         q = waiting.erase(q);
-        --klass.size;
+        --state.size;
         --size_;
       }
       // An empty flow that is not behind carries no state worth keeping.
-      const bool forget = waiting.empty() && it->second.pass <= klass.flow_time;
-      it = forget ? klass.flows.erase(it) : std::next(it);
+      const bool forget = waiting.empty() && it->second.pass <= state.flow_time;
+      it = forget ? state.flows.erase(it) : std::next(it);
     }
   }
   return out;
 }
 
 bool WaitQueue::Remove(const RequestId& request) {
-  for (auto& [name, klass] : classes_) {
-    for (auto& [customer, flow] : klass.flows) {
+  for (auto& [name, state] : classes_) {
+    for (auto& [customer, flow] : state.flows) {
       const std::size_t n = std::erase_if(
           flow.waiting,
           [&](const QueuedRequest& it) { return it.request == request; });
       if (n == 0) continue;
-      klass.size -= n;
+      state.size -= n;
       size_ -= n;
       return true;
     }
--- a/route/wait_queue.h
+++ b/route/wait_queue.h
@@ -88,7 +88,8 @@
     double pass = 0;
     std::deque<QueuedRequest> waiting;
   };
-  struct Class {
+  // What waits in one class.
+  struct ClassState {
     double pass = 0;
     std::map<CustomerName, Flow> flows;
     // Pass of the flow that was served last; where a new flow starts.
@@ -100,7 +101,7 @@
   void Insert(QueuedRequest request, bool front);
 
   WaitQueueOptions options_;
-  std::map<PriorityClass, Class> classes_;
+  std::map<PriorityClass, ClassState> classes_;
   std::size_t size_ = 0;
   double class_time_ = 0;
   DecayingRate drained_{std::chrono::seconds(5)};
--- a/router/caller_api.cc
+++ b/router/caller_api.cc
@@ -12,8 +12,6 @@
 using Json = nlohmann::ordered_json;
 
 constexpr std::string_view kServicePrefix = "/svc/";
-// Methods and headers that pass through a service call are few on purpose: the
-// service sees the caller's content, not its credentials.
 constexpr Duration kNotReadyRetryAfter = std::chrono::seconds(2);
 
 leaf::result<void> NeedMethod(const HttpExchange& exchange,
--- a/router/router.cc
+++ b/router/router.cc
@@ -2,7 +2,6 @@
 
 #include <cstdio>
 #include <nlohmann/json.hpp>
-#include <random>
 #include <utility>
 
 #include "base/digest.h"
@@ -20,12 +19,10 @@
 
 // "<vm>@<start in ms>-<random>": unique even if the clock is set back.
 Incarnation MakeIncarnation(const std::string& vm, const Clock& clock) {
-  std::random_device seed;
+  constexpr std::size_t kRandomBytes = 4;
   const auto ms = clock.WallNow().time_since_epoch().count();
-  char buf[48];
-  std::snprintf(buf, sizeof buf, "%lld-%08x", static_cast<long long>(ms),
-                seed());
-  return Incarnation(vm + "@" + buf);
+  return Incarnation(vm + "@" + std::to_string(ms) + "-" +
+                     RandomHex(kRandomBytes));
 }
 
 TargetBookOptions BookOptions(const RouterSettings& settings) {
