Remove what the change left without a use

Cause: reading the whole change again showed a function that nothing calls (TargetBook::Room), an accessor nobody asks (Membership::registered), a wrapper around one call (HttpExchange::AppendChunk) and two parameters that are not read (ServeWaiting, ResolveSealed).

Ruled out, left as they are: pairs of option structs and includes that look alike but mean different things; the two small stores of the property tests, which keep different things.

Change: they are gone.

--- a/ledger/sync.cc
+++ b/ledger/sync.cc
@@ -104,7 +104,7 @@
   BillBatch& batch = OpenBatch(!bill.marker.empty());
   batch.bills.push_back(bill);
   const std::uint64_t seq = batch.seq;
-  if (!account.waiting().empty()) ServeWaiting(now);
+  if (!account.waiting().empty()) ServeWaiting();
   return seq;
 }
 
@@ -154,7 +154,7 @@
   PlanDirtyBudgets(now, work);
   if (work.empty()) {
     // A sealed batch without bills (all were dropped) needs no write.
-    if (sealed_) ResolveSealed(now);
+    if (sealed_) ResolveSealed();
     return std::nullopt;
   }
   if (ReadBeforeCommit(work)) return StartRead();
@@ -336,12 +336,12 @@
   FenceIfRemoved();
   if (fenced_) return;
   if (AppliedIn(*states)) {
-    ResolveSealed(now);
+    ResolveSealed();
   } else if (!SealedIsApplied()) {
     DropBilledTwice(existing_markers);
   }
   for (const auto& [name, it] : settings_) dirty_.insert(name);
-  ServeWaiting(now);
+  ServeWaiting();
 }
 
 void LedgerSync::OnCommit(Instant now, CommitOutcome outcome,
@@ -353,7 +353,7 @@
       it.revision = revision;
       CacheIfNewer(it);
     }
-    ResolveSealed(now);
+    ResolveSealed();
     return;
   }
   must_read_.insert(attempted_.begin(), attempted_.end());
@@ -366,7 +366,7 @@
   CacheIfNewer(state);
   FenceIfRemoved();
   NoticeNeeds(now, state);
-  ServeWaiting(now);
+  ServeWaiting();
 }
 
 void LedgerSync::NoticeNeeds(Instant now, const ShardState& state) {
@@ -401,7 +401,7 @@
                      [&](const ShardState& it) { return ShowsSealed(it); });
 }
 
-void LedgerSync::ResolveSealed(Instant now) {
+void LedgerSync::ResolveSealed() {
   for (int shard : attempted_) {
     AdoptRecord(cache_[shard], true);
     joined_.insert(shard);
@@ -412,7 +412,7 @@
   sealed_costs_.clear();
   attempted_.clear();
   UpdateRecordedWitness();
-  ServeWaiting(now);
+  ServeWaiting();
 }
 
 void LedgerSync::AdoptRecord(const ShardState& state, bool sealed_applied) {
@@ -464,7 +464,7 @@
   }
 }
 
-void LedgerSync::ServeWaiting(Instant) {
+void LedgerSync::ServeWaiting() {
   for (auto& [name, account] : accounts_) {
     std::deque<WaitingHold>& waiting = account.waiting();
     while (!waiting.empty()) {
--- a/ledger/sync.h
+++ b/ledger/sync.h
@@ -247,12 +247,12 @@
   bool ShowsSealed(const ShardState& state) const;
   bool SealedIsApplied() const;
   bool AppliedIn(const std::vector<ShardState>& snapshot) const;
-  void ResolveSealed(Instant now);
+  void ResolveSealed();
   void AdoptRecord(const ShardState& state, bool sealed_applied);
   void CacheIfNewer(const ShardState& state);
   void DropBilledTwice(const std::set<std::string>& existing_markers);
   void UpdateRecordedWitness();
-  void ServeWaiting(Instant now);
+  void ServeWaiting();
   void RefuseHopeless(const BudgetName& name, Account& account);
   void Refuse(Account& account, HoldRefusal refusal);
   Tokens MostThatCouldBeHad(const BudgetName& name,
--- a/net/http_server.cc
+++ b/net/http_server.cc
@@ -193,8 +193,7 @@
 
 void HttpExchange::Write(evbuffer* data) {
   if (request_ == nullptr || connection_ == nullptr) return;
-  if (WriteDirectly(data)) return;
-  AppendChunk(data);
+  if (!WriteDirectly(data)) evhttp_send_reply_chunk(request_, data);
 }
 
 // Writes one chunk with a single system call. False if something is buffered
@@ -229,10 +228,6 @@
   return true;
 }
 
-void HttpExchange::AppendChunk(evbuffer* data) {
-  evhttp_send_reply_chunk(request_, data);
-}
-
 void HttpExchange::Write(std::string_view data) {
   evbuffer* buf = evbuffer_new();
   evbuffer_add(buf, data.data(), data.size());
--- a/net/http_server.h
+++ b/net/http_server.h
@@ -100,7 +100,6 @@
   static void OnOutput(evbuffer* output, const evbuffer_cb_info* info,
                        void* self);
   bool WriteDirectly(evbuffer* data);
-  void AppendChunk(evbuffer* data);
   void WatchPeer();
   void StopWatching();
   void MarkGone();
--- a/route/target_book.cc
+++ b/route/target_book.cc
@@ -239,16 +239,6 @@
   }
 }
 
-int TargetBook::Room(Instant now, const GroupName& group) const {
-  auto found = groups_.find(group);
-  if (found == groups_.end()) return 0;
-  int sum = 0;
-  for (TargetIndex n : found->second.members) {
-    if (Usable(now, targets_[n])) sum += targets_[n].limit.limit();
-  }
-  return sum;
-}
-
 Duration TargetBook::MeanService(const GroupName& group) const {
   auto found = groups_.find(group);
   if (found == groups_.end() || found->second.members.empty()) return {};
--- a/route/target_book.h
+++ b/route/target_book.h
@@ -134,8 +134,6 @@
     return targets_[n].breaker.state();
   }
   int LimitOf(TargetIndex n) const { return targets_[n].limit.limit(); }
-  // Requests that may run at once in a group, over all usable targets.
-  int Room(Instant now, const GroupName& group) const;
   // Smoothed time that one request of the group takes.
   Duration MeanService(const GroupName& group) const;
 
--- a/router/membership.h
+++ b/router/membership.h
@@ -40,7 +40,6 @@
   const RouterRegistry& registry() const { return registry_; }
   const VmTracker& vms() const { return vms_; }
   const RouterEntry& self() const { return options_.self; }
-  bool registered() const { return created_ != 0; }
 
   // Shown to operators in the registration.
   void SetBundleVersion(std::uint64_t version);
