Targets whose entries lapse in an outage serve on

Cause: an entry that lapsed while the store was away was taken as gone at once when the store came back, although its target lived; the users say that such entries are back within about two seconds.

Change: around a loss of the store what vanishes from the list is held for 2.2 s after its return; what was leaving, or says so meanwhile, gets no work.

--- a/member/target_registry.h
+++ b/member/target_registry.h
@@ -7,6 +7,13 @@
 // Its running requests end by themselves: it serves on for a while. A start of
 // a target is a new name, so an entry never comes back from leaving; one that
 // was only lost sight of may be listed again.
+//
+// While the platform's store is away, entries may lapse although their targets
+// live; these are back soon after the store is. So what vanishes around an
+// outage stays for a while:
+//
+//   registry.Hold();                    // the store is lost
+//   for (const TargetName& it : registry.EndHold()) ...   // gone after all
 
 #ifndef QUAYTRACK_MEMBER_TARGET_REGISTRY_H_
 #define QUAYTRACK_MEMBER_TARGET_REGISTRY_H_
@@ -14,6 +21,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/ids.h"
@@ -40,6 +48,7 @@
     TargetEntry it = entry;
     if (left_.contains(it.name)) it.leaving = true;
     if (it.leaving) left_.insert(it.name);
+    missing_.erase(it.name);
     TargetEntry& at = entries_[it.name];
     if (at == it) return false;
     at = it;
@@ -47,7 +56,27 @@
   }
 
   // A target that the platform has lost sight of may be listed again later.
-  bool Remove(const TargetName& name) { return entries_.erase(name) > 0; }
+  bool Remove(const TargetName& name) {
+    const auto it = entries_.find(name);
+    if (it == entries_.end()) return false;
+    if (holding_ && !it->second.leaving) {
+      missing_.insert(name);
+      return false;
+    }
+    entries_.erase(it);
+    return true;
+  }
+
+  // From now on, a target that vanishes stays, unless it was leaving.
+  void Hold() { holding_ = true; }
+
+  // Removes what has vanished and was not listed again, and returns it.
+  std::set<TargetName> EndHold() {
+    holding_ = false;
+    for (const TargetName& it : missing_) entries_.erase(it);
+    return std::exchange(missing_, {});
+  }
+  bool holding() const { return holding_; }
 
   // What is not in `entries` has gone.
   bool Replace(const std::vector<TargetEntry>& entries) {
@@ -68,6 +97,9 @@
   std::map<TargetName, TargetEntry> entries_;
   // Names that were seen leaving; an older entry doesn't bring them back.
   std::set<TargetName> left_;
+  bool holding_ = false;
+  // Held, and not listed at present.
+  std::set<TargetName> missing_;
 };
 
 }  // namespace quaytrack
--- a/relay/budget_driver.cc
+++ b/relay/budget_driver.cc
@@ -369,6 +369,7 @@
   if (reachable == store_reachable_) return;
   store_reachable_ = reachable;
   LogEvent(reachable ? Event::kKvBack : Event::kKvLost, {{"by", "budgets"}});
+  if (on_.store_reachable) on_.store_reachable(reachable);
 }
 
 void BudgetDriver::StartLeaving() {
--- a/relay/budget_driver.h
+++ b/relay/budget_driver.h
@@ -29,6 +29,8 @@
     std::function<void(const Incarnation&, const PeerMessage&)> tell;
     // The record shows other members than before, or may do.
     std::function<void()> members_changed;
+    // The store was lost (false) or is back (true).
+    std::function<void(bool)> store_reachable;
   };
 
   BudgetDriver(Loop& loop, const Clock& clock, KvStore& store,
--- a/relay/config_driver.cc
+++ b/relay/config_driver.cc
@@ -13,6 +13,9 @@
 
 // How long the own watch may take to show a version that a peer has.
 constexpr Duration kOwnWatchFirst = std::chrono::milliseconds(200);
+// After an outage of the store, targets that live are listed again within this:
+// about two seconds, and the time that this router may be late to notice.
+constexpr Duration kRelistTime = std::chrono::milliseconds(2200);
 
 // The value, or `fallback` and a line in the log.
 template <class Value, class Call>
@@ -76,6 +79,23 @@
 
 void ConfigDriver::OnReachable(const char* what, bool reachable) {
   LogEvent(reachable ? Event::kKvBack : Event::kKvLost, {{"by", what}});
+  OnStoreReachable(reachable);
+}
+
+void ConfigDriver::OnStoreReachable(bool reachable) {
+  targets_.Hold();
+  hold_timer_.reset();
+  if (!reachable) return;
+  hold_timer_ = loop_.After(kRelistTime, [this] { EndHold(); });
+}
+
+void ConfigDriver::EndHold() {
+  const auto done = std::move(hold_timer_);
+  const std::set<TargetName> gone = targets_.EndHold();
+  for (const TargetName& it : gone) {
+    LogEvent(Event::kTargetGone, {{"target", it.value}});
+  }
+  if (!gone.empty()) on_.targets_changed();
 }
 
 void ConfigDriver::TakeConfig(const StoreItem& item, const char* from) {
--- a/relay/config_driver.h
+++ b/relay/config_driver.h
@@ -35,6 +35,9 @@
 
   void Start();
   void OnPeer(const PeerMessage& message);
+  // Some user of the store lost it, or has it back. Targets that vanish from
+  // the list around that are kept for a while (member/target_registry.h).
+  void OnStoreReachable(bool reachable);
 
   const ServiceMapPtr& map() const { return map_; }
   std::uint64_t version() const { return map_ ? map_->version() : 0; }
@@ -48,6 +51,7 @@
   void ReplaceTargets(const std::vector<StoreItem>& items);
   void NoteTarget(const TargetEntry& entry);
   void AskLater(const Incarnation& peer);
+  void EndHold();
   void OnReachable(const char* what, bool reachable);
 
   Loop& loop_;
@@ -60,6 +64,7 @@
   StoreFollower config_follower_;
   StoreFollower target_follower_;
   std::unique_ptr<Timer> ask_timer_;
+  std::unique_ptr<Timer> hold_timer_;
 };
 
 }  // namespace quaytrack
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -105,6 +105,9 @@
                           const auto members = budgets_.ledger().Peers();
                           context_.routers = members.size() + 1;
                           peers_.SetMembers(members);
+                        },
+                        [this](bool reachable) {
+                          configs_.OnStoreReachable(reachable);
                         }});
   caller_server_.Serve([this](std::shared_ptr<CallerConnection> caller,
                               CallerRequest request) {
