--- a/base/events.h
+++ b/base/events.h
@@ -35,6 +35,7 @@
   kWitnessChanged = 1109,
   kPeerLinkLost = 1110,
   kPeerMessageRefused = 1111,
+  kPeerLinked = 1112,
   // 12xx: bundles.
   kBundleTaken = 1201,
   kBundleRefused = 1202,
@@ -64,6 +65,7 @@
   kPrepaidWritten = 1410,
   kMoveGiven = 1411,
   kPredecessorClosed = 1412,
+  kHoldUnanswered = 1413,
 };
 
 struct EventInfo {
@@ -93,6 +95,7 @@
     {Event::kWitnessChanged, LogLevel::kInfo, "witness_changed"},
     {Event::kPeerLinkLost, LogLevel::kWarn, "peer_link_lost"},
     {Event::kPeerMessageRefused, LogLevel::kWarn, "peer_message_refused"},
+    {Event::kPeerLinked, LogLevel::kInfo, "peer_linked"},
     {Event::kBundleTaken, LogLevel::kInfo, "bundle_taken"},
     {Event::kBundleRefused, LogLevel::kWarn, "bundle_refused"},
     {Event::kConfigTaken, LogLevel::kInfo, "config_taken"},
@@ -119,6 +122,7 @@
     {Event::kPrepaidWritten, LogLevel::kDebug, "prepaid_written"},
     {Event::kMoveGiven, LogLevel::kDebug, "move_given"},
     {Event::kPredecessorClosed, LogLevel::kInfo, "predecessor_closed"},
+    {Event::kHoldUnanswered, LogLevel::kWarn, "hold_unanswered"},
 });
 
 }  // namespace quaytrack
--- a/kv/follower.cc
+++ b/kv/follower.cc
@@ -13,20 +13,13 @@
 
 void StoreFollower::Read() {
   caught_up_ = false;
-  call_ = store_.Range(options_.prefix, [this](const StoreSnapshot& it) {
-    // The call is destroyed only after it has reported.
-    loop_.Post([call = std::shared_ptr<KvStore::Call>(std::move(call_))] {});
-    OnSnapshot(it);
-  });
+  call_ = store_.Range(options_.prefix,
+                       [this](const StoreSnapshot& it) { OnSnapshot(it); });
 }
 
 void StoreFollower::Wait() {
   call_ = store_.Wait(options_.prefix, revision_, options_.patience,
-                      [this](const StoreChanges& it) {
-                        loop_.Post([call = std::shared_ptr<KvStore::Call>(
-                                        std::move(call_))] {});
-                        OnChanges(it);
-                      });
+                      [this](const StoreChanges& it) { OnChanges(it); });
 }
 
 void StoreFollower::OnSnapshot(const StoreSnapshot& snapshot) {
@@ -44,9 +37,14 @@
   SetReachable(changes.end == StoreEnd::kDone);
   if (changes.end != StoreEnd::kDone) return RetryLater();
   revision_ = std::max(revision_, changes.revision);
+  if (changes.changes.empty()) return Wait();
   for (const StoreChange& it : changes.changes) on_.changed(it);
-  if (!changes.changes.empty()) on_.settled();
-  Wait();
+  on_.settled();
+  WaitLater(options_.spacing);
+}
+
+void StoreFollower::WaitLater(Duration delay) {
+  later_ = loop_.After(delay, [this] { Wait(); });
 }
 
 // With jitter, as all routers lose the store at the same moment.
@@ -54,7 +52,7 @@
   std::uniform_real_distribution<double> jitter(0.7, 1.3);
   const auto delay = std::chrono::duration_cast<Duration>(options_.retry_after *
                                                           jitter(random_));
-  retry_ = loop_.After(delay, [this] {
+  later_ = loop_.After(delay, [this] {
     if (caught_up_) return Wait();
     Read();
   });
--- a/kv/follower.h
+++ b/kv/follower.h
@@ -6,6 +6,10 @@
 // It reads all items, then waits for changes from there, and reads anew when
 // the store has forgotten where it was. While the store is away it goes on
 // trying; what was handed out stays as it was.
+//
+// Each answer costs a call, and a change that comes alone is answered at once.
+// Where many come one by one, as when a fleet starts, all followers would call
+// for each; so after an answer with changes the next call waits a little.
 
 #ifndef QUAYTRACK_KV_FOLLOWER_H_
 #define QUAYTRACK_KV_FOLLOWER_H_
@@ -29,6 +33,8 @@
     // swallowed is noticed a little later than this.
     Duration patience = std::chrono::milliseconds(3000);
     Duration retry_after = std::chrono::milliseconds(250);
+    // From an answer with changes to the next call.
+    Duration spacing = std::chrono::milliseconds(200);
   };
   struct Handlers {
     // All items there are.
@@ -49,6 +55,7 @@
   void Wait();
   void OnSnapshot(const StoreSnapshot& snapshot);
   void OnChanges(const StoreChanges& changes);
+  void WaitLater(Duration delay);
   void RetryLater();
   void SetReachable(bool reachable);
 
@@ -61,7 +68,7 @@
   bool reachable_ = true;
   std::minstd_rand random_{std::random_device{}()};
   KvStore::CallPtr call_;
-  std::unique_ptr<Timer> retry_;
+  std::unique_ptr<Timer> later_;
 };
 
 }  // namespace quaytrack
--- a/kv/store.h
+++ b/kv/store.h
@@ -87,7 +87,8 @@
 
 class KvStore {
  public:
-  // A call under way; it ends without a report when destroyed.
+  // A call under way; it ends without a report when destroyed. Its report may
+  // destroy it, or put another call in its place.
   class Call {
    public:
     virtual ~Call() = default;
--- a/ledger/prepaid_ledger.cc
+++ b/ledger/prepaid_ledger.cc
@@ -219,8 +219,8 @@
 }
 
 std::optional<PrepaidWrite> PrepaidLedger::NextWrite(Instant now) {
-  const bool blocked = in_flight_ || needs_read_ || left_ || fenced_ ||
-                       now < not_before_ || limits_version_ == 0;
+  const bool blocked = !takes_part_ || in_flight_ || needs_read_ || left_ ||
+                       fenced_ || now < not_before_ || limits_version_ == 0;
   if (blocked || !base_) return std::nullopt;
   const bool urgent = leaving_ || !joined_;
   if (!urgent && now - last_write_ < policy_.urgent_spacing) {
@@ -263,7 +263,7 @@
 // Earlier incarnations of this VM are dead: only one runs at a time.
 std::vector<PrepaidClosing> PrepaidLedger::Join(PrepaidRecord& record) const {
   std::vector<PrepaidClosing> out;
-  for (const auto& [it, member] : record.members) {
+  for (const Incarnation& it : record.members) {
     if (it == self_ || VmOf(it) != VmOf(self_)) continue;
     PrepaidClosing closing;
     closing.dead = it;
@@ -284,7 +284,7 @@
         it.lock_held ? &predecessors_.at(it.dead).spend : nullptr;
     it.charged = record.Close(it.dead, untouched);
   }
-  record.members[self_].address = identity_.address;
+  record.members.insert(self_);
   return out;
 }
 
@@ -385,6 +385,7 @@
 }
 
 bool PrepaidLedger::NeedsRead(Instant now) const {
+  if (base_ && !takes_part_) return false;
   if (needs_read_ || !base_) return !in_flight_;
   if (in_flight_ || now < not_before_) return false;
   const Duration age = now - record_seen_;
@@ -410,6 +411,9 @@
   next.revision = state.revision;
   next.record = state.record;
   predecessors_ = state.spends;
+  for (const Incarnation& it : state.record.members) {
+    if (VmOf(it) == VmOf(self_)) takes_part_ = true;
+  }
   const auto self = state.spends.find(self_);
   if (self != state.spends.end()) {
     next.spend_revision = self->second.revision;
@@ -506,11 +510,4 @@
   known = std::max(known, total);
 }
 
-std::map<Incarnation, PrepaidMember> PrepaidLedger::Peers() const {
-  std::map<Incarnation, PrepaidMember> out;
-  if (base_) out = base_->record.members;
-  out.erase(self_);
-  return out;
-}
-
 }  // namespace quaytrack
--- a/ledger/prepaid_ledger.h
+++ b/ledger/prepaid_ledger.h
@@ -147,8 +147,6 @@
  public:
   struct Identity {
     Incarnation self;
-    // Where peers reach this router.
-    std::string address;
     // Which boot of the machine the steady clock counts from; empty if that
     // isn't known.
     std::string boot;
@@ -158,7 +156,10 @@
 
   PrepaidLedger(Identity identity, PrepaidPolicy policy);
 
-  void SetAddress(const std::string& address) { identity_.address = address; }
+  // Joins the record. Until then a ledger reads it once, and writes nothing,
+  // unless the record shows an earlier incarnation of this VM.
+  void TakePart() { takes_part_ = true; }
+  bool TakesPart() const { return takes_part_; }
 
   // The budgets of a newer configuration. A customer that has none may spend
   // freely.
@@ -168,6 +169,9 @@
   PrepaidVerdict Hold(Instant now, const CustomerName& customer, Tokens amount);
   // Ends a hold of `held` with what was handed out, 0 if nothing ran.
   void Settle(const CustomerName& customer, Tokens held, Tokens cost);
+  bool IsLimited(const CustomerName& customer) const {
+    return limits_.contains(customer);
+  }
   // Sum of the holds that wait for a larger part.
   void SetWaiting(const CustomerName& customer, Tokens amount);
 
@@ -193,15 +197,16 @@
               Tokens total);
 
   // Returns everything at the next write and takes part no more.
-  void StartLeaving() { leaving_ = true; }
+  void StartLeaving() {
+    leaving_ = true;
+    left_ = left_ || !takes_part_;
+  }
   bool HasLeft() const { return left_; }
 
   // What this router may hold at present.
   Tokens Allowance(Instant now, const CustomerName& customer) const;
   // Replaced by a later incarnation; nothing may be spent any more.
   bool Fenced() const { return fenced_; }
-  // Other routers that take part, by the latest record seen.
-  std::map<Incarnation, PrepaidMember> Peers() const;
   const PrepaidRecord* LatestRecord() const {
     return base_ ? &base_->record : nullptr;
   }
@@ -261,6 +266,7 @@
   // The write in flight changes the record too.
   bool last_changed_record_ = false;
   bool needs_read_ = true;
+  bool takes_part_ = false;
   bool joined_ = false;
   bool leaving_ = false;
   bool left_ = false;
--- a/ledger/prepaid_record.cc
+++ b/ledger/prepaid_record.cc
@@ -9,48 +9,66 @@
 
 using Json = nlohmann::json;
 
-constexpr char kPairSeparator = '>';
+// Incarnations as the numbers that stand for them in a stored record: with many
+// moves, their names would be most of it.
+class NameTable {
+ public:
+  std::size_t NumberOf(const Incarnation& name) {
+    const auto [it, added] = numbers_.try_emplace(name, names_.size());
+    if (added) names_.push_back(name.value);
+    return it->second;
+  }
+  const Json& names() const { return names_; }
+
+ private:
+  std::map<Incarnation, std::size_t> numbers_;
+  Json names_ = Json::array();
+};
 
-Json EntryToJson(const PrepaidEntry& entry) {
-  Json grants = Json::object();
-  for (const auto& [who, amount] : entry.grants) grants[who.value] = amount;
-  Json moved = Json::object();
+// Places in the array of an entry.
+enum EntryPlace { kLimit, kVersion, kSettled, kGrants, kMoved };
+
+Json EntryToJson(const PrepaidEntry& entry, NameTable& names) {
+  Json grants = Json::array();
+  for (const auto& [who, amount] : entry.grants) {
+    grants.push_back({names.NumberOf(who), amount});
+  }
+  Json moved = Json::array();
   for (const auto& [pair, total] : entry.moved) {
-    moved[pair.giver.value + kPairSeparator + pair.receiver.value] = total;
+    moved.push_back(
+        {names.NumberOf(pair.giver), names.NumberOf(pair.receiver), total});
   }
-  return {{"limit", entry.limit},
-          {"version", entry.limit_version},
-          {"settled", entry.settled},
-          {"grants", grants},
-          {"moved", moved}};
+  return {entry.limit, entry.limit_version, entry.settled, grants, moved};
 }
 
-PrepaidEntry EntryFromJson(const Json& json) {
+// Throws Json::exception, also for a number that stands for nothing.
+Incarnation NameAt(const Json& names, const Json& number) {
+  return Incarnation(names.at(number.get<std::size_t>()).get<std::string>());
+}
+
+PrepaidEntry EntryFromJson(const Json& json, const Json& names) {
   PrepaidEntry out;
-  out.limit = json.at("limit").get<Tokens>();
-  out.limit_version = json.at("version").get<std::uint64_t>();
-  out.settled = json.at("settled").get<Tokens>();
-  for (const auto& [who, amount] : json.at("grants").items()) {
-    out.grants[Incarnation(who)] = amount.get<Tokens>();
-  }
-  for (const auto& [pair, total] : json.at("moved").items()) {
-    const std::size_t at = pair.find(kPairSeparator);
-    if (at == std::string::npos) continue;
-    const MovePair key{Incarnation(pair.substr(0, at)),
-                       Incarnation(pair.substr(at + 1))};
-    out.moved[key] = total.get<Tokens>();
+  out.limit = json.at(kLimit).get<Tokens>();
+  out.limit_version = json.at(kVersion).get<std::uint64_t>();
+  out.settled = json.at(kSettled).get<Tokens>();
+  for (const Json& it : json.at(kGrants)) {
+    out.grants[NameAt(names, it.at(0))] = it.at(1).get<Tokens>();
+  }
+  for (const Json& it : json.at(kMoved)) {
+    const MovePair pair{NameAt(names, it.at(0)), NameAt(names, it.at(1))};
+    out.moved[pair] = it.at(2).get<Tokens>();
   }
   return out;
 }
 
 PrepaidRecord RecordFromJson(const Json& json) {
   PrepaidRecord out;
+  const Json& names = json.at("names");
   for (const auto& [name, entry] : json.at("customers").items()) {
-    out.customers[CustomerName(name)] = EntryFromJson(entry);
+    out.customers[CustomerName(name)] = EntryFromJson(entry, names);
   }
-  for (const auto& [name, member] : json.at("members").items()) {
-    PrepaidMember& it = out.members[Incarnation(name)];
-    it.address = member.at("address").get<std::string>();
+  for (const Json& it : json.at("members")) {
+    out.members.insert(NameAt(names, it));
   }
   return out;
 }
@@ -139,16 +157,18 @@
 }
 
 std::string EncodePrepaid(const PrepaidRecord& record) {
+  NameTable names;
   Json customers = Json::object();
   for (const auto& [name, entry] : record.customers) {
-    customers[name.value] = EntryToJson(entry);
+    customers[name.value] = EntryToJson(entry, names);
   }
-  Json members = Json::object();
-  for (const auto& [name, member] : record.members) {
-    members[name.value] = {{"address", member.address}};
+  Json members = Json::array();
+  for (const Incarnation& it : record.members) {
+    members.push_back(names.NumberOf(it));
   }
-  const auto bytes =
-      Json::to_cbor(Json{{"customers", customers}, {"members", members}});
+  const auto bytes = Json::to_cbor(Json{{"customers", customers},
+                                        {"members", members},
+                                        {"names", names.names()}});
   return {bytes.begin(), bytes.end()};
 }
 
--- a/ledger/prepaid_record.h
+++ b/ledger/prepaid_record.h
@@ -36,6 +36,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -65,14 +66,6 @@
   bool operator==(const PrepaidEntry&) const = default;
 };
 
-// A router that takes part.
-struct PrepaidMember {
-  // Where its peers reach it, "host:port".
-  std::string address;
-
-  bool operator==(const PrepaidMember&) const = default;
-};
-
 // What one router has spent of its grant for a customer since it last folded
 // its spending into the record, and how much of the grant it leaves alone.
 struct PrepaidSpent {
@@ -97,7 +90,8 @@
 
 struct PrepaidRecord {
   std::map<CustomerName, PrepaidEntry> customers;
-  std::map<Incarnation, PrepaidMember> members;
+  // The routers that take part.
+  std::set<Incarnation> members;
 
   bool IsOpen(const Incarnation& it) const { return members.contains(it); }
 
--- a/ledger/testing/prepaid_ledger_test.cc
+++ b/ledger/testing/prepaid_ledger_test.cc
@@ -55,7 +55,8 @@
   PrepaidLedger Make(const std::string& self, const std::string& boot = "b") {
     PrepaidPolicy policy;
     policy.standing_share = 0.55;
-    PrepaidLedger out({Incarnation(self), "10.0.0.1:1", boot, now}, policy);
+    PrepaidLedger out({Incarnation(self), boot, now}, policy);
+    out.TakePart();
     out.SetLimits(1, {{kCustomer, kLimit}});
     return out;
   }
@@ -77,7 +78,7 @@
   store.Serve(now, first, Incarnation("vm1@1"));
   const Tokens shared = store.entry().grants.at(Incarnation("vm1@1"));
   BOOST_TEST(shared < alone / 2);
-  BOOST_TEST(first.Peers().size() == 2U);
+  BOOST_TEST(first.LatestRecord()->members.size() == 3U);
 }
 
 BOOST_FIXTURE_TEST_CASE(ARejectedWriteIsDueAtOnce, Fixture) {
--- a/ledger/testing/prepaid_property_test.cc
+++ b/ledger/testing/prepaid_property_test.cc
@@ -110,8 +110,9 @@
     it.running.clear();
     const bool known = Draw(0, 3) > 0;
     const std::string boot = known ? "boot-" + name : "";
-    PrepaidLedger::Identity identity{it.self, "10.0.0.1:1", boot, now_};
+    PrepaidLedger::Identity identity{it.self, boot, now_};
     it.ledger = std::make_unique<PrepaidLedger>(identity, PrepaidPolicy());
+    it.ledger->TakePart();
     it.ledger->SetLimits(1, {{kCustomer, kLimit}});
   }
 
--- /dev/null
+++ b/member/testing/fleet_test.cc
@@ -0,0 +1,85 @@
+// Which routers keep budgets, and whom the others ask.
+
+#include "member/fleet.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+namespace quaytrack {
+namespace {
+
+constexpr int kHalls = 3;
+constexpr int kLarge = 86;
+
+FleetMember Member(int n) {
+  const std::string name = "vm-" + std::to_string(n);
+  return {VmName(name), HallName("hall-" + std::to_string(n % kHalls)),
+          name + ":1"};
+}
+
+FleetDirectory Fleet(int routers, int self = 0) {
+  FleetDirectory out(Member(self), {});
+  for (int n = 0; n < routers; ++n) out.Put(Member(n));
+  return out;
+}
+
+HallName HallOf(const VmName& vm) {
+  return Member(std::stoi(vm.value.substr(3))).hall;
+}
+
+BOOST_AUTO_TEST_CASE(InASmallFleetAllKeepBudgets) {
+  const FleetDirectory fleet = Fleet(8);
+  for (int n = 0; n < 8; ++n) BOOST_TEST(fleet.IsHolder(Member(n).vm));
+  BOOST_TEST(fleet.Linked().size() == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(InALargeOneThreeOfEachHallDoAndAllAgree) {
+  std::map<HallName, int> holders;
+  const FleetDirectory fleet = Fleet(kLarge);
+  const FleetDirectory other = Fleet(kLarge, 50);
+  for (int n = 0; n < kLarge; ++n) {
+    const bool is = fleet.IsHolder(Member(n).vm);
+    BOOST_TEST(other.IsHolder(Member(n).vm) == is);
+    if (is) ++holders[Member(n).hall];
+  }
+  BOOST_TEST(holders.size() == static_cast<std::size_t>(kHalls));
+  for (const auto& [hall, n] : holders) BOOST_TEST(n == 3);
+}
+
+BOOST_AUTO_TEST_CASE(RoutersOfAHallAskTheSameHolderForACustomer) {
+  const CustomerName customer("c");
+  const std::vector<VmName> asked = Fleet(kLarge, 0).HoldersFor(customer);
+  for (int n = 0; n < kLarge; n += kHalls) {
+    const FleetDirectory fleet = Fleet(kLarge, n);
+    if (fleet.IsHolder(Member(n).vm)) continue;
+    BOOST_TEST((fleet.HoldersFor(customer) == asked));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(HoldersOfTheOwnHallComeFirst) {
+  const std::vector<VmName> asked =
+      Fleet(kLarge, 0).HoldersFor(CustomerName("c"));
+  for (std::size_t i = 0; i < 3; ++i) {
+    BOOST_TEST((HallOf(asked[i]) == Member(0).hall));
+  }
+}
+
+// Links don't grow with the fleet: a few for most, one for each router of the
+// hall at a holder.
+BOOST_AUTO_TEST_CASE(LinksOfMostRoutersAreFew) {
+  for (int self = 0; self < kLarge; ++self) {
+    const FleetDirectory fleet = Fleet(kLarge, self);
+    const std::size_t most = fleet.IsHolder(Member(self).vm) ? 8 : 5;
+    BOOST_TEST(fleet.Linked().size() <= most);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnEntryIsReadAsItWasWritten) {
+  const auto read = DecodeMember(EncodeMember(Member(4)));
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST((*read == Member(4)));
+  BOOST_TEST(!DecodeMember("no entry").has_value());
+}
+
+}  // namespace
+}  // namespace quaytrack
--- a/relay/budget_driver.cc
+++ b/relay/budget_driver.cc
@@ -1,6 +1,7 @@
 #include "relay/budget_driver.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <utility>
 #include <vector>
@@ -16,7 +17,7 @@
 constexpr char kRecordKey[] = "quaytrack/prepaid";
 constexpr char kSpendPrefix[] = "quaytrack/spend/";
 constexpr Duration kPumpEvery = milliseconds(100);
-constexpr Duration kWaitingTick = milliseconds(10);
+constexpr Duration kTick = milliseconds(10);
 // While a request waits: the store is asked first, then peers for half of what
 // they don't use, then for all of it. After `kPatience` it is refused.
 constexpr Duration kAskPeersAfter = milliseconds(25);
@@ -24,8 +25,10 @@
 constexpr Duration kPatience = milliseconds(160);
 // Writers that were refused for a newer revision try again within this.
 constexpr int kConflictJitterMs = 8;
-// Asked for beyond what waits, so that the next request finds something.
-constexpr Tokens kSpare = 30000;
+// Asked for beyond what waits, so that the next requests find something: what
+// was held lately, and at least this.
+constexpr Tokens kLeastSpare = 30000;
+constexpr double kDemandSeconds = 1.0;
 
 PrepaidOutcome OutcomeOf(StoreEnd end) {
   switch (end) {
@@ -44,13 +47,39 @@
 }  // namespace
 
 BudgetDriver::BudgetDriver(Loop& loop, const Clock& clock, KvStore& store,
+                           const FleetDirectory& fleet,
                            const PrepaidLedger::Identity& identity,
                            PrepaidPolicy policy)
     : loop_(loop),
       clock_(clock),
       store_(store),
+      fleet_(fleet),
       self_(identity.self),
-      ledger_(identity, policy) {}
+      ledger_(identity, policy),
+      remote_({}, RemoteHandlers()),
+      served_(ServedHandlers()) {}
+
+RemoteHolds::Handlers BudgetDriver::RemoteHandlers() {
+  RemoteHolds::Handlers out;
+  out.linked = [this](const VmName& vm) { return on_.linked(vm); };
+  out.tell = [this](const Incarnation& peer, const PeerMessage& it) {
+    Tell(peer, it);
+  };
+  return out;
+}
+
+ServedHolds::Handlers BudgetDriver::ServedHandlers() {
+  ServedHolds::Handlers out;
+  out.hold = [this](const UserPtr& it) { HoldForPeer(it); };
+  out.forget = [this](const UserPtr& it) { ForgetHere(it); };
+  out.settle = [this](const CustomerName& customer, Tokens held, Tokens cost) {
+    SettleHere(customer, held, cost);
+  };
+  out.tell = [this](const Incarnation& peer, const PeerMessage& it) {
+    Tell(peer, it);
+  };
+  return out;
+}
 
 void BudgetDriver::Start() {
   pump_timer_ = loop_.Every(kPumpEvery, [this] { Pump(); });
@@ -67,33 +96,97 @@
   PumpSoon();
 }
 
+void BudgetDriver::Demand::Add(Instant now, Tokens amount) {
+  sum_ = At(now) + static_cast<double>(amount);
+  at_ = now;
+}
+
+double BudgetDriver::Demand::At(Instant now) const {
+  return sum_ * std::exp(-ToSeconds(now - at_) / kDemandSeconds);
+}
+
+void BudgetDriver::TakePartIfHolder() {
+  if (ledger_.TakesPart() || !fleet_.IsHolder(VmOf(self_))) return;
+  ledger_.TakePart();
+  PumpSoon();
+}
+
 // --- Requests ----------------------------------------------------------------
 
 PrepaidVerdict BudgetDriver::Hold(const std::shared_ptr<RelayFlow>& flow) {
-  WaitingList& list = waiting_[flow->customer()];
+  if (!ledger_.IsLimited(flow->customer())) return PrepaidVerdict::kHeld;
+  // Requests that come before the list of routers has settled don't wait.
+  TakePartIfHolder();
+  if (ledger_.TakesPart()) return HoldHere(flow);
+  HoldElsewhere(flow);
+  return PrepaidVerdict::kShort;
+}
+
+PrepaidVerdict BudgetDriver::HoldHere(const UserPtr& user) {
+  demand_[user->customer()].Add(clock_.Now(), user->worst_case());
+  WaitingList& list = waiting_[user->customer()];
   // Later requests don't overtake one that waits.
   if (list.empty()) {
     const PrepaidVerdict out =
-        ledger_.Hold(clock_.Now(), flow->customer(), flow->worst_case());
+        ledger_.Hold(clock_.Now(), user->customer(), user->worst_case());
     if (out != PrepaidVerdict::kShort) return out;
   }
-  list.push_back({flow, clock_.Now(), 0});
-  UpdateWaiting(flow->customer(), list);
-  if (!waiting_timer_) {
-    waiting_timer_ = loop_.Every(kWaitingTick, [this] { TickWaiting(); });
-  }
+  list.push_back({user, clock_.Now(), 0});
+  UpdateWaiting(user->customer(), list);
+  StartTicking();
   loop_.Post([this] { Pump(); });
   return PrepaidVerdict::kShort;
 }
 
+void BudgetDriver::HoldElsewhere(const std::shared_ptr<RelayFlow>& flow) {
+  RemoteHolds::Request out;
+  out.id = flow->id();
+  out.customer = flow->customer();
+  out.amount = flow->worst_case();
+  out.holders = fleet_.HoldersFor(flow->customer());
+  out.done = [this, flow](PrepaidVerdict verdict) {
+    // Posted: the flow may end, and change what is being gone through.
+    loop_.Post([flow, verdict] {
+      if (verdict == PrepaidVerdict::kHeld) return flow->OnHeld();
+      flow->OnHoldRefused(verdict == PrepaidVerdict::kExhausted);
+    });
+  };
+  remote_.Ask(clock_.Now(), std::move(out));
+  StartTicking();
+}
+
+void BudgetDriver::HoldForPeer(const UserPtr& user) {
+  switch (HoldHere(user)) {
+    case PrepaidVerdict::kHeld:
+      return user->OnHeld();
+    case PrepaidVerdict::kExhausted:
+      return user->OnHoldRefused(true);
+    case PrepaidVerdict::kShort:
+      return;
+  }
+}
+
 void BudgetDriver::Forget(const std::shared_ptr<RelayFlow>& flow) {
-  WaitingList& list = waiting_[flow->customer()];
-  std::erase_if(list, [&](const Waiting& it) { return it.flow == flow; });
-  UpdateWaiting(flow->customer(), list);
+  ForgetHere(flow);
+  remote_.Forget(clock_.Now(), flow->id());
+}
+
+void BudgetDriver::ForgetHere(const UserPtr& user) {
+  WaitingList& list = waiting_[user->customer()];
+  std::erase_if(list, [&](const Waiting& it) { return it.user == user; });
+  UpdateWaiting(user->customer(), list);
+}
+
+void BudgetDriver::Settle(const RelayFlow& flow, Tokens cost) {
+  if (!remote_.Holds(flow.id())) {
+    return SettleHere(flow.customer(), flow.worst_case(), cost);
+  }
+  remote_.Settle(clock_.Now(), flow.id(), cost);
+  StartTicking();
 }
 
-void BudgetDriver::Settle(const CustomerName& customer, Tokens held,
-                          Tokens cost) {
+void BudgetDriver::SettleHere(const CustomerName& customer, Tokens held,
+                              Tokens cost) {
   ledger_.Settle(customer, held, cost);
   const auto list = waiting_.find(customer);
   if (list != waiting_.end() && !list->second.empty()) ServeWaiting();
@@ -103,7 +196,7 @@
                                  const WaitingList& list) {
   const Tokens sum = std::accumulate(
       list.begin(), list.end(), Tokens{0},
-      [](Tokens n, const Waiting& it) { return n + it.flow->worst_case(); });
+      [](Tokens n, const Waiting& it) { return n + it.user->worst_case(); });
   ledger_.SetWaiting(customer, sum);
 }
 
@@ -113,29 +206,39 @@
 
 void BudgetDriver::ServeList(const CustomerName& customer, WaitingList& list) {
   while (!list.empty()) {
-    const auto flow = list.front().flow;
+    const UserPtr user = list.front().user;
     const PrepaidVerdict verdict =
-        ledger_.Hold(clock_.Now(), customer, flow->worst_case());
+        ledger_.Hold(clock_.Now(), customer, user->worst_case());
     if (verdict == PrepaidVerdict::kShort) break;
     list.pop_front();
     UpdateWaiting(customer, list);
-    // Posted: the flow may end, and change the list that is being read.
-    loop_.Post([flow, verdict] {
-      if (verdict == PrepaidVerdict::kHeld) return flow->OnHeld();
-      flow->OnHoldRefused(true);
+    // Posted: the user may end, and change the list that is being read.
+    loop_.Post([user, verdict] {
+      if (verdict == PrepaidVerdict::kHeld) return user->OnHeld();
+      user->OnHoldRefused(true);
     });
   }
 }
 
-void BudgetDriver::TickWaiting() {
+void BudgetDriver::StartTicking() {
+  if (!tick_timer_) tick_timer_ = loop_.Every(kTick, [this] { Tick(); });
+}
+
+void BudgetDriver::Tick() {
+  remote_.Tick(clock_.Now());
+  const bool waiting = TickWaiting();
+  if (!waiting && remote_.Idle()) tick_timer_.reset();
+}
+
+bool BudgetDriver::TickWaiting() {
   const Instant now = clock_.Now();
   bool any = false;
   for (auto& [customer, list] : waiting_) {
     while (!list.empty() && now - list.front().since >= kPatience) {
-      const auto flow = list.front().flow;
+      const UserPtr user = list.front().user;
       list.pop_front();
-      LogShort(customer, flow->worst_case());
-      loop_.Post([flow] { flow->OnHoldRefused(false); });
+      LogShort(customer, user->worst_case());
+      loop_.Post([user] { user->OnHoldRefused(false); });
       UpdateWaiting(customer, list);
     }
     if (list.empty()) continue;
@@ -149,7 +252,7 @@
     ++first.asked;
     AskPeers(customer, list, ask_all);
   }
-  if (!any) waiting_timer_.reset();
+  return any;
 }
 
 void BudgetDriver::LogClosings(
@@ -198,8 +301,9 @@
 
 void BudgetDriver::AskPeers(const CustomerName& customer,
                             const WaitingList& list, bool all) {
-  Tokens sum = all ? 0 : kSpare;
-  for (const Waiting& it : list) sum += it.flow->worst_case();
+  const Tokens lately = std::lround(demand_[customer].At(clock_.Now()));
+  Tokens sum = all ? 0 : std::max(kLeastSpare, lately);
+  for (const Waiting& it : list) sum += it.user->worst_case();
   PeerMessage ask;
   ask.kind = PeerMessageKind::kAsk;
   ask.from = self_;
@@ -210,25 +314,53 @@
   if (on_.broadcast) on_.broadcast(ask);
 }
 
+void BudgetDriver::Tell(const Incarnation& peer, PeerMessage message) {
+  message.from = self_;
+  on_.tell(peer, message);
+}
+
 void BudgetDriver::OnPeer(const PeerMessage& message) {
-  ledger_.OnPeerSeen(message.from);
-  if (message.kind == PeerMessageKind::kMove) {
-    ledger_.OnMove(message.customer, message.from, message.amount);
-    return ServeWaiting();
+  if (message.keeps_budgets) ledger_.OnPeerSeen(message.from);
+  switch (message.kind) {
+    case PeerMessageKind::kHello:
+      served_.OnHello(message.from);
+      return;
+    case PeerMessageKind::kMove:
+      ledger_.OnPeerSeen(message.from);
+      ledger_.OnMove(message.customer, message.from, message.amount);
+      return ServeWaiting();
+    case PeerMessageKind::kAsk:
+      return OnAsked(message);
+    case PeerMessageKind::kHold:
+      return served_.OnHold(message);
+    case PeerMessageKind::kSettle:
+      return served_.OnSettle(message);
+    case PeerMessageKind::kHoldAnswer:
+      return remote_.OnAnswer(clock_.Now(), message);
+    case PeerMessageKind::kSettled:
+      return remote_.OnAcknowledged(message);
+    default:
+      return;
   }
-  if (message.kind != PeerMessageKind::kAsk) return;
+}
+
+void BudgetDriver::OnPeerLost(const Incarnation& peer) {
+  remote_.OnPeerLost(clock_.Now(), peer);
+}
+
+void BudgetDriver::OnAsked(const PeerMessage& message) {
+  ledger_.OnPeerSeen(message.from);
   const auto total = ledger_.Give(clock_.Now(), message.customer, message.from,
                                   message.amount, message.all);
   if (!total) return;
   PeerMessage move;
   move.kind = PeerMessageKind::kMove;
-  move.from = self_;
   move.customer = message.customer;
   move.amount = *total;
   LogEvent(Event::kMoveGiven, {{"customer", message.customer.value},
                                {"to", message.from.value},
                                {"total", std::to_string(*total)}});
-  on_.tell(message.from, move);
+  Tell(message.from, move);
 }
 
 // --- The store ---------------------------------------------------------------
@@ -270,7 +402,7 @@
 }
 
 void BudgetDriver::OnSpends(const StoreSnapshot& snapshot) {
-  loop_.Post([done = std::shared_ptr<KvStore::Call>(std::move(call_))] {});
+  call_.reset();
   SetReachable(snapshot.end == StoreEnd::kDone);
   if (snapshot.end != StoreEnd::kDone) {
     return ledger_.OnReadFailed(clock_.Now());
@@ -290,14 +422,13 @@
 }
 
 void BudgetDriver::OnRecord(const StoreSnapshot& snapshot) {
-  loop_.Post([done = std::shared_ptr<KvStore::Call>(std::move(call_))] {});
+  call_.reset();
   SetReachable(snapshot.end == StoreEnd::kDone);
   const bool read = snapshot.end == StoreEnd::kDone;
   if (!read || !ReadRecord(snapshot.items)) {
     return ledger_.OnReadFailed(clock_.Now());
   }
   ledger_.OnRead(clock_.Now(), read_);
-  NoticeMembers();
   ServeWaiting();
   PumpSoon();
 }
@@ -340,7 +471,7 @@
 }
 
 void BudgetDriver::OnWritten(const StoreWritten& written) {
-  loop_.Post([done = std::shared_ptr<KvStore::Call>(std::move(call_))] {});
+  call_.reset();
   SetReachable(written.end == StoreEnd::kDone ||
                written.end == StoreEnd::kRejected);
   ledger_.OnWritten(clock_.Now(), OutcomeOf(written.end), written.revision);
@@ -350,14 +481,6 @@
     LogWritten(written.revision);
     ServeWaiting();
   }
-  NoticeMembers();
-}
-
-void BudgetDriver::NoticeMembers() {
-  const auto members = ledger_.Peers();
-  if (members == members_) return;
-  members_ = members;
-  if (on_.members_changed) on_.members_changed();
 }
 
 void BudgetDriver::PumpSoon() {
--- a/relay/budget_driver.h
+++ b/relay/budget_driver.h
@@ -1,5 +1,8 @@
 // Drives the prepaid ledger with the store and the peers, and keeps the
 // requests that wait for a larger part of a budget.
+//
+// In a large fleet most routers take no part in the ledger; they ask those that
+// do, the holders, for each request (member/fleet.h).
 
 #ifndef QUAYTRACK_RELAY_BUDGET_DRIVER_H_
 #define QUAYTRACK_RELAY_BUDGET_DRIVER_H_
@@ -13,8 +16,12 @@
 #include "bundle/service_map.h"
 #include "kv/store.h"
 #include "ledger/prepaid_ledger.h"
+#include "member/fleet.h"
 #include "net/loop.h"
+#include "relay/budget_user.h"
 #include "relay/peer_messages.h"
+#include "relay/remote_holds.h"
+#include "relay/served_holds.h"
 
 namespace quaytrack {
 
@@ -27,43 +34,71 @@
     std::function<void(const PeerMessage&)> broadcast;
     // Tells one of them.
     std::function<void(const Incarnation&, const PeerMessage&)> tell;
-    // The record shows other members than before, or may do.
-    std::function<void()> members_changed;
+    // The incarnation that is linked on a VM; empty if none is.
+    std::function<Incarnation(const VmName&)> linked;
     // The store was lost (false) or is back (true).
     std::function<void(bool)> store_reachable;
   };
 
   BudgetDriver(Loop& loop, const Clock& clock, KvStore& store,
+               const FleetDirectory& fleet,
                const PrepaidLedger::Identity& identity, PrepaidPolicy policy);
 
   void SetHandlers(Handlers handlers) { on_ = std::move(handlers); }
-  // Where peers reach this router; before `Start`.
-  void SetAddress(const std::string& address) { ledger_.SetAddress(address); }
   void Start();
   void SetConfig(const ServiceMap& map);
 
+  // The list of routers may make this one a holder.
+  void TakePartIfHolder();
+
   // kShort: the flow waits; `OnHeld` or `OnHoldRefused` follows.
   PrepaidVerdict Hold(const std::shared_ptr<RelayFlow>& flow);
   // Takes a waiting flow back.
   void Forget(const std::shared_ptr<RelayFlow>& flow);
-  void Settle(const CustomerName& customer, Tokens held, Tokens cost);
+  void Settle(const RelayFlow& flow, Tokens cost);
 
   void OnPeer(const PeerMessage& message);
+  void OnPeerLost(const Incarnation& peer);
 
+  // Other routers are told to ask other holders.
+  void StopServing() { served_.Stop(); }
   // Returns the unspent part to the store.
   void StartLeaving();
   const PrepaidLedger& ledger() const { return ledger_; }
   bool store_reachable() const { return store_reachable_; }
 
  private:
+  using UserPtr = std::shared_ptr<BudgetUser>;
   struct Waiting {
-    std::shared_ptr<RelayFlow> flow;
+    UserPtr user;
     Instant since{};
     // How often peers were asked for it.
     int asked = 0;
   };
+  // Tokens held in about the last second, decaying.
+  class Demand {
+   public:
+    void Add(Instant now, Tokens amount);
+    double At(Instant now) const;
+
+   private:
+    double sum_ = 0;
+    Instant at_{};
+  };
   using WaitingList = std::deque<Waiting>;
 
+  // The same for a part that this router keeps.
+  PrepaidVerdict HoldHere(const UserPtr& user);
+  void ForgetHere(const UserPtr& user);
+  void SettleHere(const CustomerName& customer, Tokens held, Tokens cost);
+  void HoldElsewhere(const std::shared_ptr<RelayFlow>& flow);
+  void HoldForPeer(const UserPtr& user);
+  RemoteHolds::Handlers RemoteHandlers();
+  ServedHolds::Handlers ServedHandlers();
+  void Tell(const Incarnation& peer, PeerMessage message);
+  void OnAsked(const PeerMessage& message);
+  void StartTicking();
+  void Tick();
   void Pump();
   StoreWrite ToStore(const PrepaidWrite& write) const;
   void ReadSpends();
@@ -73,12 +108,12 @@
   void OnRejected(const std::vector<StoreItem>& present);
   static std::string KeyOf(const Incarnation& it);
   void OnWritten(const StoreWritten& written);
-  void NoticeMembers();
   void PumpSoon();
   void SetReachable(bool reachable);
   void ServeWaiting();
   void ServeList(const CustomerName& customer, WaitingList& list);
-  void TickWaiting();
+  // Whether any still wait.
+  bool TickWaiting();
   void AskPeers(const CustomerName& customer, const WaitingList& list,
                 bool all);
   void LogClosings(const std::vector<PrepaidClosing>& closings) const;
@@ -89,20 +124,23 @@
   Loop& loop_;
   const Clock& clock_;
   KvStore& store_;
+  const FleetDirectory& fleet_;
   Incarnation self_;
   PrepaidLedger ledger_;
+  RemoteHolds remote_;
+  ServedHolds served_;
   Handlers on_;
   std::map<CustomerName, WaitingList> waiting_;
+  std::map<CustomerName, Demand> demand_;
   KvStore::CallPtr call_;
   // The write in flight, and what a read under way has found.
   PrepaidWrite sent_;
   PrepaidState read_;
   std::unique_ptr<Timer> pump_timer_;
   std::unique_ptr<Timer> soon_timer_;
-  std::unique_ptr<Timer> waiting_timer_;
+  std::unique_ptr<Timer> tick_timer_;
   std::minstd_rand random_{std::random_device{}()};
   bool store_reachable_ = true;
-  std::map<Incarnation, PrepaidMember> members_;
 };
 
 }  // namespace quaytrack
--- /dev/null
+++ b/relay/budget_user.h
@@ -0,0 +1,25 @@
+// Who waits for a part of a customer's budget: a request of this router, or one
+// of another router for which this one keeps budgets.
+
+#ifndef QUAYTRACK_RELAY_BUDGET_USER_H_
+#define QUAYTRACK_RELAY_BUDGET_USER_H_
+
+#include "base/ids.h"
+
+namespace quaytrack {
+
+class BudgetUser {
+ public:
+  virtual ~BudgetUser() = default;
+  virtual const CustomerName& customer() const = 0;
+  // The most that it may cost.
+  virtual Tokens worst_case() const = 0;
+  // The answer; one of the two is called, once.
+  virtual void OnHeld() = 0;
+  // `exhausted`: the budget can't hold it; else only what is in reach can't.
+  virtual void OnHoldRefused(bool exhausted) = 0;
+};
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_RELAY_BUDGET_USER_H_
--- a/relay/config_driver.cc
+++ b/relay/config_driver.cc
@@ -90,7 +90,7 @@
 }
 
 void ConfigDriver::EndHold() {
-  const auto done = std::move(hold_timer_);
+  hold_timer_.reset();
   const std::set<TargetName> gone = targets_.EndHold();
   for (const TargetName& it : gone) {
     LogEvent(Event::kTargetGone, {{"target", it.value}});
@@ -152,7 +152,7 @@
   if (ask_timer_) return;
   const std::uint64_t behind = version();
   ask_timer_ = loop_.After(kOwnWatchFirst, [this, peer, behind] {
-    const auto done = std::move(ask_timer_);
+    ask_timer_.reset();
     if (version() != behind) return;
     PeerMessage out;
     out.kind = PeerMessageKind::kConfigWanted;
--- a/relay/peer_mesh.cc
+++ b/relay/peer_mesh.cc
@@ -4,7 +4,6 @@
 #include <utility>
 #include <vector>
 
-#include "base/digest.h"
 #include "base/log.h"
 
 namespace quaytrack {
@@ -12,14 +11,6 @@
 
 constexpr Duration kTick = std::chrono::milliseconds(1000);
 constexpr Duration kMostSilence = std::chrono::milliseconds(3500);
-// Peers that a router dials; more may dial it.
-constexpr std::size_t kMostDialled = 8;
-
-// The same for both ends of a pair.
-std::uint64_t PairWeight(const Incarnation& a, const Incarnation& b) {
-  const auto& [low, high] = std::minmax(a, b);
-  return StableHash(low.value + ">" + high.value);
-}
 
 }  // namespace
 
@@ -65,6 +56,7 @@
   links_.erase(it);
   // Its own callback may be running.
   loop_.Post([it] {});
+  if (!it->peer.empty() && FindPeer(it->peer) == nullptr) on_.lost(it->peer);
 }
 
 void PeerMesh::OnMessage(const LinkPtr& it, const std::string& bytes) {
@@ -74,12 +66,28 @@
     return;
   }
   it->heard = clock_.Now();
-  if (it->peer.empty()) it->peer = message->from;
+  if (it->peer.empty()) OnHello(it, message->from);
   on_.message(*message);
 }
 
-void PeerMesh::SetMembers(const std::map<Incarnation, PrepaidMember>& members) {
-  members_ = members;
+void PeerMesh::OnHello(const LinkPtr& it, const Incarnation& peer) {
+  if (FindPeer(peer) == nullptr) {
+    LogEvent(Event::kPeerLinked, {{"peer", peer.value}});
+  }
+  it->peer = peer;
+  std::vector<LinkPtr> dead;
+  for (const LinkPtr& other : links_) {
+    const bool same_vm = VmOf(other->peer) == VmOf(peer);
+    if (same_vm && other->peer != peer) dead.push_back(other);
+  }
+  for (const LinkPtr& other : dead) {
+    other->link->SetHandlers({});
+    Drop(other);
+  }
+}
+
+void PeerMesh::SetDialled(const std::vector<FleetMember>& members) {
+  dialled_ = members;
   Tick();
 }
 
@@ -90,16 +98,31 @@
   return it == links_.end() ? nullptr : it->get();
 }
 
+Incarnation PeerMesh::Linked(const VmName& vm) const {
+  for (const LinkPtr& it : links_) {
+    if (!it->peer.empty() && VmOf(it->peer) == vm) return it->peer;
+  }
+  return {};
+}
+
+bool PeerMesh::HasLinkTo(const VmName& vm) const {
+  return std::any_of(links_.begin(), links_.end(), [&](const LinkPtr& it) {
+    return it->dialled == vm || VmOf(it->peer) == vm;
+  });
+}
+
 std::size_t PeerMesh::linked() const {
-  return static_cast<std::size_t>(std::count_if(
-      members_.begin(), members_.end(),
-      [&](const auto& it) { return FindPeer(it.first) != nullptr; }));
+  std::set<Incarnation> peers;
+  for (const LinkPtr& it : links_) {
+    if (!it->peer.empty()) peers.insert(it->peer);
+  }
+  return peers.size();
 }
 
-void PeerMesh::Dial(const Incarnation& peer, const std::string& address) {
+void PeerMesh::Dial(const FleetMember& member) {
   auto it = std::make_shared<Link>();
-  it->peer = peer;
-  it->link = PeerLink::Connect(loop_, address, {});
+  it->dialled = member.vm;
+  it->link = PeerLink::Connect(loop_, member.address, {});
   if (it->link) Adopt(it);
 }
 
@@ -115,28 +138,21 @@
     Drop(it);
   }
   Ping();
-  for (const Incarnation& peer : Chosen()) {
-    if (FindPeer(peer) == nullptr) Dial(peer, members_.at(peer).address);
+  for (const FleetMember& it : dialled_) {
+    if (!HasLinkTo(it.vm)) Dial(it);
   }
 }
 
-std::vector<Incarnation> PeerMesh::Chosen() const {
-  std::vector<Incarnation> out;
-  for (const auto& [peer, member] : members_) out.push_back(peer);
-  if (out.size() <= kMostDialled) return out;
-  std::sort(out.begin(), out.end(),
-            [&](const Incarnation& a, const Incarnation& b) {
-              return PairWeight(self_, a) > PairWeight(self_, b);
-            });
-  out.resize(kMostDialled);
-  return out;
-}
-
 PeerMessage PeerMesh::SignOfLife(PeerMessageKind kind) const {
   PeerMessage out;
   out.kind = kind;
   out.from = self_;
-  out.config_version = on_.config_version();
+  on_.describe(out);
+  if (kind == PeerMessageKind::kHello) {
+    const FleetMember self = on_.self();
+    out.hall = self.hall;
+    out.address = self.address;
+  }
   return out;
 }
 
--- a/relay/peer_mesh.h
+++ b/relay/peer_mesh.h
@@ -1,25 +1,21 @@
-// Links to the other routers. Who they are comes from the prepaid record; the
-// links stay up while the store is away.
+// Links to other routers. Whom to dial comes from the list of routers
+// (member/fleet.h); the links stay up while the store is away.
 //
-// In a large fleet a router dials only some of the others, those that come
-// first in a rendezvous order of pairs, which both ends see alike; a full mesh
-// of hundreds would cost more in signs of life than all requests together.
-//
-// Either side may dial. A link on which nothing was heard for a while is closed
-// and dialled again, since a cut says nothing.
+// Either side may dial, and each says first who it is. A link on which nothing
+// was heard for a while is closed and dialled again, since a cut says nothing.
+// A later incarnation of a VM ends the links to an earlier one.
 
 #ifndef QUAYTRACK_RELAY_PEER_MESH_H_
 #define QUAYTRACK_RELAY_PEER_MESH_H_
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "base/clock.h"
-#include "ledger/prepaid_record.h"
+#include "member/fleet.h"
 #include "net/loop.h"
 #include "net/peer_link.h"
 #include "relay/peer_messages.h"
@@ -30,24 +26,33 @@
  public:
   struct Handlers {
     std::function<void(const PeerMessage& message)> message;
-    // The configuration in force here; told with each sign of life.
-    std::function<std::uint64_t()> config_version;
+    // Tells what is in force here, with each sign of life.
+    std::function<void(PeerMessage& sign)> describe;
+    // Who this router is, to be told on each new link.
+    std::function<FleetMember()> self;
+    // The last link to a peer is gone.
+    std::function<void(const Incarnation& peer)> lost;
   };
 
   PeerMesh(Loop& loop, const Clock& clock, Incarnation self, Handlers handlers);
 
   // Returns the bound port, or 0.
   std::uint16_t Listen(const std::string& address);
-  void SetMembers(const std::map<Incarnation, PrepaidMember>& members);
+  // Those to keep a link to.
+  void SetDialled(const std::vector<FleetMember>& members);
   void Broadcast(const PeerMessage& message);
   void Tell(const Incarnation& peer, const PeerMessage& message);
   // Tells all peers at once what is in force here.
   void Ping();
+  // The incarnation that is linked on a VM; empty if none is.
+  Incarnation Linked(const VmName& vm) const;
   std::size_t linked() const;
 
  private:
   struct Link {
     std::shared_ptr<PeerLink> link;
+    // The VM that was dialled; empty if the peer dialled.
+    VmName dialled;
     // Empty until the peer has said who it is.
     Incarnation peer;
     Instant heard{};
@@ -56,9 +61,10 @@
 
   void Adopt(const LinkPtr& it);
   void OnMessage(const LinkPtr& it, const std::string& bytes);
-  // The members that this router dials.
-  std::vector<Incarnation> Chosen() const;
-  void Dial(const Incarnation& peer, const std::string& address);
+  void OnHello(const LinkPtr& it, const Incarnation& peer);
+  // A link to the VM is there, or is being opened.
+  bool HasLinkTo(const VmName& vm) const;
+  void Dial(const FleetMember& member);
   void Tick();
   const Link* FindPeer(const Incarnation& peer) const;
   PeerMessage SignOfLife(PeerMessageKind kind) const;
@@ -69,7 +75,7 @@
   Incarnation self_;
   Handlers on_;
   PeerServer server_;
-  std::map<Incarnation, PrepaidMember> members_;
+  std::vector<FleetMember> dialled_;
   std::set<LinkPtr> links_;
   std::unique_ptr<Timer> tick_;
 };
--- a/relay/peer_messages.cc
+++ b/relay/peer_messages.cc
@@ -14,7 +14,13 @@
   out.customer = CustomerName(json.value("customer", ""));
   out.amount = json.value("amount", Tokens{0});
   out.all = json.value("all", false);
+  out.request = RequestId(json.value("request", ""));
+  const auto answer = FromName<HoldAnswer>(json.value("answer", ""));
+  out.answer = answer.value_or(HoldAnswer::kElsewhere);
+  out.hall = HallName(json.value("hall", ""));
+  out.address = json.value("address", "");
   out.config_version = json.value("config", std::uint64_t{0});
+  out.keeps_budgets = json.value("keeps", false);
   out.item_key = json.value("key", "");
   out.item_value = json.value("value", "");
   return out;
@@ -26,10 +32,19 @@
   Json json = {{"kind", NameOf(message.kind)}, {"from", message.from.value}};
   if (!message.customer.empty()) {
     json["customer"] = message.customer.value;
-    json["amount"] = message.amount;
     json["all"] = message.all;
   }
+  if (message.amount != 0) json["amount"] = message.amount;
+  if (!message.request.empty()) json["request"] = message.request.value;
+  if (message.kind == PeerMessageKind::kHoldAnswer) {
+    json["answer"] = NameOf(message.answer);
+  }
+  if (!message.address.empty()) {
+    json["hall"] = message.hall.value;
+    json["address"] = message.address;
+  }
   if (message.config_version != 0) json["config"] = message.config_version;
+  if (message.keeps_budgets) json["keeps"] = true;
   if (!message.item_key.empty()) {
     json["key"] = message.item_key;
     json["value"] = message.item_value;
--- a/relay/peer_messages.h
+++ b/relay/peer_messages.h
@@ -18,6 +18,10 @@
   kPing,          // nothing but a sign of life, with the version in force
   kAsk,           // give me some of a customer's budget
   kMove,          // running total of what I gave you
+  kHold,          // hold so much of a customer's budget for a request
+  kHoldAnswer,    // whether it is held
+  kSettle,        // what the request has cost
+  kSettled,       // the cost is counted
   kConfigWanted,  // send me the configuration
   kConfig,        // the configuration, as the store has it
 };
@@ -29,19 +33,48 @@
        {PeerMessageKind::kPing, "ping"},
        {PeerMessageKind::kAsk, "ask"},
        {PeerMessageKind::kMove, "move"},
+       {PeerMessageKind::kHold, "hold"},
+       {PeerMessageKind::kHoldAnswer, "hold_answer"},
+       {PeerMessageKind::kSettle, "settle"},
+       {PeerMessageKind::kSettled, "settled"},
        {PeerMessageKind::kConfigWanted, "config_wanted"},
        {PeerMessageKind::kConfig, "config"}});
 };
 
+// A holder's answer to kHold.
+enum class HoldAnswer {
+  kHeld,
+  kShort,      // what this holder can reach doesn't hold it
+  kExhausted,  // the budget doesn't hold it
+  kElsewhere,  // this router keeps no budgets, or no longer: ask another
+};
+
+template <>
+struct EnumTable<HoldAnswer> {
+  static constexpr auto kEntries = std::to_array<EnumEntry<HoldAnswer>>(
+      {{HoldAnswer::kHeld, "held"},
+       {HoldAnswer::kShort, "short"},
+       {HoldAnswer::kExhausted, "exhausted"},
+       {HoldAnswer::kElsewhere, "elsewhere"}});
+};
+
 struct PeerMessage {
   PeerMessageKind kind = PeerMessageKind::kPing;
   Incarnation from;
-  // kAsk, kMove.
+  // kAsk, kMove, kHold; `amount` also of kSettle.
   CustomerName customer;
   Tokens amount = 0;
   bool all = false;
-  // kHello, kPing: the configuration in force at the sender.
+  // kHold, kHoldAnswer, kSettle, kSettled.
+  RequestId request;
+  HoldAnswer answer = HoldAnswer::kElsewhere;
+  // kHello: where the sender is.
+  HallName hall;
+  std::string address;
+  // kHello, kPing: the configuration in force at the sender, and whether it
+  // takes part in the prepaid record.
   std::uint64_t config_version = 0;
+  bool keeps_budgets = false;
   // kConfig: key and value of the store's item.
   std::string item_key;
   std::string item_value;
--- a/relay/relay_flow.cc
+++ b/relay/relay_flow.cc
@@ -152,7 +152,8 @@
 }
 
 void RelayFlow::OnHeld() {
-  if (ended_) return;
+  // Granted while the request ended.
+  if (ended_) return context_.budgets.Settle(*this, 0);
   held_ = true;
   waits_for_budget_ = false;
   Dispatch();
@@ -480,7 +481,7 @@
   ended_ = true;
   deadline_timer_.reset();
   patience_timer_.reset();
-  if (held_) context_.budgets.Settle(customer_, worst_case_, Cost());
+  if (held_) context_.budgets.Settle(*this, Cost());
   const Duration took = context_.Now() - request_.begun;
   context_.metrics.CountEnd(customer_, NameOf(cause), took);
   LogEvent(Event::kRelayEnded,
--- a/relay/relay_flow.h
+++ b/relay/relay_flow.h
@@ -22,6 +22,7 @@
 #include "base/enum_table.h"
 #include "net/caller_connection.h"
 #include "net/target_connection.h"
+#include "relay/budget_user.h"
 #include "relay/events.h"
 #include "relay/relay_context.h"
 
@@ -64,18 +65,20 @@
        {RelayCause::kCallerGone, "caller_gone"}});
 };
 
-class RelayFlow : public std::enable_shared_from_this<RelayFlow> {
+class RelayFlow : public BudgetUser,
+                  public std::enable_shared_from_this<RelayFlow> {
  public:
   RelayFlow(RelayContext& context, std::shared_ptr<CallerConnection> caller,
             CallerRequest request);
 
   void Start();
   // The budget's answer, for a request that had to wait for it.
-  void OnHeld();
-  void OnHoldRefused(bool exhausted);
+  void OnHeld() override;
+  void OnHoldRefused(bool exhausted) override;
 
-  const CustomerName& customer() const { return customer_; }
-  Tokens worst_case() const { return worst_case_; }
+  const RequestId& id() const { return facts_.id; }
+  const CustomerName& customer() const override { return customer_; }
+  Tokens worst_case() const override { return worst_case_; }
 
  private:
   enum class Attempt { kNotRun, kMayHaveRun };
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -44,6 +44,13 @@
   return out;
 }
 
+FleetOptions FleetOptionsOf(const RelaySettings& settings) {
+  FleetOptions out;
+  out.small_fleet = static_cast<std::size_t>(settings.small_fleet);
+  out.holders_per_hall = static_cast<std::size_t>(settings.holders_per_hall);
+  return out;
+}
+
 PrepaidPolicy PolicyOf(const RelaySettings& settings) {
   PrepaidPolicy out;
   out.standing_share = settings.standing_share;
@@ -73,17 +80,16 @@
       connections_(connections),
       store_(store),
       placement_(PlacementFor(settings)),
-      budgets_(loop, clock, store,
-               {self_, settings.peer_listen, BootId(), clock.Now()},
-               PolicyOf(settings)),
+      fleet_(loop, store, {VmName(settings.vm), HallName(settings.hall), ""},
+             FleetOptionsOf(settings)),
+      budgets_(loop, clock, store, fleet_.directory(),
+               {self_, BootId(), clock.Now()}, PolicyOf(settings)),
       configs_(loop, store, interface.state,
                {[this] { OnConfigTaken(); }, [this] { OnTargetsChanged(); },
                 [this](const Incarnation& peer, PeerMessage message) {
                   TellPeer(peer, std::move(message));
                 }}),
-      peers_(loop, clock, self_,
-             {[this](const PeerMessage& it) { OnPeer(it); },
-              [this] { return configs_.version(); }}),
+      peers_(loop, clock, self_, PeerHandlers()),
       context_{loop,
                clock,
                connections,
@@ -97,18 +103,8 @@
       admin_server_(loop, clock),
       metrics_server_(loop, clock),
       drain_(charts.drain) {
-  budgets_.SetHandlers({[this](const PeerMessage& it) { peers_.Broadcast(it); },
-                        [this](const Incarnation& peer, const PeerMessage& it) {
-                          peers_.Tell(peer, it);
-                        },
-                        [this] {
-                          const auto members = budgets_.ledger().Peers();
-                          context_.routers = members.size() + 1;
-                          peers_.SetMembers(members);
-                        },
-                        [this](bool reachable) {
-                          configs_.OnStoreReachable(reachable);
-                        }});
+  fleet_.OnChanged([this] { OnFleetChanged(); });
+  budgets_.SetHandlers(BudgetHandlers());
   caller_server_.Serve([this](std::shared_ptr<CallerConnection> caller,
                               CallerRequest request) {
     std::make_shared<RelayFlow>(context_, std::move(caller), std::move(request))
@@ -122,6 +118,31 @@
              const CallerRequest&) { AnswerMetrics(caller); });
 }
 
+BudgetDriver::Handlers RelayRouter::BudgetHandlers() {
+  BudgetDriver::Handlers out;
+  out.broadcast = [this](const PeerMessage& it) { peers_.Broadcast(it); };
+  out.tell = [this](const Incarnation& peer, const PeerMessage& it) {
+    peers_.Tell(peer, it);
+  };
+  out.linked = [this](const VmName& vm) { return peers_.Linked(vm); };
+  out.store_reachable = [this](bool reachable) {
+    configs_.OnStoreReachable(reachable);
+  };
+  return out;
+}
+
+PeerMesh::Handlers RelayRouter::PeerHandlers() {
+  PeerMesh::Handlers out;
+  out.message = [this](const PeerMessage& it) { OnPeer(it); };
+  out.describe = [this](PeerMessage& it) {
+    it.config_version = configs_.version();
+    it.keeps_budgets = budgets_.ledger().TakesPart();
+  };
+  out.self = [this] { return fleet_.directory().self(); };
+  out.lost = [this](const Incarnation& it) { budgets_.OnPeerLost(it); };
+  return out;
+}
+
 bool RelayRouter::Listen() {
   // Leaves the bound port in `address`.
   const auto bind = [](const char* setting, std::string& address,
@@ -144,7 +165,7 @@
       bind("admin-listen", settings_.admin_listen, admin_server_) &&
       bind("peer-listen", settings_.peer_listen, peers_);
   if (!all) return false;
-  budgets_.SetAddress(settings_.peer_listen);
+  fleet_.SetAddress(settings_.peer_listen);
   std::printf("listening %s %s\n", settings_.listen.c_str(),
               settings_.admin_listen.c_str());
   std::fflush(stdout);
@@ -155,8 +176,9 @@
   LogEvent(Event::kStarted, {{"incarnation", self_.value},
                              {"hall", settings_.hall},
                              {"listen", settings_.listen}});
-  tick_ = loop_.Every(kTick, [this] { Tick(); });
+  tick_ = loop_.Every(kTick, [this] { CheckDrain(); });
   configs_.Start();
+  fleet_.Start();
   budgets_.Start();
 }
 
@@ -166,6 +188,13 @@
   return drain_.state() == DrainState::kServing && configs_.map() != nullptr;
 }
 
+void RelayRouter::OnFleetChanged() {
+  const FleetDirectory& directory = fleet_.directory();
+  context_.routers = directory.size();
+  peers_.SetDialled(directory.Linked());
+  if (fleet_.settled()) budgets_.TakePartIfHolder();
+}
+
 void RelayRouter::OnConfigTaken() {
   const ServiceMapPtr& map = configs_.map();
   context_.map = map;
@@ -182,18 +211,11 @@
 }
 
 void RelayRouter::OnPeer(const PeerMessage& message) {
-  switch (message.kind) {
-    case PeerMessageKind::kAsk:
-    case PeerMessageKind::kMove:
-      return budgets_.OnPeer(message);
-    case PeerMessageKind::kHello:
-    case PeerMessageKind::kPing:
-      budgets_.OnPeer(message);
-      return configs_.OnPeer(message);
-    case PeerMessageKind::kConfig:
-    case PeerMessageKind::kConfigWanted:
-      return configs_.OnPeer(message);
+  if (message.kind == PeerMessageKind::kHello) {
+    fleet_.OnHello({VmOf(message.from), message.hall, message.address});
   }
+  budgets_.OnPeer(message);
+  configs_.OnPeer(message);
 }
 
 void RelayRouter::TellPeer(const Incarnation& peer, PeerMessage message) {
@@ -231,8 +253,6 @@
   caller->Reply(head, metrics_.Text());
 }
 
-void RelayRouter::Tick() { CheckDrain(); }
-
 // --- Planned stop ------------------------------------------------------------
 
 void RelayRouter::ApplyDrain(DrainEvent event) {
@@ -242,6 +262,7 @@
     case DrainAction::kReportUnready:
       LogEvent(Event::kDrainStarted, {{"incarnation", self_.value}});
       caller_server_.StartClosing();
+      budgets_.StopServing();
       drain_timer_ = loop_.After(
           kBalancerTime, [this] { ApplyDrain(DrainEvent::kBalancerNoticed); });
       return;
--- a/relay/relay_router.h
+++ b/relay/relay_router.h
@@ -13,6 +13,7 @@
 #include "net/target_connection.h"
 #include "relay/budget_driver.h"
 #include "relay/config_driver.h"
+#include "relay/fleet_driver.h"
 #include "relay/peer_mesh.h"
 #include "relay/relay_context.h"
 #include "relay/relay_metrics.h"
@@ -42,6 +43,9 @@
 
  private:
   bool Ready() const;
+  BudgetDriver::Handlers BudgetHandlers();
+  PeerMesh::Handlers PeerHandlers();
+  void OnFleetChanged();
   void OnConfigTaken();
   void OnTargetsChanged();
   void OnPeer(const PeerMessage& message);
@@ -49,7 +53,6 @@
   void AnswerAdmin(const std::shared_ptr<CallerConnection>& caller,
                    const CallerRequest& request);
   void AnswerMetrics(const std::shared_ptr<CallerConnection>& caller);
-  void Tick();
   void ApplyDrain(DrainEvent event);
   void CheckDrain();
 
@@ -61,6 +64,7 @@
   KvStore& store_;
   Placement placement_;
   RelayMetrics metrics_;
+  FleetDriver fleet_;
   BudgetDriver budgets_;
   ConfigDriver configs_;
   PeerMesh peers_;
--- a/relay/relay_settings.cc
+++ b/relay/relay_settings.cc
@@ -34,6 +34,11 @@
       "Seconds from a request to stop until the process is killed");
   add("--standing-share", flags.standing_share, "QUAYTRACK_STANDING_SHARE",
       "Part of a budget's rest that all routers together keep granted");
+  add("--small-fleet", flags.small_fleet, "QUAYTRACK_SMALL_FLEET",
+      "Up to so many routers, each keeps a part of the budgets itself");
+  add("--holders-per-hall", flags.holders_per_hall,
+      "QUAYTRACK_HOLDERS_PER_HALL",
+      "Routers of a hall that keep budgets in a larger fleet");
   app.add_flag("--check-settings", flags.check_only,
                "Check the settings and exit");
 }
@@ -58,6 +63,8 @@
   check.Range("--retry-window-s", flags.retry_window_s, 1, 3600);
   check.Range("--drain-s", flags.drain_s, 1, 24 * 3600);
   check.Range("--standing-share", flags.standing_share, 0.01, 0.9);
+  check.Range("--small-fleet", flags.small_fleet, 0, 1000);
+  check.Range("--holders-per-hall", flags.holders_per_hall, 1, 100);
   out.vm = flags.vm;
   out.hall = flags.hall;
   out.listen = flags.listen;
@@ -73,6 +80,8 @@
   out.retry_window = std::chrono::seconds(flags.retry_window_s);
   out.drain_time = std::chrono::seconds(flags.drain_s);
   out.standing_share = flags.standing_share;
+  out.small_fleet = flags.small_fleet;
+  out.holders_per_hall = flags.holders_per_hall;
   return check.Take();
 }
 
--- a/relay/relay_settings.h
+++ b/relay/relay_settings.h
@@ -38,6 +38,8 @@
   int retry_window_s = 10;
   int drain_s = 8;
   double standing_share = 0.3;
+  int small_fleet = 12;
+  int holders_per_hall = 3;
   bool check_only = false;
 };
 
@@ -58,6 +60,9 @@
   // From SIGTERM until the process is killed.
   std::chrono::seconds drain_time{};
   double standing_share = 0.3;
+  // See member/fleet.h.
+  int small_fleet = 12;
+  int holders_per_hall = 3;
 };
 
 void AddRelayFlags(CLI::App& app, RelayFlags& flags);
--- /dev/null
+++ b/relay/served_holds.cc
@@ -0,0 +1,96 @@
+#include "relay/served_holds.h"
+
+#include <vector>
+
+namespace quaytrack {
+namespace {
+
+constexpr std::size_t kMostSettledRemembered = 4096;
+
+}  // namespace
+
+void ServedHolds::Hold::OnHeld() {
+  if (ended) return owner_.on_.settle(customer_, amount_, 0);
+  held = true;
+  owner_.Answer(key_, HoldAnswer::kHeld);
+}
+
+void ServedHolds::Hold::OnHoldRefused(bool exhausted) {
+  if (ended) return;
+  ended = true;
+  owner_.Answer(key_, exhausted ? HoldAnswer::kExhausted : HoldAnswer::kShort);
+  owner_.holds_.erase(key_);
+}
+
+void ServedHolds::Answer(const Key& key, HoldAnswer answer) {
+  PeerMessage out;
+  out.kind = PeerMessageKind::kHoldAnswer;
+  out.request = key.request;
+  out.answer = answer;
+  on_.tell(key.asker, out);
+}
+
+void ServedHolds::OnHold(const PeerMessage& message) {
+  const Key key{message.from, message.request};
+  if (stopped_) return Answer(key, HoldAnswer::kElsewhere);
+  if (settled_.contains(key) || holds_.contains(key)) return;
+  const auto hold =
+      std::make_shared<Hold>(*this, key, message.customer, message.amount);
+  holds_[key] = hold;
+  on_.hold(hold);
+}
+
+void ServedHolds::OnSettle(const PeerMessage& message) {
+  const Key key{message.from, message.request};
+  RememberSettled(key);
+  PeerMessage out;
+  out.kind = PeerMessageKind::kSettled;
+  out.request = message.request;
+  on_.tell(message.from, out);
+  const auto it = holds_.find(key);
+  if (it == holds_.end()) return;
+  const HoldPtr hold = it->second;
+  holds_.erase(it);
+  End(hold, message.amount);
+}
+
+void ServedHolds::End(const HoldPtr& hold, Tokens cost) {
+  hold->ended = true;
+  if (!hold->held) return on_.forget(hold);
+  on_.settle(hold->customer_, hold->amount_, cost);
+}
+
+void ServedHolds::OnHello(const Incarnation& peer) {
+  const VmName vm = VmOf(peer);
+  std::vector<HoldPtr> dead;
+  for (const auto& [key, hold] : holds_) {
+    if (key.asker != peer && VmOf(key.asker) == vm) dead.push_back(hold);
+  }
+  for (const HoldPtr& it : dead) {
+    holds_.erase(it->key_);
+    End(it, it->amount_);
+  }
+}
+
+void ServedHolds::Stop() {
+  stopped_ = true;
+  std::vector<HoldPtr> waiting;
+  for (const auto& [key, hold] : holds_) {
+    if (!hold->held) waiting.push_back(hold);
+  }
+  for (const HoldPtr& it : waiting) {
+    holds_.erase(it->key_);
+    End(it, 0);
+    Answer(it->key_, HoldAnswer::kElsewhere);
+  }
+}
+
+void ServedHolds::RememberSettled(const Key& key) {
+  if (!settled_.insert(key).second) return;
+  settled_order_.push_back(key);
+  if (settled_order_.size() <= kMostSettledRemembered) return;
+  settled_.erase(settled_order_.front());
+  settled_order_.pop_front();
+}
+
+}  // namespace quaytrack
--- /dev/null
+++ b/relay/served_holds.h
@@ -0,0 +1,85 @@
+// ServedHolds: what this router, as a holder of budgets, holds for others.
+//
+// The other half of relay/remote_holds.h. A hold is kept until its cost is told
+// or until a later incarnation of the asker's VM proves that the asker has
+// died; then all of it counts as spent, since nobody knows how much was. Time
+// alone ends no hold: an asker that was frozen may go on spending.
+
+#ifndef QUAYTRACK_RELAY_SERVED_HOLDS_H_
+#define QUAYTRACK_RELAY_SERVED_HOLDS_H_
+
+#include <compare>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <utility>
+
+#include "base/ids.h"
+#include "relay/budget_user.h"
+#include "relay/peer_messages.h"
+
+namespace quaytrack {
+
+class ServedHolds {
+ public:
+  struct Handlers {
+    // The holder's own budgets; `hold` is answered by the user's callbacks.
+    std::function<void(const std::shared_ptr<BudgetUser>&)> hold;
+    std::function<void(const std::shared_ptr<BudgetUser>&)> forget;
+    std::function<void(const CustomerName&, Tokens held, Tokens cost)> settle;
+    std::function<void(const Incarnation&, const PeerMessage&)> tell;
+  };
+
+  explicit ServedHolds(Handlers handlers) : on_(std::move(handlers)) {}
+
+  void OnHold(const PeerMessage& message);
+  void OnSettle(const PeerMessage& message);
+  // A router said hello: earlier ones on its VM are dead.
+  void OnHello(const Incarnation& peer);
+  // Asks that wait and new ones are sent on to other holders.
+  void Stop();
+  std::size_t size() const { return holds_.size(); }
+
+ private:
+  struct Key {
+    Incarnation asker;
+    RequestId request;
+    auto operator<=>(const Key&) const = default;
+  };
+  struct Hold : BudgetUser {
+    Hold(ServedHolds& owner, Key key, CustomerName customer, Tokens amount)
+        : owner_(owner),
+          key_(std::move(key)),
+          customer_(std::move(customer)),
+          amount_(amount) {}
+    const CustomerName& customer() const override { return customer_; }
+    Tokens worst_case() const override { return amount_; }
+    void OnHeld() override;
+    void OnHoldRefused(bool exhausted) override;
+
+    ServedHolds& owner_;
+    Key key_;
+    CustomerName customer_;
+    Tokens amount_;
+    bool held = false;
+    bool ended = false;
+  };
+  using HoldPtr = std::shared_ptr<Hold>;
+
+  void Answer(const Key& key, HoldAnswer answer);
+  void End(const HoldPtr& hold, Tokens cost);
+  void RememberSettled(const Key& key);
+
+  Handlers on_;
+  std::map<Key, HoldPtr> holds_;
+  // Settled of late, against asks that arrive after that.
+  std::set<Key> settled_;
+  std::deque<Key> settled_order_;
+  bool stopped_ = false;
+};
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_RELAY_SERVED_HOLDS_H_
--- /dev/null
+++ b/relay/testing/holds_test.cc
@@ -0,0 +1,243 @@
+// Holds at other routers: the two sides of the protocol, with a network between
+// them that loses, and a ledger that only adds up.
+
+#include <rapidcheck.h>
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+
+#include "relay/remote_holds.h"
+#include "relay/served_holds.h"
+
+namespace quaytrack {
+namespace {
+
+using std::chrono::milliseconds;
+
+const CustomerName kCustomer{"c"};
+const Incarnation kAsker{"asker@1"};
+const VmName kHolders[] = {VmName("h1"), VmName("h2")};
+
+// One holder: its served holds, and what its ledger says.
+struct Holder {
+  explicit Holder(Incarnation name) : self(std::move(name)) {
+    ServedHolds::Handlers on;
+    on.hold = [this](const std::shared_ptr<BudgetUser>& it) {
+      if (silent) return;
+      held += it->worst_case();
+      it->OnHeld();
+    };
+    on.forget = [](const std::shared_ptr<BudgetUser>&) {};
+    on.settle = [this](const CustomerName&, Tokens amount, Tokens cost) {
+      held -= amount;
+      spent += cost;
+    };
+    on.tell = [this](const Incarnation&, PeerMessage it) {
+      it.from = self;
+      sent.push_back(it);
+    };
+    served = std::make_unique<ServedHolds>(on);
+  }
+
+  Incarnation self;
+  // Leaves asks waiting.
+  bool silent = false;
+  Tokens held = 0;
+  Tokens spent = 0;
+  std::deque<PeerMessage> sent;
+  std::unique_ptr<ServedHolds> served;
+};
+
+struct Fixture {
+  Fixture() {
+    RemoteHolds::Handlers on;
+    on.linked = [this](const VmName& vm) {
+      for (const Holder& it : holders) {
+        if (linked && VmOf(it.self) == vm) return it.self;
+      }
+      return Incarnation();
+    };
+    on.tell = [this](const Incarnation& to, PeerMessage it) {
+      it.from = kAsker;
+      if (lose_next > 0) {
+        --lose_next;
+        return;
+      }
+      for (Holder& holder : holders) {
+        if (linked && holder.self == to) Deliver(holder, it);
+      }
+    };
+    remote = std::make_unique<RemoteHolds>(RemoteHolds::Options(), on);
+  }
+
+  static void Deliver(Holder& holder, const PeerMessage& it) {
+    if (it.kind == PeerMessageKind::kHold) holder.served->OnHold(it);
+    if (it.kind == PeerMessageKind::kSettle) holder.served->OnSettle(it);
+  }
+
+  void Ask(const std::string& id, Tokens amount) {
+    RemoteHolds::Request out;
+    out.id = RequestId(id);
+    out.customer = kCustomer;
+    out.amount = amount;
+    out.holders = {kHolders[0], kHolders[1]};
+    out.done = [this](PrepaidVerdict it) { verdicts.push_back(it); };
+    remote->Ask(now, out);
+  }
+
+  // Answers reach the asker.
+  void Answers() {
+    for (Holder& holder : holders) {
+      while (!holder.sent.empty()) {
+        const PeerMessage it = holder.sent.front();
+        holder.sent.pop_front();
+        if (it.kind == PeerMessageKind::kHoldAnswer) remote->OnAnswer(now, it);
+        if (it.kind == PeerMessageKind::kSettled) remote->OnAcknowledged(it);
+      }
+    }
+  }
+
+  void Pass(Duration time) {
+    now += time;
+    remote->Tick(now);
+    Answers();
+  }
+
+  bool Got(PrepaidVerdict verdict) const {
+    return verdicts == std::vector<PrepaidVerdict>{verdict};
+  }
+
+  Instant now{std::chrono::hours(1)};
+  bool linked = true;
+  int lose_next = 0;
+  Holder holders[2] = {Holder(Incarnation("h1@1")),
+                       Holder(Incarnation("h2@1"))};
+  std::unique_ptr<RemoteHolds> remote;
+  std::vector<PrepaidVerdict> verdicts;
+};
+
+BOOST_FIXTURE_TEST_CASE(AHoldIsSettledAtItsCost, Fixture) {
+  Ask("r", 100);
+  Answers();
+  BOOST_TEST(Got(PrepaidVerdict::kHeld));
+  BOOST_TEST(holders[0].held == 100);
+  remote->Settle(now, RequestId("r"), 30);
+  BOOST_TEST(holders[0].held == 0);
+  BOOST_TEST(holders[0].spent == 30);
+}
+
+BOOST_FIXTURE_TEST_CASE(ALostCostIsToldAgain, Fixture) {
+  Ask("r", 100);
+  Answers();
+  lose_next = 1;
+  remote->Settle(now, RequestId("r"), 30);
+  BOOST_TEST(holders[0].held == 100);
+  Pass(milliseconds(1100));
+  BOOST_TEST(holders[0].held == 0);
+  BOOST_TEST(holders[0].spent == 30);
+  BOOST_TEST(remote->Idle());
+}
+
+BOOST_FIXTURE_TEST_CASE(ASilentHolderIsPassedOver, Fixture) {
+  holders[0].silent = true;
+  Ask("r", 100);
+  Answers();
+  Pass(milliseconds(210));
+  BOOST_TEST(Got(PrepaidVerdict::kHeld));
+  BOOST_TEST(holders[1].held == 100);
+  // It was told that nothing is needed any more.
+  BOOST_TEST(holders[0].served->size() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AStoppingHolderSendsAskersOn, Fixture) {
+  holders[0].served->Stop();
+  Ask("r", 100);
+  Answers();
+  BOOST_TEST(Got(PrepaidVerdict::kHeld));
+  BOOST_TEST(holders[1].held == 100);
+}
+
+BOOST_FIXTURE_TEST_CASE(WithoutAHolderTheRequestIsRefusedSoon, Fixture) {
+  linked = false;
+  Ask("r", 100);
+  Pass(milliseconds(10));
+  BOOST_TEST(Got(PrepaidVerdict::kShort));
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAskThatArrivesAfterItsEndHoldsNothing, Fixture) {
+  PeerMessage ask;
+  ask.kind = PeerMessageKind::kHold;
+  ask.from = kAsker;
+  ask.request = RequestId("r");
+  ask.customer = kCustomer;
+  ask.amount = 100;
+  PeerMessage settle = ask;
+  settle.kind = PeerMessageKind::kSettle;
+  settle.amount = 0;
+  Deliver(holders[0], settle);
+  Deliver(holders[0], ask);
+  BOOST_TEST(holders[0].held == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(ADeadAskersHoldsCountAsSpent, Fixture) {
+  Ask("r", 100);
+  Answers();
+  holders[0].served->OnHello(kAsker);
+  BOOST_TEST(holders[0].held == 100);
+  holders[0].served->OnHello(Incarnation("asker@2"));
+  BOOST_TEST(holders[0].held == 0);
+  BOOST_TEST(holders[0].spent == 100);
+}
+
+BOOST_FIXTURE_TEST_CASE(TimeAloneEndsNoHold, Fixture) {
+  Ask("r", 100);
+  Answers();
+  Pass(std::chrono::hours(2));
+  BOOST_TEST(holders[0].held == 100);
+}
+
+// Whatever is lost, a holder never counts less than what was spent of its
+// holds, and once all is told, exactly that.
+BOOST_AUTO_TEST_CASE(HoldersNeverCountLessThanWasSpent) {
+  const bool ok = rc::check("holders never count less than was spent", [] {
+    Fixture it;
+    Tokens spent = 0;
+    int asked = 0;
+    std::vector<RequestId> open;
+    const int steps = *rc::gen::inRange(5, 60);
+    for (int n = 0; n < steps; ++n) {
+      const int step = *rc::gen::inRange(0, 6);
+      if (step == 0) {
+        const RequestId id("r" + std::to_string(++asked));
+        it.Ask(id.value, 100);
+        open.push_back(id);
+      }
+      if (step == 1 && !open.empty()) {
+        const RequestId id = open.back();
+        open.pop_back();
+        const Tokens cost = *rc::gen::inRange(0, 101);
+        if (it.remote->Holds(id)) spent += cost;
+        it.remote->Forget(it.now, id);
+        it.remote->Settle(it.now, id, cost);
+      }
+      if (step == 2) it.lose_next = *rc::gen::inRange(0, 3);
+      if (step == 3) it.linked = !it.linked;
+      if (step == 4) it.Answers();
+      if (step == 5) it.Pass(milliseconds(*rc::gen::inRange(1, 400)));
+      const Tokens counted = it.holders[0].held + it.holders[0].spent +
+                             it.holders[1].held + it.holders[1].spent;
+      RC_ASSERT(counted >= spent);
+    }
+    it.linked = true;
+    it.lose_next = 0;
+    for (int n = 0; n < 5; ++n) it.Pass(milliseconds(1100));
+    for (const RequestId& id : open) it.remote->Settle(it.now, id, 0);
+    for (int n = 0; n < 5; ++n) it.Pass(milliseconds(1100));
+    RC_ASSERT(it.holders[0].held + it.holders[1].held == 0);
+    RC_ASSERT(it.holders[0].spent + it.holders[1].spent == spent);
+  });
+  BOOST_TEST(ok);
+}
+
+}  // namespace
+}  // namespace quaytrack
