A router whose link is busy takes no new connections; cover by spending

Cause: on the grown site one customer's connections all hash to one VM: front-bkk-a-28 got 93 of 589 requests a second over a link of 10 Mbit/s, others of the same hall 2. Its messages to its holder took over 200 ms (1,632 of 1,732 unanswered holds), and callers got no connection. A hall was short of its cut too: customers spend 9 s of a cut at their own rates, and 0.30 of the rest in equal parts ends after about 6 s for the largest.

Tests: route_link_watch_test; the property test of the ledger with its policy.

--- a/base/events.h
+++ b/base/events.h
@@ -23,6 +23,8 @@
   kFenced = 1007,
   kReloadAsked = 1008,
   kLogDropped = 1009,
+  kLinkBusy = 1010,
+  kLinkEased = 1011,
   // 11xx: the key-value service and membership.
   kKvLost = 1101,
   kKvBack = 1102,
@@ -84,6 +86,8 @@
     {Event::kFenced, LogLevel::kError, "fenced"},
     {Event::kReloadAsked, LogLevel::kInfo, "reload_asked"},
     {Event::kLogDropped, LogLevel::kWarn, "log_dropped"},
+    {Event::kLinkBusy, LogLevel::kWarn, "link_busy"},
+    {Event::kLinkEased, LogLevel::kInfo, "link_eased"},
     {Event::kKvLost, LogLevel::kWarn, "kv_lost"},
     {Event::kKvBack, LogLevel::kInfo, "kv_back"},
     {Event::kRegistered, LogLevel::kInfo, "registered"},
--- a/ledger/prepaid_ledger.cc
+++ b/ledger/prepaid_ledger.cc
@@ -1,6 +1,7 @@
 #include "ledger/prepaid_ledger.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace quaytrack {
@@ -76,10 +77,15 @@
   return hopeless ? PrepaidVerdict::kExhausted : PrepaidVerdict::kShort;
 }
 
-void PrepaidLedger::Settle(const CustomerName& customer, Tokens held,
-                           Tokens cost) {
+void PrepaidLedger::Settle(Instant now, const CustomerName& customer,
+                           Tokens held, Tokens cost) {
   if (!limits_.contains(customer)) return;
   Account& account = accounts_[customer];
+  const Duration since = now - account.spending_at;
+  account.spending *=
+      std::exp(-ToSeconds(since) / ToSeconds(policy_.spending_time));
+  account.spending += static_cast<double>(cost);
+  account.spending_at = now;
   account.held = std::max<Tokens>(0, account.held - held);
   account.unreported += cost;
 }
@@ -140,12 +146,17 @@
 }
 
 Tokens PrepaidLedger::TargetIn(const PrepaidRecord& record,
-                               const PrepaidEntry& entry) const {
-  const Tokens remaining = std::max<Tokens>(0, entry.limit - entry.settled);
-  const std::size_t members = std::max<std::size_t>(1, record.members.size());
-  return static_cast<Tokens>(static_cast<double>(remaining) *
-                             policy_.standing_share /
-                             static_cast<double>(members));
+                               const PrepaidEntry& entry,
+                               const Account& account) const {
+  const auto remaining =
+      static_cast<double>(std::max<Tokens>(0, entry.limit - entry.settled));
+  const auto members =
+      static_cast<double>(std::max<std::size_t>(1, record.members.size()));
+  const double standing = remaining * policy_.standing_share / members;
+  const double rate = account.spending / ToSeconds(policy_.spending_time);
+  const double cover =
+      std::min(rate * ToSeconds(policy_.cover), remaining * policy_.most_share);
+  return static_cast<Tokens>(std::max(standing, cover));
 }
 
 // The grant itself is too small or too large; a lock that leaves too little
@@ -156,7 +167,8 @@
   if (found == base_->record.customers.end()) return true;
   const PrepaidEntry& entry = found->second;
   const Account account = AccountOf(customer);
-  const auto target = static_cast<double>(TargetIn(base_->record, entry));
+  const auto target =
+      static_cast<double>(TargetIn(base_->record, entry, account));
   const auto idle = static_cast<double>(IdleIn(*base_, customer, account));
   const auto waiting = static_cast<double>(account.waiting);
   const Duration since = now - last_write_;
@@ -210,7 +222,7 @@
     const auto entry = base_->record.customers.find(customer);
     if (entry == base_->record.customers.end()) continue;
     const auto target =
-        static_cast<double>(TargetIn(base_->record, entry->second));
+        static_cast<double>(TargetIn(base_->record, entry->second, account));
     const bool low =
         static_cast<double>(open) < target * policy_.open_share * kLowWater;
     if (low && since >= policy_.spacing) return true;
@@ -334,7 +346,7 @@
     PrepaidEntry& entry = view.record.customers[customer];
     const Account account = AccountOf(customer);
     const Tokens idle = IdleIn(view, customer, account);
-    const auto target = TargetIn(view.record, entry);
+    const auto target = TargetIn(view.record, entry, account);
     const auto low = static_cast<double>(target) * kLowWater;
     const auto high = static_cast<double>(target) * kHighWater;
     Tokens change = 0;
@@ -358,7 +370,8 @@
     if (found == view.record.customers.end()) continue;
     const PrepaidEntry& entry = found->second;
     const Account account = AccountOf(customer);
-    const auto target = static_cast<double>(TargetIn(view.record, entry));
+    const auto target =
+        static_cast<double>(TargetIn(view.record, entry, account));
     const auto open = static_cast<Tokens>(target * policy_.open_share);
     const Tokens spare =
         IdleIn(view, customer, account) - account.waiting - open;
--- a/ledger/prepaid_ledger.h
+++ b/ledger/prepaid_ledger.h
@@ -52,6 +52,12 @@
 struct PrepaidPolicy {
   // Part of what remains of a budget that all routers together keep granted.
   double standing_share = 0.3;
+  // What a router keeps covers its own spending of this long, if that is more
+  // than its part of the standing share, up to `most_share` of what remains.
+  Duration cover = std::chrono::seconds(0);
+  double most_share = 0.6;
+  // Time over which spending is measured.
+  Duration spending_time = std::chrono::seconds(5);
   // Part of a router's own target that isn't locked.
   double open_share = 0.25;
   // How long after a write the locked part is left alone.
@@ -168,7 +174,8 @@
 
   PrepaidVerdict Hold(Instant now, const CustomerName& customer, Tokens amount);
   // Ends a hold of `held` with what was handed out, 0 if nothing ran.
-  void Settle(const CustomerName& customer, Tokens held, Tokens cost);
+  void Settle(Instant now, const CustomerName& customer, Tokens held,
+              Tokens cost);
   bool IsLimited(const CustomerName& customer) const {
     return limits_.contains(customer);
   }
@@ -226,6 +233,9 @@
     Tokens unreported = 0;
     Tokens held = 0;
     Tokens waiting = 0;
+    // Spent in about the last `spending_time`, decaying; as of `spending_at`.
+    double spending = 0;
+    Instant spending_at{};
     std::map<Incarnation, Tokens> given;
     std::map<Incarnation, Tokens> received;
   };
@@ -234,7 +244,8 @@
   Tokens IdleIn(const View& view, const CustomerName& customer,
                 const Account& account) const;
   bool LockHolds(Instant now) const;
-  Tokens TargetIn(const PrepaidRecord& record, const PrepaidEntry& entry) const;
+  Tokens TargetIn(const PrepaidRecord& record, const PrepaidEntry& entry,
+                  const Account& account) const;
   Tokens FreeIn(const PrepaidEntry& entry) const;
   Account AccountOf(const CustomerName& customer) const;
   bool RecordIsDue(Instant now) const;
--- a/ledger/testing/prepaid_ledger_test.cc
+++ b/ledger/testing/prepaid_ledger_test.cc
@@ -84,7 +84,7 @@
 BOOST_FIXTURE_TEST_CASE(ARejectedWriteIsDueAtOnce, Fixture) {
   PrepaidLedger ledger = Join("vm1@1");
   BOOST_TEST((ledger.Hold(now, kCustomer, 100) == PrepaidVerdict::kHeld));
-  ledger.Settle(kCustomer, 100, 100);
+  ledger.Settle(now, kCustomer, 100, 100);
   now += milliseconds(700);
   BOOST_REQUIRE(ledger.NextWrite(now).has_value());
   ledger.OnWritten(now, PrepaidOutcome::kRejected, 0);
@@ -178,7 +178,7 @@
 BOOST_FIXTURE_TEST_CASE(LeavingGivesEverythingBack, Fixture) {
   PrepaidLedger ledger = Join("vm1@1");
   BOOST_TEST((ledger.Hold(now, kCustomer, 500) == PrepaidVerdict::kHeld));
-  ledger.Settle(kCustomer, 500, 300);
+  ledger.Settle(now, kCustomer, 500, 300);
   ledger.StartLeaving();
   store.Serve(now, ledger, Incarnation("vm1@1"));
   BOOST_TEST(ledger.HasLeft());
--- a/ledger/testing/prepaid_property_test.cc
+++ b/ledger/testing/prepaid_property_test.cc
@@ -162,7 +162,7 @@
     const Tokens cost =
         Draw(static_cast<int>(held / 2), static_cast<int>(held));
     handed_out_ += cost;
-    it.ledger->Settle(kCustomer, held, cost);
+    it.ledger->Settle(now_, kCustomer, held, cost);
     it.running.erase(it.running.begin() + static_cast<std::ptrdiff_t>(at));
   }
 
--- a/net/loop.h
+++ b/net/loop.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "net/traffic.h"
 
 struct event;
 struct event_base;
@@ -43,6 +44,8 @@
   Loop& operator=(const Loop&) = delete;
 
   event_base* base() const { return base_; }
+  // Filled by the sockets of this loop.
+  Traffic& traffic() { return traffic_; }
 
   [[nodiscard]] std::unique_ptr<Timer> After(Duration delay,
                                              std::function<void()> action);
@@ -59,6 +62,7 @@
   static void OnPosted(int fd, short what, void* self);
 
   event_base* base_;
+  Traffic traffic_;
   event* posted_event_;
   std::vector<std::function<void()>> posted_;
   std::vector<std::unique_ptr<SignalHandler>> signals_;
--- a/net/tcp_socket.cc
+++ b/net/tcp_socket.cc
@@ -109,6 +109,8 @@
   const ssize_t n = read(fd_, buf.data(), buf.size());
   if (n > 0) {
     const auto keep = shared_from_this();
+    loop_.traffic().bytes_in += static_cast<std::uint64_t>(n);
+    ++loop_.traffic().pieces_in;
     if (on_.data) on_.data({buf.data(), static_cast<std::size_t>(n)});
     return;
   }
@@ -148,6 +150,8 @@
   const ssize_t n = send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
   if (n < 0) return 0;
   bytes_taken_ += static_cast<std::uint64_t>(n);
+  loop_.traffic().bytes_out += static_cast<std::uint64_t>(n);
+  ++loop_.traffic().pieces_out;
   return static_cast<std::size_t>(n);
 }
 
--- a/relay/budget_driver.cc
+++ b/relay/budget_driver.cc
@@ -187,7 +187,7 @@
 
 void BudgetDriver::SettleHere(const CustomerName& customer, Tokens held,
                               Tokens cost) {
-  ledger_.Settle(customer, held, cost);
+  ledger_.Settle(clock_.Now(), customer, held, cost);
   const auto list = waiting_.find(customer);
   if (list != waiting_.end() && !list->second.empty()) ServeWaiting();
 }
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -21,6 +21,9 @@
 constexpr Duration kStopMargin = milliseconds(1500);
 constexpr Duration kReturnTime = milliseconds(800);
 constexpr std::size_t kIncarnationBytes = 4;
+constexpr double kBytesPerMegabit = 1e6 / 8;
+// A packet's headers, of data or of an acknowledgement.
+constexpr double kHeaderBytes = 60;
 
 RetryShareOptions RetryOptions(const RelaySettings& settings) {
   RetryShareOptions out;
@@ -54,6 +57,7 @@
 PrepaidPolicy PolicyOf(const RelaySettings& settings) {
   PrepaidPolicy out;
   out.standing_share = settings.standing_share;
+  out.cover = settings.cover;
   return out;
 }
 
@@ -102,7 +106,8 @@
       caller_server_(loop, clock),
       admin_server_(loop, clock),
       metrics_server_(loop, clock),
-      drain_(charts.drain) {
+      drain_(charts.drain),
+      link_({settings.link_mbps * kBytesPerMegabit}) {
   fleet_.OnChanged([this] { OnFleetChanged(); });
   budgets_.SetHandlers(BudgetHandlers());
   caller_server_.Serve([this](std::shared_ptr<CallerConnection> caller,
@@ -176,7 +181,10 @@
   LogEvent(Event::kStarted, {{"incarnation", self_.value},
                              {"hall", settings_.hall},
                              {"listen", settings_.listen}});
-  tick_ = loop_.Every(kTick, [this] { CheckDrain(); });
+  tick_ = loop_.Every(kTick, [this] {
+    CheckDrain();
+    WatchLink();
+  });
   configs_.Start();
   fleet_.Start();
   budgets_.Start();
@@ -185,7 +193,8 @@
 // --- State -------------------------------------------------------------------
 
 bool RelayRouter::Ready() const {
-  return drain_.state() == DrainState::kServing && configs_.map() != nullptr;
+  return drain_.state() == DrainState::kServing && configs_.map() != nullptr &&
+         !link_.IsBusy();
 }
 
 void RelayRouter::OnFleetChanged() {
@@ -241,6 +250,7 @@
   metrics_.SetGauge("callers",
                     static_cast<double>(caller_server_.connections()));
   metrics_.SetGauge("peers_linked", static_cast<double>(peers_.linked()));
+  metrics_.SetGauge("link_load", link_.load());
   metrics_.SetGauge("config_version", static_cast<double>(configs_.version()));
   metrics_.SetGauge("store_calls", static_cast<double>(store_.calls()));
   metrics_.SetGauge("target_connections_opened",
@@ -253,6 +263,20 @@
   caller->Reply(head, metrics_.Text());
 }
 
+void RelayRouter::WatchLink() {
+  const Traffic& it = loop_.traffic();
+  const double headers =
+      kHeaderBytes * static_cast<double>(it.pieces_in + it.pieces_out);
+  const bool changed =
+      link_.Observe(clock_.Now(), static_cast<double>(it.bytes_in) + headers,
+                    static_cast<double>(it.bytes_out) + headers);
+  if (!changed) return;
+  LogEvent(link_.IsBusy() ? Event::kLinkBusy : Event::kLinkEased,
+           {{"load", std::to_string(link_.load())},
+            {"callers", std::to_string(caller_server_.connections())},
+            {"requests", std::to_string(context_.flows.size())}});
+}
+
 // --- Planned stop ------------------------------------------------------------
 
 void RelayRouter::ApplyDrain(DrainEvent event) {
--- a/relay/relay_router.h
+++ b/relay/relay_router.h
@@ -18,6 +18,7 @@
 #include "relay/relay_context.h"
 #include "relay/relay_metrics.h"
 #include "relay/relay_settings.h"
+#include "route/link_watch.h"
 #include "router/charts.h"
 
 namespace quaytrack {
@@ -55,6 +56,7 @@
   void AnswerMetrics(const std::shared_ptr<CallerConnection>& caller);
   void ApplyDrain(DrainEvent event);
   void CheckDrain();
+  void WatchLink();
 
   Loop& loop_;
   const Clock& clock_;
@@ -76,6 +78,7 @@
   std::unique_ptr<Timer> tick_;
   std::unique_ptr<Timer> drain_timer_;
   std::unique_ptr<Timer> exit_timer_;
+  LinkWatch link_;
   bool announced_ready_ = false;
 };
 
--- a/relay/relay_settings.cc
+++ b/relay/relay_settings.cc
@@ -39,6 +39,10 @@
   add("--holders-per-hall", flags.holders_per_hall,
       "QUAYTRACK_HOLDERS_PER_HALL",
       "Routers of a hall that keep budgets in a larger fleet");
+  add("--link-mbps", flags.link_mbps, "QUAYTRACK_LINK_MBPS",
+      "Megabits a second of this VM's network link; 0 if it isn't known");
+  add("--cover-s", flags.cover_s, "QUAYTRACK_COVER_S",
+      "Seconds of its own spending that a router keeps granted at least");
   app.add_flag("--check-settings", flags.check_only,
                "Check the settings and exit");
 }
@@ -65,6 +69,8 @@
   check.Range("--standing-share", flags.standing_share, 0.01, 0.9);
   check.Range("--small-fleet", flags.small_fleet, 0, 1000);
   check.Range("--holders-per-hall", flags.holders_per_hall, 1, 100);
+  check.Range("--link-mbps", flags.link_mbps, 0.0, 1e6);
+  check.Range("--cover-s", flags.cover_s, 0, 600);
   out.vm = flags.vm;
   out.hall = flags.hall;
   out.listen = flags.listen;
@@ -82,6 +88,8 @@
   out.standing_share = flags.standing_share;
   out.small_fleet = flags.small_fleet;
   out.holders_per_hall = flags.holders_per_hall;
+  out.link_mbps = flags.link_mbps;
+  out.cover = std::chrono::seconds(flags.cover_s);
   return check.Take();
 }
 
--- a/relay/relay_settings.h
+++ b/relay/relay_settings.h
@@ -40,6 +40,8 @@
   double standing_share = 0.3;
   int small_fleet = 12;
   int holders_per_hall = 3;
+  double link_mbps = 0;
+  int cover_s = 0;
   bool check_only = false;
 };
 
@@ -63,6 +65,10 @@
   // See member/fleet.h.
   int small_fleet = 12;
   int holders_per_hall = 3;
+  // Megabits a second of the VM's network link; 0 if it isn't known.
+  double link_mbps = 0;
+  // Of its own spending that a router keeps granted.
+  std::chrono::seconds cover{};
 };
 
 void AddRelayFlags(CLI::App& app, RelayFlags& flags);
--- /dev/null
+++ b/route/testing/link_watch_test.cc
@@ -0,0 +1,48 @@
+#include "route/link_watch.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace quaytrack {
+namespace {
+
+constexpr double kLink = 1.25e6;
+
+struct Fixture {
+  // Carries this part of the link for so many fifths of a second.
+  void Carry(double part, int steps) {
+    for (int n = 0; n < steps; ++n) {
+      now += std::chrono::milliseconds(200);
+      in += part * kLink / 5;
+      if (watch.Observe(now, in, in / 2)) ++changes;
+    }
+  }
+  Instant now{std::chrono::hours(1)};
+  double in = 0;
+  int changes = 0;
+  LinkWatch watch{{kLink}};
+};
+
+BOOST_FIXTURE_TEST_CASE(AFullLinkIsBusyWithinASecond, Fixture) {
+  Carry(0.3, 10);
+  BOOST_TEST(!watch.IsBusy());
+  Carry(1.0, 5);
+  BOOST_TEST(watch.IsBusy());
+}
+
+BOOST_FIXTURE_TEST_CASE(ItEasesLowerThanItGetsBusy, Fixture) {
+  Carry(0.9, 20);
+  Carry(0.52, 20);
+  BOOST_TEST(watch.IsBusy());
+  Carry(0.2, 10);
+  BOOST_TEST(!watch.IsBusy());
+  BOOST_TEST(changes == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnUnknownLinkIsNeverBusy, Fixture) {
+  watch = LinkWatch({});
+  Carry(50, 20);
+  BOOST_TEST(!watch.IsBusy());
+}
+
+}  // namespace
+}  // namespace quaytrack
