One wait for changes lasts 8 s; a lost one is noticed by its peers

They were short so that a swallowed wait is noticed within the bound.

Signs of life tell the latest change of the list of targets; who is behind for 300 ms asks the store again, and so does everybody when a call to the store succeeds after one that failed.

--- a/kv/follower.cc
+++ b/kv/follower.cc
@@ -1,5 +1,6 @@
 #include "kv/follower.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace quaytrack {
@@ -23,26 +24,39 @@
 }
 
 void StoreFollower::OnSnapshot(const StoreSnapshot& snapshot) {
+  call_.reset();
   SetReachable(snapshot.end == StoreEnd::kDone);
   if (snapshot.end != StoreEnd::kDone) return RetryLater();
   revision_ = snapshot.revision;
   caught_up_ = true;
+  for (const StoreItem& it : snapshot.items) {
+    latest_change_ = std::max(latest_change_, it.revision);
+  }
   on_.replaced(snapshot.items);
   on_.settled();
   Wait();
 }
 
 void StoreFollower::OnChanges(const StoreChanges& changes) {
+  call_.reset();
   if (changes.forgotten) return Read();
   SetReachable(changes.end == StoreEnd::kDone);
   if (changes.end != StoreEnd::kDone) return RetryLater();
   revision_ = std::max(revision_, changes.revision);
   if (changes.changes.empty()) return Wait();
-  for (const StoreChange& it : changes.changes) on_.changed(it);
+  for (const StoreChange& it : changes.changes) {
+    latest_change_ = std::max(latest_change_, it.item.revision);
+    on_.changed(it);
+  }
   on_.settled();
   WaitLater(options_.spacing);
 }
 
+void StoreFollower::AskAgain() {
+  // A read, or a pause before the next call, ends by itself.
+  if (caught_up_ && call_) Wait();
+}
+
 void StoreFollower::WaitLater(Duration delay) {
   later_ = loop_.After(delay, [this] { Wait(); });
 }
--- a/kv/follower.h
+++ b/kv/follower.h
@@ -29,9 +29,10 @@
  public:
   struct Options {
     std::string prefix;
-    // How long one wait for changes may last; a wait that the network has
-    // swallowed is noticed a little later than this.
-    Duration patience = std::chrono::milliseconds(3000);
+    // How long one wait for changes may last; a wait that the network or the
+    // store has swallowed is noticed a little later than this, or when
+    // `AskAgain` is called.
+    Duration patience = std::chrono::milliseconds(8000);
     Duration retry_after = std::chrono::milliseconds(250);
     // From an answer with changes to the next call.
     Duration spacing = std::chrono::milliseconds(200);
@@ -49,6 +50,10 @@
   StoreFollower(Loop& loop, KvStore& store, Options options, Handlers handlers);
 
   void Start() { Read(); }
+  // There is reason to think that the present wait is lost: waits anew.
+  void AskAgain();
+  // Revision of the latest change that was handed out.
+  std::int64_t latest_change() const { return latest_change_; }
 
  private:
   void Read();
@@ -64,6 +69,7 @@
   Options options_;
   Handlers on_;
   std::int64_t revision_ = 0;
+  std::int64_t latest_change_ = 0;
   bool caught_up_ = false;
   bool reachable_ = true;
   std::minstd_rand random_{std::random_device{}()};
--- a/relay/config_driver.cc
+++ b/relay/config_driver.cc
@@ -11,8 +11,8 @@
 
 namespace leaf = boost::leaf;
 
-// How long the own watch may take to show a version that a peer has.
-constexpr Duration kOwnWatchFirst = std::chrono::milliseconds(200);
+// How long the own watch may take to show what a peer has.
+constexpr Duration kOwnWatchFirst = std::chrono::milliseconds(300);
 // After an outage of the store, targets that live are listed again within this:
 // about two seconds, and the time that this router may be late to notice.
 constexpr Duration kRelistTime = std::chrono::milliseconds(2200);
@@ -86,6 +86,9 @@
   targets_.Hold();
   hold_timer_.reset();
   if (!reachable) return;
+  // What waited through the outage may never be answered.
+  config_follower_.AskAgain();
+  target_follower_.AskAgain();
   hold_timer_ = loop_.After(kRelistTime, [this] { EndHold(); });
 }
 
@@ -146,6 +149,15 @@
     return on_.tell(message.from, out);
   }
   if (message.config_version > version()) AskLater(message.from);
+  CheckTargetsLater(message.targets_revision);
+}
+
+void ConfigDriver::CheckTargetsLater(std::int64_t revision) {
+  if (check_timer_ || revision <= targets_revision()) return;
+  check_timer_ = loop_.After(kOwnWatchFirst, [this, revision] {
+    check_timer_.reset();
+    if (targets_revision() < revision) target_follower_.AskAgain();
+  });
 }
 
 void ConfigDriver::AskLater(const Incarnation& peer) {
--- a/relay/config_driver.h
+++ b/relay/config_driver.h
@@ -4,6 +4,9 @@
 // A version is taken only if it is higher than the one in force, whoever shows
 // it, so that no stale answer takes one back. A router that hears of a higher
 // version than its own gives its own watch a moment, and then asks the peer.
+// The list of targets is the store's alone, as only it knows what has lapsed; a
+// router that hears of a later change than its own asks the store again, since
+// its wait may be lost.
 
 #ifndef QUAYTRACK_RELAY_CONFIG_DRIVER_H_
 #define QUAYTRACK_RELAY_CONFIG_DRIVER_H_
@@ -41,6 +44,9 @@
 
   const ServiceMapPtr& map() const { return map_; }
   std::uint64_t version() const { return map_ ? map_->version() : 0; }
+  std::int64_t targets_revision() const {
+    return target_follower_.latest_change();
+  }
   const TargetRegistry& targets() const { return targets_; }
 
  private:
@@ -51,6 +57,7 @@
   void ReplaceTargets(const std::vector<StoreItem>& items);
   void NoteTarget(const TargetEntry& entry);
   void AskLater(const Incarnation& peer);
+  void CheckTargetsLater(std::int64_t revision);
   void EndHold();
   void OnReachable(const char* what, bool reachable);
 
@@ -64,6 +71,7 @@
   StoreFollower config_follower_;
   StoreFollower target_follower_;
   std::unique_ptr<Timer> ask_timer_;
+  std::unique_ptr<Timer> check_timer_;
   std::unique_ptr<Timer> hold_timer_;
 };
 
--- a/relay/peer_messages.cc
+++ b/relay/peer_messages.cc
@@ -21,6 +21,7 @@
   out.address = json.value("address", "");
   out.config_version = json.value("config", std::uint64_t{0});
   out.keeps_budgets = json.value("keeps", false);
+  out.targets_revision = json.value("targets", std::int64_t{0});
   out.item_key = json.value("key", "");
   out.item_value = json.value("value", "");
   return out;
@@ -45,6 +46,9 @@
   }
   if (message.config_version != 0) json["config"] = message.config_version;
   if (message.keeps_budgets) json["keeps"] = true;
+  if (message.targets_revision != 0) {
+    json["targets"] = message.targets_revision;
+  }
   if (!message.item_key.empty()) {
     json["key"] = message.item_key;
     json["value"] = message.item_value;
--- a/relay/peer_messages.h
+++ b/relay/peer_messages.h
@@ -75,6 +75,8 @@
   // takes part in the prepaid record.
   std::uint64_t config_version = 0;
   bool keeps_budgets = false;
+  // Revision of the latest change of the list of targets that the sender knows.
+  std::int64_t targets_revision = 0;
   // kConfig: key and value of the store's item.
   std::string item_key;
   std::string item_value;
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -141,6 +141,7 @@
   out.message = [this](const PeerMessage& it) { OnPeer(it); };
   out.describe = [this](PeerMessage& it) {
     it.config_version = configs_.version();
+    it.targets_revision = configs_.targets_revision();
     it.keeps_budgets = budgets_.ledger().TakesPart();
   };
   out.self = [this] { return fleet_.directory().self(); };
