Fewer reports, targets' changes read together, a cover of 5 s

Change: spending is reported after 1 s (0.6), two writes are 0.4 s apart (0.25) unless a request waits; the targets' next wait comes 400 ms after a change; a router keeps 5 s of its own spending granted.

More cover serves cuts and is charged when all power is lost; 5 s is between.

Tests: ledger_prepaid_ledger_test WhatIsKeptCoversTheOwnSpending.

--- a/ledger/prepaid_ledger.h
+++ b/ledger/prepaid_ledger.h
@@ -29,9 +29,9 @@
 // holder has been silent (see ledger/prepaid_record.h, Closing).
 //
 // Sizes. All routers together keep `standing_share` of what remains of a
-// budget, in equal parts, without looking at demand: an outage comes
-// unannounced, demand by customer and router is too lumpy to predict over ten
-// seconds, and peers level it out (docs/design/prepaid.md has the figures).
+// budget, in equal parts; a router that spends much keeps `cover` of its own
+// spending if that is more. An outage comes unannounced, and what is kept is
+// charged when all power is lost: docs/design/prepaid.md has the figures.
 
 #ifndef QUAYTRACK_LEDGER_PREPAID_LEDGER_H_
 #define QUAYTRACK_LEDGER_PREPAID_LEDGER_H_
@@ -54,7 +54,7 @@
   double standing_share = 0.3;
   // What a router keeps covers its own spending of this long, if that is more
   // than its part of the standing share, up to `most_share` of what remains.
-  Duration cover = std::chrono::seconds(0);
+  Duration cover = std::chrono::seconds(5);
   double most_share = 0.6;
   // Time over which spending is measured.
   Duration spending_time = std::chrono::seconds(5);
@@ -65,7 +65,7 @@
   // Part of a limit that is never granted, against errors of counting.
   double reserve = 0.01;
   // Longest time that spending stays unreported.
-  Duration report_every = std::chrono::milliseconds(600);
+  Duration report_every = std::chrono::milliseconds(1000);
   // Age at which the record is read anew, for each member beyond a few; it
   // grows with the fleet, so that all reads together don't. And while a request
   // waits for a grant that it doesn't show to be free.
@@ -75,7 +75,7 @@
   // Longest time that moves stay unbooked while the store answers.
   Duration book_every = std::chrono::milliseconds(1500);
   // Shortest time between two writes, and while a request waits for a grant.
-  Duration spacing = std::chrono::milliseconds(250);
+  Duration spacing = std::chrono::milliseconds(400);
   Duration urgent_spacing = std::chrono::milliseconds(10);
   // Pause after a call that the store didn't answer.
   Duration retry_after_failure = std::chrono::milliseconds(300);
--- a/ledger/testing/prepaid_ledger_test.cc
+++ b/ledger/testing/prepaid_ledger_test.cc
@@ -52,9 +52,9 @@
   Instant now{std::chrono::hours(1)};
   Store store;
 
+  PrepaidPolicy policy = {.standing_share = 0.55};
+
   PrepaidLedger Make(const std::string& self, const std::string& boot = "b") {
-    PrepaidPolicy policy;
-    policy.standing_share = 0.55;
     PrepaidLedger out({Incarnation(self), boot, now}, policy);
     out.TakePart();
     out.SetLimits(1, {{kCustomer, kLimit}});
@@ -81,11 +81,28 @@
   BOOST_TEST(first.LatestRecord()->members.size() == 3U);
 }
 
+BOOST_FIXTURE_TEST_CASE(WhatIsKeptCoversTheOwnSpending, Fixture) {
+  policy.standing_share = 0.01;
+  policy.cover = std::chrono::seconds(10);
+  const Incarnation self("vm1@1");
+  PrepaidLedger ledger = Join(self.value);
+  // 500 tokens a second.
+  for (int n = 0; n < 100; ++n) {
+    now += milliseconds(100);
+    BOOST_TEST((ledger.Hold(now, kCustomer, 50) == PrepaidVerdict::kHeld));
+    ledger.Settle(now, kCustomer, 50, 50);
+    store.Serve(now, ledger, self);
+  }
+  const Tokens kept = ledger.Allowance(now + policy.lock_time, kCustomer);
+  BOOST_TEST(kept >= 2500);
+  BOOST_TEST(kept <= 7500);
+}
+
 BOOST_FIXTURE_TEST_CASE(ARejectedWriteIsDueAtOnce, Fixture) {
   PrepaidLedger ledger = Join("vm1@1");
   BOOST_TEST((ledger.Hold(now, kCustomer, 100) == PrepaidVerdict::kHeld));
   ledger.Settle(now, kCustomer, 100, 100);
-  now += milliseconds(700);
+  now += PrepaidPolicy().report_every;
   BOOST_REQUIRE(ledger.NextWrite(now).has_value());
   ledger.OnWritten(now, PrepaidOutcome::kRejected, 0);
   store.Read(now, ledger);
--- a/relay/config_driver.cc
+++ b/relay/config_driver.cc
@@ -17,6 +17,17 @@
 // about two seconds, and the time that this router may be late to notice.
 constexpr Duration kRelistTime = std::chrono::milliseconds(2200);
 
+// Targets change in series, when a fleet starts or is replaced, and leave
+// seconds after they have said so.
+constexpr Duration kTargetSpacing = std::chrono::milliseconds(400);
+
+StoreFollower::Options TargetOptions(const SharedStateReader& reader) {
+  StoreFollower::Options out;
+  out.prefix = reader.TargetsPrefix();
+  out.spacing = kTargetSpacing;
+  return out;
+}
+
 // The value, or `fallback` and a line in the log.
 template <class Value, class Call>
 Value ValueOr(const StoreItem& item, Value fallback, Call call) {
@@ -39,8 +50,7 @@
       reader_(reader),
       on_(std::move(handlers)),
       config_follower_(loop, store, {reader.ConfigPrefix()}, ConfigHandlers()),
-      target_follower_(loop, store, {reader.TargetsPrefix()},
-                       TargetHandlers()) {}
+      target_follower_(loop, store, TargetOptions(reader), TargetHandlers()) {}
 
 void ConfigDriver::Start() {
   config_follower_.Start();
--- a/relay/relay_settings.h
+++ b/relay/relay_settings.h
@@ -41,7 +41,7 @@
   int small_fleet = 12;
   int holders_per_hall = 3;
   double link_mbps = 0;
-  int cover_s = 0;
+  int cover_s = 5;
   bool check_only = false;
 };
 
