--- a/relay/remote_holds.cc
+++ b/relay/remote_holds.cc
@@ -28,7 +28,7 @@
   AskNext(now, asked);
 }
 
-// Without a further holder, the request waits for its time-out in `Tick`.
+// Without a further holder, the request is refused at the next `Tick`.
 void RemoteHolds::AskNext(Instant now, Asked& asked) {
   asked.holder = {};
   asked.asked_at = now;
