A vanished target is kept 1.7 s at most; a stopping router ends its streams' connections

Change: the hold ends 1.7 s after the first sign of the store's return, and no target is kept longer than that from when it was seen missing. While a router stops, a connection ends with what it carries.

Tests: AStoppingRouterEndsConnectionsWithTheirStreams failed before (the longer stream ended first); member_member_test; resident_config_test.

--- a/member/target_registry.h
+++ b/member/target_registry.h
@@ -13,7 +13,8 @@
 // outage stays for a while:
 //
 //   registry.Hold();                    // the store is lost
-//   for (const TargetName& it : registry.EndHold()) ...   // gone after all
+//   registry.Release();                 // it has been back for a while
+//   for (const TargetName& it : registry.DropMissing()) ...   // gone after all
 
 #ifndef QUAYTRACK_MEMBER_TARGET_REGISTRY_H_
 #define QUAYTRACK_MEMBER_TARGET_REGISTRY_H_
@@ -70,13 +71,15 @@
   // From now on, a target that vanishes stays, unless it was leaving.
   void Hold() { holding_ = true; }
 
+  // From now on, what vanishes has gone.
+  void Release() { holding_ = false; }
+
   // Removes what has vanished and was not listed again, and returns it.
-  std::set<TargetName> EndHold() {
-    holding_ = false;
+  std::set<TargetName> DropMissing() {
     for (const TargetName& it : missing_) entries_.erase(it);
     return std::exchange(missing_, {});
   }
-  bool holding() const { return holding_; }
+  bool AnyMissing() const { return !missing_.empty(); }
 
   // What is not in `entries` has gone.
   bool Replace(const std::vector<TargetEntry>& entries) {
--- a/member/testing/member_test.cc
+++ b/member/testing/member_test.cc
@@ -143,7 +143,7 @@
 
 BOOST_FIXTURE_TEST_CASE(WhatIsNotListedAgainIsGone, HeldFixture) {
   registry.Put(Entry("lapsed"));
-  const std::set<TargetName> gone = registry.EndHold();
+  const std::set<TargetName> gone = registry.DropMissing();
   BOOST_TEST((gone == std::set<TargetName>{TargetName("dead")}));
   BOOST_TEST(Listed("lapsed"));
   BOOST_TEST(!Listed("dead"));
@@ -157,7 +157,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(WithoutAnOutageWhatVanishesIsGone, HeldFixture) {
-  registry.EndHold();
+  registry.Release();
   registry.Put(Entry("lapsed"));
   BOOST_TEST(registry.Remove(TargetName("lapsed")));
   BOOST_TEST(!Listed("lapsed"));
--- a/net/caller_connection.cc
+++ b/net/caller_connection.cc
@@ -178,7 +178,9 @@
   on_drained_ = nullptr;
   head_read_ = false;
   since_ = server_.clock_.Now();
-  if (!keep_alive_) return CloseAfterFlush();
+  // A stream that began before the server was closing promised to stay open,
+  // and would be taken up by another request.
+  if (!keep_alive_ || server_.closing_) return CloseAfterFlush();
   phase_ = Phase::kIdle;
   if (pending_.empty()) return;
   socket_->ResumeReading();
--- a/relay/config_driver.cc
+++ b/relay/config_driver.cc
@@ -13,9 +13,10 @@
 
 // How long the own watch may take to show what a peer has.
 constexpr Duration kOwnWatchFirst = std::chrono::milliseconds(300);
-// After an outage of the store, targets that live are listed again within this:
-// about two seconds, and the time that this router may be late to notice.
-constexpr Duration kRelistTime = std::chrono::milliseconds(2200);
+// After an outage of the store, targets that live are listed again within about
+// two seconds. A little less, as one that has left must get no new work two
+// seconds after that was seen.
+constexpr Duration kRelistTime = std::chrono::milliseconds(1700);
 
 // Targets change in series, when a fleet starts or is replaced, and leave
 // seconds after they have said so.
@@ -82,7 +83,10 @@
       LogEvent(Event::kTargetGone, {{"target", name.value}});
     }
   };
-  on.settled = [this] { on_.targets_changed(); };
+  on.settled = [this] {
+    on_.targets_changed();
+    WatchMissing();
+  };
   on.reachable = [this](bool reachable) { OnReachable("targets", reachable); };
   return on;
 }
@@ -94,17 +98,31 @@
 
 void ConfigDriver::OnStoreReachable(bool reachable) {
   targets_.Hold();
-  hold_timer_.reset();
-  if (!reachable) return;
+  if (!reachable) {
+    release_timer_.reset();
+    return;
+  }
   // What waited through the outage may never be answered.
   config_follower_.AskAgain();
   target_follower_.AskAgain();
-  hold_timer_ = loop_.After(kRelistTime, [this] { EndHold(); });
+  // From the first sign of its return; others notice it later.
+  if (release_timer_) return;
+  release_timer_ = loop_.After(kRelistTime, [this] {
+    release_timer_.reset();
+    targets_.Release();
+  });
+}
+
+// A target that has vanished may have left, which binds this router from when
+// it was seen; so none is kept longer than this, whatever the store does.
+void ConfigDriver::WatchMissing() {
+  if (missing_timer_ || !targets_.AnyMissing()) return;
+  missing_timer_ = loop_.After(kRelistTime, [this] { DropMissing(); });
 }
 
-void ConfigDriver::EndHold() {
-  hold_timer_.reset();
-  const std::set<TargetName> gone = targets_.EndHold();
+void ConfigDriver::DropMissing() {
+  missing_timer_.reset();
+  const std::set<TargetName> gone = targets_.DropMissing();
   for (const TargetName& it : gone) {
     LogEvent(Event::kTargetGone, {{"target", it.value}});
   }
--- a/relay/config_driver.h
+++ b/relay/config_driver.h
@@ -58,7 +58,8 @@
   void NoteTarget(const TargetEntry& entry);
   void AskLater(const Incarnation& peer);
   void CheckTargetsLater(std::int64_t revision);
-  void EndHold();
+  void WatchMissing();
+  void DropMissing();
   void OnReachable(const char* what, bool reachable);
 
   Loop& loop_;
@@ -72,7 +73,8 @@
   StoreFollower target_follower_;
   std::unique_ptr<Timer> ask_timer_;
   std::unique_ptr<Timer> check_timer_;
-  std::unique_ptr<Timer> hold_timer_;
+  std::unique_ptr<Timer> release_timer_;
+  std::unique_ptr<Timer> missing_timer_;
 };
 
 }  // namespace quaytrack
