One piece for what stood twice; no holders worked out for each request

Written again, and now shared: - the decay of a sum: BudgetDriver had its own beside base/rate.h, DecayingRate; - reading and writing CBOR stood in the record, the list of routers, the peer messages of both interfaces: base/cbor.h; - the rendezvous weight of a name for a key: base/digest.h; - answering who waits for a budget stood four times: BudgetDriver::Answer; - a follower's two delayed calls; the modes of the store stand-in that turn every call away; a link's hello came from two handlers.

Work in the wrong place: a router that keeps no budgets sorted the whole list of routers by hashes made in the comparison, twice for each request (IsHolder, HoldersFor); the holders are now kept and chosen when the list changes. The home of a prompt was worked out again by Placement::OnSent, over all targets; Choose hands it on. A new list of routers sent a sign of life on every link. Each question to an account of the ledger copied its two maps. BudgetDriver::store_reachable() had no caller.

No assertion changed; OnSent in placement_test is told what Choose has found.

--- a/base/digest.cc
+++ b/base/digest.cc
@@ -80,4 +80,9 @@
   return h;
 }
 
+std::uint64_t RendezvousWeight(const std::string& name,
+                               const std::string& key) {
+  return StableHash(name + "/" + key);
+}
+
 }  // namespace quaytrack
--- a/base/digest.h
+++ b/base/digest.h
@@ -27,6 +27,10 @@
 // versions, as shard and rendezvous choices must agree between routers.
 std::uint64_t StableHash(std::string_view data);
 
+// How much `name` is wanted for `key`: who has the most weight is chosen, and
+// all who know the names choose alike (Thaler and Ravishankar 1998).
+std::uint64_t RendezvousWeight(const std::string& name, const std::string& key);
+
 }  // namespace quaytrack
 
 #endif  // QUAYTRACK_BASE_DIGEST_H_
--- a/kv/follower.cc
+++ b/kv/follower.cc
@@ -49,7 +49,7 @@
     on_.changed(it);
   }
   on_.settled();
-  WaitLater(options_.spacing);
+  CallLater(options_.spacing);
 }
 
 void StoreFollower::AskAgain() {
@@ -57,19 +57,18 @@
   if (caught_up_ && call_) Wait();
 }
 
-void StoreFollower::WaitLater(Duration delay) {
-  later_ = loop_.After(delay, [this] { Wait(); });
+void StoreFollower::CallLater(Duration delay) {
+  later_ = loop_.After(delay, [this] {
+    if (caught_up_) return Wait();
+    Read();
+  });
 }
 
 // With jitter, as all routers lose the store at the same moment.
 void StoreFollower::RetryLater() {
   std::uniform_real_distribution<double> jitter(0.7, 1.3);
-  const auto delay = std::chrono::duration_cast<Duration>(options_.retry_after *
-                                                          jitter(random_));
-  later_ = loop_.After(delay, [this] {
-    if (caught_up_) return Wait();
-    Read();
-  });
+  CallLater(std::chrono::duration_cast<Duration>(options_.retry_after *
+                                                 jitter(random_)));
 }
 
 void StoreFollower::SetReachable(bool reachable) {
--- a/kv/follower.h
+++ b/kv/follower.h
@@ -60,7 +60,8 @@
   void Wait();
   void OnSnapshot(const StoreSnapshot& snapshot);
   void OnChanges(const StoreChanges& changes);
-  void WaitLater(Duration delay);
+  // Waits, or reads if nothing has been read yet.
+  void CallLater(Duration delay);
   void RetryLater();
   void SetReachable(bool reachable);
 
--- a/ledger/prepaid_ledger.cc
+++ b/ledger/prepaid_ledger.cc
@@ -113,10 +113,11 @@
   return out - account.held;
 }
 
-PrepaidLedger::Account PrepaidLedger::AccountOf(
+const PrepaidLedger::Account& PrepaidLedger::AccountOf(
     const CustomerName& customer) const {
+  static const Account kNothing;
   const auto it = accounts_.find(customer);
-  return it == accounts_.end() ? Account() : it->second;
+  return it == accounts_.end() ? kNothing : it->second;
 }
 
 bool PrepaidLedger::LockHolds(Instant now) const {
@@ -126,7 +127,7 @@
 Tokens PrepaidLedger::Allowance(Instant now,
                                 const CustomerName& customer) const {
   if (!base_ || fenced_ || left_) return 0;
-  const Account account = AccountOf(customer);
+  const Account& account = AccountOf(customer);
   const bool lock = LockHolds(now);
   const auto allowance = [&](const View& view) {
     const Tokens idle = IdleIn(view, customer, account);
@@ -166,7 +167,7 @@
   const auto found = base_->record.customers.find(customer);
   if (found == base_->record.customers.end()) return true;
   const PrepaidEntry& entry = found->second;
-  const Account account = AccountOf(customer);
+  const Account& account = AccountOf(customer);
   const auto target =
       static_cast<double>(TargetIn(base_->record, entry, account));
   const auto idle = static_cast<double>(IdleIn(*base_, customer, account));
@@ -213,7 +214,7 @@
   const Duration since = now - last_write_;
   bool unreported = false;
   for (const auto& [customer, limit] : limits_) {
-    const Account account = AccountOf(customer);
+    const Account& account = AccountOf(customer);
     unreported = unreported || account.unreported > 0;
     const Tokens locked = SpentIn(base_->spend, customer).locked;
     if (locked <= 0 || !LockHolds(now)) continue;
@@ -344,7 +345,7 @@
 void PrepaidLedger::Adjust(View& view) const {
   for (const auto& [customer, limit] : limits_) {
     PrepaidEntry& entry = view.record.customers[customer];
-    const Account account = AccountOf(customer);
+    const Account& account = AccountOf(customer);
     const Tokens idle = IdleIn(view, customer, account);
     const auto target = TargetIn(view.record, entry, account);
     const auto low = static_cast<double>(target) * kLowWater;
@@ -369,7 +370,7 @@
     const auto found = view.record.customers.find(customer);
     if (found == view.record.customers.end()) continue;
     const PrepaidEntry& entry = found->second;
-    const Account account = AccountOf(customer);
+    const Account& account = AccountOf(customer);
     const auto target =
         static_cast<double>(TargetIn(view.record, entry, account));
     const auto open = static_cast<Tokens>(target * policy_.open_share);
--- a/ledger/prepaid_ledger.h
+++ b/ledger/prepaid_ledger.h
@@ -247,7 +247,7 @@
   Tokens TargetIn(const PrepaidRecord& record, const PrepaidEntry& entry,
                   const Account& account) const;
   Tokens FreeIn(const PrepaidEntry& entry) const;
-  Account AccountOf(const CustomerName& customer) const;
+  const Account& AccountOf(const CustomerName& customer) const;
   bool RecordIsDue(Instant now) const;
   bool ReportIsDue(Instant now) const;
   bool GrantIsDue(Instant now, const CustomerName& customer) const;
--- a/ledger/prepaid_record.cc
+++ b/ledger/prepaid_record.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <numeric>
 
+#include "base/cbor.h"
+
 namespace quaytrack {
 namespace {
 
@@ -91,19 +93,6 @@
   return out;
 }
 
-// The value that `read` makes of CBOR; empty if the bytes are something else.
-template <class Read>
-auto Decoded(std::string_view bytes, Read read)
-    -> std::optional<decltype(read(Json()))> {
-  const Json json = Json::from_cbor(bytes.begin(), bytes.end(), true, false);
-  if (json.is_discarded()) return std::nullopt;
-  try {
-    return read(json);
-  } catch (const Json::exception&) {
-    return std::nullopt;
-  }
-}
-
 }  // namespace
 
 Tokens PrepaidEntry::Outstanding() const {
@@ -166,14 +155,13 @@
   for (const Incarnation& it : record.members) {
     members.push_back(names.NumberOf(it));
   }
-  const auto bytes = Json::to_cbor(Json{{"customers", customers},
-                                        {"members", members},
-                                        {"names", names.names()}});
-  return {bytes.begin(), bytes.end()};
+  return ToCbor(Json{{"customers", customers},
+                     {"members", members},
+                     {"names", names.names()}});
 }
 
 std::optional<PrepaidRecord> DecodePrepaid(std::string_view bytes) {
-  return Decoded(bytes, RecordFromJson);
+  return FromCbor(bytes, RecordFromJson);
 }
 
 std::string EncodeSpend(const PrepaidSpend& spend) {
@@ -181,15 +169,14 @@
   for (const auto& [name, it] : spend.customers) {
     customers[name.value] = {it.spent, it.locked};
   }
-  const auto bytes = Json::to_cbor(Json{{"sequence", spend.sequence},
-                                        {"stamp", spend.stamp_ms},
-                                        {"boot", spend.boot},
-                                        {"customers", customers}});
-  return {bytes.begin(), bytes.end()};
+  return ToCbor(Json{{"sequence", spend.sequence},
+                     {"stamp", spend.stamp_ms},
+                     {"boot", spend.boot},
+                     {"customers", customers}});
 }
 
 std::optional<PrepaidSpend> DecodeSpend(std::string_view bytes) {
-  return Decoded(bytes, SpendFromJson);
+  return FromCbor(bytes, SpendFromJson);
 }
 
 }  // namespace quaytrack
--- a/member/fleet.cc
+++ b/member/fleet.cc
@@ -1,24 +1,23 @@
 #include "member/fleet.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/cbor.h"
 #include "base/digest.h"
 
 namespace quaytrack {
 namespace {
 
-using Json = nlohmann::json;
-
-// Orders `members` by a hash of their names and `salt`, highest first.
-void SortByWeight(const std::string& salt, std::vector<FleetMember>& members) {
-  const auto weight = [&](const FleetMember& it) {
-    return StableHash(it.vm.value + "/" + salt);
-  };
+// Orders `members` by their rendezvous weights for `key`, highest first.
+void SortByWeight(const std::string& key, std::vector<FleetMember>& members) {
+  std::map<VmName, std::uint64_t> weights;
+  for (const FleetMember& it : members) {
+    weights[it.vm] = RendezvousWeight(it.vm.value, key);
+  }
   std::sort(members.begin(), members.end(),
             [&](const FleetMember& a, const FleetMember& b) {
-              return weight(a) > weight(b);
+              return weights.at(a.vm) > weights.at(b.vm);
             });
 }
 
@@ -32,41 +31,49 @@
 
 FleetDirectory::FleetDirectory(FleetMember self, FleetOptions options)
     : self_(self.vm), options_(options) {
-  members_[self_] = std::move(self);
+  Put({std::move(self)});
 }
 
-bool FleetDirectory::Put(const FleetMember& member) {
-  FleetMember& at = members_[member.vm];
-  if (at == member) return false;
-  at = member;
-  return true;
+bool FleetDirectory::Put(const std::vector<FleetMember>& members) {
+  bool changed = false;
+  for (const FleetMember& it : members) {
+    FleetMember& at = members_[it.vm];
+    changed |= at != it;
+    at = it;
+  }
+  if (changed) ChooseHolders();
+  return changed;
 }
 
-std::vector<FleetMember> FleetDirectory::Holders() const {
+void FleetDirectory::ChooseHolders() {
   std::map<HallName, std::vector<FleetMember>> halls;
-  for (const auto& [vm, member] : members_)
+  for (const auto& [vm, member] : members_) {
     halls[member.hall].push_back(member);
-  std::vector<FleetMember> out;
+  }
+  holders_.clear();
   for (auto& [hall, members] : halls) {
     if (!IsSmall() && members.size() > options_.holders_per_hall) {
       SortByWeight("holder", members);
       members.resize(options_.holders_per_hall);
     }
-    out.insert(out.end(), members.begin(), members.end());
+    holders_.insert(holders_.end(), members.begin(), members.end());
   }
-  return out;
 }
 
 bool FleetDirectory::IsHolder(const VmName& vm) const {
-  const std::vector<FleetMember> holders = Holders();
-  return std::any_of(holders.begin(), holders.end(),
+  return std::any_of(holders_.begin(), holders_.end(),
                      [&](const FleetMember& it) { return it.vm == vm; });
 }
 
+std::vector<FleetMember> FleetDirectory::OtherHolders() const {
+  std::vector<FleetMember> out = holders_;
+  std::erase_if(out, [&](const FleetMember& it) { return it.vm == self_; });
+  return out;
+}
+
 std::vector<VmName> FleetDirectory::HoldersFor(
     const CustomerName& customer) const {
-  std::vector<FleetMember> holders = Holders();
-  std::erase_if(holders, [&](const FleetMember& it) { return it.vm == self_; });
+  std::vector<FleetMember> holders = OtherHolders();
   SortByWeight(customer.value, holders);
   const HallName& hall = self().hall;
   std::stable_partition(holders.begin(), holders.end(),
@@ -75,9 +82,8 @@
 }
 
 std::vector<FleetMember> FleetDirectory::Linked() const {
-  std::vector<FleetMember> out = Holders();
-  std::erase_if(out, [&](const FleetMember& it) { return it.vm == self_; });
-  if (IsSmall() || IsHolder(self_)) return out;
+  std::vector<FleetMember> out = OtherHolders();
+  if (IsHolder(self_)) return out;
   const auto elsewhere = std::stable_partition(
       out.begin(), out.end(),
       [&](const FleetMember& it) { return it.hall == self().hall; });
@@ -90,24 +96,19 @@
 }
 
 std::string EncodeMember(const FleetMember& member) {
-  const auto bytes = Json::to_cbor(Json{{"vm", member.vm.value},
-                                        {"hall", member.hall.value},
-                                        {"address", member.address}});
-  return {bytes.begin(), bytes.end()};
+  return ToCbor({{"vm", member.vm.value},
+                 {"hall", member.hall.value},
+                 {"address", member.address}});
 }
 
 std::optional<FleetMember> DecodeMember(std::string_view bytes) {
-  const Json json = Json::from_cbor(bytes.begin(), bytes.end(), true, false);
-  if (!json.is_object()) return std::nullopt;
-  try {
+  return FromCbor(bytes, [](const nlohmann::json& json) {
     FleetMember out;
     out.vm = VmName(json.at("vm").get<std::string>());
     out.hall = HallName(json.at("hall").get<std::string>());
     out.address = json.at("address").get<std::string>();
     return out;
-  } catch (const Json::exception&) {
-    return std::nullopt;
-  }
+  });
 }
 
 }  // namespace quaytrack
--- a/member/fleet.h
+++ b/member/fleet.h
@@ -1,7 +1,7 @@
 // FleetDirectory: the routers there are, and which of them keep budgets.
 //
 //   FleetDirectory fleet({vm, hall, address}, FleetOptions());
-//   fleet.Put(member);                       // for each that is heard of
+//   fleet.Put(members);                      // those that are heard of
 //   if (fleet.IsHolder(vm)) ...              // takes part in the record
 //   for (const VmName& it : fleet.HoldersFor(customer)) ...   // whom to ask
 //   for (const auto& it : fleet.Linked()) ...                 // whom to dial
@@ -56,10 +56,9 @@
  public:
   FleetDirectory(FleetMember self, FleetOptions options);
 
-  // Adds or replaces a member; returns whether anything changed.
-  bool Put(const FleetMember& member);
+  // Adds or replaces members; returns whether anything changed.
+  bool Put(const std::vector<FleetMember>& members);
 
-  bool IsSmall() const { return members_.size() <= options_.small_fleet; }
   bool IsHolder(const VmName& vm) const;
   // Holders in the order in which this router asks them: those of its own hall
   // first, and for one customer always the same first.
@@ -70,11 +69,15 @@
   const FleetMember& self() const { return members_.at(self_); }
 
  private:
-  std::vector<FleetMember> Holders() const;
+  bool IsSmall() const { return members_.size() <= options_.small_fleet; }
+  void ChooseHolders();
+  std::vector<FleetMember> OtherHolders() const;
 
   VmName self_;
   FleetOptions options_;
   std::map<VmName, FleetMember> members_;
+  // Of all halls; asked for with each request, so they are kept.
+  std::vector<FleetMember> holders_;
 };
 
 // CBOR, as a router's entry in the store.
--- a/member/testing/fleet_test.cc
+++ b/member/testing/fleet_test.cc
@@ -19,7 +19,7 @@
 
 FleetDirectory Fleet(int routers, int self = 0) {
   FleetDirectory out(Member(self), {});
-  for (int n = 0; n < routers; ++n) out.Put(Member(n));
+  for (int n = 0; n < routers; ++n) out.Put({Member(n)});
   return out;
 }
 
--- a/relay/budget_driver.cc
+++ b/relay/budget_driver.cc
@@ -26,9 +26,9 @@
 // Writers that were refused for a newer revision try again within this.
 constexpr int kConflictJitterMs = 8;
 // Asked for beyond what waits, so that the next requests find something: what
-// was held lately, and at least this.
+// was held in the last second, and at least this.
 constexpr Tokens kLeastSpare = 30000;
-constexpr double kDemandSeconds = 1.0;
+constexpr Duration kDemandTime = milliseconds(1000);
 
 PrepaidOutcome OutcomeOf(StoreEnd end) {
   switch (end) {
@@ -96,13 +96,8 @@
   PumpSoon();
 }
 
-void BudgetDriver::Demand::Add(Instant now, Tokens amount) {
-  sum_ = At(now) + static_cast<double>(amount);
-  at_ = now;
-}
-
-double BudgetDriver::Demand::At(Instant now) const {
-  return sum_ * std::exp(-ToSeconds(now - at_) / kDemandSeconds);
+DecayingRate& BudgetDriver::DemandFor(const CustomerName& customer) {
+  return demand_.try_emplace(customer, kDemandTime).first->second;
 }
 
 void BudgetDriver::TakePartIfHolder() {
@@ -123,7 +118,8 @@
 }
 
 PrepaidVerdict BudgetDriver::HoldHere(const UserPtr& user) {
-  demand_[user->customer()].Add(clock_.Now(), user->worst_case());
+  DemandFor(user->customer())
+      .Add(clock_.Now(), static_cast<double>(user->worst_case()));
   WaitingList& list = waiting_[user->customer()];
   // Later requests don't overtake one that waits.
   if (list.empty()) {
@@ -145,25 +141,26 @@
   out.amount = flow->worst_case();
   out.holders = fleet_.HoldersFor(flow->customer());
   out.done = [this, flow](PrepaidVerdict verdict) {
-    // Posted: the flow may end, and change what is being gone through.
-    loop_.Post([flow, verdict] {
-      if (verdict == PrepaidVerdict::kHeld) return flow->OnHeld();
-      flow->OnHoldRefused(verdict == PrepaidVerdict::kExhausted);
-    });
+    AnswerLater(flow, verdict);
   };
   remote_.Ask(clock_.Now(), std::move(out));
   StartTicking();
 }
 
 void BudgetDriver::HoldForPeer(const UserPtr& user) {
-  switch (HoldHere(user)) {
-    case PrepaidVerdict::kHeld:
-      return user->OnHeld();
-    case PrepaidVerdict::kExhausted:
-      return user->OnHoldRefused(true);
-    case PrepaidVerdict::kShort:
-      return;
-  }
+  const PrepaidVerdict verdict = HoldHere(user);
+  // Else it waits.
+  if (verdict != PrepaidVerdict::kShort) Answer(*user, verdict);
+}
+
+void BudgetDriver::Answer(BudgetUser& user, PrepaidVerdict verdict) {
+  if (verdict == PrepaidVerdict::kHeld) return user.OnHeld();
+  user.OnHoldRefused(verdict == PrepaidVerdict::kExhausted);
+}
+
+// Posted: the user may end, and change the list that is being gone through.
+void BudgetDriver::AnswerLater(const UserPtr& user, PrepaidVerdict verdict) {
+  loop_.Post([user, verdict] { Answer(*user, verdict); });
 }
 
 void BudgetDriver::Forget(const std::shared_ptr<RelayFlow>& flow) {
@@ -212,11 +209,7 @@
     if (verdict == PrepaidVerdict::kShort) break;
     list.pop_front();
     UpdateWaiting(customer, list);
-    // Posted: the user may end, and change the list that is being read.
-    loop_.Post([user, verdict] {
-      if (verdict == PrepaidVerdict::kHeld) return user->OnHeld();
-      user->OnHoldRefused(true);
-    });
+    AnswerLater(user, verdict);
   }
 }
 
@@ -238,7 +231,7 @@
       const UserPtr user = list.front().user;
       list.pop_front();
       LogShort(customer, user->worst_case());
-      loop_.Post([user] { user->OnHoldRefused(false); });
+      AnswerLater(user, PrepaidVerdict::kShort);
       UpdateWaiting(customer, list);
     }
     if (list.empty()) continue;
@@ -301,8 +294,9 @@
 
 void BudgetDriver::AskPeers(const CustomerName& customer,
                             const WaitingList& list, bool all) {
-  const Tokens lately = std::lround(demand_[customer].At(clock_.Now()));
-  Tokens sum = all ? 0 : std::max(kLeastSpare, lately);
+  const double lately =
+      DemandFor(customer).PerSecond(clock_.Now()) * ToSeconds(kDemandTime);
+  Tokens sum = all ? 0 : std::max<Tokens>(kLeastSpare, std::lround(lately));
   for (const Waiting& it : list) sum += it.user->worst_case();
   PeerMessage ask;
   ask.kind = PeerMessageKind::kAsk;
--- a/relay/budget_driver.h
+++ b/relay/budget_driver.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <random>
 
+#include "base/rate.h"
 #include "bundle/service_map.h"
 #include "kv/store.h"
 #include "ledger/prepaid_ledger.h"
@@ -65,7 +66,6 @@
   // Returns the unspent part to the store.
   void StartLeaving();
   const PrepaidLedger& ledger() const { return ledger_; }
-  bool store_reachable() const { return store_reachable_; }
 
  private:
   using UserPtr = std::shared_ptr<BudgetUser>;
@@ -75,16 +75,6 @@
     // How often peers were asked for it.
     int asked = 0;
   };
-  // Tokens held in about the last second, decaying.
-  class Demand {
-   public:
-    void Add(Instant now, Tokens amount);
-    double At(Instant now) const;
-
-   private:
-    double sum_ = 0;
-    Instant at_{};
-  };
   using WaitingList = std::deque<Waiting>;
 
   // The same for a part that this router keeps.
@@ -93,6 +83,9 @@
   void SettleHere(const CustomerName& customer, Tokens held, Tokens cost);
   void HoldElsewhere(const std::shared_ptr<RelayFlow>& flow);
   void HoldForPeer(const UserPtr& user);
+  DecayingRate& DemandFor(const CustomerName& customer);
+  static void Answer(BudgetUser& user, PrepaidVerdict verdict);
+  void AnswerLater(const UserPtr& user, PrepaidVerdict verdict);
   RemoteHolds::Handlers RemoteHandlers();
   ServedHolds::Handlers ServedHandlers();
   void Tell(const Incarnation& peer, PeerMessage message);
@@ -131,7 +124,8 @@
   ServedHolds served_;
   Handlers on_;
   std::map<CustomerName, WaitingList> waiting_;
-  std::map<CustomerName, Demand> demand_;
+  // Tokens that were held of late.
+  std::map<CustomerName, DecayingRate> demand_;
   KvStore::CallPtr call_;
   // The write in flight, and what a read under way has found.
   PrepaidWrite sent_;
--- a/relay/fleet_driver.cc
+++ b/relay/fleet_driver.cc
@@ -1,6 +1,7 @@
 #include "relay/fleet_driver.h"
 
 #include <algorithm>
+#include <vector>
 
 #include "base/log.h"
 
@@ -28,7 +29,7 @@
 void FleetDriver::SetAddress(const std::string& address) {
   FleetMember self = directory_.self();
   self.address = address;
-  directory_.Put(self);
+  directory_.Put({self});
 }
 
 void FleetDriver::Start() { Register(); }
@@ -57,15 +58,16 @@
   if (snapshot.end != StoreEnd::kDone) {
     return After(kRetryAfter, &FleetDriver::Read);
   }
-  bool changed = false;
+  std::vector<FleetMember> members;
   for (const StoreItem& it : snapshot.items) {
     const auto member = DecodeMember(it.value);
     if (!member) {
       LogEvent(Event::kRecordRefused, {{"key", it.key}});
       continue;
     }
-    if (member->vm != directory_.self().vm) changed |= directory_.Put(*member);
+    if (member->vm != directory_.self().vm) members.push_back(*member);
   }
+  const bool changed = directory_.Put(members);
   const bool second = interval_ > kFirstInterval;
   const bool settles = second && !settled_;
   settled_ = settled_ || second;
@@ -83,7 +85,7 @@
 
 void FleetDriver::OnHello(const FleetMember& member) {
   if (member.address.empty() || member.vm == directory_.self().vm) return;
-  if (directory_.Put(member)) changed_();
+  if (directory_.Put({member})) changed_();
 }
 
 }  // namespace quaytrack
--- a/relay/peer_mesh.cc
+++ b/relay/peer_mesh.cc
@@ -88,7 +88,7 @@
 
 void PeerMesh::SetDialled(const std::vector<FleetMember>& members) {
   dialled_ = members;
-  Tick();
+  DialMissing();
 }
 
 const PeerMesh::Link* PeerMesh::FindPeer(const Incarnation& peer) const {
@@ -138,6 +138,10 @@
     Drop(it);
   }
   Ping();
+  DialMissing();
+}
+
+void PeerMesh::DialMissing() {
   for (const FleetMember& it : dialled_) {
     if (!HasLinkTo(it.vm)) Dial(it);
   }
@@ -148,11 +152,6 @@
   out.kind = kind;
   out.from = self_;
   on_.describe(out);
-  if (kind == PeerMessageKind::kHello) {
-    const FleetMember self = on_.self();
-    out.hall = self.hall;
-    out.address = self.address;
-  }
   return out;
 }
 
--- a/relay/peer_mesh.h
+++ b/relay/peer_mesh.h
@@ -26,10 +26,9 @@
  public:
   struct Handlers {
     std::function<void(const PeerMessage& message)> message;
-    // Tells what is in force here, with each sign of life.
+    // Adds what is in force here to a sign of life, and where this router is to
+    // one that opens a link.
     std::function<void(PeerMessage& sign)> describe;
-    // Who this router is, to be told on each new link.
-    std::function<FleetMember()> self;
     // The last link to a peer is gone.
     std::function<void(const Incarnation& peer)> lost;
   };
@@ -65,6 +64,7 @@
   // A link to the VM is there, or is being opened.
   bool HasLinkTo(const VmName& vm) const;
   void Dial(const FleetMember& member);
+  void DialMissing();
   void Tick();
   const Link* FindPeer(const Incarnation& peer) const;
   PeerMessage SignOfLife(PeerMessageKind kind) const;
--- a/relay/peer_messages.cc
+++ b/relay/peer_messages.cc
@@ -1,15 +1,18 @@
 #include "relay/peer_messages.h"
 
-#include <nlohmann/json.hpp>
+#include "base/cbor.h"
 
 namespace quaytrack {
 namespace {
 
 using Json = nlohmann::json;
 
-PeerMessage FromJson(const Json& json, PeerMessageKind kind) {
+// Empty for a kind that isn't known.
+std::optional<PeerMessage> FromJson(const Json& json) {
+  const auto kind = FromName<PeerMessageKind>(json.value("kind", ""));
+  if (!kind) return std::nullopt;
   PeerMessage out;
-  out.kind = kind;
+  out.kind = *kind;
   out.from = Incarnation(json.value("from", ""));
   out.customer = CustomerName(json.value("customer", ""));
   out.amount = json.value("amount", Tokens{0});
@@ -53,20 +56,11 @@
     json["key"] = message.item_key;
     json["value"] = message.item_value;
   }
-  const auto bytes = Json::to_cbor(json);
-  return {bytes.begin(), bytes.end()};
+  return ToCbor(json);
 }
 
 std::optional<PeerMessage> DecodePeerMessage(std::string_view bytes) {
-  const Json json = Json::from_cbor(bytes.begin(), bytes.end(), true, false);
-  if (!json.is_object()) return std::nullopt;
-  try {
-    const auto kind = FromName<PeerMessageKind>(json.value("kind", ""));
-    if (!kind) return std::nullopt;
-    return FromJson(json, *kind);
-  } catch (const Json::exception&) {
-    return std::nullopt;
-  }
+  return FromCbor(bytes, FromJson).value_or(std::nullopt);
 }
 
 }  // namespace quaytrack
--- a/relay/relay_flow.cc
+++ b/relay/relay_flow.cc
@@ -187,7 +187,8 @@
   ++sends_;
   placement_.tried.insert(target.name);
   sent_at_ = context_.Now();
-  unread_ = context_.placement.OnSent(sent_at_, target.name, placement_);
+  unread_ = context_.placement.OnSent(sent_at_, target.name, placement_,
+                                      choice.is_home);
   at_target_ = true;
   answering_ = false;
   not_run_ = false;
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -143,8 +143,10 @@
     it.config_version = configs_.version();
     it.targets_revision = configs_.targets_revision();
     it.keeps_budgets = budgets_.ledger().TakesPart();
+    if (it.kind != PeerMessageKind::kHello) return;
+    it.hall = fleet_.directory().self().hall;
+    it.address = fleet_.directory().self().address;
   };
-  out.self = [this] { return fleet_.directory().self(); };
   out.lost = [this](const Incarnation& it) { budgets_.OnPeerLost(it); };
   return out;
 }
--- a/route/placement.cc
+++ b/route/placement.cc
@@ -24,10 +24,6 @@
   return std::chrono::duration<double, std::milli>(d).count();
 }
 
-std::uint64_t RendezvousWeight(std::uint64_t part, const TargetName& name) {
-  return StableHash(name.value + "/" + std::to_string(part));
-}
-
 double Decayed(double failures, Duration age) {
   return failures * std::exp2(-ToSeconds(age) / kFailureHalfLife);
 }
@@ -58,13 +54,14 @@
     const PlacementRequest& request) const {
   const auto part = SharedPart(request);
   if (!part) return nullptr;
+  const std::string key = std::to_string(*part);
   const State* out = nullptr;
   std::uint64_t best = 0;
   for (const auto& [name, state] : targets_) {
     const bool fits =
         state.entry.service == request.service && !state.entry.leaving;
     if (!fits) continue;
-    const std::uint64_t weight = RendezvousWeight(*part, name);
+    const std::uint64_t weight = RendezvousWeight(name.value, key);
     if (out != nullptr && weight <= best) continue;
     out = &state;
     best = weight;
@@ -140,13 +137,12 @@
 }
 
 Tokens Placement::OnSent(Instant now, const TargetName& name,
-                         const PlacementRequest& request) {
+                         const PlacementRequest& request, bool is_home) {
   const auto it = targets_.find(name);
   if (it == targets_.end()) return 0;
   State& state = it->second;
   ++state.running;
   if (!request.ForEngine()) return 0;
-  const bool is_home = HomeOf(request) == &state;
   const Tokens unread = MissingTokens(state, request, is_home);
   state.unread += unread;
   Remember(now, state, request);
--- a/route/placement.h
+++ b/route/placement.h
@@ -1,8 +1,8 @@
 // Chooses the target of a request among those of its service.
 //
 //   placement.SetTargets(entries);
-//   auto name = placement.Choose(now, request);
-//   Tokens unread = placement.OnSent(now, name, request);
+//   auto choice = placement.Choose(now, request);
+//   Tokens unread = placement.OnSent(now, name, request, choice.is_home);
 //   placement.OnAnswering(now, name, unread, waited);
 //   placement.OnEnded(now, name, 0, PlacementOutcome::kGood);
 //
@@ -99,9 +99,10 @@
   // How many targets of the service are not leaving.
   int Count(const ServiceName& service) const;
 
-  // Returns the tokens that the target is expected to read for it.
+  // Returns the tokens that the target is expected to read for it. `is_home`
+  // is as `Choose` has found it.
   Tokens OnSent(Instant now, const TargetName& name,
-                const PlacementRequest& request);
+                const PlacementRequest& request, bool is_home);
   // Its answer began, after `waited`; `unread` is what OnSent returned.
   void OnAnswering(const TargetName& name, Tokens unread, Duration waited);
   // `unread`: what OnSent returned, or 0 after OnAnswering.
--- a/route/testing/placement_test.cc
+++ b/route/testing/placement_test.cc
@@ -69,7 +69,7 @@
   for (std::uint64_t n = 0; n < 60; ++n) {
     const PlacementRequest request = Prompt(7, 1000 + n);
     const auto choice = it.Choose(kStart, request);
-    it.OnSent(kStart, choice->target.name, request);
+    it.OnSent(kStart, choice->target.name, request, choice->is_home);
     ++sent[choice->target.name];
   }
   BOOST_TEST(sent.size() > 3U);
@@ -114,7 +114,7 @@
   request.service = kDesk;
   const TargetName bad = it.Choose(kStart, request)->target.name;
   for (int n = 0; n < 4; ++n) {
-    it.OnSent(kStart, bad, request);
+    it.OnSent(kStart, bad, request, false);
     it.OnEnded(kStart, bad, 0, PlacementOutcome::kFailed);
   }
   BOOST_TEST((it.Choose(kStart, request)->target.name != bad));
@@ -128,7 +128,7 @@
   PlacementRequest request;
   request.service = kDesk;
   for (int n = 0; n < 10; ++n) {
-    it.OnSent(kStart, TargetName("t0"), request);
+    it.OnSent(kStart, TargetName("t0"), request, false);
     it.OnEnded(kStart, TargetName("t0"), 0, PlacementOutcome::kFailed);
   }
   BOOST_TEST(it.Choose(kStart, request).has_value());
@@ -140,7 +140,8 @@
   PlacementRequest request;
   request.service = kDesk;
   BOOST_TEST((it.Choose(kStart, request)->target.name == TargetName("t1")));
-  for (int n = 0; n < 6; ++n) it.OnSent(kStart, TargetName("t1"), request);
+  for (int n = 0; n < 6; ++n)
+    it.OnSent(kStart, TargetName("t1"), request, false);
   BOOST_TEST((it.Choose(kStart, request)->target.name != TargetName("t1")));
 }
 
--- a/router/peer_codec.cc
+++ b/router/peer_codec.cc
@@ -1,6 +1,6 @@
 #include "router/peer_codec.h"
 
-#include <nlohmann/json.hpp>
+#include "base/cbor.h"
 
 namespace quaytrack {
 namespace {
@@ -95,16 +95,11 @@
 std::string EncodePeerMessage(const PeerMessage& message) {
   const Json json =
       std::visit([](const auto& it) { return ToJson(it); }, message);
-  const auto bytes = Json::to_cbor(json);
-  return std::string(bytes.begin(), bytes.end());
+  return ToCbor(json);
 }
 
 std::optional<PeerMessage> DecodePeerMessage(const std::string& bytes) {
-  try {
-    return FromJson(Json::from_cbor(bytes));
-  } catch (const Json::exception&) {
-    return std::nullopt;
-  }
+  return FromCbor(bytes, FromJson).value_or(std::nullopt);
 }
 
 }  // namespace quaytrack
