A router asks the store again only for what it has not read

Cause: routers tell each other the latest change of the list of targets that they know, and one that is behind asks the store again. "Behind" was worked out from the revisions of the items; an entry that went before a router's first read left one that no item shows, so after a restart it asked once a second for ever. The follower knows how far it has read: HasRead.

Test: WhatWentBeforeTheFirstReadHasBeenRead, by the follower's interface; the old comparison, latest_change() >= 1, is false there.

--- a/kv/follower.h
+++ b/kv/follower.h
@@ -14,6 +14,7 @@
 #ifndef QUAYTRACK_KV_FOLLOWER_H_
 #define QUAYTRACK_KV_FOLLOWER_H_
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <random>
@@ -54,6 +55,11 @@
   void AskAgain();
   // Revision of the latest change that was handed out.
   std::int64_t latest_change() const { return latest_change_; }
+  // Whether a change of that revision would have been handed out, or, if it
+  // removed something before the first read, been seen to be missing.
+  bool HasRead(std::int64_t revision) const {
+    return revision <= std::max(revision_, latest_change_);
+  }
 
  private:
   void Read();
--- a/kv/testing/follower_test.cc
+++ b/kv/testing/follower_test.cc
@@ -67,5 +67,24 @@
   BOOST_TEST(store.waits == static_cast<std::uint64_t>(kAnswers));
 }
 
+// An entry that went before the first read left a revision that no item has; a
+// router that takes it for unread asks again and again.
+BOOST_AUTO_TEST_CASE(WhatWentBeforeTheFirstReadHasBeenRead) {
+  Loop loop;
+  BusyStore store(loop);
+  StoreFollower::Handlers on;
+  on.replaced = [](const std::vector<StoreItem>&) {};
+  on.changed = [](const StoreChange&) {};
+  on.settled = [&] { loop.Stop(); };
+  on.reachable = [](bool) {};
+  StoreFollower follower(loop, store, {"a/"}, on);
+  follower.Start();
+  loop.Run();
+  // The store is at 1 and has no items.
+  BOOST_TEST(follower.latest_change() == 0);
+  BOOST_TEST(follower.HasRead(1));
+  BOOST_TEST(!follower.HasRead(2));
+}
+
 }  // namespace
 }  // namespace quaytrack
--- a/relay/config_driver.cc
+++ b/relay/config_driver.cc
@@ -181,10 +181,10 @@
 }
 
 void ConfigDriver::CheckTargetsLater(std::int64_t revision) {
-  if (check_timer_ || revision <= targets_revision()) return;
+  if (check_timer_ || target_follower_.HasRead(revision)) return;
   check_timer_ = loop_.After(kOwnWatchFirst, [this, revision] {
     check_timer_.reset();
-    if (targets_revision() < revision) target_follower_.AskAgain();
+    if (!target_follower_.HasRead(revision)) target_follower_.AskAgain();
   });
 }
 
