A stop says which requests it cuts, and how long it is until the kill

Cause: the log could not tell why a planned stop had cut two streams. It said how many requests still ran when their time was up, not which, how far they had come, or how much time was left; a request that is cut by the end of the process has no line at all.

Change: QT1414 request_overran names each request that still runs then, with its state, events and times; QT1005 and QT1004 say how long it is until the kill. The planned stop is given the clock for that. No decision changes.

Checked: base_catalogue_test, base_docs_test, relay_planned_stop_test pass.

--- a/base/events.h
+++ b/base/events.h
@@ -81,6 +81,7 @@
   kMoveGiven = 1411,
   kPredecessorClosed = 1412,
   kHoldUnanswered = 1413,
+  kRequestOverran = 1414,
 };
 
 struct EventInfo {
@@ -140,6 +141,7 @@
     {Event::kMoveGiven, LogLevel::kDebug, "move_given"},
     {Event::kPredecessorClosed, LogLevel::kInfo, "predecessor_closed"},
     {Event::kHoldUnanswered, LogLevel::kWarn, "hold_unanswered"},
+    {Event::kRequestOverran, LogLevel::kWarn, "request_overran"},
 });
 
 }  // namespace quaytrack
--- a/base/log.h
+++ b/base/log.h
@@ -22,6 +22,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/clock.h"
 #include "base/enum_table.h"
 #include "base/events.h"
 
@@ -51,6 +52,12 @@
   std::string value;
 };
 
+// The value of a field whose name ends in "_ms".
+inline std::string MillisecondsText(Duration d) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
+}
+
 // Sends events of `level` and above to standard error, which it makes
 // non-blocking. Called once, before the first event.
 void SetUpLog(LogFormat format, LogLevel level);
--- a/relay/planned_stop.cc
+++ b/relay/planned_stop.cc
@@ -7,9 +7,14 @@
 
 namespace quaytrack {
 
-PlannedStop::PlannedStop(Loop& loop, const DrainChart& chart,
-                         PlannedStopTimes times, Handlers handlers)
-    : loop_(loop), times_(times), on_(std::move(handlers)), machine_(chart) {}
+PlannedStop::PlannedStop(Loop& loop, const Clock& clock,
+                         const DrainChart& chart, PlannedStopTimes times,
+                         Handlers handlers)
+    : loop_(loop),
+      clock_(clock),
+      times_(times),
+      on_(std::move(handlers)),
+      machine_(chart) {}
 
 void PlannedStop::Check() {
   const DrainState state = machine_.state();
@@ -39,6 +44,7 @@
 }
 
 void PlannedStop::ReportUnready() {
+  begun_ = clock_.Now();
   on_.report_unready();
   StepEndsAfter(times_.balancer,
                 [this] { Apply(DrainEvent::kBalancerNoticed); });
@@ -52,8 +58,9 @@
 }
 
 void PlannedStop::OnRequestsTimeUp() {
-  LogEvent(Event::kDrainTimedOut,
-           {{"requests", std::to_string(on_.requests())}});
+  LogEvent(Event::kDrainTimedOut, {{"requests", std::to_string(on_.requests())},
+                                   {"left_ms", MillisecondsText(Left())}});
+  on_.report_unfinished(Left());
   Apply(DrainEvent::kTimeUp);
 }
 
@@ -63,7 +70,7 @@
 }
 
 void PlannedStop::Finish() {
-  on_.finished();
+  on_.finished(Left());
   exit_timer_ = loop_.After(times_.last_writes, [this] { loop_.Stop(); });
 }
 
--- a/relay/planned_stop.h
+++ b/relay/planned_stop.h
@@ -1,10 +1,10 @@
 // PlannedStop ends a router process without cutting a request: the steps of
 // chart/charts/drain.json, their times, and what ends each.
 //
-//   PlannedStop stop(loop, drain_chart, {settings.drain_time}, handlers);
-//   stop.Start();                 // at SIGTERM; again changes nothing
-//   stop.Check();                 // a few times a second
-//   if (stop.started()) ...       // report unready
+//   PlannedStop stop(loop, clock, drain_chart, {settings.drain_time},
+//   handlers); stop.Start();                 // at SIGTERM; again changes
+//   nothing stop.Check();                 // a few times a second if
+//   (stop.started()) ...       // report unready
 //
 // The steps, with the names of the chart's states:
 //
@@ -71,14 +71,18 @@
     std::function<void()> return_grants;
     // Requests under way.
     std::function<std::size_t()> requests;
+    // The time for requests is up: says which still run, with the time that is
+    // left until the kill.
+    std::function<void(Duration)> report_unfinished;
     // The store has what this router kept of the budgets.
     std::function<bool()> grants_returned;
-    // The stop is over; the loop ends soon after.
-    std::function<void()> finished;
+    // The stop is over; the loop ends soon after. With the time that is left
+    // until the kill.
+    std::function<void(Duration)> finished;
   };
 
-  PlannedStop(Loop& loop, const DrainChart& chart, PlannedStopTimes times,
-              Handlers handlers);
+  PlannedStop(Loop& loop, const Clock& clock, const DrainChart& chart,
+              PlannedStopTimes times, Handlers handlers);
 
   void Start() { Apply(DrainEvent::kStopAsked); }
   // Whether requests have ended or grants have been returned since the last
@@ -93,13 +97,17 @@
   void ReturnGrants();
   void Finish();
   void OnRequestsTimeUp();
+  // Until the process is killed; less than zero if that is overdue.
+  Duration Left() const { return begun_ + times_.total - clock_.Now(); }
   // The time of the present step is over after `delay`.
   void StepEndsAfter(Duration delay, std::function<void()> action);
 
   Loop& loop_;
+  const Clock& clock_;
   PlannedStopTimes times_;
   Handlers on_;
   ChartMachine<DrainState, DrainEvent, DrainAction> machine_;
+  Instant begun_{};
   std::unique_ptr<Timer> step_timer_;
   std::unique_ptr<Timer> exit_timer_;
 };
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -80,7 +80,8 @@
       caller_server_(loop, clock),
       admin_server_(loop, clock),
       metrics_server_(loop, clock),
-      stop_(loop, charts.drain, PlannedStopTimesFrom(settings), StopHandlers()),
+      stop_(loop, clock, charts.drain, PlannedStopTimesFrom(settings),
+            StopHandlers()),
       link_(loop, clock, settings.link_mbps) {
   fleet_.OnChanged([this] { OnFleetChanged(); });
   budgets_.SetHandlers(BudgetHandlers());
@@ -186,8 +187,13 @@
   out.return_grants = [this] { budgets_.StartLeaving(); };
   out.requests = [this] { return context_.requests.size(); };
   out.grants_returned = [this] { return budgets_.ledger().HasLeft(); };
-  out.finished = [this] {
-    LogEvent(Event::kDrainFinished, {{"incarnation", self_.value}});
+  out.report_unfinished = [this](Duration left) {
+    context_.requests.ForEach(
+        [left](const RelayedRequest& it) { it.LogOverran(left); });
+  };
+  out.finished = [this](Duration left) {
+    LogEvent(Event::kDrainFinished, {{"incarnation", self_.value},
+                                     {"left_ms", MillisecondsText(left)}});
   };
   return out;
 }
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -325,6 +325,11 @@
   LogAttemptEnded(id(), progress_, ran, context_.clock.Now() - sent_at_);
 }
 
+void RelayedRequest::LogOverran(Duration left) const {
+  LogRequestOverran(admission_, progress_, machine_.state(),
+                    context_.clock.Now() - request_.begun, left);
+}
+
 // --- Ends --------------------------------------------------------------------
 
 void RelayedRequest::OnDeadline() {
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -71,6 +71,9 @@
   void OnHeld() override { Apply(RelayEvent::kHoldGranted); }
   void OnHoldRefused(bool exhausted) override;
 
+  // The planned stop's time is up; `left` until the process is killed.
+  void LogOverran(Duration left) const;
+
   const RequestId& id() const override { return admission_.facts.id; }
   const CustomerName& customer() const override { return admission_.customer; }
   Tokens worst_case() const override { return admission_.worst_case; }
--- a/relay/request_log.cc
+++ b/relay/request_log.cc
@@ -6,15 +6,6 @@
 #include "base/log.h"
 
 namespace quaytrack {
-namespace {
-
-std::string MillisecondsText(Duration d) {
-  return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
-}
-
-}  // namespace
-
 void LogAttemptEnded(const RequestId& id, const RequestProgress& progress,
                      Ran ran, Duration took) {
   LogEvent(Event::kAttemptEnded, {{"request", id.value},
@@ -48,4 +39,18 @@
             {"ms", MillisecondsText(end.took)}});
 }
 
+void LogRequestOverran(const Admission& admission,
+                       const RequestProgress& progress, RelayState state,
+                       Duration since, Duration left) {
+  LogEvent(Event::kRequestOverran,
+           {{"request", admission.facts.id.value},
+            {"route", admission.route == nullptr ? "" : admission.route->name},
+            {"target", progress.choice.target.name.value},
+            {"state", std::string(NameOf(state))},
+            {"events", std::to_string(progress.events)},
+            {"first_ms", MillisecondsText(progress.first_event)},
+            {"ms", MillisecondsText(since)},
+            {"left_ms", MillisecondsText(left)}});
+}
+
 }  // namespace quaytrack
--- a/relay/request_log.h
+++ b/relay/request_log.h
@@ -1,6 +1,7 @@
-// The two log lines about a request: `attempt_ended`, for each attempt that
-// gave the caller no answer, and `relay_ended`, for each request. Together they
-// tell which way it went; docs/ON-CALL-relay.md shows how to read them.
+// The log lines about a request: `attempt_ended`, for each attempt that gave
+// the caller no answer, and `relay_ended`, for each request. Together they tell
+// which way it went; docs/ON-CALL-relay.md shows how to read them.
+// `request_overran` names those that a planned stop has no more time for.
 //
 //   RequestProgress progress;             // kept by the request on its way
 //   LogAttemptEnded(id, progress, Ran::kUnknown, took);
@@ -17,6 +18,7 @@
 #include "relay/admission.h"
 #include "relay/final_answer.h"
 #include "relay/ran.h"
+#include "relay/relay_chart.h"
 
 namespace quaytrack {
 
@@ -54,6 +56,13 @@
 void LogRequestEnded(const Admission& admission,
                      const RequestProgress& progress, const RequestEnd& end);
 
+// A request that still runs when a planned stop has no more time for requests:
+// how far it has come. `state` is its chart's, `since` its time from its first
+// byte, and `left` the time until the process is killed.
+void LogRequestOverran(const Admission& admission,
+                       const RequestProgress& progress, RelayState state,
+                       Duration since, Duration left);
+
 }  // namespace quaytrack
 
 #endif  // QUAYTRACK_RELAY_REQUEST_LOG_H_
--- a/relay/running_requests.h
+++ b/relay/running_requests.h
@@ -21,6 +21,11 @@
  public:
   void Add(const std::shared_ptr<RelayedRequest>& it) { all_.insert(it); }
   void Remove(const std::shared_ptr<RelayedRequest>& it) { all_.erase(it); }
+  // `action` must neither add nor remove one.
+  template <class Action>
+  void ForEach(Action&& action) const {
+    for (const auto& it : all_) action(*it);
+  }
   bool empty() const { return all_.empty(); }
   std::size_t size() const { return all_.size(); }
 
--- a/relay/testing/planned_stop_test.cc
+++ b/relay/testing/planned_stop_test.cc
@@ -34,7 +34,7 @@
 }
 
 struct Fixture {
-  Fixture() : stop(loop, chart, Times(), Handlers()) {}
+  Fixture() : stop(loop, clock, chart, Times(), Handlers()) {}
 
   PlannedStop::Handlers Handlers() {
     PlannedStop::Handlers out;
@@ -42,7 +42,10 @@
     out.stop_listening = [this] { steps.emplace_back("stop_listening"); };
     out.close_idle = [this] { steps.emplace_back("close_idle"); };
     out.return_grants = [this] { steps.emplace_back("return_grants"); };
-    out.finished = [this] { steps.emplace_back("finished"); };
+    out.report_unfinished = [this](Duration) {
+      steps.emplace_back("report_unfinished");
+    };
+    out.finished = [this](Duration) { steps.emplace_back("finished"); };
     out.requests = [this] { return requests; };
     out.grants_returned = [this] { return returned; };
     return out;
@@ -59,6 +62,7 @@
     return !late;
   }
 
+  const SystemClock clock;
   Loop loop;
   DrainChart chart = BoundChart();
   Steps steps;
@@ -111,7 +115,7 @@
   });
   stop.Start();
   loop.Run();
-  BOOST_TEST((taken == Steps{"return_grants"}));
+  BOOST_TEST((taken == Steps{"report_unfinished", "return_grants"}));
 }
 
 BOOST_FIXTURE_TEST_CASE(GrantsThatDontComeBackAreNotWaitedForUntilTheKill,
