An answer that its caller takes slowly isn't cut by its connection's end

Cause, found while looking for other connections that a stop ends: a connection whose last answer was still waiting for its caller to take it was closed 2 s after the answer had been written (at a planned stop every answer is the last of its connection), and closing idle connections closed one whose answer was still waiting. Its caller got part of an answer, whether a stop was under way or not.

Change: a connection lingers from the moment its answer has been taken; until then only the socket's own time limit ends it. Closing idle ones lets what waits go out first. `CallerServer::Unfinished` counts what a process that ends now would cut.

Tests: AnAnswerThatWaitsForItsCallerIsUnfinished and ALastAnswerMayBeTaken Slowly, 16 MB to a caller that doesn't read: with the old closing three checks fail (the caller doesn't get all), with the new one all pass.

--- a/http/caller_connection.cc
+++ b/http/caller_connection.cc
@@ -202,10 +202,19 @@
   flushing_ = true;
 }
 
+// The latest answer may still wait for its caller to take it, though no request
+// is under way.
+void CallerConnection::CloseIdle() {
+  keep_alive_ = false;
+  if (socket_->Unsent() == 0) return Abort();
+  CloseAfterFlush();
+}
+
 // The other side may still be sending; closing now would reset the connection
 // under the answer.
 void CallerConnection::Linger() {
   flushing_ = false;
+  progress_at_ = server_.clock_.Now();
   socket_->ShutdownWrite();
 }
 
@@ -222,14 +231,16 @@
   const CallerLimits& limits = server_.limits_;
   switch (phase_) {
     case Phase::kIdle:
-      if (silent >= limits.idle_timeout) Abort();
+      if (silent >= limits.idle_timeout) CloseIdle();
       return;
     case Phase::kReading:
       if (!head_read_ && silent >= limits.head_timeout) RefuseAndClose(408);
       if (head_read_ && silent >= limits.idle_timeout) RefuseAndClose(408);
       return;
     case Phase::kLingering:
-      if (silent >= kLingerTime) Abort();
+      // While it flushes, the caller still takes its answer, however slowly;
+      // one that is gone is found by the socket's own time limit.
+      if (!flushing_ && silent >= kLingerTime) Abort();
       return;
     case Phase::kAnswering:
       return;
--- a/http/caller_connection.h
+++ b/http/caller_connection.h
@@ -101,6 +101,7 @@
   void OnEnded();
   void FinishExchange();
   void CloseAfterFlush();
+  void CloseIdle();
   void Linger();
   // Closes the connection if it has been silent for too long.
   void Sweep(Instant now);
--- a/http/caller_server.cc
+++ b/http/caller_server.cc
@@ -49,10 +49,19 @@
   const std::vector<std::shared_ptr<CallerConnection>> all(connections_.begin(),
                                                            connections_.end());
   for (const auto& it : all) {
-    if (it->phase_ == CallerConnection::Phase::kIdle) it->Abort();
+    if (it->phase_ == CallerConnection::Phase::kIdle) it->CloseIdle();
   }
 }
 
+std::size_t CallerServer::Unfinished() const {
+  std::size_t out = 0;
+  for (const auto& it : connections_) {
+    const bool reading = it->phase_ == CallerConnection::Phase::kReading;
+    if (reading || it->flushing_) ++out;
+  }
+  return out;
+}
+
 void CallerServer::Forget(const std::shared_ptr<CallerConnection>& it) {
   // Posted: the connection may be in the middle of its own work.
   loop_.Post([keep = it] {});
--- a/http/caller_server.h
+++ b/http/caller_server.h
@@ -60,6 +60,10 @@
   // Closes the connections that have no request under way.
   void CloseIdle();
   std::size_t connections() const { return connections_.size(); }
+  // Connections that are no idle ones, though no handler has a request of them:
+  // a request is being read, or an answer's last bytes wait for the caller. A
+  // process that ends now would cut them.
+  std::size_t Unfinished() const;
 
  private:
   friend class CallerConnection;
--- a/http/testing/connections_test.cc
+++ b/http/testing/connections_test.cc
@@ -283,6 +283,60 @@
   BOOST_TEST(ended);
 }
 
+// More than the sockets of both sides take by themselves.
+std::string LargeBody() { return std::string(16 << 20, 'x'); }
+
+struct SlowCallerFixture : CallerFixture {
+  // Gets a large answer and takes none of it.
+  void AskAndTakeNothing() {
+    handler = [](CallerConnection& caller) {
+      HttpHead head;
+      head.status = 200;
+      caller.Reply(head, LargeBody());
+    };
+    Send("");
+    socket->PauseReading();
+    Send(kRequest);
+    BOOST_TEST(received.empty());
+  }
+  bool GetsAll() {
+    socket->ResumeReading();
+    RunFor(std::chrono::seconds(2));
+    return received.size() > LargeBody().size();
+  }
+};
+
+// A caller that takes its answer slowly gets all of it, whatever the server
+// does with connections that have no request.
+BOOST_FIXTURE_TEST_CASE(AnAnswerThatWaitsForItsCallerIsUnfinished,
+                        SlowCallerFixture) {
+  BOOST_TEST(server.Unfinished() == 0U);
+  AskAndTakeNothing();
+  server.StartClosing();
+  server.CloseIdle();
+  BOOST_TEST(server.Unfinished() == 1U);
+  BOOST_TEST(GetsAll());
+  BOOST_TEST(ended);
+  BOOST_TEST(server.Unfinished() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ALastAnswerMayBeTakenSlowly, SlowCallerFixture) {
+  server.StartClosing();
+  AskAndTakeNothing();
+  // Longer than a connection lingers after its last answer was taken.
+  RunFor(std::chrono::milliseconds(2700));
+  BOOST_TEST(!ended);
+  BOOST_TEST(GetsAll());
+}
+
+BOOST_FIXTURE_TEST_CASE(ARequestThatIsBeingReadIsUnfinished, CallerFixture) {
+  Send("GET / HTTP/1.1\r\nHost:");
+  BOOST_TEST(server.Unfinished() == 1U);
+  handler = ReplyOk;
+  Send(" h\r\n\r\n");
+  BOOST_TEST(server.Unfinished() == 0U);
+}
+
 BOOST_FIXTURE_TEST_CASE(ARequestThatIsNoneIsRefusedHere, CallerFixture) {
   CallerLimits limits;
   limits.http.max_body_bytes = 4;
