A stopping router serves what ends in time until its last request has ended

Cause: the listener closed 2.6 s after SIGTERM, when the balancer has noticed if it has another router to send to. Where several routers of a hall stop at once it has none and goes on sending, to routers that ran on for up to 4 s more for their streams.

Change: connections are accepted until no request is unfinished. Connections that were opened in the last 0.1 s count as unfinished and stay open, as their first request may be on its way.

--- a/http/caller_connection.cc
+++ b/http/caller_connection.cc
@@ -11,6 +11,10 @@
 // How long the rest of a refused request is read and thrown away, so that the
 // refusal isn't lost with a reset. Not measured.
 constexpr Duration kLingerTime = std::chrono::seconds(2);
+// How long the first request of a new connection is waited for when idle ones
+// are closed. A caller sends it as soon as the connection is open, so it is a
+// round trip to callers, with room for a slow link. Not measured.
+constexpr Duration kFirstRequestTime = std::chrono::milliseconds(100);
 // Bytes of a next request that are taken while an answer is under way; then
 // reading stops. Not measured.
 constexpr std::size_t kMaxPending = 64 * 1024;
@@ -64,6 +68,7 @@
 void CallerConnection::OnData(std::string_view bytes) {
   const auto keep = shared_from_this();
   if (phase_ == Phase::kLingering) return;
+  fresh_ = false;
   if (phase_ == Phase::kIdle) {
     phase_ = Phase::kReading;
     progress_at_ = server_.clock_.Now();
@@ -226,6 +231,10 @@
   if (gone) gone();
 }
 
+bool CallerConnection::AwaitsFirstRequest(Instant now) const {
+  return fresh_ && open() && now - progress_at_ < kFirstRequestTime;
+}
+
 void CallerConnection::Sweep(Instant now) {
   const Duration silent = now - progress_at_;
   const CallerLimits& limits = server_.limits_;
--- a/http/caller_connection.h
+++ b/http/caller_connection.h
@@ -103,6 +103,8 @@
   void CloseAfterFlush();
   void CloseIdle();
   void Linger();
+  // It has been opened so lately that its first request may be on its way.
+  bool AwaitsFirstRequest(Instant now) const;
   // Closes the connection if it has been silent for too long.
   void Sweep(Instant now);
 
@@ -113,6 +115,8 @@
   // Bytes that came while an answer was under way.
   std::string pending_;
   CallerRequest request_;
+  // No byte of a request has come yet.
+  bool fresh_ = true;
   // Of the present request.
   bool head_read_ = false;
   // The present answer may be followed by another request.
--- a/http/caller_server.cc
+++ b/http/caller_server.cc
@@ -48,16 +48,19 @@
 void CallerServer::CloseIdle() {
   const std::vector<std::shared_ptr<CallerConnection>> all(connections_.begin(),
                                                            connections_.end());
+  const Instant now = clock_.Now();
   for (const auto& it : all) {
-    if (it->phase_ == CallerConnection::Phase::kIdle) it->CloseIdle();
+    if (it->phase_ != CallerConnection::Phase::kIdle) continue;
+    if (!it->AwaitsFirstRequest(now)) it->CloseIdle();
   }
 }
 
 std::size_t CallerServer::Unfinished() const {
+  const Instant now = clock_.Now();
   std::size_t out = 0;
   for (const auto& it : connections_) {
     const bool reading = it->phase_ == CallerConnection::Phase::kReading;
-    if (reading || it->flushing_) ++out;
+    if (reading || it->flushing_ || it->AwaitsFirstRequest(now)) ++out;
   }
   return out;
 }
--- a/http/caller_server.h
+++ b/http/caller_server.h
@@ -57,12 +57,14 @@
   // From now on every answer is the last of its connection.
   void StartClosing() { closing_ = true; }
   bool closing() const { return closing_; }
-  // Closes the connections that have no request under way.
+  // Closes the connections that have no request under way, but for those that
+  // have just been opened, as a request is likely to be on its way.
   void CloseIdle();
   std::size_t connections() const { return connections_.size(); }
   // Connections that are no idle ones, though no handler has a request of them:
-  // a request is being read, or an answer's last bytes wait for the caller. A
-  // process that ends now would cut them.
+  // the first request is about to come or a request is being read, or an
+  // answer's last bytes wait for the caller. A process that ends now would cut
+  // them.
   std::size_t Unfinished() const;
 
  private:
--- a/http/testing/connections_test.cc
+++ b/http/testing/connections_test.cc
@@ -310,7 +310,6 @@
 // does with connections that have no request.
 BOOST_FIXTURE_TEST_CASE(AnAnswerThatWaitsForItsCallerIsUnfinished,
                         SlowCallerFixture) {
-  BOOST_TEST(server.Unfinished() == 0U);
   AskAndTakeNothing();
   server.StartClosing();
   server.CloseIdle();
@@ -329,6 +328,30 @@
   BOOST_TEST(GetsAll());
 }
 
+// Its caller couldn't tell the close from a lost request.
+BOOST_FIXTURE_TEST_CASE(ANewConnectionMaySendItsFirstRequest, CallerFixture) {
+  handler = ReplyOk;
+  const auto guard = loop.After(std::chrono::seconds(5), [&] { loop.Stop(); });
+  const auto look = loop.Every(milliseconds(1), [&] {
+    if (server.connections() == 1) loop.Stop();
+  });
+  loop.Run();
+  server.StartClosing();
+  BOOST_TEST(server.Unfinished() == 1U);
+  server.CloseIdle();
+  BOOST_TEST(server.connections() == 1U);
+  Send(kRequest);
+  BOOST_TEST(received.ends_with("ok"));
+  BOOST_TEST(server.Unfinished() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AConnectionThatSendsNothingIsClosed, CallerFixture) {
+  RunFor(milliseconds(150));
+  BOOST_TEST(server.Unfinished() == 0U);
+  server.CloseIdle();
+  BOOST_TEST(server.connections() == 0U);
+}
+
 BOOST_FIXTURE_TEST_CASE(ARequestThatIsBeingReadIsUnfinished, CallerFixture) {
   Send("GET / HTTP/1.1\r\nHost:");
   BOOST_TEST(server.Unfinished() == 1U);
--- a/relay/admission.cc
+++ b/relay/admission.cc
@@ -43,7 +43,6 @@
   auto facts = input.dialect.Read(head);
   if (!facts || facts->id.empty()) return RelayCause::kMalformed;
   out.facts = std::move(facts.value());
-  if (input.stopping) return RelayCause::kStopped;
   out.route = map.Match(HostName(head), head.Path());
   if (out.route == nullptr) return RelayCause::kNoRoute;
   if (!AdmitCustomer(map, out)) return RelayCause::kUnknownKey;
@@ -51,6 +50,7 @@
   out.service = map.FindService(name);
   if (out.service == nullptr) return RelayCause::kNoTarget;
   out.deadline = DeadlineOf(input.request, out);
+  if (out.deadline > input.latest_deadline) return RelayCause::kStopped;
   out.placement.service = name;
   if (!out.service->IsEngine()) return std::nullopt;
   out.worst_case = out.facts.prompt_tokens + out.facts.most_tokens_out;
--- a/relay/admission.h
+++ b/relay/admission.h
@@ -8,13 +8,14 @@
 // The rule, in this order, first failure first:
 //   1. a configuration is in force;
 //   2. the head can be read, and has a request id;
-//   3. no planned stop has come to its end: what is sent then is cut;
-//   4. a route takes its host and path;
-//   5. its key is known, where the route needs one;
-//   6. the service that the route sends it to is configured.
+//   3. a route takes its host and path;
+//   4. its key is known, where the route needs one;
+//   5. the service that the route sends it to is configured;
+//   6. a planned stop, if there is one, leaves it the time until its deadline:
+//      what a stop cuts is lost, what it refuses can go to another router.
 //
-// Inputs are the configuration in force, the request, one random number and
-// whether the router is stopping, so the same inputs give the same verdict.
+// Inputs are the configuration in force, the request, one random number and the
+// stop's latest deadline, so the same inputs give the same verdict.
 // Budgets (relay/budget_driver.h) and targets (dispatch/placement.h) come
 // later.
 
@@ -40,8 +41,8 @@
   const CallerRequest& request;
   // Uniform in [0, 1): which of a route's services takes the request.
   double draw = 0;
-  // A planned stop has no time left for new requests.
-  bool stopping = false;
+  // See relay/planned_stop.h.
+  Instant latest_deadline = Instant::max();
 };
 
 struct Admission {
--- a/relay/planned_stop.cc
+++ b/relay/planned_stop.cc
@@ -24,8 +24,11 @@
       machine_(chart) {}
 
 void PlannedStop::Check() {
-  const DrainState state = machine_.state();
-  if (state == DrainState::kFinishing && on_.requests() == 0) {
+  if (machine_.state() == DrainState::kUnready && balancer_time_over_ &&
+      on_.requests() == 0) {
+    Apply(DrainEvent::kBalancerNoticed);
+  }
+  if (machine_.state() == DrainState::kFinishing && on_.requests() == 0) {
     on_.close_idle();
     Apply(DrainEvent::kRequestsEnded);
   }
@@ -50,9 +53,18 @@
   }
 }
 
-bool PlannedStop::TakesRequests() const {
-  const DrainState state = machine_.state();
-  return state != DrainState::kReturning && state != DrainState::kStopped;
+Instant PlannedStop::LatestDeadline() const {
+  switch (machine_.state()) {
+    case DrainState::kServing:
+      return Instant::max();
+    case DrainState::kUnready:
+    case DrainState::kFinishing:
+      return balancer_time_over_ ? RequestsEnd() : Instant::max();
+    case DrainState::kReturning:
+    case DrainState::kStopped:
+      return Instant::min();
+  }
+  return Instant::min();
 }
 
 void PlannedStop::ReportUnready() {
@@ -60,15 +72,17 @@
   on_.report_unready();
   requests_timer_ =
       loop_.After(times_.total - times_.margin, [this] { OnRequestsTimeUp(); });
-  step_timer_ = loop_.After(times_.balancer,
-                            [this] { Apply(DrainEvent::kBalancerNoticed); });
+  step_timer_ = loop_.After(times_.balancer, [this] { OnBalancerTimeOver(); });
 }
 
-void PlannedStop::StopListening() {
-  on_.stop_listening();
+void PlannedStop::OnBalancerTimeOver() {
+  balancer_time_over_ = true;
   on_.close_idle();
+  Check();
 }
 
+void PlannedStop::StopListening() { on_.stop_listening(); }
+
 void PlannedStop::OnRequestsTimeUp() {
   const std::size_t n = on_.requests();
   if (n > 0) {
@@ -76,7 +90,6 @@
                                      {"left_ms", MillisecondsText(Left())}});
     on_.end_unfinished(Left());
   }
-  // A short stop may have no time until the balancer has noticed.
   if (machine_.state() == DrainState::kUnready) on_.stop_listening();
   Apply(DrainEvent::kTimeUp);
 }
--- a/relay/planned_stop.h
+++ b/relay/planned_stop.h
@@ -9,11 +9,15 @@
 // The steps, with the names of the chart's states:
 //
 //   unready    The balancer is told that this router isn't ready. It goes on
-//              sending connections until it has noticed, so they are still
-//              accepted and served, but each answer is the last of its
-//              connection. Ends after `PlannedStopTimes::balancer`.
-//   finishing  No connections are accepted; idle ones are closed; what runs
-//              goes on. Ends when no request is unfinished.
+//              sending connections until it has noticed, and for longer where
+//              too few other routers are ready. So they are accepted until the
+//              end, but each answer is the last of its connection. After
+//              `PlannedStopTimes::balancer`, idle connections are closed, and
+//              only requests are taken that end in time by their own deadline
+//              (`LatestDeadline`); others are refused at once, so that their
+//              callers can go elsewhere. Ends at the first moment after that at
+//              which no request is unfinished.
+//   finishing  No connections are accepted. Ends when no request is unfinished.
 //   returning  New requests are refused. What this router keeps of the budgets
 //              goes back to the store, so that its death charges nothing. Ends
 //              when the store has it, or after `returning`.
@@ -50,9 +54,10 @@
 struct PlannedStopTimes {
   // From the request to stop until the process is killed: --drain-s.
   Duration total = std::chrono::seconds(8);
-  // From turning unready until the balancer sends no new connections. The
-  // users' balancer asks every second, and two answers in a row decide: 2 s,
-  // and 0.6 s for slow answers. The 0.6 s isn't measured.
+  // From turning unready until the balancer sends no new connections if it has
+  // another router to send them to. The users' balancer asks every second, and
+  // two answers in a row decide: 2 s, and 0.6 s for slow answers. The 0.6 s
+  // isn't measured.
   Duration balancer = std::chrono::milliseconds(2600);
   // Kept of `total` for all that follows the requests: `returning`,
   // `last_writes`, and timers that fire late on a busy VM. It is as short as
@@ -99,8 +104,8 @@
   // call.
   void Check();
   bool started() const { return machine_.state() != DrainState::kServing; }
-  // A request that comes now can still be served.
-  bool TakesRequests() const;
+  // The latest deadline of a request that comes now and can be taken.
+  Instant LatestDeadline() const;
 
  private:
   void Apply(DrainEvent event);
@@ -108,7 +113,9 @@
   void StopListening();
   void ReturnGrants();
   void Finish();
+  void OnBalancerTimeOver();
   void OnRequestsTimeUp();
+  Instant RequestsEnd() const { return begun_ + times_.total - times_.margin; }
   // Until the process is killed; less than zero if that is overdue.
   Duration Left() const { return begun_ + times_.total - clock_.Now(); }
 
@@ -118,6 +125,7 @@
   Handlers on_;
   ChartMachine<DrainState, DrainEvent, DrainAction> machine_;
   Instant begun_{};
+  bool balancer_time_over_ = false;
   // Until the balancer has noticed; then until grants must be returned.
   std::unique_ptr<Timer> step_timer_;
   // Until requests have no more time, whichever step they are in.
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -39,7 +39,7 @@
   std::uniform_real_distribution<double> draw(0, 1);
   const auto refused =
       Admit({map_.get(), context_.callers, request_, draw(context_.random),
-             !context_.stop.TakesRequests()},
+             context_.stop.LatestDeadline()},
             admission_);
   if (refused) return GiveUp(Ran::kNo, *refused);
   deadline_timer_ = context_.loop.After(std::max(Left(), Duration::zero()),
