A gap in a stream takes back all that came with it

Cause: EventReader moved its last id past a missing event, and past the events before it in the same bytes, while RelayedRequest::PassOnEvents passes nothing of those bytes on. The next target was asked to go on behind the gap, and what it sent of the missing part was dropped as known, so the caller missed events.

Ruled out: moving the id only up to the event before the gap. With "2, 4" in one read, event 2 would then count as passed on and be lost.

Take now takes out all events that are whole, or none if one was skipped, and the last id is that of the last event that was taken out. Passing on what came before the gap in the same read would spare the next target those events; it needs a change of RelayedRequest and isn't done.

relay_event_gap_test (unchanged) was red and is green. Two new cases of relay_events_test give 5 failed checks with the header before this commit and none with it; the other 5 cases pass with both.

--- a/relay/events.h
+++ b/relay/events.h
@@ -12,7 +12,9 @@
 // A target may end in the middle of an event. What has come of it is kept back,
 // so that a caller never sees a piece of one, and another target can go on
 // after the last whole event. That target may begin earlier than it was asked
-// to: events whose ids were passed on before are dropped.
+// to: events whose ids were passed on before are dropped. If a target skips an
+// event, nothing that came with the gap is taken out or counted, so the next
+// target goes on before it and no caller misses an event.
 //
 // It owns the bytes of the event that is not yet whole and the id of the last
 // whole one, and relies on ids that are whole numbers and rise by one. Events
@@ -34,38 +36,39 @@
 struct StreamEvents {
   std::string bytes;
   int count = 0;
-  // An event came that doesn't follow the one before it.
+  // An event came that doesn't follow the one before it. There are no bytes
+  // then, also none of the events before it in the same `Take`.
   bool out_of_order = false;
 };
 
 class EventReader {
  public:
-  // Adds bytes as they came, and takes out the events that are whole by them.
+  // Adds bytes as they came, and takes out the events that are whole by them:
+  // all of them, or none if one was skipped. What is taken out has to be passed
+  // on, as `last_id` counts it.
   StreamEvents Take(std::string_view bytes);
 
   // Some of an event has come, and not all.
   bool InEvent() const { return !partial_.empty(); }
   // Forgets what has come of an event, when another target goes on.
   void DropPartial() { partial_.clear(); }
-  // The id of the last whole event; empty if events carry none.
+  // The id of the last event that was taken out; empty if events carry none.
   std::string last_id() const {
     return last_id_ ? std::to_string(*last_id_) : std::string();
   }
 
  private:
-  // False for an event that was passed on before. Notes its id, and in `out`
-  // whether it skips one.
-  bool IsNew(std::string_view event, StreamEvents& out) {
-    const auto id = IdOf(event);
-    if (!id) return true;
-    if (last_id_ && *id <= *last_id_) return false;
-    if (last_id_ && *id != *last_id_ + 1) out.out_of_order = true;
-    last_id_ = id;
-    return true;
+  using EventId = std::optional<std::int64_t>;
+
+  // How an event stands to the one with the id `last`.
+  enum class Order { kNext, kRepeated, kSkips };
+  static Order OrderOf(const EventId& id, const EventId& last) {
+    if (!id || !last || *id == *last + 1) return Order::kNext;
+    return *id <= *last ? Order::kRepeated : Order::kSkips;
   }
 
   // The number in the first `id:` line that has one.
-  static std::optional<std::int64_t> IdOf(std::string_view event) {
+  static EventId IdOf(std::string_view event) {
     constexpr std::string_view kField = "id:";
     std::size_t at = 0;
     while (at < event.size()) {
@@ -84,25 +87,33 @@
   }
 
   std::string partial_;
-  std::optional<std::int64_t> last_id_;
+  EventId last_id_;
 };
 
 inline StreamEvents EventReader::Take(std::string_view bytes) {
   partial_.append(bytes);
   StreamEvents out;
+  EventId last = last_id_;
   std::size_t used = 0;
   while (true) {
     const std::size_t end = partial_.find("\n\n", used);
     if (end == std::string::npos) break;
     const std::size_t next = end + 2;
     const std::string_view event(partial_.data() + used, next - used);
-    if (IsNew(event, out)) {
-      out.bytes += event;
-      ++out.count;
-    }
     used = next;
+    const EventId id = IdOf(event);
+    const Order order = OrderOf(id, last);
+    if (order == Order::kRepeated) continue;
+    if (order == Order::kSkips) {
+      partial_.erase(0, used);
+      return {.bytes = "", .count = 0, .out_of_order = true};
+    }
+    if (id) last = id;
+    out.bytes += event;
+    ++out.count;
   }
   partial_.erase(0, used);
+  last_id_ = last;
   return out;
 }
 
--- a/relay/testing/events_test.cc
+++ b/relay/testing/events_test.cc
@@ -34,6 +34,29 @@
   BOOST_TEST(it.Take("id: 3\ndata: c\n\n").out_of_order);
 }
 
+// Whoever reads passes nothing on of bytes in which an event is missing.
+BOOST_AUTO_TEST_CASE(WhatCameWithAGapIsAskedForAgain) {
+  EventReader it;
+  it.Take("id: 1\ndata: a\n\n");
+  const StreamEvents gap =
+      it.Take("id: 2\ndata: b\n\nid: 4\ndata: d\n\nid: 5\n");
+  BOOST_TEST(gap.out_of_order);
+  BOOST_TEST(gap.bytes.empty());
+  BOOST_TEST(gap.count == 0);
+  BOOST_TEST(it.last_id() == "1");
+  it.DropPartial();
+  const std::string rest = "id: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+  const StreamEvents events = it.Take(rest);
+  BOOST_TEST(!events.out_of_order);
+  BOOST_TEST(events.bytes == rest);
+}
+
+BOOST_AUTO_TEST_CASE(AGapBeforeTheFirstEventIsPassedOnStartsAnew) {
+  EventReader it;
+  BOOST_TEST(it.Take("id: 1\ndata: a\n\nid: 3\n\n").out_of_order);
+  BOOST_TEST(it.last_id().empty());
+}
+
 BOOST_AUTO_TEST_CASE(StartsWhereverTheCallerWentOn) {
   EventReader it;
   BOOST_TEST(!it.Take("id: 13\ndata: a\n\n").out_of_order);
