Test: who is next in the queue waits though the grant would hold it

When the first in the queue for a budget leaves or is refused, the next one isn't looked at until something else happens, a settled hold for instance, and is refused when its own 160 ms are over.

--- a/relay/testing/budgets_test.cc
+++ b/relay/testing/budgets_test.cc
@@ -433,6 +433,33 @@
   BOOST_TEST(Allowance() == before);
 }
 
+// Nothing else happens that could serve it.
+BOOST_FIXTURE_TEST_CASE(WhoLeavesTheQueueLetsTheNextBeHeld, Fixture) {
+  JoinAndStop();
+  const WaiterPtr large = Make("large", 40000);
+  const WaiterPtr small = Make("small", 1);
+  BOOST_TEST((budgets.Hold(large) == PrepaidVerdict::kShort));
+  BOOST_TEST((budgets.Hold(small) == PrepaidVerdict::kShort));
+  budgets.Forget(large);
+  BOOST_TEST(Answered(*small));
+  BOOST_TEST(small->held == 1);
+  RunSome();
+  BOOST_TEST(large->answers() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(WhoIsRefusedLetsTheNextBeHeld, Fixture) {
+  JoinAndStop();
+  const WaiterPtr large = Make("large", 40000);
+  BOOST_TEST((budgets.Hold(large) == PrepaidVerdict::kShort));
+  clock.Advance(milliseconds(100));
+  const WaiterPtr small = Make("small", 1);
+  BOOST_TEST((budgets.Hold(small) == PrepaidVerdict::kShort));
+  clock.Advance(milliseconds(60));
+  BOOST_TEST(Answered(*small));
+  BOOST_TEST(large->refused == 1);
+  BOOST_TEST(small->held == 1);
+}
+
 // A hold that ends lets the next one in.
 BOOST_FIXTURE_TEST_CASE(ASettledHoldServesWhoWaits, Fixture) {
   JoinAndStop();
