The next in the queue for a budget is held when the first leaves

Cause: HoldQueue looked at the next in line only when the ledger changed, a settled hold came or a peer gave something. When the first left, or was refused after its 160 ms, a smaller request behind it that the grant would hold waited on, and could be refused in vain.

Ruled out: serving inside Remove. It has no time to pass to the ledger, and it is called while a peer's hold ends. The queue is looked at every 10 ms anyway while anything waits, so Expire now holds first what the ledger allows, and again after each refusal. That also finds tokens that come free by time alone.

--- a/relay/hold_queue.cc
+++ b/relay/hold_queue.cc
@@ -51,6 +51,7 @@
 bool HoldQueue::Expire(Instant now, bool store_reachable) {
   bool any = false;
   for (auto& [customer, list] : waiting_) {
+    ServeList(now, customer, list);
     RefuseExpired(now, customer, list, store_reachable);
     if (list.empty()) continue;
     any = true;
@@ -64,9 +65,11 @@
   while (!list.empty() && now - list.front().since >= kPatience.give_up_after) {
     const HoldWaiterPtr waiter = list.front().waiter;
     list.pop_front();
+    TellLedger(customer, list);
     LogRefused(now, *waiter, store_reachable);
     on_.answer(waiter, PrepaidVerdict::kShort);
-    TellLedger(customer, list);
+    // What was too small for this one may hold those behind it.
+    ServeList(now, customer, list);
   }
 }
 
--- a/relay/hold_queue.h
+++ b/relay/hold_queue.h
@@ -4,12 +4,15 @@
 //     // It waits; `answer` will be called, once, unless it is removed.
 //   }
 //   queue.Serve(now);                       // the grant may have grown
-//   queue.Expire(now, store_reachable);     // every few milliseconds
+//   queue.Expire(now, store_reachable);     // every few milliseconds, while
+//                                           // any wait
 //
 // Each customer has a list of its own, first come first served: a later request
 // doesn't overtake one that waits, or large requests would never be held beside
-// a stream of small ones. The ledger is told the sum that waits, and sizes its
-// next write by it.
+// a stream of small ones. Once the first has left or was refused, the next is
+// held if the grant allows it, at the next `Expire`: 10 ms later at most
+// (`check_every`), where it could be refused in vain after 160. The ledger is
+// told the sum that waits, and sizes its next write by it.
 //
 // Owns the lists. Relies on the ledger for every decision about tokens, and on
 // relay/hold_patience.h for how long each step takes. Never calls a waiter
@@ -54,8 +57,8 @@
 
   // Holds what the ledger now allows.
   void Serve(Instant now);
-  // Refuses those that have waited too long and asks peers for the others.
-  // Returns whether any still wait.
+  // Holds what the ledger now allows, refuses those that have waited too long
+  // and asks peers for the others. Returns whether any still wait.
   bool Expire(Instant now, bool store_reachable);
 
  private:
