Test: what the budget can't hold queues behind one that waits

HoldQueue asks the ledger only about the first in line. A request larger than the whole budget is refused with 402 at once if nobody waits, but behind one that waits it queues for up to 160 ms and gets a 503; so does one that a lowered limit has ruled out.

--- a/relay/testing/budgets_test.cc
+++ b/relay/testing/budgets_test.cc
@@ -309,6 +309,34 @@
   BOOST_TEST(broadcasts.empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(WhatTheBudgetCantHoldDoesntQueue, Fixture) {
+  JoinAndStop();
+  const WaiterPtr it = Make("r", 40000);
+  BOOST_TEST((budgets.Hold(it) == PrepaidVerdict::kShort));
+  BOOST_TEST(
+      (budgets.Hold(Make("huge", kLimit)) == PrepaidVerdict::kExhausted));
+  RunSome();
+  BOOST_TEST(it->answers() == 0);
+}
+
+// Not once those before it are through.
+BOOST_FIXTURE_TEST_CASE(ALoweredLimitRefusesWhatItCantHoldInTheQueue, Fixture) {
+  JoinAndStop();
+  const WaiterPtr first = Make("first", 40000);
+  const WaiterPtr large = Make("large", 50000);
+  const WaiterPtr last = Make("last", 30000);
+  for (const WaiterPtr& it : {first, large, last}) {
+    BOOST_TEST((budgets.Hold(it) == PrepaidVerdict::kShort));
+  }
+  Configure(2, 45000);
+  BOOST_TEST(Answered(*large));
+  BOOST_TEST(large->refused == 1);
+  BOOST_TEST(large->was_exhausted);
+  RunSome();
+  BOOST_TEST(first->answers() == 0);
+  BOOST_TEST(last->answers() == 0);
+}
+
 // --- Waiting -----------------------------------------------------------------
 
 BOOST_FIXTURE_TEST_CASE(AWaitingRequestIsHeldOnceTheStoreGrantsMore, Fixture) {
