What a budget can't ever hold doesn't wait in the queue

Cause: HoldQueue asked the ledger only about the first in line, so a request that is larger than what remains of the budget waited behind others, up to 160 ms for nothing, and its caller was told to come back in a second. What waited so was counted in the sum that peers and the store are asked for.

Ruled out: asking with Hold alone for all in line, which would let a small request overtake one that waits. The ledger is asked by an amount above its allowance, which holds nothing.

It counts what this router holds for running requests at its most, so near the end of a budget a 402 may come where these would have left room; that was so before, for the first in line.

--- a/relay/hold_queue.cc
+++ b/relay/hold_queue.cc
@@ -14,6 +14,8 @@
     const PrepaidVerdict out =
         ledger_.Hold(now, customer, waiter->worst_case());
     if (out != PrepaidVerdict::kShort) return out;
+  } else if (CanNeverBeHeld(now, *waiter)) {
+    return PrepaidVerdict::kExhausted;
   }
   list.push_back({waiter, now, 0});
   TellLedger(customer, list);
@@ -46,6 +48,32 @@
     TellLedger(customer, list);
     on_.answer(waiter, verdict);
   }
+  RefuseExhausted(now, customer, list);
+}
+
+// A budget that can hold an amount can hold every smaller one, so the ledger is
+// asked only about amounts larger than all before them: for n that wait, in any
+// order, about ln n times.
+void HoldQueue::RefuseExhausted(Instant now, const CustomerName& customer,
+                                WaitingList& list) {
+  Tokens fits = 0;
+  const auto n = std::erase_if(list, [&](const Waiting& it) {
+    const Tokens amount = it.waiter->worst_case();
+    if (amount <= fits) return false;
+    const bool never = CanNeverBeHeld(now, *it.waiter);
+    if (never) on_.answer(it.waiter, PrepaidVerdict::kExhausted);
+    if (!never) fits = amount;
+    return never;
+  });
+  if (n > 0) TellLedger(customer, list);
+}
+
+// Asks without holding: the ledger holds nothing beyond its allowance.
+bool HoldQueue::CanNeverBeHeld(Instant now, const HoldWaiter& waiter) {
+  const CustomerName& customer = waiter.customer();
+  const Tokens amount = waiter.worst_case();
+  if (ledger_.Allowance(now, customer) >= amount) return false;
+  return ledger_.Hold(now, customer, amount) == PrepaidVerdict::kExhausted;
 }
 
 bool HoldQueue::Expire(Instant now, bool store_reachable) {
--- a/relay/hold_queue.h
+++ b/relay/hold_queue.h
@@ -14,6 +14,11 @@
 // (`check_every`), where it could be refused in vain after 160. The ledger is
 // told the sum that waits, and sizes its next write by it.
 //
+// What the budget can't ever hold doesn't wait, wherever in the list it is: it
+// is refused when it comes, or when a lower limit or what was spent meanwhile
+// rules it out. That spares its caller a wait of up to 160 ms for nothing, and
+// tells it that the budget is used up, not to come back in a second.
+//
 // Owns the lists. Relies on the ledger for every decision about tokens, and on
 // relay/hold_patience.h for how long each step takes. Never calls a waiter
 // itself: `answer` has to call it later, as the waiter's end may change the
@@ -49,13 +54,13 @@
   HoldQueue(PrepaidLedger& ledger, Handlers handlers)
       : ledger_(ledger), on_(std::move(handlers)) {}
 
-  // kShort: the request waits.
+  // kShort: the request waits, and may be held or not; else that is known.
   PrepaidVerdict HoldOrWait(Instant now, const HoldWaiterPtr& waiter);
   // The request is no longer wanted; it isn't answered.
   void Remove(const HoldWaiterPtr& waiter);
   bool HasWaiters(const CustomerName& customer) const;
 
-  // Holds what the ledger now allows.
+  // Holds what the ledger now allows, and refuses what it never will.
   void Serve(Instant now);
   // Holds what the ledger now allows, refuses those that have waited too long
   // and asks peers for the others. Returns whether any still wait.
@@ -71,6 +76,9 @@
   using WaitingList = std::deque<Waiting>;
 
   void ServeList(Instant now, const CustomerName& customer, WaitingList& list);
+  void RefuseExhausted(Instant now, const CustomerName& customer,
+                       WaitingList& list);
+  bool CanNeverBeHeld(Instant now, const HoldWaiter& waiter);
   void RefuseExpired(Instant now, const CustomerName& customer,
                      WaitingList& list, bool store_reachable);
   void AskPeersIfDue(Instant now, const CustomerName& customer,
