Test: a second holder of a budget hasn't the time to answer

The first holder may be silent for 200 ms; the second is asked then, and given up at 300 ms, although it may let the ask wait for 160 ms as the first may. A hold that would come 160 ms after the ask is refused. A holder can also be asked when no time at all is left.

The stand-in for a holder can now answer later.

--- a/relay/testing/holds_test.cc
+++ b/relay/testing/holds_test.cc
@@ -5,6 +5,8 @@
 
 #include <boost/test/unit_test.hpp>
 #include <deque>
+#include <utility>
+#include <vector>
 
 #include "relay/remote_holds.h"
 #include "relay/served_holds.h"
@@ -22,10 +24,9 @@
 struct Holder {
   explicit Holder(Incarnation name) : self(std::move(name)) {
     ServedHolds::Handlers on;
-    on.hold = [this](const std::shared_ptr<HoldWaiter>& it) {
-      if (silent) return;
-      held += it->worst_case();
-      it->OnHeld();
+    on.hold = [this](const HoldWaiterPtr& it) {
+      waiting.push_back(it);
+      if (!silent) HoldWaiting();
     };
     on.forget = [](const std::shared_ptr<HoldWaiter>&) {};
     on.settle = [this](const CustomerName&, Tokens amount, Tokens cost) {
@@ -39,9 +40,17 @@
     served = std::make_unique<ServedHolds>(on);
   }
 
+  void HoldWaiting() {
+    for (const HoldWaiterPtr& it : std::exchange(waiting, {})) {
+      held += it->worst_case();
+      it->OnHeld();
+    }
+  }
+
   Incarnation self;
   // Leaves asks waiting.
   bool silent = false;
+  std::vector<HoldWaiterPtr> waiting;
   Tokens held = 0;
   Tokens spent = 0;
   std::deque<PeerMessage> sent;
@@ -150,6 +159,46 @@
   BOOST_TEST(holders[0].served->size() == 0U);
 }
 
+// It may let the ask wait as long as the first one may.
+BOOST_FIXTURE_TEST_CASE(ASecondHolderHasItsWholeTime, Fixture) {
+  holders[0].silent = true;
+  holders[1].silent = true;
+  Ask("r", 100);
+  Pass(milliseconds(200));
+  BOOST_REQUIRE(holders[1].waiting.size() == 1U);
+  Pass(HoldPatience().give_up_after);
+  BOOST_TEST(verdicts.empty());
+  holders[1].HoldWaiting();
+  Answers();
+  BOOST_TEST(Got(PrepaidVerdict::kHeld));
+}
+
+BOOST_FIXTURE_TEST_CASE(SilentHoldersEndTheAsk, Fixture) {
+  holders[0].silent = true;
+  holders[1].silent = true;
+  Ask("r", 100);
+  Pass(milliseconds(200));
+  Pass(milliseconds(199));
+  BOOST_TEST(verdicts.empty());
+  Pass(milliseconds(1));
+  BOOST_TEST(Got(PrepaidVerdict::kShort));
+  BOOST_TEST(holders[0].served->size() == 0U);
+  BOOST_TEST(holders[1].served->size() == 0U);
+}
+
+// A holder that is asked late could not answer in time, so it isn't.
+BOOST_FIXTURE_TEST_CASE(NoHolderIsAskedLate, Fixture) {
+  holders[0].silent = true;
+  Ask("r", 100);
+  Pass(milliseconds(100));
+  // The loop was held up meanwhile.
+  now += milliseconds(200);
+  remote->OnPeerLost(now, holders[0].self);
+  BOOST_TEST(holders[1].held == 0);
+  Pass(milliseconds(0));
+  BOOST_TEST(Got(PrepaidVerdict::kShort));
+}
+
 BOOST_FIXTURE_TEST_CASE(AStoppingHolderSendsAskersOn, Fixture) {
   holders[0].served->Stop();
   Ask("r", 100);
