Test: a router without grants for good lets requests wait

A router that was replaced by a later process of its VM, or has returned its grants at a planned stop, can spend nothing any more, yet it lets each request wait for 160 ms for a larger grant.

--- a/relay/testing/budgets_test.cc
+++ b/relay/testing/budgets_test.cc
@@ -572,6 +572,38 @@
   BOOST_TEST(record.customers[kCustomer].Outstanding() == 0);
 }
 
+// Nothing is granted to it any more, by the store or by peers.
+BOOST_FIXTURE_TEST_CASE(AReplacedRouterLetsNothingWait, Fixture) {
+  JoinAndStop(StoreMode::kNormal);
+  store.items.erase("quaytrack/spend/" + kSelf.value);
+  PrepaidRecord record = Record();
+  record.members.erase(kSelf);
+  store.Put(kRecordKey, EncodePrepaid(record));
+  // Its write is rejected, and a read shows why.
+  const WaiterPtr first = Make("first", 40000);
+  BOOST_TEST((budgets.Hold(first) == PrepaidVerdict::kShort));
+  BOOST_TEST(Answered(*first));
+  BOOST_TEST(budgets.ledger().Fenced());
+  BOOST_TEST(first->refused == 1);
+  BOOST_TEST(!first->was_exhausted);
+  const WaiterPtr next = Make("next", 1);
+  BOOST_TEST((budgets.Hold(next) == PrepaidVerdict::kShort));
+  BOOST_TEST(Answered(*next));
+  BOOST_TEST(next->refused == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(ARouterThatHasLeftLetsNothingWait, Fixture) {
+  Join();
+  budgets.StartLeaving();
+  BOOST_REQUIRE(RunUntil([&] { return budgets.ledger().HasLeft(); }));
+  clock.Stop();
+  const WaiterPtr it = Make("r", 1000);
+  BOOST_TEST((budgets.Hold(it) == PrepaidVerdict::kShort));
+  BOOST_TEST(Answered(*it));
+  BOOST_TEST(it->refused == 1);
+  BOOST_TEST(!it->was_exhausted);
+}
+
 // --- Peers -------------------------------------------------------------------
 
 BOOST_FIXTURE_TEST_CASE(AnAskIsGivenOnceAndTakenOff, Fixture) {
