Each holder of a budget that is asked has its whole time to answer

Cause: holder_answer (200 ms, above the 160 that a holder may let an ask wait) and all_holders (300 ms, from the first ask) were chosen apart, so a holder that was asked second had 100 ms and one asked later hardly any.

Ruled out: a longer all_holders alone. Links break at any time, so a holder could still be asked with too little time left. Also a shorter holder_answer, which would cut off a first holder that still waits for the store.

all_holders is now ask_holders_until, with the same 300 ms: after it no further holder is asked, and each that is asked has its 200 ms. With two silent holders the refusal comes after 400 ms and not after 300; with one, after 200 as before.

--- a/relay/hold_patience.h
+++ b/relay/hold_patience.h
@@ -15,10 +15,14 @@
 //   at once                 asks the first holder
 //   after `holder_answer`   asks the next holder; at once if the link to the
 //                           holder breaks or the holder sends the asker on
-//   after `all_holders`     refuses the request with 503 and a Retry-After
-// A holder's own refusal ends the wait, as the holder has asked its peers by
-// then; no second holder is asked. Without any linked holder the request is
-// refused at the next tick.
+//   when none is left       refuses the request with 503 and a Retry-After; so
+//                           it does after `ask_holders_until`, when it asks no
+//                           further one
+// Each holder that is asked has the whole of `holder_answer`, since it may let
+// the ask wait for `give_up_after`. So the wait ends after 400 ms if two
+// holders are silent, and after 500 at the latest. A holder's own refusal ends
+// it, as the holder has asked its peers by then; no second holder is asked.
+// Without any linked holder the request is refused at the next tick.
 //
 // A request that the budget can't ever hold is refused at once, with 402. The
 // request's own deadline ends either wait earlier (RelayedRequest::OnDeadline),
@@ -50,7 +54,8 @@
   Duration give_up_after = std::chrono::milliseconds(160);
   // Longer than `give_up_after`, since the holder may itself wait that long.
   Duration holder_answer = std::chrono::milliseconds(200);
-  Duration all_holders = std::chrono::milliseconds(300);
+  // Lets two silent holders be asked one after the other, and no third.
+  Duration ask_holders_until = std::chrono::milliseconds(300);
 };
 
 }  // namespace quaytrack
--- a/relay/remote_holds.cc
+++ b/relay/remote_holds.cc
@@ -34,7 +34,8 @@
 void RemoteHolds::AskNextHolder(Instant now, PendingAsk& ask) {
   ask.holder = {};
   ask.asked_at = now;
-  while (ask.next < ask.request.holders.size()) {
+  const bool late = now - ask.begun >= options_.patience.ask_holders_until;
+  while (!late && ask.next < ask.request.holders.size()) {
     ask.holder = on_.linked(ask.request.holders[ask.next++]);
     if (!ask.holder.empty()) break;
   }
@@ -99,10 +100,7 @@
       ReleaseAtHolder(now, ask);
       AskNextHolder(now, ask);
     }
-    const bool over = now - ask.begun >= patience.all_holders;
-    if (!over && !ask.holder.empty()) continue;
-    ReleaseAtHolder(now, ask);
-    Finish(at, PrepaidVerdict::kShort);
+    if (ask.holder.empty()) Finish(at, PrepaidVerdict::kShort);
   }
   ResendCosts(now);
 }
--- a/relay/remote_holds.h
+++ b/relay/remote_holds.h
@@ -77,8 +77,8 @@
   void OnAnswer(Instant now, const PeerMessage& message);
   void OnAcknowledged(const PeerMessage& message);
   void OnPeerLost(Instant now, const Incarnation& holder);
-  // Passes over holders that don't answer, ends asks that take too long, and
-  // sends costs again.
+  // Passes over holders that don't answer, ends asks for which no holder is
+  // left, and sends costs again.
   void CheckTimes(Instant now);
   // Nothing waits for time to pass.
   bool Idle() const { return pending_.empty() && unacknowledged_.empty(); }
