A router whose grants are gone for good lets no request wait

Cause: HoldQueue let every request wait its 160 ms, also on a router that a later process of its VM has replaced (the ledger is fenced), or that has returned its grants at a planned stop. Neither the store nor a peer gives such a router anything.

Ruled out: the same while the store is away or no peer answers. The store may be back within the wait, a running request may end, and peers don't say that they have nothing, so no wait is known to be in vain there.

Expire refuses all that wait as soon as the ledger says so: 10 ms later at most.

--- a/relay/hold_patience.h
+++ b/relay/hold_patience.h
@@ -9,7 +9,11 @@
 //   after `ask_some_after`  asks its peers for half of what each doesn't use;
 //                           at once if the store is known to be away
 //   after `ask_all_after`   asks its peers for all of it
-//   after `give_up_after`   refuses the request with 503 and a Retry-After
+//   after `give_up_after`   refuses the request with 503 and a Retry-After. At
+//                           the next tick if a later process of its VM has
+//                           replaced it or it has left the budgets: no tokens
+//                           come any more, and a caller that learns it 150 ms
+//                           sooner may be served elsewhere
 //
 // A router that keeps none (relay/remote_holds.h):
 //   at once                 asks the first holder
--- a/relay/hold_queue.cc
+++ b/relay/hold_queue.cc
@@ -90,7 +90,7 @@
 
 void HoldQueue::RefuseExpired(Instant now, const CustomerName& customer,
                               WaitingList& list, bool store_reachable) {
-  while (!list.empty() && now - list.front().since >= kPatience.give_up_after) {
+  while (!list.empty() && IsOver(now, list.front())) {
     const HoldWaiterPtr waiter = list.front().waiter;
     list.pop_front();
     TellLedger(customer, list);
@@ -101,6 +101,12 @@
   }
 }
 
+// A router that was replaced or has left gets no tokens from anybody.
+bool HoldQueue::IsOver(Instant now, const Waiting& it) const {
+  const bool in_vain = ledger_.Fenced() || ledger_.HasLeft();
+  return in_vain || now - it.since >= kPatience.give_up_after;
+}
+
 // Peers are asked for all that wait, when the first of them has waited long
 // enough.
 void HoldQueue::AskPeersIfDue(Instant now, const CustomerName& customer,
--- a/relay/hold_queue.h
+++ b/relay/hold_queue.h
@@ -63,7 +63,8 @@
   // Holds what the ledger now allows, and refuses what it never will.
   void Serve(Instant now);
   // Holds what the ledger now allows, refuses those that have waited too long
-  // and asks peers for the others. Returns whether any still wait.
+  // or wait in vain, and asks peers for the others. Returns whether any still
+  // wait.
   bool Expire(Instant now, bool store_reachable);
 
  private:
@@ -81,6 +82,7 @@
   bool CanNeverBeHeld(Instant now, const HoldWaiter& waiter);
   void RefuseExpired(Instant now, const CustomerName& customer,
                      WaitingList& list, bool store_reachable);
+  bool IsOver(Instant now, const Waiting& it) const;
   void AskPeersIfDue(Instant now, const CustomerName& customer,
                      WaitingList& list, bool store_reachable);
   static Tokens SumOf(const WaitingList& list);
