Test: a holder whose link is lost is passed over at once

Nothing held that the ask goes on to the next holder when its holder's link is lost, and ends when that was the last. Both new cases of relay_holds_test pass on the code as it is; with them all 14 are green.

--- a/relay/testing/holds_test.cc
+++ b/relay/testing/holds_test.cc
@@ -186,6 +186,28 @@
   BOOST_TEST(holders[1].served->size() == 0U);
 }
 
+// Neither waits for the time of a holder that can't answer any more.
+BOOST_FIXTURE_TEST_CASE(ALostHolderIsPassedOverAtOnce, Fixture) {
+  holders[0].silent = true;
+  Ask("r", 100);
+  remote->OnPeerLost(now, holders[0].self);
+  Answers();
+  BOOST_TEST(Got(PrepaidVerdict::kHeld));
+  BOOST_TEST(holders[1].held == 100);
+  BOOST_TEST(holders[0].served->size() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(TheLastHoldersLossEndsTheAsk, Fixture) {
+  holders[0].silent = true;
+  holders[1].silent = true;
+  Ask("r", 100);
+  remote->OnPeerLost(now, holders[0].self);
+  BOOST_TEST(holders[1].waiting.size() == 1U);
+  remote->OnPeerLost(now, holders[1].self);
+  Pass(milliseconds(0));
+  BOOST_TEST(Got(PrepaidVerdict::kShort));
+}
+
 // A holder that is asked late could not answer in time, so it isn't.
 BOOST_FIXTURE_TEST_CASE(NoHolderIsAskedLate, Fixture) {
   holders[0].silent = true;
