--- a/relay/testing/event_gap_test.cc
+++ b/relay/testing/event_gap_test.cc
@@ -1,5 +1,4 @@
-// A stream with a missing event, which another target continues. See
-// KNOWN-RED.txt.
+// A stream with a missing event, which another target continues.
 
 #include <boost/test/unit_test.hpp>
 
