A holder that doesn't know a customer's budget holds nothing for a peer

Cause: the ledger takes a customer without a budget as one that may spend freely. While configurations differ, a holder that hadn't the customer's budget yet, or no longer, answered a peer's ask with "held" and counted nothing, so the request ran on tokens that nobody had set aside.

Ruled out: to refuse the ask with "short"; another holder may have the configuration already, so the asker is sent on.

Change and test: AHolderThatDoesntKnowTheBudgetHoldsNothing; red without the change (the answer is kHeld), green with it.

--- a/relay/budget_driver.cc
+++ b/relay/budget_driver.cc
@@ -73,6 +73,9 @@
 
 ServedHolds::Handlers BudgetDriver::ServedHandlers() {
   ServedHolds::Handlers out;
+  out.knows_budget = [this](const CustomerName& customer) {
+    return ledger_.IsLimited(customer);
+  };
   out.hold = [this](const HoldWaiterPtr& it) {
     const PrepaidVerdict verdict = HoldFromGrant(it);
     // Else it waits.
--- a/relay/served_holds.cc
+++ b/relay/served_holds.cc
@@ -37,6 +37,11 @@
   const Key key{message.from, message.request};
   if (stopped_) return Answer(key, HoldAnswer::kElsewhere);
   if (settled_.contains(key) || holds_.contains(key)) return;
+  // What isn't limited here would be held without being counted. The asker's
+  // configuration is older or newer, and another holder may have the same.
+  if (!on_.knows_budget(message.customer)) {
+    return Answer(key, HoldAnswer::kElsewhere);
+  }
   const auto hold =
       std::make_shared<PeerHold>(*this, key, message.customer, message.amount);
   holds_[key] = hold;
--- a/relay/served_holds.h
+++ b/relay/served_holds.h
@@ -37,6 +37,8 @@
 class ServedHolds {
  public:
   struct Handlers {
+    // Whether the configuration here has a budget for the customer.
+    std::function<bool(const CustomerName&)> knows_budget;
     // This router's own grants; `hold` is answered by the waiter's callbacks.
     std::function<void(const HoldWaiterPtr&)> hold;
     std::function<void(const HoldWaiterPtr&)> forget;
--- a/relay/testing/budgets_test.cc
+++ b/relay/testing/budgets_test.cc
@@ -669,6 +669,18 @@
   BOOST_TEST((answers[0].message.answer == HoldAnswer::kShort));
 }
 
+// Its configuration is older or newer than the asker's. What it held for the
+// asker it would not count.
+BOOST_FIXTURE_TEST_CASE(AHolderThatDoesntKnowTheBudgetHoldsNothing, Fixture) {
+  JoinAndStop();
+  PeerMessage ask = Message(PeerMessageKind::kHoldWanted, 1000, "r");
+  ask.customer = CustomerName("newcomer");
+  budgets.OnPeer(ask);
+  const auto answers = ToldOf(PeerMessageKind::kHoldAnswer);
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST((answers[0].message.answer == HoldAnswer::kElsewhere));
+}
+
 BOOST_FIXTURE_TEST_CASE(AStoppingRouterSendsAskersToOtherHolders, Fixture) {
   Join();
   budgets.StopServing();
--- a/relay/testing/holds_test.cc
+++ b/relay/testing/holds_test.cc
@@ -24,6 +24,7 @@
 struct Holder {
   explicit Holder(Incarnation name) : self(std::move(name)) {
     ServedHolds::Handlers on;
+    on.knows_budget = [](const CustomerName&) { return true; };
     on.hold = [this](const HoldWaiterPtr& it) {
       waiting.push_back(it);
       if (!silent) HoldWaiting();
