A caller that reads slowly keeps its target; one that has left gets no run

Two faults of callers that don't behave as most do.

A stream whose caller reads slowly is paused, but the time for its next event ran on: after 1 s it was taken off a sound target, which counted as failed, a retry was spent, and the next target wasn't paused at all, so its bytes had no bound. Now that time stops with the reading, and a new target is read until its bytes wait as well.

A request whose caller had closed before it was read (a router that was frozen, or is far behind) ran for nobody, as the end of the connection was noticed after the request had been handed on. Now the kernel is asked first: one system call a request, its cost not measured.

Tests: ASlowReadersStreamStaysAtItsTarget and WhatACallerGaveUpUnread ReachesNoTarget were red on the tree before and are green; resident_answers_test passes, 25 cases, 70 s.

--- a/http/caller_connection.cc
+++ b/http/caller_connection.cc
@@ -111,6 +111,8 @@
   // Posted, so that an answer given at once doesn't reenter the parser.
   server_.loop_.Post([keep = shared_from_this()] {
     if (!keep->open()) return;
+    // It gave up before its request was read.
+    if (keep->socket_->PeerHasClosed()) return keep->Abort();
     keep->server_.handler_(keep, std::exchange(keep->request_, {}));
   });
 }
--- a/net/tcp_socket.cc
+++ b/net/tcp_socket.cc
@@ -4,6 +4,7 @@
 #include <event2/listener.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -164,6 +165,12 @@
   if (connected_) event_add(write_event_, nullptr);
 }
 
+bool TcpSocket::PeerHasClosed() const {
+  if (fd_ < 0) return true;
+  pollfd it{fd_, POLLRDHUP, 0};
+  return poll(&it, 1, 0) > 0;
+}
+
 void TcpSocket::PauseReading() {
   if (read_event_ != nullptr) event_del(read_event_);
 }
--- a/net/tcp_socket.h
+++ b/net/tcp_socket.h
@@ -99,6 +99,10 @@
   // False while `Connect` is under way.
   bool connected() const { return connected_; }
 
+  // Whether the peer has closed its sending side or the connection is broken,
+  // also where that comes after bytes that aren't read yet. A system call.
+  bool PeerHasClosed() const;
+
   // Bytes written that the kernel has not taken.
   std::size_t Unsent() const { return kept_.size() - kept_sent_; }
   // Bytes that the kernel has taken since the connection was made.
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -139,6 +139,8 @@
                                        progress_.choice.is_preferred);
   answer_facts_ = {};
   body_.clear();
+  // Of the target before; this one is read until its bytes wait as well.
+  paused_ = false;
   events_.DropPartial();
 
   CallHandle::Handlers on;
@@ -227,6 +229,8 @@
   if (paused_ || caller_->Unsent() <= kMostUnsent) return;
   paused_ = true;
   call_->PauseReading();
+  // Nothing is read, so its time for the next event says nothing of the target.
+  attempt_timer_.reset();
 }
 
 void RelayedRequest::OnFirstEvent() {
@@ -246,7 +250,10 @@
   caller_->OnDrained([self = shared_from_this()] {
     if (!self->paused_) return;
     self->paused_ = false;
-    if (self->call_) self->call_->ResumeReading();
+    if (!self->call_) return;
+    self->call_->ResumeReading();
+    const RouteRule& route = *self->admission_.route;
+    if (route.Repeatable()) self->SetAttemptTimer(NextEventTimeout(route));
   });
 }
 
