Test what a stop does with requests when its time is over

TheEndOfTheTimeAnswersAndBillsEachRequest stops a router (--drain-ms=300) with a stream, an answer, a queued call and a signing call in flight, and compares the callers, the engine's book and the ledger. Red on this tree: four connections break without an answer, the queued call's among them; no bill of three; 8,072 tokens stay outstanding; the process dies by SIGABRT.

--- a/testing/process/stop_test.cc
+++ b/testing/process/stop_test.cc
@@ -1,7 +1,11 @@
-// Planned stops: nothing in flight is cut, grants go back, exit code 0.
+// Planned stops: nothing in flight is cut while there is time, what is cut then
+// is answered and billed, grants go back, exit code 0.
 
 #include <sys/wait.h>
 
+#include <optional>
+#include <string>
+
 #include "testing/process/fleet_fixture.h"
 
 namespace quaytrack {
@@ -83,5 +87,86 @@
   BOOST_TEST(WEXITSTATUS(status) == 0);
 }
 
+// What four callers of a router see whose time for requests ends. Nothing else
+// would tell them, or bill them: there is no other router.
+struct CutFixture : FleetFixture {
+  static constexpr int kSlots = 2;
+  // At a token each 10 ms, far longer than the stop.
+  static constexpr int kManyTokens = 4000;
+
+  static RouterFleetSpec OneBusyRouter() {
+    RouterFleetSpec out;
+    out.routers = 1;
+    out.engines = 1;
+    out.services = 1;
+    out.engine_slots = kSlots;
+    out.router_flags = {"--drain-ms=300"};
+    return out;
+  }
+
+  CutFixture() : FleetFixture(OneBusyRouter()) {
+    fleet.Control("forms-1", "mode?mode=hang");
+    Ask(stream, RouterFleet::Chat(kLakhon, "stream", kManyTokens, true));
+    Ask(answer, RouterFleet::Chat(kLakhon, "answer", kManyTokens, false));
+    BOOST_REQUIRE(fleet.WaitFor([&] { return EngineRuns() == kSlots; }));
+    Ask(queued, RouterFleet::Chat(kLakhon, "queued", 1, false));
+    Ask(signing, RouterFleet::Service(kLakhon, "/sign", "{}", "key-1"));
+    BOOST_REQUIRE(fleet.WaitFor([&] {
+      return Status(1)["requests"] == 4 && ServiceRuns("key-1") == 1;
+    }));
+  }
+
+  void Ask(std::optional<TestReply>& out, const TestRequest& request) {
+    fleet.Begin(fleet.Router(1), request,
+                [&out](const TestReply& it) { out = it; });
+  }
+
+  void StopAndAwaitAnswers() {
+    fleet.Kill("router-1", SIGTERM);
+    const int status = fleet.Await("router-1");
+    BOOST_TEST(WIFEXITED(status));
+    BOOST_TEST(WEXITSTATUS(status) == 0);
+    BOOST_REQUIRE(
+        fleet.WaitFor([&] { return stream && answer && queued && signing; }));
+  }
+
+  // Whether the answer is a refusal that says so of the request's run.
+  static bool Says(const TestReply& reply, int status, const std::string& ran) {
+    const auto json = reply.Json();
+    return reply.status == status && json.is_object() &&
+           json.value("ran", "") == ran;
+  }
+
+  std::optional<TestReply> stream;
+  std::optional<TestReply> answer;
+  std::optional<TestReply> queued;
+  std::optional<TestReply> signing;
+};
+
+// What goes wrong: when `--drain-ms` is over, requests in flight go on for the
+// 3 s that are left for grants; none is ended, and their holds keep the grants
+// from going back. The process then exits under them: their connections break
+// without an answer, also that of a request that never ran, and nobody bills
+// what the engine has made. Proved by this test: the callers, the engine's book
+// and the ledger are compared.
+BOOST_FIXTURE_TEST_CASE(TheEndOfTheTimeAnswersAndBillsEachRequest, CutFixture) {
+  StopAndAwaitAnswers();
+  BOOST_TEST(Says(*queued, 503, "no"));
+  BOOST_TEST(Says(*answer, 502, "unknown"));
+  BOOST_TEST(Says(*signing, 502, "unknown"));
+  // Cut after it began: an error as its last event, and no end.
+  const SeenStream seen = ReadStream(stream->body);
+  BOOST_TEST((stream->end == HttpEnd::kComplete));
+  BOOST_TEST(seen.error);
+  BOOST_TEST(!seen.done);
+  for (const auto& it : fleet.Executions("engine")) {
+    const std::string id = it["request_id"];
+    BOOST_TEST(fleet.LogCount("drain_timed_out request=" + id) == 1);
+  }
+  JudgeBills();
+  BOOST_TEST(fleet.Bills().size() == 3U);
+  BOOST_TEST(Budget("lakhon")["outstanding"] == 0);
+}
+
 }  // namespace
 }  // namespace quaytrack
