End requests with an answer and a bill before a stop exits

Cause: drain_timed_out started the return of grants and left the requests to themselves. Their holds keep grants from going back, so the 3 s always ran out, and the process exited under them.

Ruled out: recovery by the witness. It bills model calls if there is a witness, but answers no caller, and a queued call is never told that it didn't run.

Change: 1 s into the 3 s, with 2 s left for the engine's count, the bill and the ledger, Forward::OnTimeUp ends each request. What waits for a claim, a budget or a target is refused as not run (router_stopping). A model call that was sent is cancelled at its engine and billed for what ran; a call that must not be repeated is billed and its claim closed as unknown; both are answered outcome_unknown, a stream as its last event. drain_timed_out names each. A call that waits for another with its key is told in_progress. The exit waits until they have ended.

--- a/router/forward.h
+++ b/router/forward.h
@@ -55,6 +55,9 @@
   void OnTargetUnresponsive(const TargetName& target);
   void OnBillSafe(BillSafety safety);
   void OnClaimStored();
+  // The time that a planned stop leaves for requests is over: ends this one,
+  // and tells its caller what may have run of it. Its bill may follow.
+  void OnTimeUp();
   void Tick(Instant now);
 
   ForwardState state() const { return machine_.state(); }
@@ -72,6 +75,8 @@
   void OnData(evbuffer* data);
   void OnEnd(const HttpResult& result);
   void GiveUpAttempt();
+  void RefuseUnsent();
+  void CutAttempt();
   void OnAttemptFailed(const HttpResult& result, AnswerKind kind);
   void ReleaseTarget(TargetOutcome outcome);
   void SettleAs(Tokens cost);
@@ -103,6 +108,7 @@
   bool bill_safe_ = false;
   Instant settled_at_{};
   bool sent_once_ = false;
+  bool time_up_ = false;
   bool answered_ = false;
   // An answer that is given instead of the target's.
   std::optional<KeptAnswer> replay_;
--- a/router/forward_attempt_impl.h
+++ b/router/forward_attempt_impl.h
@@ -110,7 +110,11 @@
                                   {"ran", not_run ? "no" : "unknown"}});
   ReleaseTarget(overloaded ? TargetOutcome::kOverloaded
                            : TargetOutcome::kFailed);
-  if (streaming_) return Apply(ForwardEvent::kAnswerBroke);
+  if (streaming_) {
+    refusal_ = {RefusalCode::kOutcomeUnknown, "the stream broke at its target",
+                "", kShortRetryAfter};
+    return Apply(ForwardEvent::kAnswerBroke);
+  }
   const bool may_retry = (not_run || basics_.repeatable) &&
                          tried_.size() < kMostAttempts &&
                          context_.Now() < basics_.deadline;
@@ -148,6 +152,22 @@
   OnAttemptFailed(timed_out, AnswerKind::kFailed);
 }
 
+// Ends an attempt that may have run, and doesn't try again. A model call is
+// cancelled as if its caller had left, since then its engine tells what ran.
+template <ForwardJob Job>
+void Forward<Job>::CutAttempt() {
+  refusal_ = {RefusalCode::kOutcomeUnknown,
+              "this router stopped before the answer was whole", "",
+              kShortRetryAfter};
+  if (Job::kCancellable) return Apply(ForwardEvent::kCallerGone);
+  if (call_) call_->Cancel();
+  call_.reset();
+  ReleaseTarget(TargetOutcome::kCancelled);
+  // A call that may be repeated is repeated by its caller, and billed then.
+  Apply(basics_.repeatable ? ForwardEvent::kRefused
+                           : ForwardEvent::kAnswerBroke);
+}
+
 template <ForwardJob Job>
 void Forward<Job>::ReleaseTarget(TargetOutcome outcome) {
   if (!chosen_) return;
@@ -164,7 +184,9 @@
   if (call_) call_->Cancel();
   call_.reset();
   ReleaseTarget(TargetOutcome::kCancelled);
-  LogEvent(Event::kCallerGone, {{"request", basics_.request.value}});
+  if (!time_up_) {
+    LogEvent(Event::kCallerGone, {{"request", basics_.request.value}});
+  }
   HttpRequest request =
       job_.CancelRequest(context_.addresses[target_], basics_.request);
   request.idle_timeout = kCancelPatience;
--- a/router/forward_impl.h
+++ b/router/forward_impl.h
@@ -273,8 +273,6 @@
     if (answered_) {
       job_.Deliver(*exchange_);
     } else if (streaming_) {
-      refusal_ = {RefusalCode::kOutcomeUnknown,
-                  "the stream broke at its target", "", kShortRetryAfter};
       exchange_->Write(StreamErrorFor(refusal_));
       exchange_->EndStream();
     } else {
@@ -296,6 +294,36 @@
   context_.ended(basics_.request);
 }
 
+// --- A planned stop's end --------------------------------------------------
+
+template <ForwardJob Job>
+void Forward<Job>::OnTimeUp() {
+  const bool ends_itself =
+      state() == ForwardState::kStoring || state() == ForwardState::kEnded;
+  if (ends_itself) return;
+  time_up_ = true;
+  const bool sent =
+      state() == ForwardState::kSent || state() == ForwardState::kAnswering;
+  LogEvent(Event::kDrainTimedOut, {{"request", basics_.request.value},
+                                   {"ran", sent ? "unknown" : "no"}});
+  if (sent) return CutAttempt();
+  RefuseUnsent();
+}
+
+template <ForwardJob Job>
+void Forward<Job>::RefuseUnsent() {
+  // It waits for another call with its key, which may have run.
+  const bool joined = state() == ForwardState::kClaiming && claim_.joined();
+  if (joined) {
+    return Refuse({RefusalCode::kInProgress,
+                   "a call with this key was running when this router stopped",
+                   kKeyHeader, kShortRetryAfter});
+  }
+  Refuse({RefusalCode::kRouterStopping,
+          "this router stopped before it sent the request; ask another", "",
+          kShortRetryAfter});
+}
+
 template <ForwardJob Job>
 void Forward<Job>::Tick(Instant now) {
   const bool late = now >= basics_.deadline;
--- a/router/router.cc
+++ b/router/router.cc
@@ -10,8 +10,14 @@
 namespace {
 
 constexpr Duration kTick = std::chrono::milliseconds(50);
-// Longest time to give grants back at a planned stop.
+// Longest time at the end of a planned stop to write the last bills and give
+// grants back, after --drain-ms. Not measured.
 constexpr Duration kReturnTime = std::chrono::seconds(3);
+// The part of it that cut requests need: 1 s at most until an engine has told
+// what ran (router/forward_attempt_impl.h), 0.4 s by default until an answer is
+// let go without its bill (--bill-patience-ms), and room for a ledger write.
+// Until then requests may still end by themselves. Not measured.
+constexpr Duration kCutTime = std::chrono::seconds(2);
 constexpr int kExitFenced = 75;
 
 // "<vm>@<start in ms>-<random>": unique even if the clock is set back.
@@ -335,6 +341,8 @@
       ledger_.Kick();
       drain_timer_ =
           loop_.After(kReturnTime, [this] { ApplyDrain(DrainEvent::kTimeUp); });
+      cut_timer_ =
+          loop_.After(kReturnTime - kCutTime, [this] { CutRequests(); });
       return;
     case DrainAction::kExit:
       members_->Leave();
@@ -345,12 +353,20 @@
   }
 }
 
+// The requests that still run are ended while there is time to answer and bill
+// them.
+void Router::CutRequests() {
+  requests_.ForEach([](auto& it) { it.OnTimeUp(); });
+}
+
 void Router::CheckDrain() {
-  if (drain_.state() == DrainState::kFinishing && requests_.size() == 0) {
+  const bool ended = requests_.size() == 0;
+  if (drain_.state() == DrainState::kFinishing && ended) {
     ApplyDrain(DrainEvent::kRequestsEnded);
   }
   if (drain_.state() != DrainState::kReturning) return;
-  const bool done = ledger_.sync().Drained() && claims_.book().Unstored() == 0;
+  const bool done =
+      ended && ledger_.sync().Drained() && claims_.book().Unstored() == 0;
   if (done) ApplyDrain(DrainEvent::kLedgerReturned);
 }
 
--- a/router/router.h
+++ b/router/router.h
@@ -73,6 +73,7 @@
   bool Ready() const;
 
   void ApplyDrain(DrainEvent event);
+  void CutRequests();
   void CheckDrain();
 
   Loop& loop_;
@@ -105,6 +106,7 @@
   std::set<GroupName> pump_due_;
   std::unique_ptr<Timer> tick_;
   std::unique_ptr<Timer> drain_timer_;
+  std::unique_ptr<Timer> cut_timer_;
   std::unique_ptr<Timer> exit_timer_;
   bool announced_ready_ = false;
   int exit_code_ = 0;
