--- a/testing/process/stop_test.cc
+++ b/testing/process/stop_test.cc
@@ -1,8 +1,14 @@
 // Planned stops: nothing in flight is cut while there is time, what is cut then
 // is answered and billed, grants go back, exit code 0.
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
+#include <cerrno>
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -11,6 +17,62 @@
 namespace quaytrack {
 namespace {
 
+// A caller's connection by hand, which is read and kept as a test says.
+class CallerSocket {
+ public:
+  explicit CallerSocket(int port) : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(static_cast<std::uint16_t>(port));
+    inet_pton(AF_INET, "127.0.0.1", &to.sin_addr);
+    BOOST_REQUIRE(connect(fd_, reinterpret_cast<sockaddr*>(&to), sizeof to) ==
+                  0);
+  }
+  ~CallerSocket() { close(fd_); }
+  CallerSocket(const CallerSocket&) = delete;
+  CallerSocket& operator=(const CallerSocket&) = delete;
+
+  void Send(const TestRequest& request) {
+    std::string text =
+        request.method + " " + request.path + " HTTP/1.1\r\nHost: x\r\n";
+    for (const HttpHeader& it : request.headers) {
+      text += it.name + ": " + it.value + "\r\n";
+    }
+    text += "Content-Length: " + std::to_string(request.body.size()) +
+            "\r\n\r\n" + request.body;
+    send(fd_, text.data(), text.size(), MSG_NOSIGNAL);
+  }
+
+  // Reads what has come, up to a piece. False once the connection has ended.
+  bool Read() {
+    constexpr std::size_t kPiece = 256 * 1024;
+    std::string piece(kPiece, '\0');
+    const ssize_t n = recv(fd_, piece.data(), piece.size(), MSG_DONTWAIT);
+    if (n < 0) return errno == EAGAIN;
+    received.append(piece, 0, static_cast<std::size_t>(n));
+    return n > 0;
+  }
+
+  // Takes a whole answer that has a length off the front of what was read.
+  std::optional<std::string> TakeAnswer() {
+    static const std::string kLength = "Content-Length: ";
+    const std::size_t head = received.find("\r\n\r\n");
+    const std::size_t length = received.find(kLength);
+    if (head == std::string::npos || length > head) return std::nullopt;
+    const std::size_t size =
+        head + 4 + std::stoul(received.substr(length + kLength.size(), 20));
+    if (received.size() < size) return std::nullopt;
+    std::string out = received.substr(0, size);
+    received.erase(0, size);
+    return out;
+  }
+
+  std::string received;
+
+ private:
+  int fd_;
+};
+
 struct StopFixture : FleetFixture {
   StopFixture() { AwaitWitnesses(); }
 
@@ -168,5 +230,51 @@
   BOOST_TEST(Budget("lakhon")["outstanding"] == 0);
 }
 
+// An answer that is far larger than what the sockets keep.
+struct LargeAnswerFixture : FleetFixture {
+  static constexpr int kTokenBytes = 64 * 1024;
+  static constexpr int kTokens = 400;  // 26 MB
+
+  static RouterFleetSpec LargeTokens() {
+    RouterFleetSpec out;
+    out.routers = 1;
+    out.engines = 1;
+    out.services = 1;
+    out.engine_step_ms = 1;
+    out.engine_token_bytes = kTokenBytes;
+    return out;
+  }
+
+  LargeAnswerFixture() : FleetFixture(LargeTokens()) {}
+};
+
+// What goes wrong: a request counts as ended when its answer is in the buffer
+// of its connection, so a router whose last caller still takes its answer exits
+// 50 ms after its grants went back, and cuts it, with nearly all of
+// `--drain-ms` left. Proved by this test: the caller goes on reading, 256 KB
+// every 10 ms, and finds the connection closed in the middle.
+BOOST_FIXTURE_TEST_CASE(AnAnswerThatIsBeingTakenIsNotCut, LargeAnswerFixture) {
+  CallerSocket caller(fleet.port("router-1"));
+  caller.Send(RouterFleet::Chat(kLakhon, "large", kTokens, false));
+  // The router has all of it, and the request has ended.
+  BOOST_REQUIRE(fleet.WaitFor([&] {
+    const auto runs = fleet.Executions("engine");
+    return runs.size() == 1 && runs[0]["ended"] == "complete" &&
+           Status(1)["requests"] == 0;
+  }));
+  fleet.Kill("router-1", SIGTERM);
+  std::optional<std::string> answer;
+  BOOST_TEST(fleet.WaitFor([&] {
+    const bool open = caller.Read();
+    answer = caller.TakeAnswer();
+    return answer || !open;
+  }));
+  BOOST_TEST(answer.has_value());
+  const int status = fleet.Await("router-1");
+  BOOST_TEST(WIFEXITED(status));
+  BOOST_TEST(WEXITSTATUS(status) == 0);
+  BOOST_TEST(fleet.LogCount("drain_timed_out") == 0);
+}
+
 }  // namespace
 }  // namespace quaytrack
