Count an answer as in flight until its last byte is sent

Cause: a request ends when its answer is in its connection's buffer. With no other request the stop went on, and the loop stopped 50 ms after the grants had gone back, whatever was still buffered.

Ruled out: a longer wait before the exit; no fixed one suits every caller.

Change: HttpServer follows each answer from its end until evhttp has sent it or its connection is lost.

Before and after: an answer of 26 MB is cut, and whole with exit code 0.

--- a/evhttp/http_server.cc
+++ b/evhttp/http_server.cc
@@ -70,8 +70,10 @@
 
 }  // namespace
 
-HttpExchange::HttpExchange(Loop& loop, evhttp_request* request)
+HttpExchange::HttpExchange(Loop& loop, HttpServer& server,
+                           evhttp_request* request)
     : loop_(loop),
+      server_(server),
       request_(request),
       connection_(evhttp_request_get_connection(request)) {
   evhttp_connection_set_closecb(connection_, OnClosed, this);
@@ -107,6 +109,10 @@
   output_watch_ = nullptr;
 }
 
+void HttpExchange::Answered() {
+  if (connection_ != nullptr) server_.Follow(request_, connection_);
+}
+
 void HttpExchange::OnPeerClosed(int, short, void* self) {
   static_cast<HttpExchange*>(self)->MarkGone();
 }
@@ -173,6 +179,7 @@
 void HttpExchange::Reply(const HttpReply& reply) {
   if (request_ == nullptr) return;
   StopWatching();
+  Answered();
   AddHeaders(request_, reply.content_type, reply.headers);
   evbuffer* body = evbuffer_new();
   evbuffer_add(body, reply.body.data(), reply.body.size());
@@ -245,6 +252,7 @@
 void HttpExchange::EndStream() {
   if (request_ == nullptr) return;
   StopWatching();
+  Answered();
   evhttp_send_reply_end(std::exchange(request_, nullptr));
 }
 
@@ -296,7 +304,24 @@
 
 void HttpServer::OnRequest(evhttp_request* request, void* self) {
   auto* it = static_cast<HttpServer*>(self);
-  it->handler_(std::make_shared<HttpExchange>(it->loop_, request));
+  it->handler_(std::make_shared<HttpExchange>(it->loop_, *it, request));
+}
+
+void HttpServer::Follow(evhttp_request* request,
+                        evhttp_connection* connection) {
+  unsent_.insert(connection);
+  evhttp_request_set_on_complete_cb(request, OnSent, this);
+  evhttp_connection_set_closecb(connection, OnLost, this);
+}
+
+void HttpServer::OnSent(evhttp_request* request, void* self) {
+  evhttp_connection* connection = evhttp_request_get_connection(request);
+  evhttp_connection_set_closecb(connection, nullptr, nullptr);
+  static_cast<HttpServer*>(self)->unsent_.erase(connection);
+}
+
+void HttpServer::OnLost(evhttp_connection* connection, void* self) {
+  static_cast<HttpServer*>(self)->unsent_.erase(connection);
 }
 
 }  // namespace quaytrack
--- a/evhttp/http_server.h
+++ b/evhttp/http_server.h
@@ -19,6 +19,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -49,9 +50,11 @@
   std::string body;
 };
 
+class HttpServer;
+
 class HttpExchange {
  public:
-  HttpExchange(Loop& loop, evhttp_request* request);
+  HttpExchange(Loop& loop, HttpServer& server, evhttp_request* request);
   ~HttpExchange();
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
@@ -96,9 +99,12 @@
   bool WriteDirectly(evbuffer* data);
   void WatchPeer();
   void StopWatching();
+  void Answered();
   void MarkGone();
 
   Loop& loop_;
+  // Lives as long as the connection.
+  HttpServer& server_;
   evhttp_request* request_;
   evhttp_connection* connection_;
   event* close_event_ = nullptr;
@@ -134,13 +140,24 @@
 
   // Accepts no more connections; open ones go on.
   void StopListening();
+  // Answers that have ended and were not yet sent to their last byte, as their
+  // callers take them slowly.
+  std::size_t Unsent() const { return unsent_.size(); }
 
  private:
+  friend class HttpExchange;
+
   static void OnRequest(evhttp_request* request, void* self);
+  // Follows an answer that has ended until it has been sent, or its connection
+  // is lost.
+  void Follow(evhttp_request* request, evhttp_connection* connection);
+  static void OnSent(evhttp_request* request, void* self);
+  static void OnLost(evhttp_connection* connection, void* self);
 
   Loop& loop_;
   evhttp* http_;
   std::vector<evhttp_bound_socket*> sockets_;
+  std::set<evhttp_connection*> unsent_;
   Handler handler_;
 };
 
--- a/router/router.cc
+++ b/router/router.cc
@@ -332,7 +332,8 @@
       callers_.StopTaking();
       drain_timer_ = loop_.After(settings_.drain_time, [this] {
         LogEvent(Event::kDrainTimedOut,
-                 {{"requests", std::to_string(requests_.size())}});
+                 {{"requests", std::to_string(requests_.size())},
+                  {"unsent", std::to_string(caller_server_.Unsent())}});
         ApplyDrain(DrainEvent::kTimeUp);
       });
       return;
@@ -360,7 +361,8 @@
 }
 
 void Router::CheckDrain() {
-  const bool ended = requests_.size() == 0;
+  // An answer that its caller is still taking is as much in flight.
+  const bool ended = requests_.size() == 0 && caller_server_.Unsent() == 0;
   if (drain_.state() == DrainState::kFinishing && ended) {
     ApplyDrain(DrainEvent::kRequestsEnded);
   }
