Test that a stopping router ends kept connections with their answers

AKeptConnectionIsEndedByItsNextAnswer asks again after each answer until it is told not to; AStreamsEndIsItsConnectionsDuringAStop keeps a stream's connection. Red on the tree before these changes: no answer says so, the last request of the first caller gets none, and the second's connection stays until the exit.

--- a/testing/process/stop_test.cc
+++ b/testing/process/stop_test.cc
@@ -276,5 +276,59 @@
   BOOST_TEST(fleet.LogCount("drain_timed_out") == 0);
 }
 
+// What goes wrong: a stopping router never tells a caller to leave its
+// connection, so one that keeps it (a balancer does) sends request after
+// request on it until the process exits under the last, which is neither served
+// nor refused. Proved by these tests: the first caller asks again after each
+// answer and isn't told to stop; the second's stream ends and its connection
+// stays.
+BOOST_FIXTURE_TEST_CASE(AKeptConnectionIsEndedByItsNextAnswer, StopFixture) {
+  TestRequest ask;
+  ask.path = "/v1/models";
+  ask.headers = {{"Authorization", std::string("Bearer ") + kLakhon}};
+  CallerSocket caller(fleet.port("router-1"));
+  // Keeps the router from exiting at once.
+  StartStreams(1, 1, 300);
+  BOOST_REQUIRE(fleet.WaitFor([&] { return EngineRuns() == 1; }));
+  fleet.Kill("router-1", SIGTERM);
+  BOOST_REQUIRE(fleet.WaitFor([&] { return !Ready(1); }));
+  caller.Send(ask);
+  int unanswered = 1;
+  bool told = false;
+  BOOST_TEST(fleet.WaitFor([&] {
+    const bool open = caller.Read();
+    if (const auto answer = caller.TakeAnswer()) {
+      --unanswered;
+      told = answer->find("Connection: close\r\n") != std::string::npos;
+      if (!told) {
+        ++unanswered;
+        caller.Send(ask);
+      }
+    }
+    return told || !open;
+  }));
+  BOOST_TEST(told);
+  BOOST_TEST(unanswered == 0);
+  BOOST_TEST(fleet.WaitFor([&] { return !caller.Read(); }));
+}
+
+BOOST_FIXTURE_TEST_CASE(AStreamsEndIsItsConnectionsDuringAStop, StopFixture) {
+  CallerSocket caller(fleet.port("router-1"));
+  CallerSocket longer(fleet.port("router-1"));
+  caller.Send(RouterFleet::Chat(kLakhon, "short", 50, true));
+  longer.Send(RouterFleet::Chat(kLakhon, "longer", 300, true));
+  BOOST_REQUIRE(fleet.WaitFor([&] { return EngineRuns() == 2; }));
+  fleet.Kill("router-1", SIGTERM);
+  BOOST_TEST(fleet.WaitFor([&] {
+    longer.Read();
+    return !caller.Read();
+  }));
+  static const std::string kEnd = "\r\n0\r\n\r\n";
+  BOOST_TEST(caller.received.ends_with(kEnd));
+  BOOST_TEST(!longer.received.ends_with(kEnd));
+  BOOST_TEST(fleet.WaitFor([&] { return !longer.Read(); }));
+  BOOST_TEST(longer.received.ends_with(kEnd));
+}
+
 }  // namespace
 }  // namespace quaytrack
