End connections with their next answer from the start of a stop

Cause: the server had no way to tell a caller that a connection ends, so a kept one stayed in use until the process exited under a request.

Ruled out: closing idle connections at the stop. A request that is on its way on one would be lost in the same manner.

Change: from the moment that it is unready the router says "Connection: close" with each answer, and evhttp closes the connection after it; that of a stream which began before is closed after its end. Requests on kept connections are still answered: served, and refused once the balancer's time is over.

--- a/evhttp/http_server.cc
+++ b/evhttp/http_server.cc
@@ -110,7 +110,17 @@
 }
 
 void HttpExchange::Answered() {
-  if (connection_ != nullptr) server_.Follow(request_, connection_);
+  if (connection_ == nullptr) return;
+  server_.Follow(request_, connection_);
+  // Obeyed by evhttp also when the headers were sent before: such a stream's
+  // connection is closed after its end.
+  if (server_.closing_) SayClose();
+}
+
+void HttpExchange::SayClose() {
+  evkeyvalq* out = evhttp_request_get_output_headers(request_);
+  evhttp_remove_header(out, "Connection");
+  evhttp_add_header(out, "Connection", "close");
 }
 
 void HttpExchange::OnPeerClosed(int, short, void* self) {
@@ -191,6 +201,7 @@
 void HttpExchange::StartStream(int status, const std::string& content_type,
                                const std::vector<HttpHeader>& headers) {
   started_ = true;
+  if (connection_ != nullptr && server_.closing_) SayClose();
   AddHeaders(request_, content_type, headers);
   evhttp_send_reply_start(request_, status, nullptr);
   if (connection_ == nullptr) return;
--- a/evhttp/http_server.h
+++ b/evhttp/http_server.h
@@ -100,6 +100,8 @@
   void WatchPeer();
   void StopWatching();
   void Answered();
+  // Makes this answer the last of its connection.
+  void SayClose();
   void MarkGone();
 
   Loop& loop_;
@@ -138,6 +140,8 @@
   // Binds "host:port"; port 0 picks a free one. Returns the bound port, or 0.
   std::uint16_t Listen(const std::string& address);
 
+  // From now on every answer is the last of its connection.
+  void StartClosing() { closing_ = true; }
   // Accepts no more connections; open ones go on.
   void StopListening();
   // Answers that have ended and were not yet sent to their last byte, as their
@@ -158,6 +162,7 @@
   evhttp* http_;
   std::vector<evhttp_bound_socket*> sockets_;
   std::set<evhttp_connection*> unsent_;
+  bool closing_ = false;
   Handler handler_;
 };
 
--- a/router/router.cc
+++ b/router/router.cc
@@ -323,6 +323,7 @@
       return;
     case DrainAction::kReportUnready:
       LogEvent(Event::kDrainStarted, {{"incarnation", self_.value}});
+      caller_server_.StartClosing();
       drain_timer_ = loop_.After(settings_.balancer_time, [this] {
         ApplyDrain(DrainEvent::kBalancerNoticed);
       });
