--- a/testing/process/stop_test.cc
+++ b/testing/process/stop_test.cc
@@ -330,5 +330,34 @@
   BOOST_TEST(longer.received.ends_with(kEnd));
 }
 
+// The bill of a request that is cut can't be written, and isn't given up.
+struct NoBillFixture : FleetFixture {
+  static RouterFleetSpec PatientRouter() {
+    RouterFleetSpec out;
+    out.routers = 1;
+    out.router_flags = {"--drain-ms=300", "--bill-patience-ms=60000"};
+    return out;
+  }
+
+  NoBillFixture() : FleetFixture(PatientRouter()) {}
+};
+
+// What goes wrong: a process that exits with a request in flight dies by
+// SIGABRT and not with 0. The server frees the request with its connection, and
+// the exchange then answers it all the same. Proved by this test: the wait
+// status, and the log's last line, libevent's "Assertion
+// TAILQ_FIRST(&evcon->requests)
+// == req failed in evhttp_send".
+BOOST_FIXTURE_TEST_CASE(ARequestInFlightAtTheExitIsNoCrash, NoBillFixture) {
+  fleet.Begin(fleet.Router(1), RouterFleet::Chat(kLakhon, "long", 4000, false),
+              [](const TestReply&) {});
+  BOOST_REQUIRE(fleet.WaitFor([&] { return EngineRuns() == 1; }));
+  fleet.Control("kv", "mode?mode=hang");
+  fleet.Kill("router-1", SIGTERM);
+  const int status = fleet.Await("router-1");
+  BOOST_TEST(WIFEXITED(status));
+  BOOST_TEST(WEXITSTATUS(status) == 0);
+}
+
 }  // namespace
 }  // namespace quaytrack
