Forget a request that is freed with its connection

Cause: at the exit the server is freed first. It frees its connections and the requests on them; an exchange that still had one then answered it, which libevent ends with "Assertion TAILQ_FIRST(&evcon->requests) == req failed".

Ruled out, by reading: destroying the requests before the server. Calls at targets keep them too, so the order of the router's members doesn't decide it.

Change: when its connection is freed an exchange forgets a request that is still the connection's. One that has no connection any more stays the exchange's to free, as it was.

Before and after: signal 6, and exit code 0.

--- a/evhttp/http_server.cc
+++ b/evhttp/http_server.cc
@@ -133,6 +133,11 @@
   it->output_watch_ = nullptr;
   if (it->close_event_ != nullptr) event_free(it->close_event_);
   it->close_event_ = nullptr;
+  // A request that is still the connection's is freed with it.
+  evhttp_request* request = it->request_;
+  const bool freed =
+      request != nullptr && evhttp_request_get_connection(request) != nullptr;
+  if (freed) it->request_ = nullptr;
   it->MarkGone();
 }
 
