A commit that took effect late counts for all its records or for none

Cause: LedgerSync::OnRead took a sealed batch as stored as soon as one record of a read showed it, and took over the grants of all attempted records from its cache, also of those that the read didn't include. Reads of one record come from another router's need.

A record that alone shows the sealed batch isn't taken into the cache, since its costs would count twice against the budget and requests that wait would be refused; it makes all attempted records be read. A record counts as joined if it names this router.

Ruled out: reading all attempted records with every read; a router may be told to read one record while the others can't be resolved yet, and a watch shows one in any case.

The property test couldn't meet it: it had one budget, so every commit was on one record and every read of one was a read of all; no bill had a marker; and it compared no account with its record. Now it has two budgets in two records, reads and watches of single ones, markers that routers share, and compares.

--- a/ledger/sync.cc
+++ b/ledger/sync.cc
@@ -74,10 +74,6 @@
   if (fenced_ || phase_ != Phase::kIdle || now < not_before_) {
     return std::nullopt;
   }
-  // A watch may have shown that an attempt won. Only a fresh snapshot of all
-  // attempted records can resolve it.
-  if (SealedIsApplied())
-    must_read_.insert(attempted_.begin(), attempted_.end());
   if (!must_read_.empty()) return StartRead();
   if (now < last_commit_ + Spacing()) return std::nullopt;
   if (now >= last_refresh_ + options_.refresh_every) {
@@ -158,14 +154,16 @@
   for (const ShardState& it : *states) {
     must_read_.erase(it.shard);
     fresh_.insert(it.shard);
-    CacheIfNewer(it);
-    NoticeNeeds(now, it);
   }
+  // Less than all attempted records tells nothing of the attempts: what has
+  // changed in the others is unknown, and a marker may be of an own bill.
+  const bool whole = CoversAttempts(*states);
+  for (const ShardState& it : *states) Take(now, it, whole);
   FenceIfRemoved();
   if (fenced_) return;
-  if (AppliedIn(*states)) {
+  if (whole && AppliedIn(*states)) {
     ResolveSealed();
-  } else if (!SealedIsApplied()) {
+  } else if (whole) {
     DropBilledTwice(existing_markers);
   }
   for (const auto& [name, it] : settings_) dirty_.insert(name);
@@ -191,12 +189,23 @@
 }
 
 void LedgerSync::OnWatched(Instant now, const ShardState& state) {
-  CacheIfNewer(state);
+  Take(now, state, /*whole=*/false);
   FenceIfRemoved();
-  NoticeNeeds(now, state);
   ServeWaiting();
 }
 
+// Takes a record as seen; `whole` if all attempted records were seen with it.
+// One that alone shows the sealed batch isn't kept, since its costs would count
+// in it and here; all attempted records are read instead.
+void LedgerSync::Take(Instant now, const ShardState& state, bool whole) {
+  NoticeNeeds(now, state);
+  if (whole || !ShowsSealed(state)) {
+    CacheIfNewer(state);
+    return;
+  }
+  must_read_.insert(attempted_.begin(), attempted_.end());
+}
+
 void LedgerSync::NoticeNeeds(Instant now, const ShardState& state) {
   for (const auto& [name, it] : state.record.budgets) {
     dirty_.insert(name);
@@ -219,9 +228,12 @@
   return writer->second.seq >= bills_.sealed()->seq;
 }
 
-bool LedgerSync::SealedIsApplied() const {
-  return std::any_of(cache_.begin(), cache_.end(),
-                     [&](const auto& it) { return ShowsSealed(it.second); });
+bool LedgerSync::CoversAttempts(const std::vector<ShardState>& snapshot) const {
+  const auto seen = [&](int shard) {
+    return std::any_of(snapshot.begin(), snapshot.end(),
+                       [&](const ShardState& it) { return it.shard == shard; });
+  };
+  return std::all_of(attempted_.begin(), attempted_.end(), seen);
 }
 
 bool LedgerSync::AppliedIn(const std::vector<ShardState>& snapshot) const {
@@ -231,8 +243,10 @@
 
 void LedgerSync::ResolveSealed() {
   for (int shard : attempted_) {
-    AdoptRecord(cache_[shard]);
-    joined_.insert(shard);
+    const ShardState& state = cache_[shard];
+    AdoptRecord(state);
+    // The attempt that won may have been on fewer records than a later one.
+    if (state.record.writers.contains(self_)) joined_.insert(shard);
   }
   events_.push_back({LedgerEventKind::kBillsWritten, {}, {}, bills_.Resolve()});
   attempted_.clear();
--- a/ledger/sync.h
+++ b/ledger/sync.h
@@ -28,10 +28,11 @@
 // attempt is known to be in the record: every attempt for one number replaces
 // at least the records of the attempts before it, at their compared revisions,
 // so at most one of them can win, and the record's `writers[self].seq` says
-// whether one has. It is resolved from one snapshot of all those records (a
-// watch alone shows one record and may be ahead of the others). Until then all
-// that such an attempt may have given back counts as gone, and nothing that it
-// may have taken counts as owned.
+// whether one has. It is resolved from one snapshot of all those records: what
+// is known of a commit counts for all its records or for none. A read of some
+// of them, or a watch, that shows it as applied only makes all of them be read.
+// Until then all that such an attempt may have given back counts as gone, and
+// nothing that it may have taken counts as owned.
 //
 // Being declared dead. Recovery removes `writers[self]`. A router that finds
 // its entry missing has been replaced; it reports kFenced and must stop.
@@ -244,7 +245,8 @@
                     const BudgetEntry& entry) const;
   LedgerCommit FinishCommit(Instant now, ShardMap&& work);
   bool ShowsSealed(const ShardState& state) const;
-  bool SealedIsApplied() const;
+  void Take(Instant now, const ShardState& state, bool whole);
+  bool CoversAttempts(const std::vector<ShardState>& snapshot) const;
   bool AppliedIn(const std::vector<ShardState>& snapshot) const;
   void ResolveSealed();
   void AdoptRecord(const ShardState& state);
@@ -264,6 +266,7 @@
   std::uint64_t bundle_version_ = 0;
   std::map<BudgetName, BudgetSetting> settings_;
   std::map<BudgetName, Account> accounts_;
+  // Records as last seen, without what an unresolved attempt changed in them.
   std::map<int, ShardState> cache_;
   std::set<int> must_read_;
   // Records read since the last commit.
--- a/ledger/testing/make_bill.h
+++ b/ledger/testing/make_bill.h
@@ -1,4 +1,4 @@
-// Bills for tests of the ledger, all on one budget.
+// Bills for tests of the ledger, and the budgets that they are on.
 
 #ifndef QUAYTRACK_LEDGER_TESTING_MAKE_BILL_H_
 #define QUAYTRACK_LEDGER_TESTING_MAKE_BILL_H_
@@ -6,11 +6,20 @@
 #include <string>
 
 #include "ledger/bill.h"
+#include "ledger/record.h"
 
 namespace quaytrack {
 
 inline const BudgetName kBudget{"b"};
 
+// A budget whose record isn't that of kBudget.
+inline BudgetName BudgetInAnotherRecord() {
+  for (int n = 0;; ++n) {
+    BudgetName out("other-" + std::to_string(n));
+    if (ShardOf(out) != ShardOf(kBudget)) return out;
+  }
+}
+
 inline Bill MakeBill(const std::string& request, Tokens tokens,
                      const std::string& marker = "") {
   Bill out;
--- a/ledger/testing/sync_property_test.cc
+++ b/ledger/testing/sync_property_test.cc
@@ -1,15 +1,28 @@
 // Property: whatever the service loses, delays or refuses, and however long a
-// router stops between two steps, spending never passes the limit and each bill
-// is stored once. The judge is a book kept by the test, not the ledger's own.
+// router stops between two steps, spending never passes the limit, no account
+// shows more than its record grants, and each bill is stored once. The judge is
+// a book kept by the test, not the ledger's own.
+//
+// There are two budgets in two records, so that a commit can be on both and a
+// read or a watch on one of them, before or after the commit takes effect. Some
+// bills have a marker, which another router's bill may have as well.
 
 #include <rapidcheck.h>
 
+#include <array>
 #include <boost/test/unit_test.hpp>
+#include <map>
 #include <memory>
+#include <optional>
 #include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
 
 #include "ledger/sync.h"
 #include "ledger/testing/fake_ledger_store.h"
+#include "ledger/testing/make_bill.h"
 
 namespace quaytrack {
 namespace {
@@ -17,30 +30,38 @@
 using std::chrono::milliseconds;
 
 constexpr Tokens kLimit = 4000;
-constexpr int kRouters = 3;
+constexpr unsigned kRouters = 3;
+constexpr unsigned kBudgets = 2;
+// Few, so that routers meet each other's.
+constexpr unsigned kMarkers = 100;
 
-// What really ran.
+// What really ran of one budget.
 struct Book {
   Tokens spent = 0;
   Tokens running = 0;
-  std::set<std::string> bill_ids;
+  std::map<std::string, Tokens> bills;
 };
 
 struct Running {
   RequestId request;
+  BudgetName budget;
   Tokens hold = 0;
 };
 
 // One router, its running requests, and its unanswered action.
 struct Node {
-  Node(int n, const BudgetName& budget)
+  Node(unsigned n, const std::array<BudgetName, kBudgets>& budgets)
       : self("vm-" + std::to_string(n) + "@1"), ledger(self, {}) {
-    ledger.SetBudgets(1, {{budget, kLimit, {std::chrono::seconds(5), 8}}});
+    std::vector<BudgetSetting> settings;
+    for (const BudgetName& it : budgets) {
+      settings.push_back({it, kLimit, {std::chrono::seconds(5), 8}});
+    }
+    ledger.SetBudgets(1, settings);
   }
   Incarnation self;
   LedgerSync ledger;
   std::vector<Running> running;
-  std::map<RequestId, Tokens> waiting;
+  std::map<RequestId, Running> waiting;
   std::optional<LedgerAction> unanswered;
   int minted = 0;
 };
@@ -48,19 +69,21 @@
 class World {
  public:
   World() {
-    for (int n = 0; n < kRouters; ++n) {
-      nodes_.push_back(std::make_unique<Node>(n, budget_));
+    for (unsigned n = 0; n < kRouters; ++n) {
+      nodes_.push_back(std::make_unique<Node>(n, budgets_));
     }
   }
 
-  // One random step; `pick` chooses node and deed, `size` an amount.
+  // One random step; `pick` chooses node, deed and budget, `size` an amount.
   void Step(unsigned pick, unsigned size) {
     now_ += milliseconds(1 + size % 150);
     Node& node = *nodes_[pick % kRouters];
-    switch ((pick / kRouters) % 8) {
+    const unsigned deed = (pick / kRouters) % 8;
+    const BudgetName& budget = budgets_[(pick / (kRouters * 8)) % kBudgets];
+    switch (deed) {
       case 0:
       case 1:
-        Start(node, 1 + size % 500, size % 7 == 0);
+        Start(node, budget, 1 + size % 500);
         break;
       case 2:
       case 3:
@@ -71,11 +94,7 @@
         break;
       case 5:
         node.ledger.Tick(now_);
-        if (size % 2 == 0) {
-          node.ledger.OnWatched(now_, store_.Read(ShardOf(budget_)));
-        } else {
-          node.ledger.OnNeed(ShardOf(budget_));
-        }
+        ShowOne(node, budget, size);
         break;
       default:
         Drive(node, size);
@@ -98,49 +117,76 @@
         Check();
       }
     }
-    const BudgetEntry entry = store_.Budget(budget_);
-    RC_ASSERT(entry.settled == book_.spent);
+    std::set<std::string> booked;
+    for (const BudgetName& name : budgets_) {
+      const BudgetEntry entry = store_.Budget(name);
+      RC_ASSERT(entry.settled == books_[name].spent);
+      RC_ASSERT(entry.Free() >= 0);
+      for (const auto& [id, n] : books_[name].bills) booked.insert(id);
+    }
     std::set<std::string> ids;
     for (const Bill& it : store_.bills()) {
       RC_ASSERT(ids.insert(it.bill_id).second);
     }
-    RC_ASSERT(ids == book_.bill_ids);
-    RC_ASSERT(entry.Free() >= 0);
+    RC_ASSERT(ids == booked);
   }
 
  private:
-  void Start(Node& node, Tokens amount, bool) {
+  void Start(Node& node, const BudgetName& budget, Tokens amount) {
     const RequestId request(node.self.value + "/" +
                             std::to_string(node.minted++));
-    const auto outcome = node.ledger.Hold(now_, request, budget_, amount);
-    if (outcome == HoldOutcome::kHeld) Run(node, request, amount);
-    if (outcome == HoldOutcome::kWaiting) node.waiting[request] = amount;
+    const Running it{request, budget, amount};
+    const auto outcome = node.ledger.Hold(now_, request, budget, amount);
+    if (outcome == HoldOutcome::kHeld) Run(node, it);
+    if (outcome == HoldOutcome::kWaiting) node.waiting[request] = it;
   }
 
-  void Run(Node& node, const RequestId& request, Tokens hold) {
-    node.running.push_back({request, hold});
-    book_.running += hold;
+  void Run(Node& node, const Running& it) {
+    node.running.push_back(it);
+    books_[it.budget].running += it.hold;
   }
 
   void Finish(Node& node, unsigned size) {
     if (node.running.empty()) return;
     const Running it = node.running.back();
     node.running.pop_back();
-    book_.running -= it.hold;
+    Book& book = books_[it.budget];
+    book.running -= it.hold;
     if (size % 5 == 4) {
-      node.ledger.Release(it.request, budget_);
+      node.ledger.Release(it.request, it.budget);
       return;
     }
     Bill bill;
     bill.bill_id = it.request.value;
-    bill.budget = budget_;
+    bill.budget = it.budget;
     bill.request_id = it.request;
     bill.tokens = static_cast<Tokens>(size) % (it.hold + 1);
-    book_.spent += bill.tokens;
-    book_.bill_ids.insert(bill.bill_id);
+    if (size % 3 == 1) bill.marker = "key-" + std::to_string(size % kMarkers);
+    book.spent += bill.tokens;
+    book.bills[bill.bill_id] = bill.tokens;
     node.ledger.Settle(now_, bill);
   }
 
+  // Another router's request was billed already: its cost is the other's.
+  void Forgive(const RequestId& request) {
+    for (auto& [name, book] : books_) {
+      auto bill = book.bills.find(request.value);
+      if (bill == book.bills.end()) continue;
+      book.spent -= bill->second;
+      book.bills.erase(bill);
+    }
+  }
+
+  // The node sees one record, or is told to read it.
+  void ShowOne(Node& node, const BudgetName& budget, unsigned size) {
+    const int shard = ShardOf(budget);
+    if (size % 2 == 0) {
+      node.ledger.OnWatched(now_, store_.Read(shard));
+    } else {
+      node.ledger.OnNeed(shard);
+    }
+  }
+
   // Takes the next action, or answers the one that is open.
   void Drive(Node& node, unsigned size) {
     if (node.unanswered) {
@@ -178,37 +224,44 @@
 
   void Absorb(Node& node) {
     for (const LedgerEvent& it : node.ledger.TakeEvents()) {
+      RC_ASSERT(it.kind != LedgerEventKind::kFenced);
+      if (it.kind == LedgerEventKind::kBillDropped) Forgive(it.request);
       auto waiting = node.waiting.find(it.request);
       if (waiting == node.waiting.end()) continue;
-      if (it.kind == LedgerEventKind::kHoldGranted) {
-        Run(node, it.request, waiting->second);
-      }
+      if (it.kind == LedgerEventKind::kHoldGranted) Run(node, waiting->second);
       node.waiting.erase(waiting);
     }
   }
 
   void Check() {
-    RC_ASSERT(book_.spent + book_.running <= kLimit);
-    const BudgetEntry entry = store_.Budget(budget_);
-    RC_ASSERT(entry.settled + entry.Outstanding() <= kLimit);
-    for (const auto& [who, n] : entry.grants) RC_ASSERT(n >= 0);
-    for (const auto& it : nodes_) {
-      RC_ASSERT(it->ledger.accounts().at(budget_).Available() >= 0);
+    for (const BudgetName& name : budgets_) {
+      const Book& book = books_[name];
+      RC_ASSERT(book.spent + book.running <= kLimit);
+      const BudgetEntry entry = store_.Budget(name);
+      RC_ASSERT(entry.settled + entry.Outstanding() <= kLimit);
+      for (const auto& [who, n] : entry.grants) RC_ASSERT(n >= 0);
+      for (const auto& it : nodes_) {
+        const Account& account = it->ledger.accounts().at(name);
+        RC_ASSERT(account.Available() >= 0);
+        RC_ASSERT(account.Available() + account.HeldTotal() <=
+                  entry.GrantOf(it->self));
+      }
     }
   }
 
-  BudgetName budget_{"b"};
+  const std::array<BudgetName, kBudgets> budgets_{kBudget,
+                                                  BudgetInAnotherRecord()};
   Instant now_{std::chrono::hours(1)};
   FakeLedgerStore store_;
   std::vector<std::unique_ptr<Node>> nodes_;
-  Book book_;
+  std::map<BudgetName, Book> books_;
 };
 
 BOOST_AUTO_TEST_CASE(SpendingNeverPassesTheLimitAndBillsAreStoredOnce) {
   const bool ok = rc::check([] {
     World world;
     const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
-        600, rc::gen::pair(rc::gen::inRange(0, 24 * 7),
+        600, rc::gen::pair(rc::gen::inRange(0, 24 * 8),
                            rc::gen::inRange(0, 100000)));
     for (const auto& [pick, size] : steps) {
       world.Step(static_cast<unsigned>(pick), static_cast<unsigned>(size));
--- a/ledger/testing/sync_test.cc
+++ b/ledger/testing/sync_test.cc
@@ -20,6 +20,32 @@
     ledger.SetBudgets(1, {{kBudget, limit, {std::chrono::seconds(10), 32}}});
   }
 
+  // Runs a request that holds and costs `cost`.
+  void Spend(Instant now, const BudgetName& budget, const char* request,
+             Tokens cost, const std::string& marker = "") {
+    ledger.Hold(now, RequestId(request), budget, cost);
+    Bill bill = MakeBill(request, cost, marker);
+    bill.budget = budget;
+    ledger.Settle(now, bill);
+  }
+
+  // Sends the commit that is due; it takes effect late and its answer is lost.
+  void CommitLate(Instant now) {
+    const auto action = ledger.Next(now);
+    BOOST_REQUIRE(action.has_value());
+    store.Delay(self, std::get<LedgerCommit>(*action));
+    ledger.OnCommit(now, CommitOutcome::kUnknown, 0);
+  }
+
+  // The read that is due, which asks for as many records as given.
+  void Read(Instant now, std::size_t records) {
+    const auto action = ledger.Next(now);
+    BOOST_REQUIRE(action.has_value());
+    const auto& read = std::get<ReadShards>(*action);
+    BOOST_REQUIRE(read.shards.size() == records);
+    ledger.OnRead(now, store.Read(read.shards), store.markers());
+  }
+
   // Drives the cycle until nothing is due at `now`.
   void Run(Instant now) {
     while (auto action = ledger.Next(now)) {
@@ -208,6 +234,103 @@
   BOOST_TEST(store.Budget(kBudget).settled == 250);
 }
 
+// Two records, and commits that take effect late.
+struct TwoRecords : Fixture {
+  TwoRecords() {
+    SetBoth(1, 32000);
+    r.Run(now);
+    r.events.clear();
+  }
+
+  void SetBoth(std::uint64_t version, Tokens limit) {
+    const BudgetPolicy policy{std::chrono::seconds(10), 32};
+    r.ledger.SetBudgets(version,
+                        {{kBudget, limit, policy}, {other, limit, policy}});
+  }
+
+  bool Happened(LedgerEventKind kind) {
+    for (auto& it : r.ledger.TakeEvents()) r.events.push_back(it);
+    return std::any_of(r.events.begin(), r.events.end(),
+                       [&](const auto& it) { return it.kind == kind; });
+  }
+
+  const BudgetName other = BudgetInAnotherRecord();
+  Router r{"vm-1@1", store, 32000};
+};
+
+BOOST_FIXTURE_TEST_CASE(AMarkerOfALateCommitIsNotAnotherRoutersBill,
+                        TwoRecords) {
+  r.Spend(now, kBudget, "p", 300, "clinic/key-1");
+  Pass(milliseconds(200));
+  r.CommitLate(now);
+  Pass(milliseconds(300));
+  r.Read(now, 1);
+  store.ApplyLate(0);
+  r.ledger.OnNeed(ShardOf(other));
+  r.Read(now, 1);
+  BOOST_TEST(!Happened(LedgerEventKind::kBillDropped));
+  BOOST_TEST(r.ledger.accounts().at(kBudget).Available() <=
+             store.Budget(kBudget).GrantOf(r.self));
+  Pass(milliseconds(200));
+  r.Run(now);
+  BOOST_TEST(r.ledger.accounts().at(kBudget).unwritten() == 0);
+  BOOST_TEST(r.ledger.UnwrittenBills() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ALateCommitJoinsOnlyTheRecordsThatItWrote, Fixture) {
+  Router r("vm-1@1", store, 32000);
+  // The first read, and the one that is due regularly.
+  r.Read(now, 1);
+  r.Read(now, 1);
+  r.CommitLate(now);
+  // The attempt after it is on another record as well.
+  const BudgetPolicy policy{std::chrono::seconds(10), 32};
+  r.ledger.SetBudgets(
+      2, {{kBudget, 32000, policy}, {BudgetInAnotherRecord(), 32000, policy}});
+  Pass(milliseconds(300));
+  r.Read(now, 2);
+  const auto second = r.ledger.Next(now);
+  BOOST_REQUIRE(std::get<LedgerCommit>(*second).shards.size() == 2U);
+  store.ApplyLate(0);
+  BOOST_REQUIRE(!store.Apply(r.self, std::get<LedgerCommit>(*second)));
+  r.ledger.OnCommit(now, CommitOutcome::kRejected, store.revision());
+  r.Read(now, 2);
+  // The commit that would join the other record isn't there at the next read.
+  Pass(milliseconds(200));
+  r.CommitLate(now);
+  Pass(milliseconds(300));
+  r.Read(now, 1);
+  BOOST_TEST(!r.ledger.fenced());
+  r.Run(now);
+  BOOST_TEST(store.Budget(BudgetInAnotherRecord()).GrantOf(r.self) > 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(ACostInAHalfKnownCommitCountsOnce, TwoRecords) {
+  SetBoth(2, 1000);
+  Pass(milliseconds(1100));
+  r.Run(now);
+  // Of 1,000 tokens 400 are spent, and 500 are asked for.
+  r.ledger.Hold(now, RequestId("warm"), kBudget, 400);
+  Pass(milliseconds(200));
+  r.Run(now);
+  Bill bill = MakeBill("warm", 400);
+  r.ledger.Settle(now, bill);
+  r.Spend(now, other, "q", 10);
+  Pass(milliseconds(200));
+  r.CommitLate(now);
+  Pass(milliseconds(300));
+  r.Read(now, 2);
+  store.ApplyLate(0);
+  const auto outcome = r.ledger.Hold(now, RequestId("p"), kBudget, 500);
+  BOOST_REQUIRE((outcome == HoldOutcome::kWaiting));
+  r.ledger.OnNeed(ShardOf(kBudget));
+  r.Read(now, 1);
+  BOOST_TEST(!Happened(LedgerEventKind::kHoldRefused));
+  Pass(milliseconds(200));
+  r.Run(now);
+  BOOST_TEST(Happened(LedgerEventKind::kHoldGranted));
+}
+
 BOOST_AUTO_TEST_CASE(SameKeyAtTwoRoutersIsBilledOnce) {
   Router a("vm-1@1", store, 32000);
   Router b("vm-2@1", store, 32000);
