--- a/cli/budget_commands.cc
+++ b/cli/budget_commands.cc
@@ -129,7 +129,7 @@
   EtcdTxn txn;
   txn.gets.push_back({keys::kLedgerPrefix, true});
   txn.gets.push_back({keys::kJournalPrefix, true});
-  const EtcdTxnReply reply = kv.Txn(txn);
+  const EtcdTxnReply reply = kv.Read(txn);
   if (reply.end != EtcdEnd::kOk) return Unreachable();
   std::map<BudgetName, Tokens> billed;
   std::set<std::string> ids;
--- a/testing/router_fleet.cc
+++ b/testing/router_fleet.cc
@@ -86,17 +86,20 @@
   return true;
 }
 
-nlohmann::json RouterFleet::Bills() {
+nlohmann::json RouterFleet::List(std::vector<std::string> command) {
+  command.insert(command.end(), {"--json", "--kv=" + Process("kv").address});
   std::string out;
-  Command({"bills", "--json", "--kv=" + Process("kv").address}, &out);
+  const int code = Command(command, &out);
+  if (code != 0) {
+    std::fprintf(stderr, "%s ended with %d: %s", command[0].c_str(), code,
+                 out.c_str());
+  }
   return nlohmann::json::parse(out, nullptr, false);
 }
 
-nlohmann::json RouterFleet::Budgets() {
-  std::string out;
-  Command({"budget", "show", "--json", "--kv=" + Process("kv").address}, &out);
-  return nlohmann::json::parse(out, nullptr, false);
-}
+nlohmann::json RouterFleet::Bills() { return List({"bills"}); }
+
+nlohmann::json RouterFleet::Budgets() { return List({"budget", "show"}); }
 
 std::string RouterFleet::TargetAddress(const std::string& name) {
   return spec_.proxy_targets ? Process(name + "-proxy").address
--- a/testing/router_fleet.h
+++ b/testing/router_fleet.h
@@ -81,6 +81,8 @@
                              const std::string& idempotency_key);
 
  private:
+  // What a command lists as JSON; says why if it lists nothing.
+  nlohmann::json List(std::vector<std::string> command);
   bool StartStandins();
   std::string TargetAddress(const std::string& name);
 
