A router without the bill copies closes no account that holds grants

Cause: recovery of a dead router starts without its witness's copies where a record has no grants of it, since nothing is lost there. It then closed the dead router's account in all records, also those with grants: what it had spent there was never billed and could be spent again.

--- a/router/recovery_driver.cc
+++ b/router/recovery_driver.cc
@@ -52,10 +52,13 @@
                               const WriterEntry& entry,
                               const LedgerRecord& record) {
   if (entry.witness == self_) {
-    if (auto copy = peers_.store().Of(writer)) Begin(writer, *copy);
+    if (auto copy = peers_.store().Of(writer)) Begin(writer, *copy, true);
+    return;
+  }
+  if (!HoldsGrants(record, writer)) {
+    if (!HoldsGrantsAnywhere(writer)) Begin(writer, {}, false);
     return;
   }
-  if (!HoldsGrants(record, writer)) return Begin(writer, {});
   // A witness that lives will act itself; if there is none, nobody can.
   const bool witness_lives =
       members_.registry().entries().contains(entry.witness);
@@ -65,8 +68,18 @@
   }
 }
 
-void RecoveryDriver::Begin(const Incarnation& dead, const WitnessCopy& copy) {
+bool RecoveryDriver::HoldsGrantsAnywhere(const Incarnation& writer) const {
+  for (int shard = 0; shard < kLedgerShards; ++shard) {
+    const ShardState* state = ledger_.sync().CachedShard(shard);
+    if (state != nullptr && HoldsGrants(state->record, writer)) return true;
+  }
+  return false;
+}
+
+void RecoveryDriver::Begin(const Incarnation& dead, const WitnessCopy& copy,
+                           bool as_witness) {
   auto job = std::make_shared<Job>();
+  job->as_witness = as_witness;
   job->input.dead = dead;
   job->input.copy = copy;
   jobs_[dead] = job;
@@ -146,6 +159,12 @@
     const auto& found = reply.found[static_cast<std::size_t>(shard)];
     input.shards.push_back(ShardFromKv(shard, found));
   }
+  // Whoever has no copies of the bills may close an account only if there is
+  // nothing in it, in any record.
+  const bool grants = std::any_of(
+      input.shards.begin(), input.shards.end(),
+      [&](const ShardState& it) { return HoldsGrants(it.record, input.dead); });
+  if (grants && !job->as_witness) return Finish(job, false);
   input.journal.clear();
   for (const EtcdItem& it : reply.found[kLedgerShards]) {
     if (auto batch = DecodeBatch(it.value)) input.journal.push_back(*batch);
--- a/router/recovery_driver.h
+++ b/router/recovery_driver.h
@@ -2,8 +2,8 @@
 //
 // Every second it looks at all writers in the ledger records. For each that is
 // proven dead: if this router is its witness, it asks the targets what the open
-// requests cost and writes the recovery (ledger/recovery.h). An entry without
-// grants needs no witness; any router may remove it.
+// requests cost and writes the recovery (ledger/recovery.h). A writer without
+// grants in any record needs no witness; any router may remove it.
 
 #ifndef QUAYTRACK_ROUTER_RECOVERY_DRIVER_H_
 #define QUAYTRACK_ROUTER_RECOVERY_DRIVER_H_
@@ -37,13 +37,16 @@
   struct Job {
     RecoveryInput input;
     std::size_t unanswered = 0;
+    // This router has the copies of the dead one's bills.
+    bool as_witness = false;
   };
   using JobPtr = std::shared_ptr<Job>;
 
   void Look();
   void Consider(const Incarnation& writer, const WriterEntry& entry,
                 const LedgerRecord& record);
-  void Begin(const Incarnation& dead, const WitnessCopy& copy);
+  bool HoldsGrantsAnywhere(const Incarnation& writer) const;
+  void Begin(const Incarnation& dead, const WitnessCopy& copy, bool as_witness);
   void AskTarget(const JobPtr& job, const Intent& intent);
   void OnTargetAnswer(const JobPtr& job, const Intent& intent,
                       const HttpResult& result);
--- a/testing/process/router_death_test.cc
+++ b/testing/process/router_death_test.cc
@@ -1,6 +1,7 @@
 // Routers that die, freeze and come back, with requests in flight. The engines'
 // records say what ran; the bills must say the same, once.
 
+#include "ledger/record.h"
 #include "testing/process/fleet_fixture.h"
 
 namespace quaytrack {
@@ -128,5 +129,63 @@
   BOOST_TEST(Budget("lakhon")["settled"] == 7);
 }
 
+// A budget in a record of its own, of which nothing is granted for long.
+std::string SpareName() {
+  std::set<int> taken;
+  for (const FleetCustomer& it : RouterFleetSpec().customers) {
+    taken.insert(ShardOf(BudgetName(it.name)));
+  }
+  for (int n = 0;; ++n) {
+    std::string out = "spare-" + std::to_string(n);
+    if (!taken.contains(ShardOf(BudgetName(out)))) return out;
+  }
+}
+
+RouterFleetSpec WithSpare() {
+  RouterFleetSpec out;
+  out.customers.push_back(
+      {SpareName(), "key-spare", 1000, "cover=1s standing=0"});
+  return out;
+}
+
+struct SpareFixture : FleetFixture {
+  SpareFixture() : FleetFixture(WithSpare()) { AwaitWitnesses(); }
+
+  std::string WitnessOfRouter1() {
+    const std::string witness = Status(1)["witness"];
+    return witness.starts_with("vm-router-2@") ? "router-2" : "router-3";
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(ARecordWithoutGrantsClosesNoOther, SpareFixture) {
+  const TestReply spent =
+      fleet.Call(fleet.Router(1), RouterFleet::Chat("key-spare", "x", 2, true));
+  BOOST_TEST(ReadStream(spent.body).done);
+  BOOST_REQUIRE(fleet.WaitFor([&] {
+    const nlohmann::json it = Budget(SpareName());
+    return it["settled"].get<int>() > 0 && it["grants"].empty();
+  }));
+  fleet.Control("kv", "mode?mode=refuse");
+  for (int n = 0; n < 10; ++n) {
+    const TestReply it = fleet.Call(
+        fleet.Router(1),
+        RouterFleet::Chat(kLakhon, "o" + std::to_string(n), 3, true));
+    BOOST_TEST(ReadStream(it.body).done);
+  }
+  const std::string witness = WitnessOfRouter1();
+  const int other = witness == "router-2" ? 3 : 2;
+  fleet.Kill(witness, SIGSTOP);
+  fleet.Kill("router-1", SIGKILL);
+  fleet.Control("kv", "mode?mode=normal");
+  // The other router has looked, and found that it can't know what was spent.
+  BOOST_TEST(fleet.WaitFor([&] {
+    return Status(other).value("stranded_tokens", 0LL) > 0 ||
+           fleet.LogCount("router_recovered") > 0;
+  }));
+  BOOST_TEST(fleet.LogCount("router_recovered") == 0);
+  fleet.Kill(witness, SIGCONT);
+  JudgeBills();
+}
+
 }  // namespace
 }  // namespace quaytrack
