--- a/http/caller_connection.cc
+++ b/http/caller_connection.cc
@@ -108,8 +108,10 @@
 void CallerConnection::OnRequest() {
   phase_ = Phase::kAnswering;
   request_.read = server_.clock_.Now();
+  handing_over_ = true;
   // Posted, so that an answer given at once doesn't reenter the parser.
   server_.loop_.Post([keep = shared_from_this()] {
+    keep->handing_over_ = false;
     if (!keep->open()) return;
     // It gave up before its request was read.
     if (keep->socket_->PeerHasClosed()) return keep->Abort();
@@ -249,8 +251,8 @@
       if (head_read_ && silent >= limits.idle_timeout) RefuseAndClose(408);
       return;
     case Phase::kLingering:
-      // While it flushes, the caller still takes its answer, however slowly;
-      // one that is gone is found by the socket's own time limit.
+      // While it flushes, the caller may take its answer slowly; one that takes
+      // nothing is found by the socket's own time limit.
       if (!flushing_ && silent >= kLingerTime) Abort();
       return;
     case Phase::kAnswering:
--- a/http/caller_connection.h
+++ b/http/caller_connection.h
@@ -123,6 +123,8 @@
   bool keep_alive_ = true;
   // The last answer has yet to be taken by the kernel.
   bool flushing_ = false;
+  // A whole request has come; the handler gets it with the loop's next turn.
+  bool handing_over_ = false;
   // Inside of `Consume`; it is not entered again.
   bool consuming_ = false;
   // The last progress, for the time limits.
--- a/http/caller_server.cc
+++ b/http/caller_server.cc
@@ -59,8 +59,9 @@
   const Instant now = clock_.Now();
   std::size_t out = 0;
   for (const auto& it : connections_) {
-    const bool reading = it->phase_ == CallerConnection::Phase::kReading;
-    if (reading || it->flushing_ || it->AwaitsFirstRequest(now)) ++out;
+    const bool coming = it->phase_ == CallerConnection::Phase::kReading ||
+                        it->handing_over_ || it->AwaitsFirstRequest(now);
+    if (coming || it->flushing_) ++out;
   }
   return out;
 }
--- a/relay/budget_driver.h
+++ b/relay/budget_driver.h
@@ -85,8 +85,11 @@
 
   // Peers that ask for holds are sent on to other holders.
   void StopServing() { served_.Stop(); }
-  // Returns the unspent grants to the store; `ledger().HasLeft()` follows.
+  // Returns the unspent grants to the store; `HasLeft` follows.
   void StartLeaving();
+  // Nothing of the budgets would be lost with this process: the store has its
+  // grants, and the holders that it asked know what their holds have cost.
+  bool HasLeft() const { return ledger_.HasLeft() && remote_.Idle(); }
   const PrepaidLedger& ledger() const { return ledger_; }
 
  private:
--- a/relay/planned_stop.cc
+++ b/relay/planned_stop.cc
@@ -1,5 +1,6 @@
 #include "relay/planned_stop.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -25,7 +26,7 @@
 
 void PlannedStop::Check() {
   if (machine_.state() == DrainState::kUnready && balancer_time_over_ &&
-      on_.requests() == 0) {
+      on_.requests_before(TakesAllUntil()) == 0) {
     Apply(DrainEvent::kBalancerNoticed);
   }
   if (machine_.state() == DrainState::kFinishing && on_.requests() == 0) {
@@ -59,7 +60,7 @@
       return Instant::max();
     case DrainState::kUnready:
     case DrainState::kFinishing:
-      return balancer_time_over_ ? RequestsEnd() : Instant::max();
+      return clock_.Now() < TakesAllUntil() ? Instant::max() : RequestsEnd();
     case DrainState::kReturning:
     case DrainState::kStopped:
       return Instant::min();
@@ -81,7 +82,10 @@
   Check();
 }
 
-void PlannedStop::StopListening() { on_.stop_listening(); }
+void PlannedStop::StopListening() {
+  on_.stop_listening();
+  on_.close_idle();
+}
 
 void PlannedStop::OnRequestsTimeUp() {
   const std::size_t n = on_.requests();
@@ -91,14 +95,17 @@
     on_.end_unfinished(Left());
   }
   if (machine_.state() == DrainState::kUnready) on_.stop_listening();
-  Apply(DrainEvent::kTimeUp);
+  // Posted behind the holds that the ended requests' tokens were granted to:
+  // those waiters have ended too, and give back what they were granted.
+  loop_.Post([this] { Apply(DrainEvent::kTimeUp); });
 }
 
 void PlannedStop::ReturnGrants() {
   requests_timer_.reset();
   on_.return_grants();
-  step_timer_ =
-      loop_.After(times_.returning, [this] { Apply(DrainEvent::kTimeUp); });
+  const Duration most = std::min(times_.returning, Left() - times_.spare);
+  step_timer_ = loop_.After(std::max(most, Duration::zero()),
+                            [this] { Apply(DrainEvent::kTimeUp); });
   return_check_ = loop_.Every(kReturnCheck, [this] { Check(); });
 }
 
--- a/relay/planned_stop.h
+++ b/relay/planned_stop.h
@@ -1,32 +1,33 @@
-// PlannedStop ends a router process without cutting a request: the steps of
-// chart/charts/drain.json, their times, and what ends each.
+// PlannedStop ends a router process: the steps of chart/charts/drain.json,
+// their times, and what ends each.
 //
-//   PlannedStop stop(loop, clock, drain_chart, {settings.drain_time},
-//   handlers); stop.Start();                 // at SIGTERM; again changes
-//   nothing stop.Check();                 // a few times a second if
-//   (stop.started()) ...       // report unready
+//   PlannedStop stop(loop, clock, drain_chart, times, handlers);
+//   stop.Start();                 // at SIGTERM; again changes nothing
+//   stop.Check();                 // a few times a second
+//   if (stop.started()) ...       // report unready
 //
 // The steps, with the names of the chart's states:
 //
 //   unready    The balancer is told that this router isn't ready. It goes on
 //              sending connections until it has noticed, and for longer where
-//              too few other routers are ready. So they are accepted until the
-//              end, but each answer is the last of its connection. After
-//              `PlannedStopTimes::balancer`, idle connections are closed, and
-//              only requests are taken that end in time by their own deadline
+//              too few other routers are ready. So they are accepted, but each
+//              answer is the last of its connection. After `takes_all`, only
+//              requests are taken that end in time by their own deadline
 //              (`LatestDeadline`); others are refused at once, so that their
-//              callers can go elsewhere. Ends at the first moment after that at
-//              which no request is unfinished.
-//   finishing  No connections are accepted. Ends when no request is unfinished.
+//              callers can go elsewhere. Ends when the balancer has had its
+//              time (`balancer`), and the requests that began within
+//              `takes_all` have ended. Those that came later don't prolong it.
+//   finishing  No connections are accepted, idle ones are closed. Ends when no
+//              request is unfinished.
 //   returning  New requests are refused. What this router keeps of the budgets
 //              goes back to the store, so that its death charges nothing. Ends
 //              when the store has it, or after `returning`.
 //   stopped    The loop ends after `last_writes`.
 //
 // When only `margin` is left of `total`, the first two steps end at once: each
-// request that is unfinished then is named in the log and ends by the rules of
-// all requests (`end_unfinished`), so that its caller is told what is known of
-// it and its cost is in what is returned.
+// request that runs then is named in the log and ends by the rules of all
+// requests (`end_unfinished`), so that its caller is told what is known of it
+// and its cost is in what is returned.
 //
 // The reasons: a request that the balancer still sends must be served, since
 // its caller can't know; a stream that runs past the time to stop would be cut
@@ -59,15 +60,21 @@
   // two answers in a row decide: 2 s, and 0.6 s for slow answers. The 0.6 s
   // isn't measured.
   Duration balancer = std::chrono::milliseconds(2600);
-  // Kept of `total` for all that follows the requests: `returning`,
-  // `last_writes`, and timers that fire late on a busy VM. It is as short as
-  // that allows, since it is taken from streams: with 1.5 s of 8 s, a play of
-  // seven routers on a quarter of a core each cut two streams that a stop has
-  // time for, and used 0.11 s of it.
+  // From SIGTERM, requests are taken whatever their deadline: 2 s until the
+  // balancer has noticed, and 1 s for slow answers. What comes later comes
+  // since the balancer has too few others. At a loaded hall, one stream in
+  // twenty takes more than the 4 s that are left then.
+  Duration takes_all = std::chrono::milliseconds(3000);
+  // Kept of `total` for all that follows the requests. It is short, since it is
+  // taken from streams: with 1.5 s of 8 s, a play of seven routers on a quarter
+  // of a core each cut two streams that a stop has time for, and used 0.11 s.
   Duration margin = std::chrono::milliseconds(500);
-  // The longest time for returning grants, for a store that is slow or away. In
-  // the same play it took 0.09 s.
-  Duration returning = std::chrono::milliseconds(350);
+  // The longest time for returning grants: a call that the store swallowed is
+  // given up after 1.5 s. In the same play it took 0.09 s. It never lasts until
+  // `spare` before the kill.
+  Duration returning = std::chrono::milliseconds(1500);
+  // For the last writes, and timers that fire late on a busy VM. Not measured.
+  Duration spare = std::chrono::milliseconds(150);
   // From the last step to the end of the loop, in which what was written last
   // can leave. Commit df506c1, without a reason; not measured.
   Duration last_writes = std::chrono::milliseconds(20);
@@ -86,6 +93,8 @@
     // Requests of which the whole answer isn't sent: being read, under way, or
     // with bytes that their caller hasn't taken.
     std::function<std::size_t()> requests;
+    // Those of them that began before the given time, as far as that is known.
+    std::function<std::size_t(Instant)> requests_before;
     // The time for requests is up: ends those that run. With the time that is
     // left until the kill.
     std::function<void(Duration)> end_unfinished;
@@ -116,6 +125,7 @@
   void OnBalancerTimeOver();
   void OnRequestsTimeUp();
   Instant RequestsEnd() const { return begun_ + times_.total - times_.margin; }
+  Instant TakesAllUntil() const { return begun_ + times_.takes_all; }
   // Until the process is killed; less than zero if that is overdue.
   Duration Left() const { return begun_ + times_.total - clock_.Now(); }
 
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -189,7 +189,11 @@
   out.requests = [this] {
     return context_.requests.size() + caller_server_.Unfinished();
   };
-  out.grants_returned = [this] { return budgets_.ledger().HasLeft(); };
+  out.grants_returned = [this] { return budgets_.HasLeft(); };
+  out.requests_before = [this](Instant time) {
+    return context_.requests.CountBegunBefore(time) +
+           caller_server_.Unfinished();
+  };
   out.end_unfinished = [this](Duration left) {
     context_.requests.ForEach(
         [left](RelayedRequest& it) { it.EndForStop(left); });
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -95,6 +95,12 @@
   }
 }
 
+std::size_t RunningRequests::CountBegunBefore(Instant time) const {
+  return static_cast<std::size_t>(
+      std::count_if(all_.begin(), all_.end(),
+                    [time](const auto& it) { return it->begun() < time; }));
+}
+
 // --- Before a target ---------------------------------------------------------
 
 void RelayedRequest::Hold() {
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -75,6 +75,8 @@
   // is killed.
   void EndForStop(Duration left);
 
+  Instant begun() const { return request_.begun; }
+
   const RequestId& id() const override { return admission_.facts.id; }
   const CustomerName& customer() const override { return admission_.customer; }
   Tokens worst_case() const override { return admission_.worst_case; }
--- a/relay/running_requests.h
+++ b/relay/running_requests.h
@@ -13,6 +13,8 @@
 #include <memory>
 #include <set>
 
+#include "base/clock.h"
+
 namespace quaytrack {
 
 class RelayedRequest;
@@ -27,6 +29,8 @@
   void ForEach(Action&& action) const {
     for (const auto& it : all_) action(*it);
   }
+  // Those whose first byte came before `time`.
+  std::size_t CountBegunBefore(Instant time) const;
   bool empty() const { return all_.empty(); }
   std::size_t size() const { return all_.size(); }
 
--- a/relay/testing/planned_stop_test.cc
+++ b/relay/testing/planned_stop_test.cc
@@ -3,6 +3,7 @@
 #include "relay/planned_stop.h"
 
 #include <boost/test/unit_test.hpp>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <utility>
@@ -20,8 +21,10 @@
 PlannedStopTimes LongTimes() {
   PlannedStopTimes out;
   out.balancer = milliseconds(100);
+  out.takes_all = milliseconds(150);
   out.returning = milliseconds(80);
   out.last_writes = milliseconds(5);
+  out.spare = milliseconds(10);
   out.total = std::chrono::minutes(1);
   out.margin = milliseconds(100);
   return out;
@@ -55,6 +58,9 @@
     };
     out.finished = [this](Duration) { steps.emplace_back("finished"); };
     out.requests = [this] { return requests; };
+    out.requests_before = [this](Instant) {
+      return old_requests.value_or(requests);
+    };
     out.grants_returned = [this] { return returned; };
     return out;
   }
@@ -75,6 +81,8 @@
   DrainChart chart = BoundChart();
   Steps steps;
   std::size_t requests = 1;
+  // Of them, those that began while all were taken; empty: all.
+  std::optional<std::size_t> old_requests;
   bool returned = false;
   PlannedStop stop;
 };
@@ -102,8 +110,8 @@
   BOOST_TEST(Taken().empty());
   requests = 0;
   stop.Check();
-  BOOST_TEST(
-      (Taken() == Steps{"stop_listening", "close_idle", "return_grants"}));
+  BOOST_TEST((Taken() == Steps{"stop_listening", "close_idle", "close_idle",
+                               "return_grants"}));
   stop.Check();
   BOOST_TEST(Taken().empty());
   returned = true;
@@ -139,13 +147,26 @@
   BOOST_TEST((Taken() == Steps{"finished"}));
 }
 
+// Requests that came late are waited for, but take no new ones with them.
+BOOST_FIXTURE_TEST_CASE(LateRequestsDontProlongTheListening, Fixture) {
+  stop.Start();
+  RunFor(loop, milliseconds(200));
+  Taken();
+  old_requests = 0;
+  stop.Check();
+  BOOST_TEST((Taken() == Steps{"stop_listening", "close_idle"}));
+  requests = 0;
+  stop.Check();
+  BOOST_TEST((Taken() == Steps{"close_idle", "return_grants"}));
+}
+
 BOOST_FIXTURE_TEST_CASE(OnlyRequestsThatEndInTimeAreTaken, Fixture) {
   BOOST_TEST((stop.LatestDeadline() == Instant::max()));
   stop.Start();
   const Instant end = clock.Now() + LongTimes().total - LongTimes().margin;
   // The balancer sends as ever, so all are served.
   BOOST_TEST((stop.LatestDeadline() == Instant::max()));
-  RunFor(loop, milliseconds(120));
+  RunFor(loop, milliseconds(200));
   BOOST_TEST((stop.LatestDeadline() <= end));
   BOOST_TEST((stop.LatestDeadline() > end - std::chrono::seconds(10)));
   requests = 0;
