--- a/prepaid/prepaid_policy.h
+++ b/prepaid/prepaid_policy.h
@@ -24,8 +24,9 @@
   // --- Sizes of grants -------------------------------------------------------
 
   // Part of what remains of a budget that all routers together keep granted,
-  // in equal parts (flag --standing-share). docs/design/prepaid.md has the
-  // table: 0.55, 0.42 and 0.30 on four days.
+  // in equal parts, while little of it is used (flag --standing-share).
+  // docs/design/prepaid.md has the table: 0.55, 0.42 and 0.30 on four days,
+  // measured when it was the same however much was used.
   double baseline_share = 0.3;
   // A router keeps its own spending of this long, if that is more than its
   // baseline (flag --cover-s). 3f13dcd chose; docs/design/prepaid.md has the
