--- a/prepaid/grant_sizing.cc
+++ b/prepaid/grant_sizing.cc
@@ -11,17 +11,12 @@
 // It is cut when more than this part is. Of commit 9ed3aa6, 3.0 before;
 // measured only together with the other changes of that commit.
 constexpr double kHighWater = 1.5;
-// The part of a limit down to which the whole baseline is kept. Trials of 0.8,
-// 0.9 and 1, with the square, the cube and the fourth power below it, stand in
-// docs/design/prepaid.md.
-constexpr double kWholeBaselineFrom = 0.9;
-
 // Which part of the baseline is kept. It protects a short budget from a loss of
 // all power, in tokens of one customer's, one play each: of 751,000 left,
 // 510,000 were granted, and so charged, when the baseline didn't shrink; of
 // 847,000, 275,000 with it. What that costs in an outage is in the same table.
-double BaselineKept(double remaining, Tokens limit) {
-  const double whole = static_cast<double>(limit) * kWholeBaselineFrom;
+double BaselineKept(double remaining, Tokens limit, double whole_from) {
+  const double whole = static_cast<double>(limit) * whole_from;
   if (remaining >= whole) return 1.0;
   const double left = remaining / whole;
   return left * left * left;
@@ -42,8 +37,9 @@
       static_cast<double>(std::max<Tokens>(0, entry.limit - entry.settled));
   const auto members =
       static_cast<double>(std::max<std::size_t>(1, record.members.size()));
-  const double share =
-      policy_.baseline_share * BaselineKept(remaining, entry.limit);
+  const double kept =
+      BaselineKept(remaining, entry.limit, policy_.whole_baseline_from);
+  const double share = policy_.baseline_share * kept;
   const double baseline = remaining * share / members;
   const double rate = account.spending.PerSecond(now);
   const double headroom = std::min(rate * ToSeconds(policy_.headroom),
--- a/prepaid/grant_sizing.h
+++ b/prepaid/grant_sizing.h
@@ -13,9 +13,10 @@
 //   - the spending of `headroom`, up to `most_headroom_share` of what remains.
 // An outage comes unannounced, so each router keeps at all times what it is
 // likely to need in one. The baseline shrinks with the cube of what remains,
-// once that is less than 0.9 of the limit: most of it lies at routers that
-// serve little of the customer, and of a short budget, what an outage refuses
-// can still be spent after it, while what a loss of power charges is gone.
+// once that is less than `whole_baseline_from` of the limit: most of it lies at
+// routers that serve little of the customer, and of a short budget, what an
+// outage refuses can still be spent after it, while what a loss of power
+// charges is gone.
 //
 // Grant. It is left alone while what is idle of it is between `kLowWater` and
 // `kHighWater` of the target. Below, it is raised to the target and what
--- a/prepaid/prepaid_policy.h
+++ b/prepaid/prepaid_policy.h
@@ -28,6 +28,10 @@
   // docs/design/prepaid.md has the table: 0.55, 0.42 and 0.30 on four days,
   // measured when it was the same however much was used.
   double baseline_share = 0.3;
+  // Part of a limit down to which the whole baseline is kept; 0: always.
+  // docs/design/prepaid.md has trials of 0.8, 0.9 and 1, with the square, the
+  // cube and the fourth power below it.
+  double whole_baseline_from = 0.9;
   // A router keeps its own spending of this long, if that is more than its
   // baseline (flag --cover-s). 3f13dcd chose; docs/design/prepaid.md has the
   // table: 0, 4, 5, 8 and 10 s.
