--- a/prepaid/grant_sizing.cc
+++ b/prepaid/grant_sizing.cc
@@ -11,10 +11,12 @@
 // It is cut when more than this part is. Of commit 9ed3aa6, 3.0 before;
 // measured only together with the other changes of that commit.
 constexpr double kHighWater = 1.5;
+
 // Which part of the baseline is kept. It protects a short budget from a loss of
 // all power, in tokens of one customer's, one play each: of 751,000 left,
 // 510,000 were granted, and so charged, when the baseline didn't shrink; of
-// 847,000, 275,000 with it. What that costs in an outage is in the same table.
+// 847,000, 275,000 with it. docs/design/prepaid.md, Short budgets, has what
+// that costs in an outage.
 double BaselineKept(double remaining, Tokens limit, double whole_from) {
   const double whole = static_cast<double>(limit) * whole_from;
   if (remaining >= whole) return 1.0;
