--- a/ledger/testing/late_commit_test.cc
+++ b/ledger/testing/late_commit_test.cc
@@ -1,5 +1,5 @@
 // A commit on two records whose answer is lost, which takes effect later, when
-// only one of its records is read again. See KNOWN-RED.txt.
+// only one of its records is read again.
 
 #include <boost/test/unit_test.hpp>
 #include <string>
--- a/relay/final_answer.cc
+++ b/relay/final_answer.cc
@@ -22,8 +22,9 @@
 // had a moment later either.
 constexpr Duration kWhenGranted = milliseconds(1000);
 
-// Another router can take it at once, and a new connection leads to one, since
-// the balancer has taken out this one.
+// Another router can take it at once, if the balancer has one. A longer wait
+// would make the answer late for certain, to spare some callers another refusal
+// by a router that stops as well.
 constexpr Duration kWhenElsewhere = milliseconds(50);
 
 std::string SecondsText(Duration d) {
