--- a/prepaid/grant_sizing.cc
+++ b/prepaid/grant_sizing.cc
@@ -12,18 +12,6 @@
 // measured only together with the other changes of that commit.
 constexpr double kHighWater = 1.5;
 
-// Which part of the baseline is kept. It protects a short budget from a loss of
-// all power, in tokens of one customer's, one play each: of 751,000 left,
-// 510,000 were granted, and so charged, when the baseline didn't shrink; of
-// 847,000, 275,000 with it. docs/design/prepaid.md, Short budgets, has what
-// that costs in an outage.
-double BaselineKept(double remaining, Tokens limit, double whole_from) {
-  const double whole = static_cast<double>(limit) * whole_from;
-  if (remaining >= whole) return 1.0;
-  const double left = remaining / whole;
-  return left * left * left;
-}
-
 }  // namespace
 
 Tokens GrantSizing::Grantable(const PrepaidEntry& entry) const {
@@ -39,10 +27,7 @@
       static_cast<double>(std::max<Tokens>(0, entry.limit - entry.settled));
   const auto members =
       static_cast<double>(std::max<std::size_t>(1, record.members.size()));
-  const double kept =
-      BaselineKept(remaining, entry.limit, policy_.whole_baseline_from);
-  const double share = policy_.baseline_share * kept;
-  const double baseline = remaining * share / members;
+  const double baseline = remaining * policy_.baseline_share / members;
   const double rate = account.spending.PerSecond(now);
   const double headroom = std::min(rate * ToSeconds(policy_.headroom),
                                    remaining * policy_.most_headroom_share);
--- a/prepaid/grant_sizing.h
+++ b/prepaid/grant_sizing.h
@@ -9,14 +9,10 @@
 //
 // Target. Inputs: what remains of the budget, the number of routers in the
 // record, and this router's own rate of spending. The larger of
-//   - the baseline, an equal part of `baseline_share` of what remains, and
+//   - an equal part of `baseline_share` of what remains, and
 //   - the spending of `headroom`, up to `most_headroom_share` of what remains.
 // An outage comes unannounced, so each router keeps at all times what it is
-// likely to need in one. The baseline shrinks with the cube of what remains,
-// once that is less than `whole_baseline_from` of the limit: most of it lies at
-// routers that serve little of the customer, and of a short budget, what an
-// outage refuses can still be spent after it, while what a loss of power
-// charges is gone.
+// likely to need in one.
 //
 // Grant. It is left alone while what is idle of it is between `kLowWater` and
 // `kHighWater` of the target. Below, it is raised to the target and what
--- a/prepaid/prepaid_policy.h
+++ b/prepaid/prepaid_policy.h
@@ -24,14 +24,9 @@
   // --- Sizes of grants -------------------------------------------------------
 
   // Part of what remains of a budget that all routers together keep granted,
-  // in equal parts, while little of it is used (flag --standing-share). In an
-  // outage it is what requests are served from: docs/design/prepaid.md, Short
-  // budgets, has the scores of both sites with 0.3, 0.4 and 0.5.
-  double baseline_share = 0.4;
-  // Part of a limit down to which the whole baseline is kept; 0: always.
-  // docs/design/prepaid.md has trials of 0.8, 0.9 and 1, with the square, the
-  // cube and the fourth power below it.
-  double whole_baseline_from = 0.9;
+  // in equal parts (flag --standing-share). docs/design/prepaid.md has the
+  // table: 0.55, 0.42 and 0.30 on four days.
+  double baseline_share = 0.3;
   // A router keeps its own spending of this long, if that is more than its
   // baseline (flag --cover-s). 3f13dcd chose; docs/design/prepaid.md has the
   // table: 0, 4, 5, 8 and 10 s.
--- a/relay/planned_stop.h
+++ b/relay/planned_stop.h
@@ -86,8 +86,8 @@
     // From now on each answer is the last of its connection.
     std::function<void()> report_unready;
     std::function<void()> stop_listening;
-    // Closes the connections without a request; called again when the last
-    // request has ended.
+    // Closes the connections without a request: when the balancer has had its
+    // time, when no more are accepted, and when the last request has ended.
     std::function<void()> close_idle;
     std::function<void()> return_grants;
     // Requests of which the whole answer isn't sent: being read, under way, or
--- a/relay/relay_settings.h
+++ b/relay/relay_settings.h
@@ -40,7 +40,7 @@
   double retry_slack = 50;
   // Part of what remains of a budget that all routers together keep granted.
   // Chosen by the runs in docs/design/prepaid.md, "Measured".
-  double standing_share = 0.4;
+  double standing_share = 0.3;
   // Up to so many routers, each keeps budgets; beyond, so many of each hall
   // (fleet/fleet.h). Twelve is not measured; three and two a hall were compared
   // in docs/design/prepaid.md, "Large fleets".
