--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -227,7 +227,13 @@
     return EndAttempt(Ran::kUnknown, PlacementOutcome::kFailed);
   }
   if (events.bytes.empty()) return;
-  if (machine_.state() != RelayState::kStreaming) OnFirstEvent();
+  const Instant now = context_.clock.Now();
+  if (machine_.state() != RelayState::kStreaming) {
+    OnFirstEvent();
+  } else {
+    OnPause(now - events_at_);
+  }
+  events_at_ = now;
   progress_.events += events.count;
   caller_->WriteChunk(events.bytes);
   const RouteRule& route = *admission_.route;
@@ -248,6 +254,10 @@
   Apply(RelayEvent::kFirstEvent);
 }
 
+void RelayedRequest::OnPause(Duration pause) {
+  progress_.longest_pause = std::max(progress_.longest_pause, pause);
+}
+
 void RelayedRequest::BeginStream() {
   context_.metrics.ObserveFirstByte(customer(), admission_.route->kind,
                                     context_.clock.Now() - request_.begun);
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -97,6 +97,7 @@
   void OnBody(std::string_view bytes);
   void PassOnEvents(std::string_view bytes);
   void OnFirstEvent();
+  void OnPause(Duration pause);
   void BeginStream();
   void OnCallEnd(CallEnd end);
   Ran RanInAttempt() const;
@@ -135,6 +136,8 @@
   std::shared_ptr<CallHandle> call_;
   std::unique_ptr<Timer> attempt_timer_;
   Instant sent_at_{};
+  // When the latest events of the stream came.
+  Instant events_at_{};
   // Tokens of the prompt that its target has still to prefill.
   Tokens prefill_ = 0;
   HttpHead answer_;
--- a/relay/request_log.h
+++ b/relay/request_log.h
@@ -35,6 +35,8 @@
   int status = 0;
   // From the latest send to its first event, if one has come.
   Duration first_event{};
+  // The longest between two events of one attempt, as they came here.
+  Duration longest_pause{};
 };
 
 struct RequestEnd {
