--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -222,7 +222,7 @@
   return out;
 }
 
-void Placement::SetPeerSpeeds(Speeds speeds) {
+void Placement::SetPeerSpeeds(const Speeds& speeds) {
   for (const auto& [service, line] : speeds) {
     speeds_[service].OnPeerLine(line);
   }
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -147,7 +147,7 @@
   // peer has learned, which a router takes that has seen too little itself.
   using Speeds = std::map<ServiceName, SpeedLine>;
   Speeds Learned() const;
-  void SetPeerSpeeds(Speeds speeds);
+  void SetPeerSpeeds(const Speeds& speeds);
 
  private:
   // One target, as this router knows it.
