Compare an engine's candidates by what is looked up once

Reading the change again: the learned speed was looked up by the service's name for each target of each choice, and five parameters went through three functions; a choice now makes them once (Candidates), and its functions take that. The time for which peers keep an engine busy was bounded twice; once is enough, on the sum that PeersMs has already. The record was replaced by the same three steps in two places of the ledger. Two comments spoke of what was taken back, and one of a page by a customer's name.

--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -106,20 +106,17 @@
   return std::max(0.0, Milliseconds(state.peers_busy_until - now));
 }
 
-double Placement::FirstEventMs(Instant now, const State& state,
-                               const PlacementRequest& request,
-                               bool is_preferred) const {
+double Placement::FirstEventMs(const State& state, const Candidates& among) {
   const Tokens tokens =
-      state.prefill + PrefillTokens(state.prefixes, request, is_preferred);
-  return SpeedOf(request.service).FirstEventMs(tokens) + PeersMs(now, state);
+      state.prefill +
+      PrefillTokens(state.prefixes, among.request, among.IsPreferred(state));
+  return among.speed.FirstEventMs(tokens) + PeersMs(among.now, state);
 }
 
-double Placement::EngineMs(Instant now, const State& state,
-                           const PlacementRequest& request,
-                           bool is_preferred) const {
-  double out = FirstEventMs(now, state, request, is_preferred);
+double Placement::EngineMs(const State& state, const Candidates& among) {
+  double out = FirstEventMs(state, among);
   out += state.running * kPerRunningMs;
-  if (!is_preferred) out += kNotPreferredMs;
+  if (!among.IsPreferred(state)) out += kNotPreferredMs;
   return out;
 }
 
@@ -128,21 +125,20 @@
   return state.running / slots * kBaseAnswerMs;
 }
 
-double Placement::Cost(Instant now, const State& state,
-                       const PlacementRequest& request,
-                       bool is_preferred) const {
-  const double work = request.ForEngine()
-                          ? EngineMs(now, state, request, is_preferred)
+double Placement::Cost(const State& state, const Candidates& among) const {
+  const double work = among.request.ForEngine()
+                          ? EngineMs(state, among)
                           : QueueMs(state) + kBaseAnswerMs;
   double out = work * state.slowness;
   if (state.entry.hall != hall_) out += kOtherHallMs;
-  out += state.health.FailureShare(now) * kFailureMs;
+  out += state.health.FailureShare(among.now) * kFailureMs;
   return out;
 }
 
 std::optional<PlacementChoice> Placement::Choose(
     Instant now, const PlacementRequest& request) const {
-  const State* preferred = PreferredTarget(request);
+  const Candidates among{now, request, SpeedOf(request.service),
+                         PreferredTarget(request)};
   const State* best = nullptr;
   bool best_is_ejected = false;
   double best_cost = 0;
@@ -151,7 +147,7 @@
     if (entry.service != request.service || entry.leaving) continue;
     if (request.tried.contains(name)) continue;
     const bool ejected = state.health.IsEjected(now);
-    const double cost = Cost(now, state, request, &state == preferred);
+    const double cost = Cost(state, among);
     const bool cheaper =
         ejected == best_is_ejected ? cost < best_cost : best_is_ejected;
     if (best != nullptr && !cheaper) continue;
@@ -160,11 +156,8 @@
     best_cost = cost;
   }
   if (best == nullptr) return std::nullopt;
-  const bool is_preferred = best == preferred;
-  PlacementChoice out{best->entry, best_cost, is_preferred};
-  if (request.ForEngine()) {
-    out.first_event_ms = FirstEventMs(now, *best, request, is_preferred);
-  }
+  PlacementChoice out{best->entry, best_cost, among.IsPreferred(*best)};
+  if (request.ForEngine()) out.first_event_ms = FirstEventMs(*best, among);
   return out;
 }
 
@@ -194,11 +187,9 @@
   const auto it = targets_.find(name);
   if (it == targets_.end()) return;
   State& state = it->second;
-  const double ms =
-      std::min(SpeedOf(state.entry.service).PrefillMs(prefill), kLongestBusyMs);
-  state.peers_busy_until = std::max(now, state.peers_busy_until) + FromMs(ms);
-  state.peers_busy_until =
-      std::min(state.peers_busy_until, now + FromMs(kLongestBusyMs));
+  const double added = SpeedOf(state.entry.service).PrefillMs(prefill);
+  const double busy = std::min(PeersMs(now, state) + added, kLongestBusyMs);
+  state.peers_busy_until = now + FromMs(busy);
 }
 
 void Placement::OnAnswering(const TargetName& name, Tokens prefill,
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -43,7 +43,7 @@
 //
 // Not done: engines of their own for long prompts. It served a tenth more short
 // prompts in time and a twentieth fewer long ones, which are the more urgent
-// (docs/policy/caroni.md).
+// (docs/policy/).
 //
 // Why a preferred target. What an engine has cached is known only for this
 // router's own requests. To make routers agree without talking, the prompt's
@@ -165,17 +165,24 @@
     PrefixCache prefixes;
   };
 
+  // What one choice compares its candidates by; looked up once for all.
+  struct Candidates {
+    Instant now{};
+    const PlacementRequest& request;
+    const PrefillSpeed& speed;
+    const State* preferred = nullptr;
+
+    bool IsPreferred(const State& state) const { return &state == preferred; }
+  };
+
   // Of a service without answers, the first guess or what peers have learned.
   const PrefillSpeed& SpeedOf(const ServiceName& service) const;
-  double EngineMs(Instant now, const State& state,
-                  const PlacementRequest& request, bool is_preferred) const;
-  double FirstEventMs(Instant now, const State& state,
-                      const PlacementRequest& request, bool is_preferred) const;
+  static double FirstEventMs(const State& state, const Candidates& among);
+  static double EngineMs(const State& state, const Candidates& among);
   // Until what peers sent there is prefilled; 0 or more.
   static double PeersMs(Instant now, const State& state);
   static double QueueMs(const State& state);
-  double Cost(Instant now, const State& state, const PlacementRequest& request,
-              bool is_preferred) const;
+  double Cost(const State& state, const Candidates& among) const;
   const State* PreferredTarget(const PlacementRequest& request) const;
 
   HallName hall_;
--- a/dispatch/prefill_speed.h
+++ b/dispatch/prefill_speed.h
@@ -3,13 +3,13 @@
 //
 //   PrefillSpeed speed;
 //   speed.OnFirstEvent(tokens, waited_ms);      // an answer has begun
-//   const double ms = speed.PrefillMs(tokens);  // what a prompt holds up
+//   const double ms = speed.PrefillMs(tokens);  // the engine is busy
 //   const double wait = speed.FirstEventMs(tokens);
 //
 // Pattern. Engines of one deployment prefill 20 tokens in a millisecond, those
 // of another 50, and nobody tells a router. What it compares depends on it:
 // whether an engine that has a prompt's parts cached is worth waiting for, and
-// whether a prompt holds up the streams beside it for too long.
+// how long an engine is busy with what peers sent there.
 //
 // The estimate. A line through what was seen: the wait for a first event over
 // the tokens that this router knew to be ahead of it, by least squares in which
--- a/prepaid/prepaid_ledger.cc
+++ b/prepaid/prepaid_ledger.cc
@@ -249,6 +249,14 @@
   unconfirmed_.clear();
 }
 
+void PrepaidLedger::ReplaceRecord(Instant now, std::int64_t revision,
+                                  PrepaidRecord record) {
+  MeasureSettling(now, record);
+  record_seen_ = now;
+  confirmed_->revision = revision;
+  confirmed_->record = std::move(record);
+}
+
 bool PrepaidLedger::NeedsRead(Instant now) const {
   if (confirmed_ && !keeps_grants_) return false;
   if (needs_read_ || !confirmed_) return !in_flight_;
@@ -292,10 +300,7 @@
   const bool same =
       confirmed_ && next.spend_revision == confirmed_->spend_revision;
   if (same) {
-    MeasureSettling(now, next.record);
-    confirmed_->revision = next.revision;
-    confirmed_->record = std::move(next.record);
-    return;
+    return ReplaceRecord(now, next.revision, std::move(next.record));
   }
   for (StoreView& it : unconfirmed_) {
     if (it.spend.sequence == next.spend.sequence) next.reported = it.reported;
@@ -306,10 +311,7 @@
 void PrepaidLedger::OnNewerRecord(Instant now, std::int64_t revision,
                                   const PrepaidRecord& record) {
   if (!confirmed_) return;
-  record_seen_ = now;
-  MeasureSettling(now, record);
-  confirmed_->revision = revision;
-  confirmed_->record = record;
+  ReplaceRecord(now, revision, record);
   needs_read_ = false;
 }
 
--- a/prepaid/prepaid_ledger.h
+++ b/prepaid/prepaid_ledger.h
@@ -183,6 +183,8 @@
   void ResizeGrants(Instant now, StoreView& view) const;
   void Withhold(Instant now, StoreView& view) const;
   void MeasureSettling(Instant now, const PrepaidRecord& next);
+  // The store has another record; this router's account is as it was.
+  void ReplaceRecord(Instant now, std::int64_t revision, PrepaidRecord record);
   void Confirm(Instant now, StoreView view);
 
   Identity identity_;
