--- a/testing/process/slow_caller_test.cc
+++ b/testing/process/slow_caller_test.cc
@@ -17,18 +17,8 @@
 // The router's buffers for one stream, the sockets', and room for the rest.
 constexpr long kMostKilobytes = 80 * 1024;
 
-RouterFleetSpec LargeTokens() {
-  RouterFleetSpec out;
-  out.routers = 1;
-  out.engines = 1;
-  out.services = 1;
-  out.engine_step_ms = 1;
-  out.engine_token_bytes = kTokenBytes;
-  return out;
-}
-
 struct SlowFixture : FleetFixture {
-  SlowFixture() : FleetFixture(LargeTokens()) {}
+  SlowFixture() : FleetFixture(LargeTokensSpec(kTokenBytes)) {}
 
   // Sends a request over a socket that is never read.
   int AskAndDontRead() {
--- a/testing/process/stop_test.cc
+++ b/testing/process/stop_test.cc
@@ -235,17 +235,7 @@
   static constexpr int kTokenBytes = 64 * 1024;
   static constexpr int kTokens = 400;  // 26 MB
 
-  static RouterFleetSpec LargeTokens() {
-    RouterFleetSpec out;
-    out.routers = 1;
-    out.engines = 1;
-    out.services = 1;
-    out.engine_step_ms = 1;
-    out.engine_token_bytes = kTokenBytes;
-    return out;
-  }
-
-  LargeAnswerFixture() : FleetFixture(LargeTokens()) {}
+  LargeAnswerFixture() : FleetFixture(LargeTokensSpec(kTokenBytes)) {}
 };
 
 // What goes wrong: a request counts as ended when its answer is in the buffer
--- a/testing/router_fleet.h
+++ b/testing/router_fleet.h
@@ -56,6 +56,18 @@
   std::string directory;
 };
 
+// One router before one engine whose tokens are so large that an answer of some
+// hundred is far larger than what the sockets keep.
+inline RouterFleetSpec LargeTokensSpec(int token_bytes) {
+  RouterFleetSpec out;
+  out.routers = 1;
+  out.engines = 1;
+  out.services = 1;
+  out.engine_step_ms = 1;
+  out.engine_token_bytes = token_bytes;
+  return out;
+}
+
 class RouterFleet : public Fleet {
  public:
   explicit RouterFleet(RouterFleetSpec spec);
