--- a/base/events.h
+++ b/base/events.h
@@ -51,6 +51,8 @@
   kPeerLinkLost = 1110,
   kPeerMessageRefused = 1111,
   kPeerLinked = 1112,
+  kFeedState = 1113,
+  kFeedNewsRefused = 1114,
   // 12xx: bundles, configurations, items of the store that can't be read.
   kBundleTaken = 1201,
   kBundleRefused = 1202,
@@ -114,6 +116,8 @@
     {Event::kPeerLinkLost, LogLevel::kWarn, "peer_link_lost"},
     {Event::kPeerMessageRefused, LogLevel::kWarn, "peer_message_refused"},
     {Event::kPeerLinked, LogLevel::kInfo, "peer_linked"},
+    {Event::kFeedState, LogLevel::kInfo, "feed_state"},
+    {Event::kFeedNewsRefused, LogLevel::kWarn, "feed_news_refused"},
     {Event::kBundleTaken, LogLevel::kInfo, "bundle_taken"},
     {Event::kBundleRefused, LogLevel::kWarn, "bundle_refused"},
     {Event::kConfigTaken, LogLevel::kInfo, "config_taken"},
--- a/chart/embedded.cc
+++ b/chart/embedded.cc
@@ -92,6 +92,33 @@
 }
 )chart";
 
+const char kFeedChart[] = R"chart({
+  "name": "feed",
+  "initial": "reading",
+  "final": ["reading", "told", "reader"],
+  "states": {
+    "reading": {
+      "on": {
+        "told_fresh": {"to": "told", "do": "stop_calling"},
+        "chosen": {"to": "reader", "do": "read_for_all"}
+      },
+      "ignore": ["stale", "resigned"]
+    },
+    "told": {
+      "on": {
+        "stale": {"to": "reading", "do": "call_again"},
+        "chosen": {"to": "reader", "do": "read_for_all"}
+      },
+      "ignore": ["told_fresh", "resigned"]
+    },
+    "reader": {
+      "on": {"resigned": {"to": "reading", "do": "read_for_itself"}},
+      "ignore": ["told_fresh", "stale", "chosen"]
+    }
+  }
+}
+)chart";
+
 const char kForwardChart[] = R"chart({
   "name": "forward",
   "initial": "received",
--- a/chart/embedded.h
+++ b/chart/embedded.h
@@ -7,6 +7,7 @@
 
 extern const char kClaimChart[];
 extern const char kDrainChart[];
+extern const char kFeedChart[];
 extern const char kForwardChart[];
 extern const char kRelayChart[];
 
--- a/fleet/fleet.cc
+++ b/fleet/fleet.cc
@@ -1,6 +1,7 @@
 #include "fleet/fleet.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "base/cbor.h"
@@ -27,8 +28,24 @@
   return out;
 }
 
+// The largest VMs first, and equal ones by their weights.
+void SortBySize(std::vector<FleetMember>& members) {
+  SortByWeight("holder", members);
+  std::stable_sort(members.begin(), members.end(),
+                   [](const FleetMember& a, const FleetMember& b) {
+                     return a.size_class > b.size_class;
+                   });
+}
+
+double Doublings(double amount) { return amount > 0 ? std::log2(amount) : 0; }
+
 }  // namespace
 
+int SizeClass(const VmSize& size) {
+  const double both = Doublings(size.link_mbps) + Doublings(size.cores);
+  return static_cast<int>(std::floor(both / 2));
+}
+
 FleetDirectory::FleetDirectory(FleetMember self, FleetOptions options)
     : self_(self.vm), options_(options) {
   Put({std::move(self)});
@@ -53,7 +70,7 @@
   holders_.clear();
   for (auto& [hall, members] : halls) {
     if (!IsSmall() && members.size() > options_.holders_per_hall) {
-      SortByWeight("holder", members);
+      SortBySize(members);
       members.resize(options_.holders_per_hall);
     }
     holders_.insert(holders_.end(), members.begin(), members.end());
@@ -73,8 +90,24 @@
 
 std::vector<VmName> FleetDirectory::HoldersFor(
     const CustomerName& customer) const {
+  return HoldersInOrderOf(customer.value);
+}
+
+std::vector<VmName> FleetDirectory::ReadersToAsk() const {
+  if (IsSmall()) return {};
+  return HoldersInOrderOf(self_.value);
+}
+
+bool FleetDirectory::IsTold(const VmName& vm) const {
+  const auto it = members_.find(vm);
+  const bool own_hall = it != members_.end() && it->second.hall == self().hall;
+  return own_hall || IsReader(vm);
+}
+
+std::vector<VmName> FleetDirectory::HoldersInOrderOf(
+    const std::string& key) const {
   std::vector<FleetMember> holders = OtherHolders();
-  SortByWeight(customer.value, holders);
+  SortByWeight(key, holders);
   const HallName& hall = self().hall;
   std::stable_partition(holders.begin(), holders.end(),
                         [&](const FleetMember& it) { return it.hall == hall; });
@@ -99,7 +132,8 @@
 std::string EncodeMember(const FleetMember& member) {
   return ToCbor({{"vm", member.vm.value},
                  {"hall", member.hall.value},
-                 {"address", member.address}});
+                 {"address", member.address},
+                 {"size", member.size_class}});
 }
 
 std::optional<FleetMember> DecodeMember(std::string_view bytes) {
@@ -108,6 +142,7 @@
     out.vm = VmName(json.at("vm").get<std::string>());
     out.hall = HallName(json.at("hall").get<std::string>());
     out.address = json.at("address").get<std::string>();
+    out.size_class = json.value("size", 0);
     return out;
   });
 }
--- a/fleet/testing/fleet_test.cc
+++ b/fleet/testing/fleet_test.cc
@@ -46,6 +46,56 @@
   for (const auto& [hall, n] : holders) BOOST_TEST(n == 3);
 }
 
+// Three VMs of a hall are larger than the other 56: ten times the link, four
+// times the processor. Each holder serves an equal part of the hall.
+BOOST_AUTO_TEST_CASE(TheLargestVmsOfAHallHoldItsBudgets) {
+  const int large = SizeClass({.link_mbps = 200, .cores = 0.5});
+  const int small = SizeClass({.link_mbps = 20, .cores = 0.12});
+  BOOST_TEST(large > small);
+  std::vector<FleetMember> members;
+  for (int n = 0; n < 59; ++n) {
+    FleetMember it = Member(kHalls * n);
+    it.size_class = n % 20 == 7 ? large : small;
+    members.push_back(it);
+  }
+  FleetDirectory fleet(members[0], {});
+  fleet.Put(members);
+  for (const FleetMember& it : members) {
+    BOOST_TEST(fleet.IsHolder(it.vm) == (it.size_class == large));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(OneLargeVmIsAHolderBesideTwoOthers) {
+  std::vector<FleetMember> members;
+  for (int n = 0; n < 20; ++n) members.push_back(Member(kHalls * n));
+  members[11].size_class = 3;
+  FleetDirectory fleet(members[0], {});
+  fleet.Put(members);
+  BOOST_TEST(fleet.IsHolder(members[11].vm));
+  BOOST_TEST(fleet.readers() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(SizesCountByDoublings) {
+  BOOST_TEST(SizeClass({.link_mbps = 1000, .cores = 0.26}) ==
+             SizeClass({.link_mbps = 1100, .cores = 0.27}));
+  // Much of one doesn't make up for little of the other.
+  BOOST_TEST(SizeClass({.link_mbps = 20, .cores = 0.5}) <
+             SizeClass({.link_mbps = 200, .cores = 0.5}));
+  BOOST_TEST(SizeClass({}) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(AReaderTellsItsHallAndTheOtherReaders) {
+  FleetDirectory fleet = Fleet(kLarge);
+  for (int n = 0; n < kLarge; ++n) {
+    const bool own_hall = n % kHalls == 0;
+    BOOST_TEST(fleet.IsTold(Member(n).vm) ==
+               (own_hall || fleet.IsReader(Member(n).vm)));
+  }
+  BOOST_TEST(fleet.readers() == 9U);
+  BOOST_TEST(Fleet(8).readers() == 0U);
+  BOOST_TEST(Fleet(8).ReadersToAsk().empty());
+}
+
 BOOST_AUTO_TEST_CASE(RoutersOfAHallAskTheSameHolderForACustomer) {
   const CustomerName customer("c");
   const std::vector<VmName> asked = Fleet(kLarge, 0).HoldersFor(customer);
--- a/kv/follower.cc
+++ b/kv/follower.cc
@@ -19,15 +19,19 @@
     : loop_(loop),
       store_(store),
       options_(std::move(options)),
-      on_(std::move(handlers)) {}
+      on_(std::move(handlers)),
+      retry_after_(options_.retry_after) {}
 
 void StoreFollower::Read() {
+  if (paused_) return;
   has_read_ = false;
   call_ = store_.Range(options_.prefix,
                        [this](const StoreSnapshot& it) { OnSnapshot(it); });
 }
 
 void StoreFollower::Wait() {
+  if (paused_) return;
+  waits_from_ = revision_;
   call_ = store_.Wait(options_.prefix, revision_, options_.patience,
                       [this](const StoreChanges& it) { OnChanges(it); });
 }
@@ -36,8 +40,11 @@
   call_.reset();
   SetReachable(snapshot.end == StoreEnd::kDone);
   if (snapshot.end != StoreEnd::kDone) return RetryLater();
-  revision_ = snapshot.revision;
   has_read_ = true;
+  // Later changes were skipped while it was read.
+  if (snapshot.revision < revision_) return Wait();
+  if (on_.answered) on_.answered();
+  revision_ = snapshot.revision;
   for (const StoreItem& it : snapshot.items) {
     latest_change_ = std::max(latest_change_, it.revision);
   }
@@ -51,6 +58,9 @@
   if (changes.forgotten) return Read();
   SetReachable(changes.end == StoreEnd::kDone);
   if (changes.end != StoreEnd::kDone) return RetryLater();
+  // Some of the changes may be older than what was skipped meanwhile.
+  if (waits_from_ < revision_) return CallLater(options_.spacing);
+  if (on_.answered) on_.answered();
   revision_ = std::max(revision_, changes.revision);
   if (changes.changes.empty()) return Wait();
   for (const StoreChange& it : changes.changes) {
@@ -65,6 +75,35 @@
   if (has_read_ && call_) Wait();
 }
 
+void StoreFollower::Pause() {
+  paused_ = true;
+  call_.reset();
+  call_timer_.reset();
+}
+
+void StoreFollower::Resume() {
+  Resume(has_read_ ? &StoreFollower::Wait : &StoreFollower::Read);
+}
+
+void StoreFollower::Resume(void (StoreFollower::*call)()) {
+  paused_ = false;
+  call_timer_.reset();
+  (this->*call)();
+}
+
+void StoreFollower::SkipTo(std::int64_t revision, std::int64_t latest) {
+  if (revision <= revision_) return;
+  revision_ = revision;
+  latest_change_ = std::max(latest_change_, latest);
+  has_read_ = true;
+}
+
+void StoreFollower::SetRetry(Duration first, Duration longest) {
+  options_.retry_after = first;
+  options_.longest_retry = longest;
+  retry_after_ = first;
+}
+
 void StoreFollower::CallLater(Duration delay) {
   call_timer_ = loop_.After(delay, [this] {
     if (has_read_) return Wait();
@@ -74,11 +113,13 @@
 
 void StoreFollower::RetryLater() {
   std::uniform_real_distribution<double> jitter(kLeastJitter, kMostJitter);
-  CallLater(std::chrono::duration_cast<Duration>(options_.retry_after *
-                                                 jitter(random_)));
+  CallLater(
+      std::chrono::duration_cast<Duration>(retry_after_ * jitter(random_)));
+  retry_after_ = std::min(retry_after_ * 2, options_.longest_retry);
 }
 
 void StoreFollower::SetReachable(bool reachable) {
+  if (reachable) retry_after_ = options_.retry_after;
   if (reachable == reachable_) return;
   reachable_ = reachable;
   on_.reachable(reachable);
--- a/kv/follower.h
+++ b/kv/follower.h
@@ -20,6 +20,12 @@
 // The store tells what an item is when it answers. Of an item that changed
 // twice between two answers, a follower may see the later value alone.
 //
+// Two more ways to learn of changes save calls where many would follow the same
+// prefix (relay/state_feed.h). Somebody who was told of all changes up to a
+// revision says so with `SkipTo`; what the call under way then answers about
+// earlier ones is passed over, so nothing is handed out that takes back what is
+// known. And `Pause` stops calling until `Resume` goes on from there.
+//
 // It owns its call and timer. Loop and store must outlive it. Revisions are the
 // store's (kv/store.h); times are of the loop.
 
@@ -48,8 +54,10 @@
     // third of the calls of a router in a large fleet; 8 s itself is not
     // measured.
     Duration patience = std::chrono::milliseconds(8000);
-    // From a call that failed to the next, on average. Not measured.
+    // From a call that failed to the next, on average. It doubles with each
+    // further failure up to `longest_retry`. Not measured.
     Duration retry_after = std::chrono::milliseconds(250);
+    Duration longest_retry = std::chrono::milliseconds(250);
     // From an answer with changes to the next wait. Commit e7705ae: without it
     // each of 143 targets cost each router a call at a start. 200 ms itself is
     // not measured.
@@ -63,6 +71,9 @@
     std::function<void()> settled;
     // The store was lost (false) or is back (true).
     std::function<void(bool reachable)> reachable;
+    // The store has answered: what is handed out next, if anything, is all that
+    // had changed by then. Optional.
+    std::function<void()> answered = {};
   };
 
   StoreFollower(Loop& loop, KvStore& store, Options options, Handlers handlers);
@@ -71,6 +82,23 @@
   // There is reason to think that the present wait is lost: waits anew. Does
   // nothing while it reads, or pauses before the next call.
   void AskAgain();
+  // Calls no more, until `Resume`.
+  void Pause();
+  // Goes on from what was handed out or skipped.
+  void Resume();
+  // Reads all items anew.
+  void ReadAgain() { Resume(&StoreFollower::Read); }
+  // All changes up to `revision` were handed out by somebody else; the last of
+  // them was `latest`.
+  void SkipTo(std::int64_t revision, std::int64_t latest);
+  // From the next call on; see `Options`.
+  void SetPatience(Duration patience) { options_.patience = patience; }
+  void SetRetry(Duration first, Duration longest);
+
+  // A wait is under way, so the store would tell of a change at once.
+  bool IsWaiting() const { return has_read_ && call_; }
+  // All changes up to this one have been handed out or skipped; 0 before.
+  std::int64_t revision() const { return revision_; }
   // Revision of the latest change that was handed out.
   std::int64_t latest_change() const { return latest_change_; }
   // Whether a change of that revision would have been handed out, or, if it
@@ -82,6 +110,7 @@
  private:
   void Read();
   void Wait();
+  void Resume(void (StoreFollower::*call)());
   void OnSnapshot(const StoreSnapshot& snapshot);
   void OnChanges(const StoreChanges& changes);
   // Waits, or reads if all items have to be read.
@@ -93,12 +122,16 @@
   KvStore& store_;
   Options options_;
   Handlers on_;
-  // All changes up to this one have been handed out.
   std::int64_t revision_ = 0;
+  // `revision_` when the wait under way began.
+  std::int64_t waits_from_ = 0;
   std::int64_t latest_change_ = 0;
   // All items were read, so changes can be waited for.
   bool has_read_ = false;
   bool reachable_ = true;
+  bool paused_ = false;
+  // The pause after the next failure.
+  Duration retry_after_;
   std::minstd_rand random_{std::random_device{}()};
   KvStore::CallPtr call_;
   std::unique_ptr<Timer> call_timer_;
--- a/relay/budget_driver.cc
+++ b/relay/budget_driver.cc
@@ -35,6 +35,9 @@
   out.reachable = [this](bool it) {
     if (on_.store_reachable) on_.store_reachable(it);
   };
+  out.answered = [this] {
+    if (on_.store_answered) on_.store_answered();
+  };
   return out;
 }
 
@@ -104,7 +107,8 @@
 }
 
 void BudgetDriver::TakePartIfHolder() {
-  if (ledger_.KeepsGrants() || !fleet_.IsHolder(VmOf(self_))) return;
+  const bool is_holder = fleet_.IsRead() && fleet_.IsHolder(VmOf(self_));
+  if (ledger_.KeepsGrants() || !is_holder) return;
   ledger_.KeepGrants();
   store_.RunCycleSoon();
 }
@@ -118,10 +122,24 @@
 
 PrepaidVerdict BudgetDriver::Hold(const HoldWaiterPtr& request) {
   if (!ledger_.IsLimited(request->customer())) return PrepaidVerdict::kHeld;
+  if (fleet_.IsRead()) return HoldHereOrElsewhere(request);
+  early_.push_back({request, clock_.Now()});
+  WatchWaits();
+  return PrepaidVerdict::kShort;
+}
+
+void BudgetDriver::OnFleetRead() {
+  for (const Early& it : std::exchange(early_, {})) {
+    const PrepaidVerdict verdict = HoldHereOrElsewhere(it.waiter);
+    if (verdict != PrepaidVerdict::kShort) AnswerLater(it.waiter, verdict);
+  }
+}
+
+PrepaidVerdict BudgetDriver::HoldHereOrElsewhere(const HoldWaiterPtr& waiter) {
   // Requests that come before the list of routers has settled don't wait.
   TakePartIfHolder();
-  if (ledger_.KeepsGrants()) return HoldFromGrant(request);
-  AskHolders(request);
+  if (ledger_.KeepsGrants()) return HoldFromGrant(waiter);
+  AskHolders(waiter);
   return PrepaidVerdict::kShort;
 }
 
@@ -154,6 +172,7 @@
 }
 
 void BudgetDriver::Forget(const HoldWaiterPtr& request) {
+  std::erase_if(early_, [&](const Early& it) { return it.waiter == request; });
   queue_.Remove(request);
   remote_.Forget(clock_.Now(), request->id());
 }
@@ -182,7 +201,17 @@
 void BudgetDriver::CheckWaits() {
   remote_.CheckTimes(clock_.Now());
   const bool waiting = queue_.Expire(clock_.Now(), store_.reachable());
-  if (!waiting && remote_.Idle()) wait_timer_.reset();
+  RefuseEarly();
+  if (!waiting && early_.empty() && remote_.Idle()) wait_timer_.reset();
+}
+
+void BudgetDriver::RefuseEarly() {
+  const Instant over = clock_.Now() - HoldPatience().give_up_after;
+  std::erase_if(early_, [&](const Early& it) {
+    if (it.since > over) return false;
+    AnswerLater(it.waiter, PrepaidVerdict::kShort);
+    return true;
+  });
 }
 
 // --- Peers -------------------------------------------------------------------
@@ -214,6 +243,9 @@
     case PeerMessageKind::kPromptSent:
     case PeerMessageKind::kConfigWanted:
     case PeerMessageKind::kConfig:
+    case PeerMessageKind::kNews:
+    case PeerMessageKind::kStateWanted:
+    case PeerMessageKind::kState:
       return;
   }
 }
--- a/relay/budget_driver.h
+++ b/relay/budget_driver.h
@@ -32,6 +32,7 @@
 #include <functional>
 #include <memory>
 #include <utility>
+#include <vector>
 
 #include "config/service_map.h"
 #include "fleet/fleet.h"
@@ -59,6 +60,8 @@
     std::function<Incarnation(const VmName&)> linked;
     // The store was lost (false) or is back (true).
     std::function<void(bool)> store_reachable;
+    // The store has answered a call.
+    std::function<void()> store_answered;
   };
 
   BudgetDriver(Loop& loop, const Clock& clock, KvStore& store,
@@ -72,6 +75,8 @@
 
   // The list of routers may have made this one a holder.
   void TakePartIfHolder();
+  // The list was read: requests that came before it go on.
+  void OnFleetRead();
 
   // kShort: the request waits; `OnHeld` or `OnHoldRefused` follows.
   PrepaidVerdict Hold(const HoldWaiterPtr& request);
@@ -98,6 +103,7 @@
   GrantTransfers::Handlers TransferHandlers();
   RemoteHolds::Handlers RemoteHandlers();
   ServedHolds::Handlers ServedHandlers();
+  PrepaidVerdict HoldHereOrElsewhere(const HoldWaiterPtr& waiter);
   PrepaidVerdict HoldFromGrant(const HoldWaiterPtr& waiter);
   void AskHolders(const HoldWaiterPtr& waiter);
   void SettleInGrant(const CustomerName& customer, Tokens held, Tokens cost);
@@ -105,6 +111,13 @@
   void Tell(const Incarnation& peer, PeerMessage message);
   void WatchWaits();
   void CheckWaits();
+  void RefuseEarly();
+
+  // A request that came before the list of routers was read.
+  struct Early {
+    HoldWaiterPtr waiter;
+    Instant since{};
+  };
 
   Loop& loop_;
   const Clock& clock_;
@@ -117,6 +130,7 @@
   GrantTransfers transfers_;
   RemoteHolds remote_;
   ServedHolds served_;
+  std::vector<Early> early_;
   // Runs while anything waits.
   std::unique_ptr<Timer> wait_timer_;
 };
--- a/relay/config_follower.cc
+++ b/relay/config_follower.cc
@@ -10,16 +10,17 @@
 
 namespace quaytrack {
 
-ConfigFollower::ConfigFollower(Loop& loop, KvStore& store,
+ConfigFollower::ConfigFollower(const FeedContext& context,
                                const SharedStateReader& reader,
                                Handlers handlers)
-    : loop_(loop),
+    : loop_(context.loop),
       reader_(reader),
       on_(std::move(handlers)),
-      follower_(loop, store, {reader.ConfigPrefix()}, StoreHandlers()) {}
+      feed_(context, {FeedName::kConfig, {reader.ConfigPrefix()}},
+            StoreHandlers(), on_.feed) {}
 
-StoreFollower::Handlers ConfigFollower::StoreHandlers() {
-  StoreFollower::Handlers on;
+StateFeed::Handlers ConfigFollower::StoreHandlers() {
+  StateFeed::Handlers on;
   on.replaced = [this](const std::vector<StoreItem>& items) {
     for (const StoreItem& it : items) AdoptIfHigher(it, Source::kStore);
   };
@@ -49,6 +50,7 @@
 }
 
 void ConfigFollower::OnPeer(const PeerMessage& message) {
+  feed_.OnPeer(message);
   switch (message.kind) {
     case PeerMessageKind::kConfig:
       AdoptIfHigher({message.item_key, message.item_value, 0}, Source::kPeer);
--- a/relay/config_follower.h
+++ b/relay/config_follower.h
@@ -20,7 +20,10 @@
 // such question is under way at a time; a question or an answer that is lost is
 // made up for after the next sign of life.
 //
-// It owns the configuration in force and the follower of the store's prefix. It
+// In a large fleet most routers don't follow the store but are told by readers
+// (relay/state_feed.h); the rules above are the same for what those tell.
+//
+// It owns the configuration in force and the feed of the store's prefix. It
 // relies on `SharedStateReader` to read items, and on its handlers to reach
 // peers. Store, reader and loop must outlive it. Errors are logged here and
 // aren't reported to the caller.
@@ -33,10 +36,10 @@
 #include <memory>
 
 #include "config/service_map.h"
-#include "kv/follower.h"
 #include "net/loop.h"
 #include "relay/dialect.h"
 #include "relay/peer_messages.h"
+#include "relay/state_feed.h"
 
 namespace quaytrack {
 
@@ -49,15 +52,19 @@
     std::function<void(const Incarnation&, PeerMessage)> send;
     // The store was lost (false) or is back (true).
     std::function<void(bool)> store_reachable;
+    // What the feed needs of the fleet; unused in a small one.
+    FeedLinks feed = {};
   };
 
-  ConfigFollower(Loop& loop, KvStore& store, const SharedStateReader& reader,
+  ConfigFollower(const FeedContext& context, const SharedStateReader& reader,
                  Handlers handlers);
 
-  void Start() { follower_.Start(); }
+  void Start() { feed_.Start(); }
   void OnPeer(const PeerMessage& message);
   // The store is back: what waited through the outage may never be answered.
-  void AskStoreAgain() { follower_.AskAgain(); }
+  void AskStoreAgain() { feed_.AskAgain(); }
+  StateFeed& feed() { return feed_; }
+  const StateFeed& feed() const { return feed_; }
 
   // Null before the first.
   const ServiceMapPtr& map() const { return map_; }
@@ -68,7 +75,7 @@
   // Who has shown a configuration; the word is the log's.
   enum class Source { kStore, kPeer };
 
-  StoreFollower::Handlers StoreHandlers();
+  StateFeed::Handlers StoreHandlers();
   void AdoptIfHigher(const StoreItem& item, Source source);
   void AskPeerLater(const Incarnation& peer);
   void SendTo(const Incarnation& peer);
@@ -79,7 +86,7 @@
   ServiceMapPtr map_;
   // The item that `map_` was read from, for peers.
   StoreItem item_;
-  StoreFollower follower_;
+  StateFeed feed_;
   std::unique_ptr<Timer> ask_timer_;
 };
 
--- /dev/null
+++ b/relay/feed_chart.h
@@ -0,0 +1,70 @@
+// How a router keeps up with one prefix of the store (relay/state_feed.h):
+// chart/charts/feed.json.
+//
+//   reading  by calls of its own: at the start, in a small fleet, and whenever
+//            no reader of the fleet has shown for a while that it is current
+//   told     by the readers, without any call
+//   reader   by calls of its own, and tells the others
+//
+// Each state may be the last one, as a process may end at any time.
+
+#ifndef QUAYTRACK_RELAY_FEED_CHART_H_
+#define QUAYTRACK_RELAY_FEED_CHART_H_
+
+#include "base/enum_table.h"
+#include "chart/chart.h"
+#include "chart/embedded.h"
+
+namespace quaytrack {
+
+enum class FeedState { kReading, kTold, kReader };
+enum class FeedEvent {
+  kToldFresh,  // a reader was current a moment ago, and all it had is known
+  kStale,      // no reader has shown that for a while
+  kChosen,     // by the list of routers this one is a reader
+  kResigned,   // it no longer is
+};
+enum class FeedAction {
+  kNone,
+  kStopCalling,
+  kCallAgain,
+  kReadForAll,
+  kReadForItself,
+};
+
+template <>
+struct EnumTable<FeedState> {
+  static constexpr auto kEntries =
+      std::to_array<EnumEntry<FeedState>>({{FeedState::kReading, "reading"},
+                                           {FeedState::kTold, "told"},
+                                           {FeedState::kReader, "reader"}});
+};
+
+template <>
+struct EnumTable<FeedEvent> {
+  static constexpr auto kEntries = std::to_array<EnumEntry<FeedEvent>>(
+      {{FeedEvent::kToldFresh, "told_fresh"},
+       {FeedEvent::kStale, "stale"},
+       {FeedEvent::kChosen, "chosen"},
+       {FeedEvent::kResigned, "resigned"}});
+};
+
+template <>
+struct EnumTable<FeedAction> {
+  static constexpr auto kEntries = std::to_array<EnumEntry<FeedAction>>(
+      {{FeedAction::kNone, "none"},
+       {FeedAction::kStopCalling, "stop_calling"},
+       {FeedAction::kCallAgain, "call_again"},
+       {FeedAction::kReadForAll, "read_for_all"},
+       {FeedAction::kReadForItself, "read_for_itself"}});
+};
+
+using FeedChart = Chart<FeedState, FeedEvent, FeedAction>;
+
+inline boost::leaf::result<FeedChart> BindFeedChart() {
+  return BindChart<FeedState, FeedEvent, FeedAction>(kFeedChart);
+}
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_RELAY_FEED_CHART_H_
--- /dev/null
+++ b/relay/feed_news.h
@@ -0,0 +1,56 @@
+// What readers of the store tell other routers of it (relay/state_feed.h).
+//
+//   FeedMark mark{latest, age};        // in each sign of life of a reader
+//   FeedNews news;                     // changes, or all items
+//
+// Revisions are the store's. What a router knows is described by one of them:
+// it has every change of the prefix up to there. News say from which revision
+// they lead to which, so that a receiver sees whether it has missed something.
+//
+// Ages are spans of the sender's clock, so that no two clocks are compared. The
+// time that a message takes isn't in them.
+
+#ifndef QUAYTRACK_RELAY_FEED_NEWS_H_
+#define QUAYTRACK_RELAY_FEED_NEWS_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/enum_table.h"
+#include "kv/store.h"
+
+namespace quaytrack {
+
+// The prefixes that are followed.
+enum class FeedName { kConfig, kTargets };
+
+template <>
+struct EnumTable<FeedName> {
+  static constexpr auto kEntries = std::to_array<EnumEntry<FeedName>>(
+      {{FeedName::kConfig, "config"}, {FeedName::kTargets, "targets"}});
+};
+
+struct FeedMark {
+  // Of the latest change that the sender knows.
+  std::int64_t revision = 0;
+  // How long ago the store, or another reader, has shown the sender that there
+  // was no later change.
+  Duration age{};
+};
+
+struct FeedNews {
+  FeedName feed = FeedName::kConfig;
+  // `changes` are all that happened after `since` and up to `revision`; of all
+  // items (PeerMessageKind::kState), `since` is 0.
+  std::int64_t since = 0;
+  std::int64_t revision = 0;
+  Duration age{};
+  // There are changes, too large to be sent unasked; `changes` is empty.
+  bool only_notice = false;
+  std::vector<StoreChange> changes;
+};
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_RELAY_FEED_NEWS_H_
--- a/relay/fleet_driver.cc
+++ b/relay/fleet_driver.cc
@@ -1,6 +1,7 @@
 #include "relay/fleet_driver.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/log.h"
 
@@ -16,6 +17,13 @@
 // one before it, up to the longest. All since commit e7705ae; not measured.
 constexpr Duration kFirstInterval = milliseconds(1500);
 constexpr Duration kLongestInterval = milliseconds(15000);
+// The longest where readers say how many routers there are: it only has to show
+// an entry that another has replaced. Not measured.
+constexpr Duration kLongestWhenTold = milliseconds(60000);
+// Least time between two reads because of a number, and the time within which
+// all that hear of it read. Not measured.
+constexpr Duration kBetweenCounts = milliseconds(5000);
+constexpr Duration kCountRead = milliseconds(500);
 // From a call that failed to the next try. Not measured.
 constexpr Duration kRetryAfter = milliseconds(400);
 // Each pause is drawn from between these parts of it, so that routers that
@@ -30,7 +38,8 @@
     : loop_(loop),
       store_(store),
       directory_(std::move(self), options),
-      interval_(kFirstInterval) {}
+      interval_(kFirstInterval),
+      longest_interval_(kLongestInterval) {}
 
 void FleetDriver::SetAddress(const std::string& address) {
   FleetMember self = directory_.self();
@@ -61,13 +70,32 @@
   if (snapshot.end != StoreEnd::kDone) {
     return RunLater(kRetryAfter, &FleetDriver::ReadEntries);
   }
+  directory_.MarkRead();
   const bool changed = directory_.Put(OthersIn(snapshot));
   const bool first = interval_ == kFirstInterval;
   const bool settles = !first && !settled_;
   if (settles) settled_ = true;
   if (changed || settles) changed_();
+  if (first_read_) std::exchange(first_read_, nullptr)();
   RunLater(interval_, &FleetDriver::ReadEntries);
-  interval_ = std::min(interval_ * 2, kLongestInterval);
+  interval_ = std::min(interval_ * 2, longest_interval_);
+}
+
+void FleetDriver::OnReaderCounts(std::size_t routers) {
+  if (!settled_) return;
+  longest_interval_ = kLongestWhenTold;
+  if (interval_ < longest_interval_ && !call_) {
+    interval_ = longest_interval_;
+    RunLater(interval_, &FleetDriver::ReadEntries);
+  }
+  if (routers != directory_.size()) ReadSoon();
+}
+
+void FleetDriver::ReadSoon() {
+  if (recent_timer_ || call_) return;
+  recent_timer_ =
+      loop_.After(kBetweenCounts, [this] { recent_timer_.reset(); });
+  RunLater(kCountRead, &FleetDriver::ReadEntries);
 }
 
 // This router's own entry may be that of an earlier run, at another address.
--- a/relay/fleet_driver.h
+++ b/relay/fleet_driver.h
@@ -5,6 +5,7 @@
 //   fleet.SetAddress("10.0.0.7:8082");
 //   fleet.Start();
 //   fleet.OnHello(member);            // a router that has linked to this one
+//   fleet.OnReaderCounts(295);        // from each reader's sign of life
 //
 // Each router writes an entry of its own into the store when it starts, and
 // reads those of all routers again and again: soon at first, as the routers of
@@ -13,7 +14,10 @@
 //
 // The entries are polled, not followed: while a fleet starts, following would
 // wake all routers for each entry, and a list that is some seconds old does no
-// harm (fleet/fleet.h says why). Nothing removes an entry; a VM that is gone
+// harm (fleet/fleet.h says why). In a large fleet the readers (fleet/fleet.h)
+// poll; they say with each sign of life how many routers they know, and the
+// others read the list only where they know another number, or after a long
+// time. Nothing removes an entry; a VM that is gone
 // for good stays in the list (docs/FINDINGS.md).
 //
 // It owns the directory. Calls to the store that fail are made again after
@@ -46,11 +50,17 @@
   void OnChanged(std::function<void()> changed) {
     changed_ = std::move(changed);
   }
+  // Called once, when the list was first read; after `OnChanged`'s.
+  void OnFirstRead(std::function<void()> first_read) {
+    first_read_ = std::move(first_read);
+  }
   // Where peers reach this router, "host:port"; before `Start`.
   void SetAddress(const std::string& address);
   void Start() { WriteOwnEntry(); }
   // A router has said who and where it is.
   void OnHello(const FleetMember& member);
+  // A reader, which this router isn't, knows so many routers.
+  void OnReaderCounts(std::size_t routers);
 
   const FleetDirectory& directory() const { return directory_; }
   // The list was read for the second time, so that routers that started
@@ -62,6 +72,7 @@
   void ReadEntries();
   void OnSnapshot(const StoreSnapshot& snapshot);
   std::vector<FleetMember> OthersIn(const StoreSnapshot& snapshot) const;
+  void ReadSoon();
   // Runs `step` after `delay`, more or less.
   void RunLater(Duration delay, void (FleetDriver::*step)());
 
@@ -69,9 +80,13 @@
   KvStore& store_;
   FleetDirectory directory_;
   std::function<void()> changed_;
+  std::function<void()> first_read_;
   bool settled_ = false;
   // From the next read to the one after it.
   Duration interval_;
+  Duration longest_interval_;
+  // Runs while the list was read too shortly ago to be read for its number.
+  std::unique_ptr<Timer> recent_timer_;
   std::minstd_rand random_{std::random_device{}()};
   KvStore::CallPtr call_;
   std::unique_ptr<Timer> timer_;
--- a/relay/hold_patience.h
+++ b/relay/hold_patience.h
@@ -28,6 +28,9 @@
 // it, as the holder has asked its peers by then; no second holder is asked.
 // Without any linked holder the request is refused at the next tick.
 //
+// Before this router has read the list of routers, which says whom to ask, a
+// request waits for it up to `give_up_after`.
+//
 // A request that the budget can't ever hold is refused at once, with 402. The
 // request's own deadline ends either wait earlier (RelayedRequest::OnDeadline),
 // and so does a caller that leaves.
--- a/relay/peer_mesh.cc
+++ b/relay/peer_mesh.cc
@@ -1,6 +1,7 @@
 #include "relay/peer_mesh.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 #include <vector>
 
@@ -13,6 +14,10 @@
 // (relay/own_wait.h), how soon a router whose store doesn't serve it learns of
 // a configuration: the users allow 2 s.
 constexpr Duration kCheckInterval = std::chrono::milliseconds(1000);
+// The first check comes after a random part of the interval from this to all of
+// it: routers that start together would else send their signs together, and
+// their peers would hear nothing in between. Not measured alone.
+constexpr double kLeastFirst = 0.5;
 // After this a link counts as cut: three signs of life are missing. Not
 // measured.
 constexpr Duration kMaxSilence = std::chrono::milliseconds(3500);
@@ -25,13 +30,23 @@
       clock_(clock),
       self_(std::move(self)),
       on_(std::move(handlers)),
-      server_(loop,
-              [this](std::shared_ptr<PeerLink> link) {
-                auto it = std::make_shared<Link>();
-                it->link = std::move(link);
-                AddLink(it);
-              }),
-      check_timer_(loop.Every(kCheckInterval, [this] { CheckLinks(); })) {}
+      server_(loop, [this](std::shared_ptr<PeerLink> link) {
+        auto it = std::make_shared<Link>();
+        it->link = std::move(link);
+        AddLink(it);
+      }) {
+  std::minstd_rand random{std::random_device{}()};
+  std::uniform_real_distribution<double> part(kLeastFirst, 1);
+  CheckAfter(
+      std::chrono::duration_cast<Duration>(kCheckInterval * part(random)));
+}
+
+void PeerMesh::CheckAfter(Duration delay) {
+  check_timer_ = loop_.After(delay, [this] {
+    check_timer_ = loop_.Every(kCheckInterval, [this] { CheckLinks(); });
+    CheckLinks();
+  });
+}
 
 std::uint16_t PeerMesh::Listen(const std::string& address) {
   return server_.Listen(address);
@@ -181,11 +196,16 @@
 }
 
 void PeerMesh::Broadcast(const PeerMessage& message) {
+  SendWhere([](const VmName&) { return true; }, message);
+}
+
+void PeerMesh::SendWhere(const std::function<bool(const VmName&)>& wanted,
+                         const PeerMessage& message) {
   const std::string bytes = EncodePeerMessage(message);
   std::set<Incarnation> sent;
   for (const LinkPtr& it : links_) {
     if (it->peer.empty() || !sent.insert(it->peer).second) continue;
-    it->link->Send(bytes);
+    if (wanted(VmOf(it->peer))) it->link->Send(bytes);
   }
 }
 
--- a/relay/peer_mesh.h
+++ b/relay/peer_mesh.h
@@ -16,8 +16,9 @@
 //
 // Losing a link. A cut says nothing, so a link on which nothing was heard for
 // `kMaxSilence` is closed, and dialled again if it is one to keep. Each router
-// sends a sign of life on all links every `kCheckInterval`, with the versions
-// that it knows, so that a peer learns of a change even if the store doesn't
+// sends a sign of life on all links every `kCheckInterval`, at moments of its
+// own, also where all routers started together, with the versions that it
+// knows, so that a peer learns of a change even if the store doesn't
 // tell it (relay/config_follower.h, relay/target_follower.h).
 //
 // It owns the links and the listener. Messages aren't acknowledged and may be
@@ -61,6 +62,9 @@
   void KeepLinksTo(const std::vector<FleetMember>& members);
   // To each linked peer once.
   void Broadcast(const PeerMessage& message);
+  // To each linked peer on a VM that `wanted` names, once.
+  void SendWhere(const std::function<bool(const VmName&)>& wanted,
+                 const PeerMessage& message);
   // To one peer, if it is linked.
   void SendTo(const Incarnation& peer, const PeerMessage& message);
   // Tells all peers at once what is in force here.
@@ -91,6 +95,8 @@
   bool HasLinkTo(const VmName& vm) const;
   void Dial(const FleetMember& member);
   void DialMissing();
+  // Begins to check the links after `delay`, and again each interval.
+  void CheckAfter(Duration delay);
   void CheckLinks();
   void CloseSilent();
   const Link* FindPeer(const Incarnation& peer) const;
--- a/relay/peer_messages.cc
+++ b/relay/peer_messages.cc
@@ -1,5 +1,7 @@
 #include "relay/peer_messages.h"
 
+#include <algorithm>
+#include <chrono>
 #include <cmath>
 
 #include "base/cbor.h"
@@ -14,6 +16,8 @@
 constexpr double kTokenTimeUnit = 1e6;
 constexpr double kBaseUnit = 1000;
 constexpr std::size_t kLineFields = 3;
+// Older than this is as old as this; it bounds what a clock is set back by.
+constexpr std::int64_t kLongestAgeMs = 3'600'000;
 
 Json LineToJson(const SpeedLine& it) {
   return {std::llround(it.ms_per_token * kTokenTimeUnit),
@@ -40,7 +44,75 @@
   return out;
 }
 
-// Empty for a kind that isn't known.
+// An age as whole milliseconds, rounded up so that nothing looks newer than it
+// is.
+std::int64_t AgeToJson(Duration age) {
+  return std::chrono::ceil<std::chrono::milliseconds>(age).count();
+}
+
+Duration AgeFromJson(const Json& json) {
+  return std::chrono::milliseconds(
+      std::clamp<std::int64_t>(json.get<std::int64_t>(), 0, kLongestAgeMs));
+}
+
+Json MarksToJson(const std::map<FeedName, FeedMark>& marks) {
+  Json out = Json::object();
+  for (const auto& [feed, it] : marks) {
+    out[NameOf(feed)] = {it.revision, AgeToJson(it.age)};
+  }
+  return out;
+}
+
+std::map<FeedName, FeedMark> MarksFromJson(const Json& json) {
+  std::map<FeedName, FeedMark> out;
+  for (const auto& [name, fields] : json.items()) {
+    const auto feed = FromName<FeedName>(name);
+    if (!feed) continue;
+    out[*feed] = {fields.at(0).get<std::int64_t>(), AgeFromJson(fields.at(1))};
+  }
+  return out;
+}
+
+// A change is its key, its revision and, unless it removed the item, its value.
+Json NewsToJson(const FeedNews& news) {
+  Json changes = Json::array();
+  for (const StoreChange& it : news.changes) {
+    Json fields = {it.item.key, it.item.revision};
+    if (!it.removed) fields.push_back(it.item.value);
+    changes.push_back(std::move(fields));
+  }
+  return {{"feed", NameOf(news.feed)},  {"since", news.since},
+          {"revision", news.revision},  {"age", AgeToJson(news.age)},
+          {"notice", news.only_notice}, {"changes", changes}};
+}
+
+// Empty for a feed that isn't known.
+std::optional<FeedNews> NewsFromJson(const Json& json) {
+  const auto feed = FromName<FeedName>(json.at("feed").get<std::string>());
+  if (!feed) return std::nullopt;
+  FeedNews out;
+  out.feed = *feed;
+  out.since = json.at("since").get<std::int64_t>();
+  out.revision = json.at("revision").get<std::int64_t>();
+  out.age = AgeFromJson(json.at("age"));
+  out.only_notice = json.at("notice").get<bool>();
+  for (const Json& it : json.at("changes")) {
+    StoreChange change;
+    change.item.key = it.at(0).get<std::string>();
+    change.item.revision = it.at(1).get<std::int64_t>();
+    change.removed = it.size() == 2;
+    if (!change.removed) change.item.value = it.at(2).get<std::string>();
+    out.changes.push_back(std::move(change));
+  }
+  return out;
+}
+
+bool CarriesNews(PeerMessageKind kind) {
+  return kind == PeerMessageKind::kNews || kind == PeerMessageKind::kState ||
+         kind == PeerMessageKind::kStateWanted;
+}
+
+// Empty for a kind or a feed that isn't known.
 std::optional<PeerMessage> FromJson(const Json& json) {
   const auto kind = FromName<PeerMessageKind>(json.value("kind", ""));
   if (!kind) return std::nullopt;
@@ -59,6 +131,14 @@
   out.keeps_budgets = json.value("keeps", false);
   out.targets_revision = json.value("targets", std::int64_t{0});
   out.engine_speeds = LinesFromJson(json.value("engines", Json()));
+  out.size_class = json.value("size", 0);
+  out.marks = MarksFromJson(json.value("marks", Json::object()));
+  out.routers = json.value("routers", std::uint64_t{0});
+  if (CarriesNews(*kind)) {
+    auto news = NewsFromJson(json.at("news"));
+    if (!news) return std::nullopt;
+    out.news = std::move(*news);
+  }
   out.target = TargetName(json.value("target", ""));
   out.item_key = json.value("key", "");
   out.item_value = json.value("value", "");
@@ -81,6 +161,7 @@
   if (!message.address.empty()) {
     json["hall"] = message.hall.value;
     json["address"] = message.address;
+    if (message.size_class != 0) json["size"] = message.size_class;
   }
   if (message.config_version != 0) json["config"] = message.config_version;
   if (message.keeps_budgets) json["keeps"] = true;
@@ -90,6 +171,9 @@
   for (const auto& [service, line] : message.engine_speeds) {
     json["engines"][service.value] = LineToJson(line);
   }
+  if (!message.marks.empty()) json["marks"] = MarksToJson(message.marks);
+  if (message.routers != 0) json["routers"] = message.routers;
+  if (CarriesNews(message.kind)) json["news"] = NewsToJson(message.news);
   if (message.kind == PeerMessageKind::kPromptSent) {
     json["target"] = message.target.value;
   }
--- a/relay/peer_messages.h
+++ b/relay/peer_messages.h
@@ -25,6 +25,7 @@
 #include "base/enum_table.h"
 #include "base/ids.h"
 #include "dispatch/prefill_speed.h"
+#include "relay/feed_news.h"
 
 namespace quaytrack {
 
@@ -40,6 +41,9 @@
   kPromptSent,      // an engine was sent a prompt that keeps it busy
   kConfigWanted,    // send me the configuration
   kConfig,          // the configuration, as the store has it
+  kNews,            // changes that a reader of the store has seen
+  kStateWanted,     // send me all items of a feed
+  kState,           // all items of a feed
 };
 
 template <>
@@ -55,7 +59,10 @@
        {PeerMessageKind::kSettled, "settled"},
        {PeerMessageKind::kPromptSent, "sent"},
        {PeerMessageKind::kConfigWanted, "config_wanted"},
-       {PeerMessageKind::kConfig, "config"}});
+       {PeerMessageKind::kConfig, "config"},
+       {PeerMessageKind::kNews, "news"},
+       {PeerMessageKind::kStateWanted, "state_wanted"},
+       {PeerMessageKind::kState, "state"}});
 };
 
 // A holder's answer to kHoldWanted.
@@ -91,6 +98,8 @@
   // kHello: where the sender is.
   HallName hall;
   std::string address;
+  // kHello: fleet/fleet.h.
+  int size_class = 0;
   // kHello, kPing: the configuration in force at the sender, and whether it
   // keeps grants of prepaid budgets.
   std::uint64_t config_version = 0;
@@ -100,6 +109,12 @@
   // kHello, kPing: how fast the engines of each service prefill, as the sender
   // has learned it.
   std::map<ServiceName, SpeedLine> engine_speeds;
+  // kHello, kPing: what the sender knows of each feed, if it is a reader; and
+  // how many routers are on its list.
+  std::map<FeedName, FeedMark> marks;
+  std::uint64_t routers = 0;
+  // kNews, kState; kStateWanted has only the feed's name.
+  FeedNews news;
   // kPromptSent: the engine.
   TargetName target;
   // kConfig: key and value of the store's item.
--- a/relay/relay_chart.h
+++ b/relay/relay_chart.h
@@ -30,6 +30,7 @@
 #include "chart/chart.h"
 #include "chart/drain_chart.h"
 #include "chart/embedded.h"
+#include "relay/feed_chart.h"
 
 namespace quaytrack {
 
@@ -153,13 +154,15 @@
 struct RelayCharts {
   RelayChart request;
   DrainChart drain;
+  FeedChart feed;
 };
 
 inline boost::leaf::result<RelayCharts> BindRelayCharts() {
   BOOST_LEAF_AUTO(
       request, (BindChart<RelayState, RelayEvent, RelayAction>(kRelayChart)));
   BOOST_LEAF_AUTO(drain, BindDrainChart());
-  return RelayCharts{std::move(request), std::move(drain)};
+  BOOST_LEAF_AUTO(feed, BindFeedChart());
+  return RelayCharts{std::move(request), std::move(drain), std::move(feed)};
 }
 
 }  // namespace quaytrack
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -27,6 +27,14 @@
   return out;
 }
 
+FleetMember SelfFrom(const RelaySettings& settings) {
+  FleetMember out;
+  out.vm = VmName(settings.vm);
+  out.hall = HallName(settings.hall);
+  out.size_class = SizeClass({settings.link_mbps, settings.cores});
+  return out;
+}
+
 // Binds `server` to `address` and leaves the bound port there. If it can't, the
 // log names the setting.
 template <class Server>
@@ -55,12 +63,13 @@
       connections_(connections),
       store_(store),
       placement_(HallName(settings.hall)),
-      fleet_(loop, store, {VmName(settings.vm), HallName(settings.hall), ""},
-             FleetOptionsFrom(settings)),
+      fleet_(loop, store, SelfFrom(settings), FleetOptionsFrom(settings)),
       budgets_(loop, clock, store, fleet_.directory(),
                {self_, BootId(), clock.Now()}, PrepaidPolicyFrom(settings)),
-      configs_(loop, store, interface.state, ConfigHandlers()),
-      targets_(loop, store, interface.state, TargetHandlers()),
+      configs_({loop, clock, store, charts.feed}, interface.state,
+               ConfigHandlers()),
+      targets_({loop, clock, store, charts.feed}, interface.state,
+               TargetHandlers()),
       peers_(loop, clock, self_, PeerHandlers()),
       retries_(RetryOptionsFrom(settings)),
       context_{
@@ -86,6 +95,7 @@
             StopHandlers()),
       link_(loop, clock, settings.link_mbps) {
   fleet_.OnChanged([this] { OnFleetChanged(); });
+  fleet_.OnFirstRead([this] { budgets_.OnFleetRead(); });
   budgets_.SetHandlers(BudgetHandlers());
   ServeCallers();
 }
@@ -128,6 +138,8 @@
                              {"listen", settings_.listen}});
   check_timer_ = loop_.Every(kCheckInterval, [this] {
     stop_.Check();
+    configs_.feed().Check();
+    targets_.feed().Check();
     CheckLink();
   });
   configs_.Start();
@@ -146,11 +158,43 @@
   };
   out.linked = [this](const VmName& vm) { return peers_.LinkedOn(vm); };
   out.store_reachable = [this](bool it) { OnStoreReachable(it); };
+  out.store_answered = [this] {
+    configs_.feed().OnStoreAnswered();
+    targets_.feed().OnStoreAnswered();
+  };
+  return out;
+}
+
+FeedLinks RelayRouter::LinksOfFeeds() {
+  FeedLinks out;
+  out.send = [this](const Incarnation& peer, PeerMessage it) {
+    it.from = self_;
+    peers_.SendTo(peer, it);
+  };
+  out.tell = [this](PeerMessage it) {
+    it.from = self_;
+    peers_.SendWhere(
+        [this](const VmName& vm) { return fleet_.directory().IsTold(vm); }, it);
+  };
+  out.is_reader = [this](const Incarnation& peer) {
+    return fleet_.directory().IsReader(VmOf(peer));
+  };
+  out.readers = [this] { return LinkedReaders(); };
+  return out;
+}
+
+std::vector<Incarnation> RelayRouter::LinkedReaders() const {
+  std::vector<Incarnation> out;
+  for (const VmName& it : fleet_.directory().ReadersToAsk()) {
+    Incarnation peer = peers_.LinkedOn(it);
+    if (!peer.empty()) out.push_back(std::move(peer));
+  }
   return out;
 }
 
 ConfigFollower::Handlers RelayRouter::ConfigHandlers() {
   ConfigFollower::Handlers out;
+  out.feed = LinksOfFeeds();
   out.adopted = [this] { OnConfigAdopted(); };
   out.send = [this](const Incarnation& peer, PeerMessage it) {
     it.from = self_;
@@ -162,6 +206,7 @@
 
 TargetFollower::Handlers RelayRouter::TargetHandlers() {
   TargetFollower::Handlers out;
+  out.feed = LinksOfFeeds();
   out.changed = [this] {
     placement_.SetTargets(targets_.registry().entries());
   };
@@ -216,7 +261,12 @@
   const FleetDirectory& directory = fleet_.directory();
   retries_.SetRouters(directory.size());
   peers_.KeepLinksTo(directory.MembersToLink());
-  if (fleet_.settled()) budgets_.TakePartIfHolder();
+  if (!fleet_.settled()) return;
+  budgets_.TakePartIfHolder();
+  const bool reads = directory.IsReader(directory.self().vm);
+  for (StateFeed* it : {&configs_.feed(), &targets_.feed()}) {
+    it->SetRole(reads, directory.readers());
+  }
 }
 
 void RelayRouter::OnConfigAdopted() {
@@ -231,7 +281,8 @@
 
 void RelayRouter::OnPeerMessage(const PeerMessage& message) {
   if (message.kind == PeerMessageKind::kHello) {
-    fleet_.OnHello({VmOf(message.from), message.hall, message.address});
+    fleet_.OnHello({VmOf(message.from), message.hall, message.address,
+                    message.size_class});
   }
   if (message.kind == PeerMessageKind::kPromptSent) {
     return placement_.OnPeerSent(clock_.Now(), message.target, message.amount);
@@ -239,7 +290,15 @@
   placement_.SetPeerSpeeds(message.engine_speeds);
   budgets_.OnPeer(message);
   configs_.OnPeer(message);
-  targets_.OnPeerRevision(message.targets_revision);
+  targets_.OnPeer(message);
+  CountRouters(message);
+}
+
+void RelayRouter::CountRouters(const PeerMessage& message) {
+  const FleetDirectory& directory = fleet_.directory();
+  const bool tells = directory.IsReader(VmOf(message.from)) &&
+                     !directory.IsReader(directory.self().vm);
+  if (tells && message.routers > 0) fleet_.OnReaderCounts(message.routers);
 }
 
 // In a large fleet a router is linked to few others, so they would know little
@@ -259,11 +318,23 @@
   message.targets_revision = targets_.revision();
   message.keeps_budgets = budgets_.ledger().KeepsGrants();
   message.engine_speeds = placement_.Learned();
+  FillMarks(message);
   if (message.kind != PeerMessageKind::kHello) return;
+  message.size_class = fleet_.directory().self().size_class;
   message.hall = fleet_.directory().self().hall;
   message.address = fleet_.directory().self().address;
 }
 
+void RelayRouter::FillMarks(PeerMessage& message) const {
+  const FleetDirectory& directory = fleet_.directory();
+  if (!directory.IsReader(directory.self().vm)) return;
+  message.routers = directory.size();
+  const auto config = configs_.feed().Mark();
+  if (config) message.marks[FeedName::kConfig] = *config;
+  const auto targets = targets_.feed().Mark();
+  if (targets) message.marks[FeedName::kTargets] = *targets;
+}
+
 // --- The balancer and operators ----------------------------------------------
 
 bool RelayRouter::IsReady() const {
@@ -288,6 +359,8 @@
   metrics_.SetGauge("peers_linked", static_cast<double>(peers_.peers()));
   metrics_.SetGauge("link_load", link_.load());
   metrics_.SetGauge("config_version", static_cast<double>(configs_.version()));
+  metrics_.SetGauge("config_age_s", ToSeconds(configs_.feed().Age()));
+  metrics_.SetGauge("targets_age_s", ToSeconds(targets_.feed().Age()));
   metrics_.SetGauge("store_calls", static_cast<double>(store_.calls()));
   metrics_.SetGauge("target_connections_opened",
                     static_cast<double>(connections_.opened()));
--- a/relay/relay_router.h
+++ b/relay/relay_router.h
@@ -34,6 +34,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "base/clock.h"
 #include "chart/drain_chart.h"
@@ -77,6 +78,8 @@
 
  private:
   BudgetDriver::Handlers BudgetHandlers();
+  FeedLinks LinksOfFeeds();
+  std::vector<Incarnation> LinkedReaders() const;
   ConfigFollower::Handlers ConfigHandlers();
   TargetFollower::Handlers TargetHandlers();
   PeerMesh::Handlers PeerHandlers();
@@ -88,7 +91,9 @@
   void OnConfigAdopted();
   void OnPeerMessage(const PeerMessage& message);
   void TellPeers(const SentPrompt& sent);
+  void CountRouters(const PeerMessage& message);
   void FillSignOfLife(PeerMessage& message) const;
+  void FillMarks(PeerMessage& message) const;
   void AnswerAdmin(const std::shared_ptr<CallerConnection>& caller,
                    const CallerRequest& request);
   void AnswerMetrics(const std::shared_ptr<CallerConnection>& caller);
--- a/relay/relay_settings.cc
+++ b/relay/relay_settings.cc
@@ -30,6 +30,8 @@
       "Routers of a hall that keep budgets in a larger fleet");
   add("--link-mbps", flags.link_mbps,
       "Megabits a second of this VM's network link; 0 if it isn't known");
+  add("--cores", flags.cores,
+      "Processors of this VM, in parts too; 0 if it isn't known");
   add("--cover-s", flags.cover_s,
       "Seconds of its own spending that a router keeps granted at least");
   AddCheckFlag(app, flags);
@@ -54,6 +56,7 @@
   check.Range("--small-fleet", flags.small_fleet, 0, 1000);
   check.Range("--holders-per-hall", flags.holders_per_hall, 1, 100);
   check.Range("--link-mbps", flags.link_mbps, 0.0, 1e6);
+  check.Range("--cores", flags.cores, 0.0, 4096.0);
   check.Range("--cover-s", flags.cover_s, 0, 600);
   static_cast<RelayValues&>(out) = flags;
   static_cast<LogSettings&>(out) = CheckLog(flags, check);
--- a/relay/relay_settings.h
+++ b/relay/relay_settings.h
@@ -46,8 +46,10 @@
   // in docs/design/prepaid.md, "Large fleets".
   int small_fleet = 12;
   int holders_per_hall = 3;
-  // Megabits a second of the VM's network link; 0 if it isn't known.
+  // What the VM has: megabits a second of its network link, and its share of a
+  // processor; 0 if it isn't known.
   double link_mbps = 0;
+  double cores = 0;
 };
 
 // As given, before they are checked.
--- /dev/null
+++ b/relay/state_feed.cc
@@ -0,0 +1,386 @@
+#include "relay/state_feed.h"
+
+#include <algorithm>
+#include <chrono>
+#include <random>
+#include <utility>
+
+#include "base/log.h"
+#include "relay/own_wait.h"
+
+namespace quaytrack {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// How long a router does without a sign that it is current. Signs come from
+// several readers each second (relay/peer_mesh.h), so it is a few lost ones.
+// The least of the users' bounds for a configuration in force is 2 s. Not
+// compared with other values.
+constexpr Duration kFreshFor = milliseconds(1500);
+// Up to so much longer, drawn by each router once: when all lose their readers
+// or the store at the same moment, they don't all call at once. Not measured.
+constexpr Duration kFreshSpread = milliseconds(300);
+// A sign no older than this ends a router's own calls. Less than `kFreshFor`,
+// so that routers don't go to and fro. Not measured.
+constexpr Duration kFreshAgain = milliseconds(1000);
+
+// All readers of a fleet whose holders don't call the store together ask it
+// about so often. Of five readers that a router is linked to, the youngest sign
+// is then younger than `kFreshAgain` nearly always. With 130 ms, and waits and
+// signs in step after a common start, 280 routers went to and fro between being
+// told and reading every two seconds: 18,400 calls in a day of 48 s.
+constexpr Duration kAskEvery = milliseconds(80);
+// Bounds for one reader's wait: a call takes some milliseconds, and a wait that
+// was swallowed has to be noticed within the users' 3 s. Not measured.
+constexpr Duration kShortestPatience = milliseconds(500);
+constexpr Duration kLongestPatience = milliseconds(2000);
+// Each wait is drawn from between this part of it and all of it, so that
+// readers that started together don't ask together. Not measured.
+constexpr double kLeastPatience = 0.5;
+// Other calls answered as recently as this make short waits needless.
+constexpr Duration kAnsweredLately = milliseconds(500);
+
+// Pauses between calls that fail. Readers keep trying, as all depend on them.
+// The others are many and will be told: with a first pause of 500 ms, 280 of
+// them made 3,400 calls around a cut of 8 s.
+constexpr Duration kReaderRetry = milliseconds(250);
+constexpr Duration kFirstRetry = milliseconds(2000);
+constexpr Duration kLongestRetry = milliseconds(4000);
+
+// Values of more bytes together aren't sent unasked. Each router is told by
+// several readers and asks only one of them, and a configuration may be large:
+// at 100 kB, telling 60 routers three times takes a link of 20 Mbit/s 7 s for
+// each reader, and once 0.8 s. Reckoned, not measured.
+constexpr std::size_t kMostUnasked = 8 * 1024;
+// After so long another reader is asked. Not measured.
+constexpr Duration kAskAgainAfter = milliseconds(300);
+
+Duration ReaderPatience(std::size_t readers) {
+  const Duration wanted = kAskEvery * static_cast<int>(readers);
+  return std::clamp(wanted, kShortestPatience, kLongestPatience);
+}
+
+std::size_t BytesOf(const std::vector<StoreChange>& changes) {
+  std::size_t out = 0;
+  for (const StoreChange& it : changes) out += it.item.value.size();
+  return out;
+}
+
+Duration Draw(std::minstd_rand& random, double least, Duration most) {
+  std::uniform_real_distribution<double> part(least, 1);
+  return duration_cast<Duration>(most * part(random));
+}
+
+}  // namespace
+
+StateFeed::StateFeed(const FeedContext& context, Options options,
+                     Handlers handlers, FeedLinks links)
+    : context_(context),
+      options_(std::move(options)),
+      on_(std::move(handlers)),
+      links_(std::move(links)),
+      follower_(context.loop, context.store, options_.follower,
+                FollowerHandlers()),
+      machine_(context.chart),
+      current_at_(context.clock.Now()),
+      patience_(kFreshFor + Draw(random_, 0, kFreshSpread)) {}
+
+// --- What the store shows ----------------------------------------------------
+
+StoreFollower::Handlers StateFeed::FollowerHandlers() {
+  StoreFollower::Handlers on;
+  on.replaced = [this](const std::vector<StoreItem>& it) { OnItems(it); };
+  on.changed = [this](const StoreChange& it) { OnChange(it); };
+  on.settled = [this] { Settle(); };
+  on.reachable = [this](bool reachable) { SetLost(!reachable); };
+  on.answered = [this] { OnAnswered(); };
+  return on;
+}
+
+void StateFeed::OnAnswered() {
+  ShownCurrent(Duration::zero());
+  if (IsReader()) follower_.SetPatience(NextPatience());
+}
+
+Duration StateFeed::NextPatience() {
+  const Instant now = context_.clock.Now();
+  const bool busy = now - store_answered_at_ < kAnsweredLately;
+  return Draw(random_, kLeastPatience,
+              busy ? kLongestPatience : ReaderPatience(readers_));
+}
+
+void StateFeed::OnStoreAnswered() {
+  store_answered_at_ = context_.clock.Now();
+  if (IsReader() && !lost_ && follower_.IsWaiting()) {
+    current_at_ = store_answered_at_;
+  }
+}
+
+void StateFeed::OnItems(const std::vector<StoreItem>& items) {
+  if (IsReader()) {
+    if (has_items_) pending_ = ChangesTo(items);
+    items_.clear();
+    for (const StoreItem& it : items) items_[it.key] = it;
+    has_items_ = true;
+  }
+  on_.replaced(items);
+}
+
+void StateFeed::OnChange(const StoreChange& change) {
+  if (IsReader()) Keep(change);
+  on_.changed(change);
+}
+
+void StateFeed::Settle() {
+  on_.settled();
+  TellPending();
+  told_up_to_ = LatestKnown();
+}
+
+void StateFeed::SetLost(bool lost) {
+  if (lost == lost_) return;
+  lost_ = lost;
+  on_.reachable(!lost);
+}
+
+// --- States ------------------------------------------------------------------
+
+void StateFeed::SetRole(bool is_reader, std::size_t readers) {
+  readers_ = readers;
+  Apply(is_reader ? FeedEvent::kChosen : FeedEvent::kResigned);
+}
+
+void StateFeed::Check() {
+  if (state() == FeedState::kTold && Age() > patience_) {
+    Apply(FeedEvent::kStale);
+  }
+}
+
+void StateFeed::Apply(FeedEvent event) {
+  const FeedState before = state();
+  const FeedAction action = machine_.Apply(event);
+  if (state() != before) {
+    const auto age_ms = duration_cast<milliseconds>(Age()).count();
+    LogEvent(Event::kFeedState, {{"feed", std::string(NameOf(options_.name))},
+                                 {"state", std::string(NameOf(state()))},
+                                 {"age_ms", std::to_string(age_ms)}});
+  }
+  Do(action);
+}
+
+void StateFeed::Do(FeedAction action) {
+  switch (action) {
+    case FeedAction::kNone:
+      return;
+    case FeedAction::kStopCalling:
+      return follower_.Pause();
+    case FeedAction::kCallAgain:
+      SetLost(true);
+      follower_.SetRetry(kFirstRetry, kLongestRetry);
+      return follower_.Resume();
+    case FeedAction::kReadForAll:
+      follower_.SetPatience(NextPatience());
+      follower_.SetRetry(kReaderRetry, kReaderRetry);
+      return follower_.ReadAgain();
+    case FeedAction::kReadForItself:
+      has_items_ = false;
+      items_.clear();
+      follower_.SetPatience(options_.follower.patience);
+      return follower_.SetRetry(kFirstRetry, kLongestRetry);
+  }
+}
+
+// --- What readers show -------------------------------------------------------
+
+void StateFeed::OnPeer(const PeerMessage& message) {
+  const auto mark = message.marks.find(options_.name);
+  // The lists of two routers may differ for a while, so a mark of one that
+  // isn't known as a reader is no fault, and says nothing.
+  if (mark != message.marks.end() && links_.is_reader(message.from)) {
+    OnMark(mark->second);
+  }
+  if (message.news.feed != options_.name) return;
+  switch (message.kind) {
+    case PeerMessageKind::kNews:
+      if (IsSound(message)) OnNews(message.news);
+      return;
+    case PeerMessageKind::kState:
+      if (IsSound(message)) OnState(message.news);
+      return;
+    case PeerMessageKind::kStateWanted:
+      return SendState(message.from);
+    default:
+      return;
+  }
+}
+
+bool StateFeed::IsSound(const PeerMessage& message) const {
+  const FeedNews& news = message.news;
+  const auto in_span = [&](const StoreChange& it) {
+    return it.item.revision <= news.revision;
+  };
+  const char* problem = nullptr;
+  if (!links_.is_reader(message.from)) {
+    problem = "not from a reader";
+  } else if (news.since < 0 || news.since >= news.revision) {
+    problem = "revisions that can't be";
+  } else if (!std::all_of(news.changes.begin(), news.changes.end(), in_span)) {
+    problem = "a change beyond its revision";
+  }
+  if (problem == nullptr) return true;
+  LogEvent(Event::kFeedNewsRefused,
+           {{"feed", std::string(NameOf(options_.name))},
+            {"peer", message.from.value},
+            {"problem", problem}});
+  return false;
+}
+
+void StateFeed::OnMark(const FeedMark& mark) {
+  if (!HasRead(mark.revision)) return OnBehind(mark.revision);
+  ShownCurrent(mark.age);
+  TellFresh(mark.age);
+}
+
+void StateFeed::OnNews(const FeedNews& news) {
+  if (news.revision <= Known()) return OnMark({news.revision, news.age});
+  // The read that is under way shows all of it.
+  if (IsReader() && !has_items_) return;
+  if (news.only_notice || news.since > Known()) return OnBehind(news.revision);
+  ShownCurrent(news.age);
+  TakeChanges(news);
+  TellFresh(news.age);
+}
+
+// Of changes that two readers tell in different batches, some may be known.
+void StateFeed::TakeChanges(const FeedNews& news) {
+  const std::int64_t known = Known();
+  std::int64_t latest = 0;
+  for (const StoreChange& it : news.changes) {
+    if (it.item.revision <= known) continue;
+    latest = std::max(latest, it.item.revision);
+    OnChange(it);
+  }
+  follower_.SkipTo(news.revision, latest);
+  Settle();
+}
+
+void StateFeed::OnState(const FeedNews& news) {
+  if (news.revision <= Known()) return;
+  ShownCurrent(news.age);
+  std::vector<StoreItem> items;
+  std::int64_t latest = 0;
+  for (const StoreChange& it : news.changes) {
+    items.push_back(it.item);
+    latest = std::max(latest, it.item.revision);
+  }
+  follower_.SkipTo(news.revision, latest);
+  OnItems(items);
+  Settle();
+  TellFresh(news.age);
+}
+
+// It is shown that nothing had changed `age` ago that isn't known here, or is
+// handed out next.
+void StateFeed::ShownCurrent(Duration age) {
+  current_at_ = std::max(current_at_, context_.clock.Now() - age);
+  if (age <= kFreshAgain) SetLost(false);
+}
+
+// A reader has shown it, so this router needs no calls of its own.
+void StateFeed::TellFresh(Duration age) {
+  if (age <= kFreshAgain && Known() > 0) Apply(FeedEvent::kToldFresh);
+}
+
+std::optional<FeedMark> StateFeed::Mark() const {
+  if (!IsReader() || !has_items_) return std::nullopt;
+  return FeedMark{LatestKnown(), Age()};
+}
+
+// --- Readers -----------------------------------------------------------------
+
+// What has changed from the items that are kept to those that were read anew.
+std::vector<StoreChange> StateFeed::ChangesTo(
+    const std::vector<StoreItem>& items) const {
+  std::vector<StoreChange> out;
+  std::map<std::string, StoreItem> gone = items_;
+  for (const StoreItem& it : items) {
+    const auto known = items_.find(it.key);
+    const bool same =
+        known != items_.end() && known->second.revision == it.revision;
+    if (!same) out.push_back({it, false});
+    gone.erase(it.key);
+  }
+  for (const auto& [key, it] : gone) {
+    out.push_back({{key, "", Known()}, true});
+  }
+  return out;
+}
+
+void StateFeed::Keep(const StoreChange& change) {
+  if (change.removed) {
+    items_.erase(change.item.key);
+  } else {
+    items_[change.item.key] = change.item;
+  }
+  pending_.push_back(change);
+}
+
+void StateFeed::TellPending() {
+  const std::vector<StoreChange> changes = std::exchange(pending_, {});
+  if (changes.empty() || !IsReader()) return;
+  PeerMessage out;
+  out.kind = PeerMessageKind::kNews;
+  out.news.feed = options_.name;
+  out.news.since = told_up_to_;
+  out.news.revision = Known();
+  out.news.age = Age();
+  out.news.only_notice = BytesOf(changes) > kMostUnasked;
+  if (!out.news.only_notice) out.news.changes = changes;
+  links_.tell(std::move(out));
+}
+
+void StateFeed::SendState(const Incarnation& peer) {
+  if (!IsReader() || !has_items_) return;
+  PeerMessage out;
+  out.kind = PeerMessageKind::kState;
+  out.news.feed = options_.name;
+  out.news.revision = Known();
+  out.news.age = Age();
+  for (const auto& [key, it] : items_) out.news.changes.push_back({it, false});
+  links_.send(peer, std::move(out));
+}
+
+// --- Routers that are behind -------------------------------------------------
+
+void StateFeed::OnBehind(std::int64_t revision) {
+  behind_ = std::max(behind_, revision);
+  if (behind_timer_) return;
+  if (state() == FeedState::kTold) return AskReader();
+  behind_timer_ = context_.loop.After(kOwnWaitFirst, [this] {
+    behind_timer_.reset();
+    if (HasRead(behind_)) return;
+    follower_.AskAgain();
+    AskReader();
+  });
+}
+
+void StateFeed::AskReader() {
+  const std::vector<Incarnation> readers = links_.readers();
+  if (readers.empty()) return;
+  PeerMessage out;
+  out.kind = PeerMessageKind::kStateWanted;
+  out.news.feed = options_.name;
+  links_.send(readers[asked_++ % readers.size()], std::move(out));
+  behind_timer_ = context_.loop.After(kAskAgainAfter, [this] {
+    behind_timer_.reset();
+    if (!HasRead(behind_)) AskReader();
+  });
+}
+
+void StateFeed::AskAgain() {
+  if (state() != FeedState::kTold) follower_.AskAgain();
+}
+
+}  // namespace quaytrack
--- /dev/null
+++ b/relay/state_feed.h
@@ -0,0 +1,199 @@
+// StateFeed keeps one prefix of the store known to this router, with few calls
+// of the whole fleet.
+//
+//   StateFeed feed(context, options, handlers, links);
+//   feed.Start();
+//   feed.SetRole(fleet.IsReader(self), fleet.readers());
+//   feed.OnPeer(message);                  // each message of a peer
+//   feed.Check();                          // some times a second
+//   sign.marks[options.name] = *feed.Mark();
+//
+// In a small fleet each router follows the store itself (kv/follower.h). In a
+// larger one that costs a call of each router for every change, and one for
+// every wait that ends without: 295 routers made 11,000 to 30,000 calls in a
+// day of 48 s, most of them for this. So a few routers of each hall are its
+// **readers**. They are the holders of the hall (fleet/fleet.h), who follow
+// from the list of routers; nobody is appointed, and the links are there.
+// Readers follow the store and tell their hall and each other. The others make
+// no calls while they are told. The states are chart/charts/feed.json.
+//
+// The store stays the only truth. News carry the store's revisions, and take
+// effect only if they lead on from what is known here; whoever has missed some
+// asks a reader for all items. What is older than what is known is passed over,
+// whoever shows it, so nothing ever goes back.
+//
+// No rule depends on a reader's life. A router is told that nothing has
+// changed, as well as what has: each sign of life of a reader carries the age
+// of its knowledge (`FeedMark`), the least of what the store and the other
+// readers have shown it. A router that has not been shown for `kFreshFor` that
+// it is current calls the store itself from then on, until a reader is current
+// again. So a reader that is dead, frozen, cut off on either side or slow holds
+// nobody back for longer, and one that is behind turns nobody back. With the
+// call's own time a router that reaches the store knows each change after at
+// most kFreshFor + kFreshSpread + the interval of `Check`, about 2 s.
+//
+// What shows a reader that it is current: the store has answered, while a wait
+// for changes is under way that it would have answered before. Any call's
+// answer counts, as holders call the store all the time for the budgets. Where
+// they don't, readers end their waits often enough that together they ask about
+// once in `kAskEvery`, however many they are, so that the calls don't grow with
+// the fleet. A wait that was swallowed ends after `kLongestPatience`, and
+// sooner if another reader's sign of life shows a change.
+//
+// A store that is lost. Routers that are told take the lack of signs for a loss
+// of the store, and the first sign after it for its return, and report both as
+// a follower does; relay/target_follower.h depends on that.
+//
+// It owns the follower, what is known to be current, and at readers all items.
+// Loop, clock, store and chart must outlive it. News that can't be or come from
+// a router that isn't a reader change nothing and leave a line in the log. Lost
+// news are made up for by the next sign of life.
+
+#ifndef QUAYTRACK_RELAY_STATE_FEED_H_
+#define QUAYTRACK_RELAY_STATE_FEED_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "kv/follower.h"
+#include "net/loop.h"
+#include "relay/feed_chart.h"
+#include "relay/feed_news.h"
+#include "relay/peer_messages.h"
+
+namespace quaytrack {
+
+// How a feed reaches other routers. Not used in a small fleet.
+struct FeedLinks {
+  // Sends a message to one peer.
+  std::function<void(const Incarnation&, PeerMessage)> send;
+  // Sends a message to all that a reader tells: its hall and other readers.
+  std::function<void(PeerMessage)> tell;
+  // By this router's list of routers.
+  std::function<bool(const Incarnation&)> is_reader;
+  // Those that are linked, in the order in which this router asks them.
+  std::function<std::vector<Incarnation>()> readers;
+};
+
+// What the feeds of a process share.
+struct FeedContext {
+  Loop& loop;
+  const Clock& clock;
+  KvStore& store;
+  const FeedChart& chart;
+};
+
+class StateFeed {
+ public:
+  struct Options {
+    FeedName name = FeedName::kConfig;
+    StoreFollower::Options follower;
+  };
+  // As of a follower; `answered` is not used.
+  using Handlers = StoreFollower::Handlers;
+
+  StateFeed(const FeedContext& context, Options options, Handlers handlers,
+            FeedLinks links);
+
+  void Start() { follower_.Start(); }
+  // Whether this router is one of the fleet's `readers` readers.
+  void SetRole(bool is_reader, std::size_t readers);
+  void OnPeer(const PeerMessage& message);
+  // The store has answered some call of this router.
+  void OnStoreAnswered();
+  // Notices that nobody has shown for too long that this router is current.
+  void Check();
+  // There is reason to think that this router's call is lost, or that it is
+  // behind.
+  void AskAgain();
+
+  // What a reader says in a sign of life; nothing at others.
+  std::optional<FeedMark> Mark() const;
+  // As of the follower.
+  std::int64_t latest_change() const { return follower_.latest_change(); }
+  bool HasRead(std::int64_t revision) const {
+    return follower_.HasRead(revision);
+  }
+  FeedState state() const { return machine_.state(); }
+  // Since when this router is not known to be current.
+  Duration Age() const { return context_.clock.Now() - current_at_; }
+
+ private:
+  StoreFollower::Handlers FollowerHandlers();
+  void OnItems(const std::vector<StoreItem>& items);
+  void OnChange(const StoreChange& change);
+  void Settle();
+  // Every change up to this revision is known here.
+  std::int64_t Known() const { return follower_.revision(); }
+  // The latest change of which that can be said.
+  std::int64_t LatestKnown() const {
+    return std::min(Known(), follower_.latest_change());
+  }
+  bool IsReader() const { return state() == FeedState::kReader; }
+
+  void Apply(FeedEvent event);
+  void Do(FeedAction action);
+  void SetLost(bool lost);
+
+  bool IsSound(const PeerMessage& message) const;
+  void OnMark(const FeedMark& mark);
+  void OnNews(const FeedNews& news);
+  void OnState(const FeedNews& news);
+  void TakeChanges(const FeedNews& news);
+  void OnAnswered();
+  Duration NextPatience();
+  void ShownCurrent(Duration age);
+  void TellFresh(Duration age);
+
+  // Readers.
+  std::vector<StoreChange> ChangesTo(const std::vector<StoreItem>& items) const;
+  void Keep(const StoreChange& change);
+  void TellPending();
+  void SendState(const Incarnation& peer);
+
+  // Routers that are behind.
+  void OnBehind(std::int64_t revision);
+  void AskReader();
+
+  FeedContext context_;
+  Options options_;
+  Handlers on_;
+  FeedLinks links_;
+  StoreFollower follower_;
+  ChartMachine<FeedState, FeedEvent, FeedAction> machine_;
+  // Nothing had changed by then that isn't known here.
+  Instant current_at_;
+  std::minstd_rand random_{std::random_device{}()};
+  // How long this router does without a sign.
+  Duration patience_;
+  // Of the fleet, at a reader.
+  std::size_t readers_ = 0;
+  // When the store last answered a call of another part.
+  Instant store_answered_at_{};
+  bool lost_ = false;
+
+  // At a reader, all items there are, once they were read.
+  bool has_items_ = false;
+  std::map<std::string, StoreItem> items_;
+  // Changes after `told_up_to_`, of which the hall isn't told yet.
+  std::vector<StoreChange> pending_;
+  std::int64_t told_up_to_ = 0;
+
+  // The latest change that a peer is known to have.
+  std::int64_t behind_ = 0;
+  // Which of the linked readers is asked next.
+  std::size_t asked_ = 0;
+  std::unique_ptr<Timer> behind_timer_;
+};
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_RELAY_STATE_FEED_H_
--- a/relay/target_follower.cc
+++ b/relay/target_follower.cc
@@ -34,16 +34,17 @@
 
 }  // namespace
 
-TargetFollower::TargetFollower(Loop& loop, KvStore& store,
+TargetFollower::TargetFollower(const FeedContext& context,
                                const SharedStateReader& reader,
                                Handlers handlers)
-    : loop_(loop),
+    : loop_(context.loop),
       reader_(reader),
       on_(std::move(handlers)),
-      follower_(loop, store, FollowerOptions(reader), StoreHandlers()) {}
+      feed_(context, {FeedName::kTargets, FollowerOptions(reader)},
+            StoreHandlers(), on_.feed) {}
 
-StoreFollower::Handlers TargetFollower::StoreHandlers() {
-  StoreFollower::Handlers on;
+StateFeed::Handlers TargetFollower::StoreHandlers() {
+  StateFeed::Handlers on;
   on.replaced = [this](const std::vector<StoreItem>& items) { Replace(items); };
   on.changed = [this](const StoreChange& it) {
     if (it.removed) return Remove(reader_.TargetOf(it.item.key));
@@ -87,11 +88,16 @@
   LogEvent(Event::kTargetGone, {{"target", name.value}});
 }
 
+void TargetFollower::OnPeer(const PeerMessage& message) {
+  feed_.OnPeer(message);
+  OnPeerRevision(message.targets_revision);
+}
+
 void TargetFollower::OnPeerRevision(std::int64_t revision) {
-  if (behind_timer_ || follower_.HasRead(revision)) return;
+  if (behind_timer_ || feed_.HasRead(revision)) return;
   behind_timer_ = loop_.After(kOwnWaitFirst, [this, revision] {
     behind_timer_.reset();
-    if (!follower_.HasRead(revision)) follower_.AskAgain();
+    if (!feed_.HasRead(revision)) feed_.AskAgain();
   });
 }
 
@@ -104,7 +110,7 @@
     return;
   }
   // What waited through the outage may never be answered.
-  follower_.AskAgain();
+  feed_.AskAgain();
   StopKeepingLater();
 }
 
--- a/relay/target_follower.h
+++ b/relay/target_follower.h
@@ -4,14 +4,16 @@
 //   TargetFollower targets(loop, store, reader, handlers);
 //   targets.Start();
 //   targets.OnStoreReachable(false);        // from every user of the store
-//   targets.OnPeerRevision(revision);       // from each peer's sign of life
+//   targets.OnPeer(message);                // each message of a peer
 //   placement.SetTargets(targets.registry().entries());
 //
 // The list is the store's alone, since only the store knows which entries have
-// lapsed; peers don't send it. They say the revision of the latest change that
-// they know. A router that has not read that far gives its own wait a moment
-// (relay/own_wait.h) and then asks the store again, because a wait that the
-// network or the store has swallowed is not answered.
+// lapsed. In a large fleet readers pass it on as the store has it, with its
+// revisions (relay/state_feed.h). Otherwise peers don't send it, but say the
+// revision of the latest change that they know. A router that has not read that
+// far gives its own wait a moment (relay/own_wait.h) and then asks the store
+// again, because a wait that the network or the store has swallowed is not
+// answered.
 //
 // Entries kept through an outage. While the store is away a target's entry may
 // lapse although the target lives; the target enters itself again soon after
@@ -46,9 +48,9 @@
 #include <vector>
 
 #include "fleet/target_registry.h"
-#include "kv/follower.h"
 #include "net/loop.h"
 #include "relay/dialect.h"
+#include "relay/state_feed.h"
 
 namespace quaytrack {
 
@@ -60,23 +62,28 @@
     // This follower has lost the store (false) or has it back (true). The
     // receiver tells all who need to know, this follower included.
     std::function<void(bool)> store_reachable;
+    // What the feed needs of the fleet; unused in a small one.
+    FeedLinks feed = {};
   };
 
-  TargetFollower(Loop& loop, KvStore& store, const SharedStateReader& reader,
+  TargetFollower(const FeedContext& context, const SharedStateReader& reader,
                  Handlers handlers);
 
-  void Start() { follower_.Start(); }
+  void Start() { feed_.Start(); }
+  void OnPeer(const PeerMessage& message);
   // Some user of the store has lost it (false) or has it back (true).
   void OnStoreReachable(bool reachable);
-  // A peer knows a change of the list at this revision of the store.
-  void OnPeerRevision(std::int64_t revision);
 
   const TargetRegistry& registry() const { return registry_; }
   // Revision of the latest change that is in the list, for peers.
-  std::int64_t revision() const { return follower_.latest_change(); }
+  std::int64_t revision() const { return feed_.latest_change(); }
+  StateFeed& feed() { return feed_; }
+  const StateFeed& feed() const { return feed_; }
 
  private:
-  StoreFollower::Handlers StoreHandlers();
+  StateFeed::Handlers StoreHandlers();
+  // A peer knows a change of the list at this revision of the store.
+  void OnPeerRevision(std::int64_t revision);
   void Replace(const std::vector<StoreItem>& items);
   void Take(const StoreItem& item);
   void Remove(const TargetName& name);
@@ -88,7 +95,7 @@
   const SharedStateReader& reader_;
   Handlers on_;
   TargetRegistry registry_;
-  StoreFollower follower_;
+  StateFeed feed_;
   // Runs while a change that a peer knows is awaited.
   std::unique_ptr<Timer> behind_timer_;
   // Runs from the store's return until keeping ends.
--- a/relay/testing/budgets_test.cc
+++ b/relay/testing/budgets_test.cc
@@ -164,7 +164,7 @@
 
 struct Fixture {
   Fixture() : Fixture(FleetOptions()) {}
-  explicit Fixture(FleetOptions options)
+  explicit Fixture(FleetOptions options, bool knows_fleet = true)
       : fleet({VmName("vm1"), HallName("a"), "h:1"}, options),
         budgets(loop, clock, store, fleet, {kSelf, "boot", clock.Now()},
                 PrepaidPolicy()) {
@@ -180,6 +180,7 @@
     };
     on.store_reachable = [this](bool it) { reachable.push_back(it); };
     budgets.SetHandlers(on);
+    if (knows_fleet) fleet.MarkRead();
     PrepaidRecord record;
     record.members.insert(kPeer);
     store.Put(kRecordKey, EncodePrepaid(record));
@@ -739,6 +740,59 @@
   BOOST_TEST(store.writes == 0U);
 }
 
+// A router of a large fleet that has just started under traffic.
+struct EarlyFixture : Fixture {
+  EarlyFixture() : Fixture(FleetOptions(), false) {
+    Configure();
+    budgets.Start();
+  }
+  void ReadFleet() {
+    std::vector<FleetMember> members;
+    for (int n = 2; n < 100; ++n) {
+      const std::string name = "vm" + std::to_string(n);
+      members.push_back({VmName(name), HallName("a"), "h:2"});
+    }
+    fleet.Put(members);
+    fleet.MarkRead();
+    budgets.OnFleetRead();
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(WhoHasNotReadTheListOfRoutersKeepsNoBudgets,
+                        EarlyFixture) {
+  const WaiterPtr it = Make("r", 1000);
+  BOOST_TEST((budgets.Hold(it) == PrepaidVerdict::kShort));
+  budgets.TakePartIfHolder();
+  RunSome();
+  BOOST_TEST(!budgets.ledger().KeepsGrants());
+  BOOST_TEST(store.writes == 0U);
+  BOOST_TEST(it->answers() == 0);
+  ReadFleet();
+  BOOST_REQUIRE(!fleet.IsHolder(VmName("vm1")));
+  BOOST_TEST(ToldOf(PeerMessageKind::kHoldWanted).size() == 1U);
+  BOOST_TEST(!budgets.ledger().KeepsGrants());
+}
+
+BOOST_FIXTURE_TEST_CASE(WithoutAListOfRoutersARequestIsRefusedSoon,
+                        EarlyFixture) {
+  const WaiterPtr it = Make("r", 1000);
+  BOOST_TEST((budgets.Hold(it) == PrepaidVerdict::kShort));
+  BOOST_TEST(Answered(*it));
+  BOOST_TEST(it->refused == 1);
+  BOOST_TEST(!it->was_exhausted);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnEarlyRequestThatIsForgottenIsNotAnswered,
+                        EarlyFixture) {
+  const WaiterPtr it = Make("r", 1000);
+  BOOST_TEST((budgets.Hold(it) == PrepaidVerdict::kShort));
+  budgets.Forget(it);
+  ReadFleet();
+  RunSome();
+  BOOST_TEST(it->answers() == 0);
+  BOOST_TEST(ToldOf(PeerMessageKind::kHoldWanted).empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(AHoldersNoIsPassedOn, AskerFixture) {
   const WaiterPtr it = Make("r", 1000);
   BOOST_TEST((budgets.Hold(it) == PrepaidVerdict::kShort));
--- a/relay/testing/config_follower_test.cc
+++ b/relay/testing/config_follower_test.cc
@@ -7,6 +7,7 @@
 
 #include "kv/testing/scripted_store.h"
 #include "relay/testing/plain_state_reader.h"
+#include "relay/testing/the_feed_chart.h"
 
 namespace quaytrack {
 namespace {
@@ -19,7 +20,7 @@
 
 struct Fixture {
   Fixture()
-      : follower(loop, store, reader,
+      : follower({loop, clock, store, TheFeedChart()}, reader,
                  {[this] { ++taken; },
                   [this](const Incarnation& to, const PeerMessage& it) {
                     BOOST_TEST((to == kPeer));
@@ -59,6 +60,7 @@
     follower.OnPeer(it);
   }
 
+  const SystemClock clock;
   Loop loop;
   ScriptedStore store;
   PlainStateReader reader;
--- /dev/null
+++ b/relay/testing/feed_fleet.h
@@ -0,0 +1,306 @@
+// Feeds of one prefix over a store in memory, with messages that the test
+// carries: for tests of what routers tell each other of the store.
+//
+//   FeedFleet fleet;
+//   FeedNode& reader = fleet.Add("r1", /*is_reader=*/true);
+//   FeedNode& other = fleet.Add("vm-1", false);
+//   fleet.store.Put("t/a", "1");      // answers open waits
+//   fleet.Turn();                     // the loop, until nothing more is due
+//   fleet.DeliverAll();
+//   fleet.BroadcastSigns();
+//   BOOST_TEST(other.items == fleet.store.ItemsAt(fleet.store.revision()));
+//
+// Time is the test's (`clock.now`), but for pauses between calls, which are
+// none (`spacing`) or real.
+
+#ifndef QUAYTRACK_RELAY_TESTING_FEED_FLEET_H_
+#define QUAYTRACK_RELAY_TESTING_FEED_FLEET_H_
+
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "relay/state_feed.h"
+#include "relay/testing/the_feed_chart.h"
+#include "testing/run_for.h"
+
+namespace quaytrack {
+
+class FeedClock final : public Clock {
+ public:
+  Instant Now() const override { return now; }
+  WallTime WallNow() const override { return {}; }
+  Instant now = Instant(std::chrono::hours(1));
+};
+
+using FeedItems = std::map<std::string, std::string>;
+
+// A store of one prefix that keeps all of its history.
+class HistoryStore {
+ public:
+  void Put(const std::string& key, const std::string& value) {
+    history_.push_back({{key, value, ++revision_}, false});
+  }
+  void Remove(const std::string& key) {
+    history_.push_back({{key, "", ++revision_}, true});
+  }
+  std::int64_t revision() const { return revision_; }
+
+  FeedItems ItemsAt(std::int64_t revision) const {
+    FeedItems out;
+    for (const StoreItem& it : SnapshotAt(revision)) out[it.key] = it.value;
+    return out;
+  }
+  std::vector<StoreItem> SnapshotAt(std::int64_t revision) const {
+    std::map<std::string, StoreItem> items;
+    for (const StoreChange& it : history_) {
+      if (it.item.revision > revision) break;
+      items.erase(it.item.key);
+      if (!it.removed) items[it.item.key] = it.item;
+    }
+    std::vector<StoreItem> out;
+    for (const auto& [key, it] : items) out.push_back(it);
+    return out;
+  }
+  // After one revision and up to another. Of an item that changed twice only
+  // the later change is shown, as the store does.
+  std::vector<StoreChange> Changes(std::int64_t after, std::int64_t to) const {
+    std::map<std::string, StoreChange> latest;
+    for (const StoreChange& it : history_) {
+      const bool in = it.item.revision > after && it.item.revision <= to;
+      if (in) latest[it.item.key] = it;
+    }
+    std::vector<StoreChange> out;
+    for (const auto& [key, it] : latest) out.push_back(it);
+    return out;
+  }
+
+ private:
+  std::vector<StoreChange> history_;
+  std::int64_t revision_ = 0;
+};
+
+// One router's connection to the store.
+class HistoryClient final : public KvStore {
+ public:
+  HistoryClient(Loop& loop, HistoryStore& store) : loop_(loop), store_(store) {}
+
+  CallPtr Range(const std::string&,
+                std::function<void(const StoreSnapshot&)> done) override {
+    ++calls_;
+    const auto call = std::make_shared<Open>();
+    if (!cut) {
+      Post(call, [this, done] {
+        done({StoreEnd::kDone, store_.revision(),
+              store_.SnapshotAt(store_.revision())});
+      });
+    }
+    return std::make_unique<Handle>(call);
+  }
+  CallPtr Write(const StoreWrite&,
+                std::function<void(const StoreWritten&)>) override {
+    return nullptr;
+  }
+  CallPtr Wait(const std::string&, std::int64_t after, Duration,
+               std::function<void(const StoreChanges&)> done) override {
+    ++calls_;
+    wait_ = std::make_shared<Open>();
+    wait_->after = after;
+    wait_->done = std::move(done);
+    auto out = std::make_unique<Handle>(wait_);
+    AnswerWait();
+    return out;
+  }
+  std::uint64_t calls() const override { return calls_; }
+
+  // Answers the open wait, if there are changes for it.
+  void AnswerWait() {
+    if (!waits() || cut || store_.revision() <= wait_->after) return;
+    const auto call = std::exchange(wait_, nullptr);
+    const StoreChanges out{StoreEnd::kDone, false, store_.revision(),
+                           store_.Changes(call->after, store_.revision())};
+    Post(call, [call, out] { call->done(out); });
+  }
+  bool waits() const { return wait_ && !wait_->dropped; }
+
+  // Calls are neither answered nor refused.
+  bool cut = false;
+
+ private:
+  struct Open {
+    std::int64_t after = 0;
+    std::function<void(const StoreChanges&)> done;
+    bool dropped = false;
+  };
+  struct Handle final : Call {
+    explicit Handle(std::shared_ptr<Open> it) : open(std::move(it)) {}
+    ~Handle() override { open->dropped = true; }
+    std::shared_ptr<Open> open;
+  };
+  void Post(std::shared_ptr<Open> call, std::function<void()> run) {
+    loop_.Post([call = std::move(call), run = std::move(run)] {
+      if (!call->dropped) run();
+    });
+  }
+
+  Loop& loop_;
+  HistoryStore& store_;
+  std::uint64_t calls_ = 0;
+  std::shared_ptr<Open> wait_;
+};
+
+struct FeedFleet;
+
+// A router, as far as its feed goes.
+struct FeedNode {
+  FeedNode(FeedFleet& in_fleet, const std::string& vm, const std::string& hall);
+
+  StateFeed::Handlers Handlers();
+  FeedLinks Links();
+
+  FeedFleet& fleet;
+  Incarnation self;
+  std::string hall;
+  bool is_reader = false;
+  FeedItems items;
+  // What was told of the store: lost (false) and back (true).
+  std::vector<bool> reachable;
+  HistoryClient client;
+  StateFeed feed;
+};
+
+struct FeedFleet {
+  struct Sent {
+    Incarnation to;
+    PeerMessage message;
+  };
+
+  FeedNode& Add(const std::string& vm, bool is_reader,
+                const std::string& hall = "hall") {
+    nodes.push_back(std::make_unique<FeedNode>(*this, vm, hall));
+    nodes.back()->is_reader = is_reader;
+    return *nodes.back();
+  }
+  void StartAll() {
+    for (auto& it : nodes) it->feed.Start();
+    SetRoles();
+    Turn();
+  }
+  void SetRoles() {
+    std::size_t readers = 0;
+    for (auto& it : nodes) readers += it->is_reader ? 1 : 0;
+    for (auto& it : nodes) it->feed.SetRole(it->is_reader, readers);
+  }
+  void Turn() { RunFor(loop, std::chrono::milliseconds(2)); }
+  // The store's changes reach those that wait, and what they say everybody.
+  void Spread() {
+    for (auto& it : nodes) it->client.AnswerWait();
+    Turn();
+    DeliverAll();
+    Turn();
+  }
+  FeedNode* Find(const Incarnation& it) {
+    for (auto& node : nodes) {
+      if (node->self == it) return node.get();
+    }
+    return nullptr;
+  }
+  void Deliver(const Sent& it) {
+    if (FeedNode* node = Find(it.to)) node->feed.OnPeer(it.message);
+  }
+  void DeliverAll() {
+    while (!sent.empty()) {
+      const Sent it = sent.front();
+      sent.pop_front();
+      ++delivered;
+      Deliver(it);
+    }
+  }
+  // Each reader's sign of life to all.
+  void BroadcastSigns() {
+    for (auto& from : nodes) {
+      const auto mark = from->feed.Mark();
+      if (!mark) continue;
+      PeerMessage it;
+      it.from = from->self;
+      it.marks[FeedName::kTargets] = *mark;
+      for (auto& to : nodes) {
+        if (to != from) sent.push_back({to->self, it});
+      }
+    }
+    DeliverAll();
+  }
+  std::uint64_t Calls() const {
+    std::uint64_t out = 0;
+    for (const auto& it : nodes) out += it->client.calls();
+    return out;
+  }
+
+  FeedClock clock;
+  Loop loop;
+  HistoryStore store;
+  std::vector<std::unique_ptr<FeedNode>> nodes;
+  std::list<Sent> sent;
+  int delivered = 0;
+};
+
+inline FeedNode::FeedNode(FeedFleet& in_fleet, const std::string& vm,
+                          const std::string& in_hall)
+    : fleet(in_fleet),
+      self(vm + "@1"),
+      hall(in_hall),
+      client(in_fleet.loop, in_fleet.store),
+      feed({in_fleet.loop, in_fleet.clock, client, TheFeedChart()},
+           {FeedName::kTargets,
+            {.prefix = "t/", .spacing = std::chrono::milliseconds(0)}},
+           Handlers(), Links()) {}
+
+inline StateFeed::Handlers FeedNode::Handlers() {
+  StateFeed::Handlers on;
+  on.replaced = [this](const std::vector<StoreItem>& all) {
+    items.clear();
+    for (const StoreItem& it : all) items[it.key] = it.value;
+  };
+  on.changed = [this](const StoreChange& it) {
+    items.erase(it.item.key);
+    if (!it.removed) items[it.item.key] = it.item.value;
+  };
+  on.settled = [] {};
+  on.reachable = [this](bool it) { reachable.push_back(it); };
+  return on;
+}
+
+inline FeedLinks FeedNode::Links() {
+  FeedLinks out;
+  out.send = [this](const Incarnation& to, PeerMessage it) {
+    it.from = self;
+    fleet.sent.push_back({to, it});
+  };
+  out.tell = [this](PeerMessage it) {
+    it.from = self;
+    for (auto& node : fleet.nodes) {
+      const bool told = node->hall == hall || node->is_reader;
+      if (told && node->self != self) fleet.sent.push_back({node->self, it});
+    }
+  };
+  out.is_reader = [this](const Incarnation& it) {
+    const FeedNode* node = fleet.Find(it);
+    return node != nullptr && node->is_reader;
+  };
+  out.readers = [this] {
+    std::vector<Incarnation> all;
+    for (auto& node : fleet.nodes) {
+      if (node->is_reader && node->self != self) all.push_back(node->self);
+    }
+    return all;
+  };
+  return out;
+}
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_RELAY_TESTING_FEED_FLEET_H_
--- /dev/null
+++ b/relay/testing/feed_property_test.cc
@@ -0,0 +1,174 @@
+// Random histories of a store, told by readers whose messages are lost,
+// repeated and reordered, and the calls that a fleet makes.
+//
+// The rule: what a router has is at all times what the store had at one
+// revision, and that revision never goes back.
+
+#include <rapidcheck.h>
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+#include "relay/testing/feed_fleet.h"
+
+namespace quaytrack {
+namespace {
+
+using std::chrono::milliseconds;
+
+// One router that never reaches the store, and readers that tell it in batches
+// of their own.
+class World {
+ public:
+  explicit World(std::uint32_t seed)
+      : random_(seed), router_(fleet_.Add("router", false)) {
+    router_.client.cut = true;
+    for (int n = 0; n < kReaders; ++n) {
+      fleet_.Add("reader" + std::to_string(n), true);
+    }
+    router_.feed.Start();
+  }
+
+  void Run() {
+    for (int n = 0; n < kSteps; ++n) Step();
+    Deliver(Whole(0));
+    RC_ASSERT(Known() == fleet_.store.revision());
+  }
+
+ private:
+  static constexpr int kReaders = 3;
+  static constexpr int kSteps = 60;
+  static constexpr int kKeys = 5;
+
+  int Draw(int n) {
+    return static_cast<int>(random_() % static_cast<std::uint32_t>(n));
+  }
+
+  void Step() {
+    switch (Draw(8)) {
+      case 0:
+      case 1:
+        return Change();
+      case 2:
+      case 3:
+        return messages_.push_back(Batch(Draw(kReaders)));
+      case 4:
+        return messages_.push_back(Whole(Draw(kReaders)));
+      case 5:
+        return messages_.push_back(Notice(Draw(kReaders)));
+      default:
+        // Any message, at any time, any number of times; some never.
+        if (!messages_.empty()) {
+          Deliver(messages_[static_cast<std::size_t>(
+              Draw(static_cast<int>(messages_.size())))]);
+        }
+    }
+  }
+
+  void Change() {
+    const std::string key = "t/" + std::to_string(Draw(kKeys));
+    const bool there = fleet_.store.ItemsAt(fleet_.store.revision()).count(key);
+    if (there && Draw(3) == 0) return fleet_.store.Remove(key);
+    fleet_.store.Put(key, std::to_string(fleet_.store.revision()));
+  }
+
+  PeerMessage From(int reader, PeerMessageKind kind) {
+    PeerMessage out;
+    out.kind = kind;
+    out.from = fleet_.nodes[static_cast<std::size_t>(reader) + 1]->self;
+    out.news.feed = FeedName::kTargets;
+    return out;
+  }
+  // What the reader sees next, which may be many changes at once.
+  PeerMessage Batch(int reader) {
+    std::int64_t& at = read_[static_cast<std::size_t>(reader)];
+    PeerMessage out = From(reader, PeerMessageKind::kNews);
+    out.news.since = at;
+    at = std::min<std::int64_t>(at + 1 + Draw(4), fleet_.store.revision());
+    out.news.revision = at;
+    out.news.changes = fleet_.store.Changes(out.news.since, at);
+    return out;
+  }
+  PeerMessage Whole(int reader) {
+    PeerMessage out = From(reader, PeerMessageKind::kState);
+    out.news.revision = fleet_.store.revision();
+    for (const StoreItem& it : fleet_.store.SnapshotAt(out.news.revision)) {
+      out.news.changes.push_back({it, false});
+    }
+    return out;
+  }
+  PeerMessage Notice(int reader) {
+    PeerMessage out = Batch(reader);
+    out.news.only_notice = true;
+    out.news.changes.clear();
+    return out;
+  }
+
+  std::int64_t Known() const {
+    std::int64_t out = 0;
+    while (router_.feed.HasRead(out + 1) && out < fleet_.store.revision()) {
+      ++out;
+    }
+    return out;
+  }
+
+  void Deliver(const PeerMessage& it) {
+    const std::int64_t before = Known();
+    router_.feed.OnPeer(it);
+    RC_ASSERT(Known() >= before);
+    RC_ASSERT(router_.items == fleet_.store.ItemsAt(Known()));
+  }
+
+  std::mt19937 random_;
+  FeedFleet fleet_;
+  FeedNode& router_;
+  std::vector<PeerMessage> messages_;
+  std::array<std::int64_t, kReaders> read_{};
+};
+
+BOOST_AUTO_TEST_CASE(WhatIsKnownIsTheStoresAndNeverGoesBack) {
+  BOOST_TEST(rc::check("items == store at a rising revision",
+                       [](std::uint32_t seed) { World(seed).Run(); }));
+}
+
+// Engines are replaced one after the other while all routers are up: each
+// change was a call of every router, which at 295 routers and 60 changes made
+// some 18,000 calls. Two halls' worth of figures, three readers a hall as in
+// fleet/fleet.h; the numbers of routers are those of deployments in use.
+std::uint64_t CallsOfARelease(int routers) {
+  constexpr int kHalls = 5;
+  constexpr int kReadersOfAHall = 3;
+  constexpr int kChanges = 20;
+  FeedFleet fleet;
+  for (int n = 0; n < routers; ++n) {
+    const bool reads = n < kHalls * kReadersOfAHall;
+    fleet.Add("vm" + std::to_string(n), reads,
+              "hall" + std::to_string(n % kHalls));
+  }
+  fleet.store.Put("t/0", "ready");
+  fleet.StartAll();
+  fleet.BroadcastSigns();
+  const std::uint64_t before = fleet.Calls();
+  for (int n = 0; n < kChanges; ++n) {
+    fleet.store.Put("t/" + std::to_string(n), "leaving");
+    fleet.clock.now += milliseconds(900);
+    fleet.Spread();
+    fleet.BroadcastSigns();
+    for (auto& it : fleet.nodes) it->feed.Check();
+  }
+  for (auto& it : fleet.nodes) {
+    BOOST_TEST((it->items == fleet.store.ItemsAt(fleet.store.revision())));
+  }
+  return fleet.Calls() - before;
+}
+
+BOOST_AUTO_TEST_CASE(CallsForChangesDontGrowWithTheFleet) {
+  const std::uint64_t small = CallsOfARelease(30);
+  BOOST_TEST(CallsOfARelease(86) <= small + 15);
+  BOOST_TEST(CallsOfARelease(295) <= small + 15);
+  // A call of each reader for a change, and the waits after them.
+  BOOST_TEST(small <= 20U * 15U * 2U);
+}
+
+}  // namespace
+}  // namespace quaytrack
--- a/relay/testing/fleet_driver_test.cc
+++ b/relay/testing/fleet_driver_test.cc
@@ -16,6 +16,8 @@
 // list is read for the second time.
 constexpr Duration kRetried = milliseconds(550);
 constexpr Duration kReadAgain = milliseconds(1900);
+// Beyond the pause before the list is read for its number.
+constexpr Duration kCountRead = milliseconds(700);
 
 FleetMember Member(const char* vm) {
   return {VmName(vm), HallName("h"), std::string(vm) + ":1"};
@@ -85,6 +87,38 @@
   BOOST_TEST(changes == 1);
 }
 
+BOOST_FIXTURE_TEST_CASE(TheFirstReadIsTold, Fixture) {
+  int reads = 0;
+  driver.OnFirstRead([&] { ++reads; });
+  AnswerWrite(StoreEnd::kDone);
+  BOOST_TEST(!driver.directory().IsRead());
+  BOOST_TEST(AnswerRead(StoreEnd::kDone, {}));
+  BOOST_TEST(driver.directory().IsRead());
+  RunFor(loop, kReadAgain);
+  BOOST_TEST(AnswerRead(StoreEnd::kDone, {}));
+  BOOST_TEST(reads == 1);
+}
+
+// Whoever is told how many routers there are reads the list only where it knows
+// another number.
+BOOST_FIXTURE_TEST_CASE(AnotherNumberOfRoutersIsReadUp, Fixture) {
+  AnswerWrite(StoreEnd::kDone);
+  AnswerRead(StoreEnd::kDone, {Member("vm-2")});
+  RunFor(loop, kReadAgain);
+  AnswerRead(StoreEnd::kDone, {Member("vm-2")});
+  BOOST_REQUIRE(driver.settled());
+  const auto reads = store.ranges.started;
+  driver.OnReaderCounts(2);
+  RunFor(loop, kCountRead);
+  BOOST_TEST(store.ranges.started == reads);
+  driver.OnReaderCounts(3);
+  driver.OnReaderCounts(3);
+  RunFor(loop, kCountRead);
+  BOOST_TEST(store.ranges.started == reads + 1);
+  AnswerRead(StoreEnd::kDone, {Member("vm-2"), Member("vm-3")});
+  BOOST_TEST(driver.directory().size() == 3U);
+}
+
 BOOST_FIXTURE_TEST_CASE(TheOwnEntryOfAnEarlierRunChangesNothing, Fixture) {
   AnswerWrite(StoreEnd::kDone);
   FleetMember earlier = Member("vm-1");
--- a/relay/testing/peer_messages_test.cc
+++ b/relay/testing/peer_messages_test.cc
@@ -44,6 +44,45 @@
         R"({"kind": "ping", "from": "vm1@1"})");
 }
 
+BOOST_AUTO_TEST_CASE(MessagesAboutTheStoreKeepTheirForm) {
+  PeerMessage sign = Message(PeerMessageKind::kPing);
+  sign.marks[FeedName::kTargets] = {12, std::chrono::microseconds(300'100)};
+  sign.routers = 295;
+  Check(sign, R"({"kind": "ping", "from": "vm1@1", "routers": 295,
+                  "marks": {"targets": [12, 301]}})");
+  PeerMessage it = Message(PeerMessageKind::kNews);
+  it.news.feed = FeedName::kTargets;
+  it.news.since = 10;
+  it.news.revision = 13;
+  it.news.changes = {{{"t/1", "v", 12}, false}, {{"t/2", "", 13}, true}};
+  Check(it, R"({"kind": "news", "from": "vm1@1", "news":
+                {"feed": "targets", "since": 10, "revision": 13, "age": 0,
+                 "notice": false,
+                 "changes": [["t/1", 12, "v"], ["t/2", 13]]}})");
+  Check(Message(PeerMessageKind::kStateWanted),
+        R"({"kind": "state_wanted", "from": "vm1@1", "news":
+            {"feed": "config", "since": 0, "revision": 0, "age": 0,
+             "notice": false, "changes": []}})");
+}
+
+BOOST_AUTO_TEST_CASE(NewsThatCantBeReadAreNoMessage) {
+  for (const char* it : {
+           R"({"kind": "news", "from": "a"})",
+           R"({"kind": "news", "from": "a", "news": {"feed": "moon"}})",
+           R"({"kind": "news", "from": "a", "news": 7})",
+           R"({"kind": "news", "from": "a", "news": {"feed": "config",
+               "since": "0", "revision": 1, "age": 0, "notice": false,
+               "changes": []}})",
+           R"({"kind": "news", "from": "a", "news": {"feed": "config",
+               "since": 0, "revision": 1, "age": 0, "notice": false,
+               "changes": [["k"]]}})",
+           R"({"kind": "ping", "from": "a", "marks": {"config": [1]}})",
+           R"({"kind": "ping", "from": "a", "marks": {"config": 1}})",
+       }) {
+    BOOST_TEST(!DecodePeerMessage(ToCbor(Json::parse(it))).has_value());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(MessagesAboutGrantsKeepTheirForm) {
   PeerMessage it = Message(PeerMessageKind::kTransferWanted);
   it.customer = CustomerName("clinic");
--- /dev/null
+++ b/relay/testing/state_feed_test.cc
@@ -0,0 +1,291 @@
+// How routers of a large fleet are told what the store has, and when they ask
+// it themselves.
+
+#include "relay/state_feed.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "relay/testing/feed_fleet.h"
+
+namespace quaytrack {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Beyond the longest time that a router does without a sign.
+constexpr Duration kStaleAfter = milliseconds(1900);
+// Beyond the time after which a reader is asked again.
+constexpr Duration kAskedAgain = milliseconds(450);
+
+// Two readers, a and b, and a router that is told.
+struct Fixture {
+  Fixture()
+      : a(fleet.Add("a", true)),
+        b(fleet.Add("b", true)),
+        told(fleet.Add("told", false)) {
+    fleet.store.Put("t/1", "one");
+    fleet.store.Put("t/2", "two");
+    fleet.StartAll();
+    fleet.BroadcastSigns();
+  }
+
+  FeedItems Now() const { return fleet.store.ItemsAt(fleet.store.revision()); }
+  PeerMessage News(std::int64_t since, std::int64_t revision) const {
+    PeerMessage out;
+    out.kind = PeerMessageKind::kNews;
+    out.from = a.self;
+    out.news.feed = FeedName::kTargets;
+    out.news.since = since;
+    out.news.revision = revision;
+    out.news.changes = fleet.store.Changes(since, revision);
+    return out;
+  }
+  // Time without any sign.
+  void Silence(Duration time) {
+    fleet.clock.now += time;
+    for (auto& it : fleet.nodes) it->feed.Check();
+    fleet.Turn();
+  }
+
+  FeedFleet fleet;
+  FeedNode& a;
+  FeedNode& b;
+  FeedNode& told;
+};
+
+BOOST_AUTO_TEST_CASE(WithoutReadersARouterFollowsTheStoreItself) {
+  FeedFleet fleet;
+  FeedNode& it = fleet.Add("vm", false);
+  fleet.store.Put("t/1", "one");
+  fleet.StartAll();
+  fleet.clock.now += kStaleAfter;
+  it.feed.Check();
+  fleet.store.Put("t/2", "two");
+  fleet.Spread();
+  BOOST_TEST((it.feed.state() == FeedState::kReading));
+  BOOST_TEST(it.items.size() == 2U);
+  BOOST_TEST(!it.feed.Mark().has_value());
+  BOOST_TEST(it.reachable.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(ASignOfACurrentReaderEndsARoutersOwnCalls, Fixture) {
+  BOOST_TEST((told.feed.state() == FeedState::kTold));
+  BOOST_TEST(!told.client.waits());
+  BOOST_TEST(a.client.waits());
+  BOOST_TEST((told.items == Now()));
+}
+
+BOOST_FIXTURE_TEST_CASE(ChangesReachThoseThatAreTold, Fixture) {
+  const auto calls = told.client.calls();
+  fleet.store.Put("t/3", "three");
+  fleet.store.Remove("t/1");
+  fleet.Spread();
+  BOOST_TEST((told.items == Now()));
+  BOOST_TEST(told.client.calls() == calls);
+}
+
+BOOST_FIXTURE_TEST_CASE(WhoHasMissedChangesAsksForAllItems, Fixture) {
+  fleet.store.Put("t/3", "three");
+  a.client.AnswerWait();
+  b.client.AnswerWait();
+  fleet.Turn();
+  fleet.sent.clear();
+  fleet.store.Put("t/4", "four");
+  fleet.Spread();
+  BOOST_TEST((told.items == Now()));
+  BOOST_TEST((told.feed.state() == FeedState::kTold));
+}
+
+BOOST_FIXTURE_TEST_CASE(ALostAnswerIsAskedForAgainElsewhere, Fixture) {
+  fleet.store.Put("t/3", "three");
+  a.client.AnswerWait();
+  fleet.Turn();
+  fleet.sent.clear();
+  PeerMessage sign;
+  sign.from = a.self;
+  sign.marks[FeedName::kTargets] = {3, {}};
+  told.feed.OnPeer(sign);
+  BOOST_REQUIRE(fleet.sent.size() == 1U);
+  const Incarnation first = fleet.sent.front().to;
+  fleet.sent.clear();
+  RunFor(fleet.loop, kAskedAgain);
+  BOOST_REQUIRE(fleet.sent.size() == 1U);
+  BOOST_TEST((fleet.sent.front().to != first));
+}
+
+BOOST_FIXTURE_TEST_CASE(OldNewsTakeNothingBack, Fixture) {
+  fleet.store.Put("t/1", "newer");
+  const PeerMessage older = News(2, 3);
+  fleet.store.Remove("t/1");
+  fleet.Spread();
+  BOOST_REQUIRE((told.items == Now()));
+  told.feed.OnPeer(older);
+  PeerMessage whole = older;
+  whole.kind = PeerMessageKind::kState;
+  whole.news.since = 0;
+  told.feed.OnPeer(whole);
+  BOOST_TEST((told.items == Now()));
+}
+
+BOOST_FIXTURE_TEST_CASE(NewsThatCantBeChangeNothing, Fixture) {
+  fleet.store.Put("t/3", "three");
+  const FeedItems before = told.items;
+  PeerMessage stranger = News(2, 3);
+  stranger.from = Incarnation("told@1");
+  PeerMessage backwards = News(2, 3);
+  backwards.news.since = 4;
+  PeerMessage beyond = News(2, 3);
+  beyond.news.changes[0].item.revision = 9;
+  PeerMessage negative = News(2, 3);
+  negative.news.since = -1;
+  for (const PeerMessage& it : {stranger, backwards, beyond, negative}) {
+    told.feed.OnPeer(it);
+    BOOST_TEST((told.items == before));
+  }
+  BOOST_TEST(!told.feed.HasRead(3));
+}
+
+BOOST_FIXTURE_TEST_CASE(OfAnotherFeedNothingIsTaken, Fixture) {
+  fleet.store.Put("t/3", "three");
+  PeerMessage it = News(2, 3);
+  it.news.feed = FeedName::kConfig;
+  told.feed.OnPeer(it);
+  BOOST_TEST(!told.feed.HasRead(3));
+}
+
+BOOST_FIXTURE_TEST_CASE(WithoutSignsARouterAsksTheStore, Fixture) {
+  a.client.cut = b.client.cut = true;
+  Silence(kStaleAfter);
+  BOOST_TEST((told.feed.state() == FeedState::kReading));
+  fleet.store.Put("t/3", "three");
+  fleet.Spread();
+  BOOST_TEST((told.items == Now()));
+}
+
+// Dead, frozen or cut off from this router: one of two is enough.
+BOOST_FIXTURE_TEST_CASE(OneReaderOfTwoIsEnough, Fixture) {
+  fleet.nodes[0]->is_reader = true;
+  for (int n = 0; n < 5; ++n) {
+    fleet.clock.now += milliseconds(900);
+    PeerMessage sign;
+    sign.from = b.self;
+    sign.marks[FeedName::kTargets] = {2, {}};
+    told.feed.OnPeer(sign);
+    told.feed.Check();
+    BOOST_TEST((told.feed.state() == FeedState::kTold));
+  }
+}
+
+// A reader that lives and has lost the store goes on sending signs of life; the
+// age in them tells.
+BOOST_FIXTURE_TEST_CASE(ReadersWithoutTheStoreHoldNobodyBack, Fixture) {
+  a.client.cut = b.client.cut = true;
+  for (int n = 0; n < 5; ++n) {
+    Silence(milliseconds(450));
+    fleet.BroadcastSigns();
+  }
+  BOOST_TEST((told.feed.state() == FeedState::kReading));
+  fleet.store.Put("t/3", "three");
+  fleet.Spread();
+  BOOST_TEST((told.items == Now()));
+}
+
+BOOST_FIXTURE_TEST_CASE(AReaderWithoutTheStoreIsToldByOthersAndTellsItsHall,
+                        Fixture) {
+  FeedNode& far = fleet.Add("far", true, "other hall");
+  FeedNode& far_told = fleet.Add("far-told", false, "other hall");
+  far.client.cut = far_told.client.cut = true;
+  far.feed.Start();
+  far_told.feed.Start();
+  fleet.SetRoles();
+  // It learns from the others' signs that there is something.
+  fleet.BroadcastSigns();
+  RunFor(fleet.loop, kAskedAgain);
+  fleet.DeliverAll();
+  BOOST_TEST((far.items == Now()));
+  fleet.BroadcastSigns();
+  RunFor(fleet.loop, kAskedAgain);
+  fleet.DeliverAll();
+  BOOST_TEST((far_told.items == Now()));
+  fleet.store.Put("t/3", "three");
+  fleet.Spread();
+  BOOST_TEST((far.items == Now()));
+  BOOST_TEST((far_told.items == Now()));
+}
+
+// Holders call the store for the budgets; each answer is a sign that a change
+// would have been told.
+BOOST_FIXTURE_TEST_CASE(AnyAnswerShowsAReaderThatItIsCurrent, Fixture) {
+  fleet.clock.now += milliseconds(1200);
+  BOOST_TEST((a.feed.Mark()->age >= milliseconds(1200)));
+  a.feed.OnStoreAnswered();
+  BOOST_TEST((a.feed.Mark()->age == Duration::zero()));
+}
+
+BOOST_FIXTURE_TEST_CASE(WithoutAWaitOtherAnswersShowNothing, Fixture) {
+  FeedNode& late = fleet.Add("late", true);
+  late.client.cut = true;
+  late.feed.Start();
+  fleet.SetRoles();
+  fleet.clock.now += milliseconds(1200);
+  late.feed.OnStoreAnswered();
+  BOOST_TEST((late.feed.Age() >= milliseconds(1200)));
+  BOOST_TEST(!late.feed.Mark().has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(AReadersReturnEndsARoutersOwnCalls, Fixture) {
+  Silence(kStaleAfter);
+  BOOST_REQUIRE((told.feed.state() == FeedState::kReading));
+  fleet.store.Put("t/3", "three");
+  fleet.Spread();
+  fleet.BroadcastSigns();
+  BOOST_TEST((told.feed.state() == FeedState::kTold));
+  BOOST_TEST(!told.client.waits());
+}
+
+// What vanishes around an outage is kept for a while, so a router that is told
+// has to learn of an outage too, before what it removed.
+BOOST_FIXTURE_TEST_CASE(AnOutageIsReportedBeforeWhatItRemoved, Fixture) {
+  for (auto& it : fleet.nodes) it->client.cut = true;
+  Silence(kStaleAfter);
+  BOOST_TEST((told.reachable == std::vector<bool>{false}));
+  fleet.store.Remove("t/1");
+  for (auto& it : fleet.nodes) it->client.cut = false;
+  told.client.cut = true;
+  fleet.Spread();
+  BOOST_TEST((told.reachable == std::vector<bool>{false, true}));
+  BOOST_TEST((told.items == Now()));
+}
+
+BOOST_FIXTURE_TEST_CASE(LargeChangesAreAskedForOnce, Fixture) {
+  fleet.store.Put("t/1", std::string(20'000, 'x'));
+  a.client.AnswerWait();
+  b.client.AnswerWait();
+  fleet.Turn();
+  std::size_t values = 0;
+  for (const auto& it : fleet.sent) {
+    for (const auto& change : it.message.news.changes) {
+      values += change.item.value.size();
+    }
+  }
+  BOOST_TEST(values == 0U);
+  fleet.DeliverAll();
+  BOOST_TEST((told.items == Now()));
+}
+
+BOOST_FIXTURE_TEST_CASE(ARouterBecomesAReaderAndTellsTheNext, Fixture) {
+  a.is_reader = b.is_reader = false;
+  told.is_reader = true;
+  fleet.SetRoles();
+  fleet.Turn();
+  BOOST_TEST(told.feed.Mark().has_value());
+  fleet.BroadcastSigns();
+  BOOST_TEST((a.feed.state() == FeedState::kTold));
+  fleet.store.Put("t/3", "three");
+  fleet.Spread();
+  BOOST_TEST((a.items == Now()));
+  BOOST_TEST((b.items == Now()));
+}
+
+}  // namespace
+}  // namespace quaytrack
--- a/relay/testing/target_follower_test.cc
+++ b/relay/testing/target_follower_test.cc
@@ -7,6 +7,7 @@
 
 #include "kv/testing/scripted_store.h"
 #include "relay/testing/plain_state_reader.h"
+#include "relay/testing/the_feed_chart.h"
 
 namespace quaytrack {
 namespace {
@@ -21,9 +22,16 @@
 // Beyond the pause after an answer with changes.
 constexpr Duration kNextWait = milliseconds(500);
 
+void PeerKnows(TargetFollower& follower, std::int64_t revision) {
+  PeerMessage it;
+  it.targets_revision = revision;
+  follower.OnPeer(it);
+}
+
 struct Fixture {
   Fixture()
-      : follower(loop, store, reader, {[this] { ++changes; }, [](bool) {}}) {
+      : follower({loop, clock, store, TheFeedChart()}, reader,
+                 {[this] { ++changes; }, [](bool) {}}) {
     follower.Start();
     BOOST_TEST(store.AnswerRange(
         "t/",
@@ -48,6 +56,7 @@
     return follower.registry().entries().at(TargetName(name)).leaving;
   }
 
+  const SystemClock clock;
   Loop loop;
   ScriptedStore store;
   PlainStateReader reader;
@@ -150,7 +159,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(AChangeThatPeersHaveReadIsAskedForAgain, Fixture) {
-  follower.OnPeerRevision(3);
+  PeerKnows(follower, 3);
   RunFor(loop, milliseconds(100));
   // The own watch is given a moment first.
   BOOST_TEST(store.waits.started_by_key["t/"] == 1);
@@ -159,11 +168,11 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(AChangeThatHasBeenReadIsNotAskedForAgain, Fixture) {
-  follower.OnPeerRevision(2);
+  PeerKnows(follower, 2);
   RunFor(loop, kAskedBy);
   BOOST_TEST(store.waits.started_by_key["t/"] == 1);
   // The own watch brings it in time; the next wait is the usual one.
-  follower.OnPeerRevision(3);
+  PeerKnows(follower, 3);
   StoreShows("t/c", "ready", 3);
   RunFor(loop, kNextWait);
   BOOST_TEST(store.waits.started_by_key["t/"] == 2);
