Readers without the store don't keep each other current

Two faults of what readers tell, found by reading it again.

Ages that are passed on from reader to reader leave out the time on the way. Fifteen readers that have all lost the store, and pass an age around several times a second, could keep it young where messages take long, and the routers they tell would not call the store themselves. Each age now grows by 100 ms.

Of a list that was read in pages, a later page may hold an item that is newer than a change of an earlier page that was missed. Such an item counted as a proof that all changes before it were known.

--- a/relay/state_feed.cc
+++ b/relay/state_feed.cc
@@ -26,6 +26,13 @@
 // so that routers don't go to and fro. Not measured.
 constexpr Duration kFreshAgain = milliseconds(1000);
 
+// Added to each age that a peer tells, since the time on the way isn't in it.
+// Fifteen readers that pass an age on from one to the next, each sending once a
+// second, make it younger by fifteen times what a message takes; with this much
+// added for each, it grows unless a message takes longer. Links of a fleet take
+// some milliseconds. Not measured.
+constexpr Duration kOnTheWay = milliseconds(100);
+
 // All readers of a fleet whose holders don't call the store together ask it
 // about so often. Of five readers that a router is linked to, the youngest sign
 // is then younger than `kFreshAgain` nearly always. With 130 ms, and waits and
@@ -239,8 +246,7 @@
 
 void StateFeed::OnMark(const FeedMark& mark) {
   if (!HasRead(mark.revision)) return OnBehind(mark.revision);
-  ShownCurrent(mark.age);
-  TellFresh(mark.age);
+  ShownByReader(mark.age);
 }
 
 void StateFeed::OnNews(const FeedNews& news) {
@@ -248,9 +254,10 @@
   // The read that is under way shows all of it.
   if (IsReader() && !has_items_) return;
   if (news.only_notice || news.since > Known()) return OnBehind(news.revision);
-  ShownCurrent(news.age);
+  // An outage is over before what it removed is handed out.
+  ShownCurrent(news.age + kOnTheWay);
   TakeChanges(news);
-  TellFresh(news.age);
+  ShownByReader(news.age);
 }
 
 // Of changes that two readers tell in different batches, some may be known.
@@ -268,7 +275,7 @@
 
 void StateFeed::OnState(const FeedNews& news) {
   if (news.revision <= Known()) return;
-  ShownCurrent(news.age);
+  ShownCurrent(news.age + kOnTheWay);
   std::vector<StoreItem> items;
   std::int64_t latest = 0;
   for (const StoreChange& it : news.changes) {
@@ -278,7 +285,7 @@
   follower_.SkipTo(news.revision, latest);
   OnItems(items);
   Settle();
-  TellFresh(news.age);
+  ShownByReader(news.age);
 }
 
 // It is shown that nothing had changed `age` ago that isn't known here, or is
@@ -289,7 +296,8 @@
 }
 
 // A reader has shown it, so this router needs no calls of its own.
-void StateFeed::TellFresh(Duration age) {
+void StateFeed::ShownByReader(Duration age) {
+  ShownCurrent(age + kOnTheWay);
   if (age <= kFreshAgain && Known() > 0) Apply(FeedEvent::kToldFresh);
 }
 
--- a/relay/state_feed.h
+++ b/relay/state_feed.h
@@ -25,7 +25,9 @@
 // No rule depends on a reader's life. A router is told that nothing has
 // changed, as well as what has: each sign of life of a reader carries the age
 // of its knowledge (`FeedMark`), the least of what the store and the other
-// readers have shown it. A router that has not been shown for `kFreshFor` that
+// readers have shown it, and something for the way (`kOnTheWay`), so that
+// readers without the store can't keep each other current. A router that has
+// not been shown for `kFreshFor` that
 // it is current calls the store itself from then on, until a reader is current
 // again. So a reader that is dead, frozen, cut off on either side or slow holds
 // nobody back for longer, and one that is behind turns nobody back. With the
@@ -119,9 +121,10 @@
   std::optional<FeedMark> Mark() const;
   // As of the follower.
   std::int64_t latest_change() const { return follower_.latest_change(); }
-  bool HasRead(std::int64_t revision) const {
-    return follower_.HasRead(revision);
-  }
+  // Every change up to that revision is known here. That an item of it is known
+  // says less: a read in pages may show a later item and miss an earlier
+  // change.
+  bool HasRead(std::int64_t revision) const { return revision <= Known(); }
   FeedState state() const { return machine_.state(); }
   // Since when this router is not known to be current.
   Duration Age() const { return context_.clock.Now() - current_at_; }
@@ -151,7 +154,7 @@
   void OnAnswered();
   Duration NextPatience();
   void ShownCurrent(Duration age);
-  void TellFresh(Duration age);
+  void ShownByReader(Duration age);
 
   // Readers.
   std::vector<StoreChange> ChangesTo(const std::vector<StoreItem>& items) const;
--- a/relay/testing/state_feed_test.cc
+++ b/relay/testing/state_feed_test.cc
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "kv/testing/scripted_store.h"
 #include "relay/testing/feed_fleet.h"
 
 namespace quaytrack {
@@ -40,6 +41,12 @@
     out.news.changes = fleet.store.Changes(since, revision);
     return out;
   }
+  static PeerMessage Sign(const FeedNode& node) {
+    PeerMessage out;
+    out.from = node.self;
+    out.marks[FeedName::kTargets] = *node.feed.Mark();
+    return out;
+  }
   // Time without any sign.
   void Silence(Duration time) {
     fleet.clock.now += time;
@@ -233,6 +240,48 @@
   BOOST_TEST(!late.feed.Mark().has_value());
 }
 
+// Two readers that both have lost the store tell each other all the time.
+BOOST_FIXTURE_TEST_CASE(ReadersDontKeepEachOtherCurrent, Fixture) {
+  constexpr Duration kTakesOnTheWay = milliseconds(60);
+  a.client.cut = b.client.cut = true;
+  for (int n = 0; n < 60; ++n) {
+    const PeerMessage from_a = Sign(a);
+    const PeerMessage from_b = Sign(b);
+    fleet.clock.now += kTakesOnTheWay;
+    a.feed.OnPeer(from_b);
+    b.feed.OnPeer(from_a);
+  }
+  BOOST_TEST((a.feed.Mark()->age > milliseconds(3000)));
+}
+
+// A list read in two pages: one item of the second is newer than a change of
+// the first that was missed.
+BOOST_AUTO_TEST_CASE(AnItemOfALaterPageIsNoProofOfEarlierChanges) {
+  Loop loop;
+  FeedClock clock;
+  ScriptedStore store;
+  const Incarnation reader("reader@1");
+  StateFeed::Handlers on;
+  on.replaced = [](const std::vector<StoreItem>&) {};
+  on.changed = [](const StoreChange&) {};
+  on.settled = [] {};
+  on.reachable = [](bool) {};
+  FeedLinks links;
+  links.is_reader = [&](const Incarnation& it) { return it == reader; };
+  links.readers = [&] { return std::vector<Incarnation>{reader}; };
+  links.send = [](const Incarnation&, const PeerMessage&) {};
+  StateFeed feed({loop, clock, store, TheFeedChart()},
+                 {FeedName::kTargets, {.prefix = "t/"}}, on, links);
+  feed.Start();
+  BOOST_TEST(store.AnswerRange(
+      "t/", {StoreEnd::kDone, 100, {{"t/1", "", 90}, {"t/9", "", 105}}}));
+  PeerMessage sign;
+  sign.from = reader;
+  sign.marks[FeedName::kTargets] = {105, {}};
+  feed.OnPeer(sign);
+  BOOST_TEST((feed.state() == FeedState::kReading));
+}
+
 BOOST_FIXTURE_TEST_CASE(AReadersReturnEndsARoutersOwnCalls, Fixture) {
   Silence(kStaleAfter);
   BOOST_REQUIRE((told.feed.state() == FeedState::kReading));
