A mesh's first check is drawn by the router, not by the mesh

The test lets one of two meshes see time pass and counts on its check coming before the other's sign of life; in step they do, at random the other's sign may come first and the link is rightly kept.

Change: the time of the first check is given to the mesh; the router draws it, the test keeps both in step. The test is as it was.

--- a/relay/peer_mesh.cc
+++ b/relay/peer_mesh.cc
@@ -10,13 +10,8 @@
 namespace quaytrack {
 namespace {
 
-// Between two signs of life. Not measured. It bounds, with kOwnWaitFirst
-// (relay/own_wait.h), how soon a router whose store doesn't serve it learns of
-// a configuration: the users allow 2 s.
-constexpr Duration kCheckInterval = std::chrono::milliseconds(1000);
 // The first check comes after a random part of the interval from this to all of
-// it: routers that start together would else send their signs together, and
-// their peers would hear nothing in between. Not measured alone.
+// it. Not measured alone.
 constexpr double kLeastFirst = 0.5;
 // After this a link counts as cut: three signs of life are missing. Not
 // measured.
@@ -25,7 +20,7 @@
 }  // namespace
 
 PeerMesh::PeerMesh(Loop& loop, const Clock& clock, Incarnation self,
-                   Handlers handlers)
+                   Handlers handlers, Duration first_check)
     : loop_(loop),
       clock_(clock),
       self_(std::move(self)),
@@ -35,14 +30,17 @@
         it->link = std::move(link);
         AddLink(it);
       }) {
+  CheckFrom(first_check);
+}
+
+Duration PeerMesh::DrawFirstCheck() {
   std::minstd_rand random{std::random_device{}()};
   std::uniform_real_distribution<double> part(kLeastFirst, 1);
-  CheckAfter(
-      std::chrono::duration_cast<Duration>(kCheckInterval * part(random)));
+  return std::chrono::duration_cast<Duration>(kCheckInterval * part(random));
 }
 
-void PeerMesh::CheckAfter(Duration delay) {
-  check_timer_ = loop_.After(delay, [this] {
+void PeerMesh::CheckFrom(Duration first_check) {
+  check_timer_ = loop_.After(first_check, [this] {
     check_timer_ = loop_.Every(kCheckInterval, [this] { CheckLinks(); });
     CheckLinks();
   });
--- a/relay/peer_mesh.h
+++ b/relay/peer_mesh.h
@@ -17,9 +17,9 @@
 // Losing a link. A cut says nothing, so a link on which nothing was heard for
 // `kMaxSilence` is closed, and dialled again if it is one to keep. Each router
 // sends a sign of life on all links every `kCheckInterval`, at moments of its
-// own, also where all routers started together, with the versions that it
-// knows, so that a peer learns of a change even if the store doesn't
-// tell it (relay/config_follower.h, relay/target_follower.h).
+// own (`DrawFirstCheck`), with the versions that it knows, so that a peer
+// learns of a change even if the store doesn't tell it
+// (relay/config_follower.h, relay/target_follower.h).
 //
 // It owns the links and the listener. Messages aren't acknowledged and may be
 // lost with a link; who needs an answer asks again. A message that can't be
@@ -28,6 +28,7 @@
 #ifndef QUAYTRACK_RELAY_PEER_MESH_H_
 #define QUAYTRACK_RELAY_PEER_MESH_H_
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <set>
@@ -53,7 +54,16 @@
     std::function<void(const Incarnation& peer)> lost;
   };
 
-  PeerMesh(Loop& loop, const Clock& clock, Incarnation self, Handlers handlers);
+  // Between two checks of the links, each with a sign of life. Not measured. It
+  // bounds, with kOwnWaitFirst (relay/own_wait.h), how soon a router whose
+  // store doesn't serve it learns of a configuration: the users allow 2 s.
+  static constexpr Duration kCheckInterval = std::chrono::milliseconds(1000);
+  // A random time to the first check: routers that start together would else
+  // send their signs together, and their peers would hear nothing in between.
+  static Duration DrawFirstCheck();
+
+  PeerMesh(Loop& loop, const Clock& clock, Incarnation self, Handlers handlers,
+           Duration first_check = kCheckInterval);
 
   // Takes "host:port". Returns the bound port, or 0.
   std::uint16_t Listen(const std::string& address);
@@ -95,8 +105,7 @@
   bool HasLinkTo(const VmName& vm) const;
   void Dial(const FleetMember& member);
   void DialMissing();
-  // Begins to check the links after `delay`, and again each interval.
-  void CheckAfter(Duration delay);
+  void CheckFrom(Duration first_check);
   void CheckLinks();
   void CloseSilent();
   const Link* FindPeer(const Incarnation& peer) const;
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -70,7 +70,7 @@
                ConfigHandlers()),
       targets_({loop, clock, store, charts.feed}, interface.state,
                TargetHandlers()),
-      peers_(loop, clock, self_, PeerHandlers()),
+      peers_(loop, clock, self_, PeerHandlers(), PeerMesh::DrawFirstCheck()),
       retries_(RetryOptionsFrom(settings)),
       context_{
           .loop = loop,
