Name what a lost attempt's request is known by, and since when it had begun

Cause: attempt_ended couldn't say whether two lost attempts were the same request of one caller, since each return has a new id, nor whether a target had begun to run it; status is that of an earlier attempt where there is none.

--- a/base/ids.h
+++ b/base/ids.h
@@ -38,6 +38,8 @@
 using HallName = Id<struct HallTag>;
 using VmName = Id<struct VmTag>;
 using RequestId = Id<struct RequestTag>;
+// By which a caller's request is known again (relay/fingerprint.h).
+using Fingerprint = Id<struct FingerprintTag>;
 // The caller's Idempotency-Key header.
 using IdempotencyKey = Id<struct IdempotencyTag>;
 
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -141,6 +141,7 @@
   ++progress_.sends;
   admission_.placement.tried.insert(target);
   sent_at_ = context_.clock.Now();
+  progress_.head_at.reset();
   prefill_ = context_.placement.OnSent(sent_at_, target, admission_.placement,
                                        progress_.choice.is_preferred);
   TellPeersOfPrompt();
@@ -212,6 +213,7 @@
   if (!AnswersRequest(facts, id())) return false;
   answer_ = head;
   progress_.status = head.status;
+  progress_.head_at = context_.clock.Now();
   answer_facts_ = facts;
   return true;
 }
@@ -359,8 +361,20 @@
                         : RelayEvent::kRetryMayHaveRun);
 }
 
-void RelayedRequest::LogAttempt(Ran ran) const {
-  LogAttemptEnded(id(), progress_, ran, context_.clock.Now() - sent_at_);
+void RelayedRequest::LogAttempt(Ran ran) {
+  AttemptEnd end;
+  end.ran = ran;
+  end.now = context_.clock.Now();
+  end.took = end.now - sent_at_;
+  if (ran != Ran::kNo) end.fingerprint = fingerprint();
+  LogAttemptEnded(id(), progress_, end);
+}
+
+const Fingerprint& RelayedRequest::fingerprint() {
+  if (fingerprint_.empty()) {
+    fingerprint_ = FingerprintOf(request_.head, request_.body, customer());
+  }
+  return fingerprint_;
 }
 
 // --- Ends --------------------------------------------------------------------
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -48,6 +48,7 @@
 #include "relay/attempt.h"
 #include "relay/events.h"
 #include "relay/final_answer.h"
+#include "relay/fingerprint.h"
 #include "relay/hold_waiter.h"
 #include "relay/relay_chart.h"
 #include "relay/relay_context.h"
@@ -107,7 +108,8 @@
   RetryFacts FactsForRetry(Ran ran) const;
   bool TakeRetry(Ran ran);
   void Retry(Ran ran);
-  void LogAttempt(Ran ran) const;
+  void LogAttempt(Ran ran);
+  const Fingerprint& fingerprint();
 
   void OnDeadline();
   void OnCallerGone();
@@ -152,6 +154,8 @@
   PlacementOutcome outcome_ = PlacementOutcome::kNeutral;
 
   // Of all attempts.
+  // Empty until it was asked for.
+  Fingerprint fingerprint_;
   EventReader events_;
   RequestProgress progress_;
   // The caller got the beginning of a stream, and not its end.
--- a/relay/request_log.cc
+++ b/relay/request_log.cc
@@ -6,15 +6,21 @@
 #include "base/log.h"
 
 namespace quaytrack {
+
 void LogAttemptEnded(const RequestId& id, const RequestProgress& progress,
-                     Ran ran, Duration took) {
-  LogEvent(Event::kAttemptEnded, {{"request", id.value},
-                                  {"target", progress.choice.target.name.value},
-                                  {"ran", std::string(NameOf(ran))},
-                                  {"status", std::to_string(progress.status)},
-                                  {"events", std::to_string(progress.events)},
-                                  {"sends", std::to_string(progress.sends)},
-                                  {"ms", MillisecondsText(took)}});
+                     const AttemptEnd& end) {
+  const auto& head_at = progress.head_at;
+  LogEvent(
+      Event::kAttemptEnded,
+      {{"request", id.value},
+       {"target", progress.choice.target.name.value},
+       {"ran", std::string(NameOf(end.ran))},
+       {"status", std::to_string(progress.status)},
+       {"events", std::to_string(progress.events)},
+       {"sends", std::to_string(progress.sends)},
+       {"ms", MillisecondsText(end.took)},
+       {"begun_ms", head_at ? MillisecondsText(end.now - *head_at) : "none"},
+       {"fingerprint", end.fingerprint.value}});
 }
 
 void LogRequestEnded(const Admission& admission,
--- a/relay/request_log.h
+++ b/relay/request_log.h
@@ -4,13 +4,14 @@
 // `request_overran` names those that a planned stop has no more time for.
 //
 //   RequestProgress progress;             // kept by the request on its way
-//   LogAttemptEnded(id, progress, Ran::kUnknown, took);
+//   LogAttemptEnded(id, progress, {Ran::kUnknown, now, took, fingerprint});
 //   LogRequestEnded(admission, progress, {cause, status, cost, version, took});
 
 #ifndef QUAYTRACK_RELAY_REQUEST_LOG_H_
 #define QUAYTRACK_RELAY_REQUEST_LOG_H_
 
 #include <cstdint>
+#include <optional>
 
 #include "base/clock.h"
 #include "base/ids.h"
@@ -33,6 +34,8 @@
   // Status of the latest answer's head; 0 before the first. An attempt without
   // an answer leaves what the one before it got.
   int status = 0;
+  // When the latest attempt's answer began; nothing if it has none.
+  std::optional<Instant> head_at;
   // From the latest send to its first event, if one has come.
   Duration first_event{};
   // The longest between two events of one attempt, as they came here.
@@ -51,9 +54,18 @@
   Duration took{};
 };
 
-// `took` is the time since the send.
+// The attempt that is over.
+struct AttemptEnd {
+  Ran ran = Ran::kUnknown;
+  Instant now{};
+  // From its send.
+  Duration took{};
+  // Of the request, if its target may have ended under it; else empty.
+  Fingerprint fingerprint;
+};
+
 void LogAttemptEnded(const RequestId& id, const RequestProgress& progress,
-                     Ran ran, Duration took);
+                     const AttemptEnd& end);
 
 void LogRequestEnded(const Admission& admission,
                      const RequestProgress& progress, const RequestEnd& end);
