--- a/relay/target_follower.cc
+++ b/relay/target_follower.cc
@@ -69,18 +69,33 @@
     auto entry = ReadOrLog(it, [&] { return reader_.Target(it); });
     if (entry && !entry->name.empty()) entries.push_back(std::move(*entry));
   }
+  for (const TargetEntry& it : entries) NoticeRestart(it);
   registry_.Replace(entries);
   LogEvent(Event::kTargetsRead, {{"targets", std::to_string(entries.size())}});
 }
 
 void TargetFollower::Take(const StoreItem& item) {
   const auto entry = ReadOrLog(item, [&] { return reader_.Target(item); });
-  if (!entry || entry->name.empty()) return;
+  // What can't be read names no target, whatever stood there before.
+  if (!entry) return Remove(reader_.TargetOf(item.key));
+  if (entry->name.empty()) return;
+  NoticeRestart(*entry);
   if (!registry_.Put(*entry)) return;
   LogEvent(entry->leaving ? Event::kTargetLeaving : Event::kTargetSeen,
            {{"target", entry->name.value},
             {"service", entry->service.value},
-            {"address", entry->address}});
+            {"address", entry->address},
+            {"start", entry->start.value}});
+}
+
+void TargetFollower::NoticeRestart(const TargetEntry& entry) {
+  const auto known = registry_.entries().find(entry.name);
+  if (known == registry_.entries().end()) return;
+  const TargetEntry& before = known->second;
+  if (before.start == entry.start) return;
+  // An entry of an earlier start that comes late.
+  if (entry.started_at < before.started_at) return;
+  if (on_.restarted) on_.restarted(before);
 }
 
 void TargetFollower::Remove(const TargetName& name) {
--- a/relay/target_follower.h
+++ b/relay/target_follower.h
@@ -37,7 +37,8 @@
 // failed: one without keeping, and one in which each sign extended it.
 //
 // Store, reader and loop must outlive the follower. An entry that can't be read
-// is refused with a line in the log and changes nothing.
+// is refused with a line in the log; its target counts as no longer listed, by
+// the rule above, and the others stay.
 
 #ifndef QUAYTRACK_RELAY_TARGET_FOLLOWER_H_
 #define QUAYTRACK_RELAY_TARGET_FOLLOWER_H_
@@ -64,6 +65,8 @@
     std::function<void(bool)> store_reachable;
     // What the feed needs of the fleet; unused in a small one.
     FeedLinks feed = {};
+    // A target that was listed has started again; this is its earlier start.
+    std::function<void(const TargetEntry& before)> restarted = {};
   };
 
   TargetFollower(const FeedContext& context, const SharedStateReader& reader,
@@ -86,6 +89,7 @@
   void OnPeerRevision(std::int64_t revision);
   void Replace(const std::vector<StoreItem>& items);
   void Take(const StoreItem& item);
+  void NoticeRestart(const TargetEntry& entry);
   void Remove(const TargetName& name);
   void StopKeepingLater();
   void DropMissingLater();
