A target that starts again under its name begins anew

Cause: a name that was seen leaving stayed leaving, and what was known of a name (prompts held, requests under way, failures) was believed of its next start, as each start used to have a name of its own. Change: a start is told by name and time of start; a later one isn't leaving with an earlier one and is known anew, a late entry of an earlier one changes nothing, idle connections to the earlier one are closed, and what requests learn of a start that is gone isn't booked on the next. What is remembered of names that left is bounded (8,192).

--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -75,7 +75,17 @@
 void Placement::SetTargets(const std::map<TargetName, TargetEntry>& entries) {
   std::erase_if(targets_,
                 [&](const auto& it) { return !entries.contains(it.first); });
-  for (const auto& [name, entry] : entries) targets_[name].entry = entry;
+  for (const auto& [name, entry] : entries) {
+    State& state = targets_[name];
+    // Another start holds nothing and runs nothing of what is known here.
+    if (state.entry.start != entry.start) state = State{};
+    state.entry = entry;
+  }
+}
+
+bool Placement::IsListed(const TargetEntry& target) const {
+  const auto it = targets_.find(target.name);
+  return it != targets_.end() && it->second.entry.start == target.start;
 }
 
 const PrefillSpeed& Placement::SpeedOf(const ServiceName& service) const {
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -118,9 +118,14 @@
   // `hall` is the one that this router is in.
   explicit Placement(HallName hall) : hall_(std::move(hall)) {}
 
-  // What is known of a target that stays is kept.
+  // What is known of a target that stays is kept; of one that has started again
+  // nothing is.
   void SetTargets(const std::map<TargetName, TargetEntry>& entries);
 
+  // Whether it is there as that start. What a request learns of another one,
+  // which has ended, says nothing of it.
+  bool IsListed(const TargetEntry& target) const;
+
   // Nothing if every target of the service is leaving or tried. It costs one
   // hash and one comparison for each target.
   std::optional<PlacementChoice> Choose(Instant now,
--- a/dispatch/testing/placement_test.cc
+++ b/dispatch/testing/placement_test.cc
@@ -444,5 +444,31 @@
   BOOST_TEST((it.Choose(later, Prompt(7, 1))->target.name == preferred));
 }
 
+// What started again holds no prompts, runs nothing and hasn't failed.
+BOOST_AUTO_TEST_CASE(ATargetThatStartsAgainIsKnownAnew) {
+  Placement it{HallName("hall-1")};
+  TargetEntry entry;
+  entry.name = TargetName("t0");
+  entry.start = TargetStart("t0@1");
+  entry.service = ServiceName("llm");
+  it.SetTargets({{entry.name, entry}});
+  PlacementRequest request;
+  request.service = entry.service;
+  request.prompt_tokens = 10'000;
+  const double fresh_ms = it.Choose(kStart, request)->cost_ms;
+  for (int n = 0; n < 9; ++n) {
+    const Tokens prefill = it.OnSent(kStart, entry.name, request, false);
+    it.OnEnded(kStart, entry.name, prefill, PlacementOutcome::kFailed);
+    it.OnSent(kStart, entry.name, request, false);
+  }
+  BOOST_TEST(it.Choose(kStart, request)->cost_ms > fresh_ms);
+  const TargetEntry before = entry;
+  entry.start = TargetStart("t0@2");
+  it.SetTargets({{entry.name, entry}});
+  BOOST_TEST(it.Choose(kStart, request)->cost_ms == fresh_ms);
+  BOOST_TEST(!it.IsListed(before));
+  BOOST_TEST(it.IsListed(entry));
+}
+
 }  // namespace
 }  // namespace quaytrack
--- a/fleet/target_registry.h
+++ b/fleet/target_registry.h
@@ -9,10 +9,14 @@
 //
 // A target that is leaving, or is no longer listed, gets no new work from then
 // on, but for what is kept around an outage (below).
-// Its running requests end by themselves, as it serves on for a while. Each
-// start of a target has a name of its own, so a name that was once seen leaving
-// stays leaving whatever is listed later; one that was only lost sight of may
-// be listed again as ready.
+// Its running requests end by themselves, as it serves on for a while. A start
+// of a target that was once seen leaving stays leaving whatever is listed
+// later; one that was only lost sight of may be listed again as ready.
+//
+// A target may start again under its name. It is told from its earlier starts
+// by its time of start, and begins anew: an earlier start that left doesn't
+// make it leave, and an entry of an earlier start that comes late changes
+// nothing. Of entries without a time, a name has one start.
 //
 // Around an outage of the platform's store, entries may lapse although their
 // targets live. So what vanishes then can be kept for a while:
@@ -29,21 +33,27 @@
 #ifndef QUAYTRACK_FLEET_TARGET_REGISTRY_H_
 #define QUAYTRACK_FLEET_TARGET_REGISTRY_H_
 
+#include <algorithm>
+#include <cstddef>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "base/clock.h"
 #include "base/ids.h"
 
 namespace quaytrack {
 
 struct TargetEntry {
-  // One run of the target's program.
   TargetName name;
-  // Which start it is, for what is remembered of one.
+  // One run of the target's program: what is remembered of a target is
+  // remembered of that.
   TargetStart start;
+  // By the target's own clock; nothing (0) if it doesn't say.
+  WallTime started_at{};
   ServiceName service;
   // "host:port".
   std::string address;
@@ -61,9 +71,10 @@
   // Adds or replaces an entry. Returns whether anything changed, as `Remove`
   // and `Replace` do.
   bool Put(const TargetEntry& entry) {
+    if (IsOfEarlierStart(entry)) return false;
     TargetEntry it = entry;
-    if (left_.contains(it.name)) it.leaving = true;
-    if (it.leaving) left_.insert(it.name);
+    if (HasLeft(it)) it.leaving = true;
+    if (it.leaving) RememberLeft(it);
     missing_.erase(it.name);
     TargetEntry& at = entries_[it.name];
     if (at == it) return false;
@@ -114,9 +125,38 @@
   const std::map<TargetName, TargetEntry>& entries() const { return entries_; }
 
  private:
+  // Names of which it is remembered that they left; the oldest is forgotten
+  // beyond that. Some times as many as there are targets in a large fleet, as
+  // late news of a target come within seconds.
+  static constexpr std::size_t kMostLeft = 8192;
+
+  bool IsOfEarlierStart(const TargetEntry& entry) const {
+    const auto it = entries_.find(entry.name);
+    return it != entries_.end() && entry.started_at != WallTime{} &&
+           entry.started_at < it->second.started_at;
+  }
+
+  // This start, or a later one of the name, was seen leaving.
+  bool HasLeft(const TargetEntry& entry) const {
+    const auto it = left_.find(entry.name);
+    return it != left_.end() && entry.started_at <= it->second;
+  }
+
+  void RememberLeft(const TargetEntry& entry) {
+    const auto [it, is_new] = left_.try_emplace(entry.name, entry.started_at);
+    it->second = std::max(it->second, entry.started_at);
+    if (!is_new) return;
+    left_order_.push_back(entry.name);
+    if (left_order_.size() <= kMostLeft) return;
+    left_.erase(left_order_.front());
+    left_order_.pop_front();
+  }
+
   std::map<TargetName, TargetEntry> entries_;
-  // Names that were seen leaving; an older entry doesn't bring them back.
-  std::set<TargetName> left_;
+  // When the latest start began that was seen leaving; an older entry doesn't
+  // bring it back.
+  std::map<TargetName, WallTime> left_;
+  std::deque<TargetName> left_order_;
   bool keeps_missing_ = false;
   // Kept in `entries_`, and not listed at present.
   std::set<TargetName> missing_;
--- a/fleet/testing/target_registry_test.cc
+++ b/fleet/testing/target_registry_test.cc
@@ -12,6 +12,13 @@
   return out;
 }
 
+TargetEntry Start(const char* name, int started_ms, bool leaving = false) {
+  TargetEntry out = Entry(name, leaving);
+  out.started_at = WallTime(std::chrono::milliseconds(started_ms));
+  out.start = TargetStart(name + ("@" + std::to_string(started_ms)));
+  return out;
+}
+
 struct OutageFixture {
   OutageFixture() {
     registry.Replace({Entry("lapsed"), Entry("dead"), Entry("leaving")});
@@ -64,5 +71,38 @@
   BOOST_TEST(registry.entries().at(TargetName("t")).leaving);
 }
 
+BOOST_AUTO_TEST_CASE(ALaterStartIsNotLeavingWithAnEarlierOne) {
+  TargetRegistry registry;
+  const TargetName name("t");
+  registry.Put(Start("t", 5));
+  registry.Put(Start("t", 5, true));
+  BOOST_TEST(registry.Put(Start("t", 9)));
+  BOOST_TEST(!registry.entries().at(name).leaving);
+  // Late news of the earlier one.
+  BOOST_TEST(!registry.Put(Start("t", 5, true)));
+  BOOST_TEST(!registry.Put(Start("t", 5)));
+  BOOST_TEST((registry.entries().at(name) == Start("t", 9)));
+  // The same after it was not listed for a while.
+  registry.Remove(name);
+  registry.Put(Start("t", 5));
+  BOOST_TEST(registry.entries().at(name).leaving);
+  registry.Put(Start("t", 9));
+  BOOST_TEST(!registry.entries().at(name).leaving);
+}
+
+BOOST_AUTO_TEST_CASE(WhatIsRememberedOfThoseThatLeftIsBounded) {
+  TargetRegistry registry;
+  for (int n = 0; n < 20'000; ++n) {
+    const std::string name = "t-" + std::to_string(n);
+    registry.Put(Entry(name.c_str(), true));
+    registry.Remove(TargetName(name));
+  }
+  // The latest are known, the first are forgotten.
+  registry.Put(Entry("t-19999"));
+  BOOST_TEST(registry.entries().at(TargetName("t-19999")).leaving);
+  registry.Put(Entry("t-0"));
+  BOOST_TEST(!registry.entries().at(TargetName("t-0")).leaving);
+}
+
 }  // namespace
 }  // namespace quaytrack
--- a/http/target_connection.cc
+++ b/http/target_connection.cc
@@ -236,6 +236,15 @@
   list.erase(list.begin());
 }
 
+void TargetConnections::CloseIdle(const std::string& address) {
+  const auto it = idle_.find(address);
+  if (it == idle_.end()) return;
+  for (const ConnectionPtr& connection : it->second) {
+    connection->socket->Close();
+  }
+  idle_.erase(it);
+}
+
 void TargetConnections::Sweep() {
   const Instant now = clock_.Now();
   for (auto& [address, list] : idle_) {
--- a/http/target_connection.h
+++ b/http/target_connection.h
@@ -94,6 +94,9 @@
 
   std::shared_ptr<CallHandle> Start(const TargetCall& call,
                                     CallHandle::Handlers handlers);
+  // Closes the idle connections to an address, as whoever was there has ended:
+  // a request sent into one would count as one that may have run.
+  void CloseIdle(const std::string& address);
   // Connections opened so far.
   std::uint64_t opened() const { return opened_; }
 
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -213,6 +213,9 @@
   out.changed = [this] {
     placement_.SetTargets(targets_.registry().entries());
   };
+  out.restarted = [this](const TargetEntry& before) {
+    connections_.CloseIdle(before.address);
+  };
   out.store_reachable = [this](bool it) { OnStoreReachable(it); };
   return out;
 }
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -277,8 +277,10 @@
   if (progress_.choice.first_event_ms > 0) {
     context_.metrics.ObserveFirstEvent(waited, progress_.choice.first_event_ms);
   }
-  context_.placement.OnAnswering(progress_.choice.target.name, prefill_,
-                                 waited);
+  const TargetEntry& target = progress_.choice.target;
+  if (context_.placement.IsListed(target)) {
+    context_.placement.OnAnswering(target.name, prefill_, waited);
+  }
   prefill_ = 0;
   Apply(RelayEvent::kFirstEvent);
 }
@@ -362,8 +364,11 @@
   call_->Cancel();
   call_.reset();
   attempt_timer_.reset();
-  context_.placement.OnEnded(context_.clock.Now(), progress_.choice.target.name,
-                             prefill_, outcome);
+  const TargetEntry& target = progress_.choice.target;
+  if (context_.placement.IsListed(target)) {
+    context_.placement.OnEnded(context_.clock.Now(), target.name, prefill_,
+                               outcome);
+  }
   prefill_ = 0;
 }
 
