A slow reader's stream stays at its target, also where a read brings several events

Cause: when the router stops reading from the target, as its caller doesn't take what it is sent, the rest of the piece that was read may hold further events. Each of them set the time for the next event again, though nothing was read any more, so after 1 s the sound target was given up and the stream sent to another one. Ruled out: that the test's target stops sending too soon (in failed runs it could send nothing more, so its connection was full). Change: no time is set while reading is paused.

--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -261,13 +261,15 @@
   events_at_ = now;
   progress_.events += events.count;
   caller_->WriteChunk(events.bytes);
+  if (!paused_ && caller_->Unsent() > kMostUnsent) {
+    paused_ = true;
+    call_->PauseReading();
+  }
+  // Nothing is read, so its time for the next event says nothing of the target.
+  // What was read before the pause may hold further events, and comes here too.
+  if (paused_) return attempt_timer_.reset();
   const RouteRule& route = *admission_.route;
   if (route.Repeatable()) SetAttemptTimer(NextEventTimeout(route));
-  if (paused_ || caller_->Unsent() <= kMostUnsent) return;
-  paused_ = true;
-  call_->PauseReading();
-  // Nothing is read, so its time for the next event says nothing of the target.
-  attempt_timer_.reset();
 }
 
 void RelayedRequest::OnFirstEvent() {
