--- a/cli/explain.cc
+++ b/cli/explain.cc
@@ -38,11 +38,11 @@
   return {};
 }
 
-}  // namespace
-
-bool RequestStory::IsAbout(const std::string& line) const {
-  const std::string text = "request=" + request_;
-  const std::string json = "\"request\":\"" + request_ + "\"";
+// In either form of a line.
+bool HasField(const std::string& line, const std::string& name,
+              const std::string& value) {
+  const std::string text = name + "=" + value;
+  const std::string json = "\"" + name + "\":\"" + value + "\"";
   const std::size_t at = line.find(text);
   const std::size_t end = at + text.size();
   const bool whole =
@@ -50,6 +50,13 @@
   return whole || line.find(json) != std::string::npos;
 }
 
+}  // namespace
+
+bool RequestStory::IsAbout(const std::string& line) const {
+  return HasField(line, "request", request_) ||
+         HasField(line, "fingerprint", request_);
+}
+
 void RequestStory::Add(const std::string& source, const std::string& line) {
   if (line.find("QT1") == std::string::npos) {
     ++unreadable_;
--- a/cli/explain.h
+++ b/cli/explain.h
@@ -4,6 +4,9 @@
 //   while (std::getline(in, line)) story.Add("router-1.log", line);
 //   std::fputs(story.Text().c_str(), stdout);
 //
+// A request's fingerprint in place of its id joins the lines about all returns
+// of its caller, at all routers.
+//
 // Beside the request's own lines it keeps, for each source, the latest line of
 // each belief (configuration, store lost or back, stop) that stood before them,
 // since these explain most refusals.
--- a/cli/testing/explain_test.cc
+++ b/cli/testing/explain_test.cc
@@ -43,5 +43,25 @@
   BOOST_TEST(other.empty());
 }
 
+BOOST_AUTO_TEST_CASE(AFingerprintJoinsAllReturnsOfARequest) {
+  RequestStory story("f00d");
+  story.Add("r1",
+            "2026-01-01T00:00:01.000Z WARN QT1310 crash_reported request=a "
+            "fingerprint=f00d target=t crashes=3");
+  story.Add("r2",
+            "2026-01-01T00:00:02.000Z WARN QT1311 request_blamed "
+            "fingerprint=f00d crashes=3");
+  story.Add("r2",
+            "2026-01-01T00:00:03.000Z INFO QT1313 blamed_refused request=b "
+            "fingerprint=f00d left_s=9");
+  story.Add("r2",
+            "2026-01-01T00:00:04.000Z INFO QT1313 blamed_refused request=c "
+            "fingerprint=f00d2 left_s=9");
+  const std::string text = story.Text();
+  BOOST_TEST(text.find("request=a") < text.find("request_blamed"));
+  BOOST_TEST(text.find("request_blamed") < text.find("request=b"));
+  BOOST_TEST(text.find("request=c") == std::string::npos);
+}
+
 }  // namespace
 }  // namespace quaytrack
