One function for random pauses

StoreFollower, FleetDriver, PeerMesh and StateFeed each drew a part of a pause by the same three lines. base/jitter.h does it for all four; the parts that are drawn and their bounds are as before. PrepaidStore keeps its own draw: it is of whole milliseconds from 0.

--- a/kv/follower.cc
+++ b/kv/follower.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/jitter.h"
+
 namespace quaytrack {
 namespace {
 
@@ -112,9 +114,7 @@
 }
 
 void StoreFollower::RetryLater() {
-  std::uniform_real_distribution<double> jitter(kLeastJitter, kMostJitter);
-  CallLater(
-      std::chrono::duration_cast<Duration>(retry_after_ * jitter(random_)));
+  CallLater(DrawPart(random_, retry_after_, kLeastJitter, kMostJitter));
   retry_after_ = std::min(retry_after_ * 2, options_.longest_retry);
 }
 
--- a/relay/fleet_driver.cc
+++ b/relay/fleet_driver.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/jitter.h"
 #include "base/log.h"
 
 namespace quaytrack {
@@ -114,10 +115,8 @@
 }
 
 void FleetDriver::RunLater(Duration delay, void (FleetDriver::*step)()) {
-  std::uniform_real_distribution<double> jitter(kLeastJitter, kMostJitter);
-  const auto when =
-      std::chrono::duration_cast<Duration>(delay * jitter(random_));
-  timer_ = loop_.After(when, [this, step] { (this->*step)(); });
+  timer_ = loop_.After(DrawPart(random_, delay, kLeastJitter, kMostJitter),
+                       [this, step] { (this->*step)(); });
 }
 
 void FleetDriver::OnHello(const FleetMember& member) {
--- a/relay/peer_mesh.cc
+++ b/relay/peer_mesh.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/jitter.h"
 #include "base/log.h"
 
 namespace quaytrack {
@@ -35,8 +36,7 @@
 
 Duration PeerMesh::DrawFirstCheck() {
   std::minstd_rand random{std::random_device{}()};
-  std::uniform_real_distribution<double> part(kLeastFirst, 1);
-  return std::chrono::duration_cast<Duration>(kCheckInterval * part(random));
+  return DrawPart(random, kCheckInterval, kLeastFirst, 1);
 }
 
 void PeerMesh::CheckFrom(Duration first_check) {
--- a/relay/state_feed.cc
+++ b/relay/state_feed.cc
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 #include <chrono>
-#include <random>
 #include <utility>
 
+#include "base/jitter.h"
 #include "base/log.h"
 #include "relay/own_wait.h"
 
@@ -80,11 +80,6 @@
   return out;
 }
 
-Duration Draw(std::minstd_rand& random, double least, Duration most) {
-  std::uniform_real_distribution<double> part(least, 1);
-  return duration_cast<Duration>(most * part(random));
-}
-
 }  // namespace
 
 StateFeed::StateFeed(const FeedContext& context, Options options,
@@ -97,7 +92,7 @@
                 FollowerHandlers()),
       machine_(context.chart),
       current_at_(context.clock.Now()),
-      patience_(kFreshFor + Draw(random_, 0, kFreshSpread)) {}
+      patience_(kFreshFor + DrawPart(random_, kFreshSpread, 0, 1)) {}
 
 // --- What the store shows ----------------------------------------------------
 
@@ -119,8 +114,8 @@
 Duration StateFeed::NextPatience() {
   const Instant now = context_.clock.Now();
   const bool busy = now - store_answered_at_ < kAnsweredLately;
-  return Draw(random_, kLeastPatience,
-              busy ? kLongestPatience : ReaderPatience(readers_));
+  return DrawPart(random_, busy ? kLongestPatience : ReaderPatience(readers_),
+                  kLeastPatience, 1);
 }
 
 void StateFeed::OnStoreAnswered() {
