Judge many crash reports at once, and say once what stood twice

Read again, behaviour as it was but for the case named below. - A router that starts took up to 64 reports of each router one by one, with a verdict over all suspects after each; now one verdict for each router's. - The write of the own reports had two timers and a check that nothing could reach; one timer serves before and after a write. The own list is searched only where an earlier process's reports are merged. - Whether an entry is another start of a target is the registry's rule alone; the follower had a variant that differed for entries without a time. Such an entry now closes the idle connections, as any other start does. - The latest time that is taken from elsewhere stood in two files. - The three feeds' marks and ages are filled in by one loop each. - The comment on a target's state stood before another field's name; an include, an operator and three accessors that nothing used are gone. Tests: those of relay, base, dispatch, platform, fleet, cli, http, kv and two resident programs passed; assertions unchanged.

--- a/base/clock.h
+++ b/base/clock.h
@@ -24,6 +24,7 @@
 #define QUAYTRACK_BASE_CLOCK_H_
 
 #include <chrono>
+#include <cstdint>
 
 namespace quaytrack {
 
@@ -32,6 +33,11 @@
 using WallTime = std::chrono::time_point<std::chrono::system_clock,
                                          std::chrono::milliseconds>;
 
+// A time that comes from elsewhere is taken back to this. Some thousand years
+// from now, far from where the arithmetic of clocks ends.
+inline constexpr WallTime kLatestWallTime{
+    std::chrono::milliseconds(std::int64_t{1} << 47)};
+
 // Source of both kinds of time. Tests pass one that they set themselves.
 class Clock {
  public:
--- a/dispatch/crash_blame.cc
+++ b/dispatch/crash_blame.cc
@@ -6,27 +6,42 @@
 namespace quaytrack {
 
 bool CrashBlame::Note(const CrashReport& report, WallTime now) {
+  if (!Add(report, now)) return false;
+  Judge();
+  return true;
+}
+
+void CrashBlame::NoteRan(const Fingerprint& request, WallTime at,
+                         WallTime now) {
+  if (AddRan({request, at}, now)) Judge();
+}
+
+void CrashBlame::NoteAll(const std::vector<CrashReport>& crashes,
+                         const std::vector<RanReport>& ran, WallTime now) {
+  bool changed = false;
+  for (const CrashReport& it : crashes) changed |= Add(it, now);
+  for (const RanReport& it : ran) changed |= AddRan(it, now);
+  if (changed) Judge();
+}
+
+bool CrashBlame::Add(const CrashReport& report, WallTime now) {
   CrashReport it = report;
   it.at = std::min(it.at, now);
   if (now - it.at > kCrashMemory) return false;
   Suspect& suspect = suspects_[it.request];
-  if (suspect.reports.contains(it.target)) return false;
   if (suspect.reports.size() >= kMostReports) return false;
-  suspect.reports[it.target] = it;
+  if (!suspect.reports.try_emplace(it.target, it).second) return false;
   MakeRoom();
-  Judge();
   return true;
 }
 
-void CrashBlame::NoteRan(const Fingerprint& request, WallTime at,
-                         WallTime now) {
-  const auto it = suspects_.find(request);
-  if (it == suspects_.end()) return;
-  Suspect& suspect = it->second;
-  const WallTime ran_at = std::min(at, now);
-  if (ran_at <= suspect.ran_at) return;
-  suspect.ran_at = ran_at;
-  Judge();
+bool CrashBlame::AddRan(const RanReport& report, WallTime now) {
+  const auto it = suspects_.find(report.request);
+  if (it == suspects_.end()) return false;
+  const WallTime ran_at = std::min(report.at, now);
+  if (ran_at <= it->second.ran_at) return false;
+  it->second.ran_at = ran_at;
+  return true;
 }
 
 void CrashBlame::Expire(WallTime now) {
--- a/dispatch/crash_blame.h
+++ b/dispatch/crash_blame.h
@@ -12,8 +12,7 @@
 // crashes targets meets many of them within seconds. So the rule looks at all
 // reports of the fleet together:
 //
-//   1. A request that ran somewhere after its reports, to its end or well
-//   beyond
+//   1. A request that ran somewhere after its reports, to its end or well past
 //      its beginning, is none that crashes what runs it: those reports don't
 //      count.
 //   2. Among requests with at least `kCrashesToBlame` crashes, the one with the
@@ -75,6 +74,14 @@
   bool operator==(const CrashReport&) const = default;
 };
 
+// A request with reports that ran well after all.
+struct RanReport {
+  Fingerprint request;
+  WallTime at{};
+
+  bool operator==(const RanReport&) const = default;
+};
+
 class CrashBlame {
  public:
   // Requests with reports; beyond that the one with the fewest is forgotten, of
@@ -89,6 +96,10 @@
   bool Note(const CrashReport& report, WallTime now);
   // The request ran well at `at`. Ignored if it has no report.
   void NoteRan(const Fingerprint& request, WallTime at, WallTime now);
+  // The same of many, with one verdict for all. A router that starts takes up
+  // to 64 reports of each router, most of them of few requests.
+  void NoteAll(const std::vector<CrashReport>& crashes,
+               const std::vector<RanReport>& ran, WallTime now);
   // Forgets what is older than `kCrashMemory`.
   void Expire(WallTime now);
 
@@ -121,6 +132,9 @@
     Duration begun_for{};
   };
 
+  // Without a verdict. Whether anything changed.
+  bool Add(const CrashReport& report, WallTime now);
+  bool AddRan(const RanReport& report, WallTime now);
   static bool Counts(const Suspect& it, const CrashReport& report) {
     return report.at > it.ran_at;
   }
--- a/dispatch/testing/crash_blame_test.cc
+++ b/dispatch/testing/crash_blame_test.cc
@@ -42,24 +42,26 @@
   BOOST_TEST(!it.IsBlamed(kCulprit));
 }
 
+// Three crashes that both were in.
+void NoteBoth(CrashBlame& blame, int other_ms, int culprit_ms) {
+  for (int n = 1; n <= 3; ++n) {
+    blame.Note(Report(kOther, n, other_ms), kNow);
+    blame.Note(Report(kCulprit, n, culprit_ms), kNow);
+  }
+}
+
 // Both were sent again and met three times; the one that had just begun each
 // time is the likelier, and once it has crashed another it is the only one.
 BOOST_AUTO_TEST_CASE(WhatACulpritExplainsCountsAgainstNobodyElse) {
   CrashBlame it;
-  for (int n = 1; n <= 3; ++n) {
-    it.Note(Report(kOther, n, 400), kNow);
-    it.Note(Report(kCulprit, n, 60), kNow);
-  }
+  NoteBoth(it, 400, 60);
   BOOST_TEST(it.IsBlamed(kCulprit));
   BOOST_TEST(!it.IsBlamed(kOther));
 }
 
 BOOST_AUTO_TEST_CASE(AWrongVerdictIsMendedByTheNextCrash) {
   CrashBlame it;
-  for (int n = 1; n <= 3; ++n) {
-    it.Note(Report(kOther, n, 10), kNow);
-    it.Note(Report(kCulprit, n, 60), kNow);
-  }
+  NoteBoth(it, 10, 60);
   BOOST_TEST(it.IsBlamed(kOther));
   it.Note(Report(kCulprit, 4), kNow);
   BOOST_TEST(it.IsBlamed(kCulprit));
--- a/fleet/target_registry.h
+++ b/fleet/target_registry.h
@@ -82,6 +82,13 @@
     return true;
   }
 
+  // Whether `entry`, if it is put, is another start of a listed target.
+  bool StartsAgain(const TargetEntry& entry) const {
+    const auto it = entries_.find(entry.name);
+    return it != entries_.end() && it->second.start != entry.start &&
+           !IsOfEarlierStart(entry);
+  }
+
   // The target is no longer listed. It may be listed again later, unless it was
   // leaving.
   bool Remove(const TargetName& name) {
--- a/relay/config_follower.h
+++ b/relay/config_follower.h
@@ -64,7 +64,6 @@
   // The store is back: what waited through the outage may never be answered.
   void AskStoreAgain() { feed_.AskAgain(); }
   StateFeed& feed() { return feed_; }
-  const StateFeed& feed() const { return feed_; }
 
   // Null before the first.
   const ServiceMapPtr& map() const { return map_; }
--- a/relay/crash_reports.cc
+++ b/relay/crash_reports.cc
@@ -16,12 +16,10 @@
 constexpr std::size_t kLongestName = 200;
 // A request that had begun longer ago than this counts as this.
 constexpr std::int64_t kLongestSpanMs = 3'600'000;
-// Some thousand years, far from where the arithmetic of clocks ends.
-constexpr std::int64_t kLatestTimeMs = std::int64_t{1} << 47;
 
 WallTime TimeFromJson(const Json& json) {
-  return WallTime(milliseconds(
-      std::clamp<std::int64_t>(json.get<std::int64_t>(), 0, kLatestTimeMs)));
+  const WallTime at{milliseconds(json.get<std::int64_t>())};
+  return std::clamp(at, WallTime{}, kLatestWallTime);
 }
 
 std::int64_t TimeToJson(WallTime at) { return at.time_since_epoch().count(); }
--- a/relay/crash_reports.h
+++ b/relay/crash_reports.h
@@ -22,14 +22,6 @@
 
 namespace quaytrack {
 
-// A request with reports that ran well after all.
-struct RanReport {
-  Fingerprint request;
-  WallTime at{};
-
-  bool operator==(const RanReport&) const = default;
-};
-
 struct CrashReports {
   // Of each list. A router sees a few crashes a second at most, and of each one
   // or two requests that had just begun; 64 of 80 bytes are 5 KB for each
@@ -38,8 +30,6 @@
 
   std::vector<CrashReport> crashes;
   std::vector<RanReport> ran;
-
-  bool operator==(const CrashReports&) const = default;
 };
 
 std::string EncodeCrashReports(const CrashReports& reports);
--- a/relay/crash_watch.cc
+++ b/relay/crash_watch.cc
@@ -23,12 +23,6 @@
 // routers that see a crash each 200 ms make 40 writes a second. Not measured.
 constexpr Duration kBetweenWrites = milliseconds(200);
 
-StoreFollower::Options FollowerOptions() {
-  StoreFollower::Options out;
-  out.prefix = kPrefix;
-  return out;
-}
-
 template <class Report>
 void AddOnce(std::vector<Report>& list, const Report& it) {
   if (std::find(list.begin(), list.end(), it) != list.end()) return;
@@ -51,7 +45,7 @@
     : context_(context),
       self_(std::move(self)),
       on_(std::move(handlers)),
-      feed_(context, {FeedName::kCrashes, FollowerOptions()}, FeedHandlers(),
+      feed_(context, {FeedName::kCrashes, {kPrefix}}, FeedHandlers(),
             on_.feed) {}
 
 Duration CrashWatch::Remaining(const Fingerprint& request) const {
@@ -95,11 +89,7 @@
 }
 
 void CrashWatch::Take(const CrashReports& reports) {
-  const WallTime now = context_.clock.WallNow();
-  for (const CrashReport& it : reports.crashes) blame_.Note(it, now);
-  for (const RanReport& it : reports.ran) {
-    blame_.NoteRan(it.request, it.at, now);
-  }
+  blame_.NoteAll(reports.crashes, reports.ran, context_.clock.WallNow());
   LogVerdicts();
 }
 
@@ -184,7 +174,7 @@
             {"begun_ms", MillisecondsText(attempt.running_for)},
             {"crashes", std::to_string(blame_.Crashes(attempt.request))}});
   LogVerdicts();
-  AddOnce(own_.crashes, report);
+  own_.crashes.push_back(report);
   Tell({{report}, {}});
 }
 
@@ -196,7 +186,7 @@
   const RanReport report{request, now};
   std::erase_if(own_.ran,
                 [&](const auto& it) { return it.request == request; });
-  AddOnce(own_.ran, report);
+  own_.ran.push_back(report);
   Tell({{}, {report}});
 }
 
@@ -208,7 +198,7 @@
   out.item_value = EncodeCrashReports(news);
   on_.broadcast(std::move(out));
   unwritten_ = true;
-  if (!write_ && !written_timer_) WriteLater(kBeforeWrite);
+  if (!write_ && !write_timer_) WriteAfter(kBeforeWrite);
 }
 
 // Keeps the own reports within their bounds: what is old goes, then what speaks
@@ -237,16 +227,14 @@
 
 std::string CrashWatch::OwnKey() const { return kPrefix + self_.value; }
 
-void CrashWatch::WriteLater(Duration delay) {
-  if (write_timer_) return;
+void CrashWatch::WriteAfter(Duration delay) {
   write_timer_ = context_.loop.After(delay, [this] {
     write_timer_.reset();
-    Write();
+    if (unwritten_) Write();
   });
 }
 
 void CrashWatch::Write() {
-  if (write_) return;
   unwritten_ = false;
   StoreWrite write;
   write.conditions.push_back({OwnKey(), own_revision_});
@@ -268,10 +256,7 @@
     }
   }
   if (!done) unwritten_ = true;
-  written_timer_ = context_.loop.After(kBetweenWrites, [this] {
-    written_timer_.reset();
-    if (unwritten_) WriteLater(Duration::zero());
-  });
+  WriteAfter(kBetweenWrites);
 }
 
 // What an earlier process on this VM has seen stays in the store.
--- a/relay/crash_watch.h
+++ b/relay/crash_watch.h
@@ -44,7 +44,6 @@
 #define QUAYTRACK_RELAY_CRASH_WATCH_H_
 
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -111,7 +110,7 @@
   void OnLost(const LostAttempt& attempt);
   // A request ran to its end at a target, or well beyond its beginning.
   void OnRan(const Fingerprint& request);
-  // Forgets what is old; once a second or so.
+  // Forgets what is old; some times a second.
   void Check();
 
   // Whether a request's fingerprint says anything. If not, none is needed.
@@ -127,7 +126,6 @@
   Duration Remaining(const Fingerprint& request) const;
   const CrashBlame& blame() const { return blame_; }
   StateFeed& feed() { return feed_; }
-  const StateFeed& feed() const { return feed_; }
 
  private:
   // A target that is being asked whether it lives.
@@ -151,7 +149,7 @@
   void ForgetOwn();
 
   std::string OwnKey() const;
-  void WriteLater(Duration delay);
+  void WriteAfter(Duration delay);
   void Write();
   void OnWritten(const StoreWritten& written);
   void MergeOwn(const CrashReports& stored);
@@ -167,14 +165,13 @@
 
   // What this router has seen, as it is to stand in the store.
   CrashReports own_;
-  // `own_` has changed since the write under way was made.
+  // `own_` has changed since the latest write was made.
   bool unwritten_ = false;
   // Of the own item; 0 if there is none.
   std::int64_t own_revision_ = 0;
   KvStore::CallPtr write_;
+  // Runs for a while before a write, and for a while after one.
   std::unique_ptr<Timer> write_timer_;
-  // Runs for a while after a write.
-  std::unique_ptr<Timer> written_timer_;
 };
 
 }  // namespace quaytrack
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -235,7 +235,7 @@
   return out;
 }
 
-std::vector<StateFeed*> RelayRouter::Feeds() {
+std::array<StateFeed*, 3> RelayRouter::Feeds() {
   return {&configs_.feed(), &targets_.feed(), &crashes_.feed()};
 }
 
@@ -340,7 +340,7 @@
   peers_.Broadcast(out);
 }
 
-void RelayRouter::FillSignOfLife(PeerMessage& message) const {
+void RelayRouter::FillSignOfLife(PeerMessage& message) {
   message.config_version = configs_.version();
   message.targets_revision = targets_.revision();
   message.keeps_budgets = budgets_.ledger().KeepsGrants();
@@ -352,16 +352,13 @@
   message.address = fleet_.directory().self().address;
 }
 
-void RelayRouter::FillMarks(PeerMessage& message) const {
+void RelayRouter::FillMarks(PeerMessage& message) {
   const FleetDirectory& directory = fleet_.directory();
   if (!directory.IsReader(directory.self().vm)) return;
   message.routers = directory.size();
-  const auto config = configs_.feed().Mark();
-  if (config) message.marks[FeedName::kConfig] = *config;
-  const auto targets = targets_.feed().Mark();
-  if (targets) message.marks[FeedName::kTargets] = *targets;
-  const auto crashes = crashes_.feed().Mark();
-  if (crashes) message.marks[FeedName::kCrashes] = *crashes;
+  for (const StateFeed* it : Feeds()) {
+    if (const auto mark = it->Mark()) message.marks[it->name()] = *mark;
+  }
 }
 
 // --- The balancer and operators ----------------------------------------------
@@ -388,13 +385,14 @@
   metrics_.SetGauge("peers_linked", static_cast<double>(peers_.peers()));
   metrics_.SetGauge("link_load", link_.load());
   metrics_.SetGauge("config_version", static_cast<double>(configs_.version()));
-  metrics_.SetGauge("config_age_s", ToSeconds(configs_.feed().Age()));
-  metrics_.SetGauge("crashes_age_s", ToSeconds(crashes_.feed().Age()));
+  for (const StateFeed* it : Feeds()) {
+    metrics_.SetGauge(std::string(NameOf(it->name())) + "_age_s",
+                      ToSeconds(it->Age()));
+  }
   metrics_.SetGauge("suspected_requests",
                     static_cast<double>(crashes_.blame().size()));
   metrics_.SetGauge("blamed_requests",
                     static_cast<double>(crashes_.blame().blamed().size()));
-  metrics_.SetGauge("targets_age_s", ToSeconds(targets_.feed().Age()));
   metrics_.SetGauge("store_calls", static_cast<double>(store_.calls()));
   metrics_.SetGauge("target_connections_opened",
                     static_cast<double>(connections_.opened()));
--- a/relay/relay_router.h
+++ b/relay/relay_router.h
@@ -32,6 +32,7 @@
 #ifndef QUAYTRACK_RELAY_RELAY_ROUTER_H_
 #define QUAYTRACK_RELAY_RELAY_ROUTER_H_
 
+#include <array>
 #include <memory>
 #include <random>
 #include <string>
@@ -85,7 +86,7 @@
   ConfigFollower::Handlers ConfigHandlers();
   TargetFollower::Handlers TargetHandlers();
   CrashWatch::Handlers CrashHandlers();
-  std::vector<StateFeed*> Feeds();
+  std::array<StateFeed*, 3> Feeds();
   PeerMesh::Handlers PeerHandlers();
   PlannedStop::Handlers StopHandlers();
   void ServeCallers();
@@ -96,8 +97,8 @@
   void OnPeerMessage(const PeerMessage& message);
   void TellPeers(const SentPrompt& sent);
   void CountRouters(const PeerMessage& message);
-  void FillSignOfLife(PeerMessage& message) const;
-  void FillMarks(PeerMessage& message) const;
+  void FillSignOfLife(PeerMessage& message);
+  void FillMarks(PeerMessage& message);
   void AnswerAdmin(const std::shared_ptr<CallerConnection>& caller,
                    const CallerRequest& request);
   void AnswerMetrics(const std::shared_ptr<CallerConnection>& caller);
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -324,9 +324,7 @@
   outcome_ = verdict.outcome;
   cause_ = IsSuccess(answer_.status) ? RelayCause::kServed
                                      : RelayCause::kTargetError;
-  if (cause_ == RelayCause::kServed && context_.crashes.IsWatching()) {
-    context_.crashes.OnRan(fingerprint());
-  }
+  if (cause_ == RelayCause::kServed) ReportRan();
   Apply(RelayEvent::kAnswerComplete);
 }
 
@@ -340,13 +338,17 @@
   return out;
 }
 
+void RelayedRequest::ReportRan() {
+  if (context_.crashes.IsWatching()) context_.crashes.OnRan(fingerprint());
+}
+
 // The target has ended the connection: it may have crashed, and this request
 // may be why.
 void RelayedRequest::ReportLost() {
   const RunningFacts facts = FactsOfRunning();
   if (CrashWatch::HasOutlived(facts)) {
     outlived_ = true;
-    if (context_.crashes.IsWatching()) context_.crashes.OnRan(fingerprint());
+    ReportRan();
   }
   if (outlived_ || !CrashWatch::HasJustBegun(facts)) return;
   may_have_crashed_ = true;
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -108,6 +108,7 @@
   void OnCallEnd(CallEnd end);
   Ran RanInAttempt() const;
   RunningFacts FactsOfRunning() const;
+  void ReportRan();
   void ReportLost();
   void StopAttempt(PlacementOutcome outcome);
   void EndAttempt(Ran ran, PlacementOutcome outcome);
--- a/relay/state_feed.h
+++ b/relay/state_feed.h
@@ -105,6 +105,8 @@
   StateFeed(const FeedContext& context, Options options, Handlers handlers,
             FeedLinks links);
 
+  FeedName name() const { return options_.name; }
+
   void Start() { follower_.Start(); }
   // Whether this router is one of the fleet's `readers` readers.
   void SetRole(bool is_reader, std::size_t readers);
--- a/relay/target_follower.cc
+++ b/relay/target_follower.cc
@@ -89,13 +89,8 @@
 }
 
 void TargetFollower::NoticeRestart(const TargetEntry& entry) {
-  const auto known = registry_.entries().find(entry.name);
-  if (known == registry_.entries().end()) return;
-  const TargetEntry& before = known->second;
-  if (before.start == entry.start) return;
-  // An entry of an earlier start that comes late.
-  if (entry.started_at < before.started_at) return;
-  if (on_.restarted) on_.restarted(before);
+  if (!on_.restarted || !registry_.StartsAgain(entry)) return;
+  on_.restarted(registry_.entries().at(entry.name));
 }
 
 void TargetFollower::Remove(const TargetName& name) {
--- a/relay/target_follower.h
+++ b/relay/target_follower.h
@@ -81,7 +81,6 @@
   // Revision of the latest change that is in the list, for peers.
   std::int64_t revision() const { return feed_.latest_change(); }
   StateFeed& feed() { return feed_; }
-  const StateFeed& feed() const { return feed_; }
 
  private:
   StateFeed::Handlers StoreHandlers();
