Halls that operators close get nothing further

Change: fleet/closed_halls.h holds which halls are closed, by the store's revision of the change, so that nothing older turns it back. It is fed by what the configuration's follower reads below op/ anyway, by the readers' feed, and by each sign of life and each configuration of a peer; no store call more. It is in force before the configuration that came with it, so a router that starts isn't ready before it knows. Placement chooses no target of a closed hall, and a call that waits for its connection asks once more just before its first byte (TargetCall::may_send): the same look is for targets that leave. If all halls are closed, callers get 503 halls_closed at once, as not run.

Found by the property test on the way: a peer's old news of a hall that this router knew as open from before closed it for good; what is older than everything known is passed over now.

--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -80,9 +80,31 @@
     // Another start holds nothing and runs nothing of what is known here.
     if (state.entry.start != entry.start) state = State{};
     state.entry = entry;
+    state.hall_closed = closed_halls_.contains(entry.hall);
   }
 }
 
+void Placement::SetClosedHalls(std::set<HallName> halls) {
+  closed_halls_ = std::move(halls);
+  for (auto& [name, state] : targets_) {
+    state.hall_closed = closed_halls_.contains(state.entry.hall);
+  }
+}
+
+bool Placement::IsOpenToWork(const TargetEntry& target) const {
+  const auto it = targets_.find(target.name);
+  return it != targets_.end() && it->second.entry.start == target.start &&
+         TakesWork(it->second);
+}
+
+bool Placement::IsClosedOff(const ServiceName& service) const {
+  return std::any_of(targets_.begin(), targets_.end(), [&](const auto& it) {
+    const State& state = it.second;
+    return state.entry.service == service && !state.entry.leaving &&
+           state.hall_closed;
+  });
+}
+
 bool Placement::IsListed(const TargetEntry& target) const {
   const auto it = targets_.find(target.name);
   return it != targets_.end() && it->second.entry.start == target.start;
@@ -103,7 +125,7 @@
   std::uint64_t best = 0;
   for (const auto& [name, state] : targets_) {
     const TargetEntry& entry = state.entry;
-    if (entry.service != request.service || entry.leaving) continue;
+    if (entry.service != request.service || !TakesWork(state)) continue;
     const std::uint64_t weight = RendezvousWeight(name.value, key);
     if (out != nullptr && weight <= best) continue;
     out = &state;
@@ -154,7 +176,7 @@
   double best_cost = 0;
   for (const auto& [name, state] : targets_) {
     const TargetEntry& entry = state.entry;
-    if (entry.service != request.service || entry.leaving) continue;
+    if (entry.service != request.service || !TakesWork(state)) continue;
     if (request.tried.contains(name)) continue;
     const bool ejected = state.health.IsEjected(now);
     const double cost = Cost(state, among);
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -8,7 +8,8 @@
 //   placement.OnAnswering(name, prefill, waited);     // a first event
 //   placement.OnEnded(now, name, 0, PlacementOutcome::kGood);
 //
-// The rule. Targets that are leaving or that had the request before are out.
+// The rule. Targets that may get no work (they are leaving, or their hall is
+// closed) and those that had the request before are out.
 // Of the others, ejected ones (dispatch/outlier_ejection.h) are taken only if
 // all are ejected. Among equals the one with the lowest expected cost is
 // chosen, in milliseconds:
@@ -48,7 +49,7 @@
 // Why a preferred target. What an engine has cached is known only for this
 // router's own requests. To make routers agree without talking, the prompt's
 // deepest shared part has a preferred target: the first in a rendezvous order
-// (Thaler and Ravishankar 1998) of the targets that aren't leaving. It is taken
+// (Thaler and Ravishankar 1998) of the targets that may get work. It is taken
 // to have all shared parts. Under load, waiting there costs more than
 // prefilling the parts elsewhere, so the load of one target is bounded, as in
 // consistent hashing with bounded loads (Mirrokni et al. 2018).
@@ -122,15 +123,29 @@
   // nothing is.
   void SetTargets(const std::map<TargetName, TargetEntry>& entries);
 
+  // Halls that are closed to new work (fleet/closed_halls.h).
+  void SetClosedHalls(std::set<HallName> halls);
+
+  // Whether anything further may be sent to a target: it is listed as that
+  // start, isn't leaving, and its hall isn't closed. Asked again just before
+  // the bytes of a request that waited for its connection, and by whoever else
+  // sends something to a target: every rule that keeps work from one stands
+  // here.
+  bool IsOpenToWork(const TargetEntry& target) const;
+
   // Whether it is there as that start. What a request learns of another one,
   // which has ended, says nothing of it.
   bool IsListed(const TargetEntry& target) const;
 
-  // Nothing if every target of the service is leaving or tried. It costs one
-  // hash and one comparison for each target.
+  // Nothing if no target of the service may get work, but for those tried. It
+  // costs one hash and one comparison for each target.
   std::optional<PlacementChoice> Choose(Instant now,
                                         const PlacementRequest& request) const;
 
+  // Whether some target of the service would get work if its hall weren't
+  // closed.
+  bool IsClosedOff(const ServiceName& service) const;
+
   // Returns the tokens that the target is expected to prefill for the request;
   // 0 for services other than engines. `is_preferred` is as `Choose` found it.
   Tokens OnSent(Instant now, const TargetName& name,
@@ -158,6 +173,7 @@
   // One target, as this router knows it.
   struct State {
     TargetEntry entry;
+    bool hall_closed = false;
     // Requests of this router that are running there.
     int running = 0;
     // Tokens that the target still has to prefill for them.
@@ -180,6 +196,9 @@
     bool IsPreferred(const State& state) const { return &state == preferred; }
   };
 
+  static bool TakesWork(const State& state) {
+    return !state.entry.leaving && !state.hall_closed;
+  }
   // Of a service without answers, the first guess or what peers have learned.
   const PrefillSpeed& SpeedOf(const ServiceName& service) const;
   static double FirstEventMs(const State& state, const Candidates& among);
@@ -191,6 +210,7 @@
   const State* PreferredTarget(const PlacementRequest& request) const;
 
   HallName hall_;
+  std::set<HallName> closed_halls_;
   std::map<TargetName, State> targets_;
   // One entry for each service of which answers or peers have told.
   std::map<ServiceName, PrefillSpeed> speeds_;
--- a/dispatch/testing/placement_test.cc
+++ b/dispatch/testing/placement_test.cc
@@ -100,6 +100,60 @@
   BOOST_TEST(!it.Choose(kStart, request).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(TargetsOfAClosedHallGetNothing) {
+  Placement it(HallName("hall-0"));
+  auto targets = Targets(kEngines, 12);
+  it.SetTargets(targets);
+  it.SetClosedHalls({HallName("hall-0"), HallName("hall-of-nobody")});
+  for (std::uint64_t part = 1; part <= 40; ++part) {
+    const auto choice = it.Choose(kStart, Prompt(part, 900 + part));
+    BOOST_TEST((choice->target.hall != HallName("hall-0")));
+    // Another target is the preferred one meanwhile, for all routers.
+    BOOST_TEST(choice->is_preferred);
+  }
+  BOOST_TEST(!it.IsOpenToWork(targets.at(TargetName("t0"))));
+  BOOST_TEST(it.IsOpenToWork(targets.at(TargetName("t1"))));
+  // One that is listed meanwhile is closed as well.
+  TargetEntry late = targets.at(TargetName("t0"));
+  late.name = TargetName("late");
+  targets[late.name] = late;
+  it.SetTargets(targets);
+  BOOST_TEST(!it.IsOpenToWork(late));
+  it.SetClosedHalls({});
+  BOOST_TEST(it.IsOpenToWork(late));
+}
+
+BOOST_AUTO_TEST_CASE(WithAllHallsClosedThereIsNoTarget) {
+  Placement it(HallName("hall-0"));
+  it.SetTargets(Targets(kDesk, 3));
+  BOOST_TEST(!it.IsClosedOff(kDesk));
+  it.SetClosedHalls(
+      {HallName("hall-0"), HallName("hall-1"), HallName("hall-2")});
+  PlacementRequest request;
+  request.service = kDesk;
+  BOOST_TEST(!it.Choose(kStart, request).has_value());
+  BOOST_TEST(it.IsClosedOff(kDesk));
+  BOOST_TEST(!it.IsClosedOff(kEngines));
+}
+
+BOOST_AUTO_TEST_CASE(WhatIsLeavingOrAnotherStartMayGetNoWork) {
+  Placement it(HallName("hall-0"));
+  auto targets = Targets(kDesk, 2);
+  const TargetEntry chosen = targets.at(TargetName("t0"));
+  it.SetTargets(targets);
+  BOOST_TEST(it.IsOpenToWork(chosen));
+  targets.at(TargetName("t0")).leaving = true;
+  it.SetTargets(targets);
+  BOOST_TEST(!it.IsOpenToWork(chosen));
+  targets.at(TargetName("t0")).leaving = false;
+  targets.at(TargetName("t0")).start = TargetStart("t0@7");
+  it.SetTargets(targets);
+  BOOST_TEST(!it.IsOpenToWork(chosen));
+  targets.erase(TargetName("t0"));
+  it.SetTargets(targets);
+  BOOST_TEST(!it.IsOpenToWork(chosen));
+}
+
 BOOST_AUTO_TEST_CASE(AFailingTargetIsLeftAndTriedAgain) {
   Placement it(HallName("hall-0"));
   it.SetTargets(Targets(kDesk, 3));
--- /dev/null
+++ b/fleet/testing/closed_halls_test.cc
@@ -0,0 +1,230 @@
+// Which halls are closed to new work, whoever tells it, in whatever order.
+
+#include "fleet/closed_halls.h"
+
+#include <rapidcheck.h>
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace quaytrack {
+namespace {
+
+const HallName kHall("hall-2");
+const HallName kOther("hall-3");
+
+BOOST_AUTO_TEST_CASE(AHallIsClosedUntilItIsOpenedAgain) {
+  ClosedHalls it;
+  BOOST_TEST(it.Note(kHall, {5, true}));
+  BOOST_TEST(it.IsClosed(kHall));
+  BOOST_TEST(!it.IsClosed(kOther));
+  BOOST_TEST(it.Note(kHall, {8, false}));
+  BOOST_TEST(!it.IsClosed(kHall));
+}
+
+BOOST_AUTO_TEST_CASE(WhatIsOlderTurnsNothingBack) {
+  ClosedHalls it;
+  it.Note(kHall, {5, true});
+  BOOST_TEST(!it.Note(kHall, {4, false}));
+  BOOST_TEST(it.Replace({}, 4).empty());
+  BOOST_TEST(it.Merge({{kHall, {3, false}}}).empty());
+  BOOST_TEST(it.IsClosed(kHall));
+  it.Note(kHall, {8, false});
+  BOOST_TEST(!it.Note(kHall, {5, true}));
+  BOOST_TEST(it.Merge({{kHall, {5, true}}}).empty());
+  BOOST_TEST(!it.IsClosed(kHall));
+}
+
+BOOST_AUTO_TEST_CASE(AWholeReadingOpensWhatItDoesntName) {
+  ClosedHalls it;
+  it.Replace({{kHall, {5, true}}, {kOther, {6, true}}}, 7);
+  BOOST_TEST(it.closed().size() == 2U);
+  const std::vector<HallName> changed = it.Replace({{kOther, {6, true}}}, 9);
+  BOOST_TEST((changed == std::vector<HallName>{kHall}));
+  BOOST_TEST(it.IsClosed(kOther));
+}
+
+// A page may show an item that is newer than the reading's revision.
+BOOST_AUTO_TEST_CASE(AnItemNewerThanItsReadingCounts) {
+  ClosedHalls it;
+  it.Replace({{kHall, {9, true}}}, 7);
+  BOOST_TEST(it.IsClosed(kHall));
+  BOOST_TEST(it.Replace({}, 8).empty());
+  BOOST_TEST(it.IsClosed(kHall));
+}
+
+// This router has read that the hall is open, and never knew it closed.
+BOOST_AUTO_TEST_CASE(OldNewsOfAPeerClosesNothing) {
+  ClosedHalls it;
+  it.Replace({}, 9);
+  BOOST_TEST(it.Merge({{kHall, {5, true}}}).empty());
+  BOOST_TEST(!it.IsClosed(kHall));
+  BOOST_TEST(it.Merge({{kHall, {12, true}}}).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(APeerThatWasCutOffIsToldThatAHallIsOpen) {
+  ClosedHalls cut_off;
+  cut_off.Note(kHall, {5, true});
+  ClosedHalls current = cut_off;
+  current.Replace({}, 9);
+  BOOST_TEST(cut_off.Merge(current.states()).size() == 1U);
+  BOOST_TEST(!cut_off.IsClosed(kHall));
+}
+
+BOOST_AUTO_TEST_CASE(MemoryIsBoundedAndClosedHallsAreKept) {
+  ClosedHalls it;
+  it.Note(kHall, {1, true});
+  for (int n = 0; n < 500; ++n) {
+    const HallName hall("h" + std::to_string(n));
+    it.Note(hall, {10 + 2 * n, true});
+    it.Note(hall, {11 + 2 * n, false});
+  }
+  BOOST_TEST(it.states().size() == ClosedHalls::kMostOpened + 1);
+  BOOST_TEST(it.IsClosed(kHall));
+}
+
+// A store's history of four halls, and routers that are told of it by whole
+// readings, by single changes in their order, and by each other's messages,
+// which come late, twice, in any order or never.
+class World {
+ public:
+  explicit World(std::uint32_t seed) : random_(seed) {
+    history_.push_back({});
+    for (int n = 1; n <= kChanges; ++n) {
+      HallStates next = history_.back();
+      const HallName hall("h" + std::to_string(Draw(kHalls)));
+      const auto at = next.find(hall);
+      if (at == next.end()) {
+        next[hall] = {n, true};
+      } else {
+        next.erase(at);
+      }
+      history_.push_back(next);
+    }
+  }
+
+  // `older_wins` is the wrong rule: what comes last holds.
+  bool AnyGoesBack(bool older_wins) {
+    for (int n = 0; n < kSteps; ++n) {
+      Step(older_wins);
+      for (Router& it : routers_) {
+        if (GoesBack(it)) return true;
+      }
+    }
+    return false;
+  }
+
+ private:
+  static constexpr int kHalls = 4;
+  static constexpr int kChanges = 40;
+  static constexpr int kRouters = 3;
+  static constexpr int kSteps = 200;
+
+  struct Router {
+    ClosedHalls halls;
+    // What the wrong rule takes it for.
+    HallStates last_told;
+    // Every change up to this one was told to it.
+    int read = 0;
+  };
+
+  int Draw(int n) {
+    return static_cast<int>(random_() % static_cast<std::uint32_t>(n));
+  }
+
+  void Step(bool older_wins) {
+    now_ = std::min(now_ + Draw(2), kChanges);
+    Router& it = routers_[static_cast<std::size_t>(Draw(kRouters))];
+    switch (Draw(4)) {
+      case 0:
+        return Read(it);
+      case 1:
+        return Follow(it);
+      case 2:
+        return messages_.push_back(older_wins ? it.last_told
+                                              : it.halls.states());
+      default:
+        if (messages_.empty()) return;
+        const auto at = messages_.size();
+        const HallStates& message =
+            messages_[static_cast<std::size_t>(Draw(static_cast<int>(at)))];
+        it.halls.Merge(message);
+        for (const auto& [hall, state] : message) it.last_told[hall] = state;
+    }
+  }
+
+  void Read(Router& it) {
+    it.read = std::max(it.read, now_);
+    const HallStates& closed = history_[static_cast<std::size_t>(it.read)];
+    it.halls.Replace(closed, it.read);
+    for (auto& [hall, state] : it.last_told) state.closed = false;
+    for (const auto& [hall, state] : closed) it.last_told[hall] = state;
+  }
+
+  void Follow(Router& it) {
+    if (it.read >= now_) return;
+    ++it.read;
+    const HallStates& before = history_[static_cast<std::size_t>(it.read) - 1];
+    const HallStates& after = history_[static_cast<std::size_t>(it.read)];
+    for (int n = 0; n < kHalls; ++n) {
+      const HallName hall("h" + std::to_string(n));
+      if (before.contains(hall) == after.contains(hall)) continue;
+      const HallState state{it.read, after.contains(hall)};
+      it.halls.Note(hall, state);
+      it.last_told[hall] = state;
+    }
+    it.halls.SetKnown(it.read);
+  }
+
+  // It takes a hall for what it was before a change that it was told of. A hall
+  // may be known newer than that, from a peer, but not older.
+  bool GoesBack(const Router& it) const {
+    for (int n = 0; n < kHalls; ++n) {
+      const HallName hall("h" + std::to_string(n));
+      if (!MayBe(it, hall)) return true;
+    }
+    return false;
+  }
+
+  bool MayBe(const Router& it, const HallName& hall) const {
+    const bool closed = it.halls.IsClosed(hall);
+    const auto told = it.last_told.find(hall);
+    const bool wrong = told != it.last_told.end() && told->second.closed;
+    for (int at = it.read; at <= now_; ++at) {
+      const bool then = history_[static_cast<std::size_t>(at)].contains(hall);
+      if (then == (judge_wrong_rule ? wrong : closed)) return true;
+    }
+    return false;
+  }
+
+ public:
+  bool judge_wrong_rule = false;
+
+ private:
+  std::mt19937 random_;
+  std::vector<HallStates> history_;
+  std::vector<HallStates> messages_;
+  std::vector<Router> routers_{kRouters};
+  int now_ = 0;
+};
+
+BOOST_AUTO_TEST_CASE(NoHistoryTurnsARouterBack) {
+  BOOST_TEST(rc::check(
+      [](std::uint32_t seed) { RC_ASSERT(!World(seed).AnyGoesBack(false)); }));
+}
+
+// The property is strict enough to find a rule that goes by what came last.
+BOOST_AUTO_TEST_CASE(TheRuleThatTakesWhatComesLastIsFound) {
+  int found = 0;
+  for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+    World it(seed);
+    it.judge_wrong_rule = true;
+    if (it.AnyGoesBack(true)) ++found;
+  }
+  BOOST_TEST(found >= 15);
+}
+
+}  // namespace
+}  // namespace quaytrack
--- a/http/target_connection.cc
+++ b/http/target_connection.cc
@@ -103,6 +103,16 @@
     owner.Finish(keep, taken ? CallEnd::kBroken : CallEnd::kNotSent, false);
   }
 
+  // The first bytes of a call that waited for the connection.
+  void OnConnected() {
+    const auto keep = shared_from_this();
+    if (!call) return;
+    if (may_send && !may_send()) {
+      return owner.Finish(keep, CallEnd::kHeldBack, false);
+    }
+    socket->Write(std::exchange(waiting, {}));
+  }
+
   // An idle connection that ended or spoke out of turn.
   void Drop() {
     auto& list = owner.idle_[address];
@@ -116,6 +126,9 @@
   std::shared_ptr<TcpSocket> socket;
   HttpParser parser;
   std::shared_ptr<CallHandle> call;
+  // Of a call that waits for the connection.
+  std::string waiting;
+  std::function<bool()> may_send;
   // Bytes that the kernel had taken before the present call.
   std::uint64_t taken_before = 0;
   // The present answer is not the awaited one.
@@ -185,6 +198,9 @@
   on.ended = [weak](SocketEnd end) {
     if (const auto it = weak.lock()) it->OnEnded(end);
   };
+  on.connected = [weak] {
+    if (const auto it = weak.lock()) it->OnConnected();
+  };
   TcpOptions options;
   options.user_timeout = kUserTimeout;
   out->socket = TcpSocket::Connect(loop_, address, options, std::move(on));
@@ -209,7 +225,12 @@
   connection->call = out;
   connection->complete = false;
   connection->taken_before = connection->socket->bytes_taken();
-  connection->socket->Write(call.bytes);
+  if (connection->socket->connected()) {
+    connection->socket->Write(call.bytes);
+  } else {
+    connection->waiting = call.bytes;
+    connection->may_send = call.may_send;
+  }
   return out;
 }
 
--- a/http/target_connection.h
+++ b/http/target_connection.h
@@ -5,6 +5,10 @@
 //   auto call = targets.Start({"10.0.0.9:80", bytes}, handlers);
 //   call->Cancel();
 //
+// The last look. A call that has to wait for its connection asks once more,
+// just before its first byte, whether it may still be sent there
+// (`TargetCall::may_send`). On an open connection it is written at once.
+//
 // What matters to callers is what a failure says about the request: whether it
 // may have run (`CallEnd`). So a call ends as not sent only if the kernel took
 // no byte of it.
@@ -44,6 +48,7 @@
   kComplete,  // a whole answer
   kNotSent,   // no byte was handed to the kernel: it can't have run
   kBroken,    // sent at least in part, and no whole answer: it may have run
+  kHeldBack,  // not sent, as it was not to be any more
 };
 
 struct TargetCall {
@@ -51,6 +56,11 @@
   std::string address;
   // Head and body, ready to be sent.
   std::string bytes;
+  // Asked just before they are written to a connection that had to be opened
+  // first, which may take as long as its timeout: what decided for the address
+  // may have changed. If it says no, nothing is written and the call ends as
+  // held back. Optional.
+  std::function<bool()> may_send = {};
 };
 
 class TargetConnections;
--- a/http/testing/connections_test.cc
+++ b/http/testing/connections_test.cc
@@ -2,6 +2,7 @@
 // about the request, and which connections are used again.
 
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -86,6 +87,22 @@
     return out;
   }
 
+  // The same, of a call that asks again before its first byte.
+  Result CallIf(const std::function<bool()>& may_send) {
+    Result out;
+    CallHandle::Handlers on;
+    on.head = [](const HttpHead&) { return true; };
+    on.body = [&](std::string_view it) { out.body += it; };
+    on.end = [&](CallEnd it) {
+      out.end = it;
+      loop.Stop();
+    };
+    const auto call = connections.Start({target.Address(), kRequest, may_send},
+                                        std::move(on));
+    loop.Run();
+    return out;
+  }
+
   void RunFor(Duration d) { quaytrack::RunFor(loop, d); }
 
   SystemClock clock;
@@ -104,6 +121,26 @@
   BOOST_TEST(connections.opened() == 1U);
 }
 
+// What decided for the target may change while its connection opens.
+BOOST_FIXTURE_TEST_CASE(ACallIsHeldBackAtTheLastMoment, Fixture) {
+  int asked = 0;
+  const Result it = CallIf([&] {
+    ++asked;
+    return false;
+  });
+  BOOST_TEST((it.end == CallEnd::kHeldBack));
+  BOOST_TEST(asked == 1);
+  RunFor(milliseconds(50));
+  BOOST_TEST(target.received.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(ACallThatMayBeSentIsSentOnce, Fixture) {
+  target.answers = {kAnswer};
+  const Result it = CallIf([] { return true; });
+  BOOST_TEST((it.end == CallEnd::kComplete));
+  BOOST_TEST(target.received == kRequest);
+}
+
 BOOST_FIXTURE_TEST_CASE(AnAnswerToAnotherRequestIsReadPast, Fixture) {
   target.answers = {std::string(kForeign) + kAnswer, kAnswer};
   const Result it = Call(target.Address());
--- a/relay/attempt.cc
+++ b/relay/attempt.cc
@@ -68,6 +68,9 @@
 }
 
 AttemptVerdict JudgeAttempt(const AttemptFacts& facts) {
+  if (facts.end == CallEnd::kHeldBack) {
+    return {false, Ran::kNo, PlacementOutcome::kNeutral};
+  }
   if (facts.end == CallEnd::kNotSent) {
     return {false, Ran::kNo, PlacementOutcome::kFailed};
   }
--- a/relay/config_follower.cc
+++ b/relay/config_follower.cc
@@ -22,12 +22,14 @@
 StateFeed::Handlers ConfigFollower::StoreHandlers() {
   StateFeed::Handlers on;
   on.replaced = [this](const std::vector<StoreItem>& items) {
+    ReplaceHalls(items);
     for (const StoreItem& it : items) AdoptIfHigher(it, Source::kStore);
   };
   on.changed = [this](const StoreChange& it) {
+    NoteHall(it);
     if (!it.removed) AdoptIfHigher(it.item, Source::kStore);
   };
-  on.settled = [] {};
+  on.settled = [this] { halls_.SetKnown(feed_.known()); };
   on.reachable = [this](bool reachable) {
     LogEvent(reachable ? Event::kKvBack : Event::kKvLost, {{"by", "config"}});
     on_.store_reachable(reachable);
@@ -35,6 +37,41 @@
   return on;
 }
 
+// --- Closed halls ------------------------------------------------------------
+
+void ConfigFollower::ReplaceHalls(const std::vector<StoreItem>& items) {
+  HallStates closed;
+  for (const StoreItem& it : items) {
+    if (const auto hall = reader_.ClosedHall(it.key)) {
+      closed[*hall] = {it.revision, true};
+    }
+  }
+  TakeHalls(halls_.Replace(closed, feed_.known()), Source::kStore);
+}
+
+void ConfigFollower::NoteHall(const StoreChange& change) {
+  const auto hall = reader_.ClosedHall(change.item.key);
+  if (!hall) return;
+  const bool changed =
+      halls_.Note(*hall, {change.item.revision, !change.removed});
+  if (changed) TakeHalls({*hall}, Source::kStore);
+}
+
+void ConfigFollower::TakeHalls(const std::vector<HallName>& changed,
+                               Source source) {
+  if (changed.empty()) return;
+  for (const HallName& it : changed) {
+    LogEvent(halls_.IsClosed(it) ? Event::kHallClosed : Event::kHallOpened,
+             {{"hall", it.value},
+              {"revision", std::to_string(halls_.states().at(it).revision)},
+              {"from", source == Source::kStore ? "store" : "peer"},
+              {"age_ms", MillisecondsText(feed_.Age())}});
+  }
+  on_.halls_changed();
+}
+
+// --- The configuration -------------------------------------------------------
+
 void ConfigFollower::AdoptIfHigher(const StoreItem& item, Source source) {
   // Null for an item that is not the configuration.
   const ServiceMapPtr next = ReadOrLog(item, [&] {
@@ -51,6 +88,7 @@
 
 void ConfigFollower::OnPeer(const PeerMessage& message) {
   feed_.OnPeer(message);
+  TakeHalls(halls_.Merge(message.halls), Source::kPeer);
   switch (message.kind) {
     case PeerMessageKind::kConfig:
       AdoptIfHigher({message.item_key, message.item_value, 0}, Source::kPeer);
@@ -69,6 +107,7 @@
   out.kind = PeerMessageKind::kConfig;
   out.item_key = item_.key;
   out.item_value = item_.value;
+  out.halls = halls_.states();
   on_.send(peer, out);
 }
 
--- a/relay/config_follower.h
+++ b/relay/config_follower.h
@@ -20,6 +20,12 @@
 // such question is under way at a time; a question or an answer that is lost is
 // made up for after the next sign of life.
 //
+// Halls that are closed to new work stand below the same prefix, and so cost no
+// call of their own (fleet/closed_halls.h). They are told with each sign of
+// life and with each configuration that is sent to a peer, and are in force
+// before that configuration is: a router that starts while a hall is closed
+// isn't ready before it knows.
+//
 // In a large fleet most routers don't follow the store but are told by readers
 // (relay/state_feed.h); the rules above are the same for what those tell.
 //
@@ -34,8 +40,10 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "config/service_map.h"
+#include "fleet/closed_halls.h"
 #include "net/loop.h"
 #include "relay/dialect.h"
 #include "relay/peer_messages.h"
@@ -54,6 +62,8 @@
     std::function<void(bool)> store_reachable;
     // What the feed needs of the fleet; unused in a small one.
     FeedLinks feed = {};
+    // Some hall is closed that was open, or the other way round.
+    std::function<void()> halls_changed = [] {};
   };
 
   ConfigFollower(const FeedContext& context, const SharedStateReader& reader,
@@ -69,12 +79,16 @@
   const ServiceMapPtr& map() const { return map_; }
   // Of the configuration in force; 0 before the first.
   std::uint64_t version() const { return map_ ? map_->version() : 0; }
+  const ClosedHalls& halls() const { return halls_; }
 
  private:
   // Who has shown a configuration; the word is the log's.
   enum class Source { kStore, kPeer };
 
   StateFeed::Handlers StoreHandlers();
+  void ReplaceHalls(const std::vector<StoreItem>& items);
+  void NoteHall(const StoreChange& change);
+  void TakeHalls(const std::vector<HallName>& changed, Source source);
   void AdoptIfHigher(const StoreItem& item, Source source);
   void AskPeerLater(const Incarnation& peer);
   void SendTo(const Incarnation& peer);
@@ -85,6 +99,7 @@
   ServiceMapPtr map_;
   // The item that `map_` was read from, for peers.
   StoreItem item_;
+  ClosedHalls halls_;
   StateFeed feed_;
   std::unique_ptr<Timer> ask_timer_;
 };
--- a/relay/crash_watch.h
+++ b/relay/crash_watch.h
@@ -81,7 +81,8 @@
   struct Handlers {
     // Sends a message to all linked peers.
     std::function<void(PeerMessage)> broadcast;
-    // What the list of targets says of one now; null if it isn't listed.
+    // What the list of targets says of one now; null if it isn't listed, or may
+    // get no work: nothing is sent there, not even a connection.
     std::function<const TargetEntry*(const TargetName&)> listed;
     // What the feed needs of the fleet; unused in a small one.
     FeedLinks feed = {};
--- a/relay/dialect.h
+++ b/relay/dialect.h
@@ -109,6 +109,10 @@
   virtual boost::leaf::result<TargetEntry> Target(
       const StoreItem& item) const = 0;
   virtual TargetName TargetOf(const std::string& key) const = 0;
+  // The hall that an item with this key closes to new work, whatever its value;
+  // nothing if it is another item or names no hall. It stands below
+  // `ConfigPrefix`.
+  virtual std::optional<HallName> ClosedHall(const std::string& key) const = 0;
 };
 
 }  // namespace quaytrack
--- a/relay/final_answer.cc
+++ b/relay/final_answer.cc
@@ -24,6 +24,10 @@
 // had a moment later either.
 constexpr Duration kWhenGranted = milliseconds(1000);
 
+// Operators close halls for some seconds at least, and nobody says for how
+// long.
+constexpr Duration kWhenHallsOpen = milliseconds(2000);
+
 // Another router can take it at once, if the balancer has one. A longer wait
 // would make the answer late for certain, to spare some callers another refusal
 // by a router that stops as well.
@@ -50,6 +54,7 @@
     case RelayCause::kNoConfiguration:
     case RelayCause::kBudgetUnavailable:
     case RelayCause::kNoTarget:
+    case RelayCause::kHallsClosed:
     case RelayCause::kTurnedAway:
     case RelayCause::kCrashesTargets:
       return 503;
@@ -78,6 +83,8 @@
       return kWhenConfigured;
     case RelayCause::kBudgetUnavailable:
       return kWhenGranted;
+    case RelayCause::kHallsClosed:
+      return kWhenHallsOpen;
     case RelayCause::kStopped:
       return kWhenElsewhere;
     case RelayCause::kCrashesTargets:
--- a/relay/peer_messages.cc
+++ b/relay/peer_messages.cc
@@ -73,6 +73,25 @@
   return out;
 }
 
+// A state is its revision and whether the hall is closed.
+Json HallsToJson(const HallStates& halls) {
+  Json out = Json::object();
+  for (const auto& [hall, it] : halls) {
+    out[hall.value] = {it.revision, it.closed};
+  }
+  return out;
+}
+
+HallStates HallsFromJson(const Json& json) {
+  HallStates out;
+  for (const auto& [hall, fields] : json.items()) {
+    if (hall.empty()) continue;
+    out[HallName(hall)] = {fields.at(0).get<std::int64_t>(),
+                           fields.at(1).get<bool>()};
+  }
+  return out;
+}
+
 // A change is its key, its revision and, unless it removed the item, its value.
 Json NewsToJson(const FeedNews& news) {
   Json changes = Json::array();
@@ -134,6 +153,7 @@
   out.size_class = json.value("size", 0);
   out.marks = MarksFromJson(json.value("marks", Json::object()));
   out.routers = json.value("routers", std::uint64_t{0});
+  out.halls = HallsFromJson(json.value("halls", Json::object()));
   if (CarriesNews(*kind)) {
     auto news = NewsFromJson(json.at("news"));
     if (!news) return std::nullopt;
@@ -173,6 +193,7 @@
   }
   if (!message.marks.empty()) json["marks"] = MarksToJson(message.marks);
   if (message.routers != 0) json["routers"] = message.routers;
+  if (!message.halls.empty()) json["halls"] = HallsToJson(message.halls);
   if (CarriesNews(message.kind)) json["news"] = NewsToJson(message.news);
   if (message.kind == PeerMessageKind::kPromptSent) {
     json["target"] = message.target.value;
--- a/relay/peer_messages.h
+++ b/relay/peer_messages.h
@@ -25,6 +25,7 @@
 #include "base/enum_table.h"
 #include "base/ids.h"
 #include "dispatch/prefill_speed.h"
+#include "fleet/closed_halls.h"
 #include "relay/feed_news.h"
 
 namespace quaytrack {
@@ -115,6 +116,9 @@
   // how many routers are on its list.
   std::map<FeedName, FeedMark> marks;
   std::uint64_t routers = 0;
+  // kHello, kPing, kConfig: the halls that operators have closed, or have
+  // opened again, as the sender knows them.
+  HallStates halls;
   // kNews, kState; kStateWanted has only the feed's name.
   FeedNews news;
   // kPromptSent: the engine.
--- a/relay/relay_metrics.cc
+++ b/relay/relay_metrics.cc
@@ -42,7 +42,13 @@
                     .Name("quaytrack_retries_total")
                     .Help("Requests sent to a second target")
                     .Register(registry_)
-                    .Add({})) {}
+                    .Add({})),
+      held_back_(&prometheus::BuildCounter()
+                      .Name("quaytrack_sends_held_back_total")
+                      .Help("Requests not written to a target that may get no "
+                            "work any more")
+                      .Register(registry_)
+                      .Add({})) {}
 
 std::string RelayMetrics::LabelFor(const CustomerName& customer) {
   if (labelled_.contains(customer)) return customer.value;
--- a/relay/relay_metrics.h
+++ b/relay/relay_metrics.h
@@ -46,6 +46,7 @@
   // `expected_ms` over 0.
   void ObserveFirstEvent(Duration took, double expected_ms);
   void CountRetry() { retries_->Increment(); }
+  void CountHeldBack() { held_back_->Increment(); }
   void SetGauge(const std::string& name, double value);
 
   // The text form that a scrape returns.
@@ -64,6 +65,7 @@
   prometheus::Histogram* over_expected_;
   prometheus::Family<prometheus::Gauge>& gauges_;
   prometheus::Counter* retries_;
+  prometheus::Counter* held_back_;
   std::set<CustomerName> labelled_;
 };
 
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -204,6 +204,9 @@
     peers_.SendTo(peer, it);
   };
   out.store_reachable = [this](bool it) { OnStoreReachable(it); };
+  out.halls_changed = [this] {
+    placement_.SetClosedHalls(configs_.halls().closed());
+  };
   return out;
 }
 
@@ -230,7 +233,9 @@
   out.listed = [this](const TargetName& name) -> const TargetEntry* {
     const auto& entries = targets_.registry().entries();
     const auto it = entries.find(name);
-    return it == entries.end() ? nullptr : &it->second;
+    const bool there =
+        it != entries.end() && placement_.IsOpenToWork(it->second);
+    return there ? &it->second : nullptr;
   };
   return out;
 }
@@ -342,6 +347,7 @@
 
 void RelayRouter::FillSignOfLife(PeerMessage& message) {
   message.config_version = configs_.version();
+  message.halls = configs_.halls().states();
   message.targets_revision = targets_.revision();
   message.keeps_budgets = budgets_.ledger().KeepsGrants();
   message.engine_speeds = placement_.Learned();
@@ -385,6 +391,8 @@
   metrics_.SetGauge("peers_linked", static_cast<double>(peers_.peers()));
   metrics_.SetGauge("link_load", link_.load());
   metrics_.SetGauge("config_version", static_cast<double>(configs_.version()));
+  metrics_.SetGauge("closed_halls",
+                    static_cast<double>(configs_.halls().closed().size()));
   for (const StateFeed* it : Feeds()) {
     metrics_.SetGauge(std::string(NameOf(it->name())) + "_age_s",
                       ToSeconds(it->Age()));
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -140,14 +140,18 @@
   if (Left() < kLeastTimeToSend) return OnDeadline();
   const auto choice =
       context_.placement.Choose(context_.clock.Now(), admission_.placement);
-  if (!choice) {
-    return GiveUp(Ran::kNo, progress_.sends > 0 ? RelayCause::kTurnedAway
-                                                : RelayCause::kNoTarget);
-  }
+  if (!choice) return GiveUp(Ran::kNo, CauseOfNoChoice());
   progress_.choice = *choice;
   Apply(RelayEvent::kTargetChosen);
 }
 
+RelayCause RelayedRequest::CauseOfNoChoice() const {
+  if (progress_.sends > 0) return RelayCause::kTurnedAway;
+  return context_.placement.IsClosedOff(admission_.service->name)
+             ? RelayCause::kHallsClosed
+             : RelayCause::kNoTarget;
+}
+
 // --- At a target -------------------------------------------------------------
 
 void RelayedRequest::Send() {
@@ -198,6 +202,9 @@
   out.bytes =
       context_.target_dialect.Head(request_.head, facts, request_.body.size());
   out.bytes += request_.body;
+  out.may_send = [this, target = progress_.choice.target] {
+    return context_.placement.IsOpenToWork(target);
+  };
   return out;
 }
 
@@ -311,6 +318,7 @@
   const auto self = shared_from_this();
   const RelayState state = machine_.state();
   if (state == RelayState::kEnded) return;
+  if (end == CallEnd::kHeldBack) return ChooseAnew();
   const bool streaming =
       state == RelayState::kStreaming || state == RelayState::kResuming;
   const AttemptVerdict verdict = JudgeAttempt(
@@ -328,6 +336,19 @@
   Apply(RelayEvent::kAnswerComplete);
 }
 
+// Its target may get no work any more, and nothing was written to it: this was
+// no send, and takes nothing from the share of retries.
+void RelayedRequest::ChooseAnew() {
+  LogSendHeldBack(id(), progress_.choice.target);
+  context_.metrics.CountHeldBack();
+  StopAttempt(PlacementOutcome::kNeutral);
+  --progress_.sends;
+  if (machine_.state() == RelayState::kCallerLeft) {
+    return GiveUp(Ran::kNo, RelayCause::kCallerGone);
+  }
+  Retry(Ran::kNo);
+}
+
 // --- After an attempt --------------------------------------------------------
 
 RunningFacts RelayedRequest::FactsOfRunning() const {
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -90,6 +90,7 @@
 
   void Hold();
   void Choose();
+  RelayCause CauseOfNoChoice() const;
   bool IsBlamed();
   void RefuseBlamed();
 
@@ -106,6 +107,7 @@
   void OnLaterEvents(Instant now);
   void BeginStream();
   void OnCallEnd(CallEnd end);
+  void ChooseAnew();
   Ran RanInAttempt() const;
   RunningFacts FactsOfRunning() const;
   void ReportRan();
--- a/relay/request_log.cc
+++ b/relay/request_log.cc
@@ -31,6 +31,12 @@
                                    {"left_s", std::to_string(left_s)}});
 }
 
+void LogSendHeldBack(const RequestId& id, const TargetEntry& target) {
+  LogEvent(Event::kSendHeldBack, {{"request", id.value},
+                                  {"target", target.name.value},
+                                  {"hall", target.hall.value}});
+}
+
 void LogRequestEnded(const Admission& admission,
                      const RequestProgress& progress, const RequestEnd& end) {
   const RouteRule* route = admission.route;
--- a/relay/request_log.h
+++ b/relay/request_log.h
@@ -71,6 +71,9 @@
 void LogBlamedRefused(const RequestId& id, const Fingerprint& fingerprint,
                       Duration left);
 
+// A request that was not written to a target, as that may get no work any more.
+void LogSendHeldBack(const RequestId& id, const TargetEntry& target);
+
 void LogRequestEnded(const Admission& admission,
                      const RequestProgress& progress, const RequestEnd& end);
 
--- a/relay/state_feed.h
+++ b/relay/state_feed.h
@@ -121,6 +121,8 @@
 
   // What a reader says in a sign of life; nothing at others.
   std::optional<FeedMark> Mark() const;
+  // Every change up to this revision of the store has been handed out.
+  std::int64_t known() const { return Known(); }
   // As of the follower.
   std::int64_t latest_change() const { return follower_.latest_change(); }
   // Every change up to that revision is known here. That an item of it is known
--- a/relay/testing/config_follower_test.cc
+++ b/relay/testing/config_follower_test.cc
@@ -21,7 +21,10 @@
 struct Fixture {
   Fixture()
       : follower({loop, clock, store, TheFeedChart()}, reader,
-                 {[this] { ++taken; },
+                 {[this] {
+                    ++taken;
+                    if (adopted) adopted();
+                  },
                   [this](const Incarnation& to, const PeerMessage& it) {
                     BOOST_TEST((to == kPeer));
                     told.push_back(it);
@@ -65,6 +68,7 @@
   ScriptedStore store;
   PlainStateReader reader;
   int taken = 0;
+  std::function<void()> adopted;
   std::vector<PeerMessage> told;
   ConfigFollower follower;
 };
@@ -135,6 +139,58 @@
   BOOST_TEST(told.empty());
 }
 
+// --- Closed halls ------------------------------------------------------------
+
+struct HallsFixture : Fixture {
+  bool IsClosed(const char* hall) const {
+    return follower.halls().IsClosed(HallName(hall));
+  }
+  void StoreChange(const StoreChange& change) {
+    BOOST_TEST(store.AnswerWait(
+        "c/", {StoreEnd::kDone, false, change.item.revision, {change}}));
+    RunFor(loop, milliseconds(300));
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(AHallIsClosedBeforeTheFirstConfigurationIsTaken,
+                        HallsFixture) {
+  bool was_closed = false;
+  adopted = [&] { was_closed = IsClosed("b"); };
+  BOOST_TEST(store.AnswerRange(
+      "c/", {StoreEnd::kDone,
+             9,
+             {{"c/config", "5", 1}, {"c/closed/b", "what?", 7}}}));
+  BOOST_TEST(was_closed);
+}
+
+BOOST_FIXTURE_TEST_CASE(AHallIsClosedAndOpenedByTheStore, HallsFixture) {
+  StoreHas("5");
+  StoreChange({{"c/closed/b", "", 3}, false});
+  BOOST_TEST(IsClosed("b"));
+  BOOST_TEST(!IsClosed("a"));
+  StoreChange({{"c/closed/b", "", 4}, true});
+  BOOST_TEST(!IsClosed("b"));
+  BOOST_TEST(follower.version() == 5U);
+}
+
+BOOST_FIXTURE_TEST_CASE(APeerTellsOfHallsWithEachSignAndConfiguration,
+                        HallsFixture) {
+  StoreHas("5");
+  PeerMessage sign;
+  sign.halls[HallName("b")] = {7, true};
+  follower.OnPeer(sign);
+  BOOST_TEST(IsClosed("b"));
+  PeerMessage wanted;
+  wanted.kind = PeerMessageKind::kConfigWanted;
+  wanted.from = kPeer;
+  follower.OnPeer(wanted);
+  BOOST_REQUIRE(told.size() == 1U);
+  BOOST_TEST(told[0].halls.at(HallName("b")).closed);
+  // A store that is behind that peer opens nothing.
+  StoreChange({{"c/closed/b", "", 6}, true});
+  BOOST_TEST(IsClosed("b"));
+}
+
 BOOST_FIXTURE_TEST_CASE(APeerThatAsksIsSentWhatIsInForce, Fixture) {
   PeerMessage wanted;
   wanted.kind = PeerMessageKind::kConfigWanted;
--- a/relay/testing/plain_state_reader.h
+++ b/relay/testing/plain_state_reader.h
@@ -1,14 +1,16 @@
 // Reads shared state that is spelled as tests find convenient: the
 // configuration is its version ("c/config" = "7"), and a target ("t/a") is
-// "ready" or "leaving". Anything else is an item that can't be read, and
-// "unexplained" is one without a reason.
+// "ready" or "leaving", and "c/closed/a" closes hall "a". Anything else is an
+// item that can't be read, and "unexplained" is one without a reason.
 
 #ifndef QUAYTRACK_RELAY_TESTING_PLAIN_STATE_READER_H_
 #define QUAYTRACK_RELAY_TESTING_PLAIN_STATE_READER_H_
 
 #include <boost/leaf/error.hpp>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "relay/dialect.h"
@@ -47,6 +49,12 @@
   TargetName TargetOf(const std::string& key) const override {
     return TargetName(key.substr(key.rfind('/') + 1));
   }
+
+  std::optional<HallName> ClosedHall(const std::string& key) const override {
+    constexpr std::string_view kPrefix = "c/closed/";
+    if (!key.starts_with(kPrefix)) return std::nullopt;
+    return HallName(key.substr(kPrefix.size()));
+  }
 };
 
 }  // namespace quaytrack
