Requests that crash engines which sent no head are reported as well

Cause: CrashWatch reported a stream's attempt only if its answer's head had come.

Change: whatever a target left without an answer, or at its beginning, is reported if the target has ended; the verdict tells the guilty from those that waited there. Its end is also shown by the list of targets (another start under its name, an entry that went without saying so), and a port is tried three times in 0.6 s, for ports that are closed late. Attempts that were stopped from this side (the caller left, or nothing came) are remembered for 5.6 s, and reported if their target ends within that.

Tests: dispatch_crash_blame, relay_crash_watch, resident_crashing_request; the four new cases of heads, ports and starts at once fail on the code before.

--- a/dispatch/testing/crash_blame_test.cc
+++ b/dispatch/testing/crash_blame_test.cc
@@ -174,13 +174,21 @@
   // From a crash until all routers know of it.
   static constexpr int kSpreadMs = 400;
   static constexpr int kBeginningMs = 300;
+  // The users' bound for what is known to reach each router.
+  static constexpr int kKnownAfterMs = 3000;
 
-  explicit DrawnFleet(unsigned seed) : random_(seed) {
+  // When a target sends the head of an answer: as a request begins to run, or
+  // with its first event, so that nobody sees which ones still wait.
+  enum class Heads { kEarly, kLate };
+
+  explicit DrawnFleet(unsigned seed, Heads heads = Heads::kEarly,
+                      int longest_wait_ms = 300)
+      : random_(seed), heads_(heads), longest_wait_ms_(longest_wait_ms) {
     for (int n = 0; n < kTargets; ++n) targets_.push_back({++starts_, 0, {}});
   }
 
   // A request that crashes its targets, from `from_ms` on.
-  void AddCulprit(int from_ms) { culprits_.push_back({from_ms, 0}); }
+  void AddCulprit(int from_ms) { culprits_.push_back({from_ms, 0, 0, 0}); }
   // Targets crash by themselves, about one in `every_ms`.
   void CrashEvery(int every_ms) { crash_every_ms_ = every_ms; }
 
@@ -190,6 +198,9 @@
 
   int innocents() const { return innocents_; }
   int innocents_refused() const { return innocents_refused_; }
+  int LateSendsOf(int culprit) const {
+    return culprits_.at(static_cast<std::size_t>(culprit)).late;
+  }
   int CrashesBy(int culprit) const {
     return culprits_.at(static_cast<std::size_t>(culprit)).crashes;
   }
@@ -200,6 +211,7 @@
     int sends;
     int returns;
     bool outlived;
+    int sent_ms;
     int begun_ms;
     // The first event; -1 if there is none.
     int events_ms;
@@ -213,6 +225,10 @@
   struct Culprit {
     int next_ms;
     int crashes;
+    // Of its third crash.
+    int known_ms;
+    // Sends later than `kKnownAfterMs` after that.
+    int late;
   };
   struct Pending {
     int at_ms;
@@ -244,21 +260,25 @@
     Target* target = Choose();
     if (target == nullptr) return;
     // It begins when what is before it has been read.
-    const int begins = now_ms_ + Draw(0, 300);
+    const int begins = now_ms_ + Draw(0, longest_wait_ms_);
     if (request < 0) {
+      Culprit& culprit = culprits_[static_cast<std::size_t>(-request - 1)];
+      const bool known = culprit.crashes >= 3;
+      if (known && now_ms_ > culprit.known_ms + kKnownAfterMs) ++culprit.late;
       const int ends = begins + Draw(5, 120);
       target->running.push_back(
-          {request, sends, returns, false, begins, ends, ends});
+          {request, sends, returns, false, now_ms_, begins, ends, ends});
       return;
     }
     const int events = begins + Draw(30, 600);
-    target->running.push_back({request, sends, returns, outlived, begins,
-                               events, events + Draw(300, 3500)});
+    target->running.push_back({request, sends, returns, outlived, now_ms_,
+                               begins, events, events + Draw(300, 3500)});
   }
   void Crash(Target& target) {
     const std::vector<Running> lost = std::exchange(target.running, {});
     for (const Running& it : lost) {
-      const int begun_for = now_ms_ - it.begun_ms;
+      const bool seen = heads_ == Heads::kEarly || it.events_ms <= now_ms_;
+      const int begun_for = now_ms_ - (seen ? it.begun_ms : it.sent_ms);
       const bool runs_well = now_ms_ - it.events_ms > kBeginningMs;
       if (runs_well) blame_.NoteRan(NameOf(it.request), Now(), Now());
       if (begun_for < 0 || runs_well || it.outlived) continue;
@@ -297,7 +317,8 @@
         blame_.NoteRan(NameOf(it.request), Now(), Now());
         continue;
       }
-      ++culprits_[static_cast<std::size_t>(-it.request - 1)].crashes;
+      Culprit& culprit = culprits_[static_cast<std::size_t>(-it.request - 1)];
+      if (++culprit.crashes == 3) culprit.known_ms = now_ms_;
       crashes = true;
       target.running.push_back(it);
     }
@@ -327,6 +348,8 @@
   }
 
   std::mt19937 random_;
+  Heads heads_;
+  int longest_wait_ms_;
   CrashBlame blame_;
   std::vector<Target> targets_;
   std::vector<Culprit> culprits_;
@@ -343,12 +366,14 @@
   int innocents = 0;
   int refused = 0;
   int most_crashes = 0;
+  int most_late = 0;
 
   void Add(const DrawnFleet& it, int culprits) {
     innocents += it.innocents();
     refused += it.innocents_refused();
     for (int n = 0; n < culprits; ++n) {
       most_crashes = std::max(most_crashes, it.CrashesBy(n));
+      most_late = std::max(most_late, it.LateSendsOf(n));
     }
   }
   // One in so many of the innocent requests, at most.
@@ -360,25 +385,39 @@
 constexpr unsigned kSeeds = 20;
 constexpr int kRunMs = 40'000;
 
-Tally BesideCulprits(int culprits) {
+using Heads = DrawnFleet::Heads;
+constexpr int kShortWaitMs = 300;
+// At the engines' full load, some wait for as long as this.
+constexpr int kLongWaitMs = 1500;
+
+Tally BesideCulprits(int culprits, Heads heads = Heads::kEarly,
+                     int longest_wait_ms = kShortWaitMs) {
   Tally out;
   for (unsigned seed = 1; seed <= kSeeds; ++seed) {
-    DrawnFleet fleet(seed);
+    DrawnFleet fleet(seed, heads, longest_wait_ms);
     for (int n = 0; n < culprits; ++n) fleet.AddCulprit(5000 + n * 700);
     fleet.Run(kRunMs);
     out.Add(fleet, culprits);
   }
+  BOOST_TEST_MESSAGE(culprits << " culprits, heads " << static_cast<int>(heads)
+                              << ", waits to " << longest_wait_ms << " ms: "
+                              << out.refused << " of " << out.innocents
+                              << " refused, most crashes " << out.most_crashes
+                              << ", late sends " << out.most_late);
   return out;
 }
 
-Tally WithACrashEach(int ms) {
+Tally WithACrashEach(int ms, Heads heads = Heads::kEarly) {
   Tally out;
   for (unsigned seed = 1; seed <= kSeeds; ++seed) {
-    DrawnFleet fleet(seed);
+    DrawnFleet fleet(seed, heads);
     fleet.CrashEvery(ms);
     fleet.Run(kRunMs);
     out.Add(fleet, 0);
   }
+  BOOST_TEST_MESSAGE("a crash each "
+                     << ms << " ms, heads " << static_cast<int>(heads) << ": "
+                     << out.refused << " of " << out.innocents << " refused");
   return out;
 }
 
@@ -403,5 +442,29 @@
   BOOST_TEST(WithACrashEach(300).RefusesAtMostOneIn(200));
 }
 
+// The users' bound for what reaches a target later than 3 s after the third.
+constexpr int kMostLate = 3;
+
+// Which requests wait and which run can't be seen; the culprits are still told
+// from them by their crashes. How often one crashes a target isn't bounded
+// here: where requests wait, several of its sends are in queues when it gets
+// known.
+BOOST_AUTO_TEST_CASE(WithLateHeadsOnlyTheCulpritsAreRefused) {
+  for (const int wait_ms : {kShortWaitMs, kLongWaitMs}) {
+    for (const int culprits : {1, 2, 4}) {
+      const Tally tally = BesideCulprits(culprits, Heads::kLate, wait_ms);
+      BOOST_TEST(tally.RefusesAtMostOneIn(5000));
+      // With four at once, each is in the others' reports as well.
+      if (culprits <= 2) BOOST_TEST(tally.most_late <= kMostLate);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(WithLateHeadsCrashesByThemselvesRefuseHardlyAnybody) {
+  BOOST_TEST(WithACrashEach(2000, Heads::kLate).RefusesAtMostOneIn(3000));
+  BOOST_TEST(WithACrashEach(700, Heads::kLate).RefusesAtMostOneIn(3000));
+  BOOST_TEST(WithACrashEach(300, Heads::kLate).RefusesAtMostOneIn(200));
+}
+
 }  // namespace
 }  // namespace quaytrack
--- a/relay/crash_watch.cc
+++ b/relay/crash_watch.cc
@@ -111,31 +111,51 @@
 }
 
 void CrashWatch::Check() {
+  ForgetRemembered();
   blame_.Expire(context_.clock.WallNow());
   LogVerdicts();
 }
 
 // --- What this router sees ---------------------------------------------------
 
-void CrashWatch::OnLost(const LostAttempt& attempt) {
+bool CrashWatch::Remember(const LostAttempt& attempt) {
   const TargetEntry* listed = on_.listed(attempt.target.name);
   const bool there = listed != nullptr && !listed->leaving &&
                      listed->start == attempt.target.start;
-  if (!there) return;
-  const TargetStart& start = attempt.target.start;
-  const auto known = probes_.find(start);
-  if (known != probes_.end()) {
-    known->second->lost.push_back(attempt);
-    return;
+  if (!there) return false;
+  auto& all = remembered_[attempt.target.start];
+  all.push_back({attempt, context_.clock.Now()});
+  if (all.size() > kMostRemembered) all.pop_front();
+  return true;
+}
+
+void CrashWatch::ForgetRemembered() {
+  const Instant old = context_.clock.Now() - kRemember;
+  for (auto& [target, all] : remembered_) {
+    while (!all.empty() && all.front().lost_at < old) all.pop_front();
   }
+  std::erase_if(remembered_, [](const auto& it) { return it.second.empty(); });
+}
+
+void CrashWatch::OnStopped(const LostAttempt& attempt) { Remember(attempt); }
+
+void CrashWatch::OnLost(const LostAttempt& attempt) {
+  if (!Remember(attempt) || probes_.contains(attempt.target.start)) return;
   auto probe = std::make_shared<Probe>();
-  probe->target = start;
-  probe->lost.push_back(attempt);
-  probes_[start] = probe;
-  StartProbe(probe, attempt.target.address);
+  probe->target = attempt.target;
+  probes_[attempt.target.start] = probe;
+  StartProbe(probe);
+}
+
+void CrashWatch::OnEnded(const TargetStart& target) {
+  const auto it = remembered_.find(target);
+  if (it == remembered_.end()) return;
+  const std::deque<Remembered> all = std::move(it->second);
+  remembered_.erase(it);
+  for (const Remembered& lost : all) Report(lost.attempt);
 }
 
-void CrashWatch::StartProbe(const ProbePtr& probe, const std::string& address) {
+void CrashWatch::StartProbe(const ProbePtr& probe) {
   const std::weak_ptr<Probe> weak = probe;
   const auto end = [this, weak](bool ended) {
     if (const auto it = weak.lock()) EndProbe(it, ended);
@@ -145,21 +165,31 @@
   on.ended = [end](SocketEnd) { end(true); };
   TcpOptions options;
   options.user_timeout = kProbeTimeout;
-  probe->socket =
-      TcpSocket::Connect(context_.loop, address, options, std::move(on));
+  probe->socket = TcpSocket::Connect(context_.loop, probe->target.address,
+                                     options, std::move(on));
   // Without a socket nothing is shown, so it speaks against nobody.
   if (!probe->socket) return EndProbe(probe, false);
   probe->timer = context_.loop.After(kProbeTimeout, [end] { end(true); });
 }
 
 void CrashWatch::EndProbe(const ProbePtr& probe, bool ended) {
-  probes_.erase(probe->target);
   if (probe->socket) probe->socket->Close();
-  probe->timer.reset();
-  // Its own callback may be running.
-  context_.loop.Post([probe] {});
-  if (!ended) return;
-  for (const LostAttempt& it : probe->lost) Report(it);
+  // Its own callback, and that of its timer, may be running.
+  context_.loop.Post(
+      [probe, timer = std::shared_ptr<Timer>(std::move(probe->timer))] {});
+  if (ended) {
+    probes_.erase(probe->target.start);
+    return OnEnded(probe->target.start);
+  }
+  const TargetEntry* listed = on_.listed(probe->target.name);
+  const bool there = listed != nullptr && listed->start == probe->target.start;
+  if (++probe->step == kProbeAt.size() || !there) {
+    probes_.erase(probe->target.start);
+    return;
+  }
+  const Duration pause = kProbeAt[probe->step] - kProbeAt[probe->step - 1];
+  probe->timer =
+      context_.loop.After(pause, [this, probe] { StartProbe(probe); });
 }
 
 void CrashWatch::Report(const LostAttempt& attempt) {
--- a/relay/crash_watch.h
+++ b/relay/crash_watch.h
@@ -12,13 +12,24 @@
 // three seconds and again as each came back: a router sent it to two engines
 // each time, and its next return was a new request, often at another router.
 //
-// What counts as a crash. The connection ended in the middle of an answer; the
-// request had just begun there (`HasJustBegun`); the target was listed and not
-// leaving; and a new connection to it is refused. A target that resets some
-// requests and lives, one that goes silent and one that ends as planned
-// therefore bring nobody into a report, and of those that run at a target that
-// crashes only the ones that had just begun. A request that once ran beyond its
-// beginning is never reported again by its router.
+// What counts as a crash. A target left the request without an answer, or with
+// the beginning of one (`MayBeCause`); it was listed and not leaving; and it
+// has ended. Whether a request had begun to run can't be seen where a target
+// sends the head of its answer with its first event, so those that may still
+// have waited there are reported as well, and the verdict tells them apart
+// (dispatch/crash_blame.h). A target that resets some requests and lives, and
+// one that ends as planned, bring nobody into a report, and neither does a
+// request that has run well beyond its beginning, at any target.
+//
+// Whether it has ended. Its end is shown by a connection to it that is refused
+// or doesn't open, and by the list of targets: another start under its name, or
+// an entry that went without saying that it leaves. It is asked for a
+// connection several times (`kProbeAt`), since a port may stay open for a while
+// after its target has failed; and the list shows one that was back too soon to
+// be met, or that is silent for good. What was left unanswered is remembered
+// for `kRemember`, so that the list's news find it. Requests whose caller left,
+// or that were given up as nothing came, are remembered too: it may be they
+// under which the target ends.
 //
 // How it is known everywhere. Each router keeps what it has seen under a key of
 // its own in the store, and follows those of all (relay/state_feed.h), so that
@@ -43,6 +54,9 @@
 #ifndef QUAYTRACK_RELAY_CRASH_WATCH_H_
 #define QUAYTRACK_RELAY_CRASH_WATCH_H_
 
+#include <array>
+#include <cstddef>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -59,23 +73,15 @@
 
 namespace quaytrack {
 
-// An attempt whose connection its target has ended in the middle.
+// An attempt that its target has left without a whole answer.
 struct LostAttempt {
   RequestId id;
   Fingerprint request;
   TargetEntry target;
-  // Since its answer began.
+  // Since its answer began; since it was sent, if none has.
   Duration running_for{};
 };
 
-// How a request stands at a target.
-struct RunningFacts {
-  // Of a stream, its answer has begun; any other call was sent.
-  bool has_begun = false;
-  // Since the first event of a stream from there, if one has come.
-  std::optional<Duration> events_for;
-};
-
 class CrashWatch {
  public:
   struct Handlers {
@@ -88,27 +94,45 @@
     FeedLinks feed = {};
   };
 
+  // When a target is asked for a connection, from the loss of an attempt on. A
+  // dead port refuses the first; the others are for ports that are closed late.
+  // Not measured.
+  static constexpr std::array<Duration, 3> kProbeAt{
+      std::chrono::milliseconds(0), std::chrono::milliseconds(150),
+      std::chrono::milliseconds(600)};
+  // How long after its loss an attempt may still be reported: entries lapse
+  // after some 3.6 s, and are known here within 2 s.
+  static constexpr Duration kRemember = std::chrono::milliseconds(5600);
+  // Attempts that are remembered of one target; the oldest is forgotten beyond
+  // that. A router has fewer at one.
+  static constexpr std::size_t kMostRemembered = 64;
+
   // From a stream's first event on, it has begun for so long. The requests that
   // crashed engines did so before a first event, after 0.01 to 0.11 s; this is
   // for others that need some tokens for it.
   static constexpr Duration kBeginning = std::chrono::milliseconds(300);
 
-  // Whether the request may be what has ended its target.
-  static bool HasJustBegun(const RunningFacts& it) {
-    return it.has_begun && it.events_for.value_or(kBeginning) <= kBeginning;
+  // Whether a request may be what has ended its target. `events_for` is the
+  // time since its first event from there, if one has come.
+  static bool MayBeCause(std::optional<Duration> events_for) {
+    return !HasOutlived(events_for);
   }
-  // Whether the request has shown that it doesn't crash what runs it.
-  static bool HasOutlived(const RunningFacts& it) {
-    return it.events_for.has_value() && *it.events_for > kBeginning;
+  // Whether it has shown that it doesn't crash what runs it.
+  static bool HasOutlived(std::optional<Duration> events_for) {
+    return events_for.has_value() && *events_for > kBeginning;
   }
 
   CrashWatch(const FeedContext& context, VmName self, Handlers handlers);
 
   void Start() { feed_.Start(); }
   void OnPeer(const PeerMessage& message);
-  // An attempt at a target was lost. Nothing is known of it yet when this
-  // returns, as the target is asked first.
+  // The connection of an attempt at a target broke. Nothing is known of it yet
+  // when this returns, as the target is asked first.
   void OnLost(const LostAttempt& attempt);
+  // An attempt was stopped by this router or its caller, without an answer.
+  void OnStopped(const LostAttempt& attempt);
+  // The list of targets shows that a start has ended, and not as planned.
+  void OnEnded(const TargetStart& target);
   // A request ran to its end at a target, or well beyond its beginning.
   void OnRan(const Fingerprint& request);
   // Forgets what is old; some times a second.
@@ -131,11 +155,16 @@
  private:
   // A target that is being asked whether it lives.
   struct Probe {
-    TargetStart target;
-    std::vector<LostAttempt> lost;
+    TargetEntry target;
+    // Which of `kProbeAt` it is at.
+    std::size_t step = 0;
     std::shared_ptr<TcpSocket> socket;
     std::unique_ptr<Timer> timer;
   };
+  struct Remembered {
+    LostAttempt attempt;
+    Instant lost_at{};
+  };
   using ProbePtr = std::shared_ptr<Probe>;
 
   StateFeed::Handlers FeedHandlers();
@@ -143,7 +172,9 @@
   void Take(const CrashReports& reports);
   void LogVerdicts();
 
-  void StartProbe(const ProbePtr& probe, const std::string& address);
+  bool Remember(const LostAttempt& attempt);
+  void ForgetRemembered();
+  void StartProbe(const ProbePtr& probe);
   void EndProbe(const ProbePtr& probe, bool ended);
   void Report(const LostAttempt& attempt);
   void Tell(const CrashReports& news);
@@ -163,6 +194,7 @@
   std::set<Fingerprint> logged_;
   StateFeed feed_;
   std::map<TargetStart, ProbePtr> probes_;
+  std::map<TargetStart, std::deque<Remembered>> remembered_;
 
   // What this router has seen, as it is to stand in the store.
   CrashReports own_;
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -223,6 +223,10 @@
   };
   out.restarted = [this](const TargetEntry& before) {
     connections_.CloseIdle(before.address);
+    crashes_.OnEnded(before.start);
+  };
+  out.vanished = [this](const TargetEntry& gone) {
+    crashes_.OnEnded(gone.start);
   };
   out.store_reachable = [this](bool it) { OnStoreReachable(it); };
   return out;
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -230,6 +230,7 @@
   // Not stopped for nothing: only if it may be sent to another target. So the
   // retry is taken first here, and last in `EndAttempt`.
   if (!TakeRetry(Ran::kUnknown)) return;
+  ReportStopped();
   StopAttempt(PlacementOutcome::kFailed);
   LogAttempt(Ran::kUnknown);
   Retry(Ran::kUnknown);
@@ -361,12 +362,9 @@
 
 // --- After an attempt --------------------------------------------------------
 
-RunningFacts RelayedRequest::FactsOfRunning() const {
-  RunningFacts out;
-  const bool stream = admission_.route->kind == RouteKind::kStreaming;
-  out.has_begun = !stream || progress_.head_at.has_value();
-  if (events_since_) out.events_for = context_.clock.Now() - *events_since_;
-  return out;
+std::optional<Duration> RelayedRequest::EventsFor() const {
+  if (!events_since_) return std::nullopt;
+  return context_.clock.Now() - *events_since_;
 }
 
 void RelayedRequest::ReportRan() {
@@ -376,16 +374,27 @@
 // The target has ended the connection: it may have crashed, and this request
 // may be why.
 void RelayedRequest::ReportLost() {
-  const RunningFacts facts = FactsOfRunning();
-  if (CrashWatch::HasOutlived(facts)) {
+  if (CrashWatch::HasOutlived(EventsFor())) {
     outlived_ = true;
     ReportRan();
   }
-  if (outlived_ || !CrashWatch::HasJustBegun(facts)) return;
+  if (outlived_) return;
   may_have_crashed_ = true;
+  context_.crashes.OnLost(LostNow());
+}
+
+// The attempt is stopped from this side. Its target may be about to end, or
+// hang, because of it.
+void RelayedRequest::ReportStopped() {
+  const bool at_target = RanInAttempt() == Ran::kUnknown;
+  if (!at_target || outlived_ || !CrashWatch::MayBeCause(EventsFor())) return;
+  context_.crashes.OnStopped(LostNow());
+}
+
+LostAttempt RelayedRequest::LostNow() {
   const Instant since = progress_.head_at.value_or(sent_at_);
-  context_.crashes.OnLost({id(), fingerprint(), progress_.choice.target,
-                           context_.clock.Now() - since});
+  return {id(), fingerprint(), progress_.choice.target,
+          context_.clock.Now() - since};
 }
 
 Ran RelayedRequest::RanInAttempt() const {
@@ -471,6 +480,7 @@
   if (state == RelayState::kEnded) return;
   LeaveHoldQueue();
   if (state == RelayState::kAwaitingHold) return OnHoldRefused(false);
+  ReportStopped();
   const Ran ran = RanInAttempt();
   // A target that is sending events is not to blame for the time.
   const bool answering = state == RelayState::kStreaming;
@@ -508,6 +518,7 @@
   const bool runs_on = ran == Ran::kUnknown &&
                        admission_.route->kind == RouteKind::kNonIdempotent;
   if (runs_on) return Apply(RelayEvent::kCallerGoneCallRunsOn);
+  ReportStopped();
   StopAttempt(PlacementOutcome::kNeutral);
   cause_ = RelayCause::kCallerGone;
   Apply(ran == Ran::kNo ? RelayEvent::kCallerGoneNotRun
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -109,9 +109,11 @@
   void OnCallEnd(CallEnd end);
   void ChooseAnew();
   Ran RanInAttempt() const;
-  RunningFacts FactsOfRunning() const;
+  std::optional<Duration> EventsFor() const;
   void ReportRan();
   void ReportLost();
+  void ReportStopped();
+  LostAttempt LostNow();
   void StopAttempt(PlacementOutcome outcome);
   void EndAttempt(Ran ran, PlacementOutcome outcome);
   RetryFacts FactsForRetry(Ran ran);
--- a/relay/target_follower.cc
+++ b/relay/target_follower.cc
@@ -95,8 +95,12 @@
 }
 
 void TargetFollower::Remove(const TargetName& name) {
+  const auto it = registry_.entries().find(name);
+  if (it == registry_.entries().end()) return;
+  const TargetEntry entry = it->second;
   if (!registry_.Remove(name)) return;
   LogEvent(Event::kTargetGone, {{"target", name.value}});
+  if (!entry.leaving) on_.vanished(entry);
 }
 
 void TargetFollower::OnPeer(const PeerMessage& message) {
--- a/relay/target_follower.h
+++ b/relay/target_follower.h
@@ -67,6 +67,8 @@
     FeedLinks feed = {};
     // A target that was listed has started again; this is its earlier start.
     std::function<void(const TargetEntry& before)> restarted = {};
+    // A target's entry went, outside an outage, and hadn't said that it leaves.
+    std::function<void(const TargetEntry& gone)> vanished = [](const auto&) {};
   };
 
   TargetFollower(const FeedContext& context, const SharedStateReader& reader,
--- a/relay/testing/crash_watch_test.cc
+++ b/relay/testing/crash_watch_test.cc
@@ -137,15 +137,51 @@
   BOOST_TEST(!watch.IsWatching());
 }
 
-BOOST_AUTO_TEST_CASE(OnlyWhatHasJustBegunMayBeTheCause) {
+// A head says nothing of it: some targets send it with the first event, or
+// never.
+BOOST_AUTO_TEST_CASE(OnlyWhatRanWellBeyondItsBeginningIsNoCause) {
   const Duration late = CrashWatch::kBeginning + milliseconds(1);
-  BOOST_TEST(!CrashWatch::HasJustBegun({false, std::nullopt}));
-  BOOST_TEST(CrashWatch::HasJustBegun({true, std::nullopt}));
-  BOOST_TEST(CrashWatch::HasJustBegun({true, milliseconds(10)}));
-  BOOST_TEST(!CrashWatch::HasJustBegun({true, late}));
-  BOOST_TEST(CrashWatch::HasOutlived({true, late}));
-  BOOST_TEST(!CrashWatch::HasOutlived({true, milliseconds(10)}));
-  BOOST_TEST(!CrashWatch::HasOutlived({true, std::nullopt}));
+  BOOST_TEST(CrashWatch::MayBeCause(std::nullopt));
+  BOOST_TEST(CrashWatch::MayBeCause(milliseconds(10)));
+  BOOST_TEST(!CrashWatch::MayBeCause(late));
+  BOOST_TEST(CrashWatch::HasOutlived(late));
+  BOOST_TEST(!CrashWatch::HasOutlived(milliseconds(10)));
+  BOOST_TEST(!CrashWatch::HasOutlived(std::nullopt));
+}
+
+// Its port still takes connections for a moment.
+BOOST_FIXTURE_TEST_CASE(ATargetThatClosesItsPortLateIsReported, Fixture) {
+  TcpListener late(loop, [](int fd) { ::close(fd); });
+  const std::string address =
+      "127.0.0.1:" + std::to_string(late.Listen("127.0.0.1:0"));
+  Lose(Target(1, address));
+  BOOST_TEST(!watch.IsWatching());
+  late.Stop();
+  BOOST_TEST(Reported(1));
+}
+
+// It was back under its name before anybody could meet its port closed.
+BOOST_FIXTURE_TEST_CASE(ATargetThatIsBackAtOnceIsReported, Fixture) {
+  const TargetEntry before = Target(1, alive);
+  Lose(before);
+  RunFor(loop, milliseconds(100));
+  BOOST_TEST(!watch.IsWatching());
+  listed[before.name].start = TargetStart("t-1@2");
+  watch.OnEnded(before.start);
+  BOOST_TEST(Reported(1));
+  // Of another start nothing is remembered.
+  watch.OnEnded(TargetStart("t-1@2"));
+  BOOST_TEST(Reported(1));
+}
+
+// It hangs, or its caller left; then its target ends.
+BOOST_FIXTURE_TEST_CASE(WhatWasStoppedIsReportedIfItsTargetEnds, Fixture) {
+  const TargetEntry target = Target(1, alive);
+  watch.OnStopped({RequestId("id"), kRequest, target, milliseconds(50)});
+  RunFor(loop, kWritten);
+  BOOST_TEST(!watch.IsWatching());
+  watch.OnEnded(target.start);
+  BOOST_TEST(Reported(1));
 }
 
 BOOST_FIXTURE_TEST_CASE(WhatAllRoutersHaveSeenCountsTogether, Fixture) {
