--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -190,6 +190,9 @@
     return fleet_.directory().IsReader(VmOf(peer));
   };
   out.readers = [this] { return LinkedReaders(); };
+  out.store_answered = [this] {
+    for (StateFeed* it : Feeds()) it->OnStoreAnswered();
+  };
   return out;
 }
 
--- a/relay/state_feed.h
+++ b/relay/state_feed.h
@@ -36,11 +36,12 @@
 //
 // What shows a reader that it is current: the store has answered, while a wait
 // for changes is under way that it would have answered before. Any call's
-// answer counts, as holders call the store all the time for the budgets. Where
-// they don't, readers end their waits often enough that together they ask about
-// once in `kAskEvery`, however many they are, so that the calls don't grow with
-// the fleet. A wait that was swallowed ends after `kLongestPatience`, and
-// sooner if another reader's sign of life shows a change.
+// answer counts, that of another feed's wait among them, as holders call the
+// store all the time for the budgets. Where they don't, readers end their waits
+// often enough that together they ask about once in `kAskEvery`, however many
+// they are, so that the calls don't grow with the fleet. A wait that was
+// swallowed ends after `kLongestPatience`, and sooner if another reader's sign
+// of life shows a change.
 //
 // A store that is lost. Routers that are told take the lack of signs for a loss
 // of the store, and the first sign after it for its return, and report both as
@@ -83,6 +84,9 @@
   std::function<bool(const Incarnation&)> is_reader;
   // Those that are linked, in the order in which this router asks them.
   std::function<std::vector<Incarnation>()> readers;
+  // The store has answered a call of this feed. The feeds of a process tell
+  // each other by it (`OnStoreAnswered`).
+  std::function<void()> store_answered = [] {};
 };
 
 // What the feeds of a process share.
--- a/relay/testing/feed_fleet.h
+++ b/relay/testing/feed_fleet.h
@@ -167,6 +167,8 @@
   std::string hall;
   bool is_reader = false;
   FeedItems items;
+  // How often the store's answers were told on.
+  int answers = 0;
   // What was told of the store: lost (false) and back (true).
   std::vector<bool> reachable;
   HistoryClient client;
@@ -298,6 +300,7 @@
     }
     return all;
   };
+  out.store_answered = [this] { ++answers; };
   return out;
 }
 
--- a/relay/testing/state_feed_test.cc
+++ b/relay/testing/state_feed_test.cc
@@ -87,6 +87,19 @@
   BOOST_TEST((late.items == fleet.store.ItemsAt(fleet.store.revision())));
 }
 
+// Each answer to a reader is told on, to the feeds beside it.
+BOOST_AUTO_TEST_CASE(AnAnswerOfTheStoreIsToldToOtherFeeds) {
+  FeedFleet fleet;
+  FeedNode& it = fleet.Add("vm", true);
+  fleet.store.Put("t/1", "one");
+  fleet.StartAll();
+  const int before = it.answers;
+  BOOST_TEST(before > 0);
+  fleet.store.Put("t/2", "two");
+  fleet.Spread();
+  BOOST_TEST(it.answers == before + 1);
+}
+
 BOOST_AUTO_TEST_CASE(WithoutReadersARouterFollowsTheStoreItself) {
   FeedFleet fleet;
   FeedNode& it = fleet.Add("vm", false);
