--- a/dispatch/testing/cold_fleet_test.cc
+++ b/dispatch/testing/cold_fleet_test.cc
@@ -47,6 +47,8 @@
   FleetMember self;
   FleetDirectory list;
   ColdPermits permits;
+  // By its list, which stays as it is.
+  bool owns = false;
   // Its calendar's clock is off by this.
   Duration off{};
   std::vector<Instant> sent;
@@ -61,6 +63,7 @@
       routers_.push_back({it,
                           FleetDirectory(it, {}),
                           ColdPermits(kBegin - seconds(10), kAllowance),
+                          false,
                           {},
                           {}});
       // Some have not read of the two that joined last.
@@ -68,6 +71,8 @@
       routers_.back().list.Put(
           {all.begin(), behind ? all.end() - 2 : all.end()});
       routers_.back().list.MarkRead();
+      routers_.back().owns =
+          routers_.back().list.IsAmongFirst(ColdPermits::kOwners, kTarget);
       routers_.back().off = milliseconds(Draw(4000));
     }
   }
@@ -121,8 +126,7 @@
                SentSince(it, now - seconds(1)) == 0;
       }
       case Way::kOwners:
-        return it.list.IsAmongFirst(ColdPermits::kOwners, kTarget) &&
-               it.permits.MaySend(now, TargetStart(kTarget), kRule);
+        return it.owns && it.permits.MaySend(now, TargetStart(kTarget), kRule);
     }
     return false;
   }
--- a/relay/crash_watch.cc
+++ b/relay/crash_watch.cc
@@ -195,8 +195,11 @@
     return;
   }
   const Duration pause = kProbeAt[probe->step] - kProbeAt[probe->step - 1];
+  // Not held by its own timer: `probes_` alone keeps it.
   probe->timer =
-      context_.loop.After(pause, [this, probe] { StartProbe(probe); });
+      context_.loop.After(pause, [this, weak = std::weak_ptr<Probe>(probe)] {
+        if (const auto it = weak.lock()) StartProbe(it);
+      });
 }
 
 void CrashWatch::Report(const LostAttempt& attempt) {
