--- a/kv/testing/scripted_store.h
+++ b/kv/testing/scripted_store.h
@@ -33,8 +33,9 @@
     last_write = write;
     return writes.Add(write.puts.at(0).key, std::move(done));
   }
-  CallPtr Wait(const std::string& prefix, std::int64_t, Duration,
+  CallPtr Wait(const std::string& prefix, std::int64_t, Duration patience,
                std::function<void(const StoreChanges&)> done) override {
+    last_patience[prefix] = patience;
     return waits.Add(prefix, std::move(done));
   }
   std::uint64_t calls() const override {
@@ -90,6 +91,8 @@
     std::map<std::string, int> started_by_key;
     std::list<std::shared_ptr<Entry>> entries;
   };
+  // Of the latest wait for each prefix.
+  std::map<std::string, Duration> last_patience;
   OpenCalls<StoreSnapshot> ranges;
   OpenCalls<StoreWritten> writes;
   OpenCalls<StoreChanges> waits;
--- a/relay/testing/state_feed_test.cc
+++ b/relay/testing/state_feed_test.cc
@@ -100,6 +100,34 @@
   BOOST_TEST(it.answers == before + 1);
 }
 
+// A reader whose store answers nobody else waits as briefly as it must: an
+// answer of its own says nothing of how often it will be answered.
+BOOST_AUTO_TEST_CASE(TheOwnAnswersDontLengthenAReadersWaits) {
+  const SystemClock clock;
+  Loop loop;
+  ScriptedStore store;
+  std::vector<StateFeed*> feeds;
+  FeedLinks links;
+  links.is_reader = [](const Incarnation&) { return true; };
+  links.tell = [](const PeerMessage&) {};
+  links.store_answered = [&] {
+    for (StateFeed* it : feeds) it->OnStoreAnswered();
+  };
+  StateFeed::Handlers on;
+  on.replaced = [](const std::vector<StoreItem>&) {};
+  on.changed = [](const StoreChange&) {};
+  on.settled = [] {};
+  on.reachable = [](bool) {};
+  StateFeed feed({loop, clock, store, TheFeedChart()},
+                 {FeedName::kTargets, {.prefix = "t/"}}, on, links);
+  feeds.push_back(&feed);
+  feed.Start();
+  feed.SetRole(true, 1);
+  BOOST_REQUIRE(store.AnswerRange("t/", {StoreEnd::kDone, 1, {}}));
+  BOOST_REQUIRE(store.AnswerWait("t/", {StoreEnd::kDone, false, 1, {}}));
+  BOOST_TEST((store.last_patience.at("t/") <= milliseconds(500)));
+}
+
 BOOST_AUTO_TEST_CASE(WithoutReadersARouterFollowsTheStoreItself) {
   FeedFleet fleet;
   FeedNode& it = fleet.Add("vm", false);
