--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -190,8 +190,8 @@
     return fleet_.directory().IsReader(VmOf(peer));
   };
   out.readers = [this] { return LinkedReaders(); };
-  out.store_answered = [this] {
-    for (StateFeed* it : Feeds()) it->OnStoreAnswered();
+  out.store_answered = [this](const StateFeed& it) {
+    TellOthersOfAnswer(Feeds(), it);
   };
   return out;
 }
--- a/relay/state_feed.cc
+++ b/relay/state_feed.cc
@@ -114,7 +114,7 @@
 
 void StateFeed::OnAnswered() {
   ShownCurrent(Duration::zero());
-  if (links_.store_answered) links_.store_answered();
+  links_.store_answered(*this);
   if (IsReader()) follower_.SetPatience(NextPatience());
 }
 
--- a/relay/state_feed.h
+++ b/relay/state_feed.h
@@ -62,6 +62,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -74,7 +75,9 @@
 
 namespace quaytrack {
 
-// How a feed reaches other routers. Not used in a small fleet.
+class StateFeed;
+
+// How a feed reaches other routers, and the other feeds of its process.
 struct FeedLinks {
   // Sends a message to one peer.
   std::function<void(const Incarnation&, PeerMessage)> send;
@@ -84,9 +87,9 @@
   std::function<bool(const Incarnation&)> is_reader;
   // Those that are linked, in the order in which this router asks them.
   std::function<std::vector<Incarnation>()> readers;
-  // The store has answered a call of this feed. The feeds of a process tell
-  // each other by it (`OnStoreAnswered`).
-  std::function<void()> store_answered = [] {};
+  // The store has answered a call of `feed`; see `TellOthersOfAnswer`.
+  std::function<void(const StateFeed& feed)> store_answered =
+      [](const StateFeed&) {};
 };
 
 // What the feeds of a process share.
@@ -221,6 +224,16 @@
   std::unique_ptr<Timer> behind_timer_;
 };
 
+// The store has answered `feed`, which shows the other feeds of its process
+// that they are current, and that they needn't ask as often. Not the feed
+// itself: its own answers say nothing of how often others come.
+inline void TellOthersOfAnswer(std::span<StateFeed* const> feeds,
+                               const StateFeed& feed) {
+  for (StateFeed* it : feeds) {
+    if (it != &feed) it->OnStoreAnswered();
+  }
+}
+
 }  // namespace quaytrack
 
 #endif  // QUAYTRACK_RELAY_STATE_FEED_H_
--- a/relay/testing/feed_fleet.h
+++ b/relay/testing/feed_fleet.h
@@ -300,7 +300,7 @@
     }
     return all;
   };
-  out.store_answered = [this] { ++answers; };
+  out.store_answered = [this](const StateFeed&) { ++answers; };
   return out;
 }
 
--- a/relay/testing/state_feed_test.cc
+++ b/relay/testing/state_feed_test.cc
@@ -110,8 +110,8 @@
   FeedLinks links;
   links.is_reader = [](const Incarnation&) { return true; };
   links.tell = [](const PeerMessage&) {};
-  links.store_answered = [&] {
-    for (StateFeed* it : feeds) it->OnStoreAnswered();
+  links.store_answered = [&](const StateFeed& it) {
+    TellOthersOfAnswer(feeds, it);
   };
   StateFeed::Handlers on;
   on.replaced = [](const std::vector<StoreItem>&) {};
