One piece of code where two said the same

Behaviour as it was. - The time after which a target's entry tells of its end stood in the warmth of targets and in the watch for crashes; it is the registry's (kEntryTellsWithin). - CrashWatch looked a target up in the list, twice, to ask what Placement::IsOpenToWork answers; it asks that. Its MayBeCause was HasOutlived turned round. - Placement found a target as a start in three places; Find does it. - A send that is held back is judged by JudgeAttempt, whose branch for it nothing reached; what a caller that left could do there can't happen, as such a call was sent. A row of EachEndHasItsMeaning holds the judgement. - Two comparisons that nothing used, an include, and the part of an owner, which was reckoned twice. Tests: assertions as before, two that said the same thing are one.

--- a/dispatch/cold_permits.h
+++ b/dispatch/cold_permits.h
@@ -33,8 +33,8 @@
 #ifndef QUAYTRACK_DISPATCH_COLD_PERMITS_H_
 #define QUAYTRACK_DISPATCH_COLD_PERMITS_H_
 
+#include <algorithm>
 #include <chrono>
-#include <cmath>
 #include <cstddef>
 #include <deque>
 #include <map>
@@ -50,8 +50,6 @@
   Duration start{};
   // Requests a second that a cold one bears; 0 if nothing is known to bound it.
   double per_s = 0;
-
-  bool operator==(const ColdRule&) const = default;
 };
 
 // What the deployment allows beyond `ColdRule::per_s`: so many times as much,
@@ -80,18 +78,15 @@
 
   // Of one owner, in `WindowOf`.
   std::size_t PartOfOwner(const ColdRule& rule) const {
-    const double part = MostInASecond(rule) / kMostActing;
-    return part < 1 ? 1 : static_cast<std::size_t>(part);
+    return static_cast<std::size_t>(std::max(1.0, ExactPart(rule)));
   }
 
   // Longer than `kWindow` where an owner's part is less than one request.
   Duration WindowOf(const ColdRule& rule) const {
-    const double part = MostInASecond(rule) / kMostActing;
-    if (part >= 1) return kWindow;
     const double least =
         std::chrono::duration<double>(kWindow) / kLongestWindow;
-    return std::chrono::duration_cast<Duration>(kWindow /
-                                                std::max(part, least));
+    const double part = std::clamp(ExactPart(rule), least, 1.0);
+    return std::chrono::duration_cast<Duration>(kWindow / part);
   }
 
   bool MaySend(Instant now, const TargetStart& target,
@@ -116,6 +111,10 @@
   // However little a target bears, it gets a request now and then.
   static constexpr Duration kLongestWindow = std::chrono::seconds(60);
 
+  double ExactPart(const ColdRule& rule) const {
+    return MostInASecond(rule) / kMostActing;
+  }
+
   // What is older than any window.
   void Forget(Instant now) {
     for (auto& [target, times] : sent_) {
--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -166,15 +166,26 @@
 
 // --- The choice --------------------------------------------------------------
 
-bool Placement::MayStillSend(Instant now, const PlacementChoice& choice) const {
-  if (!IsOpenToWork(choice.target)) return false;
-  return choice.is_cold || !IsCold(now, targets_.at(choice.target.name));
+const Placement::State* Placement::Find(const TargetEntry& target) const {
+  const auto it = targets_.find(target.name);
+  const bool listed =
+      it != targets_.end() && it->second.entry.start == target.start;
+  return listed ? &it->second : nullptr;
+}
+
+bool Placement::IsListed(const TargetEntry& target) const {
+  return Find(target) != nullptr;
 }
 
 bool Placement::IsOpenToWork(const TargetEntry& target) const {
-  const auto it = targets_.find(target.name);
-  return it != targets_.end() && it->second.entry.start == target.start &&
-         TakesWork(it->second);
+  const State* state = Find(target);
+  return state != nullptr && TakesWork(*state);
+}
+
+bool Placement::MayStillSend(Instant now, const PlacementChoice& choice) const {
+  const State* state = Find(choice.target);
+  if (state == nullptr || !TakesWork(*state)) return false;
+  return choice.is_cold || !IsCold(now, *state);
 }
 
 bool Placement::HasCold(Instant now, const ServiceName& service) const {
@@ -193,11 +204,6 @@
   });
 }
 
-bool Placement::IsListed(const TargetEntry& target) const {
-  const auto it = targets_.find(target.name);
-  return it != targets_.end() && it->second.entry.start == target.start;
-}
-
 const PrefillSpeed& Placement::SpeedOf(const ServiceName& service) const {
   static const PrefillSpeed kFirstGuess;
   const auto it = speeds_.find(service);
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -244,6 +244,8 @@
   static bool TakesWork(const State& state) {
     return !state.entry.leaving && !state.hall_closed;
   }
+  // Null if the target isn't listed as that start.
+  const State* Find(const TargetEntry& target) const;
   bool IsCold(Instant now, const State& state) const;
   bool MaySendCold(Instant now, const State& state) const;
   // One that isn't listed has none.
--- a/dispatch/target_warmth.h
+++ b/dispatch/target_warmth.h
@@ -37,6 +37,7 @@
 
 #include "base/clock.h"
 #include "base/enum_table.h"
+#include "fleet/target_registry.h"
 
 namespace quaytrack {
 
@@ -61,9 +62,8 @@
 
 class TargetWarmth {
  public:
-  // Entries lapse after three missed writes, 3.6 s at the users' 1.2 s, and a
-  // router reads of it within 2 s. Reckoned, not measured.
-  static constexpr Duration kDoubt = std::chrono::milliseconds(5600);
+  // Then its entry tells.
+  static constexpr Duration kDoubt = kEntryTellsWithin;
   // Bytes that a target sent before it ended are read this long after its end
   // was seen, at most: both wait in the same loop. Not measured.
   static constexpr Duration kOnTheWay = std::chrono::milliseconds(100);
--- a/fleet/closed_halls.h
+++ b/fleet/closed_halls.h
@@ -4,8 +4,7 @@
 //   halls.Replace(closed, revision);            // a whole reading of the store
 //   halls.Note(hall, {revision, true});         // one change of the store
 //   halls.Merge(message.halls);                 // what a peer knows
-//   if (halls.IsClosed(entry.hall)) ...         // nothing further is sent
-//   there
+//   if (halls.IsClosed(entry.hall)) ...         // nothing further goes there
 //
 // Targets of a closed hall get nothing further: no first send, no retry, no
 // rest of a broken stream, no check. What runs there runs to its end. Routers
@@ -43,8 +42,6 @@
   // The store's, of the change that made it so.
   std::int64_t revision = 0;
   bool closed = false;
-
-  bool operator==(const HallState&) const = default;
 };
 
 using HallStates = std::map<HallName, HallState>;
--- a/fleet/target_registry.h
+++ b/fleet/target_registry.h
@@ -34,6 +34,7 @@
 #define QUAYTRACK_FLEET_TARGET_REGISTRY_H_
 
 #include <algorithm>
+#include <chrono>
 #include <cstddef>
 #include <deque>
 #include <map>
@@ -69,6 +70,12 @@
   bool operator==(const TargetEntry&) const = default;
 };
 
+// After a target has ended, its entry has been written anew or has lapsed
+// within this time, and routers know of it: entries lapse after three missed
+// writes, 3.6 s at the users' 1.2 s, and are read of within 2 s. Reckoned, not
+// measured.
+inline constexpr Duration kEntryTellsWithin = std::chrono::milliseconds(5600);
+
 class TargetRegistry {
  public:
   // Adds or replaces an entry. Returns whether anything changed, as `Remove`
--- a/relay/crash_watch.cc
+++ b/relay/crash_watch.cc
@@ -126,10 +126,7 @@
 // --- What this router sees ---------------------------------------------------
 
 bool CrashWatch::Remember(const LostAttempt& attempt) {
-  const TargetEntry* listed = on_.listed(attempt.target.name);
-  const bool there = listed != nullptr && !listed->leaving &&
-                     listed->start == attempt.target.start;
-  if (!there) return false;
+  if (!on_.is_open_to_work(attempt.target)) return false;
   auto& all = remembered_[attempt.target.start];
   all.push_back({attempt, context_.clock.Now()});
   if (all.size() > kMostRemembered) all.pop_front();
@@ -188,9 +185,8 @@
     probes_.erase(probe->target.start);
     return OnEnded(probe->target.start);
   }
-  const TargetEntry* listed = on_.listed(probe->target.name);
-  const bool there = listed != nullptr && listed->start == probe->target.start;
-  if (++probe->step == kProbeAt.size() || !there) {
+  const bool was_last = ++probe->step == kProbeAt.size();
+  if (was_last || !on_.is_open_to_work(probe->target)) {
     probes_.erase(probe->target.start);
     return;
   }
--- a/relay/crash_watch.h
+++ b/relay/crash_watch.h
@@ -13,7 +13,7 @@
 // each time, and its next return was a new request, often at another router.
 //
 // What counts as a crash. A target left the request without an answer, or with
-// the beginning of one (`MayBeCause`); it was listed and not leaving; and it
+// the beginning of one (`HasOutlived`); it was listed and not leaving; and it
 // has ended. Whether a request had begun to run can't be seen where a target
 // sends the head of its answer with its first event, so those that may still
 // have waited there are reported as well, and the verdict tells them apart
@@ -87,9 +87,9 @@
   struct Handlers {
     // Sends a message to all linked peers.
     std::function<void(PeerMessage)> broadcast;
-    // What the list of targets says of one now; null if it isn't listed, or may
-    // get no work: nothing is sent there, not even a connection.
-    std::function<const TargetEntry*(const TargetName&)> listed;
+    // Whether anything may be sent to a target: it is listed as that start, and
+    // nothing keeps work from it (`Placement::IsOpenToWork`).
+    std::function<bool(const TargetEntry&)> is_open_to_work;
     // What the feed needs of the fleet; unused in a small one.
     FeedLinks feed = {};
   };
@@ -100,9 +100,9 @@
   static constexpr std::array<Duration, 3> kProbeAt{
       std::chrono::milliseconds(0), std::chrono::milliseconds(150),
       std::chrono::milliseconds(600)};
-  // How long after its loss an attempt may still be reported: entries lapse
-  // after some 3.6 s, and are known here within 2 s.
-  static constexpr Duration kRemember = std::chrono::milliseconds(5600);
+  // How long after its loss an attempt may still be reported: until the list of
+  // targets has told of an end.
+  static constexpr Duration kRemember = kEntryTellsWithin;
   // Attempts that are remembered of one target; the oldest is forgotten beyond
   // that. A router has fewer at one.
   static constexpr std::size_t kMostRemembered = 64;
@@ -112,12 +112,9 @@
   // for others that need some tokens for it.
   static constexpr Duration kBeginning = std::chrono::milliseconds(300);
 
-  // Whether a request may be what has ended its target. `events_for` is the
-  // time since its first event from there, if one has come.
-  static bool MayBeCause(std::optional<Duration> events_for) {
-    return !HasOutlived(events_for);
-  }
-  // Whether it has shown that it doesn't crash what runs it.
+  // Whether a request has shown that it doesn't crash what runs it; else it may
+  // be what has ended its target. `events_for` is the time since its first
+  // event from there, if one has come.
   static bool HasOutlived(std::optional<Duration> events_for) {
     return events_for.has_value() && *events_for > kBeginning;
   }
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -244,12 +244,8 @@
     it.from = self_;
     peers_.Broadcast(it);
   };
-  out.listed = [this](const TargetName& name) -> const TargetEntry* {
-    const auto& entries = targets_.registry().entries();
-    const auto it = entries.find(name);
-    const bool there =
-        it != entries.end() && placement_.IsOpenToWork(it->second);
-    return there ? &it->second : nullptr;
+  out.is_open_to_work = [this](const TargetEntry& it) {
+    return placement_.IsOpenToWork(it);
   };
   return out;
 }
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -329,11 +329,11 @@
   const auto self = shared_from_this();
   const RelayState state = machine_.state();
   if (state == RelayState::kEnded) return;
-  if (end == CallEnd::kHeldBack) return ChooseAnew();
   const bool streaming =
       state == RelayState::kStreaming || state == RelayState::kResuming;
   const AttemptVerdict verdict = JudgeAttempt(
       {end, answer_facts_, answer_.status, events_.InEvent(), streaming});
+  if (end == CallEnd::kHeldBack) return ChooseAnew(verdict);
   if (end == CallEnd::kBroken) ReportLost();
   const bool error = IsServerError(answer_.status);
   if (!verdict.answered ||
@@ -349,15 +349,12 @@
 
 // Its target may get no work any more, and nothing was written to it: this was
 // no send, and takes nothing from the share of retries.
-void RelayedRequest::ChooseAnew() {
+void RelayedRequest::ChooseAnew(const AttemptVerdict& held_back) {
   LogSendHeldBack(id(), progress_.choice.target);
   context_.metrics.CountHeldBack();
-  StopAttempt(PlacementOutcome::kNeutral);
+  StopAttempt(held_back.outcome);
   --progress_.sends;
-  if (machine_.state() == RelayState::kCallerLeft) {
-    return GiveUp(Ran::kNo, RelayCause::kCallerGone);
-  }
-  Retry(Ran::kNo);
+  Retry(held_back.ran);
 }
 
 // --- After an attempt --------------------------------------------------------
@@ -387,7 +384,7 @@
 // hang, because of it.
 void RelayedRequest::ReportStopped() {
   const bool at_target = RanInAttempt() == Ran::kUnknown;
-  if (!at_target || outlived_ || !CrashWatch::MayBeCause(EventsFor())) return;
+  if (!at_target || outlived_ || CrashWatch::HasOutlived(EventsFor())) return;
   context_.crashes.OnStopped(LostNow());
 }
 
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -107,7 +107,7 @@
   void OnLaterEvents(Instant now);
   void BeginStream();
   void OnCallEnd(CallEnd end);
-  void ChooseAnew();
+  void ChooseAnew(const AttemptVerdict& held_back);
   Ran RanInAttempt() const;
   std::optional<Duration> EventsFor() const;
   void ReportRan();
--- a/relay/testing/attempt_test.cc
+++ b/relay/testing/attempt_test.cc
@@ -136,6 +136,8 @@
 const Judged kJudged[] = {
     {"not sent", Facts(CallEnd::kNotSent, 0, false), false, Ran::kNo,
      PlacementOutcome::kFailed},
+    {"held back", Facts(CallEnd::kHeldBack, 0, false), false, Ran::kNo,
+     PlacementOutcome::kNeutral},
     {"broken before an answer", Facts(CallEnd::kBroken, 0, false), false,
      Ran::kUnknown, PlacementOutcome::kFailed},
     {"broken in an answer", Facts(CallEnd::kBroken, 200), false, Ran::kUnknown,
--- a/relay/testing/crash_watch_test.cc
+++ b/relay/testing/crash_watch_test.cc
@@ -47,9 +47,11 @@
   CrashWatch::Handlers Handlers() {
     CrashWatch::Handlers out;
     out.broadcast = [this](const PeerMessage& it) { sent.push_back(it); };
-    out.listed = [this](const TargetName& it) -> const TargetEntry* {
-      const auto at = listed.find(it);
-      return at == listed.end() ? nullptr : &at->second;
+    // As the placement has it.
+    out.is_open_to_work = [this](const TargetEntry& it) {
+      const auto at = listed.find(it.name);
+      return at != listed.end() && !at->second.leaving &&
+             at->second.start == it.start;
     };
     return out;
   }
@@ -141,12 +143,9 @@
 // never.
 BOOST_AUTO_TEST_CASE(OnlyWhatRanWellBeyondItsBeginningIsNoCause) {
   const Duration late = CrashWatch::kBeginning + milliseconds(1);
-  BOOST_TEST(CrashWatch::MayBeCause(std::nullopt));
-  BOOST_TEST(CrashWatch::MayBeCause(milliseconds(10)));
-  BOOST_TEST(!CrashWatch::MayBeCause(late));
-  BOOST_TEST(CrashWatch::HasOutlived(late));
-  BOOST_TEST(!CrashWatch::HasOutlived(milliseconds(10)));
   BOOST_TEST(!CrashWatch::HasOutlived(std::nullopt));
+  BOOST_TEST(!CrashWatch::HasOutlived(milliseconds(10)));
+  BOOST_TEST(CrashWatch::HasOutlived(late));
 }
 
 // Its port still takes connections for a moment.
