--- a/chart/embedded.h
+++ b/chart/embedded.h
@@ -1,4 +1,10 @@
 // The texts of chart/charts/*.json, so that the shipped binary is one file.
+//
+//   auto chart = BindChart<State, Event, Action>(kRelayChart);   // chart.h
+//
+// tools/embed-charts writes embedded.cc from the files, and CI holds the two
+// equal. Nothing here fails; a chart that can't be bound is `BindChart`'s
+// error.
 
 #ifndef QUAYTRACK_CHART_EMBEDDED_H_
 #define QUAYTRACK_CHART_EMBEDDED_H_
--- a/claim/claim_chart.h
+++ b/claim/claim_chart.h
@@ -1,4 +1,10 @@
 // The life of one claim at the router that made it: chart/charts/claim.json.
+//
+//   BOOST_LEAF_AUTO(chart, BindClaimChart());
+//   ChartMachine<ClaimPhase, ClaimStep, ClaimDeed> machine(chart);
+//
+// claim/claim.h does what the arrows say. The chart keeps the promise that a
+// call is sent only while its claim is stored and owned.
 
 #ifndef QUAYTRACK_CLAIM_CLAIM_CHART_H_
 #define QUAYTRACK_CLAIM_CLAIM_CHART_H_
--- a/cli/commands.h
+++ b/cli/commands.h
@@ -1,5 +1,10 @@
-// The commands of the quaytrack binary. Each adds itself to the
-// command line and, when it was asked for, leaves its result in `exit_code`.
+// The commands of the quaytrack binary. Each adds itself to the command line
+// and, when it was asked for, leaves its result (cli/exit_codes.h) in
+// `exit_code`.
+//
+//   AddRelayCommand(app, exit_code);
+//   CLI11_PARSE(app, argc, argv);
+//   return exit_code;
 
 #ifndef QUAYTRACK_CLI_COMMANDS_H_
 #define QUAYTRACK_CLI_COMMANDS_H_
--- a/cli/exit_codes.h
+++ b/cli/exit_codes.h
@@ -1,4 +1,6 @@
-// Exit codes of the quaytrack command. docs/OPERATING-router.md lists them.
+// Exit codes of the quaytrack command, which operators' scripts read: none may
+// change its meaning. docs/OPERATING-router.md lists them. A command that ends
+// by a signal, or is called wrongly, has the code of the shell or of CLI11.
 
 #ifndef QUAYTRACK_CLI_EXIT_CODES_H_
 #define QUAYTRACK_CLI_EXIT_CODES_H_
--- a/dispatch/testing/cold_fleet_test.cc
+++ b/dispatch/testing/cold_fleet_test.cc
@@ -17,6 +17,7 @@
 
 #include "dispatch/cold_permits.h"
 #include "fleet/fleet.h"
+#include "testing/most_within.h"
 
 namespace quaytrack {
 namespace {
@@ -85,7 +86,7 @@
         if (Wants(it, now)) Send(it, now);
       }
     }
-    return Busiest();
+    return MostWithin(arrivals_, seconds(1));
   }
   std::size_t arrivals() const { return arrivals_.size(); }
 
@@ -144,17 +145,6 @@
     arrivals_.push_back(now + milliseconds(Draw(longest)));
   }
 
-  std::size_t Busiest() {
-    std::sort(arrivals_.begin(), arrivals_.end());
-    std::size_t most = 0;
-    std::size_t from = 0;
-    for (std::size_t n = 0; n < arrivals_.size(); ++n) {
-      while (arrivals_[n] - arrivals_[from] >= seconds(1)) ++from;
-      most = std::max(most, n - from + 1);
-    }
-    return most;
-  }
-
   std::mt19937 random_;
   Way way_;
   std::vector<Router> routers_;
--- /dev/null
+++ b/dispatch/testing/placement_open_test.cc
@@ -0,0 +1,191 @@
+// What keeps work from a target: it leaves, its hall is closed, or it is cold.
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+#include "dispatch/placement.h"
+#include "dispatch/testing/placement_targets.h"
+
+namespace quaytrack {
+namespace {
+
+using std::chrono::milliseconds;
+
+BOOST_AUTO_TEST_CASE(TargetsOfAClosedHallGetNothing) {
+  Placement it(HallName("hall-0"));
+  auto targets = Targets(kEngines, 12);
+  it.SetTargets(kStart, targets);
+  it.SetClosedHalls(kStart, {HallName("hall-0"), HallName("hall-of-nobody")});
+  for (std::uint64_t part = 1; part <= 40; ++part) {
+    const auto choice = it.Choose(kStart, Prompt(part, 900 + part));
+    BOOST_TEST((choice->target.hall != HallName("hall-0")));
+    // Another target is the preferred one meanwhile, for all routers.
+    BOOST_TEST(choice->is_preferred);
+  }
+  BOOST_TEST(!it.IsOpenToWork(targets.at(TargetName("t0"))));
+  BOOST_TEST(it.IsOpenToWork(targets.at(TargetName("t1"))));
+  // One that is listed meanwhile is closed as well.
+  TargetEntry late = targets.at(TargetName("t0"));
+  late.name = TargetName("late");
+  targets[late.name] = late;
+  it.SetTargets(kStart, targets);
+  BOOST_TEST(!it.IsOpenToWork(late));
+  it.SetClosedHalls(kStart, {});
+  BOOST_TEST(it.IsOpenToWork(late));
+}
+
+BOOST_AUTO_TEST_CASE(WithAllHallsClosedThereIsNoTarget) {
+  Placement it(HallName("hall-0"));
+  it.SetTargets(kStart, Targets(kDesk, 3));
+  BOOST_TEST(!it.IsClosedOff(kDesk));
+  it.SetClosedHalls(
+      kStart, {HallName("hall-0"), HallName("hall-1"), HallName("hall-2")});
+  PlacementRequest request;
+  request.service = kDesk;
+  BOOST_TEST(!it.Choose(kStart, request).has_value());
+  BOOST_TEST(it.IsClosedOff(kDesk));
+  BOOST_TEST(!it.IsClosedOff(kEngines));
+}
+
+BOOST_AUTO_TEST_CASE(WhatIsLeavingOrAnotherStartMayGetNoWork) {
+  Placement it(HallName("hall-0"));
+  auto targets = Targets(kDesk, 2);
+  const TargetEntry chosen = targets.at(TargetName("t0"));
+  it.SetTargets(kStart, targets);
+  BOOST_TEST(it.IsOpenToWork(chosen));
+  targets.at(TargetName("t0")).leaving = true;
+  it.SetTargets(kStart, targets);
+  BOOST_TEST(!it.IsOpenToWork(chosen));
+  targets.at(TargetName("t0")).leaving = false;
+  targets.at(TargetName("t0")).start = TargetStart("t0@7");
+  it.SetTargets(kStart, targets);
+  BOOST_TEST(!it.IsOpenToWork(chosen));
+  targets.erase(TargetName("t0"));
+  it.SetTargets(kStart, targets);
+  BOOST_TEST(!it.IsOpenToWork(chosen));
+}
+
+// --- Cold targets ------------------------------------------------------------
+
+// Engines that bear few requests after a start, at a router that owns all of
+// them, or none.
+struct ColdFixture {
+  explicit ColdFixture(bool owns = true) {
+    it.SetColdRules({{kEngines, {std::chrono::seconds(3), 6.6}}});
+    it.SetColdOwner([owns](const TargetStart&) { return owns; });
+    it.SetTargets(kStart, targets);
+  }
+
+  // Sends `n` prompts that share a part; returns how many each target got.
+  std::map<TargetName, int> Send(Instant now, int n) {
+    std::map<TargetName, int> sent;
+    for (int i = 0; i < n; ++i) {
+      const PlacementRequest request = Prompt(7, 1000 + i);
+      const auto choice = it.Choose(now, request);
+      if (!choice) break;
+      it.OnSent(now, choice->target.name, request, choice->is_preferred);
+      it.OnEnded(now, choice->target.name, 0, PlacementOutcome::kNeutral);
+      ++sent[choice->target.name];
+    }
+    return sent;
+  }
+  TargetName Preferred() {
+    return it.Choose(kStart, Prompt(7, 1))->target.name;
+  }
+  void StartAgain(const TargetName& name, Instant now) {
+    targets.at(name).start = TargetStart(name.value + "@2");
+    targets.at(name).cold_for = std::chrono::seconds(3);
+    it.SetTargets(now, targets);
+  }
+
+  std::map<TargetName, TargetEntry> targets = [] {
+    auto out = Targets(kEngines, 4);
+    for (auto& [name, entry] : out) entry.start = TargetStart(name.value);
+    return out;
+  }();
+  // It started long ago, so its permits don't wait for the start.
+  Placement it{HallName("hall-0"), ColdPermits({}, {1.5, 5})};
+};
+
+struct NoOwnerFixture : ColdFixture {
+  NoOwnerFixture() : ColdFixture(false) {}
+};
+
+BOOST_FIXTURE_TEST_CASE(AColdTargetGetsNothingOfWhoDoesntOwnIt,
+                        NoOwnerFixture) {
+  const TargetName cold = Preferred();
+  StartAgain(cold, kStart);
+  // All routers prefer another one for its parts meanwhile.
+  BOOST_TEST(it.Choose(kStart, Prompt(7, 1))->is_preferred);
+  BOOST_TEST(!Send(kStart, 40).contains(cold));
+  const Instant later = kStart + std::chrono::seconds(3);
+  BOOST_TEST(Send(later, 40).contains(cold));
+}
+
+BOOST_FIXTURE_TEST_CASE(AnOwnerSendsItsPart, ColdFixture) {
+  for (const auto& [name, entry] : Targets(kEngines, 4)) {
+    StartAgain(name, kStart);
+  }
+  // 6.6 x 1.5 + 5 over four routers that may act at once.
+  for (const auto& [name, n] : Send(kStart, 100)) BOOST_TEST(n == 3);
+  BOOST_TEST(!it.Choose(kStart, Prompt(7, 1)).has_value());
+  BOOST_TEST(it.HasCold(kStart, kEngines));
+  BOOST_TEST(Send(kStart + ColdPermits::kWindow, 100).size() == 4U);
+}
+
+BOOST_FIXTURE_TEST_CASE(OneThatLeftARequestUnansweredCountsAsCold,
+                        NoOwnerFixture) {
+  const TargetName lost = Preferred();
+  const PlacementRequest request = Prompt(7, 1);
+  it.OnSent(kStart, lost, request, true);
+  it.OnEnded(kStart, lost, 0, PlacementOutcome::kFailed);
+  BOOST_TEST(!Send(kStart + milliseconds(1), 40).contains(lost));
+  // Another answer that it had begun before shows that it lives.
+  BOOST_TEST(it.HasCold(kStart + milliseconds(500), kEngines));
+  it.OnAlive(kStart + milliseconds(500), lost, kStart - milliseconds(1));
+  BOOST_TEST(!it.HasCold(kStart + milliseconds(500), kEngines));
+}
+
+BOOST_FIXTURE_TEST_CASE(AHallThatOpensAgainIsCold, NoOwnerFixture) {
+  const HallName hall = targets.at(Preferred()).hall;
+  it.SetClosedHalls(kStart, {hall});
+  it.SetClosedHalls(kStart + std::chrono::seconds(5), {});
+  const Instant then = kStart + std::chrono::seconds(5);
+  for (const auto& [name, n] : Send(then, 40)) {
+    BOOST_TEST((targets.at(name).hall != hall));
+  }
+  const auto changes = it.ColdChanges(then);
+  BOOST_REQUIRE(!changes.empty());
+  BOOST_TEST((changes[0].sign == ColdSign::kHallOpen));
+  BOOST_TEST(it.ColdChanges(then).empty());
+  BOOST_TEST(!it.ColdChanges(then + std::chrono::seconds(3)).empty());
+}
+
+// It became cold while the request waited for its connection.
+BOOST_FIXTURE_TEST_CASE(WhatWasChosenWarmIsntSentToAColdTarget, ColdFixture) {
+  const auto choice = it.Choose(kStart, Prompt(7, 1));
+  BOOST_TEST(it.MayStillSend(kStart, *choice));
+  targets.at(choice->target.name).cold_for = std::chrono::seconds(3);
+  it.SetTargets(kStart, targets);
+  BOOST_TEST(!it.MayStillSend(kStart, *choice));
+}
+
+BOOST_FIXTURE_TEST_CASE(WithoutARuleColdTargetsAreLikeOthers, NoOwnerFixture) {
+  it.SetColdRules({});
+  const TargetName cold = Preferred();
+  StartAgain(cold, kStart);
+  BOOST_TEST(Send(kStart, 40).contains(cold));
+  BOOST_TEST(!it.HasCold(kStart, kEngines));
+}
+
+// An entry that is read again, unchanged, says nothing new.
+BOOST_FIXTURE_TEST_CASE(AnEntryThatStaysMakesNothingColdAgain, NoOwnerFixture) {
+  const TargetName cold = Preferred();
+  StartAgain(cold, kStart);
+  const Instant later = kStart + std::chrono::seconds(3);
+  it.SetTargets(later, targets);
+  BOOST_TEST(Send(later, 40).contains(cold));
+}
+
+}  // namespace
+}  // namespace quaytrack
--- a/etcd/keys.h
+++ b/etcd/keys.h
@@ -1,4 +1,9 @@
 // Names of everything that quaytrack keeps in the key-value service.
+//
+//   const std::string key = keys::Ledger(7);   // "qt/ledger/7"
+//
+// What is stored under them is read by later versions, so none may change. All
+// begin with "qt/", beside which the service may keep other things.
 
 #ifndef QUAYTRACK_ETCD_KEYS_H_
 #define QUAYTRACK_ETCD_KEYS_H_
--- a/router/charts.h
+++ b/router/charts.h
@@ -1,4 +1,9 @@
 // The state charts of `quaytrack router`, bound to their enums.
+//
+//   BOOST_LEAF_AUTO(charts, BindRouterCharts());
+//
+// Bound once, at start, and kept until the last request has ended; a chart that
+// doesn't fit its enums is an error then, and the process doesn't start.
 
 #ifndef QUAYTRACK_ROUTER_CHARTS_H_
 #define QUAYTRACK_ROUTER_CHARTS_H_
--- a/router/forward_impl.h
+++ b/router/forward_impl.h
@@ -1,5 +1,6 @@
 // Member functions of Forward that concern the way to a target and the end of a
-// request. Included by router/forward.h only.
+// request. They are templates of its job, so they stand in a header; it is
+// included by router/forward.h only, which says what Forward is for.
 
 #ifndef QUAYTRACK_ROUTER_FORWARD_IMPL_H_
 #define QUAYTRACK_ROUTER_FORWARD_IMPL_H_
--- a/router/json_check.h
+++ b/router/json_check.h
@@ -1,5 +1,7 @@
 // Checks a JSON text for what parsers accept silently: nesting without bound
 // and the same field twice in one object.
+//
+//   if (const auto fault = CheckJson(body)) return Refuse(fault->field, ...);
 
 #ifndef QUAYTRACK_ROUTER_JSON_CHECK_H_
 #define QUAYTRACK_ROUTER_JSON_CHECK_H_
--- /dev/null
+++ b/testing/most_within.h
@@ -0,0 +1,30 @@
+// The most of a list of times that lie within one span, wherever it begins.
+//
+//   const std::size_t most = MostWithin(arrivals, std::chrono::seconds(1));
+//
+// For rules on what may come in any second. `T` is a time or a number.
+
+#ifndef QUAYTRACK_TESTING_MOST_WITHIN_H_
+#define QUAYTRACK_TESTING_MOST_WITHIN_H_
+
+#include <algorithm>
+#include <cstddef>
+#include <vector>
+
+namespace quaytrack {
+
+template <class T, class Span>
+std::size_t MostWithin(std::vector<T> times, Span span) {
+  std::sort(times.begin(), times.end());
+  std::size_t most = 0;
+  std::size_t first = 0;
+  for (std::size_t n = 0; n < times.size(); ++n) {
+    while (times[n] - times[first] >= span) ++first;
+    most = std::max(most, n - first + 1);
+  }
+  return most;
+}
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_TESTING_MOST_WITHIN_H_
