See what targets say of their rate limit

Answers are read for it now, changes are logged (QT1319, QT1320) and counted (limited_targets). What is sent where doesn't change.

--- a/base/events.h
+++ b/base/events.h
@@ -78,6 +78,8 @@
   kSendHeldBack = 1316,
   kTargetCold = 1317,
   kTargetWarm = 1318,
+  kTargetLimited = 1319,
+  kTargetUnlimited = 1320,
   // 14xx: requests, budgets, bills and claims.
   kRequestRefused = 1401,
   kRequestFinished = 1402,
@@ -150,6 +152,8 @@
     {Event::kSendHeldBack, LogLevel::kInfo, "send_held_back"},
     {Event::kTargetCold, LogLevel::kInfo, "target_cold"},
     {Event::kTargetWarm, LogLevel::kInfo, "target_warm"},
+    {Event::kTargetLimited, LogLevel::kWarn, "target_limited"},
+    {Event::kTargetUnlimited, LogLevel::kInfo, "target_unlimited"},
     {Event::kRequestRefused, LogLevel::kDebug, "request_refused"},
     {Event::kRequestFinished, LogLevel::kDebug, "request_finished"},
     {Event::kCallerGone, LogLevel::kDebug, "caller_gone"},
--- a/base/parse_number.h
+++ b/base/parse_number.h
@@ -3,6 +3,7 @@
 //   ParseNumber<int>("15");                 // 15
 //   ParseNumber<std::uint64_t>("5c1e", 16); // 0x5c1e
 //   ParseNumber<int>("15 ms");              // nothing
+//   ParseDecimal("1.5");                    // 1.5
 //
 // Nothing is returned for an empty text, blanks, a leading plus, anything after
 // the digits, or a number that `T` can't hold. Bounds are the caller's matter.
@@ -11,6 +12,7 @@
 #define QUAYTRACK_BASE_PARSE_NUMBER_H_
 
 #include <charconv>
+#include <cmath>
 #include <optional>
 #include <string_view>
 #include <system_error>
@@ -27,6 +29,16 @@
   return out;
 }
 
+// A decimal number without an exponent; finite.
+inline std::optional<double> ParseDecimal(std::string_view text) {
+  double out = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, ec] =
+      std::from_chars(text.data(), end, out, std::chars_format::fixed);
+  const bool whole = ec == std::errc() && stop == end;
+  return whole && std::isfinite(out) ? std::optional(out) : std::nullopt;
+}
+
 }  // namespace quaytrack
 
 #endif  // QUAYTRACK_BASE_PARSE_NUMBER_H_
--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -147,6 +147,14 @@
   it->second.warmth.OnCold(now, remaining, ColdSign::kAnswer);
 }
 
+bool Placement::OnRate(Instant now, const TargetStart& target, Instant sent_at,
+                       const RateStatement& said) {
+  if (said.per_s) {
+    return rate_limits_.OnNamed(now, target, sent_at, *said.per_s);
+  }
+  return said.is_unlimited && rate_limits_.OnNotNamed(now, target, sent_at);
+}
+
 std::vector<Placement::ColdChange> Placement::ColdChanges(Instant now) {
   std::vector<ColdChange> out;
   for (auto& [name, state] : targets_) {
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -83,6 +83,7 @@
 #include "dispatch/outlier_ejection.h"
 #include "dispatch/prefill_speed.h"
 #include "dispatch/prefix_cache.h"
+#include "dispatch/rate_limits.h"
 #include "dispatch/target_warmth.h"
 #include "fleet/target_registry.h"
 
@@ -183,6 +184,11 @@
   void OnConnectionsLost(Instant now, const std::string& address);
   // The target says that it stays cold for so long.
   void OnCold(Instant now, const TargetName& name, Duration remaining);
+  // What an answer to a request that was sent at `sent_at` says of its target's
+  // rate limit. Returns whether the limit has changed.
+  bool OnRate(Instant now, const TargetStart& target, Instant sent_at,
+              const RateStatement& said);
+  const RateLimits& rate_limits() const { return rate_limits_; }
   // `prefill` is what OnSent returned, or 0 after OnAnswering.
   void OnEnded(Instant now, const TargetName& name, Tokens prefill,
                PlacementOutcome outcome);
@@ -266,6 +272,7 @@
   std::map<TargetName, State> targets_;
   std::map<ServiceName, ColdRule> cold_rules_;
   ColdPermits permits_;
+  RateLimits rate_limits_;
   // Nobody owns a target before it is set.
   std::function<bool(const TargetStart&)> owns_;
   // One entry for each service of which answers or peers have told.
--- a/relay/dialect.h
+++ b/relay/dialect.h
@@ -24,6 +24,7 @@
 #include "base/ids.h"
 #include "config/service_map.h"
 #include "dispatch/placement.h"
+#include "dispatch/rate_limits.h"
 #include "fleet/target_registry.h"
 #include "kv/store.h"
 #include "net/http_message.h"
@@ -69,6 +70,8 @@
   bool sealed = false;
   // How much longer the target is slow, if it says so.
   std::chrono::milliseconds cold_for{0};
+  // What it says of the target's rate limit.
+  RateStatement rate;
 };
 
 class CallerDialect {
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -407,6 +407,8 @@
   metrics_.SetGauge("config_version", static_cast<double>(configs_.version()));
   metrics_.SetGauge("cold_targets",
                     static_cast<double>(placement_.cold(clock_.Now())));
+  metrics_.SetGauge("limited_targets",
+                    static_cast<double>(placement_.rate_limits().size()));
   metrics_.SetGauge("closed_halls",
                     static_cast<double>(configs_.halls().closed().size()));
   for (const StateFeed* it : Feeds()) {
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -244,6 +244,7 @@
   progress_.head_at = context_.clock.Now();
   answer_facts_ = facts;
   const TargetEntry& target = progress_.choice.target;
+  HeedTarget();
   if (!context_.placement.IsListed(target)) return true;
   context_.placement.OnAlive(*progress_.head_at, target.name, sent_at_);
   if (facts.cold_for > milliseconds(0)) {
@@ -252,6 +253,16 @@
   return true;
 }
 
+// What the answer's head says of its target, whether that is still listed or
+// not: an entry may be missing for a while.
+void RelayedRequest::HeedTarget() {
+  const TargetEntry& target = progress_.choice.target;
+  const bool changed = context_.placement.OnRate(
+      *progress_.head_at, target.start, sent_at_, answer_facts_.rate);
+  if (!changed) return;
+  LogRateLimit(target.start, context_.placement.rate_limits(), "answer");
+}
+
 void RelayedRequest::OnBody(std::string_view bytes) {
   const auto self = shared_from_this();
   if (machine_.state() == RelayState::kEnded) return;
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -101,6 +101,7 @@
   void SetAttemptTimer(Duration timeout);
   void OnAttemptTimeout();
   bool OnHead(const HttpHead& head);
+  void HeedTarget();
   void OnBody(std::string_view bytes);
   void PassOnEvents(std::string_view bytes);
   void OnFirstEvent();
--- a/relay/request_log.cc
+++ b/relay/request_log.cc
@@ -37,6 +37,15 @@
                                   {"hall", target.hall.value}});
 }
 
+void LogRateLimit(const TargetStart& target, const RateLimits& limits,
+                  const std::string& by) {
+  const auto per_s = limits.LimitOf(target);
+  LogEvent(per_s ? Event::kTargetLimited : Event::kTargetUnlimited,
+           {{"start", target.value},
+            {"per_s", per_s ? std::to_string(*per_s) : "none"},
+            {"by", by}});
+}
+
 void LogRequestEnded(const Admission& admission,
                      const RequestProgress& progress, const RequestEnd& end) {
   const RouteRule* route = admission.route;
--- a/relay/request_log.h
+++ b/relay/request_log.h
@@ -16,6 +16,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "dispatch/placement.h"
+#include "dispatch/rate_limits.h"
 #include "relay/admission.h"
 #include "relay/final_answer.h"
 #include "relay/ran.h"
@@ -74,6 +75,10 @@
 // A request that was not written to a target, as that may get no work any more.
 void LogSendHeldBack(const RequestId& id, const TargetEntry& target);
 
+// A target's rate limit has changed; `by` says who told of it.
+void LogRateLimit(const TargetStart& target, const RateLimits& limits,
+                  const std::string& by);
+
 void LogRequestEnded(const Admission& admission,
                      const RequestProgress& progress, const RequestEnd& end);
 
