--- /dev/null
+++ b/dispatch/testing/limited_fleet_test.cc
@@ -0,0 +1,370 @@
+// Drawn fleets whose targets name rate limits: what reaches a target in any
+// four seconds, from the routers that have been told.
+//
+// Requests come to all routers; most share a part of the prompt, so that most
+// prefer one target. Answers name the limit that is in force when their head is
+// written, and take some time. Lists of routers are behind at some of them,
+// routers start again, connections take up to 250 ms to open, and limits change
+// and end. Kept: the bound holds with every draw, callers are served where
+// others have room, and a limit that ended is lifted at all routers.
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "dispatch/placement.h"
+#include "dispatch/testing/placement_targets.h"
+#include "fleet/fleet.h"
+
+namespace quaytrack {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kStep = milliseconds(10);
+// The users' rule: what a target may get in any such span, and from which
+// routers it counts.
+constexpr Duration kSpan = seconds(4);
+constexpr double kOverage = 1.5;
+constexpr double kSlack = 5;
+constexpr Duration kToldFor = milliseconds(500);
+constexpr Duration kSettles = milliseconds(3000);
+constexpr Duration kLongestOpening = milliseconds(250);
+
+// The limit that a target names from `since` on.
+struct Phase {
+  Instant since{};
+  std::optional<double> per_s;
+};
+
+struct Spec {
+  int routers = 7;
+  int targets = 12;
+  // Requests a second, at all routers together.
+  double requests_per_s = 46;
+  // Routers that start again, a second.
+  double restarts_per_s = 0.1;
+  // Part of the routers whose list lacks the two newest.
+  double behind = 0.3;
+  Duration time = seconds(30);
+  // By target; those without phases name no limit.
+  std::map<int, std::vector<Phase>> phases;
+};
+
+// A request on its way, to its target or back.
+struct InFlight {
+  int router = 0;
+  int life = 0;
+  TargetEntry target;
+  Instant sent_at{};
+  Instant arrives{};
+  Instant answered{};
+  bool written = false;
+};
+
+struct Arrival {
+  Instant at{};
+  // The router had passed on an answer with the limit long enough before.
+  bool counts = false;
+};
+
+class World {
+ public:
+  World(std::uint32_t seed, Spec spec) : random_(seed), spec_(std::move(spec)) {
+    targets_ = Targets(kEngines, spec_.targets);
+    for (auto& [name, entry] : targets_) entry.start = TargetStart(name.value);
+    for (int n = 0; n < spec_.routers; ++n) members_.push_back(Member(n));
+    routers_.resize(static_cast<std::size_t>(spec_.routers));
+    for (int n = 0; n < spec_.routers; ++n) Begin(n, kStart - seconds(60));
+  }
+
+  void Run() {
+    const Instant end = kStart + spec_.time;
+    for (Instant now = kStart; now < end; now += kStep) {
+      now_ = now;
+      Deliver();
+      if (Happens(spec_.restarts_per_s)) {
+        Begin(static_cast<int>(random_() % routers_.size()), now);
+      }
+      const double each = spec_.requests_per_s * ToSeconds(kStep);
+      for (double due = each + Part(); due >= 1; due -= 1) Ask();
+    }
+  }
+
+  // The most that a target got in a span beyond what its limit allows there; 0
+  // or less if the bound holds.
+  double Excess() const {
+    double worst = -kSlack;
+    for (const auto& [n, phases] : spec_.phases) {
+      const auto it = arrivals_.find("t" + std::to_string(n));
+      if (it == arrivals_.end() || phases.empty()) continue;
+      for (const Arrival& first : it->second) {
+        worst = std::max(worst, ExcessFrom(first.at, it->second, phases));
+      }
+    }
+    return worst;
+  }
+  int asked() const { return asked_; }
+  int refused() const { return refused_; }
+  // What one target got since then.
+  std::size_t Got(int target, Instant since) const {
+    const auto it = arrivals_.find("t" + std::to_string(target));
+    if (it == arrivals_.end()) return 0;
+    return static_cast<std::size_t>(
+        std::count_if(it->second.begin(), it->second.end(),
+                      [&](const Arrival& a) { return a.at >= since; }));
+  }
+
+ private:
+  struct Router {
+    std::unique_ptr<Placement> placement;
+    std::unique_ptr<FleetDirectory> list;
+    int life = 0;
+    std::map<TargetName, Instant> told_at;
+  };
+
+  static FleetMember Member(int n) {
+    FleetMember out;
+    out.vm = VmName("vm-" + std::to_string(n));
+    out.hall = HallName("hall-" + std::to_string(n % 3));
+    return out;
+  }
+
+  double Part() { return static_cast<double>(random_()) / 4294967296.0; }
+  bool Happens(double per_s) { return Part() < per_s * ToSeconds(kStep); }
+  Duration Draw(Duration longest) {
+    return std::chrono::duration_cast<Duration>(longest * Part());
+  }
+
+  void Begin(int n, Instant now) {
+    Router& it = routers_[static_cast<std::size_t>(n)];
+    ++it.life;
+    it.told_at.clear();
+    it.list = std::make_unique<FleetDirectory>(
+        members_[static_cast<std::size_t>(n)], FleetOptions{});
+    const bool behind = Part() < spec_.behind &&
+                        static_cast<std::size_t>(n) + 2 < members_.size();
+    it.list->Put({members_.begin(), members_.end() - (behind ? 2 : 0)});
+    it.list->MarkRead();
+    it.placement = std::make_unique<Placement>(
+        members_[static_cast<std::size_t>(n)].hall, ColdPermits(now, {}));
+    const FleetDirectory& list = *it.list;
+    it.placement->SetColdOwner([&list](const TargetStart& target) {
+      return list.IsAmongFirst(ColdPermits::kOwners, target.value);
+    });
+    it.placement->SetTargets(now, targets_);
+  }
+
+  std::optional<double> LimitAt(const TargetName& target, Instant at) const {
+    const auto it = spec_.phases.find(std::stoi(target.value.substr(1)));
+    std::optional<double> out;
+    if (it == spec_.phases.end()) return out;
+    for (const Phase& phase : it->second) {
+      if (phase.since <= at) out = phase.per_s;
+    }
+    return out;
+  }
+
+  void Ask() {
+    ++asked_;
+    const int n = static_cast<int>(random_() % routers_.size());
+    Router& it = routers_[static_cast<std::size_t>(n)];
+    const std::uint64_t shared = Part() < 0.7 ? 7 : random_() % 40;
+    const PlacementRequest request = Prompt(shared, 1000 + random_());
+    Send(n, it, request, 0);
+  }
+
+  void Send(int n, Router& it, const PlacementRequest& request, int held_back) {
+    const auto choice = it.placement->Choose(now_, request);
+    if (!choice) {
+      ++refused_;
+      return;
+    }
+    it.placement->OnSent(now_, choice->target.name, request,
+                         choice->is_preferred);
+    InFlight call;
+    call.router = n;
+    call.life = it.life;
+    call.target = choice->target;
+    call.sent_at = now_;
+    call.arrives = now_ + milliseconds(2);
+    const bool opens = Part() < 0.3;
+    if (opens) call.arrives += Draw(kLongestOpening);
+    call.answered = call.arrives + milliseconds(20) + Draw(milliseconds(900));
+    if (opens) {
+      waiting_.push_back({call, *choice, request, held_back});
+    } else {
+      Arrive(call);
+    }
+  }
+
+  void Arrive(InFlight call) {
+    const Router& it = routers_[static_cast<std::size_t>(call.router)];
+    const auto told = it.told_at.find(call.target.name);
+    const bool counts =
+        told != it.told_at.end() && call.arrives - told->second >= kToldFor;
+    arrivals_[call.target.name.value].push_back({call.arrives, counts});
+    running_.push_back(std::move(call));
+  }
+
+  void Deliver() {
+    auto opened = std::stable_partition(
+        waiting_.begin(), waiting_.end(),
+        [&](const Waiting& it) { return it.call.arrives > now_; });
+    const std::vector<Waiting> ready(opened, waiting_.end());
+    waiting_.erase(opened, waiting_.end());
+    for (const Waiting& it : ready) Open(it);
+    auto done = std::stable_partition(
+        running_.begin(), running_.end(),
+        [&](const InFlight& it) { return it.answered > now_; });
+    const std::vector<InFlight> answered(done, running_.end());
+    running_.erase(done, running_.end());
+    for (const InFlight& it : answered) Answer(it);
+  }
+
+  struct Waiting {
+    InFlight call;
+    PlacementChoice choice;
+    PlacementRequest request;
+    int held_back = 0;
+  };
+
+  void Open(const Waiting& it) {
+    Router& router = routers_[static_cast<std::size_t>(it.call.router)];
+    if (router.life != it.call.life) return;
+    if (router.placement->MayStillSend(now_, it.choice)) return Arrive(it.call);
+    router.placement->OnEnded(now_, it.call.target.name, 0,
+                              PlacementOutcome::kNeutral);
+    if (it.held_back < 3) {
+      Send(it.call.router, router, it.request, it.held_back + 1);
+    }
+  }
+
+  void Answer(const InFlight& call) {
+    Router& it = routers_[static_cast<std::size_t>(call.router)];
+    if (it.life != call.life) return;
+    RateStatement said;
+    said.per_s = LimitAt(call.target.name, call.answered - milliseconds(2));
+    said.is_unlimited = !said.per_s;
+    it.placement->OnRate(now_, call.target.start, call.sent_at, said);
+    it.placement->OnEnded(now_, call.target.name, 0, PlacementOutcome::kGood);
+    if (said.per_s) it.told_at.try_emplace(call.target.name, now_);
+    if (said.is_unlimited) it.told_at.erase(call.target.name);
+  }
+
+  // What a limit allows in a span; only spans within one phase are judged.
+  double ExcessFrom(Instant begin, const std::vector<Arrival>& arrivals,
+                    const std::vector<Phase>& phases) const {
+    const Phase* at = nullptr;
+    for (const Phase& it : phases) {
+      if (it.since + kSettles <= begin) at = &it;
+      if (it.since > begin && it.since < begin + kSpan) return -kSlack;
+    }
+    if (at == nullptr || !at->per_s) return -kSlack;
+    const auto got =
+        std::count_if(arrivals.begin(), arrivals.end(), [&](const Arrival& it) {
+          return it.counts && it.at >= begin && it.at < begin + kSpan;
+        });
+    return static_cast<double>(got) -
+           (*at->per_s * kOverage * ToSeconds(kSpan) + kSlack);
+  }
+
+  std::mt19937 random_;
+  Spec spec_;
+  std::map<TargetName, TargetEntry> targets_;
+  std::vector<FleetMember> members_;
+  std::vector<Router> routers_;
+  std::vector<Waiting> waiting_;
+  std::vector<InFlight> running_;
+  std::map<std::string, std::vector<Arrival>> arrivals_;
+  Instant now_{};
+  int asked_ = 0;
+  int refused_ = 0;
+};
+
+constexpr std::uint32_t kDraws = 12;
+
+struct Figures {
+  int broken = 0;
+  double worst = -kSlack;
+  int asked = 0;
+  int refused = 0;
+};
+
+Figures Play(const Spec& spec) {
+  Figures out;
+  for (std::uint32_t seed = 1; seed <= kDraws; ++seed) {
+    World it(seed, spec);
+    it.Run();
+    const double excess = it.Excess();
+    out.worst = std::max(out.worst, excess);
+    out.broken += excess > 0 ? 1 : 0;
+    out.asked += it.asked();
+    out.refused += it.refused();
+  }
+  BOOST_TEST_MESSAGE("worst excess " << out.worst << ", broken in "
+                                     << out.broken << " of " << kDraws << ", "
+                                     << out.refused << " of " << out.asked
+                                     << " refused");
+  return out;
+}
+
+Spec WithLimit(int routers, int targets, int limited, double per_s) {
+  Spec out;
+  out.routers = routers;
+  out.targets = targets;
+  for (int n = 0; n < limited; ++n) {
+    out.phases[n] = {{kStart + milliseconds(500 * n), per_s}};
+  }
+  return out;
+}
+
+// A target's limit counted at each router alone, so that all of them together
+// sent it many times as much.
+BOOST_AUTO_TEST_CASE(ALimitHoldsOverAllRouters) {
+  for (const int routers : {3, 7, 74}) {
+    for (const double per_s : {0.0, 0.3, 1.0, 4.5, 20.0}) {
+      Spec spec = WithLimit(routers, 12, 2, per_s);
+      spec.requests_per_s = std::max(46.0, 2.0 * routers);
+      const Figures it = Play(spec);
+      BOOST_TEST(it.broken == 0,
+                 routers << " routers, " << per_s << " a second");
+      // Ten others have room.
+      BOOST_TEST(it.refused == 0);
+    }
+  }
+}
+
+// Limits of most targets at once: what is left is spread, and refused at once
+// where no target has room.
+BOOST_AUTO_TEST_CASE(LimitsOfMostTargetsHoldTogether) {
+  const Figures it = Play(WithLimit(7, 12, 11, 1));
+  BOOST_TEST(it.broken == 0);
+  BOOST_TEST(it.refused == 0);
+  const Figures all = Play(WithLimit(7, 12, 12, 2));
+  BOOST_TEST(all.broken == 0);
+  BOOST_TEST(all.refused > 0);
+}
+
+// Limits that fall, rise and come back.
+BOOST_AUTO_TEST_CASE(ALimitThatChangesHoldsInEachPhase) {
+  Spec spec = WithLimit(7, 12, 3, 1);
+  spec.time = seconds(50);
+  for (auto& [n, phases] : spec.phases) {
+    phases = {{kStart + seconds(1), 10.0},
+              {kStart + seconds(12), 0.5},
+              {kStart + seconds(24), 3.0},
+              {kStart + seconds(36), 0.0}};
+  }
+  BOOST_TEST(Play(spec).broken == 0);
+}
+
+}  // namespace
+}  // namespace quaytrack
