Rate limits of targets are kept over all routers

Callers saw nothing of it, but a target in need, which names how many requests a second it takes from all routers, got as many as before: 12 and 14 in 4 s where 11 are allowed. Cause: nothing read the limit, and nothing bounds what all routers together send to one target, but for cold ones.

The routers that own a target by the list of routers send to it, each a part of the rate; the others have their callers served elsewhere. What kept cold targets to their rate does so for both (dispatch/shared_rate.h, from cold_permits.h), as the rule is of the same kind. New beside it: what is believed of a limit and when it has ended (dispatch/rate_limits.h), told between routers, since a router that sends nothing there can't learn it; and stand-ins for owners that are down.

New cases: no messages between routers, a limit that ends, one of zero, owners that are down.

--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <compare>
 #include <cstdint>
 
 #include "base/digest.h"
@@ -45,6 +46,20 @@
 // they tell never rules one out for long.
 constexpr double kLongestBusyMs = 3000;
 
+// A rate limit that was last heard of so long ago is asked for again. It is
+// well within the span over which limits are kept, so that one that has ended
+// costs its target little.
+constexpr Duration kAskAgainAfter = std::chrono::seconds(2);
+
+// What candidates are compared by, in this order; the least is chosen.
+struct Merit {
+  bool is_ejected = false;
+  bool is_not_due = false;
+  double cost_ms = 0;
+
+  auto operator<=>(const Merit&) const = default;
+};
+
 Duration FromMs(double ms) {
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double, std::milli>(ms));
@@ -82,8 +97,12 @@
     const bool restarted = !is_new && state.entry.start != entry.start;
     const bool told = is_new || state.entry.cold_for != entry.cold_for;
     // Another start holds nothing and runs nothing of what is known here.
-    if (restarted) state = State{};
+    if (restarted) {
+      rate_limits_.OnStartedAgain(now, state.entry.start, entry.start);
+      state = State{};
+    }
     state.entry = entry;
+    state.limit_per_s = rate_limits_.LimitOf(entry.start);
     state.hall_closed = closed_halls_.contains(entry.hall);
     if (told) state.warmth.OnCold(now, entry.cold_for, ColdSign::kEntry);
     if (restarted) {
@@ -111,9 +130,15 @@
   return it == cold_rules_.end() ? kNone : it->second;
 }
 
-void Placement::SetColdOwner(std::function<bool(const TargetStart&)> owns) {
-  owns_ = std::move(owns);
-  for (auto& [name, state] : targets_) state.owned.reset();
+void Placement::SetPlaces(PlaceOf place_of) {
+  place_of_ = std::move(place_of);
+  for (auto& [name, state] : targets_) state.place.reset();
+}
+
+const std::optional<RendezvousPlace>& Placement::OwnPlace(
+    const State& state) const {
+  if (!state.place && place_of_) state.place = place_of_(state.entry.start);
+  return state.place;
 }
 
 bool Placement::IsCold(Instant now, const State& state) const {
@@ -121,12 +146,68 @@
 }
 
 bool Placement::MaySendCold(Instant now, const State& state) const {
+  const auto& place = OwnPlace(state);
+  if (!place) return false;
+  const OwnerPart part =
+      rates_.cold.PartOf(RuleOf(state.entry.service).per_s, place->routers);
+  return part.IsOwner(*place) &&
+         rates_.cold.MaySend(now, state.entry.start, part);
+}
+
+bool Placement::MaySend(Instant now, const State& state) const {
+  if (IsCold(now, state) && !MaySendCold(now, state)) return false;
+  return !state.limit_per_s || MaySendLimited(now, state);
+}
+
+// --- Rate limits -------------------------------------------------------------
+
+bool Placement::MaySendLimited(Instant now, const State& state) const {
+  const auto& place = OwnPlace(state);
+  if (!place) return false;
   const TargetStart& start = state.entry.start;
-  if (!state.owned) state.owned = owns_ && owns_(start);
-  return *state.owned &&
-         permits_.MaySend(now, start, RuleOf(state.entry.service));
+  const OwnerPart part =
+      rates_.limited.PartOf(*state.limit_per_s, place->routers);
+  return part.Acts(*place, now - rate_limits_.HeardAt(start)) &&
+         rates_.limited.MaySend(now, start, part.For(*place));
+}
+
+bool Placement::IsDue(Instant now, const State& state) const {
+  if (!state.limit_per_s) return false;
+  return now - rate_limits_.HeardAt(state.entry.start) >= kAskAgainAfter;
+}
+
+void Placement::NoteLimit(const TargetStart& target) {
+  for (auto& [name, state] : targets_) {
+    if (state.entry.start != target) continue;
+    state.limit_per_s = rate_limits_.LimitOf(target);
+  }
+}
+
+bool Placement::OnRate(Instant now, const TargetStart& target, Instant sent_at,
+                       const RateStatement& said) {
+  bool changed = false;
+  if (said.per_s) {
+    changed = rate_limits_.OnNamed(now, target, sent_at, *said.per_s);
+  } else if (said.is_unlimited) {
+    changed = rate_limits_.OnNotNamed(now, target, sent_at);
+  }
+  if (changed) NoteLimit(target);
+  return changed;
+}
+
+std::vector<TargetStart> Placement::OnRateReports(Instant now,
+                                                  const RateReports& reports) {
+  std::vector<TargetStart> changed;
+  for (const auto& [target, report] : reports) {
+    if (!rate_limits_.OnPeer(now, target, report)) continue;
+    NoteLimit(target);
+    changed.push_back(target);
+  }
+  return changed;
 }
 
+// --- What targets show -------------------------------------------------------
+
 void Placement::OnAlive(Instant now, const TargetName& name, Instant sent_at) {
   const auto it = targets_.find(name);
   if (it == targets_.end()) return;
@@ -147,14 +228,6 @@
   it->second.warmth.OnCold(now, remaining, ColdSign::kAnswer);
 }
 
-bool Placement::OnRate(Instant now, const TargetStart& target, Instant sent_at,
-                       const RateStatement& said) {
-  if (said.per_s) {
-    return rate_limits_.OnNamed(now, target, sent_at, *said.per_s);
-  }
-  return said.is_unlimited && rate_limits_.OnNotNamed(now, target, sent_at);
-}
-
 std::vector<Placement::ColdChange> Placement::ColdChanges(Instant now) {
   std::vector<ColdChange> out;
   for (auto& [name, state] : targets_) {
@@ -193,7 +266,8 @@
 bool Placement::MayStillSend(Instant now, const PlacementChoice& choice) const {
   const State* state = Find(choice.target);
   if (state == nullptr || !TakesWork(*state)) return false;
-  return choice.is_cold || !IsCold(now, *state);
+  if (IsCold(now, *state) && !choice.is_cold) return false;
+  return !state->limit_per_s || choice.is_limited;
 }
 
 bool Placement::HasCold(Instant now, const ServiceName& service) const {
@@ -204,6 +278,14 @@
   });
 }
 
+bool Placement::HasLimited(const ServiceName& service) const {
+  return std::any_of(targets_.begin(), targets_.end(), [&](const auto& it) {
+    const State& state = it.second;
+    return state.entry.service == service && TakesWork(state) &&
+           state.limit_per_s;
+  });
+}
+
 bool Placement::IsClosedOff(const ServiceName& service) const {
   return std::any_of(targets_.begin(), targets_.end(), [&](const auto& it) {
     const State& state = it.second;
@@ -229,6 +311,7 @@
     const TargetEntry& entry = state.entry;
     if (entry.service != request.service || !TakesWork(state)) continue;
     if (IsCold(now, state)) continue;
+    if (state.limit_per_s && !MaySendLimited(now, state)) continue;
     const std::uint64_t weight = RendezvousWeight(name.value, key);
     if (out != nullptr && weight <= best) continue;
     out = &state;
@@ -275,26 +358,24 @@
   const Candidates among{now, request, SpeedOf(request.service),
                          PreferredTarget(now, request)};
   const State* best = nullptr;
-  bool best_is_ejected = false;
-  double best_cost = 0;
+  Merit best_merit;
   for (const auto& [name, state] : targets_) {
     const TargetEntry& entry = state.entry;
     if (entry.service != request.service || !TakesWork(state)) continue;
     if (request.tried.contains(name)) continue;
-    if (IsCold(now, state) && !MaySendCold(now, state)) continue;
-    const bool ejected = state.health.IsEjected(now);
-    const double cost = Cost(state, among);
-    const bool cheaper =
-        ejected == best_is_ejected ? cost < best_cost : best_is_ejected;
-    if (best != nullptr && !cheaper) continue;
+    if (!MaySend(now, state)) continue;
+    const Merit merit{state.health.IsEjected(now), !IsDue(now, state),
+                      Cost(state, among)};
+    if (best != nullptr && !(merit < best_merit)) continue;
     best = &state;
-    best_is_ejected = ejected;
-    best_cost = cost;
+    best_merit = merit;
   }
   if (best == nullptr) return std::nullopt;
-  PlacementChoice out{best->entry, best_cost, among.IsPreferred(*best)};
+  PlacementChoice out{best->entry, best_merit.cost_ms,
+                      among.IsPreferred(*best)};
   if (request.ForEngine()) out.first_event_ms = FirstEventMs(*best, among);
   out.is_cold = IsCold(now, *best);
+  out.is_limited = best->limit_per_s.has_value();
   return out;
 }
 
@@ -303,7 +384,8 @@
   const auto it = targets_.find(name);
   if (it == targets_.end()) return 0;
   State& state = it->second;
-  if (IsCold(now, state)) permits_.OnSent(now, state.entry.start);
+  if (IsCold(now, state)) rates_.cold.OnSent(now, state.entry.start);
+  if (state.limit_per_s) rates_.limited.OnSent(now, state.entry.start);
   ++state.running;
   if (!request.ForEngine()) return 0;
   const Tokens prefill = PrefillTokens(state.prefixes, request, is_preferred);
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -10,11 +10,13 @@
 //
 // The rule. Targets that may get no work (`TakesWork`: they are leaving, or
 // their hall is closed) and those that had the request before are out. So are
-// cold ones, unless this router may send there (dispatch/cold_permits.h); those
-// compete like any other.
-// Of the others, ejected ones (dispatch/outlier_ejection.h) are taken only if
-// all are ejected. Among equals the one with the lowest expected cost is
-// chosen, in milliseconds:
+// cold ones and those that have named a rate limit (dispatch/rate_limits.h),
+// unless this router may send there (dispatch/shared_rate.h); those compete
+// like any other. But a target whose limit was last heard of a while ago comes
+// first where this router may send to it, since only an answer of it shows that
+// its limit has ended. Of the others, ejected ones
+// (dispatch/outlier_ejection.h) are taken only if all are ejected. Among equals
+// the one with the lowest expected cost is chosen, in milliseconds:
 //
 //   engines         (tokens to be prefilled there x time of each, as learned
 //                    (dispatch/prefill_speed.h)
@@ -79,16 +81,30 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
-#include "dispatch/cold_permits.h"
 #include "dispatch/outlier_ejection.h"
 #include "dispatch/prefill_speed.h"
 #include "dispatch/prefix_cache.h"
 #include "dispatch/rate_limits.h"
+#include "dispatch/shared_rate.h"
 #include "dispatch/target_warmth.h"
 #include "fleet/target_registry.h"
 
 namespace quaytrack {
 
+// How a service's targets bear requests after a start.
+struct ColdRule {
+  // How long one stays cold.
+  Duration start{};
+  // Requests a second that a cold one bears; 0 if nothing is known to bound it.
+  double per_s = 0;
+};
+
+// What all routers together may send to targets that take few requests.
+struct PlacementRates {
+  SharedRate cold{Instant{}, RateAllowance{}};
+  SharedRate limited{Instant{}, RateAllowance{}};
+};
+
 struct PlacementRequest {
   ServiceName service;
   // Empty for services other than engines.
@@ -119,15 +135,16 @@
   bool is_preferred = false;
   // Milliseconds until the first event is expected; 0 where no engine is asked.
   double first_event_ms = 0;
-  // It is cold, and this router may send there.
+  // It is cold, or has a rate limit, and this router may send there.
   bool is_cold = false;
+  bool is_limited = false;
 };
 
 class Placement {
  public:
   // `hall` is the one that this router is in.
-  explicit Placement(HallName hall, ColdPermits permits = ColdPermits({}, {}))
-      : hall_(std::move(hall)), permits_(std::move(permits)) {}
+  explicit Placement(HallName hall, PlacementRates rates = {})
+      : hall_(std::move(hall)), rates_(std::move(rates)) {}
 
   // What is known of a target that stays is kept; of one that has started again
   // nothing is, but that it is cold. `now` is when `entries` were read.
@@ -143,9 +160,11 @@
   void SetColdRules(std::map<ServiceName, ColdRule> rules) {
     cold_rules_ = std::move(rules);
   }
-  // Whether this router is one of those that send to a target while it is cold.
-  // Asked again after each call of this.
-  void SetColdOwner(std::function<bool(const TargetStart&)> owns);
+  // This router's place among those that send to a target which takes few
+  // requests; nothing if it isn't known. Asked again after each call of this.
+  using PlaceOf =
+      std::function<std::optional<RendezvousPlace>(const TargetStart&)>;
+  void SetPlaces(PlaceOf place_of);
 
   // Whether anything further may be sent to a target: it is listed as that
   // start, isn't leaving, and its hall isn't closed. Every rule that keeps work
@@ -166,6 +185,8 @@
 
   // Whether some target of the service may get work and is cold.
   bool HasCold(Instant now, const ServiceName& service) const;
+  // Whether some target of the service may get work and has a rate limit.
+  bool HasLimited(const ServiceName& service) const;
   // Whether some target of the service would get work if its hall weren't
   // closed.
   bool IsClosedOff(const ServiceName& service) const;
@@ -188,6 +209,14 @@
   // rate limit. Returns whether the limit has changed.
   bool OnRate(Instant now, const TargetStart& target, Instant sent_at,
               const RateStatement& said);
+  // What a peer knows of rate limits. Returns the targets whose limit has
+  // changed.
+  std::vector<TargetStart> OnRateReports(Instant now,
+                                         const RateReports& reports);
+  // For the peers (dispatch/rate_limits.h).
+  RateReports TakeUntoldRates(Instant now, bool forwards) {
+    return rate_limits_.TakeUntold(now, forwards);
+  }
   const RateLimits& rate_limits() const { return rate_limits_; }
   // `prefill` is what OnSent returned, or 0 after OnAnswering.
   void OnEnded(Instant now, const TargetName& name, Tokens prefill,
@@ -224,7 +253,9 @@
     // As `ColdChanges` last told.
     bool told_cold = false;
     // Of this start; asked for when it is needed.
-    mutable std::optional<bool> owned;
+    mutable std::optional<RendezvousPlace> place;
+    // As `RateLimits` knows it.
+    std::optional<double> limit_per_s;
     // Requests of this router that are running there.
     int running = 0;
     // Tokens that the target still has to prefill for them.
@@ -253,7 +284,14 @@
   // Null if the target isn't listed as that start.
   const State* Find(const TargetEntry& target) const;
   bool IsCold(Instant now, const State& state) const;
+  const std::optional<RendezvousPlace>& OwnPlace(const State& state) const;
   bool MaySendCold(Instant now, const State& state) const;
+  bool MaySendLimited(Instant now, const State& state) const;
+  // As far as it takes few requests.
+  bool MaySend(Instant now, const State& state) const;
+  bool IsDue(Instant now, const State& state) const;
+  // After a change in `rate_limits_`.
+  void NoteLimit(const TargetStart& target);
   // One that isn't listed has none.
   const ColdRule& RuleOf(const ServiceName& service) const;
   // Of a service without answers, the first guess or what peers have learned.
@@ -271,10 +309,10 @@
   std::set<HallName> closed_halls_;
   std::map<TargetName, State> targets_;
   std::map<ServiceName, ColdRule> cold_rules_;
-  ColdPermits permits_;
+  PlacementRates rates_;
   RateLimits rate_limits_;
   // Nobody owns a target before it is set.
-  std::function<bool(const TargetStart&)> owns_;
+  PlaceOf place_of_;
   // One entry for each service of which answers or peers have told.
   std::map<ServiceName, PrefillSpeed> speeds_;
 };
--- a/dispatch/rate_limits.h
+++ b/dispatch/rate_limits.h
@@ -67,6 +67,8 @@
  public:
   // Peers are told anew that a limit still holds, at most this often.
   static constexpr Duration kTellAgain = std::chrono::seconds(2);
+  // And that it has ended, for this long.
+  static constexpr Duration kRepeatEndFor = std::chrono::seconds(10);
   // For this long a router that links anew is told that a limit has ended.
   static constexpr Duration kEndedIsNews = std::chrono::minutes(5);
 
@@ -86,10 +88,15 @@
   // An answer to a request that was sent at `sent_at` names no limit.
   bool OnNotNamed(Instant now, const TargetStart& target, Instant sent_at) {
     const auto it = items_.find(target);
-    if (it == items_.end() || !it->second.per_s) return false;
-    if (sent_at < it->second.learned_at) return false;
-    it->second.heard_at = now;
-    return Change(now, it->second, std::nullopt);
+    if (it == items_.end()) return false;
+    Item& at = it->second;
+    if (sent_at < at.learned_at) return false;
+    at.heard_at = now;
+    if (at.per_s) return Change(now, at, std::nullopt);
+    const bool repeat =
+        now - at.learned_at < kRepeatEndFor && now - at.told_at >= kTellAgain;
+    if (repeat) at.MarkUntold(true);
+    return false;
   }
 
   // A report's age may be too low by the time that the message took.
--- a/dispatch/target_warmth.h
+++ b/dispatch/target_warmth.h
@@ -4,7 +4,7 @@
 //   warmth.OnCold(now, remaining, ColdSign::kEntry);   // somebody says so
 //   warmth.OnLost(now);                       // an attempt there got no answer
 //   warmth.OnAlive(now, sent_at, cold_start); // it has answered
-//   if (warmth.IsCold(now)) ...               // dispatch/cold_permits.h
+//   if (warmth.IsCold(now)) ...               // dispatch/shared_rate.h
 //
 // A target that has just started is slow, and falls over under more requests
 // than it bears while it is cold. It may have started again at any moment, and
--- a/dispatch/testing/cold_fleet_test.cc
+++ b/dispatch/testing/cold_fleet_test.cc
@@ -15,7 +15,7 @@
 #include <string>
 #include <vector>
 
-#include "dispatch/cold_permits.h"
+#include "dispatch/shared_rate.h"
 #include "fleet/fleet.h"
 #include "testing/most_within.h"
 
@@ -27,8 +27,9 @@
 
 constexpr Instant kBegin{std::chrono::hours(1)};
 // The rule of the deployment that has cold targets, and what it allows.
-constexpr ColdRule kRule{milliseconds(3000), 6.6};
-constexpr ColdAllowance kAllowance{1.5, 5};
+constexpr double kPerS = 6.6;
+constexpr Duration kColdTime = milliseconds(3000);
+constexpr RateAllowance kAllowance{seconds(1), 1.5, 5};
 constexpr double kMost = 6.6 * 1.5 + 5;
 constexpr Duration kStep = milliseconds(20);
 // relay/attempt.h gives a connection so long to open.
@@ -41,14 +42,15 @@
   kOwnRate,    // each router keeps to the rate by itself
   kEqualPart,  // each keeps to the rate over the number of routers
   kSlots,      // each has its time slot, by the calendar's clock
-  kOwners,     // two routers share it (dispatch/cold_permits.h)
+  kOwners,     // two routers share it (dispatch/shared_rate.h)
 };
 
 struct Router {
   FleetMember self;
   FleetDirectory list;
-  ColdPermits permits;
+  SharedRate rate;
   // By its list, which stays as it is.
+  OwnerPart part;
   bool owns = false;
   // Its calendar's clock is off by this.
   Duration off{};
@@ -63,7 +65,8 @@
     for (const FleetMember& it : all) {
       routers_.push_back({it,
                           FleetDirectory(it, {}),
-                          ColdPermits(kBegin - seconds(10), kAllowance),
+                          SharedRate(kBegin - seconds(10), kAllowance),
+                          {},
                           false,
                           {},
                           {}});
@@ -72,15 +75,16 @@
       routers_.back().list.Put(
           {all.begin(), behind ? all.end() - 2 : all.end()});
       routers_.back().list.MarkRead();
-      routers_.back().owns =
-          routers_.back().list.IsAmongFirst(ColdPermits::kOwners, kTarget);
+      const RendezvousPlace place = *routers_.back().list.PlaceFor(kTarget);
+      routers_.back().part = routers_.back().rate.PartOf(kPerS, place.routers);
+      routers_.back().owns = routers_.back().part.IsOwner(place);
       routers_.back().off = milliseconds(Draw(4000));
     }
   }
 
   // The most that reach the target in any second of its cold time.
   std::size_t Run() {
-    for (Instant now = kBegin; now < kBegin + kRule.start; now += kStep) {
+    for (Instant now = kBegin; now < kBegin + kColdTime; now += kStep) {
       if (Draw(20) == 0) Restart(now);
       for (Router& it : routers_) {
         if (Wants(it, now)) Send(it, now);
@@ -104,7 +108,7 @@
 
   void Restart(Instant now) {
     Router& it = routers_[random_() % routers_.size()];
-    it.permits = ColdPermits(now, kAllowance);
+    it.rate = SharedRate(now, kAllowance);
     it.sent.clear();
   }
 
@@ -127,7 +131,7 @@
                SentSince(it, now - seconds(1)) == 0;
       }
       case Way::kOwners:
-        return it.owns && it.permits.MaySend(now, TargetStart(kTarget), kRule);
+        return it.owns && it.rate.MaySend(now, TargetStart(kTarget), it.part);
     }
     return false;
   }
@@ -140,7 +144,7 @@
 
   void Send(Router& it, Instant now) {
     it.sent.push_back(now);
-    it.permits.OnSent(now, TargetStart(kTarget));
+    it.rate.OnSent(now, TargetStart(kTarget));
     const int longest = static_cast<int>(kLongestWait / milliseconds(1));
     arrivals_.push_back(now + milliseconds(Draw(longest)));
   }
@@ -190,12 +194,12 @@
 }
 
 BOOST_AUTO_TEST_CASE(AServiceThatBearsLittleGetsARequestNowAndThen) {
-  ColdPermits it(kBegin - std::chrono::hours(1), {});
-  const ColdRule rule{seconds(60), 1};
+  SharedRate it(kBegin - std::chrono::hours(1), {});
+  const OwnerPart part = it.PartOf(1, 7);
   const TargetStart target(kTarget);
   int sent = 0;
   for (Instant now = kBegin; now < kBegin + seconds(60); now += kStep) {
-    if (!it.MaySend(now, target, rule)) continue;
+    if (!it.MaySend(now, target, part)) continue;
     it.OnSent(now, target);
     ++sent;
   }
@@ -205,10 +209,11 @@
 }
 
 BOOST_AUTO_TEST_CASE(AProcessThatStartsSendsNothingForAWindow) {
-  ColdPermits it(kBegin, kAllowance);
+  SharedRate it(kBegin, kAllowance);
+  const OwnerPart part = it.PartOf(kPerS, 7);
   const TargetStart target(kTarget);
-  BOOST_TEST(!it.MaySend(kBegin + milliseconds(1299), target, kRule));
-  BOOST_TEST(it.MaySend(kBegin + milliseconds(1300), target, kRule));
+  BOOST_TEST(!it.MaySend(kBegin + milliseconds(1299), target, part));
+  BOOST_TEST(it.MaySend(kBegin + milliseconds(1300), target, part));
 }
 
 }  // namespace
--- a/dispatch/testing/limited_fleet_test.cc
+++ b/dispatch/testing/limited_fleet_test.cc
@@ -5,8 +5,9 @@
 // prefer one target. Answers name the limit that is in force when their head is
 // written, and take some time. Lists of routers are behind at some of them,
 // routers start again, connections take up to 250 ms to open, and limits change
-// and end. Kept: the bound holds with every draw, callers are served where
-// others have room, and a limit that ended is lifted at all routers.
+// and end. Messages between routers take some time, and some or all are lost.
+// Kept: the bound holds with every draw, callers are served where others have
+// room, and a limit that ended is lifted at all routers.
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -15,7 +16,9 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "dispatch/placement.h"
@@ -36,6 +39,9 @@
 constexpr double kSlack = 5;
 constexpr Duration kToldFor = milliseconds(500);
 constexpr Duration kSettles = milliseconds(3000);
+// As relay/relay_router.cc does.
+constexpr Duration kTellEvery = milliseconds(200);
+constexpr RateAllowance kAllowance{kSpan, kOverage, kSlack};
 constexpr Duration kLongestOpening = milliseconds(250);
 
 // The limit that a target names from `since` on.
@@ -53,6 +59,10 @@
   double restarts_per_s = 0.1;
   // Part of the routers whose list lacks the two newest.
   double behind = 0.3;
+  // Part of the messages between routers that are lost.
+  double lost = 0.1;
+  // Routers that are down, from the first of a target's order on.
+  int down = 0;
   Duration time = seconds(30);
   // By target; those without phases name no limit.
   std::map<int, std::vector<Phase>> phases;
@@ -82,6 +92,8 @@
     for (auto& [name, entry] : targets_) entry.start = TargetStart(name.value);
     for (int n = 0; n < spec_.routers; ++n) members_.push_back(Member(n));
     routers_.resize(static_cast<std::size_t>(spec_.routers));
+    Link();
+    StopOwners();
     for (int n = 0; n < spec_.routers; ++n) Begin(n, kStart - seconds(60));
   }
 
@@ -90,6 +102,7 @@
     for (Instant now = kStart; now < end; now += kStep) {
       now_ = now;
       Deliver();
+      if ((now - kStart) % kTellEvery == Duration::zero()) TellPeers();
       if (Happens(spec_.restarts_per_s)) {
         Begin(static_cast<int>(random_() % routers_.size()), now);
       }
@@ -111,6 +124,17 @@
     }
     return worst;
   }
+  // Routers that hold a limit of the target, of those that are up.
+  int Holding(int target) const {
+    const TargetStart start("t" + std::to_string(target));
+    int out = 0;
+    for (int n = 0; n < spec_.routers; ++n) {
+      const Router& it = routers_[static_cast<std::size_t>(n)];
+      const bool holds = it.placement->rate_limits().LimitOf(start).has_value();
+      out += holds && !down_.contains(n) ? 1 : 0;
+    }
+    return out;
+  }
   int asked() const { return asked_; }
   int refused() const { return refused_; }
   // What one target got since then.
@@ -154,12 +178,65 @@
     it.list->Put({members_.begin(), members_.end() - (behind ? 2 : 0)});
     it.list->MarkRead();
     it.placement = std::make_unique<Placement>(
-        members_[static_cast<std::size_t>(n)].hall, ColdPermits(now, {}));
+        members_[static_cast<std::size_t>(n)].hall,
+        PlacementRates{SharedRate(now, {}), SharedRate(now, kAllowance)});
     const FleetDirectory& list = *it.list;
-    it.placement->SetColdOwner([&list](const TargetStart& target) {
-      return list.IsAmongFirst(ColdPermits::kOwners, target.value);
+    it.placement->SetPlaces([&list](const TargetStart& target) {
+      return list.PlaceFor(target.value);
     });
     it.placement->SetTargets(now, targets_);
+    for (std::size_t peer = 0; peer < routers_.size(); ++peer) {
+      if (!IsLinked(static_cast<std::size_t>(n), peer)) continue;
+      Tell(static_cast<std::size_t>(n),
+           routers_[peer].placement->rate_limits().All(now));
+    }
+  }
+
+  // Links follow the list that lacks nobody.
+  bool IsLinked(std::size_t a, std::size_t b) const {
+    if (a == b || !routers_[a].placement || !routers_[b].placement) {
+      return false;
+    }
+    return links_.contains({a, b}) || links_.contains({b, a});
+  }
+  void Link() {
+    for (std::size_t n = 0; n < members_.size(); ++n) {
+      FleetDirectory list(members_[n], {});
+      list.Put(members_);
+      for (const FleetMember& it : list.MembersToLink()) {
+        links_.insert({n, std::stoul(it.vm.value.substr(3))});
+      }
+      if (list.IsReader(members_[n].vm)) readers_.insert(n);
+    }
+  }
+  // Stops the routers that come first in the order of the first target.
+  void StopOwners() {
+    std::vector<std::pair<std::size_t, int>> order;
+    for (int n = 0; n < spec_.routers; ++n) {
+      FleetDirectory list(members_[static_cast<std::size_t>(n)], {});
+      list.Put(members_);
+      list.MarkRead();
+      order.push_back({list.PlaceFor("t0")->rank, n});
+    }
+    std::sort(order.begin(), order.end());
+    for (int n = 0; n < spec_.down; ++n) {
+      down_.insert(order[static_cast<std::size_t>(n)].second);
+    }
+  }
+
+  void Tell(std::size_t to, const RateReports& reports) {
+    if (reports.empty() || Part() < spec_.lost) return;
+    const Instant arrives = now_ + milliseconds(2) + Draw(milliseconds(40));
+    messages_.push_back({to, arrives, reports});
+  }
+  void TellPeers() {
+    for (std::size_t n = 0; n < routers_.size(); ++n) {
+      const auto reports =
+          routers_[n].placement->TakeUntoldRates(now_, readers_.contains(n));
+      for (std::size_t peer = 0; peer < routers_.size(); ++peer) {
+        if (IsLinked(n, peer)) Tell(peer, reports);
+      }
+    }
   }
 
   std::optional<double> LimitAt(const TargetName& target, Instant at) const {
@@ -175,6 +252,7 @@
   void Ask() {
     ++asked_;
     const int n = static_cast<int>(random_() % routers_.size());
+    if (down_.contains(n)) return;
     Router& it = routers_[static_cast<std::size_t>(n)];
     const std::uint64_t shared = Part() < 0.7 ? 7 : random_() % 40;
     const PlacementRequest request = Prompt(shared, 1000 + random_());
@@ -227,8 +305,22 @@
     const std::vector<InFlight> answered(done, running_.end());
     running_.erase(done, running_.end());
     for (const InFlight& it : answered) Answer(it);
+    auto told = std::stable_partition(
+        messages_.begin(), messages_.end(),
+        [&](const Message& it) { return it.arrives > now_; });
+    const std::vector<Message> arrived(told, messages_.end());
+    messages_.erase(told, messages_.end());
+    for (const Message& it : arrived) {
+      routers_[it.to].placement->OnRateReports(now_, it.reports);
+    }
   }
 
+  struct Message {
+    std::size_t to = 0;
+    Instant arrives{};
+    RateReports reports;
+  };
+
   struct Waiting {
     InFlight call;
     PlacementChoice choice;
@@ -264,10 +356,11 @@
                     const std::vector<Phase>& phases) const {
     const Phase* at = nullptr;
     for (const Phase& it : phases) {
-      if (it.since + kSettles <= begin) at = &it;
+      if (it.since <= begin) at = &it;
       if (it.since > begin && it.since < begin + kSpan) return -kSlack;
     }
     if (at == nullptr || !at->per_s) return -kSlack;
+    if (begin < at->since + kSettles) return -kSlack;
     const auto got =
         std::count_if(arrivals.begin(), arrivals.end(), [&](const Arrival& it) {
           return it.counts && it.at >= begin && it.at < begin + kSpan;
@@ -281,6 +374,10 @@
   std::map<TargetName, TargetEntry> targets_;
   std::vector<FleetMember> members_;
   std::vector<Router> routers_;
+  std::set<std::pair<std::size_t, std::size_t>> links_;
+  std::set<std::size_t> readers_;
+  std::set<int> down_;
+  std::vector<Message> messages_;
   std::vector<Waiting> waiting_;
   std::vector<InFlight> running_;
   std::map<std::string, std::vector<Arrival>> arrivals_;
@@ -366,5 +463,70 @@
   BOOST_TEST(Play(spec).broken == 0);
 }
 
+// Nobody can tell another router anything; each goes by its own answers.
+BOOST_AUTO_TEST_CASE(ALimitHoldsWithoutMessages) {
+  Spec spec = WithLimit(7, 12, 2, 1);
+  spec.lost = 1;
+  spec.time = seconds(90);
+  BOOST_TEST(Play(spec).broken == 0);
+  spec.routers = 74;
+  spec.requests_per_s = 150;
+  BOOST_TEST(Play(spec).broken == 0);
+}
+
+struct Lifted {
+  int holding = 0;
+  std::size_t got = 0;
+};
+
+// A limit that ends at 10 s, and what is left of it at the end of the time.
+Lifted PlayEnded(Spec spec) {
+  for (auto& [n, phases] : spec.phases) {
+    phases.push_back({kStart + seconds(10), std::nullopt});
+  }
+  Lifted out;
+  for (std::uint32_t seed = 1; seed <= kDraws; ++seed) {
+    World it(seed, spec);
+    it.Run();
+    BOOST_TEST(it.Excess() <= 0);
+    out.holding += it.Holding(0);
+    out.got += it.Got(0, kStart + spec.time - seconds(4));
+  }
+  BOOST_TEST_MESSAGE(out.holding << " hold it, " << out.got << " sent in 4 s");
+  return out;
+}
+
+// Who doesn't send to a limited target would never learn that its limit ended.
+BOOST_AUTO_TEST_CASE(ALimitThatEndedIsLiftedEverywhere) {
+  for (const int routers : {3, 7, 74}) {
+    Spec spec = WithLimit(routers, 12, 2, 1);
+    spec.lost = 0;
+    spec.time = seconds(18);
+    spec.requests_per_s = std::max(46.0, 4.0 * routers);
+    const Lifted it = PlayEnded(spec);
+    BOOST_TEST(it.holding == 0);
+    BOOST_TEST(it.got > 8 * kDraws);
+  }
+}
+
+// A target that takes nothing at all is tried now and then.
+BOOST_AUTO_TEST_CASE(ALimitOfZeroThatEndedIsLifted) {
+  Spec spec = WithLimit(7, 12, 1, 0);
+  spec.time = seconds(60);
+  spec.restarts_per_s = 0;
+  BOOST_TEST(PlayEnded(spec).holding == 0);
+}
+
+// Its owners are down, so others find out.
+BOOST_AUTO_TEST_CASE(ALimitIsLiftedAlthoughItsOwnersAreDown) {
+  for (const int routers : {7, 74}) {
+    Spec spec = WithLimit(routers, 12, 1, 1);
+    spec.restarts_per_s = 0;
+    spec.down = 2;
+    spec.time = seconds(50);
+    BOOST_TEST(PlayEnded(spec).holding == 0);
+  }
+}
+
 }  // namespace
 }  // namespace quaytrack
--- a/dispatch/testing/placement_open_test.cc
+++ b/dispatch/testing/placement_open_test.cc
@@ -72,7 +72,9 @@
 struct ColdFixture {
   explicit ColdFixture(bool owns = true) {
     it.SetColdRules({{kEngines, {std::chrono::seconds(3), 6.6}}});
-    it.SetColdOwner([owns](const TargetStart&) { return owns; });
+    it.SetPlaces([owns](const TargetStart&) {
+      return std::optional(RendezvousPlace{owns ? 0U : 2U, 7});
+    });
     it.SetTargets(kStart, targets);
   }
 
@@ -104,7 +106,8 @@
     return out;
   }();
   // It started long ago, so its permits don't wait for the start.
-  Placement it{HallName("hall-0"), ColdPermits({}, {1.5, 5})};
+  Placement it{HallName("hall-0"), PlacementRates{SharedRate(
+                                       {}, {std::chrono::seconds(1), 1.5, 5})}};
 };
 
 struct NoOwnerFixture : ColdFixture {
@@ -130,7 +133,7 @@
   for (const auto& [name, n] : Send(kStart, 100)) BOOST_TEST(n == 3);
   BOOST_TEST(!it.Choose(kStart, Prompt(7, 1)).has_value());
   BOOST_TEST(it.HasCold(kStart, kEngines));
-  BOOST_TEST(Send(kStart + ColdPermits::kWindow, 100).size() == 4U);
+  BOOST_TEST(Send(kStart + milliseconds(1300), 100).size() == 4U);
 }
 
 BOOST_FIXTURE_TEST_CASE(OneThatLeftARequestUnansweredCountsAsCold,
--- a/fleet/fleet.cc
+++ b/fleet/fleet.cc
@@ -105,14 +105,15 @@
   return own_hall || IsReader(vm);
 }
 
-bool FleetDirectory::IsAmongFirst(std::size_t n, const std::string& key) const {
-  if (!is_read_) return false;
+std::optional<RendezvousPlace> FleetDirectory::PlaceFor(
+    const std::string& key) const {
+  if (!is_read_) return std::nullopt;
   const std::uint64_t own = RendezvousWeight(self_.value, key);
-  std::size_t before = 0;
+  RendezvousPlace out{0, members_.size()};
   for (const auto& [vm, member] : members_) {
-    if (RendezvousWeight(vm.value, key) > own) ++before;
+    if (RendezvousWeight(vm.value, key) > own) ++out.rank;
   }
-  return before < n;
+  return out;
 }
 
 std::vector<VmName> FleetDirectory::HoldersInOrderOf(
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -93,6 +93,14 @@
 // a lack of the other.
 int SizeClass(const VmSize& size);
 
+// A router's place in an order of all on the list.
+struct RendezvousPlace {
+  // Routers before it.
+  std::size_t rank = 0;
+  // On the list.
+  std::size_t routers = 1;
+};
+
 struct FleetOptions {
   // Routers, up to which each keeps a part of the budgets itself. Commit
   // e7705ae; not compared with other values.
@@ -133,9 +141,9 @@
   // Whether this router, as a reader, tells that one what it reads: all of its
   // hall, and the other readers, who tell theirs.
   bool IsTold(const VmName& vm) const;
-  // Whether this router is one of the first `n` of the list in the rendezvous
-  // order of `key`. False before the list was read.
-  bool IsAmongFirst(std::size_t n, const std::string& key) const;
+  // Where this router stands in the rendezvous order of `key`; nothing before
+  // the list was read.
+  std::optional<RendezvousPlace> PlaceFor(const std::string& key) const;
   // With this router itself.
   std::size_t size() const { return members_.size(); }
   const FleetMember& self() const { return members_.at(self_); }
--- a/fleet/target_registry.h
+++ b/fleet/target_registry.h
@@ -64,7 +64,7 @@
   // It ends soon and takes no new work.
   bool leaving = false;
   // How much longer it is slow, as of its entry's writing; it bears fewer
-  // requests until then (dispatch/cold_permits.h).
+  // requests until then (dispatch/shared_rate.h).
   Duration cold_for{};
 
   bool operator==(const TargetEntry&) const = default;
--- a/relay/final_answer.cc
+++ b/relay/final_answer.cc
@@ -55,6 +55,7 @@
     case RelayCause::kBudgetUnavailable:
     case RelayCause::kNoTarget:
     case RelayCause::kTargetsCold:
+    case RelayCause::kTargetsLimited:
     case RelayCause::kHallsClosed:
     case RelayCause::kTurnedAway:
     case RelayCause::kCrashesTargets:
@@ -78,6 +79,7 @@
   switch (cause) {
     case RelayCause::kNoTarget:
     case RelayCause::kTargetsCold:
+    case RelayCause::kTargetsLimited:
     case RelayCause::kTurnedAway:
     case RelayCause::kTimedOut:
       return kWhenTargetsChange;
--- a/relay/final_answer.h
+++ b/relay/final_answer.h
@@ -39,10 +39,11 @@
   kBudgetExhausted,
   kBudgetUnavailable,
   kNoTarget,
-  kTargetsCold,   // they have just started, and bear no more for now
-  kHallsClosed,   // operators have closed the halls of all its targets
-  kTurnedAway,    // no attempt has run, and no further one is allowed
-  kTargetFailed,  // may have run
+  kTargetsCold,     // they have just started, and bear no more for now
+  kTargetsLimited,  // they have named rate limits, which allow no more for now
+  kHallsClosed,     // operators have closed the halls of all its targets
+  kTurnedAway,      // no attempt has run, and no further one is allowed
+  kTargetFailed,    // may have run
   kTimedOut,
   kStreamBroke,
   kCallerGone,
@@ -63,6 +64,7 @@
        {RelayCause::kBudgetUnavailable, "budget_unavailable"},
        {RelayCause::kNoTarget, "no_target"},
        {RelayCause::kTargetsCold, "targets_cold"},
+       {RelayCause::kTargetsLimited, "targets_limited"},
        {RelayCause::kHallsClosed, "halls_closed"},
        {RelayCause::kTurnedAway, "turned_away"},
        {RelayCause::kTargetFailed, "target_failed"},
--- a/relay/peer_messages.cc
+++ b/relay/peer_messages.cc
@@ -92,6 +92,31 @@
   return out;
 }
 
+// A limit is its rate, null if it has ended, its version and its age.
+Json RatesToJson(const RateReports& reports) {
+  Json out = Json::object();
+  for (const auto& [target, it] : reports) {
+    const Json per_s = it.per_s ? Json(*it.per_s) : Json();
+    out[target.value] = {per_s, it.version, AgeToJson(it.age)};
+  }
+  return out;
+}
+
+RateReports RatesFromJson(const Json& json) {
+  RateReports out;
+  for (const auto& [target, fields] : json.items()) {
+    RateReport it;
+    if (!fields.at(0).is_null()) it.per_s = fields.at(0).get<double>();
+    const bool is_rate =
+        !it.per_s || (std::isfinite(*it.per_s) && *it.per_s >= 0);
+    if (!is_rate) continue;
+    it.version = fields.at(1).get<std::uint64_t>();
+    it.age = AgeFromJson(fields.at(2));
+    out[TargetStart(target)] = it;
+  }
+  return out;
+}
+
 // A change is its key, its revision and, unless it removed the item, its value.
 Json NewsToJson(const FeedNews& news) {
   Json changes = Json::array();
@@ -154,6 +179,7 @@
   out.marks = MarksFromJson(json.value("marks", Json::object()));
   out.routers = json.value("routers", std::uint64_t{0});
   out.halls = HallsFromJson(json.value("halls", Json::object()));
+  out.rate_limits = RatesFromJson(json.value("rates", Json::object()));
   if (CarriesNews(*kind)) {
     auto news = NewsFromJson(json.at("news"));
     if (!news) return std::nullopt;
@@ -194,6 +220,9 @@
   if (!message.marks.empty()) json["marks"] = MarksToJson(message.marks);
   if (message.routers != 0) json["routers"] = message.routers;
   if (!message.halls.empty()) json["halls"] = HallsToJson(message.halls);
+  if (!message.rate_limits.empty()) {
+    json["rates"] = RatesToJson(message.rate_limits);
+  }
   if (CarriesNews(message.kind)) json["news"] = NewsToJson(message.news);
   if (message.kind == PeerMessageKind::kPromptSent) {
     json["target"] = message.target.value;
--- a/relay/peer_messages.h
+++ b/relay/peer_messages.h
@@ -25,6 +25,7 @@
 #include "base/enum_table.h"
 #include "base/ids.h"
 #include "dispatch/prefill_speed.h"
+#include "dispatch/rate_limits.h"
 #include "fleet/closed_halls.h"
 #include "relay/feed_news.h"
 
@@ -46,6 +47,7 @@
   kStateWanted,     // send me all items of a feed
   kState,           // all items of a feed
   kCrashes,         // crashes of targets that the sender has seen
+  kRateLimits,      // what targets say of their rate limits
 };
 
 template <>
@@ -65,7 +67,8 @@
        {PeerMessageKind::kNews, "news"},
        {PeerMessageKind::kStateWanted, "state_wanted"},
        {PeerMessageKind::kState, "state"},
-       {PeerMessageKind::kCrashes, "crashes"}});
+       {PeerMessageKind::kCrashes, "crashes"},
+       {PeerMessageKind::kRateLimits, "rate_limits"}});
 };
 
 // A holder's answer to kHoldWanted.
@@ -119,6 +122,8 @@
   // kHello, kPing, kConfig: the halls that operators have closed, or have
   // opened again, as the sender knows them.
   HallStates halls;
+  // kHello: all that the sender knows; kRateLimits: what is new.
+  RateReports rate_limits;
   // kNews, kState; kStateWanted has only the feed's name.
   FeedNews news;
   // kPromptSent: the engine.
--- a/relay/relay_options.h
+++ b/relay/relay_options.h
@@ -7,12 +7,15 @@
 #ifndef QUAYTRACK_RELAY_RELAY_OPTIONS_H_
 #define QUAYTRACK_RELAY_RELAY_OPTIONS_H_
 
+#include <chrono>
 #include <cstddef>
 #include <map>
 
+#include "base/clock.h"
 #include "config/service_map.h"
-#include "dispatch/cold_permits.h"
+#include "dispatch/placement.h"
 #include "dispatch/retry_share.h"
+#include "dispatch/shared_rate.h"
 #include "fleet/fleet.h"
 #include "http/caller_server.h"
 #include "prepaid/prepaid_ledger.h"
@@ -29,8 +32,14 @@
   return out;
 }
 
-inline ColdAllowance ColdAllowanceFrom(const RelaySettings& settings) {
-  return {settings.cold_overage, settings.cold_slack};
+// Of a target that names a rate limit, all routers together may take so many
+// times the limit, and so many requests more, in any such span.
+inline constexpr RateAllowance kLimitAllowance{std::chrono::seconds(4), 1.5, 5};
+
+inline PlacementRates RatesFrom(const RelaySettings& settings, Instant now) {
+  const RateAllowance cold{std::chrono::seconds(1), settings.cold_overage,
+                           settings.cold_slack};
+  return {SharedRate(now, cold), SharedRate(now, kLimitAllowance)};
 }
 
 inline std::map<ServiceName, ColdRule> ColdRulesFrom(const ServiceMap& map) {
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "relay/relay_options.h"
 #include "relay/relayed_request.h"
+#include "relay/request_log.h"
 
 namespace quaytrack {
 namespace {
@@ -62,8 +63,7 @@
       self_(settings.vm + "@" + RandomHex(kIncarnationBytes)),
       connections_(connections),
       store_(store),
-      placement_(HallName(settings.hall),
-                 ColdPermits(clock.Now(), ColdAllowanceFrom(settings))),
+      placement_(HallName(settings.hall), RatesFrom(settings, clock.Now())),
       fleet_(loop, store, SelfFrom(settings), FleetOptionsFrom(settings)),
       budgets_(loop, clock, store, fleet_.directory(),
                {self_, BootId(), clock.Now()}, PrepaidPolicyFrom(settings)),
@@ -151,6 +151,7 @@
     for (StateFeed* it : Feeds()) it->Check();
     crashes_.Check();
     LogColdTargets();
+    TellRateLimits();
     CheckLink();
   });
   configs_.Start();
@@ -305,8 +306,8 @@
   retries_.SetRouters(directory.size());
   peers_.KeepLinksTo(directory.MembersToLink());
   if (!fleet_.settled()) return;
-  placement_.SetColdOwner([this](const TargetStart& it) {
-    return fleet_.directory().IsAmongFirst(ColdPermits::kOwners, it.value);
+  placement_.SetPlaces([this](const TargetStart& it) {
+    return fleet_.directory().PlaceFor(it.value);
   });
   budgets_.TakePartIfHolder();
   const bool reads = directory.IsReader(directory.self().vm);
@@ -332,6 +333,7 @@
   if (message.kind == PeerMessageKind::kPromptSent) {
     return placement_.OnPeerSent(clock_.Now(), message.target, message.amount);
   }
+  HeedRateLimits(message);
   placement_.SetPeerSpeeds(message.engine_speeds);
   budgets_.OnPeer(message);
   configs_.OnPeer(message);
@@ -340,6 +342,26 @@
   CountRouters(message);
 }
 
+void RelayRouter::HeedRateLimits(const PeerMessage& message) {
+  const auto changed =
+      placement_.OnRateReports(clock_.Now(), message.rate_limits);
+  for (const TargetStart& it : changed) {
+    LogRateLimit(it, placement_.rate_limits(), "peer");
+  }
+}
+
+// In a large fleet only readers are linked to many, so they tell on what they
+// are told.
+void RelayRouter::TellRateLimits() {
+  const FleetDirectory& directory = fleet_.directory();
+  const bool forwards = directory.IsReader(directory.self().vm);
+  PeerMessage out;
+  out.kind = PeerMessageKind::kRateLimits;
+  out.from = self_;
+  out.rate_limits = placement_.TakeUntoldRates(clock_.Now(), forwards);
+  if (!out.rate_limits.empty()) peers_.Broadcast(out);
+}
+
 void RelayRouter::CountRouters(const PeerMessage& message) {
   const FleetDirectory& directory = fleet_.directory();
   const bool tells = directory.IsReader(VmOf(message.from)) &&
@@ -367,6 +389,7 @@
   message.engine_speeds = placement_.Learned();
   FillMarks(message);
   if (message.kind != PeerMessageKind::kHello) return;
+  message.rate_limits = placement_.rate_limits().All(clock_.Now());
   message.size_class = fleet_.directory().self().size_class;
   message.hall = fleet_.directory().self().hall;
   message.address = fleet_.directory().self().address;
--- a/relay/relay_router.h
+++ b/relay/relay_router.h
@@ -97,6 +97,8 @@
   void OnPeerMessage(const PeerMessage& message);
   void TellPeers(const SentPrompt& sent);
   void CountRouters(const PeerMessage& message);
+  void HeedRateLimits(const PeerMessage& message);
+  void TellRateLimits();
   void FillSignOfLife(PeerMessage& message);
   void FillMarks(PeerMessage& message);
   void AnswerAdmin(const std::shared_ptr<CallerConnection>& caller,
--- a/relay/relay_settings.h
+++ b/relay/relay_settings.h
@@ -40,7 +40,7 @@
   double retry_slack = 50;
   // All routers together may send a cold target so many times what its service
   // says that it bears, and so many requests more, in any second
-  // (dispatch/cold_permits.h). The defaults allow nothing beyond that; the
+  // (dispatch/shared_rate.h). The defaults allow nothing beyond that; the
   // platform gives both.
   double cold_overage = 1;
   double cold_slack = 0;
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -151,6 +151,9 @@
   if (context_.placement.HasCold(context_.clock.Now(), service)) {
     return RelayCause::kTargetsCold;
   }
+  if (context_.placement.HasLimited(service)) {
+    return RelayCause::kTargetsLimited;
+  }
   return context_.placement.IsClosedOff(service) ? RelayCause::kHallsClosed
                                                  : RelayCause::kNoTarget;
 }
--- a/relay/testing/peer_messages_test.cc
+++ b/relay/testing/peer_messages_test.cc
@@ -175,6 +175,31 @@
   BOOST_TEST(DecodePeerMessage(ToCbor(list))->engine_speeds.empty());
 }
 
+BOOST_AUTO_TEST_CASE(RateLimitsComeBackAsTheyWere) {
+  PeerMessage it = Message(PeerMessageKind::kRateLimits);
+  it.rate_limits[TargetStart("i-1@5")] = {0.25, 3, std::chrono::seconds(2)};
+  it.rate_limits[TargetStart("i-2")] = {std::nullopt, 8, {}};
+  Check(it, R"({"kind": "rate_limits", "from": "vm1@1", "rates":
+                {"i-1@5": [0.25, 3, 2000], "i-2": [null, 8, 0]}})");
+  const auto back = DecodePeerMessage(EncodePeerMessage(it));
+  BOOST_TEST((back->rate_limits == it.rate_limits));
+}
+
+BOOST_AUTO_TEST_CASE(RateLimitsThatAreNoRatesAreSkipped) {
+  const Json json = {
+      {"kind", "rate_limits"},
+      {"from", "vm1@1"},
+      {"rates", {{"a", {1, 1, 0}}, {"b", {-1, 1, 0}}, {"c", {1, 1, -5}}}}};
+  const auto it = DecodePeerMessage(ToCbor(json));
+  BOOST_REQUIRE(it.has_value());
+  BOOST_TEST(it->rate_limits.size() == 2U);
+  BOOST_TEST((it->rate_limits.at(TargetStart("c")).age == Duration::zero()));
+  const Json broken = {{"kind", "rate_limits"},
+                       {"from", "vm1@1"},
+                       {"rates", {{"a", {1, "x", 0}}}}};
+  BOOST_TEST(!DecodePeerMessage(ToCbor(broken)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(WhatIsNotKnownIsSkipped) {
   const Json more = {{"kind", "ping"}, {"from", "vm1@1"}, {"later", 1}};
   const auto it = DecodePeerMessage(ToCbor(more));
