See what targets say of leaving and of a pause

Each answer that says so, and each refusal that asks for a pause, is logged now (QT1321, QT1322). What is sent where doesn't change.

--- a/base/events.h
+++ b/base/events.h
@@ -80,6 +80,8 @@
   kTargetWarm = 1318,
   kTargetLimited = 1319,
   kTargetUnlimited = 1320,
+  kTargetSaysLeaving = 1321,
+  kTargetBacksOff = 1322,
   // 14xx: requests, budgets, bills and claims.
   kRequestRefused = 1401,
   kRequestFinished = 1402,
@@ -154,6 +156,8 @@
     {Event::kTargetWarm, LogLevel::kInfo, "target_warm"},
     {Event::kTargetLimited, LogLevel::kWarn, "target_limited"},
     {Event::kTargetUnlimited, LogLevel::kInfo, "target_unlimited"},
+    {Event::kTargetSaysLeaving, LogLevel::kInfo, "target_says_leaving"},
+    {Event::kTargetBacksOff, LogLevel::kInfo, "target_backs_off"},
     {Event::kRequestRefused, LogLevel::kDebug, "request_refused"},
     {Event::kRequestFinished, LogLevel::kDebug, "request_finished"},
     {Event::kCallerGone, LogLevel::kDebug, "caller_gone"},
--- a/relay/dialect.h
+++ b/relay/dialect.h
@@ -72,6 +72,11 @@
   std::chrono::milliseconds cold_for{0};
   // What it says of the target's rate limit.
   RateStatement rate;
+  // The target says that it leaves.
+  bool leaving = false;
+  // For how long the target wants nothing further of this router; 0 if it
+  // doesn't say so.
+  std::chrono::milliseconds back_off{0};
 };
 
 class CallerDialect {
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -260,6 +260,10 @@
 // not: an entry may be missing for a while.
 void RelayedRequest::HeedTarget() {
   const TargetEntry& target = progress_.choice.target;
+  if (answer_facts_.leaving) LogSaysLeaving(id(), target);
+  if (answer_facts_.back_off > milliseconds(0)) {
+    LogBacksOff(id(), target, answer_facts_.back_off);
+  }
   const bool changed = context_.placement.OnRate(
       *progress_.head_at, target.start, sent_at_, answer_facts_.rate);
   if (!changed) return;
--- a/relay/request_log.cc
+++ b/relay/request_log.cc
@@ -37,6 +37,19 @@
                                   {"hall", target.hall.value}});
 }
 
+void LogSaysLeaving(const RequestId& id, const TargetEntry& target) {
+  LogEvent(Event::kTargetSaysLeaving, {{"request", id.value},
+                                       {"target", target.name.value},
+                                       {"start", target.start.value}});
+}
+
+void LogBacksOff(const RequestId& id, const TargetEntry& target,
+                 Duration wait) {
+  LogEvent(Event::kTargetBacksOff, {{"request", id.value},
+                                    {"target", target.name.value},
+                                    {"for_ms", MillisecondsText(wait)}});
+}
+
 void LogRateLimit(const TargetStart& target, const RateLimits& limits,
                   const std::string& by) {
   const auto per_s = limits.LimitOf(target);
--- a/relay/request_log.h
+++ b/relay/request_log.h
@@ -75,6 +75,11 @@
 // A request that was not written to a target, as that may get no work any more.
 void LogSendHeldBack(const RequestId& id, const TargetEntry& target);
 
+// What an answer says of its target: that it leaves, or wants nothing of this
+// router for a while.
+void LogSaysLeaving(const RequestId& id, const TargetEntry& target);
+void LogBacksOff(const RequestId& id, const TargetEntry& target, Duration wait);
+
 // A target's rate limit has changed; `by` says who told of it.
 void LogRateLimit(const TargetStart& target, const RateLimits& limits,
                   const std::string& by);
