What targets say of leaving and of a pause is heeded

Callers saw nothing of it, but with the store away routers went on sending to a target for 2.5 s and more after they had passed on an answer of it that says that it leaves; and targets that refuse and ask for a pause got a request for each caller where all targets do so. Cause: routers knew of leaving from the list of targets alone, which is as silent as the store, and nobody read Retry-After.

An answer that says so makes its target leaving at once in the registry, where it stays so whatever is listed later, and peers are told with the signs of life, until the entry says so. A pause holds at the router that was asked for it until its end (dispatch/back_off.h). Both are asked once more just before a request is written, and both hold for the next start of a target as long as the answer may have been of that one.

--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -99,10 +99,11 @@
     // Another start holds nothing and runs nothing of what is known here.
     if (restarted) {
       rate_limits_.OnStartedAgain(now, state.entry.start, entry.start);
+      back_offs_.OnStartedAgain(now, state.entry.start, entry.start);
       state = State{};
     }
     state.entry = entry;
-    state.limit_per_s = rate_limits_.LimitOf(entry.start);
+    if (is_new || restarted) Begin(now, entry, state);
     state.hall_closed = closed_halls_.contains(entry.hall);
     if (told) state.warmth.OnCold(now, entry.cold_for, ColdSign::kEntry);
     if (restarted) {
@@ -111,6 +112,15 @@
   }
 }
 
+void Placement::Begin(Instant now, const TargetEntry& entry, State& state) {
+  state.limit_per_s = rate_limits_.LimitOf(entry.start);
+  state.pause_until = back_offs_.EndOf(entry.start);
+  const auto said = said_leaving_.find(entry.name);
+  if (said == said_leaving_.end() || said->second.start == entry.start) return;
+  const Instant until = said->second.at + kEntryTellsWithin;
+  if (until > now) state.pause_until = std::max(state.pause_until, until);
+}
+
 void Placement::SetClosedHalls(Instant now, std::set<HallName> halls) {
   closed_halls_ = std::move(halls);
   for (auto& [name, state] : targets_) {
@@ -155,6 +165,7 @@
 }
 
 bool Placement::MaySend(Instant now, const State& state) const {
+  if (now < state.pause_until) return false;
   if (IsCold(now, state) && !MaySendCold(now, state)) return false;
   return !state.limit_per_s || MaySendLimited(now, state);
 }
@@ -206,6 +217,24 @@
   return changed;
 }
 
+// --- Pauses ------------------------------------------------------------------
+
+void Placement::OnBackOff(Instant now, const TargetStart& target,
+                          Duration wait) {
+  back_offs_.Note(now, target, wait);
+  for (auto& [name, state] : targets_) {
+    if (state.entry.start != target) continue;
+    state.pause_until = std::max(state.pause_until, back_offs_.EndOf(target));
+  }
+}
+
+void Placement::OnSaysLeaving(Instant now, const TargetEntry& target) {
+  std::erase_if(said_leaving_, [now](const auto& it) {
+    return now - it.second.at >= kEntryTellsWithin;
+  });
+  said_leaving_[target.name] = {target.start, now};
+}
+
 // --- What targets show -------------------------------------------------------
 
 void Placement::OnAlive(Instant now, const TargetName& name, Instant sent_at) {
@@ -266,6 +295,7 @@
 bool Placement::MayStillSend(Instant now, const PlacementChoice& choice) const {
   const State* state = Find(choice.target);
   if (state == nullptr || !TakesWork(*state)) return false;
+  if (now < state->pause_until) return false;
   if (IsCold(now, *state) && !choice.is_cold) return false;
   return !state->limit_per_s || choice.is_limited;
 }
@@ -278,11 +308,11 @@
   });
 }
 
-bool Placement::HasLimited(const ServiceName& service) const {
+bool Placement::HasLimited(Instant now, const ServiceName& service) const {
   return std::any_of(targets_.begin(), targets_.end(), [&](const auto& it) {
     const State& state = it.second;
     return state.entry.service == service && TakesWork(state) &&
-           state.limit_per_s;
+           (state.limit_per_s || now < state.pause_until);
   });
 }
 
@@ -310,8 +340,7 @@
   for (const auto& [name, state] : targets_) {
     const TargetEntry& entry = state.entry;
     if (entry.service != request.service || !TakesWork(state)) continue;
-    if (IsCold(now, state)) continue;
-    if (state.limit_per_s && !MaySendLimited(now, state)) continue;
+    if (IsCold(now, state) || !MaySend(now, state)) continue;
     const std::uint64_t weight = RendezvousWeight(name.value, key);
     if (out != nullptr && weight <= best) continue;
     out = &state;
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -10,13 +10,15 @@
 //
 // The rule. Targets that may get no work (`TakesWork`: they are leaving, or
 // their hall is closed) and those that had the request before are out. So are
-// cold ones and those that have named a rate limit (dispatch/rate_limits.h),
-// unless this router may send there (dispatch/shared_rate.h); those compete
-// like any other. But a target whose limit was last heard of a while ago comes
-// first where this router may send to it, since only an answer of it shows that
-// its limit has ended. Of the others, ejected ones
-// (dispatch/outlier_ejection.h) are taken only if all are ejected. Among equals
-// the one with the lowest expected cost is chosen, in milliseconds:
+// those that have asked this router for a pause (dispatch/back_off.h), and so
+// are cold ones and those that have named a rate limit
+// (dispatch/rate_limits.h), unless this router may send there
+// (dispatch/shared_rate.h); those compete like any other. But a target whose
+// limit was last heard of a while ago comes first where this router may send to
+// it, since only an answer of it shows that its limit has ended. Of the others,
+// ejected ones (dispatch/outlier_ejection.h) are taken only if all are ejected.
+// Among equals the one with the lowest expected cost is chosen, in
+// milliseconds:
 //
 //   engines         (tokens to be prefilled there x time of each, as learned
 //                    (dispatch/prefill_speed.h)
@@ -81,6 +83,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "dispatch/back_off.h"
 #include "dispatch/outlier_ejection.h"
 #include "dispatch/prefill_speed.h"
 #include "dispatch/prefix_cache.h"
@@ -185,8 +188,9 @@
 
   // Whether some target of the service may get work and is cold.
   bool HasCold(Instant now, const ServiceName& service) const;
-  // Whether some target of the service may get work and has a rate limit.
-  bool HasLimited(const ServiceName& service) const;
+  // Whether some target of the service may get work, and has a rate limit or
+  // has asked for a pause.
+  bool HasLimited(Instant now, const ServiceName& service) const;
   // Whether some target of the service would get work if its hall weren't
   // closed.
   bool IsClosedOff(const ServiceName& service) const;
@@ -205,6 +209,11 @@
   void OnConnectionsLost(Instant now, const std::string& address);
   // The target says that it stays cold for so long.
   void OnCold(Instant now, const TargetName& name, Duration remaining);
+  // The target wants nothing from this router for so long.
+  void OnBackOff(Instant now, const TargetStart& target, Duration wait);
+  // The target has said in an answer that it leaves. Its next start is left
+  // alone until that answer can't have been one of the next start.
+  void OnSaysLeaving(Instant now, const TargetEntry& target);
   // What an answer to a request that was sent at `sent_at` says of its target's
   // rate limit. Returns whether the limit has changed.
   bool OnRate(Instant now, const TargetStart& target, Instant sent_at,
@@ -254,6 +263,8 @@
     bool told_cold = false;
     // Of this start; asked for when it is needed.
     mutable std::optional<RendezvousPlace> place;
+    // This router sends it nothing before.
+    Instant pause_until{};
     // As `RateLimits` knows it.
     std::optional<double> limit_per_s;
     // Requests of this router that are running there.
@@ -290,6 +301,8 @@
   // As far as it takes few requests.
   bool MaySend(Instant now, const State& state) const;
   bool IsDue(Instant now, const State& state) const;
+  // A target that is listed, in this start, for the first time, or again.
+  void Begin(Instant now, const TargetEntry& entry, State& state);
   // After a change in `rate_limits_`.
   void NoteLimit(const TargetStart& target);
   // One that isn't listed has none.
@@ -311,6 +324,13 @@
   std::map<ServiceName, ColdRule> cold_rules_;
   PlacementRates rates_;
   RateLimits rate_limits_;
+  BackOffs back_offs_;
+  // By name; of what was said in the last `kEntryTellsWithin`.
+  struct SaidLeaving {
+    TargetStart start;
+    Instant at{};
+  };
+  std::map<TargetName, SaidLeaving> said_leaving_;
   // Nobody owns a target before it is set.
   PlaceOf place_of_;
   // One entry for each service of which answers or peers have told.
--- a/dispatch/testing/placement_open_test.cc
+++ b/dispatch/testing/placement_open_test.cc
@@ -1,4 +1,5 @@
-// What keeps work from a target: it leaves, its hall is closed, or it is cold.
+// What keeps work from a target: it leaves, its hall is closed, it is cold, it
+// has a rate limit, or it has asked for a pause.
 
 #include <boost/test/unit_test.hpp>
 #include <map>
@@ -190,5 +191,131 @@
   BOOST_TEST(Send(later, 40).contains(cold));
 }
 
+// --- Rate limits, pauses, and what leaves ------------------------------------
+
+RateStatement Names(double per_s) { return {per_s, false}; }
+
+// A router that owns all targets, or none, and has run for long.
+struct LimitFixture : ColdFixture {
+  explicit LimitFixture(bool owns = true) : ColdFixture(owns) {
+    const RateAllowance allowance{std::chrono::seconds(4), 1.5, 5};
+    it = Placement(HallName("hall-0"),
+                   {SharedRate({}, {}), SharedRate({}, allowance)});
+    it.SetPlaces([owns](const TargetStart&) {
+      return std::optional(RendezvousPlace{owns ? 0U : 2U, 7});
+    });
+    it.SetTargets(kStart, targets);
+  }
+  TargetStart StartOf(const TargetName& name) const {
+    return targets.at(name).start;
+  }
+};
+
+struct NoOwnerLimitFixture : LimitFixture {
+  NoOwnerLimitFixture() : LimitFixture(false) {}
+};
+
+BOOST_FIXTURE_TEST_CASE(ALimitedTargetGetsAnOwnersPart, LimitFixture) {
+  const TargetName limited = Preferred();
+  it.OnRate(kStart, StartOf(limited), kStart, Names(1));
+  // A quarter of 1 x 4 x 1.5 + 5.
+  BOOST_TEST(Send(kStart, 40).at(limited) == 2);
+  BOOST_TEST(!Send(kStart + milliseconds(4200), 40).contains(limited));
+  BOOST_TEST(Send(kStart + milliseconds(4300), 40).at(limited) == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(ALimitedTargetGetsNothingOfOthers,
+                        NoOwnerLimitFixture) {
+  const TargetName limited = Preferred();
+  it.OnRate(kStart, StartOf(limited), kStart, Names(1));
+  // Another one is preferred for its parts meanwhile.
+  BOOST_TEST(it.Choose(kStart, Prompt(7, 1))->is_preferred);
+  BOOST_TEST(!Send(kStart, 40).contains(limited));
+  BOOST_TEST(it.HasLimited(kStart, kEngines));
+}
+
+// The owners are down: the next in the order sends one request.
+BOOST_FIXTURE_TEST_CASE(SilenceLetsAnotherRouterTry, NoOwnerLimitFixture) {
+  const TargetName limited = Preferred();
+  it.OnRate(kStart, StartOf(limited), kStart, Names(1));
+  const Instant silent = kStart + milliseconds(4300) * 3;
+  BOOST_TEST(!Send(silent - milliseconds(1), 40).contains(limited));
+  BOOST_TEST(Send(silent, 40).at(limited) == 1);
+}
+
+// It was chosen freely, and the limit was named while it waited for its
+// connection.
+BOOST_FIXTURE_TEST_CASE(WhatWasChosenFreelyIsntSentToALimitedTarget,
+                        LimitFixture) {
+  const auto choice = it.Choose(kStart, Prompt(7, 1));
+  it.OnRate(kStart, choice->target.start, kStart, Names(1));
+  BOOST_TEST(!it.MayStillSend(kStart, *choice));
+  const auto counted = it.Choose(kStart, Prompt(7, 1));
+  BOOST_TEST(counted->is_limited);
+  BOOST_TEST(it.MayStillSend(kStart, *counted));
+}
+
+// An entry that lapses and comes back doesn't end the limit.
+BOOST_FIXTURE_TEST_CASE(ALimitOutlastsItsTargetsEntry, NoOwnerLimitFixture) {
+  const TargetName limited = Preferred();
+  it.OnRate(kStart, StartOf(limited), kStart, Names(1));
+  auto lapsed = targets;
+  lapsed.erase(limited);
+  it.SetTargets(kStart + milliseconds(100), lapsed);
+  it.SetTargets(kStart + milliseconds(200), targets);
+  BOOST_TEST(!Send(kStart + milliseconds(200), 40).contains(limited));
+}
+
+BOOST_FIXTURE_TEST_CASE(APausedTargetGetsNothingUntilItsPauseIsOver,
+                        LimitFixture) {
+  const TargetName paused = Preferred();
+  const auto choice = it.Choose(kStart, Prompt(7, 1));
+  it.OnBackOff(kStart, StartOf(paused), milliseconds(2000));
+  BOOST_TEST(!it.MayStillSend(kStart, *choice));
+  // A shorter pause ends none that was asked for before.
+  it.OnBackOff(kStart + milliseconds(500), StartOf(paused), milliseconds(100));
+  BOOST_TEST(!Send(kStart + milliseconds(1999), 40).contains(paused));
+  BOOST_TEST(Send(kStart + milliseconds(2000), 40).contains(paused));
+}
+
+BOOST_FIXTURE_TEST_CASE(WithAllTargetsPausedThereIsNone, LimitFixture) {
+  for (const auto& [name, entry] : targets) {
+    it.OnBackOff(kStart, entry.start, milliseconds(2000));
+  }
+  BOOST_TEST(!it.Choose(kStart, Prompt(7, 1)).has_value());
+  BOOST_TEST(it.HasLimited(kStart, kEngines));
+  BOOST_TEST(!it.HasLimited(kStart + milliseconds(2000), kEngines));
+}
+
+BOOST_FIXTURE_TEST_CASE(APauseOutlastsItsTargetsEntry, LimitFixture) {
+  const TargetName paused = Preferred();
+  it.OnBackOff(kStart, StartOf(paused), milliseconds(2000));
+  it.SetTargets(kStart, {});
+  it.SetTargets(kStart + milliseconds(100), targets);
+  BOOST_TEST(!Send(kStart + milliseconds(100), 40).contains(paused));
+}
+
+// The answer may have been of the new start, whose entry was read later.
+BOOST_FIXTURE_TEST_CASE(WhatWasSaidLatelyHoldsForTheNextStart, LimitFixture) {
+  const TargetName name = Preferred();
+  const TargetEntry before = targets.at(name);
+  it.OnSaysLeaving(kStart, before);
+  targets.at(name).start = TargetStart(name.value + "@2");
+  it.SetTargets(kStart + milliseconds(100), targets);
+  BOOST_TEST(!Send(kStart + milliseconds(100), 40).contains(name));
+  BOOST_TEST(Send(kStart + kEntryTellsWithin, 40).contains(name));
+}
+
+BOOST_FIXTURE_TEST_CASE(WhatWasSaidLongAgoDoesntHoldForTheNextStart,
+                        LimitFixture) {
+  const TargetName name = Preferred();
+  it.OnSaysLeaving(kStart, targets.at(name));
+  it.OnRate(kStart, StartOf(name), kStart, Names(0));
+  it.OnBackOff(kStart, StartOf(name), std::chrono::seconds(60));
+  targets.at(name).start = TargetStart(name.value + "@2");
+  it.SetTargets(kStart + kEntryTellsWithin, targets);
+  BOOST_TEST(Send(kStart + kEntryTellsWithin, 40).contains(name));
+}
+
 }  // namespace
 }  // namespace quaytrack
--- a/fleet/target_registry.h
+++ b/fleet/target_registry.h
@@ -13,6 +13,12 @@
 // of a target that was once seen leaving stays leaving whatever is listed
 // later; one that was only lost sight of may be listed again as ready.
 //
+// A target may also say itself that it leaves, before its entry does or while
+// entries can't be read:
+//
+//   registry.MarkLeaving(name, started_at);
+//   tell(registry.said_leaving());           // what peers can't read either
+//
 // A target may start again under its name. It is told from its earlier starts
 // by its time of start, and begins anew: an earlier start that left doesn't
 // make it leave, and an entry of an earlier start that comes late changes
@@ -70,6 +76,9 @@
   bool operator==(const TargetEntry&) const = default;
 };
 
+// Targets that are leaving, with the time of the start that does.
+using LeavingStarts = std::map<TargetName, WallTime>;
+
 // After a target has ended, its entry has been written anew or has lapsed
 // within this time, and routers know of it: entries lapse after three missed
 // writes, 3.6 s at the users' 1.2 s, and are read of within 2 s. Reckoned, not
@@ -84,7 +93,8 @@
     if (IsOfEarlierStart(entry)) return false;
     TargetEntry it = entry;
     if (HasLeft(it)) it.leaving = true;
-    if (it.leaving) RememberLeft(it);
+    if (it.leaving) RememberLeft(it.name, it.started_at);
+    if (entry.leaving || !it.leaving) said_leaving_.erase(it.name);
     missing_.erase(it.name);
     TargetEntry& at = entries_[it.name];
     if (at == it) return false;
@@ -92,6 +102,21 @@
     return true;
   }
 
+  // That start of a target, and earlier ones, are leaving, whatever is listed.
+  // Returns whether a listed one wasn't.
+  bool MarkLeaving(const TargetName& name, WallTime started_at) {
+    RememberLeft(name, started_at);
+    const auto it = entries_.find(name);
+    if (it == entries_.end()) return false;
+    if (it->second.leaving || !HasLeft(it->second)) return false;
+    it->second.leaving = true;
+    said_leaving_[name] = it->second.started_at;
+    return true;
+  }
+
+  // Listed starts that are known to leave though their entry doesn't say so.
+  const LeavingStarts& said_leaving() const { return said_leaving_; }
+
   // Whether `entry`, if it is put, is another start of a listed target.
   bool StartsAgain(const TargetEntry& entry) const {
     const auto it = entries_.find(entry.name);
@@ -109,6 +134,7 @@
       return false;
     }
     entries_.erase(it);
+    said_leaving_.erase(name);
     return true;
   }
 
@@ -121,7 +147,10 @@
 
   // Removes what has vanished and was not listed again, and returns it.
   std::set<TargetName> DropMissing() {
-    for (const TargetName& it : missing_) entries_.erase(it);
+    for (const TargetName& it : missing_) {
+      entries_.erase(it);
+      said_leaving_.erase(it);
+    }
     return std::exchange(missing_, {});
   }
   bool HasMissing() const { return !missing_.empty(); }
@@ -159,11 +188,11 @@
     return it != left_.end() && entry.started_at <= it->second;
   }
 
-  void RememberLeft(const TargetEntry& entry) {
-    const auto [it, is_new] = left_.try_emplace(entry.name, entry.started_at);
-    it->second = std::max(it->second, entry.started_at);
+  void RememberLeft(const TargetName& name, WallTime started_at) {
+    const auto [it, is_new] = left_.try_emplace(name, started_at);
+    it->second = std::max(it->second, started_at);
     if (!is_new) return;
-    left_order_.push_back(entry.name);
+    left_order_.push_back(name);
     if (left_order_.size() <= kMostLeft) return;
     left_.erase(left_order_.front());
     left_order_.pop_front();
@@ -174,6 +203,7 @@
   // bring it back.
   std::map<TargetName, WallTime> left_;
   std::deque<TargetName> left_order_;
+  LeavingStarts said_leaving_;
   bool keeps_missing_ = false;
   // Kept in `entries_`, and not listed at present.
   std::set<TargetName> missing_;
--- a/fleet/testing/target_registry_test.cc
+++ b/fleet/testing/target_registry_test.cc
@@ -104,5 +104,48 @@
   BOOST_TEST(!registry.entries().at(TargetName("t-0")).leaving);
 }
 
+// Its entry couldn't be read, and told of it seconds later.
+BOOST_AUTO_TEST_CASE(WhatSaysThatItLeavesIsLeavingWhateverItsEntrySays) {
+  TargetRegistry registry;
+  registry.Put(Start("a", 5));
+  BOOST_TEST(registry.MarkLeaving(TargetName("a"), Start("a", 5).started_at));
+  BOOST_TEST(!registry.MarkLeaving(TargetName("a"), Start("a", 5).started_at));
+  BOOST_TEST(registry.entries().at(TargetName("a")).leaving);
+  BOOST_TEST(registry.said_leaving().size() == 1U);
+  registry.Replace({Start("a", 5)});
+  BOOST_TEST(registry.entries().at(TargetName("a")).leaving);
+  // Its entry says so as well now; peers read that.
+  registry.Put(Start("a", 5, true));
+  BOOST_TEST(registry.said_leaving().empty());
+}
+
+BOOST_AUTO_TEST_CASE(ALaterStartOfOneThatSaidThatItLeavesIsNotLeaving) {
+  TargetRegistry registry;
+  registry.Put(Start("a", 5));
+  registry.MarkLeaving(TargetName("a"), Start("a", 5).started_at);
+  registry.Put(Start("a", 9));
+  BOOST_TEST(!registry.entries().at(TargetName("a")).leaving);
+  BOOST_TEST(registry.said_leaving().empty());
+  // Late news of the start before.
+  BOOST_TEST(!registry.MarkLeaving(TargetName("a"), Start("a", 5).started_at));
+  BOOST_TEST(!registry.entries().at(TargetName("a")).leaving);
+}
+
+BOOST_AUTO_TEST_CASE(OneThatSaidThatItLeavesWhileUnlistedComesBackLeaving) {
+  TargetRegistry registry;
+  BOOST_TEST(!registry.MarkLeaving(TargetName("a"), Start("a", 5).started_at));
+  registry.Put(Start("a", 5));
+  BOOST_TEST(registry.entries().at(TargetName("a")).leaving);
+}
+
+// Through an outage, what vanishes is kept, unless it is known to leave.
+BOOST_FIXTURE_TEST_CASE(WhatSaidThatItLeavesIsNotKept, OutageFixture) {
+  registry.Put(Entry("lapsed"));
+  registry.MarkLeaving(TargetName("lapsed"), {});
+  registry.Remove(TargetName("lapsed"));
+  BOOST_TEST(!Listed("lapsed"));
+  BOOST_TEST(registry.said_leaving().empty());
+}
+
 }  // namespace
 }  // namespace quaytrack
--- a/relay/peer_messages.cc
+++ b/relay/peer_messages.cc
@@ -92,6 +92,26 @@
   return out;
 }
 
+// Milliseconds since 1970.
+Json LeavingToJson(const LeavingStarts& leaving) {
+  Json out = Json::object();
+  for (const auto& [target, started_at] : leaving) {
+    out[target.value] = started_at.time_since_epoch().count();
+  }
+  return out;
+}
+
+LeavingStarts LeavingFromJson(const Json& json) {
+  LeavingStarts out;
+  for (const auto& [target, started_ms] : json.items()) {
+    const WallTime started_at(
+        std::chrono::milliseconds(started_ms.get<std::int64_t>()));
+    out[TargetName(target)] =
+        std::clamp(started_at, WallTime{}, kLatestWallTime);
+  }
+  return out;
+}
+
 // A limit is its rate, null if it has ended, its version and its age.
 Json RatesToJson(const RateReports& reports) {
   Json out = Json::object();
@@ -179,6 +199,7 @@
   out.marks = MarksFromJson(json.value("marks", Json::object()));
   out.routers = json.value("routers", std::uint64_t{0});
   out.halls = HallsFromJson(json.value("halls", Json::object()));
+  out.leaving = LeavingFromJson(json.value("leaving", Json::object()));
   out.rate_limits = RatesFromJson(json.value("rates", Json::object()));
   if (CarriesNews(*kind)) {
     auto news = NewsFromJson(json.at("news"));
@@ -220,6 +241,9 @@
   if (!message.marks.empty()) json["marks"] = MarksToJson(message.marks);
   if (message.routers != 0) json["routers"] = message.routers;
   if (!message.halls.empty()) json["halls"] = HallsToJson(message.halls);
+  if (!message.leaving.empty()) {
+    json["leaving"] = LeavingToJson(message.leaving);
+  }
   if (!message.rate_limits.empty()) {
     json["rates"] = RatesToJson(message.rate_limits);
   }
--- a/relay/peer_messages.h
+++ b/relay/peer_messages.h
@@ -27,6 +27,7 @@
 #include "dispatch/prefill_speed.h"
 #include "dispatch/rate_limits.h"
 #include "fleet/closed_halls.h"
+#include "fleet/target_registry.h"
 #include "relay/feed_news.h"
 
 namespace quaytrack {
@@ -122,6 +123,9 @@
   // kHello, kPing, kConfig: the halls that operators have closed, or have
   // opened again, as the sender knows them.
   HallStates halls;
+  // kHello, kPing: targets that have said that they leave, though their entries
+  // at the sender don't.
+  LeavingStarts leaving;
   // kHello: all that the sender knows; kRateLimits: what is new.
   RateReports rate_limits;
   // kNews, kState; kStateWanted has only the feed's name.
--- a/relay/relay_context.h
+++ b/relay/relay_context.h
@@ -51,6 +51,8 @@
   RelayMetrics& metrics;
   const PlannedStop& stop;
   std::function<void(const SentPrompt& sent)> tell_peers;
+  // A target has said in an answer that it leaves.
+  std::function<void(const TargetEntry& target)> target_leaves;
 };
 
 }  // namespace quaytrack
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -91,6 +91,7 @@
           .metrics = metrics_,
           .stop = stop_,
           .tell_peers = [this](const SentPrompt& it) { TellPeers(it); },
+          .target_leaves = [this](const TargetEntry& it) { OnSaysLeaving(it); },
       },
       caller_server_(loop, clock),
       admin_server_(loop, clock),
@@ -342,6 +343,12 @@
   CountRouters(message);
 }
 
+// Peers may have no other way to know of it while the store is away.
+void RelayRouter::OnSaysLeaving(const TargetEntry& target) {
+  placement_.OnSaysLeaving(clock_.Now(), target);
+  if (targets_.OnSaysLeaving(target)) peers_.BroadcastSignOfLife();
+}
+
 void RelayRouter::HeedRateLimits(const PeerMessage& message) {
   const auto changed =
       placement_.OnRateReports(clock_.Now(), message.rate_limits);
@@ -385,6 +392,7 @@
   message.config_version = configs_.version();
   message.halls = configs_.halls().states();
   message.targets_revision = targets_.revision();
+  message.leaving = targets_.registry().said_leaving();
   message.keeps_budgets = budgets_.ledger().KeepsGrants();
   message.engine_speeds = placement_.Learned();
   FillMarks(message);
--- a/relay/relay_router.h
+++ b/relay/relay_router.h
@@ -97,6 +97,7 @@
   void OnPeerMessage(const PeerMessage& message);
   void TellPeers(const SentPrompt& sent);
   void CountRouters(const PeerMessage& message);
+  void OnSaysLeaving(const TargetEntry& target);
   void HeedRateLimits(const PeerMessage& message);
   void TellRateLimits();
   void FillSignOfLife(PeerMessage& message);
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -151,7 +151,7 @@
   if (context_.placement.HasCold(context_.clock.Now(), service)) {
     return RelayCause::kTargetsCold;
   }
-  if (context_.placement.HasLimited(service)) {
+  if (context_.placement.HasLimited(context_.clock.Now(), service)) {
     return RelayCause::kTargetsLimited;
   }
   return context_.placement.IsClosedOff(service) ? RelayCause::kHallsClosed
@@ -260,9 +260,14 @@
 // not: an entry may be missing for a while.
 void RelayedRequest::HeedTarget() {
   const TargetEntry& target = progress_.choice.target;
-  if (answer_facts_.leaving) LogSaysLeaving(id(), target);
+  if (answer_facts_.leaving) {
+    LogSaysLeaving(id(), target);
+    context_.target_leaves(target);
+  }
   if (answer_facts_.back_off > milliseconds(0)) {
     LogBacksOff(id(), target, answer_facts_.back_off);
+    context_.placement.OnBackOff(*progress_.head_at, target.start,
+                                 answer_facts_.back_off);
   }
   const bool changed = context_.placement.OnRate(
       *progress_.head_at, target.start, sent_at_, answer_facts_.rate);
--- a/relay/target_follower.cc
+++ b/relay/target_follower.cc
@@ -25,6 +25,16 @@
 // the grown site's quiet-1 to second 22 became 4,124.
 constexpr Duration kTargetSpacing = std::chrono::milliseconds(400);
 
+void LogLeaving(const TargetEntry& entry, const char* told_by) {
+  LogEvent(Event::kTargetLeaving,
+           {{"target", entry.name.value},
+            {"service", entry.service.value},
+            {"address", entry.address},
+            {"start", entry.start.value},
+            {"cold_ms", MillisecondsText(entry.cold_for)},
+            {"by", told_by}});
+}
+
 StoreFollower::Options FollowerOptions(const SharedStateReader& reader) {
   StoreFollower::Options out;
   out.prefix = reader.TargetsPrefix();
@@ -81,7 +91,8 @@
   if (entry->name.empty()) return;
   NoticeRestart(*entry);
   if (!registry_.Put(*entry)) return;
-  LogEvent(entry->leaving ? Event::kTargetLeaving : Event::kTargetSeen,
+  if (entry->leaving) return LogLeaving(*entry, "entry");
+  LogEvent(Event::kTargetSeen,
            {{"target", entry->name.value},
             {"service", entry->service.value},
             {"address", entry->address},
@@ -106,6 +117,21 @@
 void TargetFollower::OnPeer(const PeerMessage& message) {
   feed_.OnPeer(message);
   OnPeerRevision(message.targets_revision);
+  for (const auto& [name, started_at] : message.leaving) {
+    MarkLeaving(name, started_at, "peer");
+  }
+}
+
+bool TargetFollower::OnSaysLeaving(const TargetEntry& target) {
+  return MarkLeaving(target.name, target.started_at, "answer");
+}
+
+bool TargetFollower::MarkLeaving(const TargetName& name, WallTime started_at,
+                                 const char* told_by) {
+  if (!registry_.MarkLeaving(name, started_at)) return false;
+  LogLeaving(registry_.entries().at(name), told_by);
+  on_.changed();
+  return true;
 }
 
 void TargetFollower::OnPeerRevision(std::int64_t revision) {
--- a/relay/target_follower.h
+++ b/relay/target_follower.h
@@ -76,6 +76,9 @@
 
   void Start() { feed_.Start(); }
   void OnPeer(const PeerMessage& message);
+  // The target has said in an answer that it leaves. Returns whether that is
+  // new.
+  bool OnSaysLeaving(const TargetEntry& target);
   // Some user of the store has lost it (false) or has it back (true).
   void OnStoreReachable(bool reachable);
 
@@ -92,6 +95,8 @@
   void Take(const StoreItem& item);
   void NoticeRestart(const TargetEntry& entry);
   void Remove(const TargetName& name);
+  bool MarkLeaving(const TargetName& name, WallTime started_at,
+                   const char* told_by);
   void StopKeepingLater();
   void DropMissingLater();
   void DropMissing();
--- a/relay/testing/peer_messages_test.cc
+++ b/relay/testing/peer_messages_test.cc
@@ -185,6 +185,16 @@
   BOOST_TEST((back->rate_limits == it.rate_limits));
 }
 
+BOOST_AUTO_TEST_CASE(TargetsThatLeaveComeBackAsTheyWere) {
+  PeerMessage it = Message(PeerMessageKind::kPing);
+  it.leaving[TargetName("i-1")] = WallTime(std::chrono::milliseconds(1700));
+  it.leaving[TargetName("i-2")] = {};
+  Check(it, R"({"kind": "ping", "from": "vm1@1", "leaving":
+                {"i-1": 1700, "i-2": 0}})");
+  const auto back = DecodePeerMessage(EncodePeerMessage(it));
+  BOOST_TEST((back->leaving == it.leaving));
+}
+
 BOOST_AUTO_TEST_CASE(RateLimitsThatAreNoRatesAreSkipped) {
   const Json json = {
       {"kind", "rate_limits"},
--- a/relay/testing/target_follower_test.cc
+++ b/relay/testing/target_follower_test.cc
@@ -185,5 +185,24 @@
   BOOST_TEST(store.waits.started_by_key["t/"] == 2);
 }
 
+// Routers that the store doesn't reach go by what answers and peers say.
+BOOST_FIXTURE_TEST_CASE(ATargetLeavesByItsAnswerOrAPeersWord, Fixture) {
+  const int before = changes;
+  BOOST_TEST(follower.OnSaysLeaving(
+      follower.registry().entries().at(TargetName("a"))));
+  BOOST_TEST(Leaving("a"));
+  BOOST_TEST(!Leaving("b"));
+  PeerMessage message;
+  message.leaving = follower.registry().said_leaving();
+  message.leaving[TargetName("b")] = {};
+  message.leaving[TargetName("unknown")] = {};
+  follower.OnPeer(message);
+  BOOST_TEST(Leaving("b"));
+  BOOST_TEST(!Listed("unknown"));
+  BOOST_TEST(changes == before + 2);
+  follower.OnPeer(message);
+  BOOST_TEST(changes == before + 2);
+}
+
 }  // namespace
 }  // namespace quaytrack
