--- a/dispatch/back_off.h
+++ b/dispatch/back_off.h
@@ -1,8 +1,8 @@
 // BackOffs: targets that want nothing from this router for a while.
 //
 //   BackOffs back_offs;
-//   back_offs.Note(now, target, wait);      // it refused, and asked for a
-//   pause if (now < back_offs.EndOf(target)) ...  // nothing further goes there
+//   back_offs.Note(now, target, wait);      // it refused, with a pause
+//   if (now < back_offs.EndOf(target)) ...  // nothing further goes there
 //
 // A target speaks to the router that it answers; others aren't told. Of two
 // pauses the one that ends later holds, whichever was asked for last, and no
--- a/dispatch/rate_limits.h
+++ b/dispatch/rate_limits.h
@@ -66,7 +66,7 @@
 class RateLimits {
  public:
   // Peers are told anew that a limit still holds, at most this often.
-  static constexpr Duration kTellAgain = std::chrono::seconds(2);
+  static constexpr Duration kTellAgain = std::chrono::seconds(4);
   // And that it has ended, for this long.
   static constexpr Duration kRepeatEndFor = std::chrono::seconds(10);
   // For this long a router that links anew is told that a limit has ended.
--- a/dispatch/testing/placement_open_test.cc
+++ b/dispatch/testing/placement_open_test.cc
@@ -224,6 +224,24 @@
   BOOST_TEST(Send(kStart + milliseconds(4300), 40).at(limited) == 2);
 }
 
+// Both rates hold for a target that has just started and names a limit.
+BOOST_FIXTURE_TEST_CASE(AColdTargetWithALimitKeepsToBoth, LimitFixture) {
+  it = Placement(HallName("hall-0"),
+                 {SharedRate({}, {std::chrono::seconds(1), 1.5, 5}),
+                  SharedRate({}, {std::chrono::seconds(4), 1.5, 5})});
+  it.SetColdRules({{kEngines, {std::chrono::seconds(3), 6.6}}});
+  it.SetPlaces([](const TargetStart&) {
+    return std::optional(RendezvousPlace{0, 7});
+  });
+  it.SetTargets(kStart, targets);
+  const TargetName name = Preferred();
+  StartAgain(name, kStart);
+  BOOST_TEST(Send(kStart, 100).at(name) == 3);
+  it.OnRate(kStart, StartOf(name), kStart, Names(1));
+  BOOST_TEST(Send(kStart + milliseconds(1300), 100).at(name) == 2);
+  BOOST_TEST(!Send(kStart + milliseconds(2600), 100).contains(name));
+}
+
 BOOST_FIXTURE_TEST_CASE(ALimitedTargetGetsNothingOfOthers,
                         NoOwnerLimitFixture) {
   const TargetName limited = Preferred();
