--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -163,6 +163,16 @@
 
 // --- What the parts tell each other ------------------------------------------
 
+void RelayRouter::SendTo(const Incarnation& peer, PeerMessage message) {
+  message.from = self_;
+  peers_.SendTo(peer, message);
+}
+
+void RelayRouter::Broadcast(PeerMessage message) {
+  message.from = self_;
+  peers_.Broadcast(message);
+}
+
 BudgetDriver::Handlers RelayRouter::BudgetHandlers() {
   BudgetDriver::Handlers out;
   out.broadcast = [this](const PeerMessage& it) { peers_.Broadcast(it); };
@@ -180,8 +190,7 @@
 FeedLinks RelayRouter::LinksOfFeeds() {
   FeedLinks out;
   out.send = [this](const Incarnation& peer, PeerMessage it) {
-    it.from = self_;
-    peers_.SendTo(peer, it);
+    SendTo(peer, std::move(it));
   };
   out.tell = [this](PeerMessage it) {
     it.from = self_;
@@ -212,8 +221,7 @@
   out.feed = LinksOfFeeds();
   out.adopted = [this] { OnConfigAdopted(); };
   out.send = [this](const Incarnation& peer, PeerMessage it) {
-    it.from = self_;
-    peers_.SendTo(peer, it);
+    SendTo(peer, std::move(it));
   };
   out.store_reachable = [this](bool it) { OnStoreReachable(it); };
   out.halls_changed = [this] {
@@ -242,10 +250,7 @@
 CrashWatch::Handlers RelayRouter::CrashHandlers() {
   CrashWatch::Handlers out;
   out.feed = LinksOfFeeds();
-  out.broadcast = [this](PeerMessage it) {
-    it.from = self_;
-    peers_.Broadcast(it);
-  };
+  out.broadcast = [this](PeerMessage it) { Broadcast(std::move(it)); };
   out.is_open_to_work = [this](const TargetEntry& it) {
     return placement_.IsOpenToWork(it);
   };
@@ -364,9 +369,8 @@
   const bool forwards = directory.IsReader(directory.self().vm);
   PeerMessage out;
   out.kind = PeerMessageKind::kRateLimits;
-  out.from = self_;
   out.rate_limits = placement_.TakeUntoldRates(clock_.Now(), forwards);
-  if (!out.rate_limits.empty()) peers_.Broadcast(out);
+  if (!out.rate_limits.empty()) Broadcast(std::move(out));
 }
 
 void RelayRouter::CountRouters(const PeerMessage& message) {
@@ -382,10 +386,9 @@
   if (!fleet_.directory().IsSmall()) return;
   PeerMessage out;
   out.kind = PeerMessageKind::kPromptSent;
-  out.from = self_;
   out.target = sent.target;
   out.amount = sent.prefill;
-  peers_.Broadcast(out);
+  Broadcast(std::move(out));
 }
 
 void RelayRouter::FillSignOfLife(PeerMessage& message) {
--- a/relay/relay_router.h
+++ b/relay/relay_router.h
@@ -91,6 +91,9 @@
   PlannedStop::Handlers StopHandlers();
   void ServeCallers();
   bool IsReady() const;
+  // As this router.
+  void SendTo(const Incarnation& peer, PeerMessage message);
+  void Broadcast(PeerMessage message);
   void OnStoreReachable(bool reachable);
   void OnFleetChanged();
   void OnConfigAdopted();
