--- a/relay/budget_driver.cc
+++ b/relay/budget_driver.cc
@@ -247,6 +247,7 @@
     case PeerMessageKind::kStateWanted:
     case PeerMessageKind::kState:
     case PeerMessageKind::kCrashes:
+    case PeerMessageKind::kRateLimits:
       return;
   }
 }
