--- a/dispatch/testing/limited_fleet_test.cc
+++ b/dispatch/testing/limited_fleet_test.cc
@@ -518,7 +518,8 @@
 };
 
 // A limit that ends at 10 s, and what is left of it at the end of the time.
-Lifted PlayEnded(Spec spec) {
+Lifted PlayEnded(const Spec& limited) {
+  Spec spec = limited;
   for (auto& [n, phases] : spec.phases) {
     phases.push_back({kStart + seconds(10), std::nullopt});
   }
