--- a/dispatch/shared_rate.h
+++ b/dispatch/shared_rate.h
@@ -68,8 +68,8 @@
 
 // One owner's part of a target's rate.
 struct OwnerPart {
-  // Windows without news of the target, before others stand in or take turns.
-  static constexpr int kTurn = 3;
+  // So many windows without news of the target make a turn of stand-ins.
+  static constexpr int kWindowsPerTurn = 3;
 
   // Two at least, so that a target gets work while one of them is down; more
   // where each has a part that is worth having.
@@ -95,7 +95,7 @@
   bool Acts(const RendezvousPlace& place, Duration silent) const {
     if (IsOwner(place)) return true;
     const auto turn = static_cast<std::size_t>(
-        std::max(silent, Duration::zero()) / (kTurn * window));
+        std::max(silent, Duration::zero()) / (kWindowsPerTurn * window));
     const std::size_t groups = (place.routers + owners - 1) / owners;
     return place.rank / owners == turn % groups;
   }
