--- a/dispatch/shared_rate.h
+++ b/dispatch/shared_rate.h
@@ -38,8 +38,7 @@
 // written within one span. What a network holds up after that has left this
 // router in another span than it arrives in.
 //
-// Other ways were compared in testing/cold_fleet_test.cc and
-// docs/design/cold-targets.md; docs/design/rate-limits.md has the proof.
+// docs/design/rate-limits.md has the proof.
 //
 // It owns the times of what was sent, reads no clock, and reports no errors.
 
