See that the store has come back in another era, and a reading that is older

Callers saw revoked keys served and a leaving target used after the store came back from an older copy of itself. The logs could not tell that its revisions had gone back from a forgotten history. The store names its era in each answer; a rise is logged now (QT1115 store_era), and so is a reading that is at a lower revision than what is known (QT1116 reading_older, once until a reading is taken).

--- a/base/events.h
+++ b/base/events.h
@@ -53,6 +53,8 @@
   kPeerLinked = 1112,
   kFeedState = 1113,
   kFeedNewsRefused = 1114,
+  kStoreEra = 1115,
+  kReadingOlder = 1116,
   // 12xx: bundles, configurations, items of the store that can't be read.
   kBundleTaken = 1201,
   kBundleRefused = 1202,
@@ -131,6 +133,8 @@
     {Event::kPeerLinked, LogLevel::kInfo, "peer_linked"},
     {Event::kFeedState, LogLevel::kInfo, "feed_state"},
     {Event::kFeedNewsRefused, LogLevel::kWarn, "feed_news_refused"},
+    {Event::kStoreEra, LogLevel::kWarn, "store_era"},
+    {Event::kReadingOlder, LogLevel::kWarn, "reading_older"},
     {Event::kBundleTaken, LogLevel::kInfo, "bundle_taken"},
     {Event::kBundleRefused, LogLevel::kWarn, "bundle_refused"},
     {Event::kConfigTaken, LogLevel::kInfo, "config_taken"},
--- a/kv/follower.cc
+++ b/kv/follower.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/jitter.h"
+#include "base/log.h"
 
 namespace quaytrack {
 namespace {
@@ -44,7 +45,11 @@
   if (snapshot.end != StoreEnd::kDone) return RetryLater();
   has_read_ = true;
   // Later changes were skipped while it was read.
-  if (snapshot.revision < revision_) return Wait();
+  if (snapshot.revision < revision_) {
+    LogOlder(snapshot.revision);
+    return Wait();
+  }
+  logged_older_ = false;
   if (on_.answered) on_.answered();
   revision_ = snapshot.revision;
   for (const StoreItem& it : snapshot.items) {
@@ -55,6 +60,14 @@
   Wait();
 }
 
+void StoreFollower::LogOlder(std::int64_t revision) {
+  if (std::exchange(logged_older_, true)) return;
+  LogEvent(Event::kReadingOlder, {{"prefix", options_.prefix},
+                                  {"revision", std::to_string(revision)},
+                                  {"known", std::to_string(revision_)},
+                                  {"era", std::to_string(store_.era())}});
+}
+
 void StoreFollower::OnChanges(const StoreChanges& changes) {
   call_.reset();
   if (changes.forgotten) return Read();
--- a/kv/follower.h
+++ b/kv/follower.h
@@ -112,6 +112,7 @@
   void Wait();
   void Resume(void (StoreFollower::*call)());
   void OnSnapshot(const StoreSnapshot& snapshot);
+  void LogOlder(std::int64_t revision);
   void OnChanges(const StoreChanges& changes);
   // Waits, or reads if all items have to be read.
   void CallLater(Duration delay);
@@ -129,6 +130,7 @@
   // All items were read, so changes can be waited for.
   bool has_read_ = false;
   bool reachable_ = true;
+  bool logged_older_ = false;
   bool paused_ = false;
   // The pause after the next failure.
   Duration retry_after_;
--- a/kv/store.h
+++ b/kv/store.h
@@ -17,7 +17,12 @@
 //   kRefused   answered with an error, or certainly not sent: nothing happened;
 //   kUnknown   sent, and no answer came: it may have happened, or still may.
 //
-// Each change of the store has a revision, a number that only rises. Keys are
+// Eras. A store that fails may come back from an older copy of itself: changes
+// that it had acknowledged are gone, and their revisions are given out again.
+// It says in which era it is, a number that rises with each return; `era` is
+// the latest that any answer has named.
+//
+// Each change of the store has a revision, which rises within an era. Keys are
 // text and values any bytes. Times are `Duration`s; how long a call without an
 // answer lasts is set where the interface is implemented.
 
@@ -28,10 +33,12 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
 #include "base/enum_table.h"
+#include "base/log.h"
 
 namespace quaytrack {
 
@@ -126,6 +133,28 @@
                        std::function<void(const StoreChanges&)> done) = 0;
   // Calls made so far.
   virtual std::uint64_t calls() const = 0;
+
+  // 0 before the first answer, and for a store that names none.
+  std::int64_t era() const { return era_; }
+  // Called when the store has come back in a later era.
+  void OnNewEra(std::function<void()> handler) {
+    on_new_era_ = std::move(handler);
+  }
+
+ protected:
+  // An answer is of this era.
+  void NoteEra(std::int64_t era) {
+    if (era <= era_) return;
+    const std::int64_t before = std::exchange(era_, era);
+    if (before == 0) return;
+    LogEvent(Event::kStoreEra, {{"era", std::to_string(era)},
+                                {"before", std::to_string(before)}});
+    if (on_new_era_) on_new_era_();
+  }
+
+ private:
+  std::int64_t era_ = 0;
+  std::function<void()> on_new_era_;
 };
 
 }  // namespace quaytrack
