--- a/prepaid/testing/property_test.cc
+++ b/prepaid/testing/property_test.cc
@@ -1,7 +1,8 @@
 // Random histories of routers that share one prepaid budget: kills, restarts of
 // the same boot or another, frozen routers, cuts, writes whose answers are lost
-// or that are done late, transfers that are lost, doubled and reordered. A book
-// of what the engines handed out is kept beside; it must never pass the limit.
+// or that are done late, transfers that are lost, doubled and reordered, and a
+// store that comes back from an older copy of itself. A book of what the
+// engines handed out is kept beside; it must never pass the limit.
 
 #include <rapidcheck.h>
 
@@ -22,6 +23,10 @@
 constexpr int kVms = 4;
 constexpr int kSteps = 2500;
 constexpr int kStepsPerKill = 80;
+constexpr int kStepsPerReturn = 60;
+constexpr Duration kOldestCopy = std::chrono::seconds(5);
+// No router dies for so long after the store came back.
+constexpr Duration kKnownToAll = std::chrono::seconds(10);
 const CustomerName kCustomer("clinic");
 
 struct Request {
@@ -50,9 +55,13 @@
 // What is done wrong on purpose, to see that the book notices.
 enum class Fault { kNone, kSpendsWithheld, kReclaimsByTime };
 
+// Whether the store comes back from older copies of itself, now and then.
+enum class Store { kLosesNothing, kComesBackOlder };
+
 class World {
  public:
-  World(std::uint32_t seed, Fault fault) : random_(seed), fault_(fault) {
+  World(std::uint32_t seed, Fault fault, Store store = Store::kLosesNothing)
+      : random_(seed), fault_(fault), store_(store) {
     routers_.resize(kVms);
     for (int vm = 0; vm < kVms; ++vm) Boot(vm);
   }
@@ -63,8 +72,9 @@
       now_ += milliseconds(Draw(0, 300));
       Step();
       ApplyLateWrites();
+      KeepCopy();
       if (handed_out_ > kLimit) return false;
-      if (fault_ != Fault::kNone) continue;
+      if (fault_ != Fault::kNone || store_ != Store::kLosesNothing) continue;
       const auto entry = record_.customers.find(kCustomer);
       if (entry == record_.customers.end()) continue;
       RC_ASSERT(entry->second.Free() >= 0);
@@ -116,6 +126,41 @@
     it.ledger->SetLimits(1, {{kCustomer, kLimit}});
   }
 
+  // What a store has.
+  struct Copy {
+    Instant taken{};
+    PrepaidRecord record;
+    std::int64_t record_revision = 0;
+    std::map<Incarnation, StoredSpend> spends;
+    std::int64_t revision = 0;
+  };
+
+  void KeepCopy() {
+    if (store_ == Store::kLosesNothing) return;
+    copies_.push_back({now_, record_, record_revision_, spends_, revision_});
+    std::erase_if(copies_, [this](const Copy& it) {
+      return it.taken < now_ - kOldestCopy;
+    });
+    if (Draw(0, kStepsPerReturn) == 0) ComeBackOlder();
+  }
+
+  // Not while a router knows nothing of the budget yet: what one that died has
+  // spent since the copy is then known to nobody.
+  void ComeBackOlder() {
+    for (const Router& it : routers_) {
+      if (it.ledger->LatestRecord() == nullptr) return;
+    }
+    const Copy& copy = copies_[static_cast<std::size_t>(
+        Draw(0, static_cast<int>(copies_.size()) - 1))];
+    record_ = copy.record;
+    record_revision_ = copy.record_revision;
+    spends_ = copy.spends;
+    revision_ = copy.revision + (Draw(0, 1) == 0 ? 0 : Draw(0, 20));
+    returned_ = now_;
+    copies_.clear();
+    KeepCopy();
+  }
+
   void Step() {
     // Rare enough that budgets are used up by requests and not by charges.
     if (Draw(0, kStepsPerKill) == 0) return Kill();
@@ -168,6 +213,7 @@
 
   // A busy router dies soon after a write; what ran has been handed out.
   void Kill() {
+    if (now_ < returned_ + kKnownToAll) return;
     const int vm = Draw(0, kVms - 1);
     Router& it = routers_[static_cast<std::size_t>(vm)];
     RunCycle(it, false);
@@ -303,6 +349,10 @@
 
   std::mt19937 random_;
   Fault fault_;
+  Store store_;
+  std::vector<Copy> copies_;
+  // When the store last came back.
+  Instant returned_{};
   Instant now_{std::chrono::hours(1)};
   std::vector<Router> routers_;
   std::vector<Transfer> transfers_;
@@ -325,14 +375,20 @@
 }
 
 // How many of 200 histories pass the limit under a fault.
-int Overspent(Fault fault) {
+int Overspent(Fault fault, Store store = Store::kLosesNothing) {
   int out = 0;
   for (std::uint32_t seed = 0; seed < 200; ++seed) {
-    if (!World(seed, fault).Run()) ++out;
+    if (!World(seed, fault, store).Run()) ++out;
   }
   return out;
 }
 
+// Guards against tokens being granted again that the copy doesn't show as
+// granted or spent.
+BOOST_AUTO_TEST_CASE(NoStoreThatComesBackOlderPassesTheLimit) {
+  BOOST_TEST(Overspent(Fault::kNone, Store::kComesBackOlder) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(TheBookNoticesALockThatIsNotKept) {
   BOOST_TEST(Overspent(Fault::kNone) == 0);
   BOOST_TEST(Overspent(Fault::kSpendsWithheld) > 0);
--- /dev/null
+++ b/relay/testing/feed_era_property_test.cc
@@ -0,0 +1,136 @@
+// Random histories of a store that comes back from older copies of itself, and
+// what the routers of a fleet know of it.
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+#include "relay/testing/feed_fleet.h"
+
+namespace quaytrack {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t kHistories = 40;
+
+// A fleet, small (no readers) or large, whose routers learn of each return at
+// different times: some are cut off from the store, and messages are lost,
+// repeated and reordered.
+class World {
+ public:
+  World(std::uint32_t seed, int readers) : random_(seed) {
+    for (int n = 0; n < kRouters; ++n) {
+      fleet_.Add("vm" + std::to_string(n), n < readers);
+    }
+    Change();
+    fleet_.StartAll();
+  }
+
+  // Whether all routers know in the end what the store has.
+  bool Run() {
+    for (int n = 0; n < kSteps; ++n) Step();
+    for (auto& it : fleet_.nodes) it->client.cut = false;
+    // A wait that was swallowed is asked again; what is known comes with the
+    // first change after it.
+    for (int n = 0; n < kCalmRounds; ++n) {
+      fleet_.clock.now += milliseconds(900);
+      Change();
+      for (auto& it : fleet_.nodes) {
+        it->feed.AskAgain();
+        it->feed.Check();
+      }
+      fleet_.Spread();
+      fleet_.BroadcastSigns();
+      fleet_.Turn();
+    }
+    const FeedItems now = fleet_.store.ItemsAt(fleet_.store.revision());
+    return std::all_of(fleet_.nodes.begin(), fleet_.nodes.end(),
+                       [&](const auto& it) { return it->items == now; });
+  }
+
+ private:
+  static constexpr int kRouters = 5;
+  static constexpr int kSteps = 40;
+  static constexpr int kCalmRounds = 6;
+  static constexpr int kKeys = 5;
+
+  int Draw(int n) {
+    return static_cast<int>(random_() % static_cast<std::uint32_t>(n));
+  }
+  FeedNode& Any() {
+    return *fleet_.nodes[static_cast<std::size_t>(Draw(kRouters))];
+  }
+
+  void Change() {
+    const std::string key = "t/" + std::to_string(Draw(kKeys));
+    const auto items = fleet_.store.ItemsAt(fleet_.store.revision());
+    if (items.contains(key) && Draw(3) == 0) return fleet_.store.Remove(key);
+    fleet_.store.Put(key, std::to_string(++values_));
+  }
+
+  void Step() {
+    switch (Draw(9)) {
+      case 0:
+      case 1:
+      case 2:
+        return Change();
+      case 3:
+        Any().client.cut ^= true;
+        return;
+      case 4:
+        Any().client.AnswerWait();
+        return fleet_.Turn();
+      case 5:
+        return DeliverAny();
+      case 6:
+        fleet_.clock.now += milliseconds(Draw(1200));
+        for (auto& it : fleet_.nodes) it->feed.Check();
+        return fleet_.Turn();
+      case 7:
+        return Draw(2) == 0 ? fleet_.BroadcastSigns() : fleet_.Spread();
+      default:
+        if (Draw(3) == 0) ComeBack();
+    }
+  }
+
+  void ComeBack() {
+    const std::int64_t lost = Draw(12);
+    const std::int64_t copy =
+        std::max<std::int64_t>(0, fleet_.store.revision() - lost);
+    // The counter may be behind what is known, at it, or beyond it.
+    fleet_.store.ComeBack(copy, Draw(2) == 0 ? 0 : Draw(15));
+  }
+
+  // Some messages come late, twice or never.
+  void DeliverAny() {
+    if (fleet_.sent.empty()) return;
+    auto it = fleet_.sent.begin();
+    std::advance(it, Draw(static_cast<int>(fleet_.sent.size())));
+    const FeedFleet::Sent sent = *it;
+    if (Draw(4) > 0) fleet_.sent.erase(it);
+    if (Draw(5) > 0) fleet_.Deliver(sent);
+  }
+
+  std::mt19937 random_;
+  FeedFleet fleet_;
+  int values_ = 0;
+};
+
+// Guards against changes that are passed over because the store's revisions
+// went back, in a fleet whose routers all follow it.
+BOOST_AUTO_TEST_CASE(AStoreThatCameBackOlderIsKnownAtAllWhoFollowIt) {
+  for (std::uint32_t seed = 1; seed <= kHistories; ++seed) {
+    BOOST_TEST(World(seed, 0).Run(), "seed " << seed);
+  }
+}
+
+// Guards against the same where readers tell the others.
+BOOST_AUTO_TEST_CASE(AStoreThatCameBackOlderIsKnownAtAllWhoAreTold) {
+  for (std::uint32_t seed = 1; seed <= kHistories; ++seed) {
+    BOOST_TEST(World(seed, 2).Run(), "seed " << seed);
+  }
+}
+
+}  // namespace
+}  // namespace quaytrack
--- a/relay/testing/feed_fleet.h
+++ b/relay/testing/feed_fleet.h
@@ -39,9 +39,20 @@
 
 using FeedItems = std::map<std::string, std::string>;
 
-// A store of one prefix that keeps all of its history.
+// A store of one prefix that keeps all of its history, and may come back from
+// an older copy of itself.
 class HistoryStore {
  public:
+  // Forgets all after `revision`; the next one is `ahead` later.
+  void ComeBack(std::int64_t revision, std::int64_t ahead) {
+    std::erase_if(history_, [revision](const StoreChange& it) {
+      return it.item.revision > revision;
+    });
+    revision_ = std::min(revision, revision_) + ahead;
+    ++era_;
+  }
+  std::int64_t era() const { return era_; }
+
   void Put(const std::string& key, const std::string& value) {
     history_.push_back({{key, value, ++revision_}, false});
   }
@@ -82,6 +93,7 @@
  private:
   std::vector<StoreChange> history_;
   std::int64_t revision_ = 0;
+  std::int64_t era_ = 1;
 };
 
 // One router's connection to the store.
@@ -119,8 +131,19 @@
 
   // Answers the open wait, if there are changes for it.
   void AnswerWait() {
-    if (!waits() || cut || store_.revision() <= wait_->after) return;
+    if (!waits() || cut || store_.revision() == wait_->after) return;
     const auto call = std::exchange(wait_, nullptr);
+    if (call->after > store_.revision()) {
+      StoreChanges gone;
+      gone.end = StoreEnd::kRefused;
+      gone.forgotten = true;
+      // Not at once: a router that asks without end is to fail, and not to
+      // hang.
+      timer_ = loop_.After(std::chrono::milliseconds(1), [call, gone] {
+        if (!call->dropped) call->done(gone);
+      });
+      return;
+    }
     const StoreChanges out{StoreEnd::kDone, false, store_.revision(),
                            store_.Changes(call->after, store_.revision())};
     Post(call, [call, out] { call->done(out); });
@@ -151,6 +174,7 @@
   HistoryStore& store_;
   std::uint64_t calls_ = 0;
   std::shared_ptr<Open> wait_;
+  std::unique_ptr<Timer> timer_;
 };
 
 struct FeedFleet;
