Budgets outlive a store that comes back from an older copy

Cause: each router took what the copy had as the state of its account, so that what it had spent since was forgotten, and others were granted what it was still spending.

Now each router's allowance stays what it was. Its next write declares its part: the record that it knew is merged into what the store has (prepaid/record_merge.h), its own part is set to what it has spent and may still spend, and nothing is granted from the record before all members have declared, were proven dead, or 30 s are over; transfers between peers go on. For this the record has the number of each member's latest write, what each has contributed to what is settled, and who is gone; a record without them is read as before, and one of a store without eras keeps its form as far as these are empty. Keys have the era in them after a return, so that a write of an earlier one that is done late finds them gone, whatever the numbers say. An account of an earlier era proves nothing unspent.

--- a/base/events.h
+++ b/base/events.h
@@ -99,6 +99,7 @@
   kPredecessorClosed = 1412,
   kHoldUnanswered = 1413,
   kRequestOverran = 1414,
+  kPrepaidDeclared = 1415,
 };
 
 struct EventInfo {
@@ -176,6 +177,7 @@
     {Event::kPredecessorClosed, LogLevel::kInfo, "predecessor_closed"},
     {Event::kHoldUnanswered, LogLevel::kWarn, "hold_unanswered"},
     {Event::kRequestOverran, LogLevel::kWarn, "request_overran"},
+    {Event::kPrepaidDeclared, LogLevel::kInfo, "prepaid_declared"},
 });
 
 }  // namespace quaytrack
--- a/prepaid/prepaid_ledger.cc
+++ b/prepaid/prepaid_ledger.cc
@@ -1,8 +1,11 @@
 #include "prepaid/prepaid_ledger.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
+#include "prepaid/record_merge.h"
+
 namespace quaytrack {
 namespace {
 
@@ -79,6 +82,15 @@
   return now < stamp_ + policy_.withhold_time;
 }
 
+Tokens PrepaidLedger::LeastIdle(const CustomerName& customer) const {
+  const OwnAccount& account = AccountOf(accounts_, customer);
+  Tokens out = IdleIn(*confirmed_, self_, customer, account);
+  for (const StoreView& it : unconfirmed_) {
+    out = std::min(out, IdleIn(it, self_, customer, account));
+  }
+  return out;
+}
+
 Tokens PrepaidLedger::Allowance(Instant now,
                                 const CustomerName& customer) const {
   if (!confirmed_ || fenced_ || left_) return 0;
@@ -111,11 +123,12 @@
 }
 
 bool PrepaidLedger::RecordIsDue(Instant now) const {
-  if (leaving_ || !joined_) return true;
+  if (leaving_ || !joined_ || found_) return true;
   const Duration since = now - last_write_;
+  const bool waits = AwaitsDeclarations(now, confirmed_->record);
   for (const auto& [customer, limit] : limits_) {
-    if (sizing_.GrantIsDue(now, since, *confirmed_, customer,
-                           AccountOf(accounts_, customer))) {
+    if (!waits && sizing_.GrantIsDue(now, since, *confirmed_, customer,
+                                     AccountOf(accounts_, customer))) {
       return true;
     }
     const auto entry = confirmed_->record.customers.find(customer);
@@ -157,24 +170,28 @@
   if (!MayWrite(now)) return std::nullopt;
   const bool changes_record = RecordIsDue(now);
   if (!changes_record && !ReportIsDue(now)) return std::nullopt;
-  StoreView next = *confirmed_;
+  PrepaidWrite out;
+  out.declares = found_.has_value();
+  StoreView next = out.declares ? DeclaredView(out) : *confirmed_;
   next.spend.sequence = ++sequence_;
   next.spend.stamp_ms = StampMs(now);
   next.spend.boot = identity_.boot;
+  next.spend.era = next.era;
   ReportSpending(accounts_, next);
-  PrepaidWrite out;
   if (changes_record) ChangeRecord(now, next, out);
   Withhold(now, next);
   if (leaving_) next.record.ChargeAndRemove(self_, nullptr);
   out.leaves = leaving_;
-  out.expected_spend = next.spend_revision;
+  out.era = next.era;
+  out.expected_spend = next.spend_at;
   out.spend = next.spend;
   out.changes_record = changes_record;
-  out.expected_record = next.revision;
+  out.expected_record = next.record_at;
   out.record = next.record;
   unconfirmed_.push_back(std::move(next));
   in_flight_ = true;
   last_changed_record_ = changes_record;
+  last_declares_ = out.declares;
   earlier_write_ = std::exchange(last_write_, now);
   earlier_stamp_ = std::exchange(stamp_, now);
   return out;
@@ -185,9 +202,13 @@
   write.charged = ChargePredecessors(identity_, predecessors_,
                                      policy_.withhold_time, next.record);
   for (const auto& [it, stored] : predecessors_) {
-    write.removes[it] = stored.revision;
+    write.removes[it] = {stored.key_era, stored.revision};
   }
   next.record.members.insert(self_);
+  next.record.undeclared.erase(self_);
+  next.record.writes[self_] = next.spend.sequence;
+  if (next.record.era == 0) next.record.era = next.era;
+  if (!AwaitsDeclarations(now, next.record)) next.record.undeclared.clear();
   ApplyLimits(limits_version_, limits_, next.record);
   RecordTransfers(self_, accounts_, next.record);
   MergeSpending(self_, next);
@@ -202,6 +223,7 @@
     const Tokens change =
         leaving_ ? -std::max<Tokens>(0, idle)
                  : sizing_.GrantChange(now, view, customer, account);
+    if (change > 0 && AwaitsDeclarations(now, view.record)) continue;
     if (change != 0) entry.grants[self_] += change;
   }
 }
@@ -214,12 +236,113 @@
   }
 }
 
+// --- A later era of the store ------------------------------------------------
+
+void PrepaidLedger::OnStoreEra(std::int64_t era) {
+  if (era <= store_era_) return;
+  store_era_ = era;
+  needs_read_ = true;
+}
+
+bool PrepaidLedger::AwaitsDeclarations(Instant now,
+                                       const PrepaidRecord& record) const {
+  if (found_) return true;
+  if (declared_at_ && now < *declared_at_ + policy_.declare_time) return true;
+  if (record.undeclared.empty()) return false;
+  return now < undeclared_since_ + policy_.undeclared_time;
+}
+
+void PrepaidLedger::NoteUndeclared(Instant now) {
+  const PrepaidRecord& record = confirmed_->record;
+  if (record.undeclared.empty() || undeclared_era_ == record.era) return;
+  undeclared_since_ = now;
+  undeclared_era_ = record.era;
+}
+
+// Takes what the store has in a later era than what is known, or in one in
+// which nobody has restored the record yet. Returns whether it is to be
+// declared.
+bool PrepaidLedger::OnReadOfLaterEra(Instant now, const PrepaidState& state) {
+  const bool later = confirmed_ && confirmed_->era < state.era;
+  const bool unrestored = state.record.era != 0 && state.record.era < state.era;
+  if (!later && !unrestored) {
+    found_.reset();
+    return false;
+  }
+  found_ = state;
+  if (!later) return false;
+  if (state.record.era == state.era && state.record.IsGone(self_)) {
+    fenced_ = true;
+  }
+  // A write of the earlier era that the copy shows was done.
+  const auto self = state.spends.find(self_);
+  if (self == state.spends.end()) return true;
+  for (const StoreView& it : unconfirmed_) {
+    const bool done = it.spend.sequence == self->second.spend.sequence;
+    if (!done || it.era == state.era) continue;
+    StoreView view = it;
+    Confirm(now, std::move(view));
+    return true;
+  }
+  return true;
+}
+
+// What the store was found to have, with what this router knows written again.
+StoreView PrepaidLedger::DeclaredView(PrepaidWrite& write) const {
+  StoreView out;
+  out.era = found_->era;
+  out.record = found_->record;
+  out.record_at = {found_->key_era, found_->revision};
+  MergeKnown(confirmed_->record, out.record);
+  if (found_->record.era < found_->era) {
+    if (found_->revision != 0) write.earlier_record = out.record_at;
+    out.record_at = {found_->era, 0};
+    out.record.era = found_->era;
+    out.record.undeclared = out.record.members;
+  }
+  out.spend_at = {found_->era, 0};
+  const auto self = found_->spends.find(self_);
+  if (self != found_->spends.end()) {
+    const StoredAt at{self->second.key_era, self->second.revision};
+    if (at.key_era == found_->era) {
+      out.spend_at = at;
+    } else {
+      write.earlier_spend = at;
+    }
+  }
+  DeclareOwn(out);
+  return out;
+}
+
+// Sets this router's part to what it has reported as spent, and to what it may
+// still spend in every state that the store may have been in.
+void PrepaidLedger::DeclareOwn(StoreView& view) const {
+  std::set<CustomerName> customers;
+  for (const auto& [it, entry] : confirmed_->record.customers) {
+    customers.insert(it);
+  }
+  for (const auto& [it, account] : accounts_) customers.insert(it);
+  for (const CustomerName& it : customers) {
+    PrepaidEntry& entry = view.record.customers[it];
+    Tokens& contributed = entry.contributed[self_];
+    const Tokens spent = SpentIn(confirmed_->spend, it).spent +
+                         ContributedIn(confirmed_->record, it, self_);
+    entry.settled += spent - contributed;
+    contributed = spent;
+    entry.grants[self_] = 0;
+    const OwnAccount& account = AccountOf(accounts_, it);
+    entry.grants[self_] = LeastIdle(it) - IdleIn(view, self_, it, account);
+  }
+}
+
 // --- What the store has ------------------------------------------------------
 
 // What a dead member was charged is no rate of spending.
 void PrepaidLedger::MeasureSettling(Instant now, const PrepaidRecord& next) {
   if (!confirmed_) return;
   const PrepaidRecord& last = confirmed_->record;
+  // What is written again in a later era was settled before.
+  if (last.era != next.era) return;
   const bool all_stay = std::includes(next.members.begin(), next.members.end(),
                                       last.members.begin(), last.members.end());
   if (!all_stay) return;
@@ -243,18 +366,21 @@
   if (leaving_ && joined_ && !member) left_ = true;
   joined_ = joined_ || member;
   // A report says nothing about the record.
-  const bool newer = !confirmed_ || view.revision != confirmed_->revision;
+  const bool newer = !confirmed_ || view.era != confirmed_->era ||
+                     view.record_at.revision != confirmed_->record_at.revision;
   if (newer) record_seen_ = now;
   confirmed_ = std::move(view);
   unconfirmed_.clear();
+  NoteUndeclared(now);
 }
 
-void PrepaidLedger::ReplaceRecord(Instant now, std::int64_t revision,
+void PrepaidLedger::ReplaceRecord(Instant now, StoredAt at,
                                   PrepaidRecord record) {
   MeasureSettling(now, record);
   record_seen_ = now;
-  confirmed_->revision = revision;
+  confirmed_->record_at = at;
   confirmed_->record = std::move(record);
+  NoteUndeclared(now);
 }
 
 bool PrepaidLedger::NeedsRead(Instant now) const {
@@ -280,10 +406,13 @@
 }
 
 void PrepaidLedger::OnRead(Instant now, const PrepaidState& state) {
+  if (state.era < store_era_) return;
+  store_era_ = state.era;
   needs_read_ = false;
   record_seen_ = now;
   StoreView next;
-  next.revision = state.revision;
+  next.era = state.era;
+  next.record_at = {state.key_era, state.revision};
   next.record = state.record;
   predecessors_ = state.spends;
   for (const Incarnation& it : state.record.members) {
@@ -291,16 +420,23 @@
   }
   const auto self = state.spends.find(self_);
   if (self != state.spends.end()) {
-    next.spend_revision = self->second.revision;
+    next.spend_at = {self->second.key_era, self->second.revision};
     next.spend = self->second.spend;
     predecessors_.erase(self_);
   }
+  const bool declares = OnReadOfLaterEra(now, state);
+  if (declares && !IsDeclared(next)) return;
   // The account is as it was, so what was tried may still be done, or has been
   // done since the account was read.
-  const bool same =
-      confirmed_ && next.spend_revision == confirmed_->spend_revision;
+  const bool same = confirmed_ && next.era == confirmed_->era &&
+                    next.spend_at.key_era == confirmed_->spend_at.key_era &&
+                    next.spend_at.revision == confirmed_->spend_at.revision;
   if (same) {
-    return ReplaceRecord(now, next.revision, std::move(next.record));
+    return ReplaceRecord(now, next.record_at, std::move(next.record));
+  }
+  if (declares) {
+    found_.reset();
+    declared_at_ = now;
   }
   for (StoreView& it : unconfirmed_) {
     if (it.spend.sequence == next.spend.sequence) next.reported = it.reported;
@@ -308,10 +444,18 @@
   Confirm(now, std::move(next));
 }
 
+// A declaration whose answer was lost was done.
+bool PrepaidLedger::IsDeclared(const StoreView& view) const {
+  return std::any_of(
+      unconfirmed_.begin(), unconfirmed_.end(), [&](const StoreView& it) {
+        return it.era == view.era && it.spend.sequence == view.spend.sequence;
+      });
+}
+
 void PrepaidLedger::OnNewerRecord(Instant now, std::int64_t revision,
                                   const PrepaidRecord& record) {
-  if (!confirmed_) return;
-  ReplaceRecord(now, revision, record);
+  if (!confirmed_ || confirmed_->era != store_era_) return;
+  ReplaceRecord(now, {confirmed_->record_at.key_era, revision}, record);
   needs_read_ = false;
 }
 
@@ -325,11 +469,15 @@
   switch (outcome) {
     case PrepaidOutcome::kApplied: {
       StoreView applied = std::move(unconfirmed_.back());
-      applied.spend_revision = revision;
+      applied.spend_at.revision = revision;
       if (last_changed_record_) {
-        applied.revision = revision;
+        applied.record_at.revision = revision;
         predecessors_.clear();
       }
+      if (last_declares_) {
+        found_.reset();
+        declared_at_ = now;
+      }
       return Confirm(now, std::move(applied));
     }
     case PrepaidOutcome::kRejected:
--- a/prepaid/prepaid_ledger.h
+++ b/prepaid/prepaid_ledger.h
@@ -26,6 +26,15 @@
 // state compare the spend account's revision, so at most one of them is
 // applied; its sequence number tells which.
 //
+// A store that comes back from an older copy of itself, in a later era, may
+// lack grants that are being spent, and what was settled. This router's
+// allowance stays what it was. Its next write declares its part: the record
+// that it knew is merged into what the store has (prepaid/record_merge.h), and
+// its own part is set to what it has spent and may still spend. Nothing is
+// granted from the record before all members have done so, or were proven dead,
+// or `undeclared_time` is over; transfers go on meanwhile. Each era has keys of
+// its own (StoredAt), so that a late write of an earlier one changes nothing.
+//
 // Time alone never passes authority: nothing here reclaims a grant because its
 // holder has been silent (see prepaid/prepaid_record.h, Dead members).
 //
@@ -84,20 +93,31 @@
   PrepaidRecord record;
   // This router's account, if it has one, and those of its predecessors.
   std::map<Incarnation, StoredSpend> spends;
+  // As of `StoredAt`, of the record.
+  std::int64_t key_era = 0;
+  // The store's.
+  std::int64_t era = 0;
 };
 
 // Replaces this router's spend account, and the record if it is to change, if
 // all revisions are still the expected ones; 0: the key must not exist.
 struct PrepaidWrite {
-  std::int64_t expected_spend = 0;
+  // Of the store, that the revisions are of.
+  std::int64_t era = 0;
+  StoredAt expected_spend;
   PrepaidSpend spend;
   // The account is removed in place of being replaced.
   bool leaves = false;
   bool changes_record = false;
-  std::int64_t expected_record = 0;
+  StoredAt expected_record;
   PrepaidRecord record;
-  // Accounts to be removed, and their expected revisions.
-  std::map<Incarnation, std::int64_t> removes;
+  // Declares this router's part in a later era.
+  bool declares = false;
+  // The record and the account of an earlier era, to be removed.
+  std::optional<StoredAt> earlier_record;
+  std::optional<StoredAt> earlier_spend;
+  // Accounts of predecessors, to be removed.
+  std::map<Incarnation, StoredAt> removes;
   std::vector<ChargedPredecessor> charged;
 };
 
@@ -139,6 +159,8 @@
   void OnPeerSeen(const Incarnation& peer);
   void OnRead(Instant now, const PrepaidState& state);
   void OnReadFailed(Instant now);
+  // The store has named this era.
+  void OnStoreEra(std::int64_t era);
   std::optional<PrepaidWrite> NextWrite(Instant now);
   void OnWritten(Instant now, PrepaidOutcome outcome, std::int64_t revision);
   // After kRejected, the record that was shown, if the spend account was the
@@ -173,6 +195,15 @@
 
  private:
   bool StillWithheld(Instant now) const;
+  // What is idle in every state that the store may be in.
+  Tokens LeastIdle(const CustomerName& customer) const;
+  // Nothing may be granted from the record, as not all parts are declared.
+  bool AwaitsDeclarations(Instant now, const PrepaidRecord& record) const;
+  void NoteUndeclared(Instant now);
+  bool OnReadOfLaterEra(Instant now, const PrepaidState& state);
+  bool IsDeclared(const StoreView& view) const;
+  StoreView DeclaredView(PrepaidWrite& write) const;
+  void DeclareOwn(StoreView& view) const;
   bool CanEverHold(const CustomerName& customer, Tokens limit,
                    Tokens amount) const;
   bool RecordIsDue(Instant now) const;
@@ -184,7 +215,7 @@
   void Withhold(Instant now, StoreView& view) const;
   void MeasureSettling(Instant now, const PrepaidRecord& next);
   // The store has another record; this router's account is as it was.
-  void ReplaceRecord(Instant now, std::int64_t revision, PrepaidRecord record);
+  void ReplaceRecord(Instant now, StoredAt at, PrepaidRecord record);
   void Confirm(Instant now, StoreView view);
 
   Identity identity_;
@@ -199,10 +230,21 @@
   std::vector<StoreView> unconfirmed_;
   // Accounts of earlier incarnations of this VM, which are to be removed.
   std::map<Incarnation, StoredSpend> predecessors_;
+  // The latest that the store has named.
+  std::int64_t store_era_ = 0;
+  // What the store was found to have in an era in which this router, or nobody
+  // yet, has declared its part.
+  std::optional<PrepaidState> found_;
+  // When this router last declared its part.
+  std::optional<Instant> declared_at_;
+  // Since when undeclared members were seen, and in which era.
+  Instant undeclared_since_{};
+  std::int64_t undeclared_era_ = 0;
   std::uint64_t sequence_ = 0;
   bool in_flight_ = false;
-  // The write in flight changes the record too.
+  // The write in flight changes the record too, and declares.
   bool last_changed_record_ = false;
+  bool last_declares_ = false;
   bool needs_read_ = true;
   bool keeps_grants_ = false;
   bool joined_ = false;
--- a/prepaid/prepaid_policy.h
+++ b/prepaid/prepaid_policy.h
@@ -67,6 +67,17 @@
   // after a call that the store didn't answer. df506c1; not measured.
   Duration retry_after_failure = std::chrono::milliseconds(300);
 
+  // --- After the store came back from an older copy of itself ----------------
+
+  // Longest time for which nothing is granted while members haven't declared
+  // their parts. Beyond the usual freezes and cuts of a VM; one that is
+  // replaced is charged sooner. Not measured.
+  Duration undeclared_time = std::chrono::seconds(30);
+  // The same, at a router that has declared its own, for members that no record
+  // shows. Routers that reach the store see its era within a second. Not
+  // measured.
+  Duration declare_time = std::chrono::seconds(1);
+
   // --- Times of reads --------------------------------------------------------
 
   // Age at which the record is read anew. 1e7c5f4; not measured.
--- a/prepaid/prepaid_record.cc
+++ b/prepaid/prepaid_record.cc
@@ -28,7 +28,14 @@
 };
 
 // Places in the array of an entry.
-enum EntryPlace { kLimit, kVersion, kSettled, kGrants, kTransferred };
+enum EntryPlace {
+  kLimit,
+  kVersion,
+  kSettled,
+  kGrants,
+  kTransferred,
+  kContributed,  // absent in older records
+};
 
 Json EntryToJson(const PrepaidEntry& entry, NameTable& names) {
   Json grants = Json::array();
@@ -40,7 +47,13 @@
     moved.push_back(
         {names.NumberOf(pair.giver), names.NumberOf(pair.receiver), total});
   }
-  return {entry.limit, entry.limit_version, entry.settled, grants, moved};
+  Json contributed = Json::array();
+  for (const auto& [who, amount] : entry.contributed) {
+    if (amount != 0) contributed.push_back({names.NumberOf(who), amount});
+  }
+  Json out = {entry.limit, entry.limit_version, entry.settled, grants, moved};
+  if (!contributed.empty()) out.push_back(std::move(contributed));
+  return out;
 }
 
 // Throws Json::exception, also for a number that stands for nothing.
@@ -60,6 +73,10 @@
     const TransferPair pair{NameAt(names, it.at(0)), NameAt(names, it.at(1))};
     out.transferred[pair] = it.at(2).get<Tokens>();
   }
+  if (json.size() <= kContributed) return out;
+  for (const Json& it : json.at(kContributed)) {
+    out.contributed[NameAt(names, it.at(0))] = it.at(1).get<Tokens>();
+  }
   return out;
 }
 
@@ -72,6 +89,16 @@
   for (const Json& it : json.at("members")) {
     out.members.insert(NameAt(names, it));
   }
+  out.era = json.value("era", std::int64_t{0});
+  for (const Json& it : json.value("undeclared", Json::array())) {
+    out.undeclared.insert(NameAt(names, it));
+  }
+  for (const Json& it : json.value("gone", Json::array())) {
+    out.gone.push_back(NameAt(names, it));
+  }
+  for (const Json& it : json.value("writes", Json::array())) {
+    out.writes[NameAt(names, it.at(0))] = it.at(1).get<std::uint64_t>();
+  }
   return out;
 }
 
@@ -86,6 +113,7 @@
   out.sequence = json.at("sequence").get<std::uint64_t>();
   out.stamp_ms = json.at("stamp").get<std::int64_t>();
   out.boot = json.at("boot").get<std::string>();
+  out.era = json.value("era", std::int64_t{0});
   for (const auto& [name, it] : json.at("customers").items()) {
     out.customers[CustomerName(name)] = {it.at(0).get<Tokens>(),
                                          it.at(1).get<Tokens>()};
@@ -105,6 +133,8 @@
                                       const PrepaidSpend* unspent) {
   Tokens out = 0;
   members.erase(member);
+  undeclared.erase(member);
+  if (!IsGone(member)) gone.push_back(member);
   for (auto& [name, entry] : customers) {
     const auto grant = entry.grants.find(member);
     if (grant == entry.grants.end()) continue;
@@ -113,16 +143,27 @@
     // received; the giver's record of that transfer makes up for it.
     const Tokens charge = grant->second - returned;
     entry.settled += charge;
+    entry.contributed[member] += charge;
     out += charge;
     entry.grants.erase(grant);
   }
-  // Transfers between two that are both gone have no one left to record them.
+  Forget();
+  return out;
+}
+
+void PrepaidRecord::Forget() {
+  while (gone.size() > kMostGone) {
+    writes.erase(gone.front());
+    for (auto& [name, entry] : customers) {
+      entry.contributed.erase(gone.front());
+    }
+    gone.erase(gone.begin());
+  }
   for (auto& [name, entry] : customers) {
     std::erase_if(entry.transferred, [&](const auto& it) {
       return !HasMember(it.first.giver) && !HasMember(it.first.receiver);
     });
   }
-  return out;
 }
 
 void PrepaidRecord::RecordTransfer(const CustomerName& customer,
@@ -138,11 +179,13 @@
     entry.grants[pair.giver] -= amount;
   } else {
     entry.settled -= amount;
+    if (IsGone(pair.giver)) entry.contributed[pair.giver] -= amount;
   }
   if (HasMember(pair.receiver)) {
     entry.grants[pair.receiver] += amount;
   } else {
     entry.settled += amount;
+    if (IsGone(pair.receiver)) entry.contributed[pair.receiver] += amount;
   }
 }
 
@@ -156,9 +199,24 @@
   for (const Incarnation& it : record.members) {
     members.push_back(names.NumberOf(it));
   }
-  return ToCbor(Json{{"customers", customers},
-                     {"members", members},
-                     {"names", names.names()}});
+  Json undeclared = Json::array();
+  for (const Incarnation& it : record.undeclared) {
+    undeclared.push_back(names.NumberOf(it));
+  }
+  Json gone = Json::array();
+  for (const Incarnation& it : record.gone) gone.push_back(names.NumberOf(it));
+  Json writes = Json::array();
+  for (const auto& [who, number] : record.writes) {
+    writes.push_back({names.NumberOf(who), number});
+  }
+  Json out = {{"customers", customers}, {"members", members}};
+  // Of a store that names no eras, the record keeps the form it had before.
+  if (record.era != 0) out["era"] = record.era;
+  if (!undeclared.empty()) out["undeclared"] = std::move(undeclared);
+  if (!gone.empty()) out["gone"] = std::move(gone);
+  if (!writes.empty()) out["writes"] = std::move(writes);
+  out["names"] = names.names();
+  return ToCbor(out);
 }
 
 std::optional<PrepaidRecord> DecodePrepaid(std::string_view bytes) {
@@ -170,10 +228,12 @@
   for (const auto& [name, it] : spend.customers) {
     customers[name.value] = {it.spent, it.withheld};
   }
-  return ToCbor(Json{{"sequence", spend.sequence},
-                     {"stamp", spend.stamp_ms},
-                     {"boot", spend.boot},
-                     {"customers", customers}});
+  Json out = {{"sequence", spend.sequence},
+              {"stamp", spend.stamp_ms},
+              {"boot", spend.boot},
+              {"customers", customers}};
+  if (spend.era != 0) out["era"] = spend.era;
+  return ToCbor(out);
 }
 
 std::optional<PrepaidSpend> DecodeSpend(std::string_view bytes) {
--- a/prepaid/prepaid_record.h
+++ b/prepaid/prepaid_record.h
@@ -37,18 +37,30 @@
 // the clock only bounds what it did before. A cut from the store outlasts that
 // time, and then the whole grant may be spent.
 //
+// Eras. A store that comes back from an older copy of itself
+// (base/store_revision.h) has lost grants that are being spent, and spending
+// that was settled. Whoever knows of it writes it again: `MergeKnown`
+// (prepaid/record_merge.h) needs to know which of two records shows the later
+// part of each member, so the record has the number of each member's latest
+// write, what each has contributed to `settled`, and the members that are gone.
+// Members that haven't declared their part in the present era are `undeclared`;
+// until they have, nothing is granted (prepaid/prepaid_ledger.h).
+//
 // Owns the stored forms (CBOR). Units: tokens; milliseconds of the steady clock
 // in `stamp_ms`. Bytes that are something else decode to nothing.
 
 #ifndef QUAYTRACK_PREPAID_PREPAID_RECORD_H_
 #define QUAYTRACK_PREPAID_PREPAID_RECORD_H_
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/ids.h"
 
@@ -68,6 +80,9 @@
   Tokens settled = 0;
   std::map<Incarnation, Tokens> grants;
   std::map<TransferPair, Tokens> transferred;
+  // Of `settled`, what each member and each that is gone has spent or was
+  // charged; the rest is of those that are forgotten.
+  std::map<Incarnation, Tokens> contributed;
 
   Tokens Outstanding() const;
   // What may still be granted. Negative after a limit was lowered under use.
@@ -93,6 +108,8 @@
   // The machine's steady clock at that write, and which boot it counts from.
   std::int64_t stamp_ms = 0;
   std::string boot;
+  // The store's, as the writer knew it.
+  std::int64_t era = 0;
   std::map<CustomerName, PrepaidSpent> customers;
 
   bool operator==(const PrepaidSpend&) const = default;
@@ -102,8 +119,31 @@
   std::map<CustomerName, PrepaidEntry> customers;
   // The routers that keep grants.
   std::set<Incarnation> members;
+  // The store's era that it was written or restored in; 0 if the store names
+  // none.
+  std::int64_t era = 0;
+  // Members that haven't written in this era.
+  std::set<Incarnation> undeclared;
+  // Those that have left or were charged, the latest last; at most `kMostGone`.
+  std::vector<Incarnation> gone;
+  // Number of the latest write of the record by each member, and each that is
+  // gone.
+  std::map<Incarnation, std::uint64_t> writes;
+
+  // A copy is some seconds old; so many routers don't end in that time, but
+  // when all do at once, and then nobody is left who knows them.
+  static constexpr std::size_t kMostGone = 16;
 
   bool HasMember(const Incarnation& it) const { return members.contains(it); }
+  bool IsGone(const Incarnation& it) const {
+    return std::find(gone.begin(), gone.end(), it) != gone.end();
+  }
+  bool IsKnown(const Incarnation& it) const {
+    return HasMember(it) || IsGone(it);
+  }
+  // Forgets the oldest that are gone, beyond `kMostGone`, and transfers between
+  // two that are gone: no one is left to record them.
+  void Forget();
 
   // Charges the grants of a member that is dead or leaves, and removes it.
   // `unspent`: its spend account, if it is proven not to have touched what it
--- a/prepaid/record_change.cc
+++ b/prepaid/record_change.cc
@@ -42,6 +42,7 @@
       const PrepaidSpend& spend = stored->second.spend;
       charged.age_ms = StampMs(identity.started) - spend.stamp_ms;
       charged.withheld_unspent =
+          spend.era == record.era &&
           WithheldIsUnspent(identity, spend, charged.age_ms, withhold_time);
     }
     out.push_back(charged);
@@ -83,6 +84,7 @@
     PrepaidEntry& entry = view.record.customers[customer];
     entry.grants[self] -= it.spent;
     entry.settled += it.spent;
+    entry.contributed[self] += it.spent;
     it.spent = 0;
   }
 }
--- a/prepaid/record_change.h
+++ b/prepaid/record_change.h
@@ -59,7 +59,8 @@
 // since only one runs at a time. `accounts`: theirs, as far as the store has
 // them. A withheld part goes back if this process started within
 // `withhold_time` of its owner's last write, by the same clock of the same
-// boot; then its owner can't have touched it.
+// boot; then its owner can't have touched it. An account of an earlier era than
+// the record's proves nothing: a later write of it may be lost.
 std::vector<ChargedPredecessor> ChargePredecessors(
     const PrepaidIdentity& identity,
     const std::map<Incarnation, StoredSpend>& accounts, Duration withhold_time,
--- a/prepaid/store_view.cc
+++ b/prepaid/store_view.cc
@@ -30,6 +30,14 @@
   return it == entry.grants.end() ? 0 : it->second;
 }
 
+Tokens ContributedIn(const PrepaidRecord& record, const CustomerName& customer,
+                     const Incarnation& who) {
+  const auto found = record.customers.find(customer);
+  if (found == record.customers.end()) return 0;
+  const auto it = found->second.contributed.find(who);
+  return it == found->second.contributed.end() ? 0 : it->second;
+}
+
 Tokens RecordedIn(const PrepaidEntry& entry, const TransferPair& pair) {
   const auto it = entry.transferred.find(pair);
   return it == entry.transferred.end() ? 0 : it->second;
--- a/prepaid/store_view.h
+++ b/prepaid/store_view.h
@@ -32,15 +32,26 @@
 struct StoredSpend {
   std::int64_t revision = 0;
   PrepaidSpend spend;
+  // As of `StoredAt`.
+  std::int64_t key_era = 0;
+};
+
+// Where a record or an account stands. Each era has keys of its own, so that a
+// write that names those of an earlier era, and is done late, finds them gone.
+// The keys without an era (0) are those of before the first return.
+struct StoredAt {
+  std::int64_t key_era = 0;
+  // 0 if there is none.
+  std::int64_t revision = 0;
 };
 
 // A state that the store may be in: the record, and this router's account.
 struct StoreView {
-  // Of the record; 0 if there is none.
-  std::int64_t revision = 0;
+  // The store's.
+  std::int64_t era = 0;
+  StoredAt record_at;
   PrepaidRecord record;
-  // Of the account; 0 if there is none.
-  std::int64_t spend_revision = 0;
+  StoredAt spend_at;
   PrepaidSpend spend;
   // Spending that this state includes and the confirmed one doesn't.
   std::map<CustomerName, Tokens> reported;
@@ -77,6 +88,9 @@
 // Zeros if there are none.
 PrepaidSpent SpentIn(const PrepaidSpend& spend, const CustomerName& customer);
 Tokens GrantIn(const PrepaidEntry& entry, const Incarnation& self);
+// Of what is settled, the router's part.
+Tokens ContributedIn(const PrepaidRecord& record, const CustomerName& customer,
+                     const Incarnation& who);
 // The running total of a transfer that the record shows.
 Tokens RecordedIn(const PrepaidEntry& entry, const TransferPair& pair);
 
--- a/prepaid/testing/property_test.cc
+++ b/prepaid/testing/property_test.cc
@@ -6,10 +6,12 @@
 
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <memory>
 #include <random>
+#include <utility>
 #include <vector>
 
 #include "prepaid/prepaid_ledger.h"
@@ -25,8 +27,6 @@
 constexpr int kStepsPerKill = 80;
 constexpr int kStepsPerReturn = 60;
 constexpr Duration kOldestCopy = std::chrono::seconds(5);
-// No router dies for so long after the store came back.
-constexpr Duration kKnownToAll = std::chrono::seconds(10);
 const CustomerName kCustomer("clinic");
 
 struct Request {
@@ -75,8 +75,9 @@
       KeepCopy();
       if (handed_out_ > kLimit) return false;
       if (fault_ != Fault::kNone || store_ != Store::kLosesNothing) continue;
-      const auto entry = record_.customers.find(kCustomer);
-      if (entry == record_.customers.end()) continue;
+      const PrepaidRecord record = Latest().record;
+      const auto entry = record.customers.find(kCustomer);
+      if (entry == record.customers.end()) continue;
       RC_ASSERT(entry->second.Free() >= 0);
     }
     return true;
@@ -95,9 +96,10 @@
       now_ += milliseconds(100);
       for (Router& it : routers_) RunCycle(it, true);
     }
-    const PrepaidEntry& entry = record_.customers[kCustomer];
+    const PrepaidRecord record = Latest().record;
+    const PrepaidEntry& entry = record.customers.at(kCustomer);
     Tokens charged = entry.settled;
-    for (const auto& [who, stored] : spends_) {
+    for (const auto& [who, stored] : at_.spends) {
       const auto it = stored.spend.customers.find(kCustomer);
       if (it != stored.spend.customers.end()) charged += it->second.spent;
     }
@@ -126,18 +128,32 @@
     it.ledger->SetLimits(1, {{kCustomer, kLimit}});
   }
 
-  // What a store has.
-  struct Copy {
-    Instant taken{};
+  struct StoredRecord {
+    std::int64_t revision = 0;
     PrepaidRecord record;
-    std::int64_t record_revision = 0;
-    std::map<Incarnation, StoredSpend> spends;
+  };
+  // What a store has, by the eras of the keys.
+  struct Contents {
+    std::map<std::int64_t, StoredRecord> records;
+    std::map<std::pair<Incarnation, std::int64_t>, StoredSpend> spends;
+    // Of its latest change.
     std::int64_t revision = 0;
   };
+  struct Copy {
+    Instant taken{};
+    Contents contents;
+  };
+
+  std::int64_t LatestKey() const {
+    return at_.records.empty() ? 0 : at_.records.rbegin()->first;
+  }
+  StoredRecord Latest() const {
+    return at_.records.empty() ? StoredRecord() : at_.records.rbegin()->second;
+  }
 
   void KeepCopy() {
     if (store_ == Store::kLosesNothing) return;
-    copies_.push_back({now_, record_, record_revision_, spends_, revision_});
+    copies_.push_back({now_, at_});
     std::erase_if(copies_, [this](const Copy& it) {
       return it.taken < now_ - kOldestCopy;
     });
@@ -152,11 +168,9 @@
     }
     const Copy& copy = copies_[static_cast<std::size_t>(
         Draw(0, static_cast<int>(copies_.size()) - 1))];
-    record_ = copy.record;
-    record_revision_ = copy.record_revision;
-    spends_ = copy.spends;
-    revision_ = copy.revision + (Draw(0, 1) == 0 ? 0 : Draw(0, 20));
-    returned_ = now_;
+    at_ = copy.contents;
+    at_.revision += Draw(0, 1) == 0 ? 0 : Draw(0, 20);
+    ++era_;
     copies_.clear();
     KeepCopy();
   }
@@ -211,9 +225,18 @@
     it.running.erase(it.running.begin() + static_cast<std::ptrdiff_t>(at));
   }
 
+  // Nobody knows what one that dies before it has declared its part had.
+  bool AllHaveDeclared() const {
+    return std::all_of(
+        routers_.begin(), routers_.end(), [this](const auto& it) {
+          const PrepaidRecord* record = it.ledger->LatestRecord();
+          return era_ == 0 || (record != nullptr && record->era == era_);
+        });
+  }
+
   // A busy router dies soon after a write; what ran has been handed out.
   void Kill() {
-    if (now_ < returned_ + kKnownToAll) return;
+    if (!AllHaveDeclared()) return;
     const int vm = Draw(0, kVms - 1);
     Router& it = routers_[static_cast<std::size_t>(vm)];
     RunCycle(it, false);
@@ -275,17 +298,22 @@
       }
       return it.ledger->OnWritten(now_, PrepaidOutcome::kUnknown, 0);
     }
-    const auto spend = spends_.find(it.self);
-    const std::int64_t own =
-        spend == spends_.end() ? 0 : spend->second.revision;
-    const bool same_spend = own == write->expected_spend;
+    const bool same_spend = IsAt(it.self, write->expected_spend);
     const bool applied = Apply(it.self, *write);
-    it.ledger->OnWritten(
-        now_, applied ? PrepaidOutcome::kApplied : PrepaidOutcome::kRejected,
-        revision_);
-    const bool shown = write->changes_record && write->removes.empty();
-    if (!applied && same_spend && shown) {
-      it.ledger->OnNewerRecord(now_, record_revision_, record_);
+    // Its answer names the era.
+    const bool same_era = write->era == era_;
+    const PrepaidOutcome done =
+        same_era ? PrepaidOutcome::kApplied : PrepaidOutcome::kUnknown;
+    it.ledger->OnStoreEra(era_);
+    it.ledger->OnWritten(now_, applied ? done : PrepaidOutcome::kRejected,
+                         at_.revision);
+    const bool shown =
+        write->changes_record && write->removes.empty() && !write->declares;
+    const auto record = at_.records.find(write->expected_record.key_era);
+    if (!applied && same_era && same_spend && shown &&
+        record != at_.records.end()) {
+      it.ledger->OnNewerRecord(now_, record->second.revision,
+                               record->second.record);
     }
   }
 
@@ -293,39 +321,58 @@
   // done between.
   void Read(Router& it, bool calm) {
     PrepaidState state;
-    for (const auto& [who, stored] : spends_) {
-      if (VmOf(who) == VmOf(it.self)) state.spends[who] = stored;
+    for (const auto& [key, stored] : at_.spends) {
+      const auto& [who, key_era] = key;
+      if (VmOf(who) != VmOf(it.self)) continue;
+      state.spends[who] = stored;
+      state.spends[who].key_era = key_era;
     }
     if (!calm) {
       now_ += milliseconds(Draw(0, 400));
       ApplyLateWrites();
     }
-    state.revision = record_revision_;
-    state.record = record_;
+    state.era = era_;
+    state.key_era = LatestKey();
+    state.revision = Latest().revision;
+    state.record = Latest().record;
     it.ledger->OnRead(now_, state);
   }
 
   bool Holds(const Incarnation& self, const PrepaidWrite& write) const {
-    const auto revision = [&](const Incarnation& who) {
-      const auto it = spends_.find(who);
-      return it == spends_.end() ? 0 : it->second.revision;
-    };
-    if (revision(self) != write.expected_spend) return false;
+    if (!IsAt(self, write.expected_spend)) return false;
     if (!write.changes_record) return true;
     for (const auto& [dead, expected] : write.removes) {
-      if (revision(dead) != expected) return false;
+      if (!IsAt(dead, expected)) return false;
     }
-    return write.expected_record == record_revision_;
+    const auto& earlier = write.earlier_spend;
+    if (earlier && !IsAt(self, *earlier)) return false;
+    const auto& record = write.earlier_record;
+    return RecordIsAt(write.expected_record) &&
+           (!record || RecordIsAt(*record));
+  }
+  bool IsAt(const Incarnation& who, const StoredAt& at) const {
+    const auto it = at_.spends.find({who, at.key_era});
+    return (it == at_.spends.end() ? 0 : it->second.revision) == at.revision;
+  }
+  bool RecordIsAt(const StoredAt& at) const {
+    const auto it = at_.records.find(at.key_era);
+    return (it == at_.records.end() ? 0 : it->second.revision) == at.revision;
   }
 
   bool Apply(const Incarnation& self, const PrepaidWrite& write) {
     if (!Holds(self, write)) return false;
-    ++revision_;
-    spends_[self] = {revision_, write.spend};
+    ++at_.revision;
+    at_.spends[{self, write.expected_spend.key_era}] = {at_.revision,
+                                                        write.spend};
     if (!write.changes_record) return true;
-    record_ = write.record;
-    record_revision_ = revision_;
-    for (const auto& [dead, expected] : write.removes) spends_.erase(dead);
+    at_.records[write.expected_record.key_era] = {at_.revision, write.record};
+    for (const auto& [dead, it] : write.removes) {
+      at_.spends.erase({dead, it.key_era});
+    }
+    if (write.earlier_spend) {
+      at_.spends.erase({self, write.earlier_spend->key_era});
+    }
+    if (write.earlier_record) at_.records.erase(write.earlier_record->key_era);
     return true;
   }
 
@@ -338,11 +385,13 @@
 
   // Takes a member's grants because it has been silent, which it may survive.
   void ReclaimFrom(const Router& self) {
-    for (const auto& [name, stored] : spends_) {
+    for (const auto& [key, stored] : at_.spends) {
+      const Incarnation& name = key.first;
       const auto stamp = Instant(milliseconds(stored.spend.stamp_ms));
       if (name == self.self || now_ - stamp < milliseconds(2000)) continue;
-      record_.customers[kCustomer].grants[name] = 0;
-      record_revision_ = ++revision_;
+      StoredRecord& record = at_.records[LatestKey()];
+      record.record.customers[kCustomer].grants[name] = 0;
+      record.revision = ++at_.revision;
       return;
     }
   }
@@ -351,17 +400,12 @@
   Fault fault_;
   Store store_;
   std::vector<Copy> copies_;
-  // When the store last came back.
-  Instant returned_{};
+  std::int64_t era_ = 0;
   Instant now_{std::chrono::hours(1)};
   std::vector<Router> routers_;
   std::vector<Transfer> transfers_;
   std::vector<LateWrite> late_;
-  PrepaidRecord record_;
-  std::int64_t record_revision_ = 0;
-  std::map<Incarnation, StoredSpend> spends_;
-  // The store's, of its latest change.
-  std::int64_t revision_ = 0;
+  Contents at_;
   int incarnations_ = 0;
   Tokens handed_out_ = 0;
 };
--- a/prepaid/testing/record_writes_test.cc
+++ b/prepaid/testing/record_writes_test.cc
@@ -178,7 +178,8 @@
   void Finish(Holder& it) {
     const PrepaidWrite write = *it.write;
     it.write.reset();
-    if (write.changes_record && write.expected_record != record_revision_) {
+    if (write.changes_record &&
+        write.expected_record.revision != record_revision_) {
       ++rejected;
       it.ledger->OnWritten(now_, PrepaidOutcome::kRejected, 0);
       it.ledger->OnNewerRecord(now_, record_revision_, record_);
--- a/relay/budget_driver.h
+++ b/relay/budget_driver.h
@@ -73,6 +73,8 @@
   void Start();
   void SetConfig(const ServiceMap& map);
 
+  // The store has come back in a later era.
+  void OnStoreEra() { store_.OnStoreEra(); }
   // The list of routers may have made this one a holder.
   void TakePartIfHolder();
   // The list was read: requests that came before it go on.
--- a/relay/prepaid_store.cc
+++ b/relay/prepaid_store.cc
@@ -1,6 +1,8 @@
 #include "relay/prepaid_store.h"
 
 #include <algorithm>
+#include <charconv>
+#include <system_error>
 #include <utility>
 
 #include "base/log.h"
@@ -23,8 +25,37 @@
 constexpr int kRetryJitterMs = 8;
 constexpr int kLongestJitterMs = 128;
 
-std::string SpendKeyOf(const Incarnation& it) {
-  return kSpendPrefix + it.value;
+std::string KeyIn(std::int64_t era, const std::string& key) {
+  return era == 0 ? key : key + '/' + std::to_string(era);
+}
+
+std::string RecordKeyIn(std::int64_t era) { return KeyIn(era, kRecordKey); }
+
+std::string SpendKeyOf(const Incarnation& it, std::int64_t era) {
+  return KeyIn(era, kSpendPrefix + it.value);
+}
+
+// What a key is without its era, and that.
+struct EraKey {
+  std::string key;
+  std::int64_t era = 0;
+};
+
+// An era follows the last slash, if it is a number; `least` is where the key
+// begins that it follows.
+EraKey SplitKey(const std::string& key, std::size_t least) {
+  const std::size_t slash = key.rfind('/');
+  EraKey out{key, 0};
+  if (slash == std::string::npos || slash < least) return out;
+  const char* end = key.data() + key.size();
+  const auto [stop, error] =
+      std::from_chars(key.data() + slash + 1, end, out.era);
+  if (error == std::errc() && stop == end) {
+    out.key.resize(slash);
+  } else {
+    out.era = 0;
+  }
+  return out;
 }
 
 PrepaidOutcome OutcomeOf(StoreEnd end) {
@@ -61,6 +92,7 @@
 
 void PrepaidStore::RunCycle() {
   if (call_) return;
+  ledger_.OnStoreEra(store_.era());
   if (ledger_.NeedsRead(clock_.Now())) return ReadSpends();
   const auto write = ledger_.NextWrite(clock_.Now());
   if (!write) return;
@@ -92,14 +124,18 @@
     return ledger_.OnReadFailed(clock_.Now());
   }
   read_ = {};
+  read_.era = snapshot.revision.era;
   for (const StoreItem& it : snapshot.items) {
     const auto spend = DecodeSpend(it.value);
     if (!spend) {
       LogEvent(Event::kRecordRefused, {{"key", it.key}});
       continue;
     }
-    const Incarnation who(it.key.substr(sizeof kSpendPrefix - 1));
-    read_.spends[who] = {it.revision.number, *spend};
+    const std::size_t begin = sizeof kSpendPrefix - 1;
+    const EraKey key = SplitKey(it.key, begin);
+    StoredSpend& at = read_.spends[Incarnation(key.key.substr(begin))];
+    if (at.revision != 0 && at.key_era > key.era) continue;
+    at = {it.revision.number, *spend, key.era};
   }
   call_ = store_.Range(kRecordKey,
                        [this](const StoreSnapshot& it) { OnRecord(it); });
@@ -109,6 +145,8 @@
   call_.reset();
   SetReachable(snapshot.end == StoreEnd::kDone);
   const bool answered = snapshot.end == StoreEnd::kDone;
+  // The accounts that were read before it are of an era that is over.
+  if (answered && snapshot.revision.era != read_.era) return ReadSpends();
   if (!answered || !DecodeRecord(snapshot.items)) {
     return ledger_.OnReadFailed(clock_.Now());
   }
@@ -117,19 +155,21 @@
   RunCycleSoon();
 }
 
-// Fills the record of `read_`; false if it can't be decoded. It is left empty
-// if the store has none.
+// Fills the record of `read_`, the one of the latest era; false if one can't be
+// decoded. It is left empty if the store has none.
 bool PrepaidStore::DecodeRecord(const std::vector<StoreItem>& items) {
   for (const StoreItem& it : items) {
-    if (it.key != kRecordKey || it.revision.number == 0) continue;
+    const EraKey key = SplitKey(it.key, sizeof kRecordKey - 1);
+    if (key.key != kRecordKey || it.revision.number == 0) continue;
     const auto record = DecodePrepaid(it.value);
     if (!record) {
       LogEvent(Event::kRecordRefused, {{"key", it.key}});
       return false;
     }
+    if (read_.revision != 0 && read_.key_era > key.era) continue;
+    read_.key_era = key.era;
     read_.revision = it.revision.number;
     read_.record = *record;
-    return true;
   }
   return true;
 }
@@ -137,20 +177,35 @@
 // --- Writing -----------------------------------------------------------------
 
 StoreWrite PrepaidStore::ToStore(const PrepaidWrite& write) const {
-  const std::string own_key = SpendKeyOf(self_);
   StoreWrite out;
-  out.conditions.push_back({own_key, write.expected_spend});
-  if (write.leaves) {
+  const auto expect = [&](const std::string& key, std::int64_t revision) {
+    out.conditions.push_back({key, {write.era, revision}});
+  };
+  const auto remove = [&](const std::string& key, const StoredAt& at) {
+    expect(key, at.revision);
+    out.removes.push_back(key);
+  };
+  const std::string own_key = SpendKeyOf(self_, write.expected_spend.key_era);
+  expect(own_key, write.expected_spend.revision);
+  if (!write.leaves) {
+    out.puts.push_back({own_key, EncodeSpend(write.spend), {}});
+  } else if (write.expected_spend.revision != 0) {
     out.removes.push_back(own_key);
-  } else {
-    out.puts.push_back({own_key, EncodeSpend(write.spend), 0});
   }
   if (!write.changes_record) return out;
-  out.conditions.push_back({kRecordKey, write.expected_record});
-  out.puts.push_back({kRecordKey, EncodePrepaid(write.record), 0});
-  for (const auto& [dead, revision] : write.removes) {
-    out.conditions.push_back({SpendKeyOf(dead), revision});
-    out.removes.push_back(SpendKeyOf(dead));
+  const StoredAt& record = write.expected_record;
+  expect(RecordKeyIn(record.key_era), record.revision);
+  out.puts.push_back(
+      {RecordKeyIn(record.key_era), EncodePrepaid(write.record), {}});
+  for (const auto& [dead, at] : write.removes) {
+    remove(SpendKeyOf(dead, at.key_era), at);
+  }
+  if (write.earlier_record) {
+    remove(RecordKeyIn(write.earlier_record->key_era), *write.earlier_record);
+  }
+  if (write.earlier_spend) {
+    remove(SpendKeyOf(self_, write.earlier_spend->key_era),
+           *write.earlier_spend);
   }
   return out;
 }
@@ -165,6 +220,7 @@
   if (written.end == StoreEnd::kDone) {
     jitter_ms_ = kRetryJitterMs;
     LogCharged();
+    if (write_.declares) LogDeclared();
     LogWritten(written.revision.number);
     on_.ledger_changed();
   }
@@ -173,15 +229,19 @@
 // A rejected write comes with what the store has now. That spares a read if
 // only the record has changed, as it does whenever another router writes it.
 void PrepaidStore::OnRejected(const std::vector<StoreItem>& present) {
-  std::int64_t spend_revision = 0;
+  const std::string own_key = SpendKeyOf(self_, write_.expected_spend.key_era);
+  StoreRevision spend_revision(write_.era, 0);
   for (const StoreItem& it : present) {
-    if (it.key == SpendKeyOf(self_)) spend_revision = it.revision.number;
+    if (it.key == own_key) spend_revision = it.revision;
   }
+  const StoreRevision expected(write_.era, write_.expected_spend.revision);
   read_ = {};
-  const bool only_record = write_.changes_record &&
-                           spend_revision == write_.expected_spend &&
-                           write_.removes.empty();
-  if (only_record && DecodeRecord(present) && read_.revision > 0) {
+  const bool only_record = write_.changes_record && !write_.declares &&
+                           spend_revision == expected && write_.removes.empty();
+  const bool of_this_era =
+      !present.empty() && present.front().revision.era == write_.era;
+  if (only_record && of_this_era && DecodeRecord(present) &&
+      read_.revision > 0) {
     ledger_.OnNewerRecord(clock_.Now(), read_.revision, read_.record);
   }
   RunCycleSoon();
@@ -208,6 +268,15 @@
   }
 }
 
+void PrepaidStore::LogDeclared() const {
+  const PrepaidRecord& record = write_.record;
+  LogEvent(Event::kPrepaidDeclared,
+           {{"era", std::to_string(write_.era)},
+            {"restored", write_.earlier_record ? "yes" : "no"},
+            {"members", std::to_string(record.members.size())},
+            {"undeclared", std::to_string(record.undeclared.size())}});
+}
+
 void PrepaidStore::LogWritten(std::int64_t revision) const {
   if (!LogEnabled(Event::kPrepaidWritten)) return;
   for (const auto& [name, entry] : ledger_.LatestRecord()->customers) {
--- a/relay/prepaid_store.h
+++ b/relay/prepaid_store.h
@@ -15,6 +15,10 @@
 // Owns the store's two kinds of keys:
 //   quaytrack/prepaid               the record, of all routers
 //   quaytrack/spend/<incarnation>   the spend account of one router
+// After the store came back from an older copy of itself, "/" and the era
+// follow (StoredAt). What stands under the key of an earlier era is removed by
+// the write that replaces it; of what a late write leaves there, the latest era
+// counts.
 //
 // Errors. A value that can't be decoded is logged (record_refused) and is never
 // written over: without the record there is no grant. A lost and a regained
@@ -55,6 +59,8 @@
   void Start();
   void RunCycle();
   void RunCycleSoon();
+  // The store has come back in a later era.
+  void OnStoreEra() { RunCycleSoon(); }
   bool reachable() const { return reachable_; }
 
  private:
@@ -68,6 +74,7 @@
   void SetReachable(bool reachable);
   void LogCharged() const;
   void LogWritten(std::int64_t revision) const;
+  void LogDeclared() const;
 
   Loop& loop_;
   const Clock& clock_;
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -314,6 +314,7 @@
   targets_.feed().OnStoreEra();
   crashes_.OnStoreEra();
   fleet_.OnStoreEra();
+  budgets_.OnStoreEra();
 }
 
 void RelayRouter::OnFleetChanged() {
