A later era of the store is seen though it holds a wait

A revoked key was served for more than 2 s after the store had come back, once in four runs of resident_store_era_test: its counter had run past the number that a router waited from, so the wait was held without an answer, for up to 8 s. The first wait after a failed call lasts 100 ms now, as its answer names the era, and a router that sees a later era tells its peers at once, who read.

--- a/kv/follower.cc
+++ b/kv/follower.cc
@@ -15,6 +15,9 @@
 constexpr double kLeastJitter = 0.7;
 constexpr double kMostJitter = 1.3;
 
+// Of the first wait after a failed call. Not measured.
+constexpr Duration kPatienceAfterFailure = std::chrono::milliseconds(100);
+
 }  // namespace
 
 StoreFollower::StoreFollower(Loop& loop, KvStore& store, Options options,
@@ -36,7 +39,10 @@
 void StoreFollower::Wait() {
   if (paused_) return;
   waits_from_ = revision_;
-  call_ = store_.Wait(options_.prefix, revision_, options_.patience,
+  const Duration patience =
+      has_failed_ ? std::min(kPatienceAfterFailure, options_.patience)
+                  : options_.patience;
+  call_ = store_.Wait(options_.prefix, revision_, patience,
                       [this](const StoreChanges& it) { OnChanges(it); });
 }
 
@@ -141,6 +147,7 @@
 }
 
 void StoreFollower::SetReachable(bool reachable) {
+  has_failed_ = !reachable;
   if (reachable) retry_after_ = options_.retry_after;
   if (reachable == reachable_) return;
   reachable_ = reachable;
--- a/kv/follower.h
+++ b/kv/follower.h
@@ -28,7 +28,9 @@
 //
 // A store that comes back from an older copy of itself (kv/store.h) begins a
 // later era. What was known of the era before is then read anew, however the
-// numbers compare; `CheckEra` does so when another call has shown it.
+// numbers compare; `CheckEra` does so when another call has shown it. A wait
+// from a number that the later era has as well may be held without an answer,
+// so the first one after a failed call is short: its answer names the era.
 //
 // It owns its call and timer. Loop and store must outlive it. Revisions are the
 // store's (kv/store.h); times are of the loop.
@@ -139,6 +141,8 @@
   bool has_read_ = false;
   bool reachable_ = true;
   bool logged_older_ = false;
+  // A call has failed, and none was answered since.
+  bool has_failed_ = false;
   bool paused_ = false;
   // The pause after the next failure.
   Duration retry_after_;
--- a/kv/testing/follower_test.cc
+++ b/kv/testing/follower_test.cc
@@ -195,5 +195,33 @@
   BOOST_TEST(store.waits.started == 2U);
 }
 
+// Guards against a later era that isn't seen for long, as it holds a wait from
+// a number that it has as well.
+BOOST_AUTO_TEST_CASE(TheFirstWaitAfterAFailureIsShort) {
+  Loop loop;
+  ScriptedStore store;
+  StoreFollower::Options options;
+  options.prefix = "a/";
+  options.retry_after = milliseconds(1);
+  options.longest_retry = milliseconds(1);
+  StoreFollower::Handlers on;
+  on.replaced = [](const std::vector<StoreItem>&) {};
+  on.changed = [](const StoreChange&) {};
+  on.settled = [] {};
+  on.reachable = [](bool) {};
+  StoreFollower follower(loop, store, options, on);
+  follower.Start();
+  BOOST_TEST(store.AnswerRange("a/", {StoreEnd::kDone, {1, 5}, {}}));
+  BOOST_TEST((store.last_patience["a/"] == options.patience));
+  BOOST_TEST(store.AnswerWait("a/", {StoreEnd::kUnknown, false, {}, {}}));
+  RunFor(loop, milliseconds(20));
+  BOOST_TEST((store.last_patience["a/"] < milliseconds(200)));
+  // It shows the later era, so all is read anew.
+  BOOST_TEST(store.AnswerWait("a/", {StoreEnd::kDone, false, {2, 5}, {}}));
+  BOOST_TEST(store.AnswerRange("a/", {StoreEnd::kDone, {2, 5}, {}}));
+  BOOST_TEST(follower.revision() == StoreRevision(2, 5));
+  BOOST_TEST((store.last_patience["a/"] == options.patience));
+}
+
 }  // namespace
 }  // namespace quaytrack
--- a/relay/peer_messages.cc
+++ b/relay/peer_messages.cc
@@ -218,6 +218,7 @@
   out.keeps_budgets = json.value("keeps", false);
   out.targets_revision = {json.value("targets_era", std::int64_t{0}),
                           json.value("targets", std::int64_t{0})};
+  out.store_era = json.value("store_era", std::int64_t{0});
   out.engine_speeds = LinesFromJson(json.value("engines", Json()));
   out.size_class = json.value("size", 0);
   out.marks = MarksFromJson(json.value("marks", Json::object()));
@@ -262,6 +263,7 @@
       json["targets_era"] = message.targets_revision.era;
     }
   }
+  if (message.store_era != 0) json["store_era"] = message.store_era;
   for (const auto& [service, line] : message.engine_speeds) {
     json["engines"][service.value] = LineToJson(line);
   }
--- a/relay/peer_messages.h
+++ b/relay/peer_messages.h
@@ -113,6 +113,8 @@
   bool keeps_budgets = false;
   // Revision of the latest change of the list of targets that the sender knows.
   StoreRevision targets_revision;
+  // kHello, kPing: the latest era of the store that the sender has seen.
+  std::int64_t store_era = 0;
   // kHello, kPing: how fast the engines of each service prefill, as the sender
   // has learned it.
   std::map<ServiceName, SpeedLine> engine_speeds;
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -1,5 +1,7 @@
 #include "relay/relay_router.h"
 
+#include <algorithm>
+
 #include <cstdio>
 #include <fstream>
 #include <utility>
@@ -315,6 +317,7 @@
   crashes_.OnStoreEra();
   fleet_.OnStoreEra();
   budgets_.OnStoreEra();
+  peers_.BroadcastSignOfLife();
 }
 
 void RelayRouter::OnFleetChanged() {
@@ -349,6 +352,7 @@
   if (message.kind == PeerMessageKind::kPromptSent) {
     return placement_.OnPeerSent(clock_.Now(), message.target, message.amount);
   }
+  HeedStoreEra(message);
   HeedRateLimits(message);
   placement_.SetPeerSpeeds(message.engine_speeds);
   budgets_.OnPeer(message);
@@ -364,6 +368,13 @@
   if (targets_.OnSaysLeaving(target)) peers_.BroadcastSignOfLife();
 }
 
+// The answer to a read shows the era to all who need to know.
+void RelayRouter::HeedStoreEra(const PeerMessage& message) {
+  if (message.store_era <= std::max(store_.era(), told_era_)) return;
+  told_era_ = message.store_era;
+  configs_.feed().AskFor({message.store_era, 0});
+}
+
 void RelayRouter::HeedRateLimits(const PeerMessage& message) {
   const auto changed =
       placement_.OnRateReports(clock_.Now(), message.rate_limits);
@@ -403,6 +414,7 @@
 
 void RelayRouter::FillSignOfLife(PeerMessage& message) {
   message.config_version = configs_.version();
+  message.store_era = store_.era();
   message.halls = configs_.halls().states();
   message.targets_revision = targets_.revision();
   message.leaving = targets_.registry().said_leaving();
--- a/relay/relay_router.h
+++ b/relay/relay_router.h
@@ -102,6 +102,7 @@
   void TellPeers(const SentPrompt& sent);
   void CountRouters(const PeerMessage& message);
   void OnSaysLeaving(const TargetEntry& target);
+  void HeedStoreEra(const PeerMessage& message);
   void HeedRateLimits(const PeerMessage& message);
   void TellRateLimits();
   void FillSignOfLife(PeerMessage& message);
@@ -138,6 +139,8 @@
   LinkMonitor link_;
   std::unique_ptr<Timer> check_timer_;
   bool announced_ready_ = false;
+  // The latest era of the store that a peer has named.
+  std::int64_t told_era_ = 0;
 };
 
 }  // namespace quaytrack
--- a/relay/testing/peer_messages_test.cc
+++ b/relay/testing/peer_messages_test.cc
@@ -225,6 +225,7 @@
   PeerMessage it;
   it.kind = PeerMessageKind::kNews;
   it.targets_revision = {3, 12};
+  it.store_era = 3;
   it.marks[FeedName::kTargets] = {{3, 12}, {}};
   it.halls[HallName("h")] = {{3, 5}, true};
   it.news.feed = FeedName::kTargets;
@@ -234,6 +235,7 @@
   const auto out = DecodePeerMessage(EncodePeerMessage(it));
   BOOST_REQUIRE(out.has_value());
   BOOST_TEST(out->targets_revision == it.targets_revision);
+  BOOST_TEST(out->store_era == 3);
   BOOST_TEST(out->marks.at(FeedName::kTargets).revision == it.targets_revision);
   BOOST_TEST(out->halls.at(HallName("h")).revision == StoreRevision(3, 5));
   BOOST_TEST(out->news.since == it.news.since);
