--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -1,7 +1,6 @@
 #include "relay/relay_router.h"
 
 #include <algorithm>
-
 #include <cstdio>
 #include <fstream>
 #include <utility>
