Parts of dead and unseen routers outlive a store that comes back older

Two causes: a router that found its own write of the earlier era in the copy took the record of that write, and forgot what others had written since; and a router that had joined since the copy, and was then cut off, was in no record that the others knew, so that nobody waited for it. Now the records are merged in the first case, and peers that say they keep grants are awaited in the second.

The model has these deaths and the signs of life between peers now.

--- a/prepaid/prepaid_ledger.cc
+++ b/prepaid/prepaid_ledger.cc
@@ -281,6 +281,8 @@
     const bool done = it.spend.sequence == self->second.spend.sequence;
     if (!done || it.era == state.era) continue;
     StoreView view = it;
+    // Others may have written since it was made.
+    MergeKnown(confirmed_->record, view.record);
     Confirm(now, std::move(view));
     return true;
   }
@@ -300,6 +302,7 @@
     out.record.era = found_->era;
     out.record.undeclared = out.record.members;
   }
+  AwaitPeers(out.record);
   out.spend_at = {found_->era, 0};
   const auto self = found_->spends.find(self_);
   if (self != found_->spends.end()) {
@@ -314,6 +317,15 @@
   return out;
 }
 
+// A peer that joined since the copy may be in no record that is known here.
+void PrepaidLedger::AwaitPeers(PrepaidRecord& record) const {
+  for (const auto& [vm, it] : peers_) {
+    if (record.IsKnown(it)) continue;
+    record.members.insert(it);
+    record.undeclared.insert(it);
+  }
+}
+
 // Sets this router's part to what it has reported as spent, and to what it may
 // still spend in every state that the store may have been in.
 void PrepaidLedger::DeclareOwn(StoreView& view) const {
@@ -400,6 +412,7 @@
 }
 
 void PrepaidLedger::OnPeerSeen(const Incarnation& peer) {
+  peers_[VmOf(peer)] = peer;
   if (confirmed_ && joined_ && !confirmed_->record.HasMember(peer)) {
     needs_read_ = true;
   }
--- a/prepaid/prepaid_ledger.h
+++ b/prepaid/prepaid_ledger.h
@@ -203,6 +203,7 @@
   bool OnReadOfLaterEra(Instant now, const PrepaidState& state);
   bool IsDeclared(const StoreView& view) const;
   StoreView DeclaredView(PrepaidWrite& write) const;
+  void AwaitPeers(PrepaidRecord& record) const;
   void DeclareOwn(StoreView& view) const;
   bool CanEverHold(const CustomerName& customer, Tokens limit,
                    Tokens amount) const;
@@ -232,6 +233,8 @@
   std::map<Incarnation, StoredSpend> predecessors_;
   // The latest that the store has named.
   std::int64_t store_era_ = 0;
+  // Routers that keep grants, as far as their messages have come.
+  std::map<VmName, Incarnation> peers_;
   // What the store was found to have in an era in which this router, or nobody
   // yet, has declared its part.
   std::optional<PrepaidState> found_;
--- a/prepaid/testing/property_test.cc
+++ b/prepaid/testing/property_test.cc
@@ -26,6 +26,8 @@
 constexpr int kSteps = 2500;
 constexpr int kStepsPerKill = 80;
 constexpr int kStepsPerReturn = 60;
+// Routers that don't die while any has yet to declare its part.
+constexpr int kStaying = 2;
 constexpr Duration kOldestCopy = std::chrono::seconds(5);
 const CustomerName kCustomer("clinic");
 
@@ -176,6 +178,7 @@
   }
 
   void Step() {
+    SeeAPeer();
     // Rare enough that budgets are used up by requests and not by charges.
     if (Draw(0, kStepsPerKill) == 0) return Kill();
     switch (Draw(1, 11)) {
@@ -198,6 +201,13 @@
     }
   }
 
+  // Links between routers stay up; a sign of life says who keeps grants.
+  void SeeAPeer() {
+    Router& from = Any();
+    Router& to = Any();
+    if (from.self != to.self) to.ledger->OnPeerSeen(from.self);
+  }
+
   void Start() { StartAt(Any()); }
 
   void StartAt(Router& it) {
@@ -225,7 +235,26 @@
     it.running.erase(it.running.begin() + static_cast<std::ptrdiff_t>(at));
   }
 
-  // Nobody knows what one that dies before it has declared its part had.
+  // Whether what a router has is known to one that stays until all have
+  // declared their parts. If not, nobody knows what it had when it dies.
+  bool IsKnownElsewhere(int vm) const {
+    if (vm >= kVms - kStaying) return false;
+    const Router& dying = routers_[static_cast<std::size_t>(vm)];
+    const std::uint64_t latest = WriteNumber(dying, dying.self);
+    for (int n = kVms - kStaying; n < kVms; ++n) {
+      const Router& it = routers_[static_cast<std::size_t>(n)];
+      if (WriteNumber(it, dying.self) >= latest) return true;
+    }
+    return false;
+  }
+  // Of the member's latest write that a router knows; 0 if it knows none.
+  static std::uint64_t WriteNumber(const Router& router,
+                                   const Incarnation& member) {
+    const PrepaidRecord* record = router.ledger->LatestRecord();
+    if (record == nullptr) return 0;
+    const auto it = record->writes.find(member);
+    return it == record->writes.end() ? 0 : it->second;
+  }
   bool AllHaveDeclared() const {
     return std::all_of(
         routers_.begin(), routers_.end(), [this](const auto& it) {
@@ -236,8 +265,8 @@
 
   // A busy router dies soon after a write; what ran has been handed out.
   void Kill() {
-    if (!AllHaveDeclared()) return;
     const int vm = Draw(0, kVms - 1);
+    if (!AllHaveDeclared() && !IsKnownElsewhere(vm)) return;
     Router& it = routers_[static_cast<std::size_t>(vm)];
     RunCycle(it, false);
     for (int n = Draw(0, 8); n > 0; --n) StartAt(it);
