The ledger's declarations end in one place, and one test says which part is later

last_declares_ repeated what found_ says: nothing is read while a write is under way, so found_ is there at its end exactly if the write declares. What follows a declaration that is done stood twice, after its answer and after a read that shows it. The merge asked which of two records is later by two functions that were mirror images, and nested them; it asks by one now. Behaviour is as it was; prepaid_property_test, prepaid_ledger_test and prepaid_record_merge_test pass unchanged.

--- a/prepaid/prepaid_ledger.cc
+++ b/prepaid/prepaid_ledger.cc
@@ -191,7 +191,6 @@
   unconfirmed_.push_back(std::move(next));
   in_flight_ = true;
   last_changed_record_ = changes_record;
-  last_declares_ = out.declares;
   earlier_write_ = std::exchange(last_write_, now);
   earlier_stamp_ = std::exchange(stamp_, now);
   return out;
@@ -317,6 +316,11 @@
   return out;
 }
 
+void PrepaidLedger::OnDeclared(Instant now) {
+  found_.reset();
+  declared_at_ = now;
+}
+
 // A peer that joined since the copy may be in no record that is known here.
 void PrepaidLedger::AwaitPeers(PrepaidRecord& record) const {
   for (const auto& [vm, it] : peers_) {
@@ -447,10 +451,7 @@
   if (same) {
     return ReplaceRecord(now, next.record_at, std::move(next.record));
   }
-  if (declares) {
-    found_.reset();
-    declared_at_ = now;
-  }
+  if (declares) OnDeclared(now);
   for (StoreView& it : unconfirmed_) {
     if (it.spend.sequence == next.spend.sequence) next.reported = it.reported;
   }
@@ -487,10 +488,7 @@
         applied.record_at.revision = revision;
         predecessors_.clear();
       }
-      if (last_declares_) {
-        found_.reset();
-        declared_at_ = now;
-      }
+      if (found_) OnDeclared(now);
       return Confirm(now, std::move(applied));
     }
     case PrepaidOutcome::kRejected:
--- a/prepaid/prepaid_ledger.h
+++ b/prepaid/prepaid_ledger.h
@@ -205,6 +205,7 @@
   StoreView DeclaredView(PrepaidWrite& write) const;
   void AwaitPeers(PrepaidRecord& record) const;
   void DeclareOwn(StoreView& view) const;
+  void OnDeclared(Instant now);
   bool CanEverHold(const CustomerName& customer, Tokens limit,
                    Tokens amount) const;
   bool RecordIsDue(Instant now) const;
@@ -235,8 +236,8 @@
   std::int64_t store_era_ = 0;
   // Routers that keep grants, as far as their messages have come.
   std::map<VmName, Incarnation> peers_;
-  // What the store was found to have in an era in which this router, or nobody
-  // yet, has declared its part.
+  // What the store was found to have in an era in which this router has yet to
+  // declare its part. Stays until a declaration is known to be done.
   std::optional<PrepaidState> found_;
   // When this router last declared its part.
   std::optional<Instant> declared_at_;
@@ -245,9 +246,8 @@
   std::int64_t undeclared_era_ = 0;
   std::uint64_t sequence_ = 0;
   bool in_flight_ = false;
-  // The write in flight changes the record too, and declares.
+  // The write in flight changes the record too.
   bool last_changed_record_ = false;
-  bool last_declares_ = false;
   bool needs_read_ = true;
   bool keeps_grants_ = false;
   bool joined_ = false;
--- a/prepaid/record_merge.cc
+++ b/prepaid/record_merge.cc
@@ -78,7 +78,7 @@
       if (IsGone(it)) {
         part.contributed = TotalOfGone(it, a, b) + received;
       } else {
-        part = PartOf(IsLaterInB(it) ? b : a, it);
+        part = PartOf(IsLater(b_, a_, it) ? b : a, it);
         part.drawn += received;
       }
       out.settled += part.contributed;
@@ -89,25 +89,22 @@
   }
 
  private:
-  bool IsLaterInB(const Incarnation& it) const {
-    if (!a_.IsKnown(it) || !b_.IsKnown(it)) return b_.IsKnown(it);
-    return ValueIn(b_.writes, it) > ValueIn(a_.writes, it);
+  // Whether `x` shows a later part of a router than `y` does.
+  static bool IsLater(const PrepaidRecord& x, const PrepaidRecord& y,
+                      const Incarnation& it) {
+    if (!x.IsKnown(it) || !y.IsKnown(it)) return x.IsKnown(it);
+    return ValueIn(x.writes, it) > ValueIn(y.writes, it);
   }
 
+  // It was charged what the record shows that has it as gone, unless the other
+  // has a later part.
   Tokens TotalOfGone(const Incarnation& it, const PrepaidEntry& a,
                      const PrepaidEntry& b) const {
     const Tokens in_a = PartOf(a, it).total();
     const Tokens in_b = PartOf(b, it).total();
-    if (a_.IsGone(it) == b_.IsGone(it)) return std::max(in_a, in_b);
-    const bool gone_in_a = a_.IsGone(it);
-    const bool other_is_later = gone_in_a ? b_.IsKnown(it) && IsLaterInB(it)
-                                          : a_.IsKnown(it) && IsLaterInA(it);
-    if (other_is_later) return std::max(in_a, in_b);
-    return gone_in_a ? in_a : in_b;
-  }
-
-  bool IsLaterInA(const Incarnation& it) const {
-    return ValueIn(a_.writes, it) > ValueIn(b_.writes, it);
+    if (!b_.IsGone(it) && !IsLater(b_, a_, it)) return in_a;
+    if (!a_.IsGone(it) && !IsLater(a_, b_, it)) return in_b;
+    return std::max(in_a, in_b);
   }
 
   const PrepaidRecord& a_;
