Routers that start in a large fleet have the list of targets from its readers

Callers saw, on the whole fleet (985 routers, 10,000 targets): nothing was in force when traffic began, and a quarter of the requests was refused.

Cause: each router read the whole list of targets from the store when it started, and then each change of it: some 3.7 MB for each of 985, 3.6 GB through a link of 125 MB/s, while 10,000 targets entered themselves and the operator's configuration waited behind them.

Change: after the first reading of the list of routers, a router of a large fleet waits for a reader's list, and reads the store's after 1 s and a random part of 20 ms for each router of the fleet, if no reader has begun to send it. Readers take their role with that first reading. In a small fleet the list is read from the store as before, some milliseconds later.

--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -102,8 +102,10 @@
       link_(loop, clock, settings.link_mbps) {
   fleet_.OnChanged([this] { OnFleetChanged(); });
   fleet_.OnFirstRead([this] {
+    const FleetDirectory& directory = fleet_.directory();
     budgets_.OnFleetRead();
-    crashes_.Start(!fleet_.directory().IsSmall());
+    targets_.Start(directory.IsSmall() ? 0 : directory.size());
+    crashes_.Start(!directory.IsSmall());
   });
   store_.OnNewEra([this] { loop_.Post([this] { OnStoreEra(); }); });
   budgets_.SetHandlers(BudgetHandlers());
@@ -158,7 +160,6 @@
     CheckLink();
   });
   configs_.Start();
-  targets_.Start();
   fleet_.Start();
   budgets_.Start();
 }
@@ -323,11 +324,19 @@
   const FleetDirectory& directory = fleet_.directory();
   retries_.SetRouters(directory.size());
   peers_.KeepLinksTo(directory.MembersToLink());
+  SetFeedRoles();
   if (!fleet_.settled()) return;
   placement_.SetPlaces([this](const TargetStart& it) {
     return fleet_.directory().PlaceFor(it.value);
   });
   budgets_.TakePartIfHolder();
+}
+
+// By the first reading of the list already: a reader too many costs some calls
+// until the list has settled, and without readers nobody has a list of targets.
+void RelayRouter::SetFeedRoles() {
+  const FleetDirectory& directory = fleet_.directory();
+  if (!directory.IsRead()) return;
   const bool reads = directory.IsReader(directory.self().vm);
   for (StateFeed* it : Feeds()) it->SetRole(reads, directory.readers());
 }
--- a/relay/relay_router.h
+++ b/relay/relay_router.h
@@ -97,6 +97,7 @@
   void OnStoreReachable(bool reachable);
   void OnStoreEra();
   void OnFleetChanged();
+  void SetFeedRoles();
   void OnConfigAdopted();
   void OnPeerMessage(const PeerMessage& message);
   void TellPeers(const SentPrompt& sent);
--- a/relay/target_follower.cc
+++ b/relay/target_follower.cc
@@ -1,9 +1,11 @@
 #include "relay/target_follower.h"
 
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
 
+#include "base/jitter.h"
 #include "base/log.h"
 #include "relay/own_wait.h"
 #include "relay/read_item.h"
@@ -25,6 +27,14 @@
 // the grown site's quiet-1 to second 22 became 4,124.
 constexpr Duration kTargetSpacing = std::chrono::milliseconds(400);
 
+// How long a router that starts waits for a reader to send the list. In a fleet
+// whose readers are all away, routers then read the store's, spread so that one
+// of them begins in each `kBetweenReadings` on average: a list is some
+// megabytes in a large fleet, and targets and operators use the same store.
+// Neither is measured.
+constexpr Duration kReadersSendWithin = std::chrono::milliseconds(1000);
+constexpr Duration kBetweenReadings = std::chrono::milliseconds(20);
+
 void LogLeaving(const TargetEntry& entry, const char* told_by) {
   LogEvent(Event::kTargetLeaving,
            {{"target", entry.name.value},
@@ -53,6 +63,13 @@
       feed_(context, {FeedName::kTargets, FollowerOptions(reader)},
             StoreHandlers(), on_.feed) {}
 
+void TargetFollower::Start(std::size_t routers) {
+  if (routers == 0) return feed_.Start();
+  std::minstd_rand random{std::random_device{}()};
+  const Duration spread = kBetweenReadings * static_cast<long>(routers);
+  feed_.StartFromReaders(kReadersSendWithin + DrawPart(random, spread, 0, 1));
+}
+
 StateFeed::Handlers TargetFollower::StoreHandlers() {
   StateFeed::Handlers on;
   on.replaced = [this](const std::vector<StoreItem>& items) { Replace(items); };
--- a/relay/target_follower.h
+++ b/relay/target_follower.h
@@ -84,7 +84,9 @@
   TargetFollower(const FeedContext& context, const SharedStateReader& reader,
                  Handlers handlers);
 
-  void Start() { feed_.Start(); }
+  // Once the list of routers was read: `routers` is their number in a fleet
+  // that has readers, who then send the list, and 0 in another.
+  void Start(std::size_t routers);
   void OnPeer(const PeerMessage& message);
   // The target has said in an answer that it leaves. Returns whether that is
   // new.
--- a/relay/testing/target_follower_test.cc
+++ b/relay/testing/target_follower_test.cc
@@ -32,7 +32,7 @@
   Fixture()
       : follower({loop, clock, store, TheFeedChart()}, reader,
                  {[this] { ++changes; }, [](bool) {}}) {
-    follower.Start();
+    follower.Start(0);
     BOOST_TEST(store.AnswerRange(
         "t/",
         {StoreEnd::kDone, 2, {{"t/a", "ready", 1}, {"t/b", "ready", 2}}}));
