The list of routers is read once by most, and spread over a time that grows

Change: who knows as many routers as a reader does needs no second reading to settle, and all but the readers spread a reading over 4 us for each pair of routers: 40 ms at 100, 3.9 s at 985, 16 s at 2,000. Together they take at most 64 MB/s in a fleet of any size (relay_fleet_driver_test).

--- a/relay/fleet_driver.cc
+++ b/relay/fleet_driver.cc
@@ -21,8 +21,8 @@
 // The longest where readers say how many routers there are: it only has to show
 // an entry that another has replaced. Not measured.
 constexpr Duration kLongestWhenTold = milliseconds(60000);
-// Least time between two reads because of a number, and the time within which
-// all that hear of it read. Not measured.
+// Least time between two reads because of a number, and the time after which
+// those that hear of it begin to. Not measured.
 constexpr Duration kBetweenCounts = milliseconds(5000);
 constexpr Duration kCountRead = milliseconds(500);
 // From a call that failed to the next try. Not measured.
@@ -78,11 +78,24 @@
   if (settles) settled_ = true;
   if (changed || settles) changed_();
   if (first_read_) std::exchange(first_read_, nullptr)();
-  RunLater(interval_, &FleetDriver::ReadEntries);
+  RunLater(interval_ + DrawSpread(), &FleetDriver::ReadEntries);
   interval_ = std::min(interval_ * 2, longest_interval_);
 }
 
+Duration FleetDriver::DrawSpread() {
+  const bool reads = directory_.IsReader(directory_.self().vm);
+  if (reads || directory_.IsSmall()) return Duration::zero();
+  return DrawPart(random_, ReadingSpread(directory_.size()), 0, 1);
+}
+
+void FleetDriver::Settle() {
+  settled_ = true;
+  changed_();
+}
+
 void FleetDriver::OnReaderCounts(std::size_t routers) {
+  const bool agrees = directory_.IsRead() && routers == directory_.size();
+  if (!settled_ && agrees) Settle();
   if (!settled_) return;
   longest_interval_ = kLongestWhenTold;
   if (interval_ < longest_interval_ && !call_) {
@@ -96,7 +109,7 @@
   if (recent_timer_ || call_) return;
   recent_timer_ =
       loop_.After(kBetweenCounts, [this] { recent_timer_.reset(); });
-  RunLater(kCountRead, &FleetDriver::ReadEntries);
+  RunLater(kCountRead + DrawSpread(), &FleetDriver::ReadEntries);
 }
 
 // This router's own entry may be that of an earlier run, at another address.
--- a/relay/fleet_driver.h
+++ b/relay/fleet_driver.h
@@ -17,8 +17,13 @@
 // harm (fleet/fleet.h says why). In a large fleet the readers (fleet/fleet.h)
 // poll; they say with each sign of life how many routers they know, and the
 // others read the list only where they know another number, or after a long
-// time. Nothing removes an entry; a VM that is gone
-// for good stays in the list (docs/FINDINGS.md).
+// time. One that knows the number that a reader knows needs no second reading
+// to settle. Nothing removes an entry; a VM that is gone for good stays in the
+// list (docs/FINDINGS.md).
+//
+// The list grows with the fleet, and so do those that read it. So all but the
+// readers spread a reading over a time that grows with both (`ReadingSpread`):
+// together they take the same part of the store's link in a fleet of any size.
 //
 // A store that comes back from an older copy of itself may lack this router's
 // entry, or have that of an earlier run; the entry is then written again.
@@ -46,6 +51,11 @@
 
 class FleetDriver {
  public:
+  // Over how long all routers of a fleet spread one reading of the list each.
+  static constexpr Duration ReadingSpread(std::size_t routers) {
+    return std::chrono::microseconds(4) * static_cast<long>(routers * routers);
+  }
+
   FleetDriver(Loop& loop, KvStore& store, FleetMember self,
               FleetOptions options);
 
@@ -79,6 +89,9 @@
   void OnSnapshot(const StoreSnapshot& snapshot);
   std::vector<FleetMember> OthersIn(const StoreSnapshot& snapshot) const;
   void ReadSoon();
+  void Settle();
+  // Nothing for a reader, or in a small fleet.
+  Duration DrawSpread();
   // Runs `step` after `delay`, more or less.
   void RunLater(Duration delay, void (FleetDriver::*step)());
 
--- a/relay/testing/fleet_driver_test.cc
+++ b/relay/testing/fleet_driver_test.cc
@@ -99,6 +99,38 @@
   BOOST_TEST(reads == 1);
 }
 
+// Each of 985 routers read the list twice when it started, and again together
+// whenever the number changed: 240 MB each time, through the store's link.
+BOOST_FIXTURE_TEST_CASE(AReadersNumberSettlesTheListWithoutAReading, Fixture) {
+  AnswerWrite(StoreEnd::kDone);
+  AnswerRead(StoreEnd::kDone, {Member("vm-2")});
+  driver.OnReaderCounts(3);
+  BOOST_TEST(!driver.settled());
+  driver.OnReaderCounts(2);
+  BOOST_TEST(driver.settled());
+  const auto reads = store.ranges.started;
+  RunFor(loop, kReadAgain);
+  BOOST_TEST(store.ranges.started == reads);
+}
+
+BOOST_FIXTURE_TEST_CASE(BeforeTheListWasReadANumberSettlesNothing, Fixture) {
+  driver.OnReaderCounts(1);
+  BOOST_TEST(!driver.settled());
+}
+
+// An entry is about 250 bytes in the store's answer.
+BOOST_AUTO_TEST_CASE(ReadingsTakeTheSamePartOfALinkInAnyFleet) {
+  constexpr double kEntryBytes = 250;
+  constexpr double kMostBytesPerS = 64e6;
+  for (const std::size_t routers : {30U, 100U, 300U, 985U, 2000U, 4000U}) {
+    const auto n = static_cast<double>(routers);
+    const double seconds = ToSeconds(FleetDriver::ReadingSpread(routers));
+    BOOST_TEST(n * n * kEntryBytes / seconds <= kMostBytesPerS);
+  }
+  // In fleets of usual sizes nobody waits for it.
+  BOOST_TEST((FleetDriver::ReadingSpread(100) <= milliseconds(50)));
+}
+
 // Whoever is told how many routers there are reads the list only where it knows
 // another number.
 BOOST_FIXTURE_TEST_CASE(AnotherNumberOfRoutersIsReadUp, Fixture) {
