Requests whose route or customer is bound to regions stay in these

Callers saw: nothing yet, as the configurations in use name no regions; a request of a route that does ran at whichever target was cheapest.

Cause: no part of the product read the regions.

Change: a request carries the regions that its route and its customer both allow from its admission on. One predicate of the placement looks at them, with closed halls and leaving targets: at the first choice, at the preferred target of its prompt's parts, at each retry and continued stream, and once more before the first byte. Which region a hall is in is a setting. Without a common region, or without a target that takes work there, the request is refused at once with 503 outside_residency, not run. Regions that can't be read allow none, with a line in the log, and hold up nothing else in the configuration.

Why it works: everything that sends asks the same predicate, and a request keeps the configuration under which it was admitted.

--- a/base/events.h
+++ b/base/events.h
@@ -61,6 +61,7 @@
   kConfigTaken = 1203,
   kItemRefused = 1204,
   kRecordRefused = 1205,
+  kFieldRefused = 1206,
   // 13xx: targets.
   kTargetLeaving = 1301,
   kTargetFailed = 1302,
@@ -143,6 +144,7 @@
     {Event::kRecordRefused, LogLevel::kError, "record_refused"},
     {Event::kTargetLeaving, LogLevel::kInfo, "target_leaving"},
     {Event::kTargetFailed, LogLevel::kWarn, "target_failed"},
+    {Event::kFieldRefused, LogLevel::kWarn, "field_refused"},
     {Event::kBreakerOpened, LogLevel::kWarn, "breaker_opened"},
     {Event::kUsageMissing, LogLevel::kWarn, "usage_missing"},
     {Event::kUsageTooLarge, LogLevel::kWarn, "usage_too_large"},
--- a/base/ids.h
+++ b/base/ids.h
@@ -40,6 +40,8 @@
 using HallName = Id<struct HallTag>;
 using VmName = Id<struct VmTag>;
 using RequestId = Id<struct RequestTag>;
+// Halls that are near each other; see base/residency.h.
+using RegionName = Id<struct RegionTag>;
 // By which a caller's request is known again (relay/fingerprint.h).
 using Fingerprint = Id<struct FingerprintTag>;
 // The caller's Idempotency-Key header.
--- a/config/service_map.h
+++ b/config/service_map.h
@@ -30,6 +30,7 @@
 
 #include "base/enum_table.h"
 #include "base/ids.h"
+#include "base/residency.h"
 
 namespace quaytrack {
 
@@ -76,6 +77,8 @@
   bool resumable = false;
   // The longest pause between events of a stream that is in time.
   std::chrono::milliseconds target_gap{0};
+  // Where its requests may be processed.
+  Residency residency;
 
   // A request may be run again although an attempt may have run.
   bool Repeatable() const {
@@ -106,6 +109,8 @@
   // Tokens that the customer may get in all, prompts and answers together;
   // negative if it has no budget to keep to.
   Tokens prepaid = -1;
+  // Where its requests may be processed; the route's binds as well.
+  Residency residency;
 };
 
 // What a caller may send, and how long it may take.
--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -103,6 +103,7 @@
       state = State{};
     }
     state.entry = entry;
+    state.region = regions_.RegionOf(entry.hall);
     if (is_new || restarted) Begin(now, entry, state);
     state.hall_closed = closed_halls_.contains(entry.hall);
     if (told) state.warmth.OnCold(now, entry.cold_for, ColdSign::kEntry);
@@ -292,35 +293,43 @@
   return state != nullptr && TakesWork(*state);
 }
 
-bool Placement::MayStillSend(Instant now, const PlacementChoice& choice) const {
+bool Placement::MayStillSend(Instant now, const PlacementChoice& choice,
+                             const PlacementRequest& request) const {
   const State* state = Find(choice.target);
-  if (state == nullptr || !TakesWork(*state)) return false;
+  if (state == nullptr || !IsEligible(*state, request)) return false;
   if (now < state->pause_until) return false;
   if (IsCold(now, *state) && !choice.is_cold) return false;
   return !state->limit_per_s || choice.is_limited;
 }
 
-bool Placement::HasCold(Instant now, const ServiceName& service) const {
+bool Placement::HasCold(Instant now, const PlacementRequest& request) const {
   return std::any_of(targets_.begin(), targets_.end(), [&](const auto& it) {
     const State& state = it.second;
-    return state.entry.service == service && TakesWork(state) &&
-           IsCold(now, state);
+    return IsEligible(state, request) && IsCold(now, state);
   });
 }
 
-bool Placement::HasLimited(Instant now, const ServiceName& service) const {
+bool Placement::HasLimited(Instant now, const PlacementRequest& request) const {
   return std::any_of(targets_.begin(), targets_.end(), [&](const auto& it) {
     const State& state = it.second;
-    return state.entry.service == service && TakesWork(state) &&
+    return IsEligible(state, request) &&
            (state.limit_per_s || now < state.pause_until);
   });
 }
 
-bool Placement::IsClosedOff(const ServiceName& service) const {
+bool Placement::IsClosedOff(const PlacementRequest& request) const {
   return std::any_of(targets_.begin(), targets_.end(), [&](const auto& it) {
     const State& state = it.second;
-    return state.entry.service == service && !state.entry.leaving &&
-           state.hall_closed;
+    return state.entry.service == request.service && !state.entry.leaving &&
+           request.residency.Allows(state.region) && state.hall_closed;
+  });
+}
+
+bool Placement::IsOutsideResidency(const PlacementRequest& request) const {
+  return std::any_of(targets_.begin(), targets_.end(), [&](const auto& it) {
+    const State& state = it.second;
+    return state.entry.service == request.service && TakesWork(state) &&
+           !request.residency.Allows(state.region);
   });
 }
 
@@ -338,8 +347,7 @@
   const State* out = nullptr;
   std::uint64_t best = 0;
   for (const auto& [name, state] : targets_) {
-    const TargetEntry& entry = state.entry;
-    if (entry.service != request.service || !TakesWork(state)) continue;
+    if (!IsEligible(state, request)) continue;
     if (IsCold(now, state) || !MaySend(now, state)) continue;
     const std::uint64_t weight = RendezvousWeight(name.value, key);
     if (out != nullptr && weight <= best) continue;
@@ -389,8 +397,7 @@
   const State* best = nullptr;
   Merit best_merit;
   for (const auto& [name, state] : targets_) {
-    const TargetEntry& entry = state.entry;
-    if (entry.service != request.service || !TakesWork(state)) continue;
+    if (!IsEligible(state, request)) continue;
     if (request.tried.contains(name)) continue;
     if (!MaySend(now, state)) continue;
     const Merit merit{state.health.IsEjected(now), !IsDue(now, state),
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -9,7 +9,8 @@
 //   placement.OnEnded(now, name, 0, PlacementOutcome::kGood);
 //
 // The rule. Targets that may get no work (`TakesWork`: they are leaving, or
-// their hall is closed) and those that had the request before are out. So are
+// their hall is closed), those in a region where the request may not be
+// processed (base/residency.h) and those that had it before are out. So are
 // those that have asked this router for a pause (dispatch/back_off.h), and so
 // are cold ones and those that have named a rate limit
 // (dispatch/rate_limits.h), unless this router may send there
@@ -83,6 +84,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "base/residency.h"
 #include "dispatch/back_off.h"
 #include "dispatch/outlier_ejection.h"
 #include "dispatch/prefill_speed.h"
@@ -90,6 +92,7 @@
 #include "dispatch/rate_limits.h"
 #include "dispatch/shared_rate.h"
 #include "dispatch/target_warmth.h"
+#include "fleet/hall_regions.h"
 #include "fleet/target_registry.h"
 
 namespace quaytrack {
@@ -115,6 +118,8 @@
   Tokens prompt_tokens = 0;
   // The longest pause between events of an answer in time; no limit if 0.
   Duration pause_limit{};
+  // Where it may be processed.
+  Residency residency;
   // Targets that must not be chosen, as they have had the request.
   std::set<TargetName> tried;
 
@@ -146,8 +151,11 @@
 class Placement {
  public:
   // `hall` is the one that this router is in.
-  explicit Placement(HallName hall, PlacementRates rates = {})
-      : hall_(std::move(hall)), rates_(std::move(rates)) {}
+  explicit Placement(HallName hall, PlacementRates rates = {},
+                     HallRegions regions = {})
+      : hall_(std::move(hall)),
+        regions_(std::move(regions)),
+        rates_(std::move(rates)) {}
 
   // What is known of a target that stays is kept; of one that has started again
   // nothing is, but that it is cold. `now` is when `entries` were read.
@@ -175,7 +183,8 @@
   bool IsOpenToWork(const TargetEntry& target) const;
   // Whether a request may still be sent as it was chosen: asked again just
   // before its bytes are written, if it had to wait for its connection.
-  bool MayStillSend(Instant now, const PlacementChoice& choice) const;
+  bool MayStillSend(Instant now, const PlacementChoice& choice,
+                    const PlacementRequest& request) const;
 
   // Whether it is there as that start. What a request learns of another one,
   // which has ended, says nothing of it.
@@ -186,14 +195,15 @@
   std::optional<PlacementChoice> Choose(Instant now,
                                         const PlacementRequest& request) const;
 
-  // Whether some target of the service may get work and is cold.
-  bool HasCold(Instant now, const ServiceName& service) const;
-  // Whether some target of the service may get work, and has a rate limit or
-  // has asked for a pause.
-  bool HasLimited(Instant now, const ServiceName& service) const;
-  // Whether some target of the service would get work if its hall weren't
-  // closed.
-  bool IsClosedOff(const ServiceName& service) const;
+  // Why there is no choice. Whether some target could get the request, and is
+  // cold.
+  bool HasCold(Instant now, const PlacementRequest& request) const;
+  // The same, and has a rate limit or has asked for a pause.
+  bool HasLimited(Instant now, const PlacementRequest& request) const;
+  // Whether some target could get the request if its hall weren't closed.
+  bool IsClosedOff(const PlacementRequest& request) const;
+  // The same if the request were not bound to regions.
+  bool IsOutsideResidency(const PlacementRequest& request) const;
 
   // Returns the tokens that the target is expected to prefill for the request;
   // 0 for services other than engines. `is_preferred` is as `Choose` found it.
@@ -257,6 +267,8 @@
   // One target, as this router knows it.
   struct State {
     TargetEntry entry;
+    // Of its hall; empty if it isn't known.
+    RegionName region;
     bool hall_closed = false;
     TargetWarmth warmth;
     // As `ColdChanges` last told.
@@ -292,6 +304,11 @@
   static bool TakesWork(const State& state) {
     return !state.entry.leaving && !state.hall_closed;
   }
+  // Whether the request could ever go there, as things are.
+  static bool IsEligible(const State& state, const PlacementRequest& request) {
+    return state.entry.service == request.service && TakesWork(state) &&
+           request.residency.Allows(state.region);
+  }
   // Null if the target isn't listed as that start.
   const State* Find(const TargetEntry& target) const;
   bool IsCold(Instant now, const State& state) const;
@@ -319,6 +336,7 @@
                                const PlacementRequest& request) const;
 
   HallName hall_;
+  HallRegions regions_;
   std::set<HallName> closed_halls_;
   std::map<TargetName, State> targets_;
   std::map<ServiceName, ColdRule> cold_rules_;
--- a/dispatch/testing/limited_fleet_test.cc
+++ b/dispatch/testing/limited_fleet_test.cc
@@ -66,6 +66,8 @@
   double lost = 0.1;
   // Routers that are down, from the first of a target's order on.
   int down = 0;
+  // Part of the requests that are bound to one region.
+  double bound = 0;
   Duration time = seconds(30);
   // By target; those without phases name no limit.
   std::map<int, std::vector<Phase>> phases;
@@ -76,6 +78,7 @@
   int router = 0;
   int life = 0;
   TargetEntry target;
+  Residency residency;
   Instant sent_at{};
   Instant arrives{};
   Instant answered{};
@@ -90,7 +93,8 @@
 
 class World {
  public:
-  World(std::uint32_t seed, Spec spec) : random_(seed), spec_(std::move(spec)) {
+  World(std::uint32_t seed, Spec spec)
+      : random_(seed), residency_random_(seed), spec_(std::move(spec)) {
     targets_ = Targets(kEngines, spec_.targets);
     for (auto& [name, entry] : targets_) entry.start = TargetStart(name.value);
     for (int n = 0; n < spec_.routers; ++n) members_.push_back(Member(n));
@@ -143,6 +147,8 @@
     }
     return out;
   }
+  // Requests that reached a target where they may not be processed.
+  int astray() const { return astray_; }
   int asked() const { return asked_; }
   int refused() const { return refused_; }
   // What one target got since then.
@@ -189,7 +195,8 @@
     it.list->MarkRead();
     it.placement = std::make_unique<Placement>(
         members_[static_cast<std::size_t>(n)].hall,
-        PlacementRates{SharedRate(now, {}), SharedRate(now, kAllowance)});
+        PlacementRates{SharedRate(now, {}), SharedRate(now, kAllowance)},
+        regions_);
     const FleetDirectory& list = *it.list;
     it.placement->SetPlaces([&list](const TargetStart& target) {
       return list.PlaceFor(target.value);
@@ -281,9 +288,17 @@
   void AskAt(int n) {
     Router& it = routers_[static_cast<std::size_t>(n)];
     const std::uint64_t shared = Part() < 0.7 ? 7 : random_() % 40;
-    const PlacementRequest request = Prompt(shared, 1000 + random_());
+    PlacementRequest request = Prompt(shared, 1000 + random_());
+    request.residency = DrawResidency();
     Send(n, it, request, 0);
   }
+  // Draws of its own, so that the others stay as they are.
+  Residency DrawResidency() {
+    std::uniform_real_distribution<double> part(0, 1);
+    if (part(residency_random_) >= spec_.bound) return {};
+    const bool north = part(residency_random_) < 0.5;
+    return Residency({RegionName(north ? "north" : "south")});
+  }
 
   void Send(int n, Router& it, const PlacementRequest& request, int held_back) {
     const auto choice = it.placement->Choose(now_, request);
@@ -297,6 +312,7 @@
     call.router = n;
     call.life = it.life;
     call.target = choice->target;
+    call.residency = request.residency;
     call.sent_at = now_;
     call.arrives = now_ + milliseconds(2);
     const bool opens = Part() < 0.3;
@@ -315,6 +331,8 @@
     const bool counts =
         told != it.told_at.end() && call.arrives - told->second >= kToldFor;
     arrivals_[call.target.name.value].push_back({call.arrives, counts});
+    const RegionName region = regions_.RegionOf(call.target.hall);
+    astray_ += call.residency.Allows(region) ? 0 : 1;
     running_.push_back(std::move(call));
   }
 
@@ -362,7 +380,7 @@
   void Open(const Waiting& it) {
     Router& router = routers_[static_cast<std::size_t>(it.call.router)];
     if (router.life != it.call.life) return;
-    if (router.placement->MayStillSend(now_, it.choice)) {
+    if (router.placement->MayStillSend(now_, it.choice, it.request)) {
       InFlight call = it.call;
       call.answered += now_ - call.arrives;
       call.arrives = now_;
@@ -406,7 +424,10 @@
   }
 
   std::mt19937 random_;
+  std::mt19937 residency_random_;
   Spec spec_;
+  const HallRegions regions_ =
+      *HallRegions::Parse("hall-0=north,hall-1=north,hall-2=south");
   std::map<TargetName, TargetEntry> targets_;
   std::vector<FleetMember> members_;
   std::vector<Router> routers_;
@@ -422,6 +443,7 @@
   Instant now_{};
   int asked_ = 0;
   int refused_ = 0;
+  int astray_ = 0;
 };
 
 constexpr std::uint32_t kDraws = 12;
@@ -431,6 +453,7 @@
   double worst = -kSlack;
   int asked = 0;
   int refused = 0;
+  int astray = 0;
 };
 
 Figures Play(const Spec& spec) {
@@ -443,6 +466,7 @@
     out.broken += excess > 0 ? 1 : 0;
     out.asked += it.asked();
     out.refused += it.refused();
+    out.astray += it.astray();
   }
   BOOST_TEST_MESSAGE("worst excess " << out.worst << ", broken in "
                                      << out.broken << " of " << kDraws << ", "
@@ -501,6 +525,22 @@
   BOOST_TEST(Play(spec).broken == 0);
 }
 
+// Requests that are bound to regions leave fewer targets to choose from, and
+// must neither pass a limit nor leave their region for it.
+BOOST_AUTO_TEST_CASE(ALimitHoldsForRequestsThatAreBoundToRegions) {
+  for (const int routers : {7, 74}) {
+    for (const int limited : {2, 8, 12}) {
+      Spec spec = WithLimit(routers, 12, limited, 1);
+      spec.requests_per_s = std::max(46.0, 2.0 * routers);
+      spec.bound = 0.6;
+      const Figures it = Play(spec);
+      BOOST_TEST(it.broken == 0, routers << " routers, " << limited);
+      BOOST_TEST(it.astray == 0);
+      BOOST_TEST((limited == 12 || it.refused == 0));
+    }
+  }
+}
+
 // Nobody can tell another router anything; each goes by its own answers.
 BOOST_AUTO_TEST_CASE(ALimitHoldsWithoutMessages) {
   Spec spec = WithLimit(7, 12, 2, 1);
--- a/dispatch/testing/placement_open_test.cc
+++ b/dispatch/testing/placement_open_test.cc
@@ -38,14 +38,14 @@
 BOOST_AUTO_TEST_CASE(WithAllHallsClosedThereIsNoTarget) {
   Placement it(HallName("hall-0"));
   it.SetTargets(kStart, Targets(kDesk, 3));
-  BOOST_TEST(!it.IsClosedOff(kDesk));
-  it.SetClosedHalls(
-      kStart, {HallName("hall-0"), HallName("hall-1"), HallName("hall-2")});
   PlacementRequest request;
   request.service = kDesk;
+  BOOST_TEST(!it.IsClosedOff(request));
+  it.SetClosedHalls(
+      kStart, {HallName("hall-0"), HallName("hall-1"), HallName("hall-2")});
   BOOST_TEST(!it.Choose(kStart, request).has_value());
-  BOOST_TEST(it.IsClosedOff(kDesk));
-  BOOST_TEST(!it.IsClosedOff(kEngines));
+  BOOST_TEST(it.IsClosedOff(request));
+  BOOST_TEST(!it.IsClosedOff(Prompt(7, 1)));
 }
 
 BOOST_AUTO_TEST_CASE(WhatIsLeavingOrAnotherStartMayGetNoWork) {
@@ -133,7 +133,7 @@
   // 6.6 x 1.5 + 5 over four routers that may act at once.
   for (const auto& [name, n] : Send(kStart, 100)) BOOST_TEST(n == 3);
   BOOST_TEST(!it.Choose(kStart, Prompt(7, 1)).has_value());
-  BOOST_TEST(it.HasCold(kStart, kEngines));
+  BOOST_TEST(it.HasCold(kStart, Prompt(7, 1)));
   BOOST_TEST(Send(kStart + milliseconds(1300), 100).size() == 4U);
 }
 
@@ -145,9 +145,9 @@
   it.OnEnded(kStart, lost, 0, PlacementOutcome::kFailed);
   BOOST_TEST(!Send(kStart + milliseconds(1), 40).contains(lost));
   // Another answer that it had begun before shows that it lives.
-  BOOST_TEST(it.HasCold(kStart + milliseconds(500), kEngines));
+  BOOST_TEST(it.HasCold(kStart + milliseconds(500), Prompt(7, 1)));
   it.OnAlive(kStart + milliseconds(500), lost, kStart - milliseconds(1));
-  BOOST_TEST(!it.HasCold(kStart + milliseconds(500), kEngines));
+  BOOST_TEST(!it.HasCold(kStart + milliseconds(500), Prompt(7, 1)));
 }
 
 BOOST_FIXTURE_TEST_CASE(AHallThatOpensAgainIsCold, NoOwnerFixture) {
@@ -168,10 +168,10 @@
 // It became cold while the request waited for its connection.
 BOOST_FIXTURE_TEST_CASE(WhatWasChosenWarmIsntSentToAColdTarget, ColdFixture) {
   const auto choice = it.Choose(kStart, Prompt(7, 1));
-  BOOST_TEST(it.MayStillSend(kStart, *choice));
+  BOOST_TEST(it.MayStillSend(kStart, *choice, Prompt(7, 1)));
   targets.at(choice->target.name).cold_for = std::chrono::seconds(3);
   it.SetTargets(kStart, targets);
-  BOOST_TEST(!it.MayStillSend(kStart, *choice));
+  BOOST_TEST(!it.MayStillSend(kStart, *choice, Prompt(7, 1)));
 }
 
 BOOST_FIXTURE_TEST_CASE(WithoutARuleColdTargetsAreLikeOthers, NoOwnerFixture) {
@@ -179,7 +179,7 @@
   const TargetName cold = Preferred();
   StartAgain(cold, kStart);
   BOOST_TEST(Send(kStart, 40).contains(cold));
-  BOOST_TEST(!it.HasCold(kStart, kEngines));
+  BOOST_TEST(!it.HasCold(kStart, Prompt(7, 1)));
 }
 
 // An entry that is read again, unchanged, says nothing new.
@@ -249,7 +249,7 @@
   // Another one is preferred for its parts meanwhile.
   BOOST_TEST(it.Choose(kStart, Prompt(7, 1))->is_preferred);
   BOOST_TEST(!Send(kStart, 40).contains(limited));
-  BOOST_TEST(it.HasLimited(kStart, kEngines));
+  BOOST_TEST(it.HasLimited(kStart, Prompt(7, 1)));
 }
 
 // The owners are down: the next in the order sends one request.
@@ -267,10 +267,10 @@
                         LimitFixture) {
   const auto choice = it.Choose(kStart, Prompt(7, 1));
   it.OnRate(kStart, choice->target.start, kStart, Names(1));
-  BOOST_TEST(!it.MayStillSend(kStart, *choice));
+  BOOST_TEST(!it.MayStillSend(kStart, *choice, Prompt(7, 1)));
   const auto counted = it.Choose(kStart, Prompt(7, 1));
   BOOST_TEST(counted->is_limited);
-  BOOST_TEST(it.MayStillSend(kStart, *counted));
+  BOOST_TEST(it.MayStillSend(kStart, *counted, Prompt(7, 1)));
 }
 
 // An entry that lapses and comes back doesn't end the limit.
@@ -289,7 +289,7 @@
   const TargetName paused = Preferred();
   const auto choice = it.Choose(kStart, Prompt(7, 1));
   it.OnBackOff(kStart, StartOf(paused), milliseconds(2000));
-  BOOST_TEST(!it.MayStillSend(kStart, *choice));
+  BOOST_TEST(!it.MayStillSend(kStart, *choice, Prompt(7, 1)));
   // A shorter pause ends none that was asked for before.
   it.OnBackOff(kStart + milliseconds(500), StartOf(paused), milliseconds(100));
   BOOST_TEST(!Send(kStart + milliseconds(1999), 40).contains(paused));
@@ -301,8 +301,8 @@
     it.OnBackOff(kStart, entry.start, milliseconds(2000));
   }
   BOOST_TEST(!it.Choose(kStart, Prompt(7, 1)).has_value());
-  BOOST_TEST(it.HasLimited(kStart, kEngines));
-  BOOST_TEST(!it.HasLimited(kStart + milliseconds(2000), kEngines));
+  BOOST_TEST(it.HasLimited(kStart, Prompt(7, 1)));
+  BOOST_TEST(!it.HasLimited(kStart + milliseconds(2000), Prompt(7, 1)));
 }
 
 BOOST_FIXTURE_TEST_CASE(APauseOutlastsItsTargetsEntry, LimitFixture) {
--- /dev/null
+++ b/fleet/hall_regions.h
@@ -0,0 +1,38 @@
+// HallRegions: which region each hall is in, by the settings.
+//
+//   const auto regions = HallRegions::Parse("a-1=a,a-2=a,b-1=b");
+//   regions->RegionOf(HallName("a-2"));     // RegionName("a")
+//
+// A hall that the settings don't name is in no known region, and nothing that
+// is bound to regions may go there.
+
+#ifndef QUAYTRACK_FLEET_HALL_REGIONS_H_
+#define QUAYTRACK_FLEET_HALL_REGIONS_H_
+
+#include <map>
+#include <optional>
+#include <string_view>
+
+#include "base/ids.h"
+
+namespace quaytrack {
+
+class HallRegions {
+ public:
+  // Entries "hall=region" with commas between them; empty for none. Nothing if
+  // an entry lacks a name, or a hall is named twice.
+  static std::optional<HallRegions> Parse(std::string_view text);
+
+  // Empty if it isn't known.
+  RegionName RegionOf(const HallName& hall) const {
+    const auto it = regions_.find(hall);
+    return it == regions_.end() ? RegionName() : it->second;
+  }
+
+ private:
+  std::map<HallName, RegionName> regions_;
+};
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_FLEET_HALL_REGIONS_H_
--- a/relay/admission.cc
+++ b/relay/admission.cc
@@ -24,6 +24,7 @@
   if (customer == nullptr) return false;
   out.customer = customer->name;
   out.customer_priority = customer->priority;
+  out.placement.residency = customer->residency;
   return true;
 }
 
@@ -49,6 +50,8 @@
   const ServiceName& name = PickService(*out.route, input.draw);
   out.service = map.FindService(name);
   if (out.service == nullptr) return RelayCause::kNoTarget;
+  out.placement.residency = out.placement.residency.And(out.route->residency);
+  if (out.placement.residency.IsNowhere()) return RelayCause::kOutsideResidency;
   out.deadline = DeadlineOf(input.request, out);
   if (out.deadline > input.latest_deadline) return RelayCause::kStopped;
   out.placement.service = name;
--- a/relay/admission.h
+++ b/relay/admission.h
@@ -11,7 +11,8 @@
 //   3. a route takes its host and path;
 //   4. its key is known, where the route needs one;
 //   5. the service that the route sends it to is configured;
-//   6. a planned stop, if there is one, leaves it the time until its deadline:
+//   6. route and customer allow some region in common (base/residency.h);
+//   7. a planned stop, if there is one, leaves it the time until its deadline:
 //      what a stop cuts is lost, what it refuses can go to another router.
 //
 // Inputs are the configuration in force, the request, one random number and the
--- a/relay/final_answer.cc
+++ b/relay/final_answer.cc
@@ -24,9 +24,9 @@
 // had a moment later either.
 constexpr Duration kWhenGranted = milliseconds(1000);
 
-// Operators close halls for some seconds at least, and nobody says for how
-// long.
-constexpr Duration kWhenHallsOpen = milliseconds(2000);
+// Operators close halls and bind requests to regions for some seconds at least,
+// and nobody says for how long.
+constexpr Duration kWhenOperatorsChange = milliseconds(2000);
 
 // Another router can take it at once, if the balancer has one. A longer wait
 // would make the answer late for certain, to spare some callers another refusal
@@ -57,6 +57,7 @@
     case RelayCause::kTargetsCold:
     case RelayCause::kTargetsLimited:
     case RelayCause::kHallsClosed:
+    case RelayCause::kOutsideResidency:
     case RelayCause::kTurnedAway:
     case RelayCause::kCrashesTargets:
       return 503;
@@ -88,7 +89,8 @@
     case RelayCause::kBudgetUnavailable:
       return kWhenGranted;
     case RelayCause::kHallsClosed:
-      return kWhenHallsOpen;
+    case RelayCause::kOutsideResidency:
+      return kWhenOperatorsChange;
     case RelayCause::kStopped:
       return kWhenElsewhere;
     case RelayCause::kCrashesTargets:
--- a/relay/final_answer.h
+++ b/relay/final_answer.h
@@ -42,8 +42,9 @@
   kTargetsCold,     // they have just started, and bear no more for now
   kTargetsLimited,  // they have named rate limits, which allow no more for now
   kHallsClosed,     // operators have closed the halls of all its targets
-  kTurnedAway,      // no attempt has run, and no further one is allowed
-  kTargetFailed,    // may have run
+  kOutsideResidency,  // it may be processed in no region that has a target
+  kTurnedAway,        // no attempt has run, and no further one is allowed
+  kTargetFailed,      // may have run
   kTimedOut,
   kStreamBroke,
   kCallerGone,
@@ -66,6 +67,7 @@
        {RelayCause::kTargetsCold, "targets_cold"},
        {RelayCause::kTargetsLimited, "targets_limited"},
        {RelayCause::kHallsClosed, "halls_closed"},
+       {RelayCause::kOutsideResidency, "outside_residency"},
        {RelayCause::kTurnedAway, "turned_away"},
        {RelayCause::kTargetFailed, "target_failed"},
        {RelayCause::kTimedOut, "timed_out"},
--- a/relay/relay_settings.cc
+++ b/relay/relay_settings.cc
@@ -1,5 +1,7 @@
 #include "relay/relay_settings.h"
 
+#include "fleet/hall_regions.h"
+
 namespace quaytrack {
 
 void AddRelayFlags(CLI::App& app, RelayFlags& flags) {
@@ -34,6 +36,8 @@
       "Routers of a hall that keep budgets in a larger fleet");
   add("--link-mbps", flags.link_mbps,
       "Megabits a second of this VM's network link; 0 if it isn't known");
+  add("--regions", flags.regions,
+      "The region of each hall, as hall=region,hall=region");
   add("--cores", flags.cores,
       "Processors of this VM, in parts too; 0 if it isn't known");
   add("--cover-s", flags.cover_s,
@@ -64,6 +68,9 @@
   check.Range("--link-mbps", flags.link_mbps, 0.0, 1e6);
   check.Range("--cores", flags.cores, 0.0, 4096.0);
   check.Range("--cover-s", flags.cover_s, 0, 600);
+  if (!HallRegions::Parse(flags.regions)) {
+    check.Add("--regions", flags.regions, "hall=region,hall=region");
+  }
   static_cast<RelayValues&>(out) = flags;
   static_cast<LogSettings&>(out) = CheckLog(flags, check);
   out.retry_window = std::chrono::seconds(flags.retry_window_s);
--- a/relay/relay_settings.h
+++ b/relay/relay_settings.h
@@ -55,6 +55,8 @@
   // What the VM has: megabits a second of its network link, and its share of a
   // processor; 0 if it isn't known.
   double link_mbps = 0;
+  // The region of each hall (fleet/hall_regions.h).
+  std::string regions;
   double cores = 0;
 };
 
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -147,15 +147,14 @@
 
 RelayCause RelayedRequest::CauseOfNoChoice() const {
   if (progress_.sends > 0) return RelayCause::kTurnedAway;
-  const ServiceName& service = admission_.service->name;
-  if (context_.placement.HasCold(context_.clock.Now(), service)) {
-    return RelayCause::kTargetsCold;
-  }
-  if (context_.placement.HasLimited(context_.clock.Now(), service)) {
-    return RelayCause::kTargetsLimited;
-  }
-  return context_.placement.IsClosedOff(service) ? RelayCause::kHallsClosed
-                                                 : RelayCause::kNoTarget;
+  const Placement& placement = context_.placement;
+  const PlacementRequest& request = admission_.placement;
+  const Instant now = context_.clock.Now();
+  if (placement.HasCold(now, request)) return RelayCause::kTargetsCold;
+  if (placement.HasLimited(now, request)) return RelayCause::kTargetsLimited;
+  if (placement.IsClosedOff(request)) return RelayCause::kHallsClosed;
+  return placement.IsOutsideResidency(request) ? RelayCause::kOutsideResidency
+                                               : RelayCause::kNoTarget;
 }
 
 // --- At a target -------------------------------------------------------------
@@ -209,8 +208,8 @@
       context_.target_dialect.Head(request_.head, facts, request_.body.size());
   out.bytes += request_.body;
   out.may_send = [this] {
-    return context_.placement.MayStillSend(context_.clock.Now(),
-                                           progress_.choice);
+    return context_.placement.MayStillSend(
+        context_.clock.Now(), progress_.choice, admission_.placement);
   };
   return out;
 }
--- a/relay/testing/admission_test.cc
+++ b/relay/testing/admission_test.cc
@@ -46,9 +46,14 @@
   customer.name = CustomerName("lakhon");
   customer.keys = {"key-a"};
   customer.priority = 2;
+  customer.residency = Residency({RegionName("north"), RegionName("south")});
+  RouteRule north = Route("north", "/north/", "llm");
+  north.residency = Residency({RegionName("north"), RegionName("east")});
+  RouteRule east = Route("east", "/east/", "llm");
+  east.residency = Residency({RegionName("east")});
   return ServiceMap(7,
                     {Route("stream", "/stream/", "llm"), open, split,
-                     Route("lost", "/lost/", "nowhere")},
+                     Route("lost", "/lost/", "nowhere"), north, east},
                     {llm, desk}, {customer}, {});
 }
 
@@ -143,6 +148,23 @@
   BOOST_TEST(refused("/open/x", RelayCause::kMalformed));
 }
 
+BOOST_FIXTURE_TEST_CASE(RegionsOfRouteAndCustomerBothBind, Fixture) {
+  BOOST_TEST(!AdmitTo("/stream/x"));
+  BOOST_TEST(admission.placement.residency.Allows(RegionName("south")));
+  BOOST_TEST(!admission.placement.residency.Allows(RegionName("east")));
+  BOOST_TEST(!AdmitTo("/north/x"));
+  BOOST_TEST(admission.placement.residency.Allows(RegionName("north")));
+  BOOST_TEST(!admission.placement.residency.Allows(RegionName("south")));
+  // Nobody's key is asked for there.
+  BOOST_TEST(!AdmitTo("/open/x"));
+  BOOST_TEST((admission.placement.residency == Residency()));
+}
+
+BOOST_FIXTURE_TEST_CASE(WithoutACommonRegionItIsRefusedAtOnce, Fixture) {
+  BOOST_TEST((AdmitTo("/east/x") == RelayCause::kOutsideResidency));
+  BOOST_TEST(admission.route->name == "east");
+}
+
 BOOST_FIXTURE_TEST_CASE(ForAnotherHostThereIsNoRoute, Fixture) {
   request.head.headers = {{"Host", "other.example"}};
   BOOST_TEST((AdmitTo("/open/x") == RelayCause::kNoRoute));
--- a/relay/testing/final_answer_test.cc
+++ b/relay/testing/final_answer_test.cc
@@ -32,6 +32,8 @@
      "{\"error\":\"budget_unavailable\",\"ran\":\"no\"}\n"},
     {RelayCause::kNoTarget, Ran::kNo, 503, "0.20",
      "{\"error\":\"no_target\",\"ran\":\"no\"}\n"},
+    {RelayCause::kOutsideResidency, Ran::kNo, 503, "2.00",
+     "{\"error\":\"outside_residency\",\"ran\":\"no\"}\n"},
     {RelayCause::kTurnedAway, Ran::kNo, 503, "0.20",
      "{\"error\":\"turned_away\",\"ran\":\"no\"}\n"},
     {RelayCause::kTimedOut, Ran::kNo, 503, "0.20",
