--- a/base/ids.h
+++ b/base/ids.h
@@ -37,11 +37,13 @@
 using TargetName = Id<struct TargetTag>;
 // One start of a target: a target that ends may start again under its name.
 using TargetStart = Id<struct TargetStartTag>;
+// Of a target's software.
+using VersionName = Id<struct VersionTag>;
 using HallName = Id<struct HallTag>;
-using VmName = Id<struct VmTag>;
-using RequestId = Id<struct RequestTag>;
 // Halls that are near each other; see base/residency.h.
 using RegionName = Id<struct RegionTag>;
+using VmName = Id<struct VmTag>;
+using RequestId = Id<struct RequestTag>;
 // By which a caller's request is known again (relay/fingerprint.h).
 using Fingerprint = Id<struct FingerprintTag>;
 // The caller's Idempotency-Key header.
--- a/chart/embedded.cc
+++ b/chart/embedded.cc
@@ -355,4 +355,71 @@
 }
 )chart";
 
+const char kRolloutChart[] = R"chart({
+  "name": "rollout",
+  "initial": "unheard",
+  "final": ["completed", "reverted"],
+  "states": {
+    "unheard": {
+      "on": {
+        "begun": {"to": "trial"},
+        "withdraw": {"to": "withdrawn", "do": "report_reverted"},
+        "completed": {"to": "completed"},
+        "reverted": {"to": "reverted"}
+      },
+      "ignore": ["advance", "drained"]
+    },
+    "trial": {
+      "on": {
+        "advance": {"to": "quarter"},
+        "withdraw": {"to": "withdrawn", "do": "report_reverted"},
+        "completed": {"to": "completed"},
+        "reverted": {"to": "reverted"}
+      },
+      "ignore": ["begun", "drained"]
+    },
+    "quarter": {
+      "on": {
+        "advance": {"to": "half"},
+        "withdraw": {"to": "withdrawn", "do": "report_reverted"},
+        "completed": {"to": "completed"},
+        "reverted": {"to": "reverted"}
+      },
+      "ignore": ["begun", "drained"]
+    },
+    "half": {
+      "on": {
+        "advance": {"to": "full"},
+        "withdraw": {"to": "withdrawn", "do": "report_reverted"},
+        "completed": {"to": "completed"},
+        "reverted": {"to": "reverted"}
+      },
+      "ignore": ["begun", "drained"]
+    },
+    "full": {
+      "on": {
+        "drained": {"to": "full", "do": "report_completed"},
+        "withdraw": {"to": "withdrawn", "do": "report_reverted"},
+        "completed": {"to": "completed"},
+        "reverted": {"to": "reverted"}
+      },
+      "ignore": ["begun", "advance"]
+    },
+    "withdrawn": {
+      "on": {
+        "completed": {"to": "completed"},
+        "reverted": {"to": "reverted"}
+      },
+      "ignore": ["begun", "advance", "drained", "withdraw"]
+    },
+    "completed": {
+      "ignore": ["begun", "advance", "drained", "withdraw", "completed", "reverted"]
+    },
+    "reverted": {
+      "ignore": ["begun", "advance", "drained", "withdraw", "completed", "reverted"]
+    }
+  }
+}
+)chart";
+
 }  // namespace quaytrack
--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <compare>
 #include <cstdint>
 
@@ -51,6 +52,12 @@
 // costs its target little.
 constexpr Duration kAskAgainAfter = std::chrono::seconds(2);
 
+// Operators' word on a version that is listed for the first time is known by
+// then: both are read from the store, one after the other. Not measured.
+constexpr Duration kOrderTellsWithin = std::chrono::milliseconds(1000);
+// Targets that share what a version gets on trial, at the least.
+constexpr std::size_t kLeastPartTakers = 2;
+
 // What candidates are compared by, in this order; the least is chosen.
 struct Merit {
   bool is_ejected = false;
@@ -102,7 +109,10 @@
       back_offs_.OnStartedAgain(now, state.entry.start, entry.start);
       state = State{};
     }
+    const bool other_version =
+        is_new || restarted || state.entry.version != entry.version;
     state.entry = entry;
+    if (other_version) NoteVersion(now, state);
     state.region = regions_.RegionOf(entry.hall);
     if (is_new || restarted) Begin(now, entry, state);
     state.hall_closed = closed_halls_.contains(entry.hall);
@@ -111,6 +121,7 @@
       state.warmth.OnCold(now, RuleOf(entry.service).start, ColdSign::kStart);
     }
   }
+  for (const auto& [service, gate] : gates_) ChoosePartTakers(service);
 }
 
 void Placement::Begin(Instant now, const TargetEntry& entry, State& state) {
@@ -297,6 +308,7 @@
                              const PlacementRequest& request) const {
   const State* state = Find(choice.target);
   if (state == nullptr || !IsEligible(*state, request)) return false;
+  if (!GateOf(request.service).Admits(state->entry.version)) return false;
   if (now < state->pause_until) return false;
   if (IsCold(now, *state) && !choice.is_cold) return false;
   return !state->limit_per_s || choice.is_limited;
@@ -340,14 +352,15 @@
 }
 
 const Placement::State* Placement::PreferredTarget(
-    Instant now, const PlacementRequest& request) const {
-  const auto part = DeepestSharedPart(request);
+    const Candidates& among) const {
+  const Instant now = among.now;
+  const auto part = DeepestSharedPart(among.request);
   if (!part) return nullptr;
   const std::string key = std::to_string(*part);
   const State* out = nullptr;
   std::uint64_t best = 0;
   for (const auto& [name, state] : targets_) {
-    if (!IsEligible(state, request)) continue;
+    if (!among.Suits(state)) continue;
     if (IsCold(now, state) || !MaySend(now, state)) continue;
     const std::uint64_t weight = RendezvousWeight(name.value, key);
     if (out != nullptr && weight <= best) continue;
@@ -357,6 +370,112 @@
   return out;
 }
 
+// --- Versions ----------------------------------------------------------------
+
+const VersionGate& Placement::GateOf(const ServiceName& service) const {
+  static const VersionGate kNone;
+  const auto it = gates_.find(service);
+  return it == gates_.end() ? kNone : it->second;
+}
+
+void Placement::SetVersionRule(const ServiceName& service, VersionRule rule,
+                               double begin) {
+  gates_[service].SetRule(std::move(rule), begin);
+  ChoosePartTakers(service);
+}
+
+bool Placement::HasVersion(const ServiceName& service,
+                           const VersionName& version) const {
+  return std::any_of(targets_.begin(), targets_.end(), [&](const auto& it) {
+    const State& state = it.second;
+    return state.entry.service == service && TakesWork(state) &&
+           state.entry.version == version;
+  });
+}
+
+std::size_t Placement::RunningElsewhere(const ServiceName& service,
+                                        const VersionName& version) const {
+  std::size_t out = 0;
+  for (const auto& [name, state] : targets_) {
+    if (state.entry.service != service) continue;
+    if (state.entry.version == version) continue;
+    out += static_cast<std::size_t>(state.running);
+  }
+  return out;
+}
+
+// All versions of a service's first list were there before this router.
+void Placement::NoteVersion(Instant now, State& state) {
+  ServiceVersions& known = versions_[state.entry.service];
+  if (known.since.empty()) known.first_listed_at = now;
+  const bool is_first = known.first_listed_at == now;
+  const auto [it, is_new] = known.since.try_emplace(
+      state.entry.version, is_first ? Instant::min() : now);
+  state.version_since = it->second;
+  latest_version_ = std::max(latest_version_, it->second);
+}
+
+bool Placement::IsSettled(Instant now, const State& state,
+                          const VersionGate& gate) {
+  return gate.IsNext(state.entry.version) ||
+         now - kOrderTellsWithin >= state.version_since;
+}
+
+bool Placement::HasSettled(Instant now, const PlacementRequest& request,
+                           const VersionGate& gate) const {
+  if (now - kOrderTellsWithin >= latest_version_) return false;
+  return std::any_of(targets_.begin(), targets_.end(), [&](const auto& it) {
+    return IsEligible(it.second, request) && IsSettled(now, it.second, gate);
+  });
+}
+
+// A request that has met the next version goes on at the others.
+VersionTurn Placement::TurnOf(const PlacementRequest& request,
+                              const VersionGate& gate) const {
+  const VersionTurn turn = gate.Turn();
+  if (turn != VersionTurn::kNext) return turn;
+  for (const TargetName& it : request.tried) {
+    const auto target = targets_.find(it);
+    if (target == targets_.end()) continue;
+    if (gate.IsNext(target->second.entry.version)) return VersionTurn::kOthers;
+  }
+  return turn;
+}
+
+bool Placement::IsNextAlone(const PlacementRequest& request,
+                            const VersionGate& gate) const {
+  if (gate.rule().next.empty() || !gate.rule().next_alone) return false;
+  return std::none_of(targets_.begin(), targets_.end(), [&](const auto& it) {
+    const State& state = it.second;
+    return IsEligible(state, request) &&
+           gate.Takes(VersionTurn::kOthers, state.entry.version);
+  });
+}
+
+// A version that gets a part of the requests gets it at that part of its
+// targets, so that they bear what the others do. All routers take the same.
+void Placement::ChoosePartTakers(const ServiceName& service) {
+  const VersionGate& gate = GateOf(service);
+  std::vector<std::pair<std::uint64_t, State*>> next;
+  std::size_t others = 0;
+  for (auto& [name, state] : targets_) {
+    if (state.entry.service != service || !TakesWork(state)) continue;
+    state.takes_part = false;
+    if (!gate.IsNext(state.entry.version)) {
+      ++others;
+      continue;
+    }
+    const std::string& version = state.entry.version.value;
+    next.emplace_back(RendezvousWeight(name.value, version), &state);
+  }
+  const auto wanted = static_cast<std::size_t>(
+      std::lround(gate.rule().share * static_cast<double>(others)));
+  const std::size_t takers =
+      std::min(next.size(), std::max(kLeastPartTakers, wanted));
+  std::sort(next.rbegin(), next.rend());
+  for (std::size_t n = 0; n < takers; ++n) next[n].second->takes_part = true;
+}
+
 double Placement::PeersMs(Instant now, const State& state) {
   return std::max(0.0, Milliseconds(state.peers_busy_until - now));
 }
@@ -390,14 +509,39 @@
   return out;
 }
 
+bool Placement::Candidates::Suits(const State& state) const {
+  if (!IsEligible(state, request)) return false;
+  if (!gate.Takes(turn, state.entry.version)) return false;
+  const bool has_part = turn == VersionTurn::kNext && gate.rule().share < 1;
+  if (has_part && !state.takes_part) return false;
+  return !only_settled || IsSettled(now, state, gate);
+}
+
 std::optional<PlacementChoice> Placement::Choose(
     Instant now, const PlacementRequest& request) const {
-  const Candidates among{now, request, SpeedOf(request.service),
-                         PreferredTarget(now, request)};
+  const VersionGate& gate = GateOf(request.service);
+  Candidates among{now, request, SpeedOf(request.service), gate};
+  among.turn = TurnOf(request, gate);
+  among.only_settled = HasSettled(now, request, gate);
+  if (auto out = ChooseAmong(among)) return out;
+  if (among.turn == VersionTurn::kNext) {
+    among.turn = VersionTurn::kOthers;
+  } else if (IsNextAlone(request, gate)) {
+    among.turn = VersionTurn::kAny;
+  } else {
+    return std::nullopt;
+  }
+  return ChooseAmong(among);
+}
+
+std::optional<PlacementChoice> Placement::ChooseAmong(Candidates among) const {
+  const Instant now = among.now;
+  const PlacementRequest& request = among.request;
+  among.preferred = PreferredTarget(among);
   const State* best = nullptr;
   Merit best_merit;
   for (const auto& [name, state] : targets_) {
-    if (!IsEligible(state, request)) continue;
+    if (!among.Suits(state)) continue;
     if (request.tried.contains(name)) continue;
     if (!MaySend(now, state)) continue;
     const Merit merit{state.health.IsEjected(now), !IsDue(now, state),
@@ -422,6 +566,8 @@
   State& state = it->second;
   if (IsCold(now, state)) rates_.cold.OnSent(now, state.entry.start);
   if (state.limit_per_s) rates_.limited.OnSent(now, state.entry.start);
+  const auto gate = gates_.find(state.entry.service);
+  if (gate != gates_.end()) gate->second.OnSent(state.entry.version);
   ++state.running;
   if (!request.ForEngine()) return 0;
   const Tokens prefill = PrefillTokens(state.prefixes, request, is_preferred);
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -14,12 +14,15 @@
 // those that have asked this router for a pause (dispatch/back_off.h), and so
 // are cold ones and those that have named a rate limit
 // (dispatch/rate_limits.h), unless this router may send there
-// (dispatch/shared_rate.h); those compete like any other. But a target whose
-// limit was last heard of a while ago comes first where this router may send to
-// it, since only an answer of it shows that its limit has ended. Of the others,
-// ejected ones (dispatch/outlier_ejection.h) are taken only if all are ejected.
-// Among equals the one with the lowest expected cost is chosen, in
-// milliseconds:
+// (dispatch/shared_rate.h); those compete like any other. While operators move
+// a service to another version, a request goes to targets of the version whose
+// turn it is (dispatch/version_gate.h); one that is listed for the first time
+// beside others waits a moment for operators' word on it, if others can serve.
+// But a target whose limit was last heard of a while ago comes first where this
+// router may send to it, since only an answer of it shows that its limit has
+// ended. Of the others, ejected ones (dispatch/outlier_ejection.h) are taken
+// only if all are ejected. Among equals the one with the lowest expected cost
+// is chosen, in milliseconds:
 //
 //   engines         (tokens to be prefilled there x time of each, as learned
 //                    (dispatch/prefill_speed.h)
@@ -92,6 +95,7 @@
 #include "dispatch/rate_limits.h"
 #include "dispatch/shared_rate.h"
 #include "dispatch/target_warmth.h"
+#include "dispatch/version_gate.h"
 #include "fleet/hall_regions.h"
 #include "fleet/target_registry.h"
 
@@ -171,6 +175,16 @@
   void SetColdRules(std::map<ServiceName, ColdRule> rules) {
     cold_rules_ = std::move(rules);
   }
+  // How a service moves to another version. `begin` in [0, 1) is where this
+  // router begins to count.
+  void SetVersionRule(const ServiceName& service, VersionRule rule,
+                      double begin);
+  // Whether some target of that version may get work.
+  bool HasVersion(const ServiceName& service, const VersionName& version) const;
+  // Requests of this router that run at other versions of the service.
+  std::size_t RunningElsewhere(const ServiceName& service,
+                               const VersionName& version) const;
+
   // This router's place among those that send to a target which takes few
   // requests; nothing if it isn't known. Asked again after each call of this.
   using PlaceOf =
@@ -270,6 +284,10 @@
     // Of its hall; empty if it isn't known.
     RegionName region;
     bool hall_closed = false;
+    // When its version was first listed.
+    Instant version_since = Instant::min();
+    // Gets requests of a version that has only a part of them.
+    bool takes_part = false;
     TargetWarmth warmth;
     // As `ColdChanges` last told.
     bool told_cold = false;
@@ -296,9 +314,14 @@
     Instant now{};
     const PlacementRequest& request;
     const PrefillSpeed& speed;
+    const VersionGate& gate;
+    VersionTurn turn = VersionTurn::kAny;
+    // Targets of versions that were listed a moment ago are left out.
+    bool only_settled = false;
     const State* preferred = nullptr;
 
     bool IsPreferred(const State& state) const { return &state == preferred; }
+    bool Suits(const State& state) const;
   };
 
   static bool TakesWork(const State& state) {
@@ -332,8 +355,21 @@
   static double PeersMs(Instant now, const State& state);
   static double QueueMs(const State& state);
   double Cost(const State& state, const Candidates& among) const;
-  const State* PreferredTarget(Instant now,
-                               const PlacementRequest& request) const;
+  const State* PreferredTarget(const Candidates& among) const;
+  std::optional<PlacementChoice> ChooseAmong(Candidates among) const;
+
+  // Versions.
+  const VersionGate& GateOf(const ServiceName& service) const;
+  static bool IsSettled(Instant now, const State& state,
+                        const VersionGate& gate);
+  bool HasSettled(Instant now, const PlacementRequest& request,
+                  const VersionGate& gate) const;
+  VersionTurn TurnOf(const PlacementRequest& request,
+                     const VersionGate& gate) const;
+  bool IsNextAlone(const PlacementRequest& request,
+                   const VersionGate& gate) const;
+  void NoteVersion(Instant now, State& state);
+  void ChoosePartTakers(const ServiceName& service);
 
   HallName hall_;
   HallRegions regions_;
@@ -351,6 +387,15 @@
   std::map<TargetName, SaidLeaving> said_leaving_;
   // Nobody owns a target before it is set.
   PlaceOf place_of_;
+  std::map<ServiceName, VersionGate> gates_;
+  // When each version of a service was first listed.
+  struct ServiceVersions {
+    Instant first_listed_at{};
+    std::map<VersionName, Instant> since;
+  };
+  std::map<ServiceName, ServiceVersions> versions_;
+  // The latest of these.
+  Instant latest_version_ = Instant::min();
   // One entry for each service of which answers or peers have told.
   std::map<ServiceName, PrefillSpeed> speeds_;
 };
--- /dev/null
+++ b/dispatch/testing/placement_version_test.cc
@@ -0,0 +1,180 @@
+// Which targets get requests while a service moves to another version.
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <set>
+
+#include "dispatch/placement.h"
+#include "dispatch/testing/placement_targets.h"
+
+namespace quaytrack {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const VersionName kOld("v1");
+const VersionName kNew("v2");
+
+// Twelve engines of the present version, and later twelve of another.
+struct Fixture {
+  Fixture() {
+    for (auto& [name, entry] : targets) entry.version = kOld;
+    it.SetTargets(kStart, targets);
+  }
+
+  void StartNew(Instant now) {
+    for (auto [name, entry] : Targets(kEngines, 12)) {
+      entry.name = TargetName("n" + name.value);
+      entry.version = kNew;
+      targets[entry.name] = entry;
+    }
+    it.SetTargets(now, targets);
+  }
+  void SetRule(double share, bool others = true, bool alone = true) {
+    VersionRule rule;
+    rule.next = kNew;
+    rule.share = share;
+    rule.others = others;
+    rule.next_alone = alone;
+    it.SetVersionRule(kEngines, rule, 0);
+  }
+  // Sends prompts of many parts; returns how many each target got.
+  std::map<TargetName, int> Send(Instant now, int n) {
+    std::map<TargetName, int> sent;
+    for (int i = 0; i < n; ++i) {
+      const PlacementRequest request = Prompt(i % 40, 1000 + i);
+      const auto choice = it.Choose(now, request);
+      if (!choice) break;
+      it.OnSent(now, choice->target.name, request, choice->is_preferred);
+      it.OnEnded(now, choice->target.name, 0, PlacementOutcome::kNeutral);
+      ++sent[choice->target.name];
+    }
+    return sent;
+  }
+  int SentToNew(const std::map<TargetName, int>& sent) const {
+    int out = 0;
+    for (const auto& [name, n] : sent) {
+      out += targets.at(name).version == kNew ? n : 0;
+    }
+    return out;
+  }
+
+  std::map<TargetName, TargetEntry> targets = Targets(kEngines, 12);
+  Placement it{HallName("hall-0")};
+};
+
+// Its targets were listed before the order was known, and got half of all.
+BOOST_FIXTURE_TEST_CASE(AVersionWaitsAMomentForOperatorsWord, Fixture) {
+  StartNew(kStart + seconds(10));
+  BOOST_TEST(SentToNew(Send(kStart + seconds(10), 100)) == 0);
+  BOOST_TEST(SentToNew(Send(kStart + milliseconds(10'999), 100)) == 0);
+  BOOST_TEST(SentToNew(Send(kStart + seconds(11), 100)) > 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(WhereNobodyElseIsLeftItDoesnt, Fixture) {
+  StartNew(kStart + seconds(10));
+  std::erase_if(targets,
+                [](const auto& e) { return e.second.version == kOld; });
+  it.SetTargets(kStart + seconds(10), targets);
+  BOOST_TEST(SentToNew(Send(kStart + seconds(10), 10)) == 10);
+}
+
+// Both were there before this router.
+BOOST_AUTO_TEST_CASE(VersionsOfTheFirstListDontWait) {
+  auto targets = Targets(kEngines, 12);
+  for (auto& [name, entry] : targets) {
+    entry.version = entry.hall == HallName("hall-0") ? kNew : kOld;
+  }
+  Placement it(HallName("hall-0"));
+  it.SetTargets(kStart, targets);
+  std::set<VersionName> chosen;
+  for (std::uint64_t part = 1; part <= 40; ++part) {
+    chosen.insert(it.Choose(kStart, Prompt(part, part))->target.version);
+  }
+  BOOST_TEST(chosen.size() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(OnTrialItGetsItsPartAtItsPartOfTheTargets, Fixture) {
+  SetRule(0.25);
+  StartNew(kStart);
+  const auto sent = Send(kStart, 400);
+  BOOST_TEST(SentToNew(sent) == 100);
+  int takers = 0;
+  for (const auto& [name, n] : sent) {
+    takers += targets.at(name).version == kNew ? 1 : 0;
+  }
+  // As many as a quarter of the twelve others.
+  BOOST_TEST(takers == 3);
+}
+
+BOOST_FIXTURE_TEST_CASE(ARetryOfWhatMetItGoesToTheOthers, Fixture) {
+  SetRule(0.5);
+  StartNew(kStart);
+  PlacementRequest request = Prompt(7, 1);
+  request.tried.insert(TargetName("nt0"));
+  for (int n = 0; n < 20; ++n) {
+    const auto choice = it.Choose(kStart, request);
+    BOOST_TEST((choice->target.version == kOld));
+    it.OnSent(kStart, choice->target.name, request, choice->is_preferred);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(WithdrawnItGetsNothingNotEvenAlone, Fixture) {
+  SetRule(0, true, false);
+  StartNew(kStart);
+  BOOST_TEST(SentToNew(Send(kStart, 200)) == 0);
+  std::erase_if(targets,
+                [](const auto& e) { return e.second.version == kOld; });
+  it.SetTargets(kStart, targets);
+  BOOST_TEST(!it.Choose(kStart, Prompt(7, 1)).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(BeforeItBeginsItServesWhereNobodyElseDoes, Fixture) {
+  SetRule(0);
+  StartNew(kStart);
+  BOOST_TEST(SentToNew(Send(kStart, 200)) == 0);
+  std::erase_if(targets,
+                [](const auto& e) { return e.second.version == kOld; });
+  it.SetTargets(kStart, targets);
+  BOOST_TEST(SentToNew(Send(kStart, 10)) == 10);
+}
+
+BOOST_FIXTURE_TEST_CASE(CompletedTheOthersGetNothing, Fixture) {
+  SetRule(1, false);
+  StartNew(kStart);
+  BOOST_TEST(SentToNew(Send(kStart, 200)) == 200);
+}
+
+// It was withdrawn while the request waited for its connection.
+BOOST_FIXTURE_TEST_CASE(TheVersionIsLookedAtAgainBeforeTheBytesGo, Fixture) {
+  SetRule(1, false);
+  StartNew(kStart);
+  const auto choice = it.Choose(kStart, Prompt(7, 1));
+  BOOST_TEST(it.MayStillSend(kStart, *choice, Prompt(7, 1)));
+  SetRule(0, true, false);
+  BOOST_TEST(!it.MayStillSend(kStart, *choice, Prompt(7, 1)));
+}
+
+BOOST_FIXTURE_TEST_CASE(ABarredVersionGetsNothing, Fixture) {
+  StartNew(kStart);
+  VersionRule rule;
+  rule.barred = {kNew};
+  it.SetVersionRule(kEngines, rule, 0);
+  BOOST_TEST(SentToNew(Send(kStart + seconds(20), 200)) == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(WhatRunsElsewhereIsCounted, Fixture) {
+  StartNew(kStart);
+  const PlacementRequest request = Prompt(7, 1);
+  it.OnSent(kStart, TargetName("t0"), request, false);
+  it.OnSent(kStart, TargetName("nt0"), request, false);
+  BOOST_TEST(it.RunningElsewhere(kEngines, kNew) == 1U);
+  it.OnEnded(kStart, TargetName("t0"), 0, PlacementOutcome::kGood);
+  BOOST_TEST(it.RunningElsewhere(kEngines, kNew) == 0U);
+  BOOST_TEST(it.HasVersion(kEngines, kNew));
+  BOOST_TEST(!it.HasVersion(kDesk, kNew));
+}
+
+}  // namespace
+}  // namespace quaytrack
--- a/fleet/target_registry.h
+++ b/fleet/target_registry.h
@@ -62,6 +62,8 @@
   // By the target's own clock; nothing (0) if it doesn't say.
   WallTime started_at{};
   ServiceName service;
+  // Of its software; empty if it doesn't say.
+  VersionName version;
   // "host:port".
   std::string address;
   HallName hall;
--- a/relay/config_follower.cc
+++ b/relay/config_follower.cc
@@ -23,10 +23,12 @@
   StateFeed::Handlers on;
   on.replaced = [this](const std::vector<StoreItem>& items) {
     ReplaceHalls(items);
+    ReplaceOrders(items);
     for (const StoreItem& it : items) AdoptIfHigher(it, Source::kStore);
   };
   on.changed = [this](const StoreChange& it) {
     NoteHall(it);
+    NoteOrder(it);
     if (!it.removed) AdoptIfHigher(it.item, Source::kStore);
   };
   on.settled = [this] { halls_.SetKnown(feed_.known()); };
@@ -79,6 +81,46 @@
   on_.halls_changed();
 }
 
+// --- Services that move to another version -----------------------------------
+
+void ConfigFollower::ReplaceOrders(const std::vector<StoreItem>& items) {
+  std::vector<RolloutOrder> orders;
+  for (const StoreItem& it : items) {
+    if (!reader_.RolledOutService(it.key)) continue;
+    auto order = ReadOrLog(it, [&] { return reader_.Rollout(it); });
+    if (order) orders.push_back(std::move(*order));
+  }
+  TellOrders(orders_.Replace(orders, feed_.known()));
+  DropCarriedOrdersLater();
+}
+
+void ConfigFollower::DropCarriedOrdersLater() {
+  if (!orders_.HasCarried()) return;
+  carried_timer_ = loop_.After(kWrittenAgainWithin, [this] {
+    carried_timer_.reset();
+    TellOrders(orders_.DropCarried());
+  });
+}
+
+// What can't be read takes no order back.
+void ConfigFollower::NoteOrder(const StoreChange& change) {
+  const auto service = reader_.RolledOutService(change.item.key);
+  if (!service) return;
+  if (change.removed) {
+    if (orders_.Remove(*service)) TellOrders({*service});
+    return;
+  }
+  const auto order =
+      ReadOrLog(change.item, [&] { return reader_.Rollout(change.item); });
+  if (order && orders_.Put(*order)) TellOrders({*service});
+}
+
+void ConfigFollower::TellOrders(const std::vector<ServiceName>& changed) {
+  for (const ServiceName& it : changed) {
+    on_.rollout_ordered(it, orders_.Find(it));
+  }
+}
+
 // --- The configuration -------------------------------------------------------
 
 void ConfigFollower::AdoptIfHigher(const StoreItem& item, Source source) {
--- a/relay/config_follower.h
+++ b/relay/config_follower.h
@@ -54,6 +54,7 @@
 #include "relay/dialect.h"
 #include "relay/peer_messages.h"
 #include "relay/state_feed.h"
+#include "rollout/order_book.h"
 
 namespace quaytrack {
 
@@ -74,6 +75,9 @@
     FeedLinks feed = {};
     // Some hall is closed that was open, or the other way round.
     std::function<void()> halls_changed = [] {};
+    // A service is to move to another version; null if it no longer is.
+    std::function<void(const ServiceName&, const RolloutOrder*)>
+        rollout_ordered = [](const ServiceName&, const RolloutOrder*) {};
   };
 
   ConfigFollower(const FeedContext& context, const SharedStateReader& reader,
@@ -99,6 +103,10 @@
   void ReplaceHalls(const std::vector<StoreItem>& items);
   void NoteHall(const StoreChange& change);
   void TakeShownHallsLater();
+  void ReplaceOrders(const std::vector<StoreItem>& items);
+  void NoteOrder(const StoreChange& change);
+  void TellOrders(const std::vector<ServiceName>& changed);
+  void DropCarriedOrdersLater();
   void TakeHalls(const std::vector<HallName>& changed, Source source);
   void AdoptIfHigher(const StoreItem& item, Source source);
   void AskPeerLater(const Incarnation& peer);
@@ -111,10 +119,13 @@
   // The item that `map_` was read from, for peers.
   StoreItem item_;
   ClosedHalls halls_;
+  OrderBook orders_;
   StateFeed feed_;
   std::unique_ptr<Timer> ask_timer_;
   // Runs while halls are not as the store shows them.
   std::unique_ptr<Timer> shown_timer_;
+  // The same for orders.
+  std::unique_ptr<Timer> carried_timer_;
 };
 
 }  // namespace quaytrack
--- a/relay/dialect.h
+++ b/relay/dialect.h
@@ -28,6 +28,8 @@
 #include "fleet/target_registry.h"
 #include "kv/store.h"
 #include "net/http_message.h"
+#include "rollout/rollout_chart.h"
+#include "rollout/rollout_order.h"
 
 namespace quaytrack {
 
@@ -107,6 +109,14 @@
   std::string problem;
 };
 
+// What the store says of a service's move to another version: that it has begun
+// (kBegun), or how it ended (kCompleted, kReverted).
+struct RolloutStatus {
+  ServiceName service;
+  VersionName version;
+  RolloutEvent said = RolloutEvent::kBegun;
+};
+
 // Reads what operators and targets keep in the store.
 class SharedStateReader {
  public:
@@ -123,6 +133,18 @@
   // nothing if it is another item or names no hall. It stands below
   // `ConfigPrefix`.
   virtual std::optional<HallName> ClosedHall(const std::string& key) const = 0;
+  // The service whose move to another version an item with this key orders;
+  // nothing if it is another item. It stands below `ConfigPrefix`.
+  virtual std::optional<ServiceName> RolledOutService(
+      const std::string& key) const = 0;
+  virtual boost::leaf::result<RolloutOrder> Rollout(
+      const StoreItem& item) const = 0;
+  // Where operators read how it stands, and what.
+  virtual std::string RolloutStatusKey(const ServiceName& service) const = 0;
+  virtual std::string EncodeRolloutStatus(
+      const RolloutStatus& status) const = 0;
+  virtual boost::leaf::result<RolloutStatus> ReadRolloutStatus(
+      const StoreItem& item) const = 0;
 };
 
 }  // namespace quaytrack
--- a/relay/peer_messages.cc
+++ b/relay/peer_messages.cc
@@ -154,6 +154,85 @@
   return out;
 }
 
+// Buckets that have counts, each with its count.
+Json HistogramToJson(const TimeHistogram& histogram) {
+  Json out = Json::array();
+  for (std::size_t n = 0; n < TimeHistogram::kBuckets; ++n) {
+    const std::uint64_t count = histogram.counts()[n];
+    if (count > 0) out.push_back({n, count});
+  }
+  return out;
+}
+
+TimeHistogram HistogramFromJson(const Json& json) {
+  TimeHistogram out;
+  for (const Json& it : json) {
+    out.SetCount(it.at(0).get<std::size_t>(), it.at(1).get<std::uint64_t>());
+  }
+  return out;
+}
+
+// A route is its answers, the failed ones, and two histograms.
+Json RoutesToJson(const RoutesEvidence& routes) {
+  Json out = Json::object();
+  for (const auto& [route, it] : routes) {
+    out[route] = {it.answers, it.failed, HistogramToJson(it.first),
+                  HistogramToJson(it.pause)};
+  }
+  return out;
+}
+
+RoutesEvidence RoutesFromJson(const Json& json) {
+  RoutesEvidence out;
+  for (const auto& [route, fields] : json.items()) {
+    RouteEvidence& it = out[route];
+    it.answers = fields.at(0).get<std::uint64_t>();
+    it.failed = fields.at(1).get<std::uint64_t>();
+    it.first = HistogramFromJson(fields.at(2));
+    it.pause = HistogramFromJson(fields.at(3));
+  }
+  return out;
+}
+
+Json RolloutsToJson(const std::map<ServiceName, RolloutReport>& rollouts) {
+  Json out = Json::object();
+  for (const auto& [service, it] : rollouts) {
+    Json order = {it.order.number};
+    AddEra(it.order, order);
+    out[service.value] = {{"version", it.version.value},
+                          {"order", std::move(order)},
+                          {"state", NameOf(it.state)},
+                          {"left", AgeToJson(it.left)},
+                          {"counted_by", it.counted_by.value},
+                          {"drained", it.drained},
+                          {"routers", it.routers},
+                          {"next", RoutesToJson(it.evidence.next)},
+                          {"current", RoutesToJson(it.evidence.current)}};
+  }
+  return out;
+}
+
+std::map<ServiceName, RolloutReport> RolloutsFromJson(const Json& json) {
+  std::map<ServiceName, RolloutReport> out;
+  for (const auto& [service, fields] : json.items()) {
+    const auto state =
+        FromName<RolloutState>(fields.at("state").get<std::string>());
+    if (!state) continue;
+    RolloutReport it;
+    it.version = VersionName(fields.at("version").get<std::string>());
+    it.order = RevisionFrom(fields.at("order"), 1);
+    it.state = *state;
+    it.left = AgeFromJson(fields.at("left"));
+    it.counted_by = VmName(fields.at("counted_by").get<std::string>());
+    it.drained = fields.at("drained").get<bool>();
+    it.routers = fields.at("routers").get<std::uint64_t>();
+    it.evidence.next = RoutesFromJson(fields.at("next"));
+    it.evidence.current = RoutesFromJson(fields.at("current"));
+    out[ServiceName(service)] = std::move(it);
+  }
+  return out;
+}
+
 // A change is its key, its revision and, unless it removed the item, its value.
 Json NewsToJson(const FeedNews& news) {
   Json changes = Json::array();
@@ -232,6 +311,7 @@
   out.halls = HallsFromJson(json.value("halls", Json::object()));
   out.leaving = LeavingFromJson(json.value("leaving", Json::object()));
   out.rate_limits = RatesFromJson(json.value("rates", Json::object()));
+  out.rollouts = RolloutsFromJson(json.value("rollouts", Json::object()));
   if (CarriesNews(*kind)) {
     auto news = NewsFromJson(json.at("news"));
     if (!news) return std::nullopt;
@@ -282,6 +362,9 @@
   if (!message.rate_limits.empty()) {
     json["rates"] = RatesToJson(message.rate_limits);
   }
+  if (!message.rollouts.empty()) {
+    json["rollouts"] = RolloutsToJson(message.rollouts);
+  }
   if (CarriesNews(message.kind)) json["news"] = NewsToJson(message.news);
   if (message.kind == PeerMessageKind::kPromptSent) {
     json["target"] = message.target.value;
--- a/relay/peer_messages.h
+++ b/relay/peer_messages.h
@@ -29,6 +29,7 @@
 #include "fleet/closed_halls.h"
 #include "fleet/target_registry.h"
 #include "relay/feed_news.h"
+#include "rollout/rollout.h"
 
 namespace quaytrack {
 
@@ -130,6 +131,9 @@
   LeavingStarts leaving;
   // kHello: all that the sender knows; kRateLimits: what is new.
   RateReports rate_limits;
+  // kHello, kPing: what the sender knows of services that move to another
+  // version.
+  std::map<ServiceName, RolloutReport> rollouts;
   // kNews, kState; kStateWanted has no changes.
   FeedNews news;
   // kPromptSent: the engine.
--- a/relay/relay_chart.h
+++ b/relay/relay_chart.h
@@ -31,6 +31,7 @@
 #include "chart/drain_chart.h"
 #include "chart/embedded.h"
 #include "relay/feed_chart.h"
+#include "rollout/rollout_chart.h"
 
 namespace quaytrack {
 
@@ -155,6 +156,7 @@
   RelayChart request;
   DrainChart drain;
   FeedChart feed;
+  RolloutChart rollout;
 };
 
 inline boost::leaf::result<RelayCharts> BindRelayCharts() {
@@ -162,7 +164,9 @@
       request, (BindChart<RelayState, RelayEvent, RelayAction>(kRelayChart)));
   BOOST_LEAF_AUTO(drain, BindDrainChart());
   BOOST_LEAF_AUTO(feed, BindFeedChart());
-  return RelayCharts{std::move(request), std::move(drain), std::move(feed)};
+  BOOST_LEAF_AUTO(rollout, BindRolloutChart());
+  return RelayCharts{std::move(request), std::move(drain), std::move(feed),
+                     std::move(rollout)};
 }
 
 }  // namespace quaytrack
--- a/relay/relay_context.h
+++ b/relay/relay_context.h
@@ -26,6 +26,7 @@
 
 class BudgetDriver;
 class CrashWatch;
+class RolloutDriver;
 
 // A prompt that was sent to an engine, for the peers.
 struct SentPrompt {
@@ -48,6 +49,7 @@
   TargetConnections& targets;
   RetryShares& retries;
   CrashWatch& crashes;
+  RolloutDriver& rollouts;
   RelayMetrics& metrics;
   const PlannedStop& stop;
   std::function<void(const SentPrompt& sent)> tell_peers;
--- a/relay/relay_options.h
+++ b/relay/relay_options.h
@@ -21,6 +21,7 @@
 #include "prepaid/prepaid_ledger.h"
 #include "relay/planned_stop.h"
 #include "relay/relay_settings.h"
+#include "rollout/rollout.h"
 
 namespace quaytrack {
 
@@ -42,6 +43,14 @@
   return {SharedRate(now, cold), SharedRate(now, kLimitAllowance)};
 }
 
+// What a version gets on trial, of what a bad one may get of all requests: the
+// rest is for routers that start again and begin to count anew.
+inline constexpr double kTrialOfExposure = 0.6;
+
+inline Rollout::Options RolloutOptionsFrom(const RelaySettings& settings) {
+  return {settings.exposure_share * kTrialOfExposure};
+}
+
 inline std::map<ServiceName, ColdRule> ColdRulesFrom(const ServiceMap& map) {
   std::map<ServiceName, ColdRule> out;
   for (const ServiceRule& it : map.services()) {
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -75,6 +75,8 @@
                TargetHandlers()),
       crashes_({loop, clock, store, charts.feed}, VmName(settings.vm),
                CrashHandlers()),
+      rollouts_({clock, store, charts.rollout}, interface.state,
+                RolloutOptionsFrom(settings), RolloutHandlers()),
       peers_(loop, clock, self_, PeerHandlers(), PeerMesh::DrawFirstCheck()),
       retries_(RetryOptionsFrom(settings)),
       context_{
@@ -90,6 +92,7 @@
           .targets = connections,
           .retries = retries_,
           .crashes = crashes_,
+          .rollouts = rollouts_,
           .metrics = metrics_,
           .stop = stop_,
           .tell_peers = [this](const SentPrompt& it) { TellPeers(it); },
@@ -156,6 +159,7 @@
     stop_.Check();
     for (StateFeed* it : Feeds()) it->Check();
     crashes_.Check();
+    rollouts_.Check();
     LogColdTargets();
     TellRateLimits();
     CheckLink();
@@ -231,6 +235,10 @@
   out.halls_changed = [this] {
     placement_.SetClosedHalls(clock_.Now(), configs_.halls().closed());
   };
+  out.rollout_ordered = [this](const ServiceName& service,
+                               const RolloutOrder* order) {
+    rollouts_.OnOrder(service, order);
+  };
   return out;
 }
 
@@ -261,6 +269,45 @@
   return out;
 }
 
+RolloutDriver::Handlers RelayRouter::RolloutHandlers() {
+  RolloutDriver::Handlers out;
+  out.rule = [this](const ServiceName& service, const VersionRule& rule,
+                    double begin) {
+    placement_.SetVersionRule(service, rule, begin);
+  };
+  out.scene = [this] { return SceneOfRollouts(); };
+  out.has_version = [this](const ServiceName& service,
+                           const VersionName& version) {
+    return placement_.HasVersion(service, version);
+  };
+  out.running_elsewhere = [this](const ServiceName& service,
+                                 const VersionName& version) {
+    return placement_.RunningElsewhere(service, version);
+  };
+  out.is_decider = [this](const Incarnation& peer) {
+    const FleetDirectory& directory = fleet_.directory();
+    return directory.IsSmall() || directory.IsReader(VmOf(peer));
+  };
+  out.tell = [this] { peers_.BroadcastSignOfLife(); };
+  return out;
+}
+
+// A router that hasn't settled its list may take a large fleet for a small one,
+// and decides nothing.
+RolloutScene RelayRouter::SceneOfRollouts() const {
+  const FleetDirectory& directory = fleet_.directory();
+  const VmName& self = directory.self().vm;
+  const bool small = directory.IsSmall();
+  RolloutScene out;
+  out.self = self;
+  out.decides = fleet_.settled() && (small || directory.IsReader(self));
+  out.deciders = small ? directory.size() : directory.readers();
+  out.routers = directory.size();
+  const auto readers = LinkedReaders();
+  if (!readers.empty()) out.counted_by = VmOf(readers.front());
+  return out;
+}
+
 std::array<StateFeed*, 3> RelayRouter::Feeds() {
   return {&configs_.feed(), &targets_.feed(), &crashes_.feed()};
 }
@@ -316,6 +363,7 @@
   configs_.feed().OnStoreEra();
   targets_.feed().OnStoreEra();
   crashes_.OnStoreEra();
+  rollouts_.OnStoreEra();
   fleet_.OnStoreEra();
   budgets_.OnStoreEra();
   peers_.BroadcastSignOfLife();
@@ -368,6 +416,7 @@
   configs_.OnPeer(message);
   targets_.OnPeer(message);
   crashes_.OnPeer(message);
+  rollouts_.OnPeer(message);
   CountRouters(message);
 }
 
@@ -429,6 +478,7 @@
   message.leaving = targets_.registry().said_leaving();
   message.keeps_budgets = budgets_.ledger().KeepsGrants();
   message.engine_speeds = placement_.Learned();
+  rollouts_.Fill(message);
   FillMarks(message);
   if (message.kind != PeerMessageKind::kHello) return;
   message.rate_limits = placement_.rate_limits().All(clock_.Now());
@@ -484,6 +534,8 @@
                     static_cast<double>(crashes_.blame().size()));
   metrics_.SetGauge("blamed_requests",
                     static_cast<double>(crashes_.blame().blamed().size()));
+  metrics_.SetGauge("rollouts_running",
+                    static_cast<double>(rollouts_.running()));
   metrics_.SetGauge("store_era", static_cast<double>(store_.era()));
   metrics_.SetGauge("store_calls", static_cast<double>(store_.calls()));
   metrics_.SetGauge("target_connections_opened",
--- a/relay/relay_router.h
+++ b/relay/relay_router.h
@@ -15,6 +15,7 @@
 //   the configuration      relay/config_follower.h
 //   the list of targets    relay/target_follower.h
 //   what crashes targets   relay/crash_watch.h, dispatch/crash_blame.h
+//   a service's versions   relay/rollout_driver.h, rollout/rollout.h
 //   the list of routers    relay/fleet_driver.h, fleet/fleet.h
 //   links to other routers relay/peer_mesh.h
 //   the VM's own link      relay/link_monitor.h, dispatch/link_watch.h
@@ -55,6 +56,7 @@
 #include "relay/relay_metrics.h"
 #include "relay/relay_settings.h"
 #include "relay/retry.h"
+#include "relay/rollout_driver.h"
 #include "relay/running_requests.h"
 #include "relay/target_follower.h"
 
@@ -86,6 +88,8 @@
   ConfigFollower::Handlers ConfigHandlers();
   TargetFollower::Handlers TargetHandlers();
   CrashWatch::Handlers CrashHandlers();
+  RolloutDriver::Handlers RolloutHandlers();
+  RolloutScene SceneOfRollouts() const;
   std::array<StateFeed*, 3> Feeds();
   PeerMesh::Handlers PeerHandlers();
   PlannedStop::Handlers StopHandlers();
@@ -127,6 +131,7 @@
   ConfigFollower configs_;
   TargetFollower targets_;
   CrashWatch crashes_;
+  RolloutDriver rollouts_;
   PeerMesh peers_;
   RetryShares retries_;
   RunningRequests requests_;
--- a/relay/relay_settings.cc
+++ b/relay/relay_settings.cc
@@ -26,6 +26,8 @@
       "Requests a second to a cold target, in times of what its service says");
   add("--cold-slack", flags.cold_slack,
       "Requests to a cold target beyond that, in any second");
+  add("--exposure-share", flags.exposure_share,
+      "Part of a service's requests that an unproven version may get");
   add("--drain-s", flags.drain_s,
       "Seconds from a request to stop until the process is killed");
   add("--standing-share", flags.standing_share,
@@ -34,10 +36,10 @@
       "Up to so many routers, each keeps a part of the budgets itself");
   add("--holders-per-hall", flags.holders_per_hall,
       "Routers of a hall that keep budgets in a larger fleet");
-  add("--link-mbps", flags.link_mbps,
-      "Megabits a second of this VM's network link; 0 if it isn't known");
   add("--regions", flags.regions,
       "The region of each hall, as hall=region,hall=region");
+  add("--link-mbps", flags.link_mbps,
+      "Megabits a second of this VM's network link; 0 if it isn't known");
   add("--cores", flags.cores,
       "Processors of this VM, in parts too; 0 if it isn't known");
   add("--cover-s", flags.cover_s,
@@ -61,16 +63,17 @@
   check.Range("--retry-window-s", flags.retry_window_s, 1, 3600);
   check.Range("--cold-overage", flags.cold_overage, 0.0, 1000.0);
   check.Range("--cold-slack", flags.cold_slack, 0.0, 1e6);
+  check.Range("--exposure-share", flags.exposure_share, 0.0, 1.0);
   check.Range("--drain-s", flags.drain_s, 1, 24 * 3600);
   check.Range("--standing-share", flags.standing_share, 0.01, 0.9);
   check.Range("--small-fleet", flags.small_fleet, 0, 1000);
   check.Range("--holders-per-hall", flags.holders_per_hall, 1, 100);
-  check.Range("--link-mbps", flags.link_mbps, 0.0, 1e6);
-  check.Range("--cores", flags.cores, 0.0, 4096.0);
-  check.Range("--cover-s", flags.cover_s, 0, 600);
   if (!HallRegions::Parse(flags.regions)) {
     check.Add("--regions", flags.regions, "hall=region,hall=region");
   }
+  check.Range("--link-mbps", flags.link_mbps, 0.0, 1e6);
+  check.Range("--cores", flags.cores, 0.0, 4096.0);
+  check.Range("--cover-s", flags.cover_s, 0, 600);
   static_cast<RelayValues&>(out) = flags;
   static_cast<LogSettings&>(out) = CheckLog(flags, check);
   out.retry_window = std::chrono::seconds(flags.retry_window_s);
--- a/relay/relay_settings.h
+++ b/relay/relay_settings.h
@@ -44,6 +44,9 @@
   // platform gives both.
   double cold_overage = 1;
   double cold_slack = 0;
+  // Part of a service's requests that a bad version may get of all routers
+  // together, while operators move the service to it.
+  double exposure_share = 0.1;
   // Part of what remains of a budget that all routers together keep granted.
   // Chosen by the runs in docs/design/prepaid.md, "Measured".
   double standing_share = 0.3;
@@ -52,11 +55,11 @@
   // in docs/design/prepaid.md, "Large fleets".
   int small_fleet = 12;
   int holders_per_hall = 3;
+  // The region of each hall (fleet/hall_regions.h).
+  std::string regions;
   // What the VM has: megabits a second of its network link, and its share of a
   // processor; 0 if it isn't known.
   double link_mbps = 0;
-  // The region of each hall (fleet/hall_regions.h).
-  std::string regions;
   double cores = 0;
 };
 
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "relay/budget_driver.h"
+#include "relay/rollout_driver.h"
 
 namespace quaytrack {
 namespace {
@@ -17,6 +18,9 @@
 // measured.
 constexpr std::size_t kMostUnsent = 64 * 1024;
 
+// Events of an attempt from which the pause between them is reckoned.
+constexpr int kLeastEventsOfAPause = 3;
+
 // Targets are told one priority: the customer's goes first, and routes are told
 // apart by this many levels within it. Not measured.
 constexpr int kRouteLevels = 3;
@@ -170,6 +174,7 @@
   prefill_ = context_.placement.OnSent(sent_at_, target, admission_.placement,
                                        progress_.choice.is_preferred);
   TellPeersOfPrompt();
+  attempt_events_ = 0;
   answer_facts_ = {};
   body_.clear();
   // Of the target before; this one is read until its bytes wait as well.
@@ -300,6 +305,7 @@
   }
   events_at_ = now;
   progress_.events += events.count;
+  attempt_events_ += static_cast<int>(events.count);
   caller_->WriteChunk(events.bytes);
   if (!paused_ && caller_->Unsent() > kMostUnsent) {
     paused_ = true;
@@ -424,6 +430,7 @@
 // comes through here.
 void RelayedRequest::StopAttempt(PlacementOutcome outcome) {
   if (!call_) return;
+  ReportAnswer(outcome);
   call_->Cancel();
   call_.reset();
   attempt_timer_.reset();
@@ -435,6 +442,34 @@
   prefill_ = 0;
 }
 
+// For the verdict on a version that is being rolled out. A refusal that is no
+// failure, and an end that came from this side, say nothing of it.
+void RelayedRequest::ReportAnswer(PlacementOutcome outcome) const {
+  const TargetEntry& target = progress_.choice.target;
+  if (!context_.rollouts.IsJudging(target.service)) return;
+  const bool has_head = progress_.head_at.has_value();
+  const bool error =
+      has_head && !answer_facts_.not_run && IsServerError(answer_.status);
+  const bool failed = outcome == PlacementOutcome::kFailed || error;
+  if (!failed && outcome != PlacementOutcome::kGood) return;
+  AnswerSeen seen;
+  seen.failed = failed;
+  if (!failed && has_head) seen.first = FirstOverExpected();
+  if (events_since_ && attempt_events_ >= kLeastEventsOfAPause) {
+    seen.pause =
+        ToSeconds(events_at_ - *events_since_) * 1000 / (attempt_events_ - 1);
+  }
+  context_.rollouts.OnAnswer(target.service, target.version,
+                             admission_.route->name, seen);
+}
+
+double RelayedRequest::FirstOverExpected() const {
+  const Instant first = events_since_.value_or(*progress_.head_at);
+  const double took_ms = ToSeconds(first - sent_at_) * 1000;
+  const double expected_ms = progress_.choice.first_event_ms;
+  return expected_ms > 0 ? took_ms / expected_ms : took_ms;
+}
+
 // The attempt has failed, by itself or by its target. The deadline and a caller
 // that leaves end the whole request, and write no line about the attempt.
 void RelayedRequest::EndAttempt(Ran ran, PlacementOutcome outcome) {
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -116,6 +116,8 @@
   void ReportStopped();
   LostAttempt LostNow();
   void StopAttempt(PlacementOutcome outcome);
+  void ReportAnswer(PlacementOutcome outcome) const;
+  double FirstOverExpected() const;
   void EndAttempt(Ran ran, PlacementOutcome outcome);
   RetryFacts FactsForRetry(Ran ran);
   bool TakeRetry(Ran ran);
@@ -151,8 +153,9 @@
   std::shared_ptr<CallHandle> call_;
   std::unique_ptr<Timer> attempt_timer_;
   Instant sent_at_{};
-  // When the latest events of this attempt came.
+  // When the latest events of this attempt came, and how many have come.
   Instant events_at_{};
+  int attempt_events_ = 0;
   // Tokens of the prompt that its target has still to prefill.
   Tokens prefill_ = 0;
   HttpHead answer_;
--- /dev/null
+++ b/relay/rollout_driver.cc
@@ -0,0 +1,308 @@
+#include "relay/rollout_driver.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/jitter.h"
+#include "base/log.h"
+#include "relay/read_item.h"
+
+namespace quaytrack {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Within which all deciders write, each at a random moment. It is short beside
+// the users' bound on a bad version, 5 s. Not measured.
+constexpr Duration kWriteWithin = milliseconds(400);
+// From a write that failed to the next.
+constexpr Duration kRetryAfter = milliseconds(300);
+// Versions that are remembered as not completed, for each service.
+constexpr std::size_t kMostBarred = 16;
+
+}  // namespace
+
+RolloutDriver::RolloutDriver(const Context& context,
+                             const SharedStateReader& reader,
+                             Rollout::Options options, Handlers handlers)
+    : context_(context),
+      reader_(reader),
+      options_(options),
+      on_(std::move(handlers)) {}
+
+const Rollout* RolloutDriver::Find(const ServiceName& service) const {
+  const auto it = entries_.find(service);
+  const bool has = it != entries_.end() && it->second.rollout;
+  return has ? &*it->second.rollout : nullptr;
+}
+
+std::size_t RolloutDriver::running() const {
+  return static_cast<std::size_t>(
+      std::count_if(entries_.begin(), entries_.end(), [](const auto& it) {
+        return it.second.rollout && !it.second.rollout->IsOver();
+      }));
+}
+
+// --- Orders ------------------------------------------------------------------
+
+void RolloutDriver::OnOrder(const ServiceName& service,
+                            const RolloutOrder* order) {
+  Entry& entry = entries_[service];
+  if (order == nullptr) {
+    EndOrder(entry);
+  } else if (entry.rollout && entry.rollout->order().SameAs(*order) &&
+             order->revision.era > entry.rollout->order().revision.era) {
+    entry.rollout->Renew(*order);
+    Redeclare(entry);
+  } else {
+    EndOrder(entry);
+    Begin(entry, *order);
+  }
+  CheckOne(service, entry);
+}
+
+void RolloutDriver::Begin(Entry& entry, const RolloutOrder& order) {
+  entry.barred.erase(order.version);
+  entry.rollout.emplace(order, context_.clock.Now(), context_.chart, options_);
+  entry.logged = RolloutState::kUnheard;
+}
+
+void RolloutDriver::EndOrder(Entry& entry) {
+  if (!entry.rollout) return;
+  if (entry.rollout->state() != RolloutState::kCompleted) {
+    Bar(entry, entry.rollout->order().version);
+  }
+  entry.rollout.reset();
+  entry.wanted.reset();
+  entry.call.reset();
+}
+
+void RolloutDriver::Bar(Entry& entry, const VersionName& version) {
+  entry.barred.insert(version);
+  if (entry.barred.size() > kMostBarred) {
+    entry.barred.erase(entry.barred.begin());
+  }
+}
+
+// --- What is seen and told ---------------------------------------------------
+
+bool RolloutDriver::IsJudging(const ServiceName& service) const {
+  const Rollout* it = Find(service);
+  return it != nullptr && it->IsJudged();
+}
+
+void RolloutDriver::OnAnswer(const ServiceName& service,
+                             const VersionName& version,
+                             const std::string& route, const AnswerSeen& seen) {
+  const auto it = entries_.find(service);
+  if (it == entries_.end() || !it->second.rollout) return;
+  Rollout& rollout = *it->second.rollout;
+  rollout.OnAnswer(route, version == rollout.order().version, seen);
+}
+
+void RolloutDriver::OnPeer(const PeerMessage& message) {
+  for (const auto& [service, report] : message.rollouts) {
+    const auto it = entries_.find(service);
+    if (it == entries_.end() || !it->second.rollout) continue;
+    Entry& entry = it->second;
+    entry.rollout->OnReport(context_.clock.Now(), message.from,
+                            on_.is_decider(message.from), report,
+                            SceneOf(*entry.rollout));
+    CheckOne(service, entry);
+  }
+}
+
+void RolloutDriver::Fill(PeerMessage& message) const {
+  for (const auto& [service, entry] : entries_) {
+    if (!entry.rollout) continue;
+    message.rollouts[service] =
+        entry.rollout->Report(context_.clock.Now(), SceneOf(*entry.rollout));
+  }
+}
+
+RolloutScene RolloutDriver::SceneOf(const Rollout& rollout) const {
+  const RolloutOrder& order = rollout.order();
+  RolloutScene out = on_.scene();
+  out.has_next = on_.has_version(order.service, order.version);
+  out.running_elsewhere = on_.running_elsewhere(order.service, order.version);
+  return out;
+}
+
+// --- Steps -------------------------------------------------------------------
+
+void RolloutDriver::Check() {
+  for (auto& [service, entry] : entries_) CheckOne(service, entry);
+}
+
+void RolloutDriver::CheckOne(const ServiceName& service, Entry& entry) {
+  if (entry.rollout) {
+    const Instant now = context_.clock.Now();
+    switch (entry.rollout->Step(now, SceneOf(*entry.rollout))) {
+      case RolloutAction::kNone:
+        break;
+      case RolloutAction::kReportCompleted:
+        Want(entry, RolloutEvent::kCompleted);
+        break;
+      case RolloutAction::kReportReverted:
+        Want(entry, RolloutEvent::kReverted);
+        break;
+    }
+    WantWhatIsMissing(entry);
+    LogState(service, entry);
+    if (entry.wanted && !entry.call && now >= entry.write_at) {
+      Write(service, entry);
+    }
+  }
+  SetRule(service, entry);
+}
+
+void RolloutDriver::SetRule(const ServiceName& service, Entry& entry) {
+  VersionRule rule;
+  rule.barred = entry.barred;
+  if (entry.rollout) {
+    const RolloutRule it =
+        entry.rollout->Rule(context_.clock.Now(), SceneOf(*entry.rollout));
+    rule.next = entry.rollout->order().version;
+    rule.share = it.share;
+    rule.others = it.others;
+    rule.next_alone = it.next_alone;
+  }
+  if (rule == entry.rule) return;
+  entry.rule = rule;
+  std::uniform_real_distribution<double> begin(0, 1);
+  on_.rule(service, rule, begin(random_));
+}
+
+// A step that this router has taken, or follows, is told on at once.
+void RolloutDriver::LogState(const ServiceName& service, Entry& entry) {
+  const Rollout& rollout = *entry.rollout;
+  if (rollout.state() == entry.logged) return;
+  entry.logged = rollout.state();
+  const RolloutScene scene = SceneOf(rollout);
+  const VersionEvidence total = rollout.Total(scene);
+  const VersionJudge::Finding& worst = rollout.judge().worst();
+  LogEvent(Event::kRolloutState,
+           {{"service", service.value},
+            {"version", rollout.order().version.value},
+            {"state", std::string(NameOf(rollout.state()))},
+            {"decides", scene.decides ? "yes" : "no"},
+            {"answers", std::to_string(AnswersOf(total.next))},
+            {"answers_elsewhere", std::to_string(AnswersOf(total.current))},
+            {"route", worst.route},
+            {"symptom", std::string(NameOf(worst.symptom))},
+            {"bad", std::to_string(worst.bad)},
+            {"of", std::to_string(worst.answers)},
+            {"usual", std::to_string(worst.usual)},
+            {"sum", std::to_string(worst.sum)}});
+  if (scene.decides) on_.tell();
+}
+
+// --- The store's word --------------------------------------------------------
+
+void RolloutDriver::Want(Entry& entry, RolloutEvent said) {
+  if (entry.wanted == said) return;
+  entry.wanted = said;
+  entry.call.reset();
+  entry.write_at = context_.clock.Now() + DrawPart(random_, kWriteWithin, 0, 1);
+}
+
+// What another decider may have begun and not finished.
+void RolloutDriver::WantWhatIsMissing(Entry& entry) {
+  const RolloutState state = entry.rollout->state();
+  if (!SceneOf(*entry.rollout).decides) return entry.wanted.reset();
+  if (state == RolloutState::kUnheard) {
+    Want(entry, RolloutEvent::kBegun);
+  } else if (state == RolloutState::kWithdrawn) {
+    Want(entry, RolloutEvent::kReverted);
+  } else if (entry.wanted == RolloutEvent::kBegun &&
+             entry.written.number != 0) {
+    entry.wanted.reset();
+  }
+}
+
+void RolloutDriver::Write(const ServiceName& service, Entry& entry) {
+  const RolloutEvent said = *entry.wanted;
+  const std::string key = reader_.RolloutStatusKey(service);
+  StoreWrite write;
+  write.conditions.push_back({key, entry.written});
+  write.puts.push_back({key,
+                        reader_.EncodeRolloutStatus(
+                            {service, entry.rollout->order().version, said}),
+                        0});
+  entry.call = context_.store.Write(
+      write, [this, service, said](const StoreWritten& it) {
+        OnWritten(service, said, it);
+      });
+}
+
+void RolloutDriver::OnWritten(const ServiceName& service, RolloutEvent said,
+                              const StoreWritten& written) {
+  Entry& entry = entries_.at(service);
+  entry.call.reset();
+  const Instant now = context_.clock.Now();
+  switch (written.end) {
+    case StoreEnd::kDone:
+      entry.written = written.revision;
+      LogEvent(Event::kRolloutWritten,
+               {{"service", service.value},
+                {"version", entry.rollout->order().version.value},
+                {"said", std::string(NameOf(said))},
+                {"revision", ToText(written.revision)}});
+      entry.wanted.reset();
+      entry.rollout->OnStored(said, now);
+      break;
+    case StoreEnd::kRejected:
+      OnPresent(entry, written);
+      break;
+    case StoreEnd::kRefused:
+    case StoreEnd::kUnknown:
+      entry.write_at = now + DrawPart(random_, kRetryAfter, 0.7, 1.3);
+      return;
+  }
+  CheckOne(service, entry);
+}
+
+// Somebody has written meanwhile.
+void RolloutDriver::OnPresent(Entry& entry, const StoreWritten& written) {
+  entry.written = {};
+  for (const StoreItem& it : written.present) {
+    entry.written = it.revision;
+    const auto status =
+        ReadOrLog(it, [&] { return reader_.ReadRolloutStatus(it); });
+    const RolloutOrder& order = entry.rollout->order();
+    const bool is_of_order = status && status->version == order.version &&
+                             it.revision > order.revision;
+    if (!is_of_order) continue;
+    const RolloutEvent said = status->said;
+    entry.rollout->OnStored(said, context_.clock.Now());
+    const bool is_there =
+        said != RolloutEvent::kBegun || entry.wanted == RolloutEvent::kBegun;
+    if (is_there) entry.wanted.reset();
+  }
+  entry.write_at = context_.clock.Now();
+}
+
+void RolloutDriver::OnStoreEra() {
+  for (auto& [service, entry] : entries_) {
+    entry.written = {};
+    entry.call.reset();
+    if (entry.rollout) Redeclare(entry);
+  }
+}
+
+// What the store says of an order has to be later than the order.
+void RolloutDriver::Redeclare(Entry& entry) {
+  switch (entry.rollout->state()) {
+    case RolloutState::kUnheard:
+      return;
+    case RolloutState::kCompleted:
+      return Want(entry, RolloutEvent::kCompleted);
+    case RolloutState::kReverted:
+    case RolloutState::kWithdrawn:
+      return Want(entry, RolloutEvent::kReverted);
+    default:
+      return Want(entry, RolloutEvent::kBegun);
+  }
+}
+
+}  // namespace quaytrack
--- a/relay/testing/peer_messages_test.cc
+++ b/relay/testing/peer_messages_test.cc
@@ -88,6 +88,37 @@
                    "after": "t/1", "more": true}})");
 }
 
+BOOST_AUTO_TEST_CASE(RolloutsKeepTheirForm) {
+  PeerMessage it = Message(PeerMessageKind::kPing);
+  RolloutReport& report = it.rollouts[ServiceName("llm")];
+  report.version = VersionName("v2");
+  report.order = {2, 41};
+  report.state = RolloutState::kTrial;
+  report.left = std::chrono::seconds(9);
+  report.counted_by = VmName("vm2");
+  report.evidence.Add("review", true, {true, {}, {}});
+  report.evidence.Add("review", false, {false, 1.0, {}});
+  Check(it, R"({"kind": "ping", "from": "vm1@1", "rollouts": {"llm":
+                {"version": "v2", "order": [41, 2], "state": "trial",
+                 "left": 9000, "counted_by": "vm2", "drained": false,
+                 "routers": 1, "next": {"review": [1, 1, [], []]},
+                 "current": {"review": [1, 0, [[6, 1]], []]}}}})");
+}
+
+BOOST_AUTO_TEST_CASE(RolloutsThatCantBeReadAreNoMessage) {
+  for (const char* it :
+       {R"({"kind": "ping", "from": "a", "rollouts": {"llm": 7}})",
+        R"({"kind": "ping", "from": "a", "rollouts": {"llm":
+               {"version": "v2", "state": "trial"}}})",
+        R"({"kind": "ping", "from": "a", "rollouts": {"llm":
+               {"version": "v2", "order": [1], "state": "trial", "left": 1,
+                "counted_by": "", "drained": false, "routers": 1,
+                "next": {"review": [1]}, "current": {}}}})"}) {
+    const auto bytes = Json::to_cbor(Json::parse(it));
+    BOOST_TEST(!DecodePeerMessage(std::string(bytes.begin(), bytes.end())), it);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(NewsThatCantBeReadAreNoMessage) {
   for (const char* it : {
            R"({"kind": "news", "from": "a"})",
--- a/relay/testing/plain_state_reader.h
+++ b/relay/testing/plain_state_reader.h
@@ -1,7 +1,9 @@
 // Reads shared state that is spelled as tests find convenient: the
 // configuration is its version ("c/config" = "7"), and a target ("t/a") is
-// "ready" or "leaving", and "c/closed/a" closes hall "a". Anything else is an
-// item that can't be read, and "unexplained" is one without a reason.
+// "ready" or "leaving", and "c/closed/a" closes hall "a". "c/rollout/s" = "v2"
+// orders that service s moves to v2 within 12 s, and "s/rollout/s" says how
+// that stands. Anything else is an item that can't be read, and "unexplained"
+// is one without a reason.
 
 #ifndef QUAYTRACK_RELAY_TESTING_PLAIN_STATE_READER_H_
 #define QUAYTRACK_RELAY_TESTING_PLAIN_STATE_READER_H_
@@ -55,6 +57,41 @@
     if (!key.starts_with(kPrefix)) return std::nullopt;
     return HallName(key.substr(kPrefix.size()));
   }
+
+  std::optional<ServiceName> RolledOutService(
+      const std::string& key) const override {
+    constexpr std::string_view kPrefix = "c/rollout/";
+    if (!key.starts_with(kPrefix)) return std::nullopt;
+    return ServiceName(key.substr(kPrefix.size()));
+  }
+  boost::leaf::result<RolloutOrder> Rollout(
+      const StoreItem& item) const override {
+    if (item.value.empty()) {
+      return boost::leaf::new_error(ItemError{"version", "is empty"});
+    }
+    RolloutOrder out;
+    out.service = *RolledOutService(item.key);
+    out.version = VersionName(item.value);
+    out.duration = std::chrono::seconds(12);
+    out.revision = item.revision;
+    return out;
+  }
+  std::string RolloutStatusKey(const ServiceName& service) const override {
+    return "s/rollout/" + service.value;
+  }
+  std::string EncodeRolloutStatus(const RolloutStatus& status) const override {
+    return status.version.value + " " + std::string(NameOf(status.said));
+  }
+  boost::leaf::result<RolloutStatus> ReadRolloutStatus(
+      const StoreItem& item) const override {
+    const std::size_t space = item.value.find(' ');
+    if (space == std::string::npos) {
+      return boost::leaf::new_error(ItemError{"state", "is missing"});
+    }
+    const auto said = FromName<RolloutEvent>(item.value.substr(space + 1));
+    if (!said) return boost::leaf::new_error(ItemError{"state", "is unknown"});
+    return RolloutStatus{{}, VersionName(item.value.substr(0, space)), *said};
+  }
 };
 
 }  // namespace quaytrack
--- /dev/null
+++ b/rollout/evidence.cc
@@ -0,0 +1,47 @@
+#include "rollout/evidence.h"
+
+namespace quaytrack {
+namespace {
+
+// Routes beyond that are counted together, as operators may configure many.
+constexpr std::size_t kMostRoutes = 32;
+constexpr char kOtherRoutes[] = "";
+
+RouteEvidence& At(RoutesEvidence& routes, const std::string& route) {
+  const bool is_new = !routes.contains(route);
+  return routes[is_new && routes.size() >= kMostRoutes ? kOtherRoutes : route];
+}
+
+void MergeRoutes(RoutesEvidence& into, const RoutesEvidence& from) {
+  for (const auto& [route, it] : from) {
+    RouteEvidence& out = At(into, route);
+    out.answers += it.answers;
+    out.failed += it.failed;
+    out.first.Merge(it.first);
+    out.pause.Merge(it.pause);
+  }
+}
+
+}  // namespace
+
+void VersionEvidence::Add(const std::string& route, bool is_next,
+                          const AnswerSeen& answer) {
+  RouteEvidence& out = At(is_next ? next : current, route);
+  ++out.answers;
+  if (answer.failed) ++out.failed;
+  if (answer.first) out.first.Add(*answer.first);
+  if (answer.pause) out.pause.Add(*answer.pause);
+}
+
+void VersionEvidence::Merge(const VersionEvidence& other) {
+  MergeRoutes(next, other.next);
+  MergeRoutes(current, other.current);
+}
+
+std::uint64_t AnswersOf(const RoutesEvidence& routes) {
+  std::uint64_t out = 0;
+  for (const auto& [route, it] : routes) out += it.answers;
+  return out;
+}
+
+}  // namespace quaytrack
--- /dev/null
+++ b/rollout/testing/order_book_test.cc
@@ -0,0 +1,59 @@
+// The orders that are in force, through readings of the store and its returns.
+
+#include "rollout/order_book.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace quaytrack {
+namespace {
+
+const ServiceName kService("s");
+
+RolloutOrder Order(const char* version, StoreRevision revision) {
+  return {kService, VersionName(version), std::chrono::seconds(12), revision};
+}
+
+BOOST_AUTO_TEST_CASE(OrdersComeChangeAndGo) {
+  OrderBook it;
+  BOOST_TEST(it.Replace({}, 1).empty());
+  BOOST_TEST(it.Put(Order("v2", 2)));
+  BOOST_TEST((it.Find(kService)->version == VersionName("v2")));
+  // The same change, read again.
+  BOOST_TEST(!it.Put(Order("v2", 2)));
+  BOOST_TEST(!it.Put(Order("v1", 1)));
+  BOOST_TEST(it.Put(Order("v3", 3)));
+  BOOST_TEST(it.Remove(kService));
+  BOOST_TEST(!it.Remove(kService));
+  BOOST_TEST(it.Find(kService) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(AReadingTakesBackWhatItDoesntHave) {
+  OrderBook it;
+  it.Replace({Order("v2", 2)}, 2);
+  BOOST_TEST(it.Replace({}, 5).size() == 1U);
+  BOOST_TEST(it.Find(kService) == nullptr);
+}
+
+// The copy may be older than the order, and operators write it again.
+BOOST_AUTO_TEST_CASE(AStoreThatCameBackOlderTakesNoOrderBackAtOnce) {
+  OrderBook it;
+  it.Replace({Order("v2", {1, 20})}, {1, 20});
+  BOOST_TEST(it.Replace({}, {2, 5}).empty());
+  BOOST_TEST(it.Find(kService) != nullptr);
+  BOOST_TEST(it.HasCarried());
+  BOOST_TEST(it.Put(Order("v2", {2, 7})));
+  BOOST_TEST(!it.HasCarried());
+  BOOST_TEST(it.DropCarried().empty());
+  BOOST_TEST(it.Find(kService) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(WhatIsntWrittenAgainIsGone) {
+  OrderBook it;
+  it.Replace({Order("v2", {1, 20})}, {1, 20});
+  it.Replace({}, {2, 5});
+  BOOST_TEST(it.DropCarried().size() == 1U);
+  BOOST_TEST(it.Find(kService) == nullptr);
+}
+
+}  // namespace
+}  // namespace quaytrack
