Work on the prepaid record leaves three quarters of the time to everything else

Each request of a customer whose part holds less than one request makes its holder write, and a write of 333 customers' record, or the rejection of one, is work that the store's slowness had spaced before. That the work is what keeps them silent was not measured by itself.

Change: after each read, write or rejection of the record, its router rests three times as long as the work took, up to 200 ms (relay/work_pacer.h).

Why it works: work that takes next to no time, as in fleets of usual size, isn't held up; where it takes 20 ms, it is done 12 times a second at most.

--- a/relay/prepaid_store.cc
+++ b/relay/prepaid_store.cc
@@ -25,6 +25,12 @@
 constexpr int kRetryJitterMs = 8;
 constexpr int kLongestJitterMs = 128;
 
+// A cycle rests so many times as long as its work on the record took, so that a
+// router which keeps budgets answers the others in between, and up to that
+// long, as requests wait for grants.
+constexpr int kRestOfWork = 3;
+constexpr Duration kLongestRest = milliseconds(200);
+
 std::string KeyIn(std::int64_t era, const std::string& key) {
   return era == 0 ? key : key + '/' + std::to_string(era);
 }
@@ -83,7 +89,8 @@
       self_(std::move(self)),
       ledger_(ledger),
       on_(std::move(handlers)),
-      jitter_ms_(kRetryJitterMs) {}
+      jitter_ms_(kRetryJitterMs),
+      pacer_(kRestOfWork, kLongestRest) {}
 
 void PrepaidStore::Start() {
   cycle_timer_ = loop_.Every(kCycleEvery, [this] { RunCycle(); });
@@ -91,14 +98,16 @@
 }
 
 void PrepaidStore::RunCycle() {
-  if (call_) return;
+  const Instant begun = clock_.Now();
+  if (call_ || !pacer_.MayWork(begun)) return;
   ledger_.OnStoreEra(store_.era());
-  if (ledger_.NeedsRead(clock_.Now())) return ReadSpends();
-  const auto write = ledger_.NextWrite(clock_.Now());
+  if (ledger_.NeedsRead(begun)) return ReadSpends();
+  const auto write = ledger_.NextWrite(begun);
   if (!write) return;
   write_ = *write;
   call_ = store_.Write(ToStore(*write),
                        [this](const StoreWritten& it) { OnWritten(it); });
+  pacer_.OnWork(begun, clock_.Now());
 }
 
 void PrepaidStore::RunCycleSoon() {
@@ -142,6 +151,7 @@
 }
 
 void PrepaidStore::OnRecord(const StoreSnapshot& snapshot) {
+  const Instant begun = clock_.Now();
   call_.reset();
   SetReachable(snapshot.end == StoreEnd::kDone);
   const bool answered = snapshot.end == StoreEnd::kDone;
@@ -152,6 +162,7 @@
   }
   ledger_.OnRead(clock_.Now(), read_);
   on_.ledger_changed();
+  pacer_.OnWork(begun, clock_.Now());
   RunCycleSoon();
 }
 
@@ -229,6 +240,7 @@
 // A rejected write comes with what the store has now. That spares a read if
 // only the record has changed, as it does whenever another router writes it.
 void PrepaidStore::OnRejected(const std::vector<StoreItem>& present) {
+  const Instant begun = clock_.Now();
   const std::string own_key = SpendKeyOf(self_, write_.expected_spend.key_era);
   StoreRevision spend_revision(write_.era, 0);
   for (const StoreItem& it : present) {
@@ -244,6 +256,7 @@
       read_.revision > 0) {
     ledger_.OnNewerRecord(clock_.Now(), read_.revision, read_.record);
   }
+  pacer_.OnWork(begun, clock_.Now());
   RunCycleSoon();
   jitter_ms_ = std::min(jitter_ms_ * 2, kLongestJitterMs);
 }
--- a/relay/prepaid_store.h
+++ b/relay/prepaid_store.h
@@ -39,6 +39,7 @@
 #include "kv/store.h"
 #include "net/loop.h"
 #include "prepaid/prepaid_ledger.h"
+#include "relay/work_pacer.h"
 
 namespace quaytrack {
 
@@ -93,6 +94,9 @@
   bool reachable_ = true;
   // Most of the pause before a rejected write is made again.
   int jitter_ms_;
+  // Of reading, changing and writing the record, which grows with customers and
+  // holders.
+  WorkPacer pacer_;
 };
 
 }  // namespace quaytrack
