--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -53,7 +53,7 @@
 constexpr Duration kAskAgainAfter = std::chrono::seconds(2);
 
 // Operators' word on a version that is listed for the first time is known by
-// then: both are read from the store, one after the other. Not measured.
+// then: both are read from the store, one after the other.
 constexpr Duration kOrderTellsWithin = std::chrono::milliseconds(1000);
 // Targets that share what a version gets on trial, at the least.
 constexpr std::size_t kLeastPartTakers = 2;
--- a/dispatch/version_gate.h
+++ b/dispatch/version_gate.h
@@ -4,7 +4,7 @@
 //   VersionGate gate;
 //   gate.SetRule(rule, random_part);
 //   if (gate.Admits(version)) ...            // may get requests at all
-//   switch (gate.Next()) ...                 // whose turn it is
+//   switch (gate.Turn()) ...                 // whose turn it is
 //   gate.OnSent(version);
 //
 // The next version gets its share by counting, and not by chance: of each
--- a/relay/feed_pages.cc
+++ b/relay/feed_pages.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <limits>
+#include <set>
 #include <utility>
 
 namespace quaytrack {
@@ -50,7 +51,8 @@
 std::vector<StoreChange> FeedItemBook::Replace(
     const std::vector<StoreItem>& items, StoreRevision revision) {
   std::vector<StoreChange> out;
-  std::map<std::string, StoreItem> gone = items_;
+  std::set<std::string> gone;
+  for (const auto& [key, it] : items_) gone.insert(key);
   for (const StoreItem& it : items) {
     const auto known = items_.find(it.key);
     const bool same =
@@ -58,7 +60,7 @@
     if (!same) out.push_back({it, false});
     gone.erase(it.key);
   }
-  for (const auto& [key, it] : gone) {
+  for (const std::string& key : gone) {
     out.push_back({{key, "", revision}, true});
   }
   for (const StoreChange& it : out) Apply(it);
--- a/relay/feed_pages.h
+++ b/relay/feed_pages.h
@@ -3,7 +3,7 @@
 //   FeedItemBook book;                        // at the reader
 //   book.Start(items, revision);
 //   book.Apply(change);
-//   FeedNews page = book.PageFor(wanted, book_revision);
+//   if (auto page = book.PageFor(wanted, book_revision)) send(*page);
 //
 //   FeedPageReader pages;                     // at the router that is behind
 //   ask(pages.Next(known));
--- a/relay/fleet_driver.cc
+++ b/relay/fleet_driver.cc
@@ -22,7 +22,7 @@
 // an entry that another has replaced. Not measured.
 constexpr Duration kLongestWhenTold = milliseconds(60000);
 // Least time between two reads because of a number, and the time after which
-// those that hear of it begin to. Not measured.
+// those that hear of it begin to.
 constexpr Duration kBetweenCounts = milliseconds(5000);
 constexpr Duration kCountRead = milliseconds(500);
 // From a call that failed to the next try. Not measured.
--- a/relay/rollout_driver.cc
+++ b/relay/rollout_driver.cc
@@ -13,7 +13,7 @@
 using std::chrono::milliseconds;
 
 // Within which all deciders write, each at a random moment. It is short beside
-// the users' bound on a bad version, 5 s. Not measured.
+// the users' bound on a bad version, 5 s.
 constexpr Duration kWriteWithin = milliseconds(400);
 // From a write that failed to the next.
 constexpr Duration kRetryAfter = milliseconds(300);
--- a/relay/state_feed.cc
+++ b/relay/state_feed.cc
@@ -64,7 +64,7 @@
 // from one of them.
 constexpr std::size_t kMostInOneMessage = 32 * 1024;
 // After so long another reader is asked, and after twice that the next. Who is
-// slow to answer is likely to have many that ask. Not measured.
+// slow to answer is likely to have many that ask.
 constexpr Duration kAskAgainAfter = milliseconds(300);
 constexpr Duration kLongestAskPatience = milliseconds(2400);
 
--- a/relay/state_feed.h
+++ b/relay/state_feed.h
@@ -116,7 +116,7 @@
   static constexpr Duration kFreshFor = std::chrono::milliseconds(1500);
 
   // How long a router that starts waits for a reader's items. Links are open
-  // some hundred milliseconds after the list of routers was read. Not measured.
+  // some hundred milliseconds after the list of routers was read.
   static constexpr Duration kToldWithin = std::chrono::milliseconds(3000);
 
   struct Options {
--- a/relay/target_follower.cc
+++ b/relay/target_follower.cc
@@ -31,7 +31,6 @@
 // whose readers are all away, routers then read the store's, spread so that one
 // of them begins in each `kBetweenReadings` on average: a list is some
 // megabytes in a large fleet, and targets and operators use the same store.
-// Neither is measured.
 constexpr Duration kReadersSendWithin = std::chrono::milliseconds(1000);
 constexpr Duration kBetweenReadings = std::chrono::milliseconds(20);
 
--- a/rollout/rollout_order.h
+++ b/rollout/rollout_order.h
@@ -1,5 +1,13 @@
 // What operators ask for, and what they are told: a service's traffic is to be
 // moved to the targets of another version.
+//
+//   const RolloutOrder order = read(item);    // platform/rollout_json.h
+//   if (order.SameAs(followed) && later_era) go_on(order);
+//   else begin(order);
+//
+// A store that was restored has the same order at a revision of a later era; a
+// roll-out under way then goes on. Within one era, an order that is written
+// again is a new one.
 
 #ifndef QUAYTRACK_ROLLOUT_ROLLOUT_ORDER_H_
 #define QUAYTRACK_ROLLOUT_ROLLOUT_ORDER_H_
