Keep scarce budgets for the more urgent requests

While the tokens of a prepaid budget within a router's reach don't cover its demand over a horizon, less urgent requests leave to the more urgent ones what these are measured to request. They are refused at once (503, budget_reserved).

--- a/base/events.h
+++ b/base/events.h
@@ -103,6 +103,9 @@
   kHoldUnanswered = 1413,
   kRequestOverran = 1414,
   kPrepaidDeclared = 1415,
+  kBudgetScarce = 1419,
+  kBudgetEased = 1420,
+  kBudgetReserved = 1421,
 };
 
 struct EventInfo {
@@ -184,6 +187,9 @@
     {Event::kHoldUnanswered, LogLevel::kWarn, "hold_unanswered"},
     {Event::kRequestOverran, LogLevel::kWarn, "request_overran"},
     {Event::kPrepaidDeclared, LogLevel::kInfo, "prepaid_declared"},
+    {Event::kBudgetScarce, LogLevel::kWarn, "budget_scarce"},
+    {Event::kBudgetEased, LogLevel::kInfo, "budget_eased"},
+    {Event::kBudgetReserved, LogLevel::kInfo, "budget_reserved"},
 });
 
 }  // namespace quaytrack
--- a/prepaid/prepaid_ledger.cc
+++ b/prepaid/prepaid_ledger.cc
@@ -105,6 +105,50 @@
   return out;
 }
 
+std::optional<BudgetReach> PrepaidLedger::Reach(Instant now,
+                                                const CustomerName& customer,
+                                                bool store_answers) const {
+  if (!confirmed_ || fenced_ || left_) return std::nullopt;
+  BudgetReach out;
+  out.tokens = std::max<Tokens>(0, MinIdle(customer));
+  if (!store_answers) return out;
+  out.tokens += static_cast<Tokens>(static_cast<double>(Ungranted(customer)) *
+                                    ShareOfUngranted(now, customer));
+  out.next_read = std::max<Duration>(Duration::zero(),
+                                     record_confirmed_at_ + RefreshAge() - now);
+  return out;
+}
+
+// What the record still has to grant. A limit that the record doesn't show yet
+// counts, as the next write sets it.
+Tokens PrepaidLedger::Ungranted(const CustomerName& customer) const {
+  const auto limit = limits_.find(customer);
+  if (limit == limits_.end()) return 0;
+  PrepaidEntry entry;
+  const auto found = confirmed_->record.customers.find(customer);
+  if (found != confirmed_->record.customers.end()) entry = found->second;
+  if (entry.limit_version <= limits_version_) entry.limit = limit->second;
+  const auto reserve =
+      static_cast<Tokens>(static_cast<double>(entry.limit) * policy_.reserve);
+  return std::max<Tokens>(0, entry.Free() - reserve);
+}
+
+// This router's part of what all routers spend, but at least an equal share. A
+// router that most of a customer's requests reach can get most of what isn't
+// granted; with an equal share its budget would look scarce too early. The
+// settled spending lags behind, so the part may be too large at first, and
+// nothing is refused too early.
+double PrepaidLedger::ShareOfUngranted(Instant now,
+                                       const CustomerName& customer) const {
+  const std::size_t members =
+      std::max<std::size_t>(1, confirmed_->record.members.size());
+  const double equal = 1 / static_cast<double>(members);
+  const LocalAccount& account = AccountOf(accounts_, customer);
+  const double own = account.spending.PerSecond(now);
+  const double all = std::max(own, account.settling.PerSecond(now));
+  return all > 0 ? std::max(equal, own / all) : equal;
+}
+
 // --- When to write -----------------------------------------------------------
 
 bool PrepaidLedger::HasUnrecordedTransfers() const {
@@ -407,15 +451,18 @@
   TrackUndeclared(now);
 }
 
+Duration PrepaidLedger::RefreshAge() const {
+  const auto members = static_cast<int>(confirmed_->record.members.size());
+  return std::max<Duration>(policy_.refresh_every,
+                            policy_.refresh_per_member * members);
+}
+
 bool PrepaidLedger::NeedsRead(Instant now) const {
   if (confirmed_ && !is_holder_) return false;
   if (needs_read_ || !confirmed_) return !in_flight_;
   if (in_flight_ || now < not_before_) return false;
   const Duration age = now - record_confirmed_at_;
-  const auto members = static_cast<int>(confirmed_->record.members.size());
-  const Duration refresh = std::max<Duration>(
-      policy_.refresh_every, policy_.refresh_per_member * members);
-  if (age >= refresh) return true;
+  if (age >= RefreshAge()) return true;
   if (age < policy_.refresh_waiting) return false;
   return std::any_of(accounts_.begin(), accounts_.end(), [&](const auto& it) {
     const auto& [customer, account] = it;
--- a/prepaid/prepaid_ledger.h
+++ b/prepaid/prepaid_ledger.h
@@ -65,6 +65,7 @@
 #include "prepaid/prepaid_policy.h"
 #include "prepaid/prepaid_record.h"
 #include "prepaid/record_change.h"
+#include "prepaid/scarcity.h"
 #include "prepaid/store_view.h"
 
 namespace quaytrack {
@@ -200,6 +201,12 @@
 
   // The tokens that this router may hold now.
   Tokens Allowance(Instant now, const CustomerName& customer) const;
+  // The tokens that this router can get in a moment: its idle tokens, also the
+  // withheld ones, and, if the store answers, its share of what the record
+  // hasn't granted. std::nullopt before the record is known, and once this
+  // router may spend nothing any more.
+  std::optional<BudgetReach> Reach(Instant now, const CustomerName& customer,
+                                   bool store_answers) const;
   // Whether the record no longer shows this router, because a later incarnation
   // of its VM has charged its grants. Then nothing may be spent any more.
   bool Fenced() const { return fenced_; }
@@ -209,6 +216,10 @@
 
  private:
   bool IsWithheld(Instant now) const;
+  Tokens Ungranted(const CustomerName& customer) const;
+  double ShareOfUngranted(Instant now, const CustomerName& customer) const;
+  // Age at which the record is read again.
+  Duration RefreshAge() const;
   // The minimum of the idle tokens over every state that the store may be in.
   Tokens MinIdle(const CustomerName& customer) const;
   // Whether nothing may be granted from the record, as members may still have
--- a/prepaid/prepaid_policy.h
+++ b/prepaid/prepaid_policy.h
@@ -48,6 +48,14 @@
   // Fraction of a limit that is never granted, as a margin for counting errors.
   double reserve = 0.01;
 
+  // --- Scarce budgets --------------------------------------------------------
+
+  // While the tokens within reach don't cover a customer's demand over this
+  // time, less urgent requests leave to the more urgent ones what these are
+  // expected to need (prepaid/scarcity.h; flag --scarce-horizon-s). Zero turns
+  // this off.
+  Duration scarce_horizon{};
+
   // --- Times of writes -------------------------------------------------------
 
   // Longest time that spending stays unreported. Raising this from 600 ms and
--- a/relay/budget_driver.cc
+++ b/relay/budget_driver.cc
@@ -22,7 +22,7 @@
       self_(identity.self),
       ledger_(identity, policy),
       store_(loop, clock, store, identity.self, ledger_, StoreHandlers()),
-      queue_(ledger_, QueueHandlers()),
+      queue_(ledger_, policy.scarce_horizon, QueueHandlers()),
       transfers_(ledger_, TransferHandlers()),
       remote_({}, RemoteHandlers()),
       served_(ServedHandlers()) {}
@@ -50,6 +50,10 @@
   out.answer = [this](const HoldWaiterPtr& it, PrepaidVerdict verdict) {
     PostAnswer(it, verdict);
   };
+  out.refuse_reserved = [this](const HoldWaiterPtr& it, Duration retry_after) {
+    PostReserved(it, retry_after);
+  };
+  out.store_answers = [this] { return store_.reachable(); };
   return out;
 }
 
@@ -159,10 +163,14 @@
   out.id = waiter->id();
   out.customer = waiter->customer();
   out.amount = waiter->worst_case();
+  out.urgency = waiter->urgency();
   out.holders = fleet_.HoldersFor(waiter->customer());
   out.done = [this, waiter](PrepaidVerdict verdict) {
     PostAnswer(waiter, verdict);
   };
+  out.reserved = [this, waiter](Duration retry_after) {
+    PostReserved(waiter, retry_after);
+  };
   remote_.RequestHold(clock_.Now(), std::move(out));
   StartWaitTimer();
 }
@@ -174,6 +182,11 @@
   loop_.Post([waiter, verdict] { Answer(*waiter, verdict); });
 }
 
+void BudgetDriver::PostReserved(const HoldWaiterPtr& waiter,
+                                Duration retry_after) {
+  loop_.Post([waiter, retry_after] { waiter->OnHoldReserved(retry_after); });
+}
+
 void BudgetDriver::Forget(const HoldWaiterPtr& request) {
   std::erase_if(early_holds_,
                 [&](const EarlyHold& it) { return it.waiter == request; });
--- a/relay/budget_driver.h
+++ b/relay/budget_driver.h
@@ -16,7 +16,8 @@
 // This class only connects these parts:
 //   prepaid/prepaid_ledger.h   what this router may spend of each budget
 //   relay/prepaid_store.h      the ledger's reads and writes at the store
-//   relay/hold_queue.h         requests that wait for a larger grant
+//   relay/hold_queue.h         requests that wait for a larger grant, and those
+//                              that a scarce budget is kept from
 //   relay/grant_transfers.h    unused grant from and to peers
 //   relay/remote_holds.h       holds at other routers, if this one keeps no
 //                              grants: in a large fleet most routers keep none
@@ -95,6 +96,15 @@
   void OnPeer(const PeerMessage& message);
   void OnPeerLost(const Incarnation& peer);
 
+  // Whether this router's reach of the customer's budget doesn't cover the
+  // demand over the horizon (prepaid/scarcity.h). False if this router keeps no
+  // grants, or if the horizon is zero.
+  bool IsScarce(const CustomerName& customer) const {
+    return queue_.IsScarce(clock_.Now(), customer);
+  }
+  // Number of customers whose budgets are scarce at this router.
+  std::size_t CountScarce() const { return queue_.CountScarce(clock_.Now()); }
+
   // From now on, refers peers that request holds to other holders.
   void StopServing() { served_.Stop(); }
   // Starts to return the unspent grants to the store; `HasLeft` shows when this
@@ -117,6 +127,7 @@
   void RequestFromHolders(const HoldWaiterPtr& waiter);
   void SettleInGrant(const CustomerName& customer, Tokens held, Tokens cost);
   void PostAnswer(const HoldWaiterPtr& waiter, PrepaidVerdict verdict);
+  void PostReserved(const HoldWaiterPtr& waiter, Duration retry_after);
   void SendTo(const Incarnation& peer, PeerMessage message);
   void StartWaitTimer();
   void CheckWaits();
--- a/relay/final_answer.cc
+++ b/relay/final_answer.cc
@@ -23,6 +23,10 @@
 // later either.
 constexpr Duration kRetryAfterGrant = milliseconds(1000);
 
+// A budget that is scarce has a horizon of some seconds; prepaid/scarcity.h
+// gives each request a shorter time.
+constexpr Duration kRetryAfterReserved = milliseconds(2500);
+
 // Operators close halls and restrict requests to regions for some seconds at
 // least, without stating for how long.
 constexpr Duration kRetryAfterOperatorChange = milliseconds(2000);
@@ -52,6 +56,7 @@
       return 404;
     case RelayCause::kNoConfiguration:
     case RelayCause::kBudgetUnavailable:
+    case RelayCause::kBudgetReserved:
     case RelayCause::kNoTarget:
     case RelayCause::kTargetsCold:
     case RelayCause::kTargetsLimited:
@@ -87,6 +92,8 @@
       return kRetryAfterConfiguration;
     case RelayCause::kBudgetUnavailable:
       return kRetryAfterGrant;
+    case RelayCause::kBudgetReserved:
+      return kRetryAfterReserved;
     case RelayCause::kHallsClosed:
     case RelayCause::kOutsideResidency:
       return kRetryAfterOperatorChange;
--- a/relay/final_answer.h
+++ b/relay/final_answer.h
@@ -38,6 +38,7 @@
   kUnknownKey,
   kBudgetExhausted,
   kBudgetUnavailable,
+  kBudgetReserved,  // scarce, and kept for more urgent requests
   kNoTarget,
   kTargetsCold,       // just started, at their limit for now
   kTargetsLimited,    // at the rate limits that they announced
@@ -63,6 +64,7 @@
        {RelayCause::kUnknownKey, "unknown_key"},
        {RelayCause::kBudgetExhausted, "budget_exhausted"},
        {RelayCause::kBudgetUnavailable, "budget_unavailable"},
+       {RelayCause::kBudgetReserved, "budget_reserved"},
        {RelayCause::kNoTarget, "no_target"},
        {RelayCause::kTargetsCold, "targets_cold"},
        {RelayCause::kTargetsLimited, "targets_limited"},
@@ -88,7 +90,8 @@
 int FinalStatus(RelayCause cause, Ran ran);
 
 // When a caller that was refused for `cause` should retry; zero if it gets no
-// Retry-After. For kCrashesTargets, the longest possible time.
+// Retry-After. For kCrashesTargets and kBudgetReserved, the longest
+// possible time.
 Duration RetryAfter(RelayCause cause);
 
 // The answer for a cause whose status is not 0. `retry_after` overrides the
--- a/relay/hold_queue.cc
+++ b/relay/hold_queue.cc
@@ -1,5 +1,6 @@
 #include "relay/hold_queue.h"
 
+#include <algorithm>
 #include <numeric>
 #include <string>
 
@@ -10,18 +11,47 @@
 PrepaidVerdict HoldQueue::HoldOrWait(Instant now, const HoldWaiterPtr& waiter) {
   const CustomerName& customer = waiter->customer();
   WaitingList& list = waiting_[customer];
-  if (list.empty()) {
+  const auto place = PlaceOf(*waiter, list);
+  const Tokens before = SumOf(list.begin(), place);
+  const auto refusal = scarce_.OnRequest(now, *waiter, before);
+  if (refusal && !ExceedsBudget(now, *waiter)) {
+    RefuseReserved(now, waiter, *refusal);
+    return PrepaidVerdict::kShort;
+  }
+  if (place == list.begin()) {
     const PrepaidVerdict out =
         ledger_.Hold(now, customer, waiter->worst_case());
+    if (out == PrepaidVerdict::kHeld) scarce_.OnHeld(now, *waiter);
     if (out != PrepaidVerdict::kShort) return out;
   } else if (ExceedsBudget(now, *waiter)) {
     return PrepaidVerdict::kExhausted;
   }
-  list.push_back({waiter, now, 0});
+  list.insert(place, {waiter, now, 0});
   UpdateLedger(customer, list);
   return PrepaidVerdict::kShort;
 }
 
+int HoldQueue::UrgencyOf(const HoldWaiter& waiter) const {
+  return scarce_.enabled() ? waiter.urgency() : 0;
+}
+
+// Before the first less urgent request.
+HoldQueue::WaitingList::iterator HoldQueue::PlaceOf(const HoldWaiter& waiter,
+                                                    WaitingList& list) const {
+  const int urgency = UrgencyOf(waiter);
+  return std::find_if(list.begin(), list.end(), [&](const Waiting& it) {
+    return UrgencyOf(*it.waiter) > urgency;
+  });
+}
+
+void HoldQueue::RefuseReserved(Instant now, const HoldWaiterPtr& waiter,
+                               const ReserveRefusal& refusal) {
+  on_.refuse_reserved(waiter, refusal.retry_after);
+  if (!scarce_.TakeAsk(now, waiter->customer())) return;
+  on_.ask_peers(waiter->customer(), refusal.reserved + waiter->worst_case(),
+                false);
+}
+
 void HoldQueue::Remove(const HoldWaiterPtr& waiter) {
   WaitingList& list = waiting_[waiter->customer()];
   std::erase_if(list, [&](const Waiting& it) { return it.waiter == waiter; });
@@ -44,6 +74,7 @@
     const PrepaidVerdict result =
         ledger_.Hold(now, customer, waiter->worst_case());
     if (result == PrepaidVerdict::kShort) break;
+    if (result == PrepaidVerdict::kHeld) scarce_.OnHeld(now, *waiter);
     list.pop_front();
     UpdateLedger(customer, list);
     on_.answer(waiter, result);
@@ -92,9 +123,12 @@
 
 void HoldQueue::RefuseExpired(Instant now, const CustomerName& customer,
                               WaitingList& list, bool store_reachable) {
-  while (!list.empty() && HasExpired(now, list.front())) {
-    const HoldWaiterPtr waiter = list.front().waiter;
-    list.pop_front();
+  const auto expired = [&](const Waiting& it) { return HasExpired(now, it); };
+  while (true) {
+    const auto it = std::find_if(list.begin(), list.end(), expired);
+    if (it == list.end()) return;
+    const HoldWaiterPtr waiter = it->waiter;
+    list.erase(it);
     UpdateLedger(customer, list);
     LogRefused(now, *waiter, store_reachable);
     on_.answer(waiter, PrepaidVerdict::kShort);
@@ -112,23 +146,26 @@
   return no_tokens || now - it.since >= kTimeouts.give_up_after;
 }
 
-// Peers are asked for the sum of all waiting requests, once the first of them
+// Peers are asked for the sum of all waiting requests, once the oldest of them
 // has waited long enough.
 void HoldQueue::AskPeersIfDue(Instant now, const CustomerName& customer,
                               WaitingList& list, bool store_reachable) {
-  Waiting& first = list.front();
-  const Duration waited = now - first.since;
-  const bool half = first.times_asked == 0 &&
+  Waiting& oldest = *std::min_element(
+      list.begin(), list.end(),
+      [](const Waiting& a, const Waiting& b) { return a.since < b.since; });
+  const Duration waited = now - oldest.since;
+  const bool half = oldest.times_asked == 0 &&
                     (waited >= kTimeouts.ask_half_after || !store_reachable);
-  const bool all = first.times_asked == 1 && waited >= kTimeouts.ask_all_after;
+  const bool all = oldest.times_asked == 1 && waited >= kTimeouts.ask_all_after;
   if (!half && !all) return;
-  ++first.times_asked;
+  ++oldest.times_asked;
   on_.ask_peers(customer, SumOf(list), all);
 }
 
-Tokens HoldQueue::SumOf(const WaitingList& list) {
+Tokens HoldQueue::SumOf(WaitingList::const_iterator begin,
+                        WaitingList::const_iterator end) {
   return std::accumulate(
-      list.begin(), list.end(), Tokens{0},
+      begin, end, Tokens{0},
       [](Tokens n, const Waiting& it) { return n + it.waiter->worst_case(); });
 }
 
--- a/relay/hold_queue.h
+++ b/relay/hold_queue.h
@@ -9,12 +9,18 @@
 //                                           // any request waits
 //
 // Each customer has its own list, which is first come, first served: a later
-// request doesn't overtake one that waits, or large requests would starve while
-// small ones keep arriving. Once the first has left or was refused, the next is
-// held, if the grant allows it, at the next `Expire`: at most 10 ms later
+// request of the same urgency doesn't overtake one that waits, or large
+// requests would starve while small ones keep arriving. Once the first has left
+// or was refused, the next is held, if the grant allows it, at the next
+// `Expire`: at most 10 ms later
 // (`check_every`), while requests are refused after 160 ms. The ledger is given
 // the sum that waits, and sizes its next write by it.
 //
+// With a horizon for scarce budgets (prepaid/scarcity.h), a more urgent request
+// goes before the less urgent ones that wait, and a request that must leave the
+// budget to more urgent ones is refused when it arrives. Every wait ends after
+// the same time, so nothing waits forever behind more urgent requests.
+//
 // A request that the budget can never hold doesn't wait, wherever it is in the
 // list. It is refused when it arrives, or when a lower limit or later spending
 // rules it out. That spares its caller a useless wait of up to 160 ms, and the
@@ -29,6 +35,7 @@
 #ifndef QUAYTRACK_RELAY_HOLD_QUEUE_H_
 #define QUAYTRACK_RELAY_HOLD_QUEUE_H_
 
+#include <cstddef>
 #include <deque>
 #include <functional>
 #include <map>
@@ -39,6 +46,7 @@
 #include "prepaid/prepaid_ledger.h"
 #include "relay/hold_patience.h"
 #include "relay/hold_waiter.h"
+#include "relay/scarce_budgets.h"
 
 namespace quaytrack {
 
@@ -51,17 +59,33 @@
         ask_peers;
     // Schedules the waiter's callback, after the current callback of the loop.
     std::function<void(const HoldWaiterPtr&, PrepaidVerdict)> answer;
+    // The same for a request that leaves a scarce budget to more urgent ones.
+    std::function<void(const HoldWaiterPtr&, Duration retry_after)>
+        refuse_reserved;
+    // Whether the store is reachable.
+    std::function<bool()> store_answers;
   };
 
-  HoldQueue(PrepaidLedger& ledger, Handlers handlers)
-      : ledger_(ledger), on_(std::move(handlers)) {}
+  // `scarce_horizon` is `PrepaidPolicy::scarce_horizon`.
+  HoldQueue(PrepaidLedger& ledger, Duration scarce_horizon, Handlers handlers)
+      : ledger_(ledger),
+        scarce_(ledger, scarce_horizon, handlers.store_answers),
+        on_(std::move(handlers)) {}
 
-  // Returns kShort if the request waits; any other result is final.
+  // Returns kShort if the request waits, or if its refusal by `refuse_reserved`
+  // was scheduled; any other result is final.
   PrepaidVerdict HoldOrWait(Instant now, const HoldWaiterPtr& waiter);
   // Removes a request without answering it.
   void Remove(const HoldWaiterPtr& waiter);
   bool HasWaiters(const CustomerName& customer) const;
 
+  bool IsScarce(Instant now, const CustomerName& customer) const {
+    return scarce_.IsScarce(now, customer);
+  }
+  std::size_t CountScarce(Instant now) const {
+    return scarce_.CountScarce(now);
+  }
+
   // Holds what the ledger now allows, and refuses what the budget can never
   // hold.
   void Serve(Instant now);
@@ -79,6 +103,12 @@
   };
   using WaitingList = std::deque<Waiting>;
 
+  int UrgencyOf(const HoldWaiter& waiter) const;
+  WaitingList::iterator PlaceOf(const HoldWaiter& waiter,
+                                WaitingList& list) const;
+  void RefuseReserved(Instant now, const HoldWaiterPtr& waiter,
+                      const ReserveRefusal& refusal);
+
   void ServeList(Instant now, const CustomerName& customer, WaitingList& list);
   void RefuseExhausted(Instant now, const CustomerName& customer,
                        WaitingList& list);
@@ -88,7 +118,11 @@
   bool HasExpired(Instant now, const Waiting& it) const;
   void AskPeersIfDue(Instant now, const CustomerName& customer,
                      WaitingList& list, bool store_reachable);
-  static Tokens SumOf(const WaitingList& list);
+  static Tokens SumOf(const WaitingList& list) {
+    return SumOf(list.begin(), list.end());
+  }
+  static Tokens SumOf(WaitingList::const_iterator begin,
+                      WaitingList::const_iterator end);
   void UpdateLedger(const CustomerName& customer, const WaitingList& list);
   void LogRefused(Instant now, const HoldWaiter& waiter,
                   bool store_reachable) const;
@@ -96,6 +130,7 @@
   static constexpr HoldTimeouts kTimeouts{};
 
   PrepaidLedger& ledger_;
+  ScarceBudgets scarce_;
   Handlers on_;
   std::map<CustomerName, WaitingList> waiting_;
 };
--- a/relay/peer_messages.cc
+++ b/relay/peer_messages.cc
@@ -18,6 +18,8 @@
 constexpr std::size_t kLineFields = 3;
 // Longer ages are clamped to this, which bounds how far a time is set back.
 constexpr std::int64_t kMaxAgeMs = 3'600'000;
+// Upper bound of a Retry-After from a holder, in milliseconds.
+constexpr std::int64_t kMaxRetryAfterMs = 10'000;
 
 Json LineToJson(const SpeedLine& it) {
   return {std::llround(it.ms_per_token * kTokenTimeUnit),
@@ -301,6 +303,9 @@
   out.request = RequestId(json.value("request", ""));
   const auto answer = FromName<HoldAnswer>(json.value("answer", ""));
   out.answer = answer.value_or(HoldAnswer::kNotHolder);
+  out.urgency = json.value("urgency", 0);
+  out.retry_after = std::chrono::milliseconds(std::clamp<std::int64_t>(
+      json.value("retry_ms", std::int64_t{0}), 0, kMaxRetryAfterMs));
   out.hall = HallName(json.value("hall", ""));
   out.address = json.value("address", "");
   out.config_version = json.value("config", std::uint64_t{0});
@@ -340,6 +345,10 @@
   if (message.kind == PeerMessageKind::kHoldAnswer) {
     json["answer"] = NameOf(message.answer);
   }
+  if (message.urgency != 0) json["urgency"] = message.urgency;
+  if (message.retry_after > Duration::zero()) {
+    json["retry_ms"] = AgeToJson(message.retry_after);
+  }
   if (!message.address.empty()) {
     json["hall"] = message.hall.value;
     json["address"] = message.address;
--- a/relay/peer_messages.h
+++ b/relay/peer_messages.h
@@ -22,6 +22,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/clock.h"
 #include "base/enum_table.h"
 #include "base/ids.h"
 #include "dispatch/prefill_speed.h"
@@ -106,6 +107,12 @@
   // kHoldRequest, kHoldAnswer, kSettle, kSettled.
   RequestId request;
   HoldAnswer answer = HoldAnswer::kNotHolder;
+  // kHoldRequest: the urgency of the request; 0 is the most urgent.
+  int urgency = 0;
+  // kHoldAnswer: if not zero, the hold was refused because the budget is kept
+  // for more urgent requests, and its caller should retry after this time. The
+  // answer is then kShort, which earlier builds understand.
+  Duration retry_after{};
   // kHello: the sender's hall and the address that it listens on.
   HallName hall;
   std::string address;
--- a/relay/relay_options.h
+++ b/relay/relay_options.h
@@ -72,6 +72,7 @@
   PrepaidPolicy out;
   out.baseline_share = settings.standing_share;
   out.headroom = settings.cover;
+  out.scarce_horizon = settings.scarce_horizon;
   return out;
 }
 
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -549,6 +549,8 @@
                     static_cast<double>(crashes_.blame().blamed().size()));
   metrics_.SetGauge("rollouts_running",
                     static_cast<double>(rollouts_.running()));
+  metrics_.SetGauge("scarce_budgets",
+                    static_cast<double>(budgets_.CountScarce()));
   metrics_.SetGauge("store_era", static_cast<double>(store_.era()));
   metrics_.SetGauge("store_calls", static_cast<double>(store_.calls()));
   metrics_.SetGauge("target_connections_opened",
--- a/relay/relay_settings.cc
+++ b/relay/relay_settings.cc
@@ -45,6 +45,9 @@
       "Processors of this VM, may be a fraction; 0 if unknown");
   add("--cover-s", flags.cover_s,
       "Seconds of its own spending that a router keeps granted at least");
+  add("--scarce-horizon-s", flags.scarce_horizon_s,
+      "Seconds of the more urgent demand that less urgent requests leave of a "
+      "scarce budget; 0 to serve regardless of urgency");
   AddCheckFlag(app, flags);
 }
 
@@ -75,11 +78,13 @@
   check.Range("--link-mbps", flags.link_mbps, 0.0, 1e6);
   check.Range("--cores", flags.cores, 0.0, 4096.0);
   check.Range("--cover-s", flags.cover_s, 0, 600);
+  check.Range("--scarce-horizon-s", flags.scarce_horizon_s, 0, 600);
   static_cast<RelayValues&>(out) = flags;
   static_cast<LogSettings&>(out) = CheckLog(flags, check);
   out.retry_window = std::chrono::seconds(flags.retry_window_s);
   out.drain_time = std::chrono::seconds(flags.drain_s);
   out.cover = std::chrono::seconds(flags.cover_s);
+  out.scarce_horizon = std::chrono::seconds(flags.scarce_horizon_s);
   return check.Take();
 }
 
--- a/relay/relay_settings.h
+++ b/relay/relay_settings.h
@@ -69,6 +69,8 @@
   int drain_s = 8;
   // docs/design/prepaid.md, "Headroom", compares values.
   int cover_s = 5;
+  // docs/design/scarce-budgets.md, "The horizon".
+  int scarce_horizon_s = 0;
 };
 
 struct RelaySettings : RelayValues, LogSettings {
@@ -77,6 +79,9 @@
   std::chrono::seconds drain_time{};
   // A router keeps at least what it spends in this time granted.
   std::chrono::seconds cover{};
+  // Time over which a prepaid budget is to cover its demand; zero if budgets
+  // are served regardless of urgency.
+  std::chrono::seconds scarce_horizon{};
 };
 
 void AddRelayFlags(CLI::App& app, RelayFlags& flags);
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -126,6 +126,11 @@
                              : RelayCause::kBudgetUnavailable);
 }
 
+void RelayedRequest::OnHoldReserved(Duration retry_after) {
+  retry_after_ = retry_after;
+  GiveUp(Ran::kNo, RelayCause::kBudgetReserved);
+}
+
 // Whether the request is blamed for crashes (relay/crash_watch.h). This is
 // checked before each send, as reports may arrive while the request waits or
 // runs at another target.
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -72,6 +72,7 @@
   // Results of a hold that the request had to wait for.
   void OnHeld() override { Apply(RelayEvent::kHoldGranted); }
   void OnHoldRefused(bool exhausted) override;
+  void OnHoldReserved(Duration retry_after) override;
 
   // Ends the request when a planned stop has no more time for it. `left` is the
   // time until the process is killed.
@@ -82,6 +83,7 @@
   const RequestId& id() const override { return admission_.facts.id; }
   const CustomerName& customer() const override { return admission_.customer; }
   Tokens worst_case() const override { return admission_.worst_case; }
+  int urgency() const override { return admission_.route->priority; }
 
  private:
   void Apply(RelayEvent event);
--- a/relay/remote_holds.cc
+++ b/relay/remote_holds.cc
@@ -47,6 +47,7 @@
   out.request = hold.request.id;
   out.customer = hold.request.customer;
   out.amount = hold.request.amount;
+  out.urgency = hold.request.urgency;
   on_.send(hold.holder, out);
 }
 
@@ -78,6 +79,13 @@
   if (message.answer == HoldAnswer::kNotHolder) {
     return AskNextHolder(now, it->second);
   }
+  const bool reserved = message.answer == HoldAnswer::kShort &&
+                        message.retry_after > Duration::zero();
+  if (reserved && it->second.request.reserved) {
+    const auto refuse = std::move(it->second.request.reserved);
+    pending_.erase(it);
+    return refuse(message.retry_after);
+  }
   if (message.answer == HoldAnswer::kHeld) {
     held_[message.request] = message.from;
   }
--- a/relay/remote_holds.h
+++ b/relay/remote_holds.h
@@ -58,10 +58,15 @@
     RequestId id;
     CustomerName customer;
     Tokens amount = 0;
+    // 0 is the most urgent.
+    int urgency = 0;
     // The holders to ask, in this order.
     std::vector<VmName> holders;
     // Called with the result, but never from within `RequestHold`.
     std::function<void(PrepaidVerdict)> done;
+    // Called in place of `done` if the holder keeps the budget for more urgent
+    // requests, with the time after which to retry.
+    std::function<void(Duration)> reserved;
   };
 
   RemoteHolds(Options options, Handlers handlers)
--- a/relay/served_holds.cc
+++ b/relay/served_holds.cc
@@ -20,17 +20,28 @@
 }
 
 void ServedHolds::PeerHold::OnHoldRefused(bool exhausted) {
+  Refuse(exhausted ? HoldAnswer::kExhausted : HoldAnswer::kShort,
+         Duration::zero());
+}
+
+void ServedHolds::PeerHold::OnHoldReserved(Duration retry_after) {
+  Refuse(HoldAnswer::kShort, retry_after);
+}
+
+void ServedHolds::PeerHold::Refuse(HoldAnswer answer, Duration retry_after) {
   if (ended) return;
   ended = true;
-  owner_.Answer(key_, exhausted ? HoldAnswer::kExhausted : HoldAnswer::kShort);
+  owner_.Answer(key_, answer, retry_after);
   owner_.holds_.erase(key_);
 }
 
-void ServedHolds::Answer(const Key& key, HoldAnswer answer) {
+void ServedHolds::Answer(const Key& key, HoldAnswer answer,
+                         Duration retry_after) {
   PeerMessage out;
   out.kind = PeerMessageKind::kHoldAnswer;
   out.request = key.request;
   out.answer = answer;
+  out.retry_after = retry_after;
   on_.send(key.asker, out);
 }
 
@@ -44,8 +55,7 @@
   if (!on_.has_budget(message.customer)) {
     return Answer(key, HoldAnswer::kNotHolder);
   }
-  const auto hold =
-      std::make_shared<PeerHold>(*this, key, message.customer, message.amount);
+  const auto hold = std::make_shared<PeerHold>(*this, key, message);
   holds_[key] = hold;
   on_.hold(hold);
 }
--- a/relay/served_holds.h
+++ b/relay/served_holds.h
@@ -28,6 +28,7 @@
 #include <set>
 #include <utility>
 
+#include "base/clock.h"
 #include "base/ids.h"
 #include "relay/hold_waiter.h"
 #include "relay/peer_messages.h"
@@ -65,27 +66,33 @@
     auto operator<=>(const Key&) const = default;
   };
   struct PeerHold : HoldWaiter {
-    PeerHold(ServedHolds& owner, Key key, CustomerName customer, Tokens amount)
+    PeerHold(ServedHolds& owner, Key key, const PeerMessage& message)
         : owner_(owner),
           key_(std::move(key)),
-          customer_(std::move(customer)),
-          amount_(amount) {}
+          customer_(message.customer),
+          amount_(message.amount),
+          urgency_(message.urgency) {}
     const RequestId& id() const override { return key_.request; }
     const CustomerName& customer() const override { return customer_; }
     Tokens worst_case() const override { return amount_; }
+    int urgency() const override { return urgency_; }
     void OnHeld() override;
     void OnHoldRefused(bool exhausted) override;
+    void OnHoldReserved(Duration retry_after) override;
+    void Refuse(HoldAnswer answer, Duration retry_after);
 
     ServedHolds& owner_;
     Key key_;
     CustomerName customer_;
     Tokens amount_;
+    int urgency_;
     bool held = false;
     bool ended = false;
   };
   using PeerHoldPtr = std::shared_ptr<PeerHold>;
 
-  void Answer(const Key& key, HoldAnswer answer);
+  void Answer(const Key& key, HoldAnswer answer,
+              Duration retry_after = Duration::zero());
   void Finish(const PeerHoldPtr& hold, Tokens cost);
   void RememberSettled(const Key& key);
 
--- a/relay/testing/final_answer_test.cc
+++ b/relay/testing/final_answer_test.cc
@@ -29,6 +29,8 @@
      "{\"error\":\"budget_exhausted\",\"ran\":\"no\"}\n"},
     {RelayCause::kBudgetUnavailable, Ran::kNo, 503, "1.00",
      "{\"error\":\"budget_unavailable\",\"ran\":\"no\"}\n"},
+    {RelayCause::kBudgetReserved, Ran::kNo, 503, "2.50",
+     "{\"error\":\"budget_reserved\",\"ran\":\"no\"}\n"},
     {RelayCause::kNoTarget, Ran::kNo, 503, "0.20",
      "{\"error\":\"no_target\",\"ran\":\"no\"}\n"},
     {RelayCause::kOutsideResidency, Ran::kNo, 503, "2.00",
