--- a/relay/scarce_budgets.cc
+++ b/relay/scarce_budgets.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
+#include <functional>
 #include <string>
 #include <utility>
 
@@ -21,6 +23,12 @@
 // factor, so that one at the limit doesn't change with every request.
 constexpr double kEased = 1.2;
 
+// A number in [0, 1) that differs between requests.
+double DrawFor(const RequestId& id) {
+  constexpr std::size_t kSteps = 1024;
+  return static_cast<double>(std::hash<RequestId>()(id) % kSteps) / kSteps;
+}
+
 bool IsOver(Instant now, const std::optional<Instant>& since, Duration time) {
   return !since || now - *since >= time;
 }
@@ -50,8 +58,7 @@
   if (!reach) return std::nullopt;
   LogChange(now, request.customer, *reach);
   reach->tokens -= waiting;
-  const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
-  auto out = scarcity_.Check(now, request, *reach, draw);
+  auto out = scarcity_.Check(now, request, *reach, DrawFor(waiter.id()));
   if (out) LogRefusal(now, waiter, *out);
   return out;
 }
--- a/relay/scarce_budgets.h
+++ b/relay/scarce_budgets.h
@@ -20,7 +20,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <random>
 
 #include "base/clock.h"
 #include "base/ids.h"
@@ -71,7 +70,6 @@
   std::function<bool()> store_answers_;
   Scarcity scarcity_;
   std::map<CustomerName, State> states_;
-  std::minstd_rand random_{std::random_device{}()};
 };
 
 }  // namespace quaytrack
