--- a/prepaid/scarcity.cc
+++ b/prepaid/scarcity.cc
@@ -22,6 +22,11 @@
 constexpr double kSilentIntervals = 10;
 constexpr Duration kMinSilence = milliseconds(500);
 
+// Parity applies while the tokens within reach last the more urgent classes no
+// longer than this. With more, the classes don't compete for them: after an
+// outage a less urgent class would be refused only to make up for the past.
+constexpr Duration kContestTime = milliseconds(1000);
+
 // Bounds of the Retry-After. Callers spend up to a third of their remaining
 // time on it, which is at most about a second for most classes.
 constexpr Duration kMinRetryAfter = milliseconds(300);
@@ -29,6 +34,13 @@
 // A Retry-After is multiplied by a random number from this to 2 minus this.
 constexpr double kMinSpread = 0.75;
 
+// The part of a more urgent class's demand that is protected from a class whose
+// requests have `relative_size` times its size: all of it if they are as large,
+// none if they are no more than half as large.
+double ProtectedPart(double relative_size) {
+  return std::clamp(2 * relative_size - 1, 0.0, 1.0);
+}
+
 int Clamped(int urgency) { return std::clamp(urgency, 0, kMaxUrgency); }
 
 }  // namespace
@@ -46,6 +58,7 @@
   UrgencyClass& it = customer.classes[Clamped(request.urgency)];
   it.requested.Add(now, static_cast<double>(request.amount));
   it.arrivals.Add(now, 1);
+  it.parity_arrivals.Add(now, 1);
   it.last = now;
 }
 
@@ -55,6 +68,7 @@
   const auto it = customer->second.classes.find(Clamped(request.urgency));
   if (it == customer->second.classes.end()) return;
   it->second.held.Add(now, static_cast<double>(request.amount));
+  it->second.parity_held.Add(now, 1);
 }
 
 const Scarcity::Customer* Scarcity::Find(const CustomerName& name) const {
@@ -109,48 +123,70 @@
   const Customer* customer = Find(request.customer);
   if (customer == nullptr || !IsWarm(now, *customer)) return std::nullopt;
   const int urgency = Clamped(request.urgency);
-  double more_urgent = 0;
+  const auto self = customer->classes.find(urgency);
+  if (self == customer->classes.end()) return std::nullopt;
+  const double size = MeanSize(now, self->second);
   double demand = 0;
+  double more_urgent = 0;
+  double protected_per_s = 0;
   for (const auto& [level, it] : customer->classes) {
     const double per_s = DemandOf(now, *customer, it);
     demand += per_s;
-    if (level < urgency) more_urgent += per_s;
+    if (level >= urgency || per_s <= 0) continue;
+    more_urgent += per_s;
+    protected_per_s += per_s * ProtectedPart(size / MeanSize(now, it));
   }
-  const double reserved = more_urgent * ToSeconds(horizon_);
+  if (more_urgent <= 0) return std::nullopt;
   const auto tokens = static_cast<double>(std::max<Tokens>(0, reach.tokens));
-  if (reserved <= 0 || tokens > reserved) return std::nullopt;
+  if (tokens >= demand * ToSeconds(horizon_)) return std::nullopt;
+  const double reserved = protected_per_s * ToSeconds(horizon_);
+  const bool contested = tokens <= more_urgent * ToSeconds(kContestTime);
+  const bool ahead = contested && IsAhead(now, *customer, urgency);
+  if (!ahead && tokens > reserved) return std::nullopt;
   const bool affordable = reach.tokens >= request.amount;
-  if (affordable && MayUseFloor(now, *customer, urgency)) return std::nullopt;
-  const double missing = (reserved - tokens) / more_urgent;
+  if (!ahead && affordable && MayUseFloor(now, *customer, urgency)) {
+    return std::nullopt;
+  }
+  const double missing = std::max(0.0, reserved - tokens) / more_urgent;
   ReserveRefusal out;
   out.reach = reach.tokens;
   out.reserved = std::llround(reserved);
+  out.by_parity = ahead;
   out.demand_per_s = std::llround(demand);
   out.retry_after =
       RetryAfter(*customer, urgency, missing, reach.next_read, draw);
   return out;
 }
 
+double Scarcity::MeanSize(Instant now, const UrgencyClass& it) {
+  const double requests = it.arrivals.PerSecond(now);
+  return requests > 0 ? std::max(1.0, it.requested.PerSecond(now) / requests)
+                      : 1;
+}
+
 double Scarcity::ServedRatio(Instant now, const UrgencyClass& it) {
-  const double requested = it.requested.PerSecond(now);
-  return requested > 0 ? it.held.PerSecond(now) / requested : 1;
+  const double requests = it.parity_arrivals.PerSecond(now);
+  return requests > 0 ? it.parity_held.PerSecond(now) / requests : 1;
 }
 
-// Whether the class has received less than its share, and no larger part of its
-// demand than any more urgent class. Without the second condition, the share
-// would serve a class with little demand in full while more urgent requests
-// are refused.
+// Whether the class has received less than its share of what was held lately.
 bool Scarcity::MayUseFloor(Instant now, const Customer& customer, int urgency) {
-  const auto self = customer.classes.find(urgency);
-  if (self == customer.classes.end()) return false;
   double held = 0;
   for (const auto& [level, it] : customer.classes) {
     held += it.held.PerSecond(now);
   }
-  if (self->second.held.PerSecond(now) >= held * kFloorShare) return false;
+  const UrgencyClass& self = customer.classes.at(urgency);
+  return self.held.PerSecond(now) < held * kFloorShare;
+}
+
+// Whether a larger part of the class's requests than of a more urgent class's
+// was served lately.
+bool Scarcity::IsAhead(Instant now, const Customer& customer, int urgency) {
+  const auto self = customer.classes.find(urgency);
   const double ratio = ServedRatio(now, self->second);
-  return std::all_of(customer.classes.begin(), self, [&](const auto& it) {
-    return HasStopped(now, it.second) || ServedRatio(now, it.second) >= ratio;
+  return std::any_of(customer.classes.begin(), self, [&](const auto& it) {
+    return !HasStopped(now, it.second) &&
+           ServedRatio(now, it.second) + kParityTolerance < ratio;
   });
 }
 
--- a/prepaid/scarcity.h
+++ b/prepaid/scarcity.h
@@ -10,11 +10,21 @@
 //
 // A class is all requests of one customer with the same urgency; 0 is the most
 // urgent. The demand of a class is the worst-case tokens per second that it has
-// requested, whether served or refused, averaged over `kDemandWindow`. The
-// protection level of a request is the demand of all more urgent classes over
-// the horizon. The request is refused if the tokens within reach are no more
-// than that, unless its class has received less than `kFloorShare` of what was
-// held lately, and no larger part of its demand than each more urgent class.
+// requested, whether served or refused, averaged over `kDemandWindow`. A
+// request is refused in two cases:
+//
+//   Reserve  The tokens within reach are no more than its protection level:
+//            the sum, over the more urgent classes, of the demand over the
+//            horizon, times the mean size of the request's class as a fraction
+//            of the mean size of the more urgent one, if that is less than 1.
+//            Where one urgent request takes the tokens of many less urgent
+//            ones, a full reserve would serve far fewer callers with the same
+//            tokens (docs/design/scarce-budgets.md has figures).
+//   Parity   The budget is scarce, and a larger part of its class's requests
+//            than of a more urgent class's was served lately.
+//
+// A class that received less than `kFloorShare` of the tokens held lately isn't
+// subject to the reserve, only to parity.
 //
 // Consequences:
 //   - The most urgent class that requests anything is never refused here.
@@ -64,6 +74,8 @@
   Tokens reach = 0;
   // Protection level of the request.
   Tokens reserved = 0;
+  // Refused by parity, not by the reserve.
+  bool by_parity = false;
   // Demand of all classes, in tokens per second.
   Tokens demand_per_s = 0;
   Duration retry_after{};
@@ -77,6 +89,12 @@
   // Time for which a customer's requests must have been seen before any is
   // refused.
   static constexpr Duration kWarmUp = std::chrono::seconds(2);
+  // Time over which the served parts of classes are compared. It spans a wave
+  // of the load, so that a class that was served less often for some seconds
+  // makes up for it.
+  static constexpr Duration kParityWindow = std::chrono::seconds(10);
+  // Difference of the served parts that parity allows. Users tolerate 0.05.
+  static constexpr double kParityTolerance = 0.04;
   // Fraction of the tokens held that each class with demand keeps.
   static constexpr double kFloorShare = 0.1;
 
@@ -108,6 +126,9 @@
     DecayingRate held{kDemandWindow};
     // Number of requests.
     DecayingRate arrivals{kDemandWindow};
+    // The same and the number of holds, for the comparison of classes.
+    DecayingRate parity_arrivals{kParityWindow};
+    DecayingRate parity_held{kParityWindow};
     Instant last{};
   };
   struct Customer {
@@ -121,8 +142,10 @@
   static bool HasStopped(Instant now, const UrgencyClass& it);
   static double DemandOf(Instant now, const Customer& customer,
                          const UrgencyClass& it);
+  static double MeanSize(Instant now, const UrgencyClass& it);
   static double ServedRatio(Instant now, const UrgencyClass& it);
   static bool MayUseFloor(Instant now, const Customer& customer, int urgency);
+  static bool IsAhead(Instant now, const Customer& customer, int urgency);
   Duration RetryAfter(const Customer& customer, int urgency,
                       double missing_seconds, Duration next_read,
                       double draw) const;
--- a/relay/scarce_budgets.cc
+++ b/relay/scarce_budgets.cc
@@ -130,6 +130,7 @@
             {"needed", std::to_string(waiter.worst_case())},
             {"reach", std::to_string(refusal.reach)},
             {"reserved", std::to_string(refusal.reserved)},
+            {"by", refusal.by_parity ? "parity" : "reserve"},
             {"demand_per_s", std::to_string(refusal.demand_per_s)},
             {"retry_ms", MillisecondsText(refusal.retry_after)},
             {"skipped", std::to_string(std::exchange(state.skipped, 0))}});
