--- a/prepaid/scarcity.h
+++ b/prepaid/scarcity.h
@@ -94,7 +94,7 @@
   // makes up for it.
   static constexpr Duration kParityWindow = std::chrono::seconds(10);
   // Difference of the served parts that parity allows. Users tolerate 0.05.
-  static constexpr double kParityTolerance = 0.04;
+  static constexpr double kParityTolerance = 0.02;
   // Fraction of the tokens held that each class with demand keeps.
   static constexpr double kFloorShare = 0.1;
 
