--- a/prepaid/scarcity.cc
+++ b/prepaid/scarcity.cc
@@ -25,7 +25,7 @@
 // Parity applies while the tokens within reach last the more urgent classes no
 // longer than this. With more, the classes don't compete for them: after an
 // outage a less urgent class would be refused only to make up for the past.
-constexpr Duration kContestTime = milliseconds(1000);
+constexpr Duration kContestTime = milliseconds(2500);
 
 // Bounds of the Retry-After. Callers spend up to a third of their remaining
 // time on it, which is at most about a second for most classes.
