--- a/relay/testing/holds_test.cc
+++ b/relay/testing/holds_test.cc
@@ -160,6 +160,43 @@
   BOOST_TEST(holders[0].served->size() == 0U);
 }
 
+// The holder decides by the request's urgency.
+BOOST_FIXTURE_TEST_CASE(AHoldersRequestHasTheUrgencyOfItsAsker, Fixture) {
+  holders[0].silent = true;
+  RemoteHolds::Request out;
+  out.id = RequestId("r");
+  out.customer = kCustomer;
+  out.amount = 100;
+  out.urgency = 2;
+  out.holders = {kHolders[0]};
+  out.done = [](PrepaidVerdict) {};
+  remote->RequestHold(now, out);
+  BOOST_REQUIRE(holders[0].waiting.size() == 1U);
+  BOOST_TEST(holders[0].waiting[0]->urgency() == 2);
+}
+
+// No second holder is asked: it would refuse for the same reason.
+BOOST_FIXTURE_TEST_CASE(AReservedBudgetIsRefusedWithItsTime, Fixture) {
+  holders[0].silent = true;
+  std::vector<Duration> reserved;
+  RemoteHolds::Request out;
+  out.id = RequestId("r");
+  out.customer = kCustomer;
+  out.amount = 100;
+  out.holders = {kHolders[0], kHolders[1]};
+  out.done = [this](PrepaidVerdict it) { verdicts.push_back(it); };
+  out.reserved = [&](Duration it) { reserved.push_back(it); };
+  remote->RequestHold(now, out);
+  holders[0].waiting.at(0)->OnHoldReserved(milliseconds(700));
+  BOOST_TEST(holders[0].served->size() == 0U);
+  DeliverAnswers();
+  BOOST_REQUIRE(reserved.size() == 1U);
+  BOOST_TEST((reserved[0] == milliseconds(700)));
+  BOOST_TEST(verdicts.empty());
+  BOOST_TEST(holders[1].held == 0);
+  BOOST_TEST(remote->Idle());
+}
+
 // The second holder may let the hold wait as long as the first one.
 BOOST_FIXTURE_TEST_CASE(ASecondHolderHasItsWholeTime, Fixture) {
   holders[0].silent = true;
--- a/relay/testing/peer_messages_test.cc
+++ b/relay/testing/peer_messages_test.cc
@@ -298,5 +298,31 @@
   BOOST_TEST(out->update.changes.at(0).item.revision == StoreRevision(3, 11));
 }
 
+BOOST_AUTO_TEST_CASE(ScarceBudgetsKeepTheirForm) {
+  PeerMessage request = Message(PeerMessageKind::kHoldRequest);
+  request.customer = CustomerName("c");
+  request.amount = 9200;
+  request.request = RequestId("r");
+  request.urgency = 2;
+  Check(request, R"({"kind": "hold", "from": "vm1@1", "customer": "c",
+                     "all": false, "amount": 9200, "request": "r",
+                     "urgency": 2})");
+  PeerMessage answer = Message(PeerMessageKind::kHoldAnswer);
+  answer.request = RequestId("r");
+  answer.answer = HoldAnswer::kShort;
+  answer.retry_after = std::chrono::milliseconds(700);
+  Check(answer, R"({"kind": "hold_answer", "from": "vm1@1", "request": "r",
+                    "answer": "short", "retry_ms": 700})");
+}
+
+// Earlier builds send neither field: their requests are the most urgent.
+BOOST_AUTO_TEST_CASE(AbsentUrgencyIsTheMostUrgent) {
+  const auto it = DecodePeerMessage(
+      EncodePeerMessage(Message(PeerMessageKind::kHoldRequest)));
+  BOOST_REQUIRE(it.has_value());
+  BOOST_TEST(it->urgency == 0);
+  BOOST_TEST((it->retry_after == Duration::zero()));
+}
+
 }  // namespace
 }  // namespace quaytrack
