--- a/relay/hold_queue.cc
+++ b/relay/hold_queue.cc
@@ -162,8 +162,8 @@
   on_.ask_peers(customer, SumOf(list), all);
 }
 
-Tokens HoldQueue::SumOf(WaitingList::const_iterator begin,
-                        WaitingList::const_iterator end) {
+Tokens HoldQueue::SumOf(const WaitingList::const_iterator& begin,
+                        const WaitingList::const_iterator& end) {
   return std::accumulate(
       begin, end, Tokens{0},
       [](Tokens n, const Waiting& it) { return n + it.waiter->worst_case(); });
--- a/relay/hold_queue.h
+++ b/relay/hold_queue.h
@@ -121,8 +121,8 @@
   static Tokens SumOf(const WaitingList& list) {
     return SumOf(list.begin(), list.end());
   }
-  static Tokens SumOf(WaitingList::const_iterator begin,
-                      WaitingList::const_iterator end);
+  static Tokens SumOf(const WaitingList::const_iterator& begin,
+                      const WaitingList::const_iterator& end);
   void UpdateLedger(const CustomerName& customer, const WaitingList& list);
   void LogRefused(Instant now, const HoldWaiter& waiter,
                   bool store_reachable) const;
