--- a/base/events.h
+++ b/base/events.h
@@ -105,6 +105,7 @@
   kPrepaidDeclared = 1415,
   kHolderSilent = 1416,
   kHoldRefusedAtOnce = 1417,
+  kHoldAdvance = 1418,
 };
 
 struct EventInfo {
@@ -188,6 +189,7 @@
     {Event::kPrepaidDeclared, LogLevel::kInfo, "prepaid_declared"},
     {Event::kHolderSilent, LogLevel::kWarn, "holder_silent"},
     {Event::kHoldRefusedAtOnce, LogLevel::kInfo, "hold_refused_at_once"},
+    {Event::kHoldAdvance, LogLevel::kDebug, "hold_advance"},
 });
 
 }  // namespace quaytrack
--- a/prepaid/prepaid_ledger.cc
+++ b/prepaid/prepaid_ledger.cc
@@ -47,9 +47,9 @@
 }
 
 // Whether this router could hold `amount` if it had all of the budget that
-// isn't known to be spent. What other routers hold or haven't reported may
-// become available again, so it doesn't count as spent. The reserve is never
-// granted.
+// isn't known to be spent. What other routers hold, also in advance, or haven't
+// reported may become available again, so it doesn't count as spent. The
+// reserve is never granted.
 bool PrepaidLedger::CanEverHold(const CustomerName& customer, Tokens limit,
                                 Tokens amount) const {
   const LocalAccount& account = AccountOf(accounts_, customer);
@@ -62,7 +62,7 @@
     settled += SpentIn(confirmed_->spend, customer).spent;
   }
   const double grantable = static_cast<double>(limit) * (1 - policy_.reserve);
-  const Tokens needed = settled + account.held + amount;
+  const Tokens needed = settled + account.held - account.advanced + amount;
   return static_cast<double>(needed) <= grantable;
 }
 
--- a/prepaid/prepaid_ledger.h
+++ b/prepaid/prepaid_ledger.h
@@ -157,6 +157,10 @@
   // nothing ran.
   void Settle(Instant now, const CustomerName& customer, Tokens held,
               Tokens cost);
+  // Sets the part of the held tokens that other routers hold in advance.
+  void SetAdvanced(const CustomerName& customer, Tokens amount) {
+    accounts_[customer].advanced = amount;
+  }
   bool IsLimited(const CustomerName& customer) const {
     return limits_.contains(customer);
   }
--- a/prepaid/store_view.h
+++ b/prepaid/store_view.h
@@ -67,6 +67,8 @@
   Tokens unreported = 0;
   // Worst-case costs of the running requests.
   Tokens held = 0;
+  // The part of `held` that other routers hold in advance.
+  Tokens advanced = 0;
   // Worst-case costs of the requests that wait for a larger grant.
   Tokens waiting = 0;
   // This router's spending.
--- a/relay/budget_driver.cc
+++ b/relay/budget_driver.cc
@@ -92,6 +92,13 @@
   out.send = [this](const Incarnation& peer, const PeerMessage& it) {
     SendTo(peer, it);
   };
+  out.hold_in_advance = [this](const CustomerName& customer, Tokens asked,
+                               Tokens given) {
+    return HoldInAdvance(customer, asked, given);
+  };
+  out.advances_changed = [this](const CustomerName& customer, Tokens given) {
+    ledger_.SetAdvanced(customer, given);
+  };
   return out;
 }
 
@@ -102,11 +109,39 @@
   for (const CustomerRule& it : map.customers()) {
     if (it.prepaid >= 0) limits.push_back({it.name, it.prepaid});
   }
+  ReturnAdvancesOfLowerLimits(map);
   ledger_.SetLimits(map.version(), limits);
   queue_.Serve(clock_.Now());
   store_.ScheduleCycle();
 }
 
+// What was held in advance under a higher limit isn't drawn from any more, so
+// that the lower one applies immediately.
+void BudgetDriver::ReturnAdvancesOfLowerLimits(const ServiceMap& map) {
+  std::map<CustomerName, Tokens> limits;
+  for (const CustomerRule& it : map.customers()) {
+    if (it.prepaid >= 0) limits[it.name] = it.prepaid;
+  }
+  for (const auto& [customer, limit] : limits_) {
+    const auto it = limits.find(customer);
+    if (it != limits.end() && it->second >= limit) continue;
+    remote_.ReturnAdvancesOf(clock_.Now(), customer);
+  }
+  limits_ = std::move(limits);
+}
+
+void BudgetDriver::OnStoreEra() {
+  // Until each holder has declared itself, only the holder knows of what it
+  // gave lately.
+  remote_.ReturnAdvances(clock_.Now());
+  store_.OnStoreEra();
+}
+
+void BudgetDriver::StopServing() {
+  remote_.StopAdvances();
+  served_.Stop();
+}
+
 void BudgetDriver::JoinIfHolder() {
   const bool is_holder = fleet_.IsRead() && fleet_.IsHolder(VmOf(self_));
   if (ledger_.ActsAsHolder() || !is_holder) return;
@@ -115,6 +150,8 @@
 }
 
 void BudgetDriver::StartLeaving() {
+  remote_.StopAdvances();
+  remote_.ReturnAdvances(clock_.Now());
   ledger_.StartLeaving();
   store_.RunCycle();
 }
@@ -142,8 +179,7 @@
   // until it has.
   JoinIfHolder();
   if (ledger_.ActsAsHolder()) return HoldFromGrant(waiter);
-  RequestFromHolders(waiter);
-  return PrepaidVerdict::kShort;
+  return RequestFromHolders(waiter);
 }
 
 PrepaidVerdict BudgetDriver::HoldFromGrant(const HoldWaiterPtr& waiter) {
@@ -155,17 +191,40 @@
   return out;
 }
 
-void BudgetDriver::RequestFromHolders(const HoldWaiterPtr& waiter) {
+PrepaidVerdict BudgetDriver::RequestFromHolders(const HoldWaiterPtr& waiter) {
+  const Instant now = clock_.Now();
+  const CustomerName& customer = waiter->customer();
+  const bool drawn =
+      remote_.Draw(now, waiter->id(), customer, waiter->worst_case());
+  std::vector<VmName> holders = fleet_.HoldersFor(customer);
+  StartWaitTimer();
+  remote_.AskInAdvance(now, customer, holders);
+  if (drawn) return PrepaidVerdict::kHeld;
   RemoteHolds::Request out;
   out.id = waiter->id();
-  out.customer = waiter->customer();
+  out.customer = customer;
   out.amount = waiter->worst_case();
-  out.holders = fleet_.HoldersFor(waiter->customer());
+  out.holders = std::move(holders);
   out.done = [this, waiter](PrepaidVerdict verdict) {
     PostAnswer(waiter, verdict);
   };
-  remote_.RequestHold(clock_.Now(), std::move(out));
-  StartWaitTimer();
+  remote_.RequestHold(now, std::move(out));
+  return PrepaidVerdict::kShort;
+}
+
+// Gives a peer an advance from this router's grant. Neither the store nor peers
+// are asked for it, and nothing is given while requests wait.
+Tokens BudgetDriver::HoldInAdvance(const CustomerName& customer, Tokens asked,
+                                   Tokens given) {
+  const Instant now = clock_.Now();
+  if (!ledger_.ActsAsHolder() || queue_.HasWaiters(customer)) return 0;
+  if (on_.is_scarce && on_.is_scarce(customer)) return 0;
+  const Tokens out = AdvanceToGive(advance_policy_, asked,
+                                   ledger_.Allowance(now, customer), given);
+  if (out == 0) return 0;
+  if (ledger_.Hold(now, customer, out) != PrepaidVerdict::kHeld) return 0;
+  transfers_.CountHold(now, customer, out);
+  return out;
 }
 
 // Answers the waiter from a separate callback of the loop, because the end of
--- a/relay/budget_driver.h
+++ b/relay/budget_driver.h
@@ -33,6 +33,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <utility>
 #include <vector>
@@ -41,6 +42,7 @@
 #include "fleet/fleet.h"
 #include "kv/store.h"
 #include "net/loop.h"
+#include "prepaid/hold_advance.h"
 #include "prepaid/prepaid_ledger.h"
 #include "relay/grant_transfers.h"
 #include "relay/hold_queue.h"
@@ -66,6 +68,9 @@
     std::function<void(bool)> store_reachable;
     // Called when the store has answered a call.
     std::function<void()> store_answered;
+    // Whether the customer's budget is scarce, so that nothing is given in
+    // advance. Without this handler, none is.
+    std::function<bool(const CustomerName&)> is_scarce;
   };
 
   BudgetDriver(Loop& loop, const Clock& clock, KvStore& store,
@@ -78,7 +83,7 @@
   void SetConfig(const ServiceMap& map);
 
   // Called when the store has come back in a later era (kv/store.h).
-  void OnStoreEra() { store_.OnStoreEra(); }
+  void OnStoreEra();
   // Starts to keep grants if the list of routers makes this router a holder.
   void JoinIfHolder();
   // Called once the list of routers was read: requests that waited for the list
@@ -96,8 +101,9 @@
   void OnPeer(const PeerMessage& message);
   void OnPeerLost(const Incarnation& peer);
 
-  // From now on, refers peers that request holds to other holders.
-  void StopServing() { served_.Stop(); }
+  // From now on, refers peers that request holds to other holders, and asks
+  // for no holds in advance.
+  void StopServing();
   // Starts to return the unspent grants to the store; `HasLeft` shows when this
   // is done.
   void StartLeaving();
@@ -111,6 +117,9 @@
   std::uint64_t refused_at_once() const {
     return remote_.refused_at_once() + queue_.refused_at_once();
   }
+  // This router's advances, and the sum of those that it has given.
+  const HoldAdvances& advances() const { return remote_.advances(); }
+  Tokens AdvancesGiven() const { return served_.Advanced(); }
 
  private:
   PrepaidStore::Handlers StoreHandlers();
@@ -120,7 +129,10 @@
   ServedHolds::Handlers ServedHandlers();
   PrepaidVerdict HoldLocallyOrRemotely(const HoldWaiterPtr& waiter);
   PrepaidVerdict HoldFromGrant(const HoldWaiterPtr& waiter);
-  void RequestFromHolders(const HoldWaiterPtr& waiter);
+  PrepaidVerdict RequestFromHolders(const HoldWaiterPtr& waiter);
+  Tokens HoldInAdvance(const CustomerName& customer, Tokens asked,
+                       Tokens given);
+  void ReturnAdvancesOfLowerLimits(const ServiceMap& map);
   void SettleInGrant(const CustomerName& customer, Tokens held, Tokens cost);
   void PostAnswer(const HoldWaiterPtr& waiter, PrepaidVerdict verdict);
   void SendTo(const Incarnation& peer, PeerMessage message);
@@ -145,7 +157,10 @@
   GrantTransfers transfers_;
   RemoteHolds remote_;
   ServedHolds served_;
+  AdvancePolicy advance_policy_;
   std::vector<EarlyHold> early_holds_;
+  // The limits of the configuration in force.
+  std::map<CustomerName, Tokens> limits_;
   // Runs while any request waits.
   std::unique_ptr<Timer> wait_timer_;
 };
--- a/relay/peer_messages.cc
+++ b/relay/peer_messages.cc
@@ -301,6 +301,7 @@
   out.request = RequestId(json.value("request", ""));
   const auto answer = FromName<HoldAnswer>(json.value("answer", ""));
   out.answer = answer.value_or(HoldAnswer::kNotHolder);
+  out.advance = json.value("advance", false);
   out.hall = HallName(json.value("hall", ""));
   out.address = json.value("address", "");
   out.config_version = json.value("config", std::uint64_t{0});
@@ -340,6 +341,7 @@
   if (message.kind == PeerMessageKind::kHoldAnswer) {
     json["answer"] = NameOf(message.answer);
   }
+  if (message.advance) json["advance"] = true;
   if (!message.address.empty()) {
     json["hall"] = message.hall.value;
     json["address"] = message.address;
--- a/relay/peer_messages.h
+++ b/relay/peer_messages.h
@@ -97,8 +97,8 @@
   // kTransferRequest, kTransfer, kHoldRequest.
   CustomerName customer;
   // kTransferRequest: the amount requested. kTransfer: the running total.
-  // kHoldRequest: the worst case. kSettle: the cost. kPromptSent: the tokens to
-  // be prefilled.
+  // kHoldRequest: the worst case. kHoldAnswer: what was given in advance.
+  // kSettle: the cost. kPromptSent: the tokens to be prefilled.
   Tokens amount = 0;
   // kTransferRequest: the peer may transfer all its unused grant; otherwise it
   // keeps half.
@@ -106,6 +106,9 @@
   // kHoldRequest, kHoldAnswer, kSettle, kSettled.
   RequestId request;
   HoldAnswer answer = HoldAnswer::kNotHolder;
+  // kHoldRequest: the hold is one in advance, from which the sender's requests
+  // draw (prepaid/hold_advance.h).
+  bool advance = false;
   // kHello: the sender's hall and the address that it listens on.
   HallName hall;
   std::string address;
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -553,6 +553,12 @@
   metrics_.SetGauge("store_calls", static_cast<double>(store_.calls()));
   metrics_.SetGauge("target_connections_opened",
                     static_cast<double>(connections_.opened()));
+  metrics_.SetGauge("holds_drawn",
+                    static_cast<double>(budgets_.advances().drawn()));
+  metrics_.SetGauge("advances_open",
+                    static_cast<double>(budgets_.advances().size()));
+  metrics_.SetGauge("advance_tokens_given",
+                    static_cast<double>(budgets_.AdvancesGiven()));
   metrics_.SetGauge("holds_refused_at_once",
                     static_cast<double>(budgets_.refused_at_once()));
   metrics_.SetGauge("log_lines_dropped",
--- a/relay/remote_holds.cc
+++ b/relay/remote_holds.cc
@@ -1,5 +1,6 @@
 #include "relay/remote_holds.h"
 
+#include <algorithm>
 #include <string>
 
 #include "base/log.h"
@@ -53,6 +54,7 @@
   out.request = hold.request.id;
   out.customer = hold.request.customer;
   out.amount = hold.request.amount;
+  out.advance = hold.request.advance;
   on_.send(hold.holder, out);
 }
 
@@ -64,6 +66,7 @@
     Incarnation holder =
         on_.linked_incarnation(hold.request.holders[hold.next++]);
     if (holder.empty()) continue;
+    if (hold.request.advance && without_advances_.contains(holder)) continue;
     if (answers_.Answers(now, holder)) return holder;
     hold.skipped = holder;
     if (answers_.TakeProbe(now, holder)) {
@@ -91,10 +94,12 @@
   SendCost(now, {hold.request.id, hold.holder}, 0);
 }
 
-void RemoteHolds::Finish(PendingMap::iterator it, PrepaidVerdict verdict) {
-  const auto done = std::move(it->second.request.done);
+void RemoteHolds::Finish(Instant now, PendingMap::iterator it,
+                         PrepaidVerdict verdict) {
+  const Request request = std::move(it->second.request);
   pending_.erase(it);
-  done(verdict);
+  if (request.advance) return advances_.OnRefused(now, request.customer);
+  request.done(verdict);
 }
 
 void RemoteHolds::Forget(Instant now, const RequestId& id) {
@@ -106,6 +111,11 @@
 
 void RemoteHolds::OnAnswer(Instant now, const PeerMessage& message) {
   if (probes_.contains(message.request)) return OnProbeAnswered(now, message);
+  // A holder that stops takes back what it gave in advance.
+  if (message.answer == HoldAnswer::kNotHolder) {
+    advances_.Close(message.request, message.from);
+    SettleAdvances(now);
+  }
   const auto it = pending_.find(message.request);
   // Ignores the answer of a previous holder, which was already sent a cost of
   // zero.
@@ -114,10 +124,10 @@
   if (message.answer == HoldAnswer::kNotHolder) {
     return AskNextHolder(now, it->second);
   }
-  if (message.answer == HoldAnswer::kHeld) {
-    held_[message.request] = message.from;
-  }
-  Finish(it, VerdictOf(message.answer));
+  const bool held = message.answer == HoldAnswer::kHeld;
+  if (held && it->second.request.advance) return OnAdvanceGiven(now, message);
+  if (held) held_[message.request] = message.from;
+  Finish(now, it, VerdictOf(message.answer));
 }
 
 void RemoteHolds::OnProbeAnswered(Instant now, const PeerMessage& message) {
@@ -131,6 +141,8 @@
 
 void RemoteHolds::OnPeerLost(Instant now, const Incarnation& holder) {
   answers_.Forget(holder);
+  advances_.CloseAt(holder);
+  SettleAdvances(now);
   for (auto& [id, hold] : pending_) {
     if (hold.holder != holder) continue;
     ReleaseAtHolder(now, hold);
@@ -142,6 +154,7 @@
   CheckForStall(now);
   CheckProbes(now);
   CheckPending(now);
+  SettleAdvances(now);
   ResendCosts(now);
 }
 
@@ -184,8 +197,9 @@
       AskNextHolder(now, hold);
     }
     if (!hold.holder.empty()) continue;
-    if (!hold.skipped.empty()) LogRefusedAtOnce(now, at->first, hold);
-    Finish(at, PrepaidVerdict::kShort);
+    const bool refused = !hold.skipped.empty() && !hold.request.advance;
+    if (refused) LogRefusedAtOnce(now, at->first, hold);
+    Finish(now, at, PrepaidVerdict::kShort);
   }
 }
 
@@ -204,9 +218,87 @@
             {"omitted", std::to_string(refusal_lines_.TakeOmitted())}});
 }
 
+// --- Advances ----------------------------------------------------------------
+
+bool RemoteHolds::Draw(Instant now, const RequestId& id,
+                       const CustomerName& customer, Tokens amount) {
+  advances_.Count(now, customer, amount);
+  // Another request may have the same id.
+  if (held_.contains(id) || pending_.contains(id)) return false;
+  return advances_.Draw(now, id, customer, amount, [this](const auto& it) {
+    return on_.linked_incarnation(VmOf(it)) == it;
+  });
+}
+
+void RemoteHolds::AskInAdvance(Instant now, const CustomerName& customer,
+                               std::vector<VmName> holders) {
+  if (stops_advances_) return;
+  const Tokens amount = advances_.AmountToAsk(now, customer);
+  if (amount == 0) return;
+  advances_.OnAsked(customer);
+  Request out;
+  out.id = RequestId(kOwnId + ("advance-" + std::to_string(++advances_asked_)));
+  out.customer = customer;
+  out.amount = amount;
+  out.holders = std::move(holders);
+  out.advance = true;
+  RequestHold(now, std::move(out));
+}
+
+void RemoteHolds::OnAdvanceGiven(Instant now, const PeerMessage& message) {
+  const auto it = pending_.find(message.request);
+  const Tokens asked = it->second.request.amount;
+  // A holder of an older build doesn't state the amount.
+  if (message.amount == 0) without_advances_.insert(message.from);
+  const Tokens given =
+      message.amount > 0 ? std::min(asked, message.amount) : asked;
+  const CustomerName customer = it->second.request.customer;
+  advances_.OnGiven(now, message.request, message.from, customer, given,
+                    it->second.asked_at);
+  if (it->second.returns || stops_advances_) {
+    advances_.Close(message.request, message.from);
+  }
+  pending_.erase(it);
+  LogEvent(Event::kHoldAdvance, {{"customer", customer.value},
+                                 {"holder", message.from.value},
+                                 {"state", "given"},
+                                 {"asked", std::to_string(asked)},
+                                 {"amount", std::to_string(given)}});
+  SettleAdvances(now);
+}
+
+void RemoteHolds::ReturnAdvances(Instant now) {
+  for (auto& [id, hold] : pending_) hold.returns = true;
+  advances_.CloseAll();
+  SettleAdvances(now);
+}
+
+void RemoteHolds::ReturnAdvancesOf(Instant now, const CustomerName& customer) {
+  for (auto& [id, hold] : pending_) {
+    hold.returns = hold.returns || hold.request.customer == customer;
+  }
+  advances_.CloseFor(customer);
+  SettleAdvances(now);
+}
+
+void RemoteHolds::SettleAdvances(Instant now) {
+  for (const HoldAdvances::Finished& it : advances_.TakeFinished(now)) {
+    LogEvent(Event::kHoldAdvance, {{"customer", it.customer.value},
+                                   {"holder", it.holder.value},
+                                   {"state", "settled"},
+                                   {"amount", std::to_string(it.amount)},
+                                   {"cost", std::to_string(it.cost)}});
+    SendCost(now, {it.id, it.holder}, it.cost);
+  }
+}
+
 // --- Costs -------------------------------------------------------------------
 
 void RemoteHolds::Settle(Instant now, const RequestId& id, Tokens cost) {
+  if (advances_.IsDrawn(id)) {
+    advances_.Settle(id, cost);
+    return SettleAdvances(now);
+  }
   const auto it = held_.find(id);
   if (it == held_.end()) return;
   const HoldKey key{id, it->second};
--- a/relay/remote_holds.h
+++ b/relay/remote_holds.h
@@ -21,6 +21,19 @@
 // that a request is refused at the next `CheckTimeouts` if no other holder is
 // left. Such a holder is probed with holds of zero tokens until it answers.
 //
+// Requests of a customer that sends many draw from holds in advance
+// (prepaid/hold_advance.h), which are asked for like the hold of a request:
+//
+//   if (holds.Draw(now, id, customer, amount)) ...  // held, without a message
+//   holds.AskInAdvance(now, customer, holders);     // if one is needed
+//   holds.ReturnAdvances(now);                      // before this router
+//   leaves
+//
+// Nothing is drawn from an advance whose holder isn't linked. A holder of an
+// older build answers without the amount that it gave; it held all that was
+// asked for, and isn't asked in advance again, as such a hold waits in its
+// queue like a large request.
+//
 // Owns the pending holds, the granted holds and the unacknowledged costs. Links
 // to peers may lose any message. A holder's timeout is defined in
 // relay/hold_patience.h. Units: tokens.
@@ -32,12 +45,14 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "prepaid/hold_advance.h"
 #include "prepaid/prepaid_ledger.h"
 #include "relay/hold_patience.h"
 #include "relay/holder_answers.h"
@@ -67,8 +82,10 @@
     Tokens amount = 0;
     // The holders to ask, in this order.
     std::vector<VmName> holders;
-    // Called with the result, but never from within `RequestHold`.
+    // Called with the result, but never from within `RequestHold`. Not called
+    // for an advance.
     std::function<void(PrepaidVerdict)> done;
+    bool advance = false;
   };
 
   RemoteHolds(Options options, Handlers handlers)
@@ -77,10 +94,28 @@
   void RequestHold(Instant now, Request request);
   // Abandons the pending hold without calling `done`.
   void Forget(Instant now, const RequestId& id);
-  // Whether a holder has granted a hold for the request.
-  bool Holds(const RequestId& id) const { return held_.contains(id); }
+  // Whether a holder has granted a hold for the request, or the request has
+  // drawn from an advance.
+  bool Holds(const RequestId& id) const {
+    return held_.contains(id) || advances_.IsDrawn(id);
+  }
   void Settle(Instant now, const RequestId& id, Tokens cost);
 
+  // Holds `amount` for the request from an advance. Returns false if none has
+  // as much.
+  bool Draw(Instant now, const RequestId& id, const CustomerName& customer,
+            Tokens amount);
+  // Asks for an advance if the customer's requests here call for one.
+  void AskInAdvance(Instant now, const CustomerName& customer,
+                    std::vector<VmName> holders);
+  // Asks for no more advances.
+  void StopAdvances() { stops_advances_ = true; }
+  // Settles all advances, or those of one customer, as soon as their requests
+  // have ended; nothing more is drawn from them.
+  void ReturnAdvances(Instant now);
+  void ReturnAdvancesOf(Instant now, const CustomerName& customer);
+  const HoldAdvances& advances() const { return advances_; }
+
   void OnAnswer(Instant now, const PeerMessage& message);
   void OnAcknowledged(const PeerMessage& message);
   void OnPeerLost(Instant now, const Incarnation& holder);
@@ -89,7 +124,8 @@
   void CheckTimeouts(Instant now);
   // Returns true if `CheckTimeouts` has nothing to do.
   bool Idle() const {
-    return pending_.empty() && probes_.empty() && unacknowledged_.empty();
+    return pending_.empty() && probes_.empty() && unacknowledged_.empty() &&
+           advances_.empty();
   }
   // Number of requests that were refused without asking a holder, as none
   // answers in time.
@@ -105,6 +141,8 @@
     Incarnation holder;
     Instant started_at{};
     Instant asked_at{};
+    // Whether the advance is to be returned as soon as it is given.
+    bool returns = false;
     // The silent holder that was skipped last; empty if none was.
     Incarnation skipped;
   };
@@ -142,7 +180,9 @@
   void LogRefusedAtOnce(Instant now, const RequestId& id,
                         const PendingHold& hold);
   void ReleaseAtHolder(Instant now, const PendingHold& hold);
-  void Finish(PendingMap::iterator it, PrepaidVerdict verdict);
+  void Finish(Instant now, PendingMap::iterator it, PrepaidVerdict verdict);
+  void OnAdvanceGiven(Instant now, const PeerMessage& message);
+  void SettleAdvances(Instant now);
   void SendCost(Instant now, const HoldKey& key, Tokens cost);
   void ResendCost(Instant now, const HoldKey& key, UnacknowledgedCost& it);
   void ResendCosts(Instant now);
@@ -154,6 +194,11 @@
   PendingMap pending_;
   std::map<RequestId, Probe> probes_;
   std::uint64_t probes_sent_ = 0;
+  HoldAdvances advances_;
+  std::uint64_t advances_asked_ = 0;
+  bool stops_advances_ = false;
+  // Holders of an older build, which ignore that a hold is one in advance.
+  std::set<Incarnation> without_advances_;
   HolderAnswers answers_;
   // The latest `CheckTimeouts`, or the request that made it necessary.
   Instant last_check_{};
--- a/relay/served_holds.cc
+++ b/relay/served_holds.cc
@@ -1,5 +1,6 @@
 #include "relay/served_holds.h"
 
+#include <numeric>
 #include <vector>
 
 namespace quaytrack {
@@ -26,11 +27,12 @@
   owner_.holds_.erase(key_);
 }
 
-void ServedHolds::Answer(const Key& key, HoldAnswer answer) {
+void ServedHolds::Answer(const Key& key, HoldAnswer answer, Tokens amount) {
   PeerMessage out;
   out.kind = PeerMessageKind::kHoldAnswer;
   out.request = key.request;
   out.answer = answer;
+  out.amount = amount;
   on_.send(key.asker, out);
 }
 
@@ -44,12 +46,44 @@
   if (!on_.has_budget(message.customer)) {
     return Answer(key, HoldAnswer::kNotHolder);
   }
+  if (message.advance) return OnAdvanceWanted(key, message);
   const auto hold =
       std::make_shared<PeerHold>(*this, key, message.customer, message.amount);
   holds_[key] = hold;
   on_.hold(hold);
 }
 
+void ServedHolds::OnAdvanceWanted(const Key& key, const PeerMessage& message) {
+  const CustomerName& customer = message.customer;
+  const Tokens given =
+      on_.hold_in_advance
+          ? on_.hold_in_advance(customer, message.amount, advanced_[customer])
+          : 0;
+  if (given <= 0) {
+    // A second copy of the request must not be given what nobody draws from.
+    RememberSettled(key);
+    return Answer(key, HoldAnswer::kShort);
+  }
+  const auto hold = std::make_shared<PeerHold>(*this, key, customer, given);
+  hold->held = true;
+  hold->advance = true;
+  holds_[key] = hold;
+  ChangeAdvances(customer, given);
+  Answer(key, HoldAnswer::kHeld, given);
+}
+
+void ServedHolds::ChangeAdvances(const CustomerName& customer, Tokens change) {
+  Tokens& sum = advanced_[customer];
+  sum += change;
+  if (on_.advances_changed) on_.advances_changed(customer, sum);
+}
+
+Tokens ServedHolds::Advanced() const {
+  return std::accumulate(
+      advanced_.begin(), advanced_.end(), Tokens{0},
+      [](Tokens n, const auto& it) { return n + it.second; });
+}
+
 void ServedHolds::OnSettle(const PeerMessage& message) {
   const Key key{message.from, message.request};
   RememberSettled(key);
@@ -67,6 +101,7 @@
 void ServedHolds::Finish(const PeerHoldPtr& hold, Tokens cost) {
   hold->ended = true;
   if (!hold->held) return on_.forget(hold);
+  if (hold->advance) ChangeAdvances(hold->customer_, -hold->amount_);
   on_.settle(hold->customer_, hold->amount_, cost);
 }
 
@@ -87,6 +122,7 @@
   std::vector<PeerHoldPtr> waiting;
   for (const auto& [key, hold] : holds_) {
     if (!hold->held) waiting.push_back(hold);
+    if (hold->advance) Answer(key, HoldAnswer::kNotHolder);
   }
   for (const PeerHoldPtr& it : waiting) {
     holds_.erase(it->key_);
--- a/relay/served_holds.h
+++ b/relay/served_holds.h
@@ -10,6 +10,10 @@
 // that case the full amount counts as spent, since the actual cost is unknown.
 // Time alone ends no hold: an asker that was frozen may continue to spend.
 //
+// A hold in advance (prepaid/hold_advance.h) is given immediately, in whole or
+// in part, or refused. The holder takes advances back when it stops: it tells
+// the asker, which draws nothing more and settles.
+//
 // Messages may be lost, duplicated and delayed. A repeated hold request changes
 // nothing, and one that arrives after its own settlement holds nothing.
 //
@@ -45,6 +49,13 @@
     std::function<void(const HoldWaiterPtr&)> forget;
     std::function<void(const CustomerName&, Tokens held, Tokens cost)> settle;
     std::function<void(const Incarnation&, const PeerMessage&)> send;
+    // Holds up to `asked` tokens in advance, and returns how many; 0 refuses.
+    // `given` is the sum of the customer's advances. Without this handler,
+    // nothing is given.
+    std::function<Tokens(const CustomerName&, Tokens asked, Tokens given)>
+        hold_in_advance;
+    // Called with the new sum of the customer's advances.
+    std::function<void(const CustomerName&, Tokens given)> advances_changed;
   };
 
   explicit ServedHolds(Handlers handlers) : on_(std::move(handlers)) {}
@@ -57,6 +68,8 @@
   // Refers waiting and new hold requests to other holders.
   void Stop();
   std::size_t size() const { return holds_.size(); }
+  // The sum of all advances that aren't settled.
+  Tokens Advanced() const;
 
  private:
   struct Key {
@@ -82,15 +95,19 @@
     Tokens amount_;
     bool held = false;
     bool ended = false;
+    bool advance = false;
   };
   using PeerHoldPtr = std::shared_ptr<PeerHold>;
 
-  void Answer(const Key& key, HoldAnswer answer);
+  void Answer(const Key& key, HoldAnswer answer, Tokens amount = 0);
+  void OnAdvanceWanted(const Key& key, const PeerMessage& message);
+  void ChangeAdvances(const CustomerName& customer, Tokens change);
   void Finish(const PeerHoldPtr& hold, Tokens cost);
   void RememberSettled(const Key& key);
 
   Handlers on_;
   std::map<Key, PeerHoldPtr> holds_;
+  std::map<CustomerName, Tokens> advanced_;
   // Recently settled holds, so that a hold request that arrives after its
   // settlement is ignored; `settled_order_` is the order of eviction.
   std::set<Key> settled_;
