--- a/relay/budget_driver.cc
+++ b/relay/budget_driver.cc
@@ -194,22 +194,24 @@
 PrepaidVerdict BudgetDriver::RequestFromHolders(const HoldWaiterPtr& waiter) {
   const Instant now = clock_.Now();
   const CustomerName& customer = waiter->customer();
+  const std::vector<VmName> holders = fleet_.HoldersFor(customer);
+  StartWaitTimer();
   const bool drawn =
       remote_.Draw(now, waiter->id(), customer, waiter->worst_case());
-  std::vector<VmName> holders = fleet_.HoldersFor(customer);
-  StartWaitTimer();
+  if (!drawn) {
+    RemoteHolds::Request out;
+    out.id = waiter->id();
+    out.customer = customer;
+    out.amount = waiter->worst_case();
+    out.holders = holders;
+    out.done = [this, waiter](PrepaidVerdict verdict) {
+      PostAnswer(waiter, verdict);
+    };
+    remote_.RequestHold(now, std::move(out));
+  }
+  // After the request, so that the holder holds what the request needs first.
   remote_.AskInAdvance(now, customer, holders);
-  if (drawn) return PrepaidVerdict::kHeld;
-  RemoteHolds::Request out;
-  out.id = waiter->id();
-  out.customer = customer;
-  out.amount = waiter->worst_case();
-  out.holders = std::move(holders);
-  out.done = [this, waiter](PrepaidVerdict verdict) {
-    PostAnswer(waiter, verdict);
-  };
-  remote_.RequestHold(now, std::move(out));
-  return PrepaidVerdict::kShort;
+  return drawn ? PrepaidVerdict::kHeld : PrepaidVerdict::kShort;
 }
 
 // Gives a peer an advance from this router's grant. Neither the store nor peers
--- a/relay/remote_holds.cc
+++ b/relay/remote_holds.cc
@@ -255,28 +255,35 @@
   const CustomerName customer = it->second.request.customer;
   advances_.OnGiven(now, message.request, message.from, customer, given,
                     it->second.asked_at);
-  if (it->second.returns || stops_advances_) {
-    advances_.Close(message.request, message.from);
-  }
   pending_.erase(it);
   LogEvent(Event::kHoldAdvance, {{"customer", customer.value},
                                  {"holder", message.from.value},
                                  {"state", "given"},
                                  {"asked", std::to_string(asked)},
                                  {"amount", std::to_string(given)}});
-  SettleAdvances(now);
+}
+
+// Cancels the asks for advances of the customers that `matches` accepts.
+void RemoteHolds::CancelAsks(
+    Instant now, const std::function<bool(const CustomerName&)>& matches) {
+  for (auto it = pending_.begin(); it != pending_.end();) {
+    const auto at = it++;
+    const Request& request = at->second.request;
+    if (!request.advance || !matches(request.customer)) continue;
+    ReleaseAtHolder(now, at->second);
+    advances_.OnRefused(now, request.customer);
+    pending_.erase(at);
+  }
 }
 
 void RemoteHolds::ReturnAdvances(Instant now) {
-  for (auto& [id, hold] : pending_) hold.returns = true;
+  CancelAsks(now, [](const CustomerName&) { return true; });
   advances_.CloseAll();
   SettleAdvances(now);
 }
 
 void RemoteHolds::ReturnAdvancesOf(Instant now, const CustomerName& customer) {
-  for (auto& [id, hold] : pending_) {
-    hold.returns = hold.returns || hold.request.customer == customer;
-  }
+  CancelAsks(now, [&](const CustomerName& it) { return it == customer; });
   advances_.CloseFor(customer);
   SettleAdvances(now);
 }
--- a/relay/remote_holds.h
+++ b/relay/remote_holds.h
@@ -108,7 +108,7 @@
   // Asks for an advance if the customer's requests here call for one.
   void AskInAdvance(Instant now, const CustomerName& customer,
                     std::vector<VmName> holders);
-  // Asks for no more advances.
+  // Asks for no more advances. Those that were given stay in use.
   void StopAdvances() { stops_advances_ = true; }
   // Settles all advances, or those of one customer, as soon as their requests
   // have ended; nothing more is drawn from them.
@@ -141,8 +141,6 @@
     Incarnation holder;
     Instant started_at{};
     Instant asked_at{};
-    // Whether the advance is to be returned as soon as it is given.
-    bool returns = false;
     // The silent holder that was skipped last; empty if none was.
     Incarnation skipped;
   };
@@ -182,6 +180,8 @@
   void ReleaseAtHolder(Instant now, const PendingHold& hold);
   void Finish(Instant now, PendingMap::iterator it, PrepaidVerdict verdict);
   void OnAdvanceGiven(Instant now, const PeerMessage& message);
+  void CancelAsks(Instant now,
+                  const std::function<bool(const CustomerName&)>& matches);
   void SettleAdvances(Instant now);
   void SendCost(Instant now, const HoldKey& key, Tokens cost);
   void ResendCost(Instant now, const HoldKey& key, UnacknowledgedCost& it);
--- a/relay/testing/budgets_test.cc
+++ b/relay/testing/budgets_test.cc
@@ -8,6 +8,7 @@
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -845,6 +846,222 @@
 }
 
 // A router of a large fleet that has just started and already gets requests.
+// --- Holds in advance --------------------------------------------------------
+
+PeerMessage AdvanceRequest(const std::string& id, Tokens amount) {
+  PeerMessage out;
+  out.kind = PeerMessageKind::kHoldRequest;
+  out.from = kPeer;
+  out.customer = kCustomer;
+  out.request = RequestId(id);
+  out.amount = amount;
+  out.advance = true;
+  return out;
+}
+
+// A holder with a grant, and the answers that it gave.
+struct HolderFixture : Fixture {
+  HolderFixture() { JoinAndStopClock(); }
+  PeerMessage LastAnswer() const {
+    const auto answers = UnicastsOf(PeerMessageKind::kHoldAnswer);
+    return answers.empty() ? PeerMessage() : answers.back().message;
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(AnAdvanceIsHeldUntilItIsSettled, HolderFixture) {
+  const Tokens before = Allowance();
+  const Tokens asked = before / 16;
+  budgets.OnPeer(AdvanceRequest("a", asked));
+  BOOST_TEST((LastAnswer().answer == HoldAnswer::kHeld));
+  BOOST_TEST(LastAnswer().amount == asked);
+  BOOST_TEST(Allowance() == before - asked);
+  BOOST_TEST(budgets.AdvancesGiven() == asked);
+  // A second copy holds nothing more.
+  budgets.OnPeer(AdvanceRequest("a", asked));
+  BOOST_TEST(Allowance() == before - asked);
+  budgets.OnPeer(Message(PeerMessageKind::kSettle, 70, "a"));
+  BOOST_TEST(Allowance() == before - 70);
+  BOOST_TEST(budgets.AdvancesGiven() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAdvanceIsASmallPartOfTheGrant, HolderFixture) {
+  const Tokens before = Allowance();
+  budgets.OnPeer(AdvanceRequest("a", before / 4));
+  BOOST_TEST(LastAnswer().amount == before / 8);
+  budgets.OnPeer(AdvanceRequest("b", before));
+  BOOST_TEST((LastAnswer().answer == HoldAnswer::kShort));
+}
+
+// Nor is the store or a peer asked for it.
+BOOST_FIXTURE_TEST_CASE(AnAdvanceDoesntGoBeforeOneThatWaits, HolderFixture) {
+  const WaiterPtr it = Make("r", 40000);
+  BOOST_TEST((budgets.Hold(it) == PrepaidVerdict::kShort));
+  const Tokens before = Allowance();
+  budgets.OnPeer(AdvanceRequest("a", 100));
+  BOOST_TEST((LastAnswer().answer == HoldAnswer::kShort));
+  BOOST_TEST(Allowance() == before);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAdvanceAsksNobody, HolderFixture) {
+  const std::uint64_t writes = store.writes;
+  const std::uint64_t reads = store.reads;
+  budgets.OnPeer(AdvanceRequest("a", kLimit));
+  BOOST_TEST((LastAnswer().answer == HoldAnswer::kShort));
+  RunSome();
+  BOOST_TEST(broadcasts.empty());
+  BOOST_TEST(store.writes == writes);
+  BOOST_TEST(store.reads == reads);
+}
+
+// A refused advance whose request arrives twice is held by nobody.
+BOOST_FIXTURE_TEST_CASE(ARefusedAdvanceStaysRefused, HolderFixture) {
+  const WaiterPtr it = Make("r", 40000);
+  BOOST_TEST((budgets.Hold(it) == PrepaidVerdict::kShort));
+  budgets.OnPeer(AdvanceRequest("a", 100));
+  budgets.Forget(it);
+  const Tokens before = Allowance();
+  budgets.OnPeer(AdvanceRequest("a", 100));
+  BOOST_TEST(Allowance() == before);
+}
+
+// Guards against 402 for a request that the budget can hold once advances are
+// returned.
+BOOST_FIXTURE_TEST_CASE(AdvancesDontCountAsSpent, HolderFixture) {
+  budgets.OnPeer(AdvanceRequest("a", Allowance() / 8));
+  const Tokens given = budgets.AdvancesGiven();
+  BOOST_REQUIRE(given > 0);
+  // The limit less the reserve of 1 in 100.
+  const Tokens largest = kLimit / 100 * 99;
+  BOOST_TEST((budgets.Hold(Make("r", largest)) == PrepaidVerdict::kShort));
+}
+
+BOOST_FIXTURE_TEST_CASE(ADeadRoutersAdvanceIsChargedInFull, HolderFixture) {
+  const Tokens before = Allowance();
+  budgets.OnPeer(AdvanceRequest("a", before / 16));
+  PeerMessage hello = Message(PeerMessageKind::kHello, 0);
+  hello.from = Incarnation("vm2@2");
+  budgets.OnPeer(hello);
+  BOOST_TEST(Allowance() == before - before / 16);
+  BOOST_TEST(budgets.AdvancesGiven() == 0);
+  // The dead router wakes up after all, and is charged nothing more.
+  budgets.OnPeer(Message(PeerMessageKind::kSettle, 70, "a"));
+  BOOST_TEST(Allowance() == before - before / 16);
+}
+
+BOOST_FIXTURE_TEST_CASE(AStoppingHolderTakesBackWhatItGave, HolderFixture) {
+  budgets.OnPeer(AdvanceRequest("a", 100));
+  budgets.StopServing();
+  BOOST_TEST((LastAnswer().answer == HoldAnswer::kNotHolder));
+  BOOST_TEST(LastAnswer().request.value == "a");
+}
+
+BOOST_FIXTURE_TEST_CASE(AScarceBudgetGivesNothingInAdvance, HolderFixture) {
+  BudgetDriver::Handlers on;
+  on.send = [this](const Incarnation& to, const PeerMessage& it) {
+    unicasts.push_back({to, it});
+  };
+  on.is_scarce = [](const CustomerName& it) { return it == kCustomer; };
+  budgets.SetHandlers(on);
+  budgets.OnPeer(AdvanceRequest("a", 100));
+  BOOST_TEST((LastAnswer().answer == HoldAnswer::kShort));
+}
+
+// A router without a grant that has an advance of 300 tokens.
+struct AdvanceFixture : RequesterFixture {
+  AdvanceFixture() {
+    clock.Stop();
+    for (int n = 0; n < 20; ++n) {
+      const WaiterPtr it = Make("load-" + std::to_string(n), 100);
+      budgets.Hold(it);
+      budgets.Forget(it);
+    }
+    for (const Sent& it : UnicastsOf(PeerMessageKind::kHoldRequest)) {
+      if (it.message.advance) id = it.message.request;
+    }
+    BOOST_REQUIRE(!id.empty());
+    PeerMessage answer =
+        FromHolder(PeerMessageKind::kHoldAnswer, HoldAnswer::kHeld);
+    answer.request = id;
+    answer.amount = 300;
+    budgets.OnPeer(answer);
+  }
+
+  bool IsDrawn(const std::string& name) {
+    const WaiterPtr it = Make(name, 100);
+    drawn.push_back(it);
+    return budgets.Hold(it) == PrepaidVerdict::kHeld;
+  }
+  // The cost with which the advance was settled.
+  std::optional<Tokens> Settled() const {
+    for (const Sent& it : UnicastsOf(PeerMessageKind::kSettle)) {
+      if (it.message.request == id) return it.message.amount;
+    }
+    return std::nullopt;
+  }
+
+  RequestId id;
+  std::vector<WaiterPtr> drawn;
+};
+
+BOOST_FIXTURE_TEST_CASE(ADrawNeedsNoMessageAndIsChargedOnce, AdvanceFixture) {
+  BOOST_TEST(IsDrawn("r"));
+  for (const Sent& it : unicasts) BOOST_TEST(it.message.request.value != "r");
+  budgets.Settle(*drawn[0], 70);
+  budgets.StartLeaving();
+  BOOST_REQUIRE(Settled().has_value());
+  BOOST_TEST(*Settled() == 70);
+}
+
+BOOST_FIXTURE_TEST_CASE(ARouterThatLeavesSettlesItsAdvances, AdvanceFixture) {
+  BOOST_TEST(IsDrawn("r"));
+  budgets.StartLeaving();
+  BOOST_TEST(!Settled().has_value());
+  BOOST_TEST(!budgets.HasLeft());
+  budgets.Settle(*drawn[0], 70);
+  BOOST_REQUIRE(Settled().has_value());
+  BOOST_TEST(*Settled() == 70);
+  BOOST_TEST(!budgets.HasLeft());
+  for (const Sent& it : UnicastsOf(PeerMessageKind::kSettle)) {
+    PeerMessage settled =
+        FromHolder(PeerMessageKind::kSettled, HoldAnswer::kNotHolder);
+    settled.request = it.message.request;
+    budgets.OnPeer(settled);
+  }
+  BOOST_TEST(budgets.HasLeft());
+}
+
+BOOST_FIXTURE_TEST_CASE(ALowerLimitReturnsAdvances, AdvanceFixture) {
+  Configure(2, kLimit + 1);
+  BOOST_TEST(!Settled().has_value());
+  Configure(3, kLimit - 1);
+  BOOST_TEST(Settled().has_value());
+  BOOST_TEST(!IsDrawn("r"));
+}
+
+BOOST_FIXTURE_TEST_CASE(ABudgetThatIsRemovedReturnsAdvances, AdvanceFixture) {
+  Configure(2, -1);
+  BOOST_TEST(Settled().has_value());
+}
+
+// Until it has declared itself, only the holder knows what it gave lately.
+BOOST_FIXTURE_TEST_CASE(AnOlderCopyOfTheStoreReturnsAdvances, AdvanceFixture) {
+  budgets.OnStoreEra();
+  BOOST_TEST(Settled().has_value());
+  BOOST_TEST(!IsDrawn("r"));
+}
+
+BOOST_FIXTURE_TEST_CASE(ALostLinkReturnsAdvances, AdvanceFixture) {
+  budgets.OnPeerLost(holder);
+  BOOST_TEST(Settled().has_value());
+  BOOST_TEST(!IsDrawn("r"));
+}
+
+BOOST_FIXTURE_TEST_CASE(UnusedAdvancesAreReturned, AdvanceFixture) {
+  clock.Advance(milliseconds(1000));
+  BOOST_TEST(RunUntil([&] { return Settled().has_value(); }));
+  BOOST_TEST(*Settled() == 0);
+}
+
 struct EarlyFixture : Fixture {
   EarlyFixture() : Fixture(FleetOptions(), false) {
     Configure();
--- a/relay/testing/peer_messages_test.cc
+++ b/relay/testing/peer_messages_test.cc
@@ -168,6 +168,24 @@
   Check(it, R"({"kind": "settled", "from": "vm1@1", "request": "r"})");
 }
 
+// An absent `advance` or `amount` is what older builds send.
+BOOST_AUTO_TEST_CASE(HoldsInAdvanceKeepTheirForm) {
+  PeerMessage it = Message(PeerMessageKind::kHoldRequest);
+  it.request = RequestId("\nadvance-1");
+  it.customer = CustomerName("clinic");
+  it.amount = 2500;
+  it.advance = true;
+  Check(it, R"({"kind": "hold", "from": "vm1@1", "customer": "clinic",
+                "all": false, "amount": 2500, "request": "\nadvance-1",
+                "advance": true})");
+  it = Message(PeerMessageKind::kHoldAnswer);
+  it.request = RequestId("\nadvance-1");
+  it.answer = HoldAnswer::kHeld;
+  it.amount = 2000;
+  Check(it, R"({"kind": "hold_answer", "from": "vm1@1", "answer": "held",
+                "request": "\nadvance-1", "amount": 2000})");
+}
+
 BOOST_AUTO_TEST_CASE(AnswersToHoldsKeepTheirForm) {
   PeerMessage it = Message(PeerMessageKind::kHoldAnswer);
   it.request = RequestId("r");
