--- a/relay/remote_holds.cc
+++ b/relay/remote_holds.cc
@@ -13,8 +13,9 @@
 constexpr char kOwnId[] = "\n";
 
 // Time between two `CheckTimeouts` from which this router counts as stalled:
-// answers may have arrived that it hasn't read. Half of a holder's timeout, and
-// more than the 90 ms for which a VM with 0.09 cores is stopped in each 100 ms.
+// answers may have arrived that it hasn't read, so what times out then is no
+// evidence. More than the 90 ms for which a VM with 0.09 cores is stopped in
+// each 100 ms. After a stall of a holder's timeout, no evidence is left.
 constexpr Duration kStall = std::chrono::milliseconds(100);
 
 PrepaidVerdict VerdictOf(HoldAnswer answer) {
@@ -159,14 +160,15 @@
 }
 
 void RemoteHolds::CheckForStall(Instant now) {
-  const bool stalled = now - last_check_ >= kStall;
+  const Duration gap = now - last_check_;
   last_check_ = now;
-  if (stalled) answers_.Clear();
+  stalled_ = gap >= kStall;
+  if (gap >= options_.timeouts.holder_timeout) answers_.Clear();
 }
 
 void RemoteHolds::CountUnanswered(Instant now, const Incarnation& holder,
                                   Instant asked_at) {
-  if (!answers_.OnUnanswered(now, holder, asked_at)) return;
+  if (stalled_ || !answers_.OnUnanswered(now, holder, asked_at)) return;
   LogEvent(Event::kHolderSilent,
            {{"holder", holder.value},
             {"unanswered", std::to_string(answers_.Unanswered(holder))}});
--- a/relay/remote_holds.h
+++ b/relay/remote_holds.h
@@ -202,6 +202,8 @@
   HolderAnswers answers_;
   // The latest `CheckTimeouts`, or the request that made it necessary.
   Instant last_check_{};
+  // Whether the latest check came late, so that answers may lie unread.
+  bool stalled_ = false;
   std::uint64_t refused_at_once_ = 0;
   LineLimit refusal_lines_{kRefusalLinesPerSecond};
   // The holder of each granted hold.
--- a/relay/testing/budgets_test.cc
+++ b/relay/testing/budgets_test.cc
@@ -478,7 +478,7 @@
 
   // Holds a request, which waits as a probe.
   WaiterPtr Probe() {
-    const WaiterPtr out = Make("probe", 40000);
+    WaiterPtr out = Make("probe", 40000);
     BOOST_REQUIRE((budgets.Hold(out) == PrepaidVerdict::kShort));
     RunSome();
     BOOST_REQUIRE(out->answers() == 0);
--- a/relay/testing/holds_test.cc
+++ b/relay/testing/holds_test.cc
@@ -335,6 +335,22 @@
   BOOST_TEST(remote->refused_at_once() == 0U);
 }
 
+// The same with a stall shorter than the timeout: requests that were sent
+// before it time out at the first check after it, with their answers unread.
+BOOST_FIXTURE_TEST_CASE(AShortStallOfThisRouterIsNoSilence, Fixture) {
+  for (int n = 0; n < 50; ++n) {
+    for (int it = 0; it < 5; ++it) {
+      Ask("r-" + std::to_string(n * 5 + it), 100);
+      now += milliseconds(20);
+      remote->CheckTimeouts(now);
+    }
+    now += milliseconds(190);
+    remote->CheckTimeouts(now);
+    DeliverAnswers();
+  }
+  BOOST_TEST(remote->refused_at_once() == 0U);
+}
+
 // A probe leaves nothing held, whether it is answered or not.
 BOOST_FIXTURE_TEST_CASE(ProbesLeaveNoHolds, Fixture) {
   holders[0].silent = true;
