--- a/relay/hold_patience.h
+++ b/relay/hold_patience.h
@@ -66,6 +66,10 @@
   Duration ask_half_after = std::chrono::milliseconds(25);
   Duration ask_all_after = std::chrono::milliseconds(70);
   Duration give_up_after = std::chrono::milliseconds(160);
+  // Peers that gave nothing by then have nothing to give. Nearly all the time
+  // between `ask_all_after` and `give_up_after`, as a peer with few cores may
+  // be stopped for some of it.
+  Duration peers_answer_within = std::chrono::milliseconds(80);
   // Longer than `give_up_after`, so that the next request that waits in vain
   // renews what the last one has shown.
   Duration declined_for = std::chrono::milliseconds(250);
--- a/relay/hold_queue.cc
+++ b/relay/hold_queue.cc
@@ -47,7 +47,8 @@
   const auto transfer = transferred_at_.find(customer);
   const bool received =
       transfer != transferred_at_.end() && transfer->second >= it.since;
-  const bool asked_in_vain = it.times_asked == 2 && !received;
+  const bool asked_in_vain = it.times_asked == 2 && !received &&
+                             now - it.asked_at >= kTimeouts.peers_answer_within;
   if (store_reachable || it.store_answered || !asked_in_vain) return;
   declined_[customer] = {now, it.waiter->worst_case()};
 }
@@ -175,6 +176,7 @@
   const bool all = first.times_asked == 1 && waited >= kTimeouts.ask_all_after;
   if (!half && !all) return;
   ++first.times_asked;
+  first.asked_at = now;
   on_.ask_peers(customer, SumOf(list), all);
 }
 
--- a/relay/hold_queue.h
+++ b/relay/hold_queue.h
@@ -92,6 +92,8 @@
     Instant since{};
     // How often peers were asked on behalf of `waiter`.
     int times_asked = 0;
+    // When peers were asked last.
+    Instant asked_at{};
     // Whether the store answered at a check while `waiter` was the first.
     bool store_answered = false;
   };
--- a/relay/testing/budgets_test.cc
+++ b/relay/testing/budgets_test.cc
@@ -528,6 +528,22 @@
   BOOST_TEST(!IsRefusedAtOnce(40000));
 }
 
+// The router was busy, and asked the peers for all only just before the end.
+BOOST_FIXTURE_TEST_CASE(PeersThatWereAskedLateHaveDeclinedNothing,
+                        DeclinedFixture) {
+  clock.Advance(milliseconds(250));
+  const std::size_t asked = broadcasts.size();
+  const WaiterPtr it = Make("late", 40000);
+  BOOST_REQUIRE((budgets.Hold(it) == PrepaidVerdict::kShort));
+  BOOST_REQUIRE(RunUntil([&] { return broadcasts.size() == asked + 1; }));
+  clock.Advance(milliseconds(150));
+  BOOST_REQUIRE(RunUntil([&] { return broadcasts.size() == asked + 2; }));
+  clock.Advance(milliseconds(10));
+  BOOST_REQUIRE(Answered(*it));
+  const WaiterPtr probe = Probe();
+  BOOST_TEST(!IsRefusedAtOnce(40000));
+}
+
 // Guards against refusals while a hold may still be returned in time.
 BOOST_FIXTURE_TEST_CASE(AHoldThatMayReturnIsWaitedFor, DeclinedFixture) {
   // Gives this router 40,000 tokens, nearly all of them held.
