--- a/prepaid/prepaid_ledger.cc
+++ b/prepaid/prepaid_ledger.cc
@@ -1,6 +1,7 @@
 #include "prepaid/prepaid_ledger.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -46,9 +47,9 @@
 }
 
 // Whether this router could hold `amount` if it had all of the budget that
-// isn't known to be spent. What other routers hold or haven't reported may
-// become available again, so it doesn't count as spent. The reserve is never
-// granted.
+// isn't known to be spent. What other routers hold, also in advance, or haven't
+// reported may become available again, so it doesn't count as spent. The
+// reserve is never granted.
 bool PrepaidLedger::CanEverHold(const CustomerName& customer, Tokens limit,
                                 Tokens amount) const {
   const LocalAccount& account = AccountOf(accounts_, customer);
@@ -61,7 +62,7 @@
     settled += SpentIn(confirmed_->spend, customer).spent;
   }
   const double grantable = static_cast<double>(limit) * (1 - policy_.reserve);
-  const Tokens needed = settled + account.held + amount;
+  const Tokens needed = settled + account.held - account.advanced + amount;
   return static_cast<double>(needed) <= grantable;
 }
 
@@ -149,6 +150,16 @@
   return all > 0 ? std::max(equal, own / all) : equal;
 }
 
+Tokens PrepaidLedger::MostWithoutOthers(const CustomerName& customer) const {
+  if (!confirmed_) return std::numeric_limits<Tokens>::max();
+  const LocalAccount& account = AccountOf(accounts_, customer);
+  Tokens idle = IdleIn(*confirmed_, self_, customer, account);
+  for (const StoreView& it : unconfirmed_) {
+    idle = std::max(idle, IdleIn(it, self_, customer, account));
+  }
+  return idle + account.held;
+}
+
 // --- When to write -----------------------------------------------------------
 
 bool PrepaidLedger::HasUnrecordedTransfers() const {
--- a/prepaid/prepaid_ledger.h
+++ b/prepaid/prepaid_ledger.h
@@ -158,6 +158,10 @@
   // nothing ran.
   void Settle(Instant now, const CustomerName& customer, Tokens held,
               Tokens cost);
+  // Sets the part of the held tokens that other routers hold in advance.
+  void SetAdvanced(const CustomerName& customer, Tokens amount) {
+    accounts_[customer].advanced = amount;
+  }
   bool IsLimited(const CustomerName& customer) const {
     return limits_.contains(customer);
   }
@@ -207,6 +211,10 @@
   // router may spend nothing any more.
   std::optional<BudgetReach> Reach(Instant now, const CustomerName& customer,
                                    bool store_answers) const;
+  // The most that this router may hold without a grant from the store or a
+  // transfer from a peer: in whichever state the store is, with every hold
+  // returned and nothing withheld. The largest amount if that is unknown.
+  Tokens MostWithoutOthers(const CustomerName& customer) const;
   // Whether the record no longer shows this router, because a later incarnation
   // of its VM has charged its grants. Then nothing may be spent any more.
   bool Fenced() const { return fenced_; }
--- a/relay/budget_driver.h
+++ b/relay/budget_driver.h
@@ -32,7 +32,9 @@
 #ifndef QUAYTRACK_RELAY_BUDGET_DRIVER_H_
 #define QUAYTRACK_RELAY_BUDGET_DRIVER_H_
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <utility>
 #include <vector>
@@ -41,6 +43,7 @@
 #include "fleet/fleet.h"
 #include "kv/store.h"
 #include "net/loop.h"
+#include "prepaid/hold_advance.h"
 #include "prepaid/prepaid_ledger.h"
 #include "relay/grant_transfers.h"
 #include "relay/hold_queue.h"
@@ -66,6 +69,9 @@
     std::function<void(bool)> store_reachable;
     // Called when the store has answered a call.
     std::function<void()> store_answered;
+    // Whether the customer's budget is scarce, so that nothing is given in
+    // advance. Without this handler, none is.
+    std::function<bool(const CustomerName&)> is_scarce;
   };
 
   BudgetDriver(Loop& loop, const Clock& clock, KvStore& store,
@@ -78,7 +84,7 @@
   void SetConfig(const ServiceMap& map);
 
   // Called when the store has come back in a later era (kv/store.h).
-  void OnStoreEra() { store_.OnStoreEra(); }
+  void OnStoreEra();
   // Starts to keep grants if the list of routers makes this router a holder.
   void JoinIfHolder();
   // Called once the list of routers was read: requests that waited for the list
@@ -105,8 +111,9 @@
   // Number of customers whose budgets are scarce at this router.
   std::size_t CountScarce() const { return queue_.CountScarce(clock_.Now()); }
 
-  // From now on, refers peers that request holds to other holders.
-  void StopServing() { served_.Stop(); }
+  // From now on, refers peers that request holds to other holders, and asks
+  // for no holds in advance.
+  void StopServing();
   // Starts to return the unspent grants to the store; `HasLeft` shows when this
   // is done.
   void StartLeaving();
@@ -115,6 +122,14 @@
   // of its holds.
   bool HasLeft() const { return ledger_.HasLeft() && remote_.Idle(); }
   const PrepaidLedger& ledger() const { return ledger_; }
+  // Number of requests that were refused at once, as nothing could arrive in
+  // time.
+  std::uint64_t refused_at_once() const {
+    return remote_.refused_at_once() + queue_.refused_at_once();
+  }
+  // This router's advances, and the sum of those that it has given.
+  const HoldAdvances& advances() const { return remote_.advances(); }
+  Tokens AdvancesGiven() const { return served_.Advanced(); }
 
  private:
   PrepaidStore::Handlers StoreHandlers();
@@ -124,7 +139,10 @@
   ServedHolds::Handlers ServedHandlers();
   PrepaidVerdict HoldLocallyOrRemotely(const HoldWaiterPtr& waiter);
   PrepaidVerdict HoldFromGrant(const HoldWaiterPtr& waiter);
-  void RequestFromHolders(const HoldWaiterPtr& waiter);
+  PrepaidVerdict RequestFromHolders(const HoldWaiterPtr& waiter);
+  Tokens HoldInAdvance(const CustomerName& customer, Tokens asked,
+                       Tokens given);
+  void ReturnAdvancesOfLowerLimits(const ServiceMap& map);
   void SettleInGrant(const CustomerName& customer, Tokens held, Tokens cost);
   void PostAnswer(const HoldWaiterPtr& waiter, PrepaidVerdict verdict);
   void PostReserved(const HoldWaiterPtr& waiter, Duration retry_after);
@@ -150,7 +168,10 @@
   GrantTransfers transfers_;
   RemoteHolds remote_;
   ServedHolds served_;
+  AdvancePolicy advance_policy_;
   std::vector<EarlyHold> early_holds_;
+  // The limits of the configuration in force.
+  std::map<CustomerName, Tokens> limits_;
   // Runs while any request waits.
   std::unique_ptr<Timer> wait_timer_;
 };
--- a/relay/hold_queue.cc
+++ b/relay/hold_queue.cc
@@ -26,7 +26,11 @@
   } else if (ExceedsBudget(now, *waiter)) {
     return PrepaidVerdict::kExhausted;
   }
-  list.insert(place, {waiter, now, 0});
+  if (NothingCanArrive(now, *waiter, list)) {
+    RefuseAtOnce(now, waiter);
+    return PrepaidVerdict::kShort;
+  }
+  list.insert(place, {.waiter = waiter, .since = now});
   UpdateLedger(customer, list);
   return PrepaidVerdict::kShort;
 }
@@ -52,6 +56,53 @@
                 false);
 }
 
+// Whether the request would wait in vain. A waiting request keeps asking the
+// peers, so the first of a list always waits.
+bool HoldQueue::NothingCanArrive(Instant now, const HoldWaiter& waiter,
+                                 const WaitingList& list) const {
+  if (list.empty() || !on_.store_reachable || on_.store_reachable()) {
+    return false;
+  }
+  const auto it = declined_.find(waiter.customer());
+  if (it == declined_.end()) return false;
+  const Tokens amount = waiter.worst_case();
+  return now - it->second.at < kTimeouts.declined_for &&
+         amount >= it->second.amount &&
+         ledger_.MostWithoutOthers(waiter.customer()) < amount;
+}
+
+void HoldQueue::NoteDeclined(Instant now, const Waiting& it,
+                             bool store_reachable) {
+  const CustomerName& customer = it.waiter->customer();
+  const auto transfer = transferred_at_.find(customer);
+  const bool received =
+      transfer != transferred_at_.end() && transfer->second >= it.since;
+  const bool asked_in_vain = it.times_asked == 2 && !received &&
+                             now - it.asked_at >= kTimeouts.peers_answer_within;
+  if (store_reachable || it.store_answered || !asked_in_vain) return;
+  declined_[customer] = {now, it.waiter->worst_case()};
+}
+
+void HoldQueue::OnTransfer(Instant now, const CustomerName& customer) {
+  transferred_at_[customer] = now;
+  declined_.erase(customer);
+}
+
+void HoldQueue::RefuseAtOnce(Instant now, const HoldWaiterPtr& waiter) {
+  ++refused_at_once_;
+  on_.answer(waiter, PrepaidVerdict::kShort);
+  if (!refusal_lines_.Allow(now)) return;
+  const CustomerName& customer = waiter->customer();
+  LogEvent(Event::kHoldRefusedAtOnce,
+           {{"request", waiter->id().value},
+            {"customer", customer.value},
+            {"needed", std::to_string(waiter->worst_case())},
+            {"reason", "nothing_can_arrive"},
+            {"reachable", std::to_string(ledger_.MostWithoutOthers(customer))},
+            {"declined_ms", MillisecondsText(now - declined_[customer].at)},
+            {"omitted", std::to_string(refusal_lines_.TakeOmitted())}});
+}
+
 void HoldQueue::Remove(const HoldWaiterPtr& waiter) {
   WaitingList& list = waiting_[waiter->customer()];
   std::erase_if(list, [&](const Waiting& it) { return it.waiter == waiter; });
@@ -128,6 +179,7 @@
     const auto it = std::find_if(list.begin(), list.end(), expired);
     if (it == list.end()) return;
     const HoldWaiterPtr waiter = it->waiter;
+    NoteDeclined(now, *it, store_reachable);
     list.erase(it);
     UpdateLedger(customer, list);
     LogRefused(now, *waiter, store_reachable);
@@ -153,12 +205,14 @@
   Waiting& oldest = *std::min_element(
       list.begin(), list.end(),
       [](const Waiting& a, const Waiting& b) { return a.since < b.since; });
+  oldest.store_answered = oldest.store_answered || store_reachable;
   const Duration waited = now - oldest.since;
   const bool half = oldest.times_asked == 0 &&
                     (waited >= kTimeouts.ask_half_after || !store_reachable);
   const bool all = oldest.times_asked == 1 && waited >= kTimeouts.ask_all_after;
   if (!half && !all) return;
   ++oldest.times_asked;
+  oldest.asked_at = now;
   on_.ask_peers(customer, SumOf(list), all);
 }
 
--- a/relay/peer_messages.cc
+++ b/relay/peer_messages.cc
@@ -306,6 +306,7 @@
   out.urgency = json.value("urgency", 0);
   out.retry_after = std::chrono::milliseconds(std::clamp<std::int64_t>(
       json.value("retry_ms", std::int64_t{0}), 0, kMaxRetryAfterMs));
+  out.advance = json.value("advance", false);
   out.hall = HallName(json.value("hall", ""));
   out.address = json.value("address", "");
   out.config_version = json.value("config", std::uint64_t{0});
@@ -349,6 +350,7 @@
   if (message.retry_after > Duration::zero()) {
     json["retry_ms"] = AgeToJson(message.retry_after);
   }
+  if (message.advance) json["advance"] = true;
   if (!message.address.empty()) {
     json["hall"] = message.hall.value;
     json["address"] = message.address;
--- a/relay/peer_messages.h
+++ b/relay/peer_messages.h
@@ -98,8 +98,8 @@
   // kTransferRequest, kTransfer, kHoldRequest.
   CustomerName customer;
   // kTransferRequest: the amount requested. kTransfer: the running total.
-  // kHoldRequest: the worst case. kSettle: the cost. kPromptSent: the tokens to
-  // be prefilled.
+  // kHoldRequest: the worst case. kHoldAnswer: what was given in advance.
+  // kSettle: the cost. kPromptSent: the tokens to be prefilled.
   Tokens amount = 0;
   // kTransferRequest: the peer may transfer all its unused grant; otherwise it
   // keeps half.
@@ -113,6 +113,9 @@
   // for more urgent requests, and its caller should retry after this time. The
   // answer is then kShort, which earlier builds understand.
   Duration retry_after{};
+  // kHoldRequest: the hold is one in advance, from which the sender's requests
+  // draw (prepaid/hold_advance.h).
+  bool advance = false;
   // kHello: the sender's hall and the address that it listens on.
   HallName hall;
   std::string address;
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -191,6 +191,9 @@
     peers_.SendTo(peer, it);
   };
   out.linked = [this](const VmName& vm) { return peers_.LinkedOn(vm); };
+  out.is_scarce = [this](const CustomerName& it) {
+    return budgets_.IsScarce(it);
+  };
   out.store_reachable = [this](bool it) { OnStoreReachable(it); };
   out.store_answered = [this] {
     for (StateFeed* it : Feeds()) it->OnStoreAnswered();
@@ -555,6 +558,14 @@
   metrics_.SetGauge("store_calls", static_cast<double>(store_.calls()));
   metrics_.SetGauge("target_connections_opened",
                     static_cast<double>(connections_.opened()));
+  metrics_.SetGauge("holds_drawn",
+                    static_cast<double>(budgets_.advances().drawn()));
+  metrics_.SetGauge("advances_open",
+                    static_cast<double>(budgets_.advances().size()));
+  metrics_.SetGauge("advance_tokens_given",
+                    static_cast<double>(budgets_.AdvancesGiven()));
+  metrics_.SetGauge("holds_refused_at_once",
+                    static_cast<double>(budgets_.refused_at_once()));
   metrics_.SetGauge("log_lines_dropped",
                     static_cast<double>(LogLinesDropped()));
   HttpHead head;
--- a/relay/served_holds.cc
+++ b/relay/served_holds.cc
@@ -1,5 +1,6 @@
 #include "relay/served_holds.h"
 
+#include <numeric>
 #include <vector>
 
 namespace quaytrack {
@@ -31,17 +32,22 @@
 void ServedHolds::PeerHold::Refuse(HoldAnswer answer, Duration retry_after) {
   if (ended) return;
   ended = true;
-  owner_.Answer(key_, answer, retry_after);
+  owner_.Answer(key_, answer, {.retry_after = retry_after});
   owner_.holds_.erase(key_);
 }
 
+void ServedHolds::Answer(const Key& key, HoldAnswer answer) {
+  Answer(key, answer, AnswerDetails());
+}
+
 void ServedHolds::Answer(const Key& key, HoldAnswer answer,
-                         Duration retry_after) {
+                         AnswerDetails details) {
   PeerMessage out;
   out.kind = PeerMessageKind::kHoldAnswer;
   out.request = key.request;
   out.answer = answer;
-  out.retry_after = retry_after;
+  out.amount = details.amount;
+  out.retry_after = details.retry_after;
   on_.send(key.asker, out);
 }
 
@@ -55,11 +61,44 @@
   if (!on_.has_budget(message.customer)) {
     return Answer(key, HoldAnswer::kNotHolder);
   }
+  if (message.advance) return OnAdvanceWanted(key, message);
   const auto hold = std::make_shared<PeerHold>(*this, key, message);
   holds_[key] = hold;
   on_.hold(hold);
 }
 
+void ServedHolds::OnAdvanceWanted(const Key& key, const PeerMessage& message) {
+  const CustomerName& customer = message.customer;
+  const Tokens given =
+      on_.hold_in_advance
+          ? on_.hold_in_advance(customer, message.amount, advanced_[customer])
+          : 0;
+  if (given <= 0) {
+    // A second copy of the request must not be given what nobody draws from.
+    RememberSettled(key);
+    return Answer(key, HoldAnswer::kShort);
+  }
+  const auto hold = std::make_shared<PeerHold>(*this, key, message);
+  hold->amount_ = given;
+  hold->held = true;
+  hold->advance = true;
+  holds_[key] = hold;
+  ChangeAdvances(customer, given);
+  Answer(key, HoldAnswer::kHeld, {.amount = given});
+}
+
+void ServedHolds::ChangeAdvances(const CustomerName& customer, Tokens change) {
+  Tokens& sum = advanced_[customer];
+  sum += change;
+  if (on_.advances_changed) on_.advances_changed(customer, sum);
+}
+
+Tokens ServedHolds::Advanced() const {
+  return std::accumulate(
+      advanced_.begin(), advanced_.end(), Tokens{0},
+      [](Tokens n, const auto& it) { return n + it.second; });
+}
+
 void ServedHolds::OnSettle(const PeerMessage& message) {
   const Key key{message.from, message.request};
   RememberSettled(key);
@@ -77,6 +116,7 @@
 void ServedHolds::Finish(const PeerHoldPtr& hold, Tokens cost) {
   hold->ended = true;
   if (!hold->held) return on_.forget(hold);
+  if (hold->advance) ChangeAdvances(hold->customer_, -hold->amount_);
   on_.settle(hold->customer_, hold->amount_, cost);
 }
 
@@ -97,6 +137,7 @@
   std::vector<PeerHoldPtr> waiting;
   for (const auto& [key, hold] : holds_) {
     if (!hold->held) waiting.push_back(hold);
+    if (hold->advance) Answer(key, HoldAnswer::kNotHolder);
   }
   for (const PeerHoldPtr& it : waiting) {
     holds_.erase(it->key_);
--- a/relay/testing/scarce_budgets_test.cc
+++ b/relay/testing/scarce_budgets_test.cc
@@ -54,7 +54,7 @@
       reserved.push_back(it->id().value);
       retry_after = wait;
     };
-    on.store_answers = [this] { return store_answers; };
+    on.store_reachable = [this] { return store_answers; };
     queue = std::make_unique<HoldQueue>(ledger, horizon, on);
     ledger.BecomeHolder();
   }
--- a/relay/testing/scarce_load_test.cc
+++ b/relay/testing/scarce_load_test.cc
@@ -367,7 +367,7 @@
       answers_.push_back(
           [waiter, retry_after] { waiter->OnHoldReserved(retry_after); });
     };
-    queue.store_answers = [this, n] { return routers_[n].store_answers; };
+    queue.store_reachable = [this, n] { return routers_[n].store_answers; };
     it.queue = std::make_unique<HoldQueue>(*it.ledger, horizon_, queue);
   }
 
