Admission at the VM's own link: decisions, and their use at the sockets

A large customer's callers all reach one VM, whose link then saturates in the incoming direction; readiness alone moves the load to the next VM.

LinkAdmission decides which requests fit, which connections end and when the VM is ready again; SendQueue orders bodies; LinkGate applies both to callers' connections and to connections to targets.

--- a/http/caller_connection.cc
+++ b/http/caller_connection.cc
@@ -1,5 +1,6 @@
 #include "http/caller_connection.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -21,6 +22,8 @@
 // Upper bound on the bytes that frame a chunk: its size in hex digits and two
 // line ends.
 constexpr std::size_t kChunkFraming = 16;
+// The largest receive buffer that is set for a body, in bytes.
+constexpr std::size_t kMaxBodyBuffer = 64 * 1024;
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
 std::string HeadBytes(const HttpHead& head, std::string_view framing,
@@ -41,6 +44,16 @@
   return out;
 }
 
+// The size in Content-Length; 0 without one.
+std::size_t AnnouncedSize(const HttpHead& head) {
+  const std::string* text = head.Find("content-length");
+  std::size_t out = 0;
+  if (text != nullptr) {
+    std::from_chars(text->data(), text->data() + text->size(), out);
+  }
+  return out;
+}
+
 }  // namespace
 
 CallerConnection::CallerConnection(CallerServer& server,
@@ -49,7 +62,9 @@
       socket_(std::move(socket)),
       parser_(HttpParser::Kind::kRequest,
               {[this](HttpHead& head) { OnHead(head); },
-               [this](std::string_view bytes) { request_.body.append(bytes); },
+               [this](std::string_view bytes) {
+                 if (!refused_at_head_) request_.body.append(bytes);
+               },
                [this] { OnRequest(); }},
               server.limits_.http),
       progress_at_(server.clock_.Now()) {}
@@ -102,11 +117,50 @@
   head_read_ = true;
   keep_alive_ = head.keep_alive;
   request_.head = std::move(head);
+  if (server_.gate_ != nullptr && !PassesGate()) return;
   const std::string* expect = request_.head.Find("expect");
   if (expect != nullptr) socket_->Write("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
+// Returns false if the gate refuses the request, which is then handed over
+// without its body.
+bool CallerConnection::PassesGate() {
+  body_bytes_ = AnnouncedSize(request_.head);
+  switch (server_.gate_->OnHead(shared_from_this(), request_, body_bytes_)) {
+    case CallerGate::Verdict::kRead:
+      AllowBody();
+      return true;
+    case CallerGate::Verdict::kWait:
+      socket_->PauseReading();
+      return true;
+    case CallerGate::Verdict::kRefuse:
+      refused_at_head_ = true;
+      keep_alive_ = false;
+      HandOver();
+      return false;
+  }
+  return true;
+}
+
+void CallerConnection::AllowBody() {
+  if (!open() || phase_ != Phase::kReading) return;
+  const auto buffer = static_cast<std::size_t>(server_.receive_buffer_);
+  if (buffer > 0 && body_bytes_ > buffer) {
+    const std::size_t size = std::min(body_bytes_, kMaxBodyBuffer);
+    socket_->SetReceiveBuffer(static_cast<int>(std::max(size, buffer)));
+    buffer_raised_ = true;
+  }
+  socket_->ResumeReading();
+}
+
 void CallerConnection::OnRequest() {
+  if (refused_at_head_) return;
+  if (buffer_raised_) socket_->SetReceiveBuffer(server_.receive_buffer_);
+  buffer_raised_ = false;
+  HandOver();
+}
+
+void CallerConnection::HandOver() {
   phase_ = Phase::kAnswering;
   request_.read = server_.clock_.Now();
   handing_over_ = true;
@@ -142,9 +196,15 @@
   Reply(head, "");
 }
 
+// Whether another request may follow the answer that is about to be sent.
+bool CallerConnection::KeepsAlive() {
+  if (!keep_alive_ || server_.closing_) return false;
+  return server_.gate_ == nullptr || !server_.gate_->EndsConnection(customer_);
+}
+
 void CallerConnection::Reply(const HttpHead& head, std::string_view body) {
   if (!open()) return;
-  const bool keep_alive = keep_alive_ && !server_.closing_;
+  const bool keep_alive = KeepsAlive();
   keep_alive_ = keep_alive;
   const std::string framing =
       "Content-Length: " + std::to_string(body.size()) + "\r\n";
@@ -156,7 +216,7 @@
 
 void CallerConnection::StartStream(const HttpHead& head) {
   if (!open()) return;
-  keep_alive_ = keep_alive_ && !server_.closing_;
+  keep_alive_ = KeepsAlive();
   socket_->Write(
       HeadBytes(head, "Transfer-Encoding: chunked\r\n", keep_alive_));
 }
@@ -197,8 +257,8 @@
   // connection closes, so the caller may send another request.
   if (!keep_alive_ || server_.closing_) return CloseAfterFlush();
   phase_ = Phase::kIdle;
-  if (pending_.empty()) return;
   socket_->ResumeReading();
+  if (pending_.empty()) return;
   phase_ = Phase::kReading;
   request_.begun = progress_at_;
   server_.loop_.Post([keep = shared_from_this()] {
@@ -209,7 +269,14 @@
 void CallerConnection::CloseAfterFlush() {
   phase_ = Phase::kLingering;
   pending_.clear();
-  socket_->ResumeReading();
+  // The body of a request that was refused at its head isn't carried over a
+  // full link. The next `Sweep` starts to read and discard it, for callers that
+  // read the refusal only once all is sent.
+  if (refused_at_head_) {
+    socket_->PauseReading();
+  } else {
+    socket_->ResumeReading();
+  }
   if (socket_->Unsent() == 0) return Linger();
   flushing_ = true;
 }
@@ -254,6 +321,8 @@
       if (head_read_ && silent >= limits.idle_timeout) RefuseAndClose(408);
       return;
     case Phase::kLingering:
+      if (refused_at_head_) socket_->ResumeReading();
+      refused_at_head_ = false;
       // The caller may read the unsent rest of its answer slowly; the timeout
       // of the socket detects a caller that reads nothing.
       if (!flushing_ && silent >= kLingerTime) Abort();
--- a/http/caller_connection.h
+++ b/http/caller_connection.h
@@ -27,10 +27,13 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "base/clock.h"
+#include "base/ids.h"
+#include "http/caller_gate.h"
 #include "http/http_parser.h"
 #include "net/http_message.h"
 #include "net/tcp_socket.h"
@@ -55,6 +58,10 @@
   // When the first byte and the last byte of the request arrived.
   Instant begun{};
   Instant read{};
+  // Set by the gate (http/caller_gate.h): whether it has decided on the request
+  // and, if it has refused it, when the caller should retry.
+  bool screened = false;
+  std::optional<Duration> refused_retry_after = std::nullopt;
 };
 
 class CallerServer;
@@ -73,6 +80,15 @@
   // Ends the connection at once, also in the middle of an answer.
   void Abort();
 
+  // Continues to read a request that the gate made wait.
+  void AllowBody();
+  // Makes the next answer the last of the connection.
+  void CloseAfterAnswer() { keep_alive_ = false; }
+  // Sets the customer that the connection belongs to, known from its latest
+  // request.
+  void SetCustomer(const CustomerName& customer) { customer_ = customer; }
+  const CustomerName& customer() const { return customer_; }
+
   // Sets the action that is called, at most once for each exchange, when the
   // caller leaves before its answer has ended.
   void OnGone(std::function<void()> action) { on_gone_ = std::move(action); }
@@ -98,7 +114,10 @@
   void OnData(std::string_view bytes);
   void Consume();
   void OnHead(HttpHead& head);
+  bool PassesGate();
   void OnRequest();
+  void HandOver();
+  bool KeepsAlive();
   void RefuseFault(HttpFault fault);
   void RefuseAndClose(int status);
   void OnEnded();
@@ -132,6 +151,14 @@
   bool handing_over_ = false;
   // Whether `Consume` is running; a nested call does nothing.
   bool consuming_ = false;
+  CustomerName customer_;
+  // The announced size of the body that is being read.
+  std::size_t body_bytes_ = 0;
+  // Whether the receive buffer was enlarged for the body.
+  bool buffer_raised_ = false;
+  // Whether the gate has refused the current request, whose body then isn't
+  // read at first.
+  bool refused_at_head_ = false;
   // Time of the last progress, for the time limits.
   Instant progress_at_{};
   std::function<void()> on_gone_;
--- a/http/caller_server.cc
+++ b/http/caller_server.cc
@@ -1,5 +1,6 @@
 #include "http/caller_server.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace quaytrack {
@@ -11,6 +12,10 @@
 // disconnected.
 constexpr Duration kUserTimeout = std::chrono::seconds(5);
 
+// Only connections that have been idle for this long are closed beyond a bound:
+// on one that was just used, the next request may be on its way.
+constexpr Duration kIdleForClose = std::chrono::seconds(1);
+
 }  // namespace
 
 CallerServer::CallerServer(Loop& loop, const Clock& clock)
@@ -25,7 +30,7 @@
 }
 
 std::uint16_t CallerServer::Listen(const std::string& address) {
-  return listener_.Listen(address);
+  return listener_.Listen(address, receive_buffer_);
 }
 
 void CallerServer::Accept(int fd) {
@@ -54,6 +59,28 @@
   }
 }
 
+std::size_t CallerServer::CloseLongestIdle(std::size_t most) {
+  if (connections_.size() <= most) return 0;
+  const Instant now = clock_.Now();
+  std::vector<std::shared_ptr<CallerConnection>> idle;
+  for (const auto& it : connections_) {
+    if (it->phase_ != CallerConnection::Phase::kIdle) continue;
+    if (now - it->progress_at_ >= kIdleForClose) idle.push_back(it);
+  }
+  std::sort(idle.begin(), idle.end(), [](const auto& a, const auto& b) {
+    return a->progress_at_ < b->progress_at_;
+  });
+  const std::size_t out = std::min(idle.size(), connections_.size() - most);
+  for (std::size_t n = 0; n < out; ++n) idle[n]->CloseIdle();
+  return out;
+}
+
+std::map<CustomerName, int> CallerServer::ConnectionsByCustomer() const {
+  std::map<CustomerName, int> out;
+  for (const auto& it : connections_) ++out[it->customer_];
+  return out;
+}
+
 std::size_t CallerServer::Unfinished() const {
   const Instant now = clock_.Now();
   std::size_t out = 0;
--- a/http/caller_server.h
+++ b/http/caller_server.h
@@ -22,13 +22,16 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
 #include <utility>
 
 #include "base/clock.h"
+#include "base/ids.h"
 #include "http/caller_connection.h"
+#include "http/caller_gate.h"
 #include "net/loop.h"
 #include "net/tcp_socket.h"
 
@@ -51,6 +54,14 @@
   void SetLimits(const CallerLimits& limits) { limits_ = limits; }
   const CallerLimits& limits() const { return limits_; }
 
+  // Sets the gate for requests, which must outlive the server, and the receive
+  // buffer of connections while no body is read; 0 leaves the kernel's default.
+  // Called before `Listen`.
+  void SetGate(CallerGate* gate, int receive_buffer) {
+    gate_ = gate;
+    receive_buffer_ = receive_buffer;
+  }
+
   // Listens on "host:port". Returns the bound port, or 0 on failure.
   std::uint16_t Listen(const std::string& address);
   // Accepts no more connections; open ones stay.
@@ -61,7 +72,12 @@
   // Closes the connections without a running request, except those that have
   // just been opened, as a request is likely to be on its way.
   void CloseIdle();
+  // Closes connections that have been idle for a while, the longest idle first,
+  // until `most` are left or none is idle. Returns how many were closed.
+  std::size_t CloseLongestIdle(std::size_t most);
   std::size_t connections() const { return connections_.size(); }
+  // Number of connections by the customer of their latest request.
+  std::map<CustomerName, int> ConnectionsByCustomer() const;
   // Number of connections that aren't idle although no handler has a request of
   // theirs: the first request is expected or a request is being read, or the
   // last bytes of an answer are unsent. If the process ended now, it would cut
@@ -80,6 +96,8 @@
   const Clock& clock_;
   CallerLimits limits_;
   Handler handler_;
+  CallerGate* gate_ = nullptr;
+  int receive_buffer_ = 0;
   bool closing_ = false;
   TcpListener listener_;
   std::set<std::shared_ptr<CallerConnection>> connections_;
--- a/http/target_connection.cc
+++ b/http/target_connection.cc
@@ -115,7 +115,7 @@
     if (may_send && !may_send()) {
       return owner.Finish(keep, CallEnd::kCancelledBeforeSend, false);
     }
-    socket->Write(std::exchange(unsent, {}));
+    owner.Send(keep, std::exchange(unsent, {}));
   }
 
   // Removes an idle connection that ended, or that received bytes without a
@@ -135,6 +135,9 @@
   // `bytes` and `may_send` of a call that waits for the connection to open.
   std::string unsent;
   std::function<bool()> may_send;
+  // Its place in the order of the gate.
+  int urgency = 0;
+  std::string flow;
   // Value of the socket's `bytes_accepted` at the start of the current call.
   std::uint64_t taken_before = 0;
   // Whether the current answer isn't the expected one.
@@ -231,15 +234,37 @@
   connection->call = out;
   connection->complete = false;
   connection->taken_before = connection->socket->bytes_accepted();
+  connection->urgency = call.urgency;
+  connection->flow = call.flow;
+  connection->may_send = call.may_send;
   if (connection->socket->connected()) {
-    connection->socket->Write(call.bytes);
+    Send(connection, call.bytes);
   } else {
     connection->unsent = call.bytes;
-    connection->may_send = call.may_send;
   }
   return out;
 }
 
+void TargetConnections::Send(const ConnectionPtr& connection,
+                             std::string bytes) {
+  if (gate_ == nullptr || gate_->SendsNow(bytes.size())) {
+    connection->socket->Write(bytes);
+    return;
+  }
+  const std::size_t size = bytes.size();
+  const std::weak_ptr<CallHandle> call = connection->call;
+  gate_->Queue(connection->urgency, connection->flow, size,
+               [this, connection, call, bytes = std::move(bytes)] {
+                 const auto it = call.lock();
+                 if (!it || connection->call != it) return;
+                 if (connection->may_send && !connection->may_send()) {
+                   return Finish(connection, CallEnd::kCancelledBeforeSend,
+                                 false);
+                 }
+                 connection->socket->Write(bytes);
+               });
+}
+
 void TargetConnections::Finish(const ConnectionPtr& connection, CallEnd end,
                                bool reusable) {
   const auto call = std::exchange(connection->call, nullptr);
--- a/http/target_connection.h
+++ b/http/target_connection.h
@@ -5,9 +5,10 @@
 //   auto call = targets.Start({"10.0.0.9:80", bytes}, handlers);
 //   call->Cancel();
 //
-// A last check before sending: a call that has to wait for its connection to
-// open asks `TargetCall::may_send` just before its first byte whether it may
-// still be sent there. On an open connection a call is written at once.
+// A last check before sending: a call that has to wait, for its connection to
+// open or for its turn (SendGate), asks `TargetCall::may_send` just before its
+// first byte whether it may still be sent there. On an open connection without
+// a gate a call is written at once.
 //
 // For callers, the important fact about a failure is whether the request may
 // have run (`CallEnd`). So a call ends as not sent only if the kernel took no
@@ -59,10 +60,27 @@
   // Head and body of the request, as sent.
   std::string bytes;
   // Called just before `bytes` are written to a connection that had to be
-  // opened first: opening may take as long as its timeout, and the reasons for
+  // opened first, or that waited for its turn: opening may take as long as its
+  // timeout, and the reasons for
   // the choice of the address may have changed. If it returns false, nothing is
   // written and the call ends as `kCancelledBeforeSend`. Optional.
   std::function<bool()> may_send = {};
+  // Order in which the gate lets calls be sent: 0 is the most urgent, and flows
+  // of one urgency take turns.
+  int urgency = 0;
+  std::string flow = {};
+};
+
+// Decides when the bytes of a call are written (relay/link_gate.h). It must
+// outlive the connections.
+class SendGate {
+ public:
+  virtual ~SendGate() = default;
+  // Returns true if the bytes may be written now; else `Queue` follows.
+  virtual bool SendsNow(std::size_t bytes) = 0;
+  // Calls `send` when it is the call's turn.
+  virtual void Queue(int urgency, const std::string& flow, std::size_t bytes,
+                     std::function<void()> send) = 0;
 };
 
 class TargetConnections;
@@ -107,6 +125,8 @@
 
   std::shared_ptr<CallHandle> Start(const TargetCall& call,
                                     CallHandle::Handlers handlers);
+  // Optional; without a gate, bytes are written at once.
+  void SetGate(SendGate* gate) { gate_ = gate; }
   // Closes the idle connections to an address whose target has ended: a request
   // sent on one of them would count as one that may have run.
   void CloseIdle(const std::string& address);
@@ -126,6 +146,8 @@
   ConnectionPtr Open(const std::string& address);
   // Keeps the connection for the next request to its address.
   void KeepIdle(const ConnectionPtr& connection);
+  // Writes the bytes of the connection's call, now or when the gate lets it.
+  void Send(const ConnectionPtr& connection, std::string bytes);
   void Finish(const ConnectionPtr& connection, CallEnd end, bool reusable);
   // Closes the connections that have been idle for too long.
   void Sweep();
@@ -136,6 +158,7 @@
   // its list and is reused first.
   std::map<std::string, std::vector<ConnectionPtr>> idle_;
   std::uint64_t opened_ = 0;
+  SendGate* gate_ = nullptr;
   std::function<void(const std::string&)> on_unexpected_end_ = [](const auto&) {
   };
   std::unique_ptr<Timer> sweep_;
--- a/net/tcp_socket.cc
+++ b/net/tcp_socket.cc
@@ -180,6 +180,10 @@
   if (read_event_ != nullptr && connected_) event_add(read_event_, nullptr);
 }
 
+void TcpSocket::SetReceiveBuffer(int bytes) {
+  if (fd_ >= 0) SetOption(fd_, SOL_SOCKET, SO_RCVBUF, bytes);
+}
+
 TcpListener::~TcpListener() { Stop(); }
 
 void TcpListener::Stop() {
@@ -187,7 +191,8 @@
   listener_ = nullptr;
 }
 
-std::uint16_t TcpListener::Listen(const std::string& address) {
+std::uint16_t TcpListener::Listen(const std::string& address,
+                                  int receive_buffer) {
   const auto at = ParseAddress(address);
   if (!at) return 0;
   const auto on_accept = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int,
@@ -199,6 +204,10 @@
       loop_.base(), on_accept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
       -1, reinterpret_cast<sockaddr*>(&bound), sizeof bound);
   if (listener_ == nullptr) return 0;
+  if (receive_buffer > 0) {
+    SetOption(evconnlistener_get_fd(listener_), SOL_SOCKET, SO_RCVBUF,
+              receive_buffer);
+  }
   socklen_t size = sizeof bound;
   getsockname(evconnlistener_get_fd(listener_),
               reinterpret_cast<sockaddr*>(&bound), &size);
--- a/net/tcp_socket.h
+++ b/net/tcp_socket.h
@@ -90,6 +90,8 @@
   // Stops and restarts reading, so that a slow consumer slows down the peer.
   void PauseReading();
   void ResumeReading();
+  // Sets the receive buffer, and so the bytes that the peer may have in flight.
+  void SetReceiveBuffer(int bytes);
   // Closes the connection without calling `ended`. With `reset`, the peer gets
   // an error instead of an end of the stream.
   void Close(bool reset = false);
@@ -144,7 +146,9 @@
 
   // Starts to listen. Returns the bound port, or 0 if the address can't be
   // bound. Port 0 binds a free one.
-  std::uint16_t Listen(const std::string& address);
+  // A `receive_buffer` other than 0 is that of the accepted connections, from
+  // their first packet on.
+  std::uint16_t Listen(const std::string& address, int receive_buffer = 0);
   void Stop();
 
  private:
--- a/relay/final_answer.cc
+++ b/relay/final_answer.cc
@@ -59,6 +59,7 @@
     case RelayCause::kOutsideResidency:
     case RelayCause::kTurnedAway:
     case RelayCause::kCrashesTargets:
+    case RelayCause::kLinkFull:
       return 503;
     case RelayCause::kTargetFailed:
       return 502;
@@ -91,6 +92,7 @@
     case RelayCause::kOutsideResidency:
       return kRetryAfterOperatorChange;
     case RelayCause::kStopped:
+    case RelayCause::kLinkFull:
       return kRetryAfterOtherRouter;
     case RelayCause::kCrashesTargets:
       return kCrashMemory;
--- a/relay/final_answer.h
+++ b/relay/final_answer.h
@@ -50,6 +50,7 @@
   kCallerGone,
   kStopped,         // a planned stop has no time left for it
   kCrashesTargets,  // relay/crash_watch.h
+  kLinkFull,        // relay/link_gate.h
 };
 
 template <>
@@ -74,7 +75,8 @@
        {RelayCause::kStreamBroke, "stream_broke"},
        {RelayCause::kCallerGone, "caller_gone"},
        {RelayCause::kStopped, "stopped"},
-       {RelayCause::kCrashesTargets, "crashes_targets"}});
+       {RelayCause::kCrashesTargets, "crashes_targets"},
+       {RelayCause::kLinkFull, "link_full"}});
 };
 
 struct FinalAnswer {
--- a/relay/peer_messages.cc
+++ b/relay/peer_messages.cc
@@ -155,6 +155,14 @@
   return out;
 }
 
+// Returns `kUnknownRoom` for anything but a share.
+double RoomFromJson(const Json& json, const char* name) {
+  const auto it = json.find(name);
+  if (it == json.end() || !it->is_number()) return kUnknownRoom;
+  const auto out = it->get<double>();
+  return out >= 0 && out <= 1 ? out : kUnknownRoom;
+}
+
 // A histogram is sent as its buckets that aren't empty, each as its index and
 // its count.
 Json HistogramToJson(const TimeHistogram& histogram) {
@@ -315,6 +323,8 @@
   out.halls = HallsFromJson(json.value("halls", Json::object()));
   out.leaving = LeavingFromJson(json.value("leaving", Json::object()));
   out.rate_limits = RatesFromJson(json.value("rates", Json::object()));
+  out.room = RoomFromJson(json, "room");
+  out.hall_room = RoomFromJson(json, "hall_room");
   out.rollouts = RolloutsFromJson(json.value("rollouts", Json::object()));
   if (CarriesUpdate(*kind)) {
     auto update = UpdateFromJson(json.at("news"));
@@ -366,6 +376,8 @@
   if (!message.rate_limits.empty()) {
     json["rates"] = RatesToJson(message.rate_limits);
   }
+  if (message.room >= 0) json["room"] = message.room;
+  if (message.hall_room >= 0) json["hall_room"] = message.hall_room;
   if (!message.rollouts.empty()) {
     json["rollouts"] = RolloutsToJson(message.rollouts);
   }
--- a/relay/peer_messages.h
+++ b/relay/peer_messages.h
@@ -91,6 +91,8 @@
        {HoldAnswer::kNotHolder, "elsewhere"}});
 };
 
+inline constexpr double kUnknownRoom = -1;
+
 struct PeerMessage {
   PeerMessageKind kind = PeerMessageKind::kPing;
   Incarnation from;
@@ -134,6 +136,10 @@
   LeavingStarts leaving;
   // kHello: all rate limits that the sender knows; kRateLimits: the new ones.
   RateReports rate_limits;
+  // kHello, kPing: the free share of the sender's link and, from a holder, the
+  // largest that it knows in its hall; 0 to 1, negative if unknown.
+  double room = kUnknownRoom;
+  double hall_room = kUnknownRoom;
   // kHello, kPing: the sender's reports on services that move to another
   // version.
   std::map<ServiceName, RolloutReport> rollouts;
--- a/relay/relay_context.h
+++ b/relay/relay_context.h
@@ -26,6 +26,7 @@
 
 class BudgetDriver;
 class CrashWatch;
+class LinkGate;
 class RolloutDriver;
 
 // A prompt that was sent to an engine, as announced to peers.
@@ -51,6 +52,7 @@
   CrashWatch& crashes;
   RolloutDriver& rollouts;
   RelayMetrics& metrics;
+  LinkGate& link;
   const PlannedStop& stop;
   std::function<void(const SentPrompt& sent)> announce_prompt;
   // Called when a target's answer states that the target is leaving.
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -14,8 +14,7 @@
 namespace quaytrack {
 namespace {
 
-// How often the planned stop, the feeds and the link's load are checked. The
-// interval is short compared with the 700 ms over which the load is smoothed.
+// How often the planned stop and the feeds are checked.
 constexpr Duration kCheckInterval = std::chrono::milliseconds(200);
 
 // Random bytes that distinguish the runs of the process on one VM.
@@ -80,6 +79,9 @@
                 RolloutOptionsFrom(settings), RolloutHandlers()),
       peers_(loop, clock, self_, PeerHandlers(), PeerMesh::DrawFirstCheck()),
       retries_(RetryOptionsFrom(settings)),
+      link_({loop, clock, interface.callers, HallName(settings.hall),
+             settings.link_mbps},
+            LinkHandlers()),
       context_{
           .loop = loop,
           .clock = clock,
@@ -95,6 +97,7 @@
           .crashes = crashes_,
           .rollouts = rollouts_,
           .metrics = metrics_,
+          .link = link_,
           .stop = stop_,
           .announce_prompt =
               [this](const SentPrompt& it) { BroadcastPrompt(it); },
@@ -105,8 +108,7 @@
       admin_server_(loop, clock),
       metrics_server_(loop, clock),
       stop_(loop, clock, charts.drain, PlannedStopTimesFrom(settings),
-            StopHandlers()),
-      link_(loop, clock, settings.link_mbps) {
+            StopHandlers()) {
   fleet_.OnChanged([this] { OnFleetChanged(); });
   fleet_.OnFirstRead([this] {
     const FleetDirectory& directory = fleet_.directory();
@@ -119,6 +121,8 @@
   connections_.OnUnexpectedEnd([this](const std::string& address) {
     placement_.OnConnectionsLost(clock_.Now(), address);
   });
+  connections_.SetGate(&link_);
+  caller_server_.SetGate(&link_, link_.ReceiveBuffer());
   ServeCallers();
 }
 
@@ -165,8 +169,8 @@
     rollouts_.Check();
     LogColdTargets();
     BroadcastRateLimits();
-    CheckLink();
   });
+  link_.Start();
   configs_.Start();
   fleet_.Start();
   budgets_.Start();
@@ -355,6 +359,17 @@
   return out;
 }
 
+LinkGate::Handlers RelayRouter::LinkHandlers() {
+  LinkGate::Handlers out;
+  out.map = [this] { return configs_.map(); };
+  out.is_stopping = [this] { return stop_.started(); };
+  out.connections = [this] { return caller_server_.ConnectionsByCustomer(); };
+  out.close_idle = [this](std::size_t most) {
+    return caller_server_.CloseLongestIdle(most);
+  };
+  return out;
+}
+
 // Called by every client of the store: the followers and the budgets.
 void RelayRouter::OnStoreReachable(bool reachable) {
   if (reachable) {
@@ -418,6 +433,7 @@
   if (message.kind == PeerMessageKind::kPromptSent) {
     return placement_.OnPeerSent(clock_.Now(), message.target, message.amount);
   }
+  link_.OnPeer(message);
   CheckStoreEra(message);
   ApplyRateLimits(message);
   placement_.SetPeerSpeeds(message.engine_speeds);
@@ -492,6 +508,8 @@
   message.keeps_budgets = budgets_.ledger().ActsAsHolder();
   message.engine_speeds = placement_.LearnedSpeeds();
   rollouts_.Fill(message);
+  const FleetDirectory& directory = fleet_.directory();
+  link_.Fill(message, directory.IsHolder(directory.self().vm));
   FillMarks(message);
   if (message.kind != PeerMessageKind::kHello) return;
   message.rate_limits = placement_.rate_limits().All(clock_.Now());
@@ -512,7 +530,7 @@
 // --- The balancer and operators ----------------------------------------------
 
 bool RelayRouter::IsReady() const {
-  return !stop_.started() && configs_.map() != nullptr && !link_.IsBusy();
+  return !stop_.started() && configs_.map() != nullptr && link_.IsReady();
 }
 
 void RelayRouter::AnswerAdmin(const std::shared_ptr<CallerConnection>& caller,
@@ -521,6 +539,7 @@
   head.status = 404;
   if (request.head.Path() == settings_.ready_path) {
     head.status = IsReady() ? 200 : 503;
+    link_.OnPolled();
   }
   caller->Reply(head, "");
 }
@@ -531,7 +550,15 @@
   metrics_.SetGauge("callers",
                     static_cast<double>(caller_server_.connections()));
   metrics_.SetGauge("peers_linked", static_cast<double>(peers_.peers()));
-  metrics_.SetGauge("link_load", link_.load());
+  metrics_.SetGauge("link_load", link_.monitor().load());
+  metrics_.SetGauge("link_load_in", link_.admission().load_in());
+  metrics_.SetGauge("link_load_out", link_.admission().load_out());
+  metrics_.SetGauge("link_offered", link_.admission().offered_load());
+  metrics_.SetGauge("link_ready", link_.IsReady() ? 1 : 0);
+  metrics_.SetGauge("link_waiting_sends",
+                    static_cast<double>(link_.waiting_sends()));
+  metrics_.SetGauge("link_waiting_reads",
+                    static_cast<double>(link_.waiting_reads()));
   metrics_.SetGauge("config_version", static_cast<double>(configs_.version()));
   metrics_.SetGauge("cold_targets",
                     static_cast<double>(placement_.cold(clock_.Now())));
@@ -569,12 +596,4 @@
   }
 }
 
-void RelayRouter::CheckLink() {
-  if (!link_.Observe()) return;
-  LogEvent(link_.IsBusy() ? Event::kLinkBusy : Event::kLinkEased,
-           {{"load", std::to_string(link_.load())},
-            {"callers", std::to_string(caller_server_.connections())},
-            {"requests", std::to_string(context_.requests.size())}});
-}
-
 }  // namespace quaytrack
--- a/relay/relay_router.h
+++ b/relay/relay_router.h
@@ -18,14 +18,14 @@
 //   a service's versions   relay/rollout_driver.h, rollout/rollout.h
 //   the list of routers    relay/fleet_driver.h, fleet/fleet.h
 //   links to other routers relay/peer_mesh.h
-//   the VM's network link  relay/link_monitor.h, dispatch/link_watch.h
+//   the VM's network link  relay/link_gate.h, dispatch/link_admission.h
 //   a planned stop         relay/planned_stop.h
 //
 // This class itself decides only readiness, which the balancer polls. A router
 // is ready if it has a configuration, no planned stop has started and its
-// network link is not busy. Losing the store or the peers doesn't make it
-// unready: otherwise callers would lose all routers at once, although each can
-// still serve requests for which it has budgets.
+// network link takes new connections. Losing the store or the peers doesn't
+// make it unready: otherwise callers would lose all routers at once, although
+// each can still serve requests for which it has budgets.
 //
 // RelayRouter owns all of the parts above. Interface, connections, store,
 // charts and loop must outlive it.
@@ -48,7 +48,7 @@
 #include "relay/config_follower.h"
 #include "relay/crash_watch.h"
 #include "relay/fleet_driver.h"
-#include "relay/link_monitor.h"
+#include "relay/link_gate.h"
 #include "relay/peer_mesh.h"
 #include "relay/planned_stop.h"
 #include "relay/relay_chart.h"
@@ -94,6 +94,7 @@
   std::array<StateFeed*, 3> Feeds();
   PeerMesh::Handlers PeerHandlers();
   PlannedStop::Handlers StopHandlers();
+  LinkGate::Handlers LinkHandlers();
   void ServeCallers();
   bool IsReady() const;
   // Sends `message` with this router as its sender.
@@ -116,7 +117,6 @@
   void AnswerAdmin(const std::shared_ptr<CallerConnection>& caller,
                    const CallerRequest& request);
   void AnswerMetrics(const std::shared_ptr<CallerConnection>& caller);
-  void CheckLink();
   void LogColdTargets();
 
   Loop& loop_;
@@ -138,12 +138,12 @@
   RunningRequests requests_;
   // Chooses among the services of a route.
   std::minstd_rand random_{std::random_device{}()};
+  LinkGate link_;
   const RelayContext context_;
   CallerServer caller_server_;
   CallerServer admin_server_;
   CallerServer metrics_server_;
   PlannedStop stop_;
-  LinkMonitor link_;
   std::unique_ptr<Timer> check_timer_;
   bool announced_ready_ = false;
   // The latest era of the store that a peer has sent.
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "relay/budget_driver.h"
+#include "relay/link_gate.h"
 #include "relay/rollout_driver.h"
 
 namespace quaytrack {
@@ -45,6 +46,9 @@
              draw(context_.random), context_.stop.LatestDeadline()},
             admission_);
   if (refused) return GiveUp(Ran::kNo, *refused);
+  caller_->SetCustomer(admission_.customer);
+  retry_after_ = context_.link.Refuses(request_, admission_);
+  if (retry_after_) return RefuseForLink();
   deadline_timer_ = context_.loop.After(std::max(Left(), Duration::zero()),
                                         [this] { OnDeadline(); });
   if (IsBlamed()) return RefuseBlamed();
@@ -134,6 +138,12 @@
          context_.crashes.IsBlamed(fingerprint());
 }
 
+// Ends the caller's connection as well: its next request may reach another VM.
+void RelayedRequest::RefuseForLink() {
+  caller_->CloseAfterAnswer();
+  GiveUp(Ran::kNo, RelayCause::kLinkFull);
+}
+
 void RelayedRequest::RefuseBlamed() {
   retry_after_ = context_.crashes.Remaining(fingerprint());
   LogBlamedRefused(id(), fingerprint(), *retry_after_);
@@ -214,6 +224,8 @@
   out.bytes =
       context_.target_dialect.Head(request_.head, facts, request_.body.size());
   out.bytes += request_.body;
+  out.urgency = facts.priority;
+  out.flow = admission_.customer.value;
   out.may_send = [this] {
     return context_.placement.MayStillSend(
         context_.clock.Now(), progress_.choice, admission_.placement);
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -92,6 +92,7 @@
   RelayCause CauseOfNoChoice() const;
   bool IsBlamed();
   void RefuseBlamed();
+  void RefuseForLink();
 
   // One attempt at one target.
   void Send();
