--- a/cli/explain.cc
+++ b/cli/explain.cc
@@ -17,6 +17,8 @@
 constexpr auto kStateEvents =
     std::to_array<StateEvent>({{"QT1001", "process"},
                                {"QT1003", "process"},
+                               {"QT1012", "link"},
+                               {"QT1013", "link"},
                                {"QT1101", "store"},
                                {"QT1102", "store"},
                                {"QT1203", "configuration"},
--- a/dispatch/link_admission.cc
+++ b/dispatch/link_admission.cc
@@ -53,7 +53,7 @@
       offered_({.bytes_per_s = options.bytes_per_s, .smoothing = kSlow}),
       sustained_({.bytes_per_s = options.bytes_per_s, .smoothing = kSustained}),
       usable_rate_(options.usable * options.bytes_per_s),
-      tokens_(usable_rate_ * ToSeconds(kBurst)),
+      tokens_(BurstAt(usable_rate_)),
       level_(kInfinite),
       period_(options.period) {}
 
@@ -109,11 +109,14 @@
   level_ = FairLevel(std::move(rates), usable_rate_);
 }
 
+double LinkAdmission::BurstAt(double bytes_per_s) {
+  return std::max(bytes_per_s * ToSeconds(kBurst), kLeastBurst);
+}
+
 void LinkAdmission::Refill(Instant now) {
   if (refilled_at_ && now > *refilled_at_) {
     const double elapsed = ToSeconds(now - *refilled_at_);
-    tokens_ = std::min(usable_rate_ * ToSeconds(kBurst),
-                       tokens_ + usable_rate_ * elapsed);
+    tokens_ = std::min(BurstAt(usable_rate_), tokens_ + usable_rate_ * elapsed);
   }
   refilled_at_ = std::max(now, refilled_at_.value_or(now));
 }
@@ -121,8 +124,7 @@
 void LinkAdmission::RefillCustomer(Instant now, Customer& customer) {
   const double level = std::min(level_, usable_rate_);
   const double elapsed = std::max(0.0, ToSeconds(now - customer.refilled_at));
-  customer.tokens =
-      std::min(level * ToSeconds(kBurst), customer.tokens + level * elapsed);
+  customer.tokens = std::min(BurstAt(level), customer.tokens + level * elapsed);
   customer.refilled_at = std::max(now, customer.refilled_at);
 }
 
@@ -142,6 +144,7 @@
   RefillCustomer(now, customer);
   customer.offered.Add(now, request.bytes);
   const double rate = customer.offered.PerSecond(now);
+  heaviest_ = std::max(heaviest_, rate);
   const bool levelled = level_ < kInfinite;
   const double heavy = levelled ? level_ : kHeavyShare * heaviest_;
   double limit = Limit(request.urgency) * usable_rate_;
@@ -232,8 +235,8 @@
   ready_ = true;
   changed_at_ = now;
   // The surge that has passed doesn't count again.
-  sustained_ = LinkWatch(
-      {.bytes_per_s = options_.bytes_per_s, .smoothing = kSustained});
+  sustained_ =
+      LinkWatch({.bytes_per_s = options_.bytes_per_s, .smoothing = kSustained});
   calm_since_ = now;
   moving_since_.reset();
   moving_.clear();
--- a/dispatch/link_admission.h
+++ b/dispatch/link_admission.h
@@ -184,6 +184,9 @@
   // Burst of the buckets, as time at the full rate: a short burst is carried,
   // as refusing costs the caller a new connection and the link another head.
   static constexpr Duration kBurst = std::chrono::milliseconds(30);
+  // The least burst in bytes: three requests of about 9 KB, as they arrive in
+  // bursts of about three, which on a very slow link take longer than `kBurst`.
+  static constexpr double kLeastBurst = 28e3;
   // Overdraft of the bucket, as time: for the most urgent requests, and for
   // customers below the fair level.
   static constexpr Duration kUrgentOverdraft = std::chrono::milliseconds(15);
@@ -219,6 +222,7 @@
   static constexpr Duration kSoon = std::chrono::seconds(5);
   static constexpr Duration kCalm = std::chrono::seconds(10);
 
+  static double BurstAt(double bytes_per_s);
   void Refill(Instant now);
   void RefillCustomer(Instant now, Customer& customer);
   void UpdateLevel(Instant now);
--- a/relay/testing/peer_messages_test.cc
+++ b/relay/testing/peer_messages_test.cc
@@ -44,6 +44,26 @@
         R"({"kind": "ping", "from": "vm1@1"})");
 }
 
+// The free shares are optional: a router of another build sends none.
+BOOST_AUTO_TEST_CASE(FreeSharesOfLinksKeepTheirForm) {
+  PeerMessage it = Message(PeerMessageKind::kPing);
+  it.room = 0.25;
+  Check(it, R"({"kind": "ping", "from": "vm1@1", "room": 0.25})");
+  it.hall_room = 0;
+  Check(it, R"({"kind": "ping", "from": "vm1@1", "room": 0.25,
+                "hall_room": 0.0})");
+  for (const char* text :
+       {R"({"kind": "ping"})", R"({"kind": "ping", "room": -0.5})",
+        R"({"kind": "ping", "room": 7})", R"({"kind": "ping", "room": "1"})"}) {
+    const auto bytes = Json::to_cbor(Json::parse(text));
+    const auto back =
+        DecodePeerMessage(std::string(bytes.begin(), bytes.end()));
+    BOOST_REQUIRE(back.has_value());
+    BOOST_TEST(back->room == kUnknownRoom);
+    BOOST_TEST(back->hall_room == kUnknownRoom);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(MessagesAboutTheStoreKeepTheirForm) {
   PeerMessage heartbeat = Message(PeerMessageKind::kPing);
   heartbeat.marks[FeedName::kTargets] = {12,
