--- a/dispatch/link_watch.h
+++ b/dispatch/link_watch.h
@@ -19,8 +19,8 @@
 // second. The link's capacity is a setting (--link-mbps); without it, the link
 // is never busy. The log event `link_busy` reports each change.
 //
-// With the thresholds below, as those of readiness, and a headroom (--cover-s) of
-// 10 s, introduced together, callers got 0.546 of what they are owed in a
+// With the thresholds below, as those of readiness, and a headroom (--cover-s)
+// of 10 s, introduced together, callers got 0.546 of what they are owed in a
 // simulation of a day, up from 0.346.
 //
 // Owns its last totals and the smoothed load; cannot fail.
