--- a/dispatch/testing/link_load_test.cc
+++ b/dispatch/testing/link_load_test.cc
@@ -1,6 +1,7 @@
 // The load of one large customer on VMs with slow links: the loop of balancer,
 // callers and VMs, simulated by dispatch/testing/link_fleet.h.
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <string>
 #include <vector>
@@ -201,6 +202,84 @@
   BOOST_TEST(fleet.customer(large).InTimeShare() >= 0.95);
 }
 
+// One hall of the first deployment of docs/design/hard-load.md: 2 VMs of 200
+// Mbit/s and 13 of 10, its request classes, and eight customers.
+struct Hall {
+  Hall(bool admits, std::uint32_t seed, double surge)
+      : fleet(Options(admits, seed)) {
+    constexpr double kShares[] = {0.3, 0.22, 0.15, 0.1, 0.08, 0.06, 0.05, 0.04};
+    struct RequestClass {
+      double rate;
+      double body;
+      int urgency;
+    };
+    constexpr RequestClass kClasses[] = {
+        {54, 9200, 2}, {115, 2400, 0}, {21, 710, 1}, {61, 600, 2}, {14, 0, 2}};
+    std::size_t vm = 0;
+    for (const double share : kShares) {
+      std::vector<int>& all = customers.emplace_back();
+      for (const RequestClass& each : kClasses) {
+        SimulatedCustomer it;
+        it.name = "customer-" + std::to_string(customers.size());
+        it.rate = each.rate * share;
+        it.callers = std::max(1, static_cast<int>(it.rate));
+        it.body = each.body;
+        it.urgency = each.urgency;
+        it.first_vm = vm;
+        it.swing = 0.27;
+        it.surge = customers.size() == 1 ? surge : 1;
+        it.surge_from_s = 8;
+        it.surge_to_s = 16;
+        all.push_back(fleet.AddCustomer(std::move(it)));
+      }
+      vm += 2;
+    }
+    fleet.Run(seconds(8));
+    fleet.ResetResults();
+    fleet.Run(seconds(8));
+  }
+
+  static LinkFleetOptions Options(bool admits, std::uint32_t seed) {
+    LinkFleetOptions out;
+    out.admits = admits;
+    out.seed = seed;
+    out.links.assign(15, kSmall);
+    out.links[7] = out.links[14] = 20 * kSmall;
+    return out;
+  }
+
+  LinkFleet fleet;
+  std::vector<std::vector<int>> customers;
+};
+
+// Guards against a surge of the largest customer that costs others and itself,
+// and against refusals or moves at usual rates.
+BOOST_AUTO_TEST_CASE(AHallCarriesASurgeOfItsLargestCustomer) {
+  for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    const Hall usual(true, seed, 1);
+    BOOST_TEST(usual.fleet.refusals() < 20U);
+    for (std::size_t vm = 0; vm < 15; ++vm) {
+      BOOST_TEST(usual.fleet.TurnedUnready(vm) == 0);
+    }
+    const Hall surge(true, seed, 7.5);
+    BOOST_TEST_MESSAGE("seed "
+                       << seed << ": largest "
+                       << InTime(surge.fleet, surge.customers[0]) << ", second "
+                       << InTime(surge.fleet, surge.customers[1]) << ", opened "
+                       << surge.fleet.opened() << ", refused "
+                       << surge.fleet.refusals());
+    for (const std::vector<int>& it : surge.customers) {
+      BOOST_TEST(InTime(surge.fleet, it) >= 0.98);
+      for (const int one : it) {
+        BOOST_TEST(surge.fleet.customer(one).InTimeShare() >= 0.95);
+      }
+    }
+    const Hall before(false, seed, 7.5);
+    BOOST_TEST(InTime(before.fleet, before.customers[0]) < 0.5);
+    BOOST_TEST(surge.fleet.opened() < before.fleet.opened());
+  }
+}
+
 // A router that is killed loses no state that matters: the new process starts
 // ready, takes its callers again, and sheds the surge like the one before.
 BOOST_AUTO_TEST_CASE(ARouterThatRestartsInASurgeShedsItAgain) {
