Learn the speed of engines and weight the choice by it

An engine of half the speed of its neighbours got as many requests as they did, as the preferred engine of a prefix was chosen by a hash alone. dispatch/engine_pace.* learns each engine's pace from pauses between events, routers exchange it in heartbeats (dispatch/pace_exchange.*), and placement weighs its rendezvous order and costs by it. Adds overdue engines, and for services with few slots the alternation of sends.

--- a/base/events.h
+++ b/base/events.h
@@ -87,6 +87,7 @@
   kTargetBacksOff = 1322,
   kRolloutState = 1323,
   kRolloutWritten = 1324,
+  kEnginePace = 1325,
   // 14xx: requests, budgets, bills and claims.
   kRequestRefused = 1401,
   kRequestFinished = 1402,
@@ -169,6 +170,7 @@
     {Event::kTargetBacksOff, LogLevel::kInfo, "target_backs_off"},
     {Event::kRolloutState, LogLevel::kInfo, "rollout_state"},
     {Event::kRolloutWritten, LogLevel::kInfo, "rollout_written"},
+    {Event::kEnginePace, LogLevel::kInfo, "engine_pace"},
     {Event::kRequestRefused, LogLevel::kDebug, "request_refused"},
     {Event::kRequestFinished, LogLevel::kDebug, "request_finished"},
     {Event::kCallerGone, LogLevel::kDebug, "caller_gone"},
--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -26,6 +26,14 @@
 // Milliseconds for the answer of a service other than engines; also the cost of
 // waiting for one occupied slot.
 constexpr double kBaseAnswerMs = 40;
+// Milliseconds for a target all of whose answers are late because of its pace.
+constexpr double kLateMs = 400;
+// An engine is not preferred for a request if its pace makes a larger share of
+// such answers late than this.
+constexpr double kMaxExcessLate = 0.05;
+// After this time, a target that got this router's last request counts like the
+// others.
+constexpr Duration kAlternateTime = std::chrono::seconds(1);
 // Weight of the newest answer in a target's slowness.
 constexpr double kSlownessWeight = 0.2;
 // Bound on the ratio of actual to expected time of one answer. Most answers
@@ -48,19 +56,20 @@
 // ended costs its target little.
 constexpr Duration kProbeAfter = std::chrono::seconds(2);
 
-// When a version is listed for the first time, the operators' order about the
-// version is known within this time: targets and orders are read from the
-// store, one after the other.
-constexpr Duration kOrderKnownWithin = std::chrono::milliseconds(1000);
-// Minimum number of targets that serve the share of the next version.
-constexpr std::size_t kMinShareTargets = 2;
-
 // Candidates are compared by the members of Rank in their order; the least
 // candidate is chosen.
 struct Rank {
   bool is_ejected = false;
   bool is_no_probe_due = false;
+  bool is_overdue = false;
+  // The next three are for services other than engines.
+  bool is_busy = false;
+  bool is_full = false;
+  bool is_repeated = false;
   double cost_ms = 0;
+  // Among equal targets of services other than engines, the one that this
+  // router has not used for the longest time.
+  Instant last_sent = Instant::min();
 
   auto operator<=>(const Rank&) const = default;
 };
@@ -356,136 +365,61 @@
   return it == speeds_.end() ? kInitial : it->second;
 }
 
-const Placement::State* Placement::PreferredTarget(
-    const ChoiceContext& context) const {
+void Placement::SetPreferred(ChoiceContext& context) const {
   const Instant now = context.now;
   const auto part = DeepestSharedPart(context.request);
-  if (!part) return nullptr;
+  if (!part) return;
   const std::string key = std::to_string(*part);
-  const State* out = nullptr;
-  std::uint64_t best = 0;
+  // Suitable targets come first; among them the largest key.
+  struct Place {
+    bool is_suitable = false;
+    WeightedKey key;
+
+    auto operator<=>(const Place&) const = default;
+  };
+  Place best;
+  Place best_stand_in;
   for (const auto& [name, state] : targets_) {
     if (!context.IsCandidate(state)) continue;
     if (IsCold(now, state) || !MaySend(now, state)) continue;
-    const std::uint64_t weight = RendezvousWeight(name.value, key);
-    if (out != nullptr && weight <= best) continue;
-    out = &state;
-    best = weight;
+    const Place place{ExcessLate(state, context) <= kMaxExcessLate,
+                      KeyFor(RendezvousWeight(name.value, key), state.pace)};
+    if (context.preferred == nullptr || place > best) {
+      context.preferred = &state;
+      best = place;
+    }
+    if (state.overdue.IsOverdue(now)) continue;
+    if (context.stand_in == nullptr || place > best_stand_in) {
+      context.stand_in = &state;
+      best_stand_in = place;
+    }
   }
-  return out;
 }
 
-// --- Versions ----------------------------------------------------------------
-
-const VersionGate& Placement::GateOf(const ServiceName& service) const {
-  static const VersionGate kNone;
-  const auto it = gates_.find(service);
-  return it == gates_.end() ? kNone : it->second;
-}
-
-void Placement::SetVersionRule(const ServiceName& service, VersionRule rule,
-                               double offset) {
-  gates_[service].SetRule(std::move(rule), offset);
-  ChooseShareTargets(service);
-}
-
-bool Placement::HasVersion(const ServiceName& service,
-                           const VersionName& version) const {
-  return std::any_of(targets_.begin(), targets_.end(), [&](const auto& it) {
-    const State& state = it.second;
-    return state.entry.service == service && AcceptsWork(state) &&
-           state.entry.version == version;
-  });
+double Placement::ExcessLate(const State& state,
+                             const ChoiceContext& context) const {
+  const PlacementRequest& request = context.request;
+  if (state.pace <= 1 || !request.ForEngine()) return 0;
+  const Tokens tokens = request.prompt_tokens - SharedTokens(request.parts);
+  return pace_.ExcessLate(
+      request.service, state.pace, Milliseconds(request.pause_limit),
+      Milliseconds(request.latency_limit), context.speed.FirstEventMs(tokens));
 }
 
-std::size_t Placement::RunningAtOtherVersions(
-    const ServiceName& service, const VersionName& version) const {
-  std::size_t out = 0;
+const Placement::State* Placement::LastSentTo(
+    const ChoiceContext& context) const {
+  if (context.request.ForEngine()) return nullptr;
+  const State* out = nullptr;
   for (const auto& [name, state] : targets_) {
-    if (state.entry.service != service) continue;
-    if (state.entry.version == version) continue;
-    out += static_cast<std::size_t>(state.running);
+    if (state.entry.service != context.request.service) continue;
+    if (state.last_sent == Instant::min()) continue;
+    if (context.now - state.last_sent >= kAlternateTime) continue;
+    if (out == nullptr || state.last_sent > out->last_sent) out = &state;
   }
   return out;
 }
 
-// Notes when the version of a target was first listed. All versions in the
-// first list of a service existed before this router started, so they need not
-// wait.
-void Placement::NoteVersion(Instant now, State& state) {
-  ServiceVersions& known = versions_[state.entry.service];
-  if (known.since.empty()) known.first_listed_at = now;
-  const bool is_first = known.first_listed_at == now;
-  const auto [it, is_new] = known.since.try_emplace(
-      state.entry.version, is_first ? Instant::min() : now);
-  state.version_since = it->second;
-  latest_version_ = std::max(latest_version_, it->second);
-}
-
-bool Placement::IsVersionReady(Instant now, const State& state,
-                               const VersionGate& gate) {
-  return gate.IsNext(state.entry.version) ||
-         now - kOrderKnownWithin >= state.version_since;
-}
-
-bool Placement::HasReadyVersion(Instant now, const PlacementRequest& request,
-                                const VersionGate& gate) const {
-  if (now - kOrderKnownWithin >= latest_version_) return false;
-  return std::any_of(targets_.begin(), targets_.end(), [&](const auto& it) {
-    return IsEligible(it.second, request) &&
-           IsVersionReady(now, it.second, gate);
-  });
-}
-
-// Which version gets the request. A request that was already sent to the next
-// version is retried at the others.
-VersionTurn Placement::TurnOf(const PlacementRequest& request,
-                              const VersionGate& gate) const {
-  const VersionTurn turn = gate.Turn();
-  if (turn != VersionTurn::kNext) return turn;
-  for (const TargetName& it : request.tried) {
-    const auto target = targets_.find(it);
-    if (target == targets_.end()) continue;
-    if (gate.IsNext(target->second.entry.version)) return VersionTurn::kOthers;
-  }
-  return turn;
-}
-
-bool Placement::IsNextAlone(const PlacementRequest& request,
-                            const VersionGate& gate) const {
-  if (gate.rule().next.empty() || !gate.rule().allow_next_alone) return false;
-  return std::none_of(targets_.begin(), targets_.end(), [&](const auto& it) {
-    const State& state = it.second;
-    return IsEligible(state, request) &&
-           gate.MayTake(VersionTurn::kOthers, state.entry.version);
-  });
-}
-
-// Chooses the targets of the next version that serve its share of the requests.
-// Their number is the same share of the number of other targets, but at least
-// `kMinShareTargets`, so that each bears about the same load as any other
-// target. All routers choose the same targets.
-void Placement::ChooseShareTargets(const ServiceName& service) {
-  const VersionGate& gate = GateOf(service);
-  std::vector<std::pair<std::uint64_t, State*>> next;
-  std::size_t others = 0;
-  for (auto& [name, state] : targets_) {
-    if (state.entry.service != service || !AcceptsWork(state)) continue;
-    state.serves_share = false;
-    if (!gate.IsNext(state.entry.version)) {
-      ++others;
-      continue;
-    }
-    const std::string& version = state.entry.version.value;
-    next.emplace_back(RendezvousWeight(name.value, version), &state);
-  }
-  const auto wanted = static_cast<std::size_t>(
-      std::lround(gate.rule().share * static_cast<double>(others)));
-  const std::size_t chosen =
-      std::min(next.size(), std::max(kMinShareTargets, wanted));
-  std::sort(next.rbegin(), next.rend());
-  for (std::size_t n = 0; n < chosen; ++n) next[n].second->serves_share = true;
-}
+// --- Costs -------------------------------------------------------------------
 
 double Placement::PeerPrefillMs(Instant now, const State& state) {
   return std::max(0.0, Milliseconds(state.peers_busy_until - now));
@@ -502,7 +436,9 @@
 double Placement::EngineMs(const State& state, const ChoiceContext& context) {
   double out = FirstEventMs(state, context);
   out += state.running * kPerRunningMs;
-  if (!context.IsPreferred(state)) out += kNotPreferredMs;
+  const bool is_first =
+      context.IsPreferred(state) || &state == context.stand_in;
+  if (!is_first) out += kNotPreferredMs;
   return out;
 }
 
@@ -515,7 +451,8 @@
   const double work = context.request.ForEngine()
                           ? EngineMs(state, context)
                           : QueueMs(state) + kBaseAnswerMs;
-  double out = work * state.slowness;
+  double out = work * (state.pace == 1 ? state.slowness : state.pace);
+  out += ExcessLate(state, context) * kLateMs;
   if (state.entry.hall != hall_) out += kOtherHallMs;
   out += state.health.FailureShare(context.now) * kFailureMs;
   return out;
@@ -550,15 +487,24 @@
     ChoiceContext context) const {
   const Instant now = context.now;
   const PlacementRequest& request = context.request;
-  context.preferred = PreferredTarget(context);
+  SetPreferred(context);
+  const State* last_sent_to = LastSentTo(context);
   const State* best = nullptr;
   Rank best_rank;
   for (const auto& [name, state] : targets_) {
     if (!context.IsCandidate(state)) continue;
     if (request.tried.contains(name)) continue;
     if (!MaySend(now, state)) continue;
-    const Rank rank{state.health.IsEjected(now), !IsProbeDue(now, state),
-                    Cost(state, context)};
+    Rank rank{state.health.IsEjected(now), !IsProbeDue(now, state)};
+    rank.is_overdue = state.overdue.IsOverdue(now);
+    if (!request.ForEngine()) {
+      rank.is_busy = state.slots.IsBusy(now);
+      rank.is_full =
+          state.entry.slots > 0 && state.running >= state.entry.slots;
+      rank.is_repeated = &state == last_sent_to;
+      rank.last_sent = state.last_sent;
+    }
+    rank.cost_ms = Cost(state, context);
     if (best != nullptr && !(rank < best_rank)) continue;
     best = &state;
     best_rank = rank;
@@ -567,6 +513,10 @@
   PlacementChoice out{best->entry, best_rank.cost_ms,
                       context.IsPreferred(*best)};
   if (request.ForEngine()) out.first_event_ms = FirstEventMs(*best, context);
+  out.pace = best->pace;
+  const State* preferred = context.preferred;
+  if (preferred != best && preferred && preferred->overdue.IsOverdue(now))
+    out.overdue = preferred->entry.name;
   out.is_cold = IsCold(now, *best);
   out.is_limited = best->limit_per_s.has_value();
   return out;
@@ -582,6 +532,7 @@
   const auto gate = gates_.find(state.entry.service);
   if (gate != gates_.end()) gate->second.OnSent(state.entry.version);
   ++state.running;
+  state.last_sent = now;
   if (!request.ForEngine()) return 0;
   const Tokens prefill = PrefillTokens(state.prefixes, request, is_preferred);
   state.prefill += prefill;
@@ -609,16 +560,50 @@
   state.peers_busy_until = now + FromMs(busy);
 }
 
-void Placement::OnAnswering(const TargetName& name, Tokens prefill,
+void Placement::ExpectAnswer(Instant now, const PlacementChoice& choice) {
+  const auto it = targets_.find(choice.target.name);
+  if (it == targets_.end() || choice.first_event_ms <= 0) return;
+  it->second.overdue.OnSent(now, FromMs(choice.first_event_ms * choice.pace));
+}
+
+void Placement::OnPauses(Instant now, const TargetName& name, Duration median,
+                         Duration longest) {
+  const auto it = targets_.find(name);
+  if (it == targets_.end()) return;
+  const TargetEntry& entry = it->second.entry;
+  pace_.OnPauses(now, entry.service, entry.start, Milliseconds(median),
+                 Milliseconds(longest));
+}
+
+void Placement::OnAnswered(Instant now, const TargetName& name, Duration took) {
+  const auto it = targets_.find(name);
+  if (it == targets_.end()) return;
+  State& state = it->second;
+  RunningMedian& usual = answer_ms_[state.entry.service];
+  state.slots.OnAnswer(now, Milliseconds(took), usual.value());
+  usual.Add(Milliseconds(took));
+}
+
+std::vector<PaceChange> Placement::UpdatePace(Instant now) {
+  std::vector<PaceChange> out = pace_.Update(now);
+  for (auto& [name, state] : targets_)
+    state.pace = pace_.RatioOf(state.entry.start);
+  return out;
+}
+
+void Placement::OnAnswering(Instant now, const TargetName& name, Tokens prefill,
                             Duration waited) {
   const auto it = targets_.find(name);
   if (it == targets_.end()) return;
   State& state = it->second;
+  state.overdue.OnAnswer();
   PrefillSpeed& speed = speeds_[state.entry.service];
   // The expected time is at least a millisecond, which bounds the ratio.
   const double expected = std::max(1.0, speed.FirstEventMs(state.prefill));
   const double ratio =
       std::clamp(Milliseconds(waited) / expected, 1.0, kMaxSlowness);
+  pace_.OnFirstEvent(now, state.entry.service, state.entry.start,
+                     Milliseconds(waited) / expected);
   speed.OnFirstEvent(state.prefill, Milliseconds(waited));
   state.slowness += (ratio - state.slowness) * kSlownessWeight;
   state.prefill = std::max<Tokens>(0, state.prefill - prefill);
@@ -643,6 +628,8 @@
   State& state = it->second;
   state.running = std::max(0, state.running - 1);
   state.prefill = std::max<Tokens>(0, state.prefill - prefill);
+  state.overdue.OnAnswer();
+  if (outcome == PlacementOutcome::kRefused) state.slots.OnRefused(now);
   if (outcome == PlacementOutcome::kFailed) state.warmth.OnLost(now);
   if (outcome == PlacementOutcome::kNeutral) return;
   state.health.Record(now, outcome != PlacementOutcome::kGood);
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -5,7 +5,8 @@
 //   const auto choice = placement.Choose(now, request);
 //   Tokens prefill = placement.OnSent(now, choice->target.name, request,
 //                                     choice->is_preferred);
-//   placement.OnAnswering(name, prefill, waited);     // first event received
+//   placement.ExpectAnswer(now, *choice);
+//   placement.OnAnswering(now, name, prefill, waited);  // first event received
 //   placement.OnEnded(now, name, 0, PlacementOutcome::kGood);
 //
 // A start of a target is one run of its process (TargetStart).
@@ -30,11 +31,21 @@
 //                    (dispatch/prefill_speed.h)
 //                    + a charge for each running request
 //                    + a charge unless it is the preferred target
-//                    + base time) x slowness
+//                    + base time) x pace (dispatch/engine_pace.h), or x
+//                    slowness where the pace is 1
+//                    + how much likelier its pace makes a late answer x a
+//                    charge
 //   other services  (running requests / slots x base time
 //                    + base time) x slowness
 //   all services    + a charge for another hall + failure share x its charge
 //
+// A target that owes this router an answer which is late
+// (dispatch/overdue_watch.h) comes after all others of its kind. Targets of
+// services other than engines have few slots: those that have just refused or
+// delayed a request (dispatch/slot_watch.h) come last, then those whose slots
+// this router has filled, then the one that got this router's last request, so
+// that requests alternate between targets.
+//
 // The charges and their units are at the top of placement.cc. The log event
 // `relay_ended` shows what decided: `target`, `home` (whether it was the
 // preferred target) and `expected_ms` (its cost).
@@ -61,11 +72,14 @@
 // Why a preferred target: a router knows only what its own requests left in an
 // engine's cache. To make routers agree without communication, the prompt's
 // deepest shared part has a preferred target: the first in a rendezvous order
-// (Thaler and Ravishankar 1998) of the warm targets that may get work. The
-// preferred target is assumed to have all shared parts cached. Under load,
-// waiting there costs more than prefilling the parts elsewhere, so the load of
-// one target is bounded, as in consistent hashing with bounded loads (Mirrokni
-// et al. 2018).
+// (Thaler and Ravishankar 1998) of the warm targets that may get work, weighted
+// by their speed. An engine whose pace makes too many answers of the request's
+// route late is not preferred for it. While the preferred target is overdue,
+// the next in the order takes its place, but is not assumed to have anything
+// cached. The preferred target is assumed to have all shared parts cached.
+// Under load, waiting there costs more than prefilling the parts elsewhere, so
+// the load of one target is bounded, as in consistent hashing with bounded
+// loads (Mirrokni et al. 2018).
 //
 // Owns what this router knows of each target. Relies on the list of targets
 // (fleet/target_registry.h) and on notification of each send and each end. A
@@ -92,11 +106,15 @@
 #include "base/ids.h"
 #include "base/residency.h"
 #include "dispatch/back_off.h"
+#include "dispatch/engine_pace.h"
 #include "dispatch/outlier_ejection.h"
+#include "dispatch/overdue_watch.h"
 #include "dispatch/prefill_speed.h"
 #include "dispatch/prefix_cache.h"
 #include "dispatch/rate_limits.h"
+#include "dispatch/running_median.h"
 #include "dispatch/shared_rate.h"
+#include "dispatch/slot_watch.h"
 #include "dispatch/target_warmth.h"
 #include "dispatch/version_gate.h"
 #include "fleet/hall_regions.h"
@@ -127,6 +145,9 @@
   // The longest pause between events with which an answer is in time; 0 means
   // no limit.
   Duration pause_limit{};
+  // The longest wait for the first event, or for a complete answer, with which
+  // an answer is in time; 0 means no limit.
+  Duration latency_limit{};
   // Where the request may be processed.
   Residency residency;
   // Targets that the request was sent to and that must not be chosen again.
@@ -152,6 +173,12 @@
   bool is_preferred = false;
   // Expected time until the first event; 0 for services other than engines.
   double first_event_ms = 0;
+  // The target's pace (dispatch/engine_pace.h). `first_event_ms` is without it:
+  // a version that is being rolled out is judged by that time, and its slowness
+  // must not excuse it.
+  double pace = 1;
+  // The preferred target, if it was passed over because it is overdue.
+  TargetName overdue;
   // Whether the target is cold, and whether it has a rate limit; in both cases
   // this router may send there.
   bool is_cold = false;
@@ -236,9 +263,18 @@
   // engines. `is_preferred` is from `Choose`.
   Tokens OnSent(Instant now, const TargetName& name,
                 const PlacementRequest& request, bool is_preferred);
+  // Notes when the first event of a request that was just sent is due.
+  void ExpectAnswer(Instant now, const PlacementChoice& choice);
   // Notes that an answer began `waited` after the request was sent, so the
   // prompt has been prefilled. `prefill` is the result of OnSent.
-  void OnAnswering(const TargetName& name, Tokens prefill, Duration waited);
+  void OnAnswering(Instant now, const TargetName& name, Tokens prefill,
+                   Duration waited);
+  // Notes the median and the longest pause between events of an answer.
+  void OnPauses(Instant now, const TargetName& name, Duration median,
+                Duration longest);
+  // Notes that a target of a service other than engines took this long for a
+  // complete answer.
+  void OnAnswered(Instant now, const TargetName& name, Duration took);
   // Notes that the target has answered a request that was sent at `sent_at`.
   void OnAlive(Instant now, const TargetName& name, Instant sent_at);
   // Notes that connections to the address were closed for no known reason.
@@ -287,6 +323,13 @@
   // Number of targets that are cold.
   std::size_t cold(Instant now) const;
 
+  // What is known of the engines' pace, to exchange reports with peers.
+  EnginePace& pace() { return pace_; }
+  const EnginePace& pace() const { return pace_; }
+  // Takes over what was learned of the engines' pace; returns what has changed.
+  // To be called several times a second.
+  std::vector<PaceChange> UpdatePace(Instant now);
+
   // The learned prefill speeds by service, to be sent to peers. A router that
   // has seen too few answers itself uses the speeds of a peer.
   using Speeds = std::map<ServiceName, SpeedLine>;
@@ -325,6 +368,12 @@
     Instant peers_busy_until{};
     // Ratio of actual to expected answer times, smoothed; 1 or more.
     double slowness = 1;
+    // The engine's pace; 1 is usual.
+    double pace = 1;
+    OverdueWatch overdue;
+    SlotWatch slots;
+    // When this router last sent a request here.
+    Instant last_sent = Instant::min();
     OutlierEjection health;
     PrefixCache prefixes;
   };
@@ -340,6 +389,9 @@
     // ago.
     bool only_ready_versions = false;
     const State* preferred = nullptr;
+    // The first in the preferred order that is not overdue; differs from
+    // `preferred` only while that one is overdue.
+    const State* stand_in = nullptr;
 
     bool IsPreferred(const State& state) const { return &state == preferred; }
     bool IsCandidate(const State& state) const;
@@ -379,7 +431,13 @@
   static double PeerPrefillMs(Instant now, const State& state);
   static double QueueMs(const State& state);
   double Cost(const State& state, const ChoiceContext& context) const;
-  const State* PreferredTarget(const ChoiceContext& context) const;
+  // Sets the preferred target and its stand-in; null without a shared part.
+  void SetPreferred(ChoiceContext& context) const;
+  // How much likelier than at the usual pace an answer is late.
+  double ExcessLate(const State& state, const ChoiceContext& context) const;
+  // The target that got this router's last request of the service, if that was
+  // a moment ago; null otherwise, and for engines.
+  const State* LastSentTo(const ChoiceContext& context) const;
   std::optional<PlacementChoice> ChooseIn(ChoiceContext context) const;
 
   // Versions.
@@ -424,6 +482,9 @@
   Instant latest_version_ = Instant::min();
   // The speeds of services for which answers or peers have given one.
   std::map<ServiceName, PrefillSpeed> speeds_;
+  EnginePace pace_;
+  // The usual time of a complete answer of services other than engines.
+  std::map<ServiceName, RunningMedian> answer_ms_;
 };
 
 }  // namespace quaytrack
--- a/dispatch/testing/placement_test.cc
+++ b/dispatch/testing/placement_test.cc
@@ -245,7 +245,7 @@
   // A second one: also the 60 ms of the first, and 3 ms for each running
   // request.
   BOOST_TEST(Cost(Prompt(7, 2)) == 60 + 60 + 3 + 40);
-  it.OnAnswering(engine, prefill, milliseconds(100));
+  it.OnAnswering(kStart, engine, prefill, milliseconds(100));
   BOOST_TEST(Cost(Prompt(7, 2)) == 60 + 3 + 40);
   it.OnEnded(kStart, engine, 0, PlacementOutcome::kGood);
   BOOST_TEST(Cost(Prompt(7, 2)) == 60 + 40);
@@ -282,13 +282,13 @@
 BOOST_FIXTURE_TEST_CASE(ASlowAnswerMakesAnEngineDearer, OneEngine) {
   const Tokens prefill = Send(Prompt(7, 1), true);
   // Ten times the expected 100 ms.
-  it.OnAnswering(engine, prefill, milliseconds(1000));
+  it.OnAnswering(kStart, engine, prefill, milliseconds(1000));
   it.OnEnded(kStart, engine, 0, PlacementOutcome::kGood);
   BOOST_TEST(Cost(Prompt(7, 2)) == 100 * 1.2,
              boost::test_tools::tolerance(1e-6));
   // An answer that is faster than expected counts as expected.
   const Tokens next = Send(Prompt(7, 3), true);
-  it.OnAnswering(engine, next, milliseconds(1));
+  it.OnAnswering(kStart, engine, next, milliseconds(1));
   it.OnEnded(kStart, engine, 0, PlacementOutcome::kGood);
   BOOST_TEST(Cost(Prompt(7, 2)) == 100 * 1.16,
              boost::test_tools::tolerance(1e-6));
@@ -296,7 +296,7 @@
 
 BOOST_FIXTURE_TEST_CASE(ASlownessIsBoundedAtTwice, OneEngine) {
   const Tokens prefill = Send(Prompt(7, 1), true);
-  it.OnAnswering(engine, prefill, std::chrono::hours(1));
+  it.OnAnswering(kStart, engine, prefill, std::chrono::hours(1));
   it.OnEnded(kStart, engine, 0, PlacementOutcome::kGood);
   BOOST_TEST(Cost(Prompt(7, 2)) == 100 * 1.2,
              boost::test_tools::tolerance(1e-6));
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -150,6 +150,11 @@
   // Number of routers, including this one.
   std::size_t size() const { return members_.size(); }
   const FleetMember& self() const { return members_.at(self_); }
+  // The router on the VM; null if it is not on the list.
+  const FleetMember* Find(const VmName& vm) const {
+    const auto it = members_.find(vm);
+    return it == members_.end() ? nullptr : &it->second;
+  }
   // Whether all routers are holders, and so linked to each other.
   bool IsSmall() const { return members_.size() <= options_.small_fleet; }
 
--- a/relay/admission.cc
+++ b/relay/admission.cc
@@ -56,6 +56,7 @@
   out.deadline = DeadlineOf(input.request, out);
   if (out.deadline > input.latest_deadline) return RelayCause::kStopped;
   out.placement.service = name;
+  out.placement.latency_limit = out.route->target_latency;
   if (!out.service->IsEngine()) return std::nullopt;
   out.worst_case = out.facts.prompt_tokens + out.facts.max_output_tokens;
   out.placement.parts = out.facts.parts;
--- a/relay/peer_mesh.cc
+++ b/relay/peer_mesh.cc
@@ -190,7 +190,18 @@
 }
 
 void PeerMesh::BroadcastHeartbeat() {
-  Broadcast(Heartbeat(PeerMessageKind::kPing));
+  const PeerMessage common = Heartbeat(PeerMessageKind::kPing);
+  if (!on_.pace_scope) return Broadcast(common);
+  std::set<std::optional<PaceScope>> scopes;
+  for (const LinkPtr& it : links_) {
+    if (!it->peer.empty()) scopes.insert(on_.pace_scope(VmOf(it->peer)));
+  }
+  for (const auto& scope : scopes) {
+    PeerMessage out = common;
+    if (scope) on_.fill_pace(out, *scope);
+    SendToMatching(
+        [&](const VmName& vm) { return on_.pace_scope(vm) == scope; }, out);
+  }
 }
 
 void PeerMesh::Broadcast(const PeerMessage& message) {
--- a/relay/peer_mesh.h
+++ b/relay/peer_mesh.h
@@ -33,6 +33,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -52,6 +53,11 @@
     // Fills in a heartbeat with the state of this router; a hello also gets the
     // router's address.
     std::function<void(PeerMessage& heartbeat)> fill;
+    // Optional, and set together: whether a peer gets a report on engines, and
+    // which, and what fills it in. Heartbeats to peers with the same scope are
+    // the same message.
+    std::function<std::optional<PaceScope>(const VmName& peer)> pace_scope;
+    std::function<void(PeerMessage& heartbeat, PaceScope scope)> fill_pace;
     // Called when the last link to a peer has closed.
     std::function<void(const Incarnation& peer)> lost;
   };
--- a/relay/peer_messages.cc
+++ b/relay/peer_messages.cc
@@ -45,6 +45,15 @@
   return out;
 }
 
+// An engine's ratios are sent in thousandths.
+constexpr double kRatioUnit = 1000;
+// Larger ratios and numbers of answers are clamped to these.
+constexpr double kMaxRatio = 100;
+constexpr double kMaxAnswers = 100'000;
+constexpr std::size_t kPaceFields = 4;
+// Engines beyond this many are not read, which bounds the memory for a report.
+constexpr std::size_t kMaxPaceEngines = 4 * EnginePace::kMaxReported;
+
 // An age as whole milliseconds, rounded up so that state never looks newer than
 // it is.
 std::int64_t AgeToJson(Duration age) {
@@ -70,6 +79,59 @@
   return out;
 }
 
+Json PaceToJson(const PaceReports& engines) {
+  Json out = Json::object();
+  for (const auto& [service, targets] : engines) {
+    for (const auto& [start, it] : targets) {
+      // An engine that is reported has at least one answer.
+      const auto answers = std::max<long long>(1, std::llround(it.answers));
+      out[service.value][start.value] = {std::llround(it.first * kRatioUnit),
+                                         std::llround(it.pause * kRatioUnit),
+                                         answers, AgeToJson(it.age)};
+    }
+  }
+  return out;
+}
+
+// Returns std::nullopt if `json` isn't a list of four non-negative whole
+// numbers.
+std::optional<PaceReport> PaceFromJson(const Json& json) {
+  if (!json.is_array() || json.size() != kPaceFields) return std::nullopt;
+  for (const Json& it : json) {
+    if (!it.is_number_integer() || it.get<double>() < 0) return std::nullopt;
+  }
+  const auto ratio = [&json](std::size_t n) {
+    return std::min(json[n].get<double>() / kRatioUnit, kMaxRatio);
+  };
+  return PaceReport{.first = ratio(0),
+                    .pause = ratio(1),
+                    .answers = std::min(json[2].get<double>(), kMaxAnswers),
+                    .age = AgeFromJson(json[3])};
+}
+
+// Returns std::nullopt if the message has no report. An engine whose figures
+// can't be read is left out, so that it doesn't cost the heartbeat.
+std::optional<ScopedPace> ScopedPaceFromJson(const Json& json) {
+  const bool has_engines = json.contains("engine_pace");
+  if (!has_engines && !json.contains("pace_scope")) return std::nullopt;
+  const auto scope =
+      FromName<PaceScope>(json.value("pace_scope", std::string("own")));
+  if (!scope) return std::nullopt;
+  ScopedPace out;
+  out.scope = *scope;
+  if (!has_engines || !json["engine_pace"].is_object()) return out;
+  std::size_t engines = 0;
+  for (const auto& [service, targets] : json["engine_pace"].items()) {
+    if (!targets.is_object()) continue;
+    for (const auto& [start, fields] : targets.items()) {
+      const auto it = PaceFromJson(fields);
+      if (!it || ++engines > kMaxPaceEngines) continue;
+      out.engines[ServiceName(service)][TargetStart(start)] = *it;
+    }
+  }
+  return out;
+}
+
 Json MarksToJson(const std::map<FeedName, FeedMark>& marks) {
   Json out = Json::object();
   for (const auto& [feed, it] : marks) {
@@ -309,6 +371,7 @@
                           json.value("targets", std::int64_t{0})};
   out.store_era = json.value("store_era", std::int64_t{0});
   out.engine_speeds = LinesFromJson(json.value("engines", Json()));
+  out.engine_pace = ScopedPaceFromJson(json);
   out.size_class = json.value("size", 0);
   out.marks = MarksFromJson(json.value("marks", Json::object()));
   out.routers = json.value("routers", std::uint64_t{0});
@@ -357,6 +420,11 @@
   for (const auto& [service, line] : message.engine_speeds) {
     json["engines"][service.value] = LineToJson(line);
   }
+  if (message.engine_pace) {
+    const ScopedPace& pace = *message.engine_pace;
+    if (!pace.engines.empty()) json["engine_pace"] = PaceToJson(pace.engines);
+    if (pace.scope != PaceScope::kOwn) json["pace_scope"] = NameOf(pace.scope);
+  }
   if (!message.marks.empty()) json["marks"] = MarksToJson(message.marks);
   if (message.routers != 0) json["routers"] = message.routers;
   if (!message.halls.empty()) json["halls"] = HallsToJson(message.halls);
--- a/relay/peer_messages.h
+++ b/relay/peer_messages.h
@@ -24,6 +24,7 @@
 
 #include "base/enum_table.h"
 #include "base/ids.h"
+#include "dispatch/pace_exchange.h"
 #include "dispatch/prefill_speed.h"
 #include "dispatch/rate_limits.h"
 #include "fleet/closed_halls.h"
@@ -122,6 +123,9 @@
   // kHello, kPing: the prefill speed of each service's engines, as the sender
   // has learned it.
   std::map<ServiceName, SpeedLine> engine_speeds;
+  // kHello, kPing: the sender's report on the pace of engines, if the receiver
+  // is to get one.
+  std::optional<ScopedPace> engine_pace;
   // kHello, kPing: if the sender is a reader, its mark of each feed and the
   // number of routers on its list.
   std::map<FeedName, FeedMark> marks;
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -18,6 +18,9 @@
 // interval is short compared with the 700 ms over which the load is smoothed.
 constexpr Duration kCheckInterval = std::chrono::milliseconds(200);
 
+// Maximum number of engines whose pace is logged in one check.
+constexpr std::size_t kMaxPaceEvents = 8;
+
 // Random bytes that distinguish the runs of the process on one VM.
 constexpr std::size_t kIncarnationBytes = 4;
 
@@ -68,6 +71,7 @@
       placement_(HallName(settings.hall), RatesFrom(settings, clock.Now()),
                  HallRegions::Parse(settings.regions).value_or(HallRegions())),
       fleet_(loop, store, SelfFrom(settings), FleetOptionsFrom(settings)),
+      pace_exchange_(fleet_.directory(), placement_.pace()),
       budgets_(loop, clock, store, fleet_.directory(),
                {self_, BootId(), clock.Now()}, PrepaidPolicyFrom(settings)),
       configs_({loop, clock, store, charts.feed}, interface.state,
@@ -164,6 +168,7 @@
     crashes_.Check();
     rollouts_.Check();
     LogColdTargets();
+    UpdatePace();
     BroadcastRateLimits();
     CheckLink();
   });
@@ -322,6 +327,12 @@
   PeerMesh::Handlers out;
   out.message = [this](const PeerMessage& it) { OnPeerMessage(it); };
   out.fill = [this](PeerMessage& it) { FillHeartbeat(it); };
+  out.pace_scope = [this](const VmName& vm) {
+    return pace_exchange_.ScopeFor(vm);
+  };
+  out.fill_pace = [this](PeerMessage& it, PaceScope scope) {
+    it.engine_pace = {scope, placement_.pace().Report(clock_.Now(), scope)};
+  };
   out.lost = [this](const Incarnation& it) { budgets_.OnPeerLost(it); };
   return out;
 }
@@ -421,6 +432,10 @@
   CheckStoreEra(message);
   ApplyRateLimits(message);
   placement_.SetPeerSpeeds(message.engine_speeds);
+  if (message.engine_pace) {
+    pace_exchange_.OnReport(clock_.Now(), VmOf(message.from),
+                            *message.engine_pace);
+  }
   budgets_.OnPeer(message);
   configs_.OnPeer(message);
   targets_.OnPeer(message);
@@ -535,6 +550,10 @@
   metrics_.SetGauge("config_version", static_cast<double>(configs_.version()));
   metrics_.SetGauge("cold_targets",
                     static_cast<double>(placement_.cold(clock_.Now())));
+  metrics_.SetGauge("slow_engines",
+                    static_cast<double>(placement_.pace().slow()));
+  metrics_.SetGauge("fast_engines",
+                    static_cast<double>(placement_.pace().fast()));
   metrics_.SetGauge("limited_targets",
                     static_cast<double>(placement_.rate_limits().size()));
   metrics_.SetGauge("closed_halls",
@@ -569,6 +588,15 @@
   }
 }
 
+// Logs the engines whose pace has changed, but no more than
+// `kMaxPaceEvents` at once: after a start, many become known together.
+void RelayRouter::UpdatePace() {
+  const auto changes = placement_.UpdatePace(clock_.Now());
+  const std::size_t logged = std::min(changes.size(), kMaxPaceEvents);
+  for (std::size_t n = 0; n < logged; ++n)
+    LogEnginePace(changes[n], changes.size() - logged);
+}
+
 void RelayRouter::CheckLink() {
   if (!link_.Observe()) return;
   LogEvent(link_.IsBusy() ? Event::kLinkBusy : Event::kLinkEased,
--- a/relay/relay_router.h
+++ b/relay/relay_router.h
@@ -41,6 +41,7 @@
 
 #include "base/clock.h"
 #include "chart/drain_chart.h"
+#include "dispatch/pace_exchange.h"
 #include "http/caller_server.h"
 #include "http/target_connection.h"
 #include "net/loop.h"
@@ -118,6 +119,7 @@
   void AnswerMetrics(const std::shared_ptr<CallerConnection>& caller);
   void CheckLink();
   void LogColdTargets();
+  void UpdatePace();
 
   Loop& loop_;
   const Clock& clock_;
@@ -128,6 +130,7 @@
   Placement placement_;
   RelayMetrics metrics_;
   FleetDriver fleet_;
+  PaceExchange pace_exchange_;
   BudgetDriver budgets_;
   ConfigFollower configs_;
   TargetFollower targets_;
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -20,6 +20,9 @@
 // The mean pause between events is reported only from this many events on.
 constexpr int kMinEventsForMeanPause = 3;
 
+// With a single pause, one prompt that was prefilled meanwhile makes it long.
+constexpr std::size_t kMinPausesForPace = 2;
+
 // A target receives a single priority: the customer's priority is the major
 // part, and within it routes are ranked on this many levels.
 constexpr int kRouteLevels = 3;
@@ -174,8 +177,10 @@
   may_have_crashed_ = false;
   prefill_ = context_.placement.OnSent(sent_at_, target, admission_.placement,
                                        progress_.choice.is_preferred);
+  context_.placement.ExpectAnswer(sent_at_, progress_.choice);
   AnnouncePrompt();
   attempt_events_ = 0;
+  pauses_ = {};
   answer_facts_ = {};
   body_.clear();
   // Reading was paused for the previous target; the new one is read until the
@@ -332,15 +337,17 @@
   }
   const TargetEntry& target = progress_.choice.target;
   if (context_.placement.IsListed(target)) {
-    context_.placement.OnAnswering(target.name, prefill_, waited);
+    context_.placement.OnAnswering(*first_event_at_, target.name, prefill_,
+                                   waited);
   }
   prefill_ = 0;
   Apply(RelayEvent::kFirstEvent);
 }
 
 void RelayedRequest::OnLaterEvents(Instant now) {
-  progress_.longest_pause =
-      std::max(progress_.longest_pause, now - last_event_at_);
+  const Duration pause = now - last_event_at_;
+  progress_.longest_pause = std::max(progress_.longest_pause, pause);
+  pauses_.Add(pause);
 }
 
 void RelayedRequest::BeginStream() {
@@ -439,6 +446,7 @@
 void RelayedRequest::StopAttempt(PlacementOutcome outcome) {
   if (!call_) return;
   ReportAnswer(outcome);
+  ReportPace(outcome);
   call_->Cancel();
   call_.reset();
   attempt_timer_.reset();
@@ -472,6 +480,20 @@
                              admission_.route->name, seen);
 }
 
+// Reports how fast the target answered.
+void RelayedRequest::ReportPace(PlacementOutcome outcome) {
+  const TargetEntry& target = progress_.choice.target;
+  if (!context_.placement.IsListed(target)) return;
+  const Instant now = context_.clock.Now();
+  if (!admission_.placement.ForEngine()) {
+    if (outcome != PlacementOutcome::kGood) return;
+    return context_.placement.OnAnswered(now, target.name, now - sent_at_);
+  }
+  if (pauses_.size() < kMinPausesForPace) return;
+  context_.placement.OnPauses(now, target.name, pauses_.Median(),
+                              pauses_.longest());
+}
+
 double RelayedRequest::FirstOverExpected() const {
   const Instant first = first_event_at_.value_or(*progress_.head_at);
   const double took_ms = ToSeconds(first - sent_at_) * 1000;
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -56,6 +56,7 @@
 #include "relay/request_cost.h"
 #include "relay/request_log.h"
 #include "relay/retry.h"
+#include "relay/stream_pauses.h"
 
 namespace quaytrack {
 
@@ -116,6 +117,7 @@
   LostAttempt MakeLostAttempt();
   void StopAttempt(PlacementOutcome outcome);
   void ReportAnswer(PlacementOutcome outcome) const;
+  void ReportPace(PlacementOutcome outcome);
   double FirstOverExpected() const;
   void EndAttempt(Ran ran, PlacementOutcome outcome);
   RetryFacts FactsForRetry(Ran ran);
@@ -156,6 +158,7 @@
   // Arrival of the latest events of this attempt, and the number of events.
   Instant last_event_at_{};
   int attempt_events_ = 0;
+  StreamPauses pauses_;
   // Tokens of the prompt that the target has yet to prefill.
   Tokens prefill_ = 0;
   HttpHead answer_;
--- a/relay/request_log.cc
+++ b/relay/request_log.cc
@@ -1,11 +1,22 @@
 #include "relay/request_log.h"
 
 #include <cmath>
+#include <cstdio>
 #include <string>
 
 #include "base/log.h"
 
 namespace quaytrack {
+namespace {
+
+// A ratio with two decimals.
+std::string RatioText(double ratio) {
+  char out[32];
+  std::snprintf(out, sizeof(out), "%.2f", ratio);
+  return out;
+}
+
+}  // namespace
 
 void LogAttemptEnded(const RequestId& id, const RequestProgress& progress,
                      const AttemptEnd& end) {
@@ -59,6 +70,18 @@
             {"by", by}});
 }
 
+void LogEnginePace(const PaceChange& change, std::size_t not_logged) {
+  LogEvent(Event::kEnginePace,
+           {{"start", change.start.value},
+            {"service", change.service.value},
+            {"ratio", RatioText(change.ratio)},
+            {"pause_ratio", RatioText(change.evidence.pause)},
+            {"first_ratio", RatioText(change.evidence.first)},
+            {"answers", std::to_string(std::lround(change.evidence.answers))},
+            {"age_ms", MillisecondsText(change.evidence.age)},
+            {"not_logged", std::to_string(not_logged)}});
+}
+
 void LogRequestEnded(const Admission& admission,
                      const RequestProgress& progress, const RequestEnd& end) {
   const RouteRule* route = admission.route;
@@ -74,6 +97,8 @@
             {"sends", std::to_string(progress.sends)},
             {"home", choice.is_preferred ? "yes" : "no"},
             {"expected_ms", std::to_string(std::lround(choice.cost_ms))},
+            {"pace", RatioText(choice.pace)},
+            {"overdue", choice.overdue.value},
             {"first_expected_ms",
              std::to_string(std::lround(choice.first_event_ms))},
             {"first_ms", MillisecondsText(progress.first_event)},
--- a/relay/request_log.h
+++ b/relay/request_log.h
@@ -91,6 +91,9 @@
 void LogRateLimit(const TargetStart& target, const RateLimits& limits,
                   const std::string& by);
 
+// An engine's pace has changed. `not_logged` more have changed with it.
+void LogEnginePace(const PaceChange& change, std::size_t not_logged);
+
 void LogRequestEnded(const Admission& admission,
                      const RequestProgress& progress, const RequestEnd& end);
 
