--- a/dispatch/engine_pace.cc
+++ b/dispatch/engine_pace.cc
@@ -32,8 +32,12 @@
 // Bounds of a ratio, far beyond any engine that serves.
 constexpr double kMinRatio = 0.1;
 constexpr double kMaxRatio = 20;
-// Answers of one engine that are kept.
-constexpr std::size_t kMaxAnswers = 12;
+// Answers of one engine within this time count as one group, whose mean is
+// kept. The groups that are kept cover a half-life.
+constexpr Duration kAnswersTime = std::chrono::milliseconds(500);
+constexpr std::size_t kMaxAnswers = 40;
+// More answers in a group weigh no more.
+constexpr double kMaxCount = 4;
 // An engine without new answers is reported again after this time, so that its
 // report does not lose its weight.
 constexpr Duration kRepeatAfter = std::chrono::seconds(3);
@@ -59,9 +63,15 @@
 
 }  // namespace
 
-void EnginePace::Append(std::vector<Answer>& answers, Answer answer) {
-  if (answers.size() >= kMaxAnswers) answers.erase(answers.begin());
-  answers.push_back(answer);
+void EnginePace::Append(Instant now, std::vector<Answers>& answers,
+                        double ratio) {
+  if (answers.empty() || now - answers.back().since >= kAnswersTime) {
+    if (answers.size() >= kMaxAnswers) answers.erase(answers.begin());
+    answers.push_back({now, 0, 0});
+  }
+  Answers& at = answers.back();
+  at.count += 1;
+  at.log_ratio += (std::log(Clamped(ratio)) - at.log_ratio) / at.count;
 }
 
 void EnginePace::OnFirstEvent(Instant now, const ServiceName& service,
@@ -69,7 +79,7 @@
   if (!std::isfinite(ratio) || ratio <= 0) return;
   Service& at = services_[service];
   OwnAnswers& own = at.own[start];
-  Append(own.first, {now, std::log(Clamped(ratio))});
+  Append(now, own.first, ratio);
   own.has_new = true;
   at.first_odds.Record(ratio / RatioOf(start));
 }
@@ -83,8 +93,7 @@
   const double usual_ms = at.pauses.value();
   if (usual_ms <= 0) return;
   OwnAnswers& own = at.own[start];
-  const double ratio = Clamped(median_ms / usual_ms);
-  Append(own.pause, {now, std::log(ratio)});
+  Append(now, own.pause, median_ms / usual_ms);
   own.has_new = true;
   at.pause_odds.Record(longest_ms / (usual_ms * RatioOf(start)));
 }
@@ -104,11 +113,12 @@
 
 PaceReport EnginePace::OwnReport(Instant now, const OwnAnswers& own,
                                  double log_estimate) {
-  const auto mean = [&](const std::vector<Answer>& answers, double& weight) {
+  const auto mean = [&](const std::vector<Answers>& answers, double& weight) {
     double sum = 0;
     weight = 0;
-    for (const Answer& it : answers) {
-      const double w = WeightAt(now - it.at, kHalfLife);
+    for (const Answers& it : answers) {
+      const double w =
+          std::min(it.count, kMaxCount) * WeightAt(now - it.since, kHalfLife);
       sum += w * std::clamp(it.log_ratio, log_estimate - kMaxStep,
                             log_estimate + kMaxStep);
       weight += w;
@@ -366,8 +376,9 @@
 }
 
 WeightedKey KeyFor(std::uint64_t hash, double ratio) {
-  // In (0, 1), rising with the hash.
-  const double u = (static_cast<double>(hash >> 11) + 0.5) * 0x1p-53;
+  // In (0, 1), rising with the hash. Of 53 bits, the highest would be rounded
+  // to 1, whose logarithm is 0.
+  const double u = (static_cast<double>(hash >> 12) + 0.5) * 0x1p-52;
   return {-1 / (ratio * std::log(u)), hash};
 }
 
--- a/dispatch/engine_pace.h
+++ b/dispatch/engine_pace.h
@@ -156,14 +156,18 @@
   // it is slow stays known for a minute.
   static constexpr Duration kHalfLife = std::chrono::seconds(20);
 
-  struct Answer {
-    Instant at{};
+  // The answers of a short time, so that a slow moment fills few of them
+  // however many answers a router gets.
+  struct Answers {
+    Instant since{};
+    // Mean of the logarithms of the ratios.
     double log_ratio = 0;
+    double count = 0;
   };
   // This router's last answers of one engine.
   struct OwnAnswers {
-    std::vector<Answer> first;
-    std::vector<Answer> pause;
+    std::vector<Answers> first;
+    std::vector<Answers> pause;
     // Last time at which the engine was in a report of kOwn.
     Instant reported_at = Instant::min();
     bool has_new = false;
@@ -205,7 +209,7 @@
   };
   using Totals = std::map<ServiceName, std::map<TargetStart, Sums>>;
 
-  static void Append(std::vector<Answer>& answers, Answer answer);
+  static void Append(Instant now, std::vector<Answers>& answers, double ratio);
   static PaceReport OwnReport(Instant now, const OwnAnswers& own,
                               double log_estimate);
   double LogEstimateOf(const TargetStart& start) const;
--- a/relay/testing/peer_messages_test.cc
+++ b/relay/testing/peer_messages_test.cc
@@ -89,6 +89,51 @@
                    "after": "t/1", "more": true}})");
 }
 
+BOOST_AUTO_TEST_CASE(ThePaceOfEnginesKeepsItsForm) {
+  PeerMessage it = Message(PeerMessageKind::kPing);
+  it.engine_pace = ScopedPace();
+  // No engine deviates: a router that sends its own answers sends nothing.
+  BOOST_TEST(Json::from_cbor(EncodePeerMessage(it)) ==
+             Json::parse(R"({"kind": "ping", "from": "vm1@1"})"));
+  it.engine_pace->engines[ServiceName("llm")][TargetStart("e1@7")] = {
+      1.25, 2.1, 12.4, std::chrono::milliseconds(800)};
+  Check(it, R"({"kind": "ping", "from": "vm1@1",
+                "engine_pace": {"llm": {"e1@7": [1250, 2100, 12, 800]}}})");
+  // A reader's sums say so even if no engine deviates.
+  it.engine_pace = ScopedPace{PaceScope::kAll, {}};
+  Check(it, R"({"kind": "ping", "from": "vm1@1", "pace_scope": "all"})");
+}
+
+// Guards against a heartbeat that is lost because of one engine's figures.
+BOOST_AUTO_TEST_CASE(AnEnginesFiguresThatCantBeReadAreLeftOut) {
+  const auto bytes = Json::to_cbor(Json::parse(
+      R"({"kind": "ping", "from": "a", "engine_pace": {"x": 7, "llm":
+          {"a": [1], "b": [-1, 2, 3, 4], "c": "no", "d": [1e9, 0, 3, 4],
+           "e": [900000, 0, 9000000, 4]}}})"));
+  const auto it = DecodePeerMessage(std::string(bytes.begin(), bytes.end()));
+  BOOST_REQUIRE(it.has_value());
+  BOOST_REQUIRE(it->engine_pace.has_value());
+  const auto& engines = it->engine_pace->engines.at(ServiceName("llm"));
+  BOOST_TEST(engines.size() == 1U);
+  BOOST_TEST(engines.at(TargetStart("e")).first == 100);
+  BOOST_TEST(engines.at(TargetStart("e")).answers == 100'000);
+}
+
+// Guards against heartbeats that grow with the number of engines: 64 engines
+// with long names.
+BOOST_AUTO_TEST_CASE(AReportOnEnginesIsSmall) {
+  PeerMessage it = Message(PeerMessageKind::kPing);
+  it.engine_pace = ScopedPace{PaceScope::kAll, {}};
+  const std::size_t before = EncodePeerMessage(it).size();
+  for (std::size_t n = 0; n < EnginePace::kMaxReported; ++n) {
+    const TargetStart start("i-a2385a4f" + std::to_string(n) +
+                            "@1764700000000");
+    it.engine_pace->engines[ServiceName("llm")][start] = {
+        1.25, 2.1, 1200, std::chrono::milliseconds(8000)};
+  }
+  BOOST_TEST(EncodePeerMessage(it).size() - before < 3000U);
+}
+
 BOOST_AUTO_TEST_CASE(RolloutsKeepTheirForm) {
   PeerMessage it = Message(PeerMessageKind::kPing);
   RolloutReport& report = it.rollouts[ServiceName("llm")];
