--- a/dispatch/testing/placement_pace_test.cc
+++ b/dispatch/testing/placement_pace_test.cc
@@ -22,7 +22,7 @@
 
 // A router that was told that some of twelve engines take twice as long.
 struct PacedRouter {
-  explicit PacedRouter(const std::string& hall, std::set<int> slow)
+  explicit PacedRouter(const std::string& hall, const std::set<int>& slow)
       : it(HallName(hall)) {
     it.SetTargets(kStart, Engines(12));
     PaceReports reports;
@@ -159,7 +159,7 @@
 
   TargetName Send(Duration after, PlacementOutcome outcome) {
     const Instant now = kStart + after;
-    const TargetName out = it.Choose(now, request)->target.name;
+    TargetName out = it.Choose(now, request)->target.name;
     it.OnSent(now, out, request, false);
     it.OnEnded(now, out, 0, outcome);
     return out;
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -18,6 +18,9 @@
 // interval is short compared with the 700 ms over which the load is smoothed.
 constexpr Duration kCheckInterval = std::chrono::milliseconds(200);
 
+// The pace of engines is brought up to date at every third check. A reader of a
+// large fleet adds up the reports of hundreds of routers each time.
+constexpr int kChecksPerPaceUpdate = 3;
 // Maximum number of engines whose pace is logged in one check.
 constexpr std::size_t kMaxPaceEvents = 8;
 
@@ -591,6 +594,7 @@
 // Logs the engines whose pace has changed, but no more than
 // `kMaxPaceEvents` at once: after a start, many become known together.
 void RelayRouter::UpdatePace() {
+  if (++checks_ % kChecksPerPaceUpdate != 0) return;
   const auto changes = placement_.UpdatePace(clock_.Now());
   const std::size_t logged = std::min(changes.size(), kMaxPaceEvents);
   for (std::size_t n = 0; n < logged; ++n)
--- a/relay/relay_router.h
+++ b/relay/relay_router.h
@@ -148,6 +148,8 @@
   PlannedStop stop_;
   LinkMonitor link_;
   std::unique_ptr<Timer> check_timer_;
+  // Number of checks so far.
+  unsigned checks_ = 0;
   bool announced_ready_ = false;
   // The latest era of the store that a peer has sent.
   std::int64_t peer_era_ = 0;
