Keep prefixes in high demand in the router's hall, and spread them

An engine that was preferred for a prefix of a third of all requests got them all, and three of four answers came from other halls. Such a prefix now prefers engines of the router's hall, as many as its demand needs.

--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <compare>
 #include <cstdint>
+#include <tuple>
 
 #include "base/digest.h"
 
@@ -31,6 +32,10 @@
 // An engine is not preferred for a request if its pace makes a larger share of
 // such answers late than this.
 constexpr double kMaxExcessLate = 0.05;
+// A part in high demand is spread over so many engines that it takes at most
+// this share of the time of each, and over at most `kMaxSpread`.
+constexpr double kMaxBusyShare = 0.4;
+constexpr std::size_t kMaxSpread = 16;
 // After this time, a target that got this router's last request counts like the
 // others.
 constexpr Duration kAlternateTime = std::chrono::seconds(1);
@@ -67,8 +72,8 @@
   bool is_full = false;
   bool is_repeated = false;
   double cost_ms = 0;
-  // Among equal targets of services other than engines, the one that this
-  // router has not used for the longest time.
+  // Among equal targets of services other than engines, and among several
+  // preferred engines, the one that this router has not used for longest.
   Instant last_sent = Instant::min();
 
   auto operator<=>(const Rank&) const = default;
@@ -365,34 +370,63 @@
   return it == speeds_.end() ? kInitial : it->second;
 }
 
+std::size_t Placement::EnginesFor(std::uint64_t part,
+                                  const ChoiceContext& context) const {
+  const auto demand = demand_.find(context.request.service);
+  if (demand == demand_.end() || !demand->second.IsHigh(part)) return 0;
+  const double hall_tokens_per_s =
+      demand->second.TokensPerS(context.now, part) *
+      static_cast<double>(routers_in_hall_);
+  const double busy_share =
+      hall_tokens_per_s / 1000 * context.speed.line().ms_per_token;
+  const double engines = std::ceil(busy_share / kMaxBusyShare);
+  return static_cast<std::size_t>(
+      std::clamp(engines, 1.0, static_cast<double>(kMaxSpread)));
+}
+
 void Placement::SetPreferred(ChoiceContext& context) const {
   const Instant now = context.now;
   const auto part = DeepestSharedPart(context.request);
   if (!part) return;
   const std::string key = std::to_string(*part);
-  // Suitable targets come first; among them the largest key.
+  const std::size_t spread = EnginesFor(*part, context);
+  // Suitable targets come first; among them, if the demand is high, those of
+  // this hall; then the largest key.
   struct Place {
     bool is_suitable = false;
+    bool is_near = false;
     WeightedKey key;
+    const State* state = nullptr;
 
-    auto operator<=>(const Place&) const = default;
+    bool operator>(const Place& other) const {
+      return std::tie(is_suitable, is_near, key) >
+             std::tie(other.is_suitable, other.is_near, other.key);
+    }
   };
-  Place best;
-  Place best_stand_in;
+  std::vector<Place> best;
+  Place stand_in;
   for (const auto& [name, state] : targets_) {
     if (!context.IsCandidate(state)) continue;
     if (IsCold(now, state) || !MaySend(now, state)) continue;
     const Place place{ExcessLate(state, context) <= kMaxExcessLate,
-                      KeyFor(RendezvousWeight(name.value, key), state.pace)};
-    if (context.preferred == nullptr || place > best) {
-      context.preferred = &state;
-      best = place;
-    }
-    if (state.overdue.IsOverdue(now)) continue;
-    if (context.stand_in == nullptr || place > best_stand_in) {
-      context.stand_in = &state;
-      best_stand_in = place;
-    }
+                      spread > 0 && state.entry.hall == hall_,
+                      KeyFor(RendezvousWeight(name.value, key), state.pace),
+                      &state};
+    if (!state.overdue.IsOverdue(now) &&
+        (stand_in.state == nullptr || place > stand_in))
+      stand_in = place;
+    const auto at = std::find_if(best.begin(), best.end(),
+                                 [&](const Place& it) { return place > it; });
+    best.insert(at, place);
+    if (best.size() > std::max<std::size_t>(1, spread)) best.pop_back();
+  }
+  context.stand_in = stand_in.state;
+  for (const Place& it : best) {
+    // A hall with fewer engines than the demand needs does not use those of
+    // other halls, which have demand of their own.
+    if (it.is_near == best.front().is_near &&
+        it.is_suitable == best.front().is_suitable)
+      context.preferred.push_back(it.state);
   }
 }
 
@@ -504,6 +538,7 @@
       rank.is_repeated = &state == last_sent_to;
       rank.last_sent = state.last_sent;
     }
+    if (context.preferred.size() > 1) rank.last_sent = state.last_sent;
     rank.cost_ms = Cost(state, context);
     if (best != nullptr && !(rank < best_rank)) continue;
     best = &state;
@@ -514,8 +549,9 @@
                       context.IsPreferred(*best)};
   if (request.ForEngine()) out.first_event_ms = FirstEventMs(*best, context);
   out.pace = best->pace;
-  const State* preferred = context.preferred;
-  if (preferred != best && preferred && preferred->overdue.IsOverdue(now))
+  const State* preferred =
+      context.preferred.empty() ? nullptr : context.preferred.front();
+  if (preferred && preferred != best && preferred->overdue.IsOverdue(now))
     out.overdue = preferred->entry.name;
   out.is_cold = IsCold(now, *best);
   out.is_limited = best->limit_per_s.has_value();
@@ -534,6 +570,12 @@
   ++state.running;
   state.last_sent = now;
   if (!request.ForEngine()) return 0;
+  const auto part = DeepestSharedPart(request);
+  if (part && routers_in_hall_ > 0) {
+    demand_[state.entry.service].OnSent(
+        now, *part, request.prompt_tokens - SharedTokens(request.parts),
+        routers_in_hall_);
+  }
   const Tokens prefill = PrefillTokens(state.prefixes, request, is_preferred);
   state.prefill += prefill;
   state.prefixes.OnSent(now, request.parts);
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -46,6 +46,11 @@
 // this router has filled, then the one that got this router's last request, so
 // that requests alternate between targets.
 //
+// A part in high demand (dispatch/prefix_demand.h) prefers engines of this
+// router's hall, and as many of them as its demand needs; the request goes to
+// the cheapest of these, and to each in turn if they cost the same. Any other
+// part has one preferred engine for the routers of all halls.
+//
 // The charges and their units are at the top of placement.cc. The log event
 // `relay_ended` shows what decided: `target`, `home` (whether it was the
 // preferred target) and `expected_ms` (its cost).
@@ -93,7 +98,9 @@
 #ifndef QUAYTRACK_DISPATCH_PLACEMENT_H_
 #define QUAYTRACK_DISPATCH_PLACEMENT_H_
 
+#include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -111,6 +118,7 @@
 #include "dispatch/overdue_watch.h"
 #include "dispatch/prefill_speed.h"
 #include "dispatch/prefix_cache.h"
+#include "dispatch/prefix_demand.h"
 #include "dispatch/rate_limits.h"
 #include "dispatch/running_median.h"
 #include "dispatch/shared_rate.h"
@@ -204,6 +212,10 @@
   // targets of a hall that is reopened count as cold, because they were idle.
   void SetClosedHalls(Instant now, std::set<HallName> halls);
 
+  // Sets the number of routers in this router's hall, including this one. Until
+  // it is set, all prefixes count as rarely requested.
+  void SetRoutersInHall(std::size_t routers) { routers_in_hall_ = routers; }
+
   // Sets how targets behave while cold, by service. Cold targets of a service
   // without a rule are treated like warm ones.
   void SetColdRules(std::map<ServiceName, ColdRule> rules) {
@@ -388,12 +400,17 @@
     // Whether to leave out targets of versions that were first listed a moment
     // ago.
     bool only_ready_versions = false;
-    const State* preferred = nullptr;
+    // The first in the preferred order: one, or several for a part whose demand
+    // is more than one engine serves.
+    std::vector<const State*> preferred;
     // The first in the preferred order that is not overdue; differs from
     // `preferred` only while that one is overdue.
     const State* stand_in = nullptr;
 
-    bool IsPreferred(const State& state) const { return &state == preferred; }
+    bool IsPreferred(const State& state) const {
+      return std::find(preferred.begin(), preferred.end(), &state) !=
+             preferred.end();
+    }
     bool IsCandidate(const State& state) const;
   };
 
@@ -431,8 +448,11 @@
   static double PeerPrefillMs(Instant now, const State& state);
   static double QueueMs(const State& state);
   double Cost(const State& state, const ChoiceContext& context) const;
-  // Sets the preferred target and its stand-in; null without a shared part.
+  // Sets the preferred targets and the stand-in; none without a shared part.
   void SetPreferred(ChoiceContext& context) const;
+  // Over how many engines of this hall a part in high demand is spread.
+  std::size_t EnginesFor(std::uint64_t part,
+                         const ChoiceContext& context) const;
   // How much likelier than at the usual pace an answer is late.
   double ExcessLate(const State& state, const ChoiceContext& context) const;
   // The target that got this router's last request of the service, if that was
@@ -483,6 +503,8 @@
   // The speeds of services for which answers or peers have given one.
   std::map<ServiceName, PrefillSpeed> speeds_;
   EnginePace pace_;
+  std::size_t routers_in_hall_ = 0;
+  std::map<ServiceName, PrefixDemand> demand_;
   // The usual time of a complete answer of services other than engines.
   std::map<ServiceName, RunningMedian> answer_ms_;
 };
--- a/dispatch/testing/placement_pace_test.cc
+++ b/dispatch/testing/placement_pace_test.cc
@@ -148,6 +148,83 @@
   BOOST_TEST(late->overdue.empty());
 }
 
+// --- Halls -------------------------------------------------------------------
+
+// A router of hall-1 with twelve engines, four in each hall.
+struct HallRouter {
+  explicit HallRouter(std::size_t routers_in_hall) {
+    it.SetTargets(kStart, Engines(12));
+    it.SetRoutersInHall(routers_in_hall);
+  }
+
+  // Sends requests of one part, each answered before the next; returns the
+  // targets of the second half.
+  std::map<TargetName, int> Send(std::uint64_t part, int requests,
+                                 Duration interval) {
+    std::map<TargetName, int> out;
+    for (int n = 0; n < requests; ++n) {
+      now += interval;
+      const auto choice = it.Choose(now, Prompt(part, 1));
+      const TargetName& name = choice->target.name;
+      const Tokens prefill =
+          it.OnSent(now, name, Prompt(part, 1), choice->is_preferred);
+      it.OnAnswering(now, name, prefill, milliseconds(100));
+      it.OnEnded(now, name, 0, PlacementOutcome::kGood);
+      BOOST_TEST(choice->is_preferred);
+      if (n >= requests / 2) ++out[name];
+    }
+    return out;
+  }
+
+  Instant now = kStart;
+  Placement it{HallName("hall-1")};
+};
+
+// A part whose preferred engine is in another hall than the router's.
+std::uint64_t FarPart() {
+  Placement it{HallName("hall-1")};
+  it.SetTargets(kStart, Engines(12));
+  for (std::uint64_t part = 1;; ++part) {
+    if (it.Choose(kStart, Prompt(part, 1))->target.hall != HallName("hall-1"))
+      return part;
+  }
+}
+
+// Guards against prefixes that are prefilled in each hall for few requests.
+BOOST_AUTO_TEST_CASE(ARarePartKeepsOneEngineForAllHalls) {
+  HallRouter router(16);
+  const auto sent = router.Send(FarPart(), 20, seconds(8));
+  BOOST_REQUIRE(sent.size() == 1U);
+  const TargetName& name = sent.begin()->first;
+  BOOST_TEST((Engines(12)[name].hall != HallName("hall-1")));
+}
+
+BOOST_AUTO_TEST_CASE(APartInHighDemandStaysInTheHall) {
+  HallRouter router(16);
+  const auto sent = router.Send(FarPart(), 40, milliseconds(2000));
+  BOOST_TEST(sent.size() >= 1U);
+  for (const auto& [name, n] : sent)
+    BOOST_TEST((Engines(12)[name].hall == HallName("hall-1")));
+}
+
+// Guards against one engine that gets a part which needs several.
+BOOST_AUTO_TEST_CASE(APartIsSpreadOverAsManyEnginesAsItsDemandNeeds) {
+  // Two requests a second of 3,000 tokens at 50 a millisecond, by each of 8
+  // routers, take 0.96 of one engine's time, so 3 engines.
+  HallRouter router(8);
+  const auto sent = router.Send(FarPart(), 120, milliseconds(500));
+  BOOST_TEST(sent.size() == 3U);
+  for (const auto& [name, n] : sent) BOOST_TEST(n == 20);
+}
+
+// A router that does not know its hall, as before its list has settled.
+BOOST_AUTO_TEST_CASE(WithoutTheNumberOfRoutersNoPartIsInHighDemand) {
+  HallRouter router(0);
+  const auto sent = router.Send(FarPart(), 40, milliseconds(100));
+  BOOST_REQUIRE(sent.size() == 1U);
+  BOOST_TEST((Engines(12)[sent.begin()->first].hall != HallName("hall-1")));
+}
+
 // --- Services with few slots -------------------------------------------------
 
 // Seven targets: hall-0 has three, hall-1 and hall-2 have two each.
--- a/dispatch/testing/uneven_engines_test.cc
+++ b/dispatch/testing/uneven_engines_test.cc
@@ -80,7 +80,9 @@
 };
 
 struct Load {
-  Load(double ms, unsigned seed) : random(seed) {
+  // `hot_share` of each class's requests have the same prefix.
+  Load(double ms, unsigned seed, double hot_share = 0)
+      : random(seed), hot(hot_share) {
     for (const RequestClass& it : kClasses) AddArrivals(it, ms);
     std::sort(arrivals.begin(), arrivals.end(),
               [](const auto& a, const auto& b) { return a.at_ms < b.at_ms; });
@@ -101,7 +103,9 @@
     for (double at = pause(random); at < ms; at += pause(random)) {
       // Each prefix of a class is requested about as often.
       const double x = draw(random);
-      const auto prefix = static_cast<std::uint64_t>(x * it.prefixes);
+      const bool is_hot = hot > 0 && draw(random) < hot;
+      const auto prefix =
+          is_hot ? 0 : static_cast<std::uint64_t>(x * it.prefixes);
       const int router = static_cast<int>(draw(random) * kRouters);
       arrivals.push_back(
           {at, router, &it, base + prefix, 1'000'000 + arrivals.size()});
@@ -115,6 +119,7 @@
   }
 
   std::mt19937 random;
+  const double hot;
   std::vector<Arrival> arrivals;
   std::vector<std::vector<double>> slow_from;
 };
@@ -136,7 +141,9 @@
   int answers = 0;
   int late = 0;
   int slow_engine_answers = 0;
+  int other_hall_answers = 0;
   Tokens shared_again = 0;
+  Tokens shared_requested = 0;
 
   double LateShare() const { return static_cast<double>(late) / answers; }
 };
@@ -175,6 +182,8 @@
       router.fleet.Put(members);
       router.fleet.MarkRead();
       router.placement.SetTargets(At(0), targets);
+      if (by_pace_)
+        router.placement.SetRoutersInHall(router.fleet.routers_in_hall());
     }
   }
 
@@ -355,7 +364,9 @@
     placement.OnEnded(now, name, 0, PlacementOutcome::kGood);
     if (it.sent_ms < counted_from_ms_) return;
     ++result_.answers;
+    result_.shared_requested += kind.shared;
     if (speeds_[n] < 1) ++result_.slow_engine_answers;
+    if (is_far) ++result_.other_hall_answers;
     if (it.first_ms > kind.first_limit_ms ||
         it.pauses.back() > Ms(kind.pause_limit_ms))
       ++result_.late;
@@ -381,7 +392,8 @@
 void Print(const char* name, const Result& it) {
   BOOST_TEST_MESSAGE(name << ": late " << it.LateShare() << ", answers "
                           << it.answers << ", from slow engines "
-                          << it.slow_engine_answers << ", shared tokens again "
+                          << it.slow_engine_answers << ", from other halls "
+                          << it.other_hall_answers << ", shared tokens again "
                           << it.shared_again);
 }
 
@@ -408,6 +420,23 @@
              1.1 * static_cast<double>(without.shared_again));
 }
 
+// Guards against an engine that gets a third of all requests, because they have
+// one prefix, while others are free; and against traffic between halls for a
+// prefix that each hall keeps in its caches.
+BOOST_AUTO_TEST_CASE(APrefixInHighDemandIsSpreadWithinEachHall) {
+  const Load load(34'000, 3, 0.33);
+  const Result without = Simulation(load, false, UnevenSpeeds(), 5'000).Run();
+  const Result with = Simulation(load, true, UnevenSpeeds(), 5'000).Run();
+  Print("a hot prefix, without", without);
+  Print("a hot prefix, with", with);
+  BOOST_TEST(with.LateShare() < 0.5 * without.LateShare());
+  BOOST_TEST(with.other_hall_answers < without.other_hall_answers);
+  // Each hall prefills the prefix, and more than one engine of it: more than
+  // without, but less than a hundredth of what is requested.
+  BOOST_TEST(static_cast<double>(with.shared_again) <=
+             0.01 * static_cast<double>(with.shared_requested));
+}
+
 // Slow moments alone must not change what the engines are thought to be.
 BOOST_AUTO_TEST_CASE(SlowMomentsOfEqualEnginesChangeNoPace) {
   const Load load(40'000, 5);
--- a/fleet/fleet.cc
+++ b/fleet/fleet.cc
@@ -84,6 +84,12 @@
                      [&](const FleetMember& it) { return it.vm == vm; });
 }
 
+std::size_t FleetDirectory::routers_in_hall() const {
+  return static_cast<std::size_t>(std::count_if(
+      members_.begin(), members_.end(),
+      [this](const auto& it) { return it.second.hall == self().hall; }));
+}
+
 std::vector<FleetMember> FleetDirectory::OtherHolders() const {
   std::vector<FleetMember> out = holders_;
   std::erase_if(out, [&](const FleetMember& it) { return it.vm == self_; });
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -150,6 +150,8 @@
   // Number of routers, including this one.
   std::size_t size() const { return members_.size(); }
   const FleetMember& self() const { return members_.at(self_); }
+  // Number of routers in this router's hall, including this one.
+  std::size_t routers_in_hall() const;
   // The router on the VM; null if it is not on the list.
   const FleetMember* Find(const VmName& vm) const {
     const auto it = members_.find(vm);
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -396,6 +396,7 @@
   peers_.KeepLinksTo(directory.MembersToLink());
   SetFeedRoles();
   if (!fleet_.settled()) return;
+  placement_.SetRoutersInHall(directory.routers_in_hall());
   placement_.SetPlaceLookup([this](const TargetStart& it) {
     return fleet_.directory().PlaceFor(it.value);
   });
