--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -334,6 +334,18 @@
   });
 }
 
+bool Placement::IsFullOfBytes(const State& state,
+                              const PlacementRequest& request) const {
+  return byte_limit_ > 0 && state.bytes > 0 &&
+         state.bytes + request.bytes > byte_limit_;
+}
+
+bool Placement::HasFullOfBytes(const PlacementRequest& request) const {
+  return std::any_of(targets_.begin(), targets_.end(), [&](const auto& it) {
+    return IsEligible(it.second, request) && IsFullOfBytes(it.second, request);
+  });
+}
+
 bool Placement::IsClosedOff(const PlacementRequest& request) const {
   return std::any_of(targets_.begin(), targets_.end(), [&](const auto& it) {
     const State& state = it.second;
@@ -556,7 +568,7 @@
   for (const auto& [name, state] : targets_) {
     if (!context.IsCandidate(state)) continue;
     if (request.tried.contains(name)) continue;
-    if (!MaySend(now, state)) continue;
+    if (!MaySend(now, state) || IsFullOfBytes(state, request)) continue;
     const Rank rank{state.health.IsEjected(now), !IsProbeDue(now, state),
                     Cost(state, context)};
     if (best != nullptr && !(rank < best_rank)) continue;
@@ -582,6 +594,7 @@
   const auto gate = gates_.find(state.entry.service);
   if (gate != gates_.end()) gate->second.OnSent(state.entry.version);
   ++state.running;
+  state.bytes += request.bytes;
   if (!request.ForEngine()) return 0;
   const Tokens prefill = PrefillTokens(state.prefixes, request, is_preferred);
   state.prefill += prefill;
@@ -637,11 +650,12 @@
 }
 
 void Placement::OnEnded(Instant now, const TargetName& name, Tokens prefill,
-                        PlacementOutcome outcome) {
+                        PlacementOutcome outcome, std::size_t bytes) {
   const auto it = targets_.find(name);
   if (it == targets_.end()) return;
   State& state = it->second;
   state.running = std::max(0, state.running - 1);
+  state.bytes -= std::min(state.bytes, bytes);
   state.prefill = std::max<Tokens>(0, state.prefill - prefill);
   if (outcome == PlacementOutcome::kFailed) state.warmth.OnLost(now);
   if (outcome == PlacementOutcome::kNeutral) return;
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -24,7 +24,12 @@
 // comes first if this router may send to it, because only its answer can show
 // that the limit has ended. Of the other targets, ejected ones
 // (dispatch/outlier_ejection.h) are used only if all are ejected. Among equals,
-// the target with the lowest expected cost in milliseconds is chosen:
+// the target with the lowest expected cost in milliseconds is chosen. Where a
+// bound on bytes is set (`SetByteLimit`), a target that would hold more of this
+// router's requests than that is excluded, as a target crashes when what it
+// holds outgrows its memory.
+//
+// The cost:
 //
 //   engines         (tokens to be prefilled there x learned time per token
 //                    (dispatch/prefill_speed.h)
@@ -129,6 +134,8 @@
   Duration pause_limit{};
   // Where the request may be processed.
   Residency residency;
+  // Size of the request as sent; counts towards what its target holds.
+  std::size_t bytes = 0;
   // Targets that the request was sent to and that must not be chosen again.
   std::set<TargetName> tried;
 
@@ -193,6 +200,12 @@
   std::size_t RunningAtOtherVersions(const ServiceName& service,
                                      const VersionName& version) const;
 
+  // Sets the bound on the bytes of this router's requests at one target; 0 for
+  // none. A target that holds nothing of this router gets any request.
+  void SetByteLimit(std::size_t bytes) { byte_limit_ = bytes; }
+  // Whether some target could get the request but for that bound.
+  bool HasFullOfBytes(const PlacementRequest& request) const;
+
   // The place of this router in the rendezvous order of a target that accepts
   // few requests; std::nullopt if it is not known. `SetPlaceLookup` discards
   // the places that were looked up before.
@@ -265,9 +278,9 @@
   }
   const RateLimits& rate_limits() const { return rate_limits_; }
   // Notes that a request has ended at the target. `prefill` is the result of
-  // OnSent, or 0 after OnAnswering.
+  // OnSent, or 0 after OnAnswering; `bytes` is `PlacementRequest::bytes`.
   void OnEnded(Instant now, const TargetName& name, Tokens prefill,
-               PlacementOutcome outcome);
+               PlacementOutcome outcome, std::size_t bytes = 0);
 
   // Notes that a peer sent the target a prompt of which `prefill` tokens are
   // not cached.
@@ -318,6 +331,8 @@
     std::optional<double> limit_per_s;
     // Number of this router's requests that are running at the target.
     int running = 0;
+    // Their bytes.
+    std::size_t bytes = 0;
     // Prompt tokens of this router's requests that the target still has to
     // prefill.
     Tokens prefill = 0;
@@ -354,6 +369,7 @@
     return state.entry.service == request.service && AcceptsWork(state) &&
            request.residency.Allows(state.region);
   }
+  bool IsFullOfBytes(const State& state, const PlacementRequest& request) const;
   // Returns null if this start of the target is not listed.
   const State* Find(const TargetEntry& target) const;
   bool IsCold(Instant now, const State& state) const;
@@ -402,6 +418,7 @@
   std::map<ServiceName, ColdRule> cold_rules_;
   PlacementRates rates_;
   RateLimits rate_limits_;
+  std::size_t byte_limit_ = 0;
   BackOffs back_offs_;
   // A target's announcement that it is leaving.
   struct LeavingNotice {
--- a/http/caller_connection.cc
+++ b/http/caller_connection.cc
@@ -1,5 +1,6 @@
 #include "http/caller_connection.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -18,6 +19,12 @@
 // Bytes of the next request that are accepted during an answer; reading stops
 // once they are exceeded.
 constexpr std::size_t kMaxPending = 64 * 1024;
+// A caller with more unread bytes than this of earlier answers gets no further
+// one. Applies only while memory is bounded.
+constexpr std::size_t kMaxUnread = 64 * 1024;
+// From this size on, a body is written by a call of its own, which saves a copy
+// beside the head. Below it, one call for both is faster.
+constexpr std::size_t kSeparateBody = 16 * 1024;
 // Upper bound on the bytes that frame a chunk: its size in hex digits and two
 // line ends.
 constexpr std::size_t kChunkFraming = 16;
@@ -41,6 +48,15 @@
   return out;
 }
 
+// The announced length of a body; 0 if there is none.
+std::size_t LengthOf(const HttpHead& head) {
+  const std::string* text = head.Find("content-length");
+  std::size_t out = 0;
+  if (text != nullptr)
+    std::from_chars(text->data(), text->data() + text->size(), out);
+  return out;
+}
+
 }  // namespace
 
 CallerConnection::CallerConnection(CallerServer& server,
@@ -49,9 +65,11 @@
       socket_(std::move(socket)),
       parser_(HttpParser::Kind::kRequest,
               {[this](HttpHead& head) { OnHead(head); },
-               [this](std::string_view bytes) { request_.body.append(bytes); },
+               [this](std::string_view bytes) { OnBody(bytes); },
                [this] { OnRequest(); }},
               server.limits_.http),
+      held_(server.loop_.held()),
+      serial_(++server.accepted_),
       progress_at_(server.clock_.Now()) {}
 
 void CallerConnection::Start() {
@@ -61,6 +79,7 @@
   on.ended = [this](SocketEnd) { OnEnded(); };
   on.drained = [this] {
     if (flushing_) return Linger();
+    if (std::exchange(awaits_drain_, false)) return ReadNext();
     if (on_drained_) on_drained_();
   };
   socket_->SetHandlers(std::move(on));
@@ -68,7 +87,8 @@
 
 void CallerConnection::OnData(std::string_view bytes) {
   const auto keep = shared_from_this();
-  if (phase_ == Phase::kLingering) return;
+  received_ += bytes.size();
+  if (phase_ == Phase::kLingering || discarding_) return;
   unused_ = false;
   if (phase_ == Phase::kIdle) {
     phase_ = Phase::kReading;
@@ -80,19 +100,29 @@
     progress_at_ = server_.clock_.Now();
   pending_.append(bytes);
   if (phase_ == Phase::kAnswering) {
-    if (pending_.size() > kMaxPending) socket_->PauseReading();
-    return;
+    if (pending_.size() > MaxPending()) socket_->PauseReading();
+    return CountHeld();
   }
   Consume();
 }
 
+std::size_t CallerConnection::MaxPending() const {
+  const auto& limit = server_.memory_.max_pending;
+  return limit ? std::min(kMaxPending, limit()) : kMaxPending;
+}
+
+void CallerConnection::CountHeld() {
+  held_.Set(HeapBytes(pending_) + HeapBytes(request_.body));
+}
+
 void CallerConnection::Consume() {
   if (consuming_) return;
   consuming_ = true;
   const std::string bytes = std::exchange(pending_, {});
   const std::size_t used = parser_.Feed(bytes);
-  pending_.insert(0, bytes.substr(used));
+  if (!discarding_) pending_.insert(0, bytes.substr(used));
   consuming_ = false;
+  CountHeld();
   if (parser_.fault() != HttpFault::kNone && phase_ == Phase::kReading) {
     RefuseFault(parser_.fault());
   }
@@ -102,11 +132,36 @@
   head_read_ = true;
   keep_alive_ = head.keep_alive;
   request_.head = std::move(head);
+  const auto& admits = server_.memory_.admits_body;
+  const std::size_t length = LengthOf(request_.head);
+  if (admits && !admits(length)) return RefuseBody(length);
   const std::string* expect = request_.head.Find("expect");
   if (expect != nullptr) socket_->Write("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
+void CallerConnection::OnBody(std::string_view bytes) {
+  if (discarding_) return;
+  request_.body.append(bytes);
+  const auto& admits = server_.memory_.admits_body;
+  if (admits && !admits(request_.body.size())) RefuseBody();
+}
+
+void CallerConnection::RefuseBody(std::size_t bytes) {
+  discarding_ = true;
+  keep_alive_ = false;
+  request_.body = {};
+  request_.body_refused = true;
+  request_.refused_bytes = bytes;
+  pending_ = {};
+  CountHeld();
+  HandOver();
+}
+
 void CallerConnection::OnRequest() {
+  if (!discarding_) HandOver();
+}
+
+void CallerConnection::HandOver() {
   phase_ = Phase::kAnswering;
   request_.read = server_.clock_.Now();
   handing_over_ = true;
@@ -118,7 +173,9 @@
     // If the caller disconnected before this task ran, the handler isn't
     // called.
     if (keep->socket_->PeerHasClosed()) return keep->Abort();
-    keep->server_.handler_(keep, std::exchange(keep->request_, {}));
+    CallerRequest request = std::exchange(keep->request_, {});
+    keep->CountHeld();
+    keep->server_.handler_(keep, std::move(request));
   });
 }
 
@@ -149,8 +206,9 @@
   const std::string framing =
       "Content-Length: " + std::to_string(body.size()) + "\r\n";
   std::string bytes = HeadBytes(head, framing, keep_alive);
-  bytes += body;
+  if (body.size() < kSeparateBody) bytes += std::exchange(body, {});
   socket_->Write(bytes);
+  socket_->Write(body);
   FinishExchange();
 }
 
@@ -188,6 +246,13 @@
   server_.Forget(shared_from_this());
 }
 
+void CallerConnection::Cut() {
+  on_gone_ = nullptr;
+  on_drained_ = nullptr;
+  socket_->Close(true);
+  server_.Forget(shared_from_this());
+}
+
 void CallerConnection::FinishExchange() {
   on_gone_ = nullptr;
   on_drained_ = nullptr;
@@ -197,9 +262,19 @@
   // connection closes, so the caller may send another request.
   if (!keep_alive_ || server_.closing_) return CloseAfterFlush();
   phase_ = Phase::kIdle;
-  if (pending_.empty()) return;
+  if (server_.memory_.admits_body && Unsent() > kMaxUnread) {
+    awaits_drain_ = true;
+    return socket_->PauseReading();
+  }
+  ReadNext();
+}
+
+// Reads the next request, of which some bytes may have arrived.
+void CallerConnection::ReadNext() {
   socket_->ResumeReading();
+  if (pending_.empty()) return;
   phase_ = Phase::kReading;
+  progress_at_ = server_.clock_.Now();
   request_.begun = progress_at_;
   server_.loop_.Post([keep = shared_from_this()] {
     if (keep->open() && keep->phase_ == Phase::kReading) keep->Consume();
@@ -208,7 +283,8 @@
 
 void CallerConnection::CloseAfterFlush() {
   phase_ = Phase::kLingering;
-  pending_.clear();
+  pending_ = {};
+  CountHeld();
   socket_->ResumeReading();
   if (socket_->Unsent() == 0) return Linger();
   flushing_ = true;
--- a/http/caller_connection.h
+++ b/http/caller_connection.h
@@ -17,6 +17,12 @@
 // writing side is closed first, and bytes that the caller still sends are read
 // for a while; closing at once would reset the connection and lose the answer.
 //
+// Slow callers. With a `CallerMemory` (http/caller_server.h), a request whose
+// body doesn't fit into memory reaches the handler at once, without the body
+// and marked `body_refused`; the rest of the body is read and discarded. A
+// caller that sends further requests but leaves an answer unread isn't read
+// until it has taken the answer. `Cut` ends a connection that holds too much.
+//
 // A connection owns its socket and the bytes of a next request that arrive
 // during an answer, and relies on its server for limits, clock and loop. Sizes
 // are in bytes. Calls on a connection that has ended do nothing, so they need
@@ -25,10 +31,12 @@
 #ifndef QUAYTRACK_HTTP_CALLER_CONNECTION_H_
 #define QUAYTRACK_HTTP_CALLER_CONNECTION_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "base/clock.h"
 #include "http/http_parser.h"
@@ -52,6 +60,11 @@
 struct CallerRequest {
   HttpHead head;
   std::string body;
+  // Memory is short, so the body wasn't read: the request must not run, and its
+  // answer is the last of its connection.
+  bool body_refused = false;
+  // Its size as announced, or as far as it was read.
+  std::size_t refused_bytes = 0;
   // When the first byte and the last byte of the request arrived.
   Instant begun{};
   Instant read{};
@@ -59,6 +72,12 @@
 
 class CallerServer;
 
+// Whose request a connection carries, or carried last.
+struct CallerUser {
+  std::string customer;
+  std::string request;
+};
+
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
  public:
   CallerConnection(CallerServer& server, std::shared_ptr<TcpSocket> socket);
@@ -72,6 +91,9 @@
   void EndStream();
   // Ends the connection at once, also in the middle of an answer.
   void Abort();
+  // The same, with a reset: what is buffered for the caller is freed, also in
+  // the kernel.
+  void Cut();
 
   // Sets the action that is called, at most once for each exchange, when the
   // caller leaves before its answer has ended.
@@ -85,6 +107,25 @@
   std::size_t Unsent() const { return socket_->Unsent(); }
   bool open() const { return socket_->open(); }
 
+  // Set by the handler, and kept until the next request.
+  void SetUser(CallerUser user) { user_ = std::move(user); }
+  const CallerUser& user() const { return user_; }
+  // Distinguishes the connections of a process.
+  std::uint64_t serial() const { return serial_; }
+  // Memory of the bytes that wait for the caller, or for the rest of its
+  // request. A request that was passed to the handler isn't included.
+  std::size_t held() const { return held_.bytes() + socket_->held(); }
+  // A count that rises while the caller sends a request, or receives an answer.
+  // Makes a system call.
+  std::uint64_t Moved() const {
+    return received_ + socket_->BytesAcknowledged();
+  }
+  // Whether a request is being read whose head is complete.
+  bool IsReadingBody() const { return phase_ == Phase::kReading && head_read_; }
+  // Refuses the request whose body is being read
+  // (`CallerRequest::body_refused`).
+  void RefuseBody() { RefuseBody(request_.body.size()); }
+
  private:
   friend class CallerServer;
   enum class Phase {
@@ -98,7 +139,13 @@
   void OnData(std::string_view bytes);
   void Consume();
   void OnHead(HttpHead& head);
+  void OnBody(std::string_view bytes);
   void OnRequest();
+  void RefuseBody(std::size_t bytes);
+  void HandOver();
+  void CountHeld();
+  std::size_t MaxPending() const;
+  void ReadNext();
   void RefuseFault(HttpFault fault);
   void RefuseAndClose(int status);
   void OnEnded();
@@ -118,6 +165,15 @@
   // Received bytes that the parser hasn't used yet, such as the next request.
   std::string pending_;
   CallerRequest request_;
+  HeldCount held_;
+  CallerUser user_;
+  const std::uint64_t serial_;
+  // Number of bytes received.
+  std::uint64_t received_ = 0;
+  // Whether bytes of a refused body are discarded.
+  bool discarding_ = false;
+  // Whether reading is paused until the caller has taken its last answer.
+  bool awaits_drain_ = false;
   // Whether no byte of a request has arrived yet.
   bool unused_ = true;
   // Whether the head of the current request is complete.
--- a/http/caller_server.cc
+++ b/http/caller_server.cc
@@ -10,6 +10,10 @@
 // How long sent bytes may stay unacknowledged before the caller counts as
 // disconnected.
 constexpr Duration kUserTimeout = std::chrono::seconds(5);
+// Where memory is bounded: bytes of an answer that wait unsent in the kernel,
+// whose buffers aren't counted. Some 16 packets, so that a caller that reads
+// never waits for this process.
+constexpr std::size_t kKernelUnsent = 24 * 1024;
 
 }  // namespace
 
@@ -31,6 +35,7 @@
 void CallerServer::Accept(int fd) {
   TcpOptions options;
   options.user_timeout = kUserTimeout;
+  if (memory_.admits_body) options.kernel_unsent = kKernelUnsent;
   auto it = std::make_shared<CallerConnection>(
       *this, TcpSocket::Adopt(loop_, fd, options));
   connections_.insert(it);
--- a/http/caller_server.h
+++ b/http/caller_server.h
@@ -34,6 +34,16 @@
 
 namespace quaytrack {
 
+// Rules for callers' connections where memory is bounded. Without them, nothing
+// is refused or limited beyond `CallerLimits`.
+struct CallerMemory {
+  // Whether a request whose body has this many bytes, or has as many so far,
+  // may be read on.
+  std::function<bool(std::size_t bytes)> admits_body;
+  // Bytes of the next request that are accepted during an answer.
+  std::function<std::size_t()> max_pending;
+};
+
 class CallerServer {
  public:
   using Handler =
@@ -50,6 +60,8 @@
   // once.
   void SetLimits(const CallerLimits& limits) { limits_ = limits; }
   const CallerLimits& limits() const { return limits_; }
+  // Applies to all connections that are accepted from now on.
+  void SetMemory(CallerMemory memory) { memory_ = std::move(memory); }
 
   // Listens on "host:port". Returns the bound port, or 0 on failure.
   std::uint16_t Listen(const std::string& address);
@@ -67,6 +79,11 @@
   // last bytes of an answer are unsent. If the process ended now, it would cut
   // these requests and answers.
   std::size_t Unfinished() const;
+  // `action` must neither open nor end connections.
+  template <class Action>
+  void ForEach(Action&& action) const {
+    for (const auto& it : connections_) action(it);
+  }
 
  private:
   friend class CallerConnection;
@@ -79,6 +96,9 @@
   Loop& loop_;
   const Clock& clock_;
   CallerLimits limits_;
+  CallerMemory memory_;
+  // Number of connections accepted so far.
+  std::uint64_t accepted_ = 0;
   Handler handler_;
   bool closing_ = false;
   TcpListener listener_;
--- a/http/target_connection.cc
+++ b/http/target_connection.cc
@@ -52,7 +52,8 @@
                {[this](HttpHead& head) { OnHead(head); },
                 [this](std::string_view bytes) { OnBody(bytes); },
                 [this] { OnComplete(); }},
-               kAnswerLimits) {}
+               kAnswerLimits),
+        held(connections.loop_.held()) {}
 
   void OnHead(HttpHead& head) {
     skipping = true;
@@ -116,6 +117,7 @@
       return owner.Finish(keep, CallEnd::kCancelledBeforeSend, false);
     }
     socket->Write(std::exchange(unsent, {}));
+    held.Set(0);
   }
 
   // Removes an idle connection that ended, or that received bytes without a
@@ -134,6 +136,7 @@
   std::shared_ptr<CallHandle> call;
   // `bytes` and `may_send` of a call that waits for the connection to open.
   std::string unsent;
+  HeldCount held;
   std::function<bool()> may_send;
   // Value of the socket's `bytes_accepted` at the start of the current call.
   std::uint64_t taken_before = 0;
@@ -215,7 +218,7 @@
 }
 
 std::shared_ptr<CallHandle> TargetConnections::Start(
-    const TargetCall& call, CallHandle::Handlers handlers) {
+    TargetCall call, CallHandle::Handlers handlers) {
   auto out = std::make_shared<CallHandle>();
   out->owner_ = this;
   out->on_ = std::move(handlers);
@@ -234,8 +237,9 @@
   if (connection->socket->connected()) {
     connection->socket->Write(call.bytes);
   } else {
-    connection->unsent = call.bytes;
-    connection->may_send = call.may_send;
+    connection->unsent = std::move(call.bytes);
+    connection->may_send = std::move(call.may_send);
+    connection->held.Set(HeapBytes(connection->unsent));
   }
   return out;
 }
--- a/http/target_connection.h
+++ b/http/target_connection.h
@@ -105,7 +105,7 @@
   TargetConnections(const TargetConnections&) = delete;
   TargetConnections& operator=(const TargetConnections&) = delete;
 
-  std::shared_ptr<CallHandle> Start(const TargetCall& call,
+  std::shared_ptr<CallHandle> Start(TargetCall call,
                                     CallHandle::Handlers handlers);
   // Closes the idle connections to an address whose target has ended: a request
   // sent on one of them would count as one that may have run.
--- a/net/loop.h
+++ b/net/loop.h
@@ -29,6 +29,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "net/held_bytes.h"
 #include "net/traffic.h"
 
 struct event;
@@ -65,6 +66,8 @@
   event_base* base() const { return base_; }
   // Bytes that the sockets of this loop have carried (net/traffic.h).
   Traffic& traffic() { return traffic_; }
+  // Bytes that the buffers of connections hold (net/held_bytes.h).
+  HeldBytes& held() { return held_; }
 
   // Runs `action` once, after `delay`.
   [[nodiscard]] std::unique_ptr<Timer> After(Duration delay,
@@ -89,6 +92,7 @@
 
   event_base* base_;
   Traffic traffic_;
+  HeldBytes held_;
   event* posted_event_;
   std::vector<std::function<void()>> posted_;
   std::vector<std::unique_ptr<SignalHandler>> signals_;
--- a/net/tcp_socket.cc
+++ b/net/tcp_socket.cc
@@ -2,12 +2,15 @@
 
 #include <event2/event.h>
 #include <event2/listener.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <utility>
@@ -20,6 +23,9 @@
 // Largest number of bytes of one read.
 constexpr std::size_t kReadBytes = 64 * 1024;
 
+// A drained buffer of up to this size is kept for the next bytes.
+constexpr std::size_t kKeptBuffer = 4 * 1024;
+
 void SetOption(int fd, int level, int name, int value) {
   setsockopt(fd, level, name, &value, sizeof value);
 }
@@ -29,6 +35,10 @@
   const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
       options.user_timeout);
   SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(ms.count()));
+  if (options.kernel_unsent > 0) {
+    SetOption(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+              static_cast<int>(options.kernel_unsent));
+  }
 }
 
 bool IsTransient(int error) {
@@ -92,6 +102,9 @@
   }
   close(fd_);
   fd_ = -1;
+  buffer_ = {};
+  buffer_sent_ = 0;
+  held_.Set(0);
 }
 
 void TcpSocket::ShutdownWrite() {
@@ -108,7 +121,8 @@
 
 void TcpSocket::OnReadable() {
   static std::array<char, kReadBytes> buf;
-  const ssize_t n = read(fd_, buf.data(), buf.size());
+  const ssize_t n =
+      read(fd_, buf.data(), std::min(buf.size(), loop_.held().max_read()));
   if (n > 0) {
     const auto keep = shared_from_this();
     loop_.traffic().bytes_in += static_cast<std::uint64_t>(n);
@@ -137,15 +151,25 @@
   const std::size_t sent = SendNow(rest);
   if (sent == 0 && !IsTransient(errno)) return Fail(SocketEnd::kReset);
   buffer_sent_ += sent;
-  if (buffer_sent_ < buffer_.size()) {
+  DropSent();
+  if (!buffer_.empty()) {
     event_add(write_event_, nullptr);
     return;
   }
-  buffer_.clear();
-  buffer_sent_ = 0;
   if (on_.drained) on_.drained();
 }
 
+// Removes the sent bytes of the buffer, and frees their memory, once they are
+// at least half of it. So each byte is moved once on average, and the buffer of
+// a peer that always lags a little doesn't grow.
+void TcpSocket::DropSent() {
+  if (buffer_sent_ < buffer_.size() - buffer_sent_) return;
+  buffer_.erase(0, buffer_sent_);
+  buffer_sent_ = 0;
+  if (buffer_.capacity() > kKeptBuffer) buffer_.shrink_to_fit();
+  held_.Set(HeapBytes(buffer_));
+}
+
 // Sends bytes and returns how many the kernel has accepted. Returns 0 if the
 // kernel accepts no byte; `errno` then has the reason. `Write` leaves errors to
 // `OnWritable`, so that `Write` never calls back its caller.
@@ -163,9 +187,19 @@
   if (connected_ && Unsent() == 0) bytes.remove_prefix(SendNow(bytes));
   if (bytes.empty()) return;
   buffer_.append(bytes);
+  held_.Set(HeapBytes(buffer_));
   if (connected_) event_add(write_event_, nullptr);
 }
 
+std::uint64_t TcpSocket::BytesAcknowledged() const {
+  int unacknowledged = 0;
+  if (fd_ < 0 || ioctl(fd_, SIOCOUTQ, &unacknowledged) != 0)
+    return bytes_accepted_;
+  // The end of the stream counts as an unacknowledged byte, too.
+  return bytes_accepted_ -
+         std::min(bytes_accepted_, static_cast<std::uint64_t>(unacknowledged));
+}
+
 bool TcpSocket::PeerHasClosed() const {
   if (fd_ < 0) return true;
   pollfd it{fd_, POLLRDHUP, 0};
--- a/net/tcp_socket.h
+++ b/net/tcp_socket.h
@@ -17,6 +17,7 @@
 // streamed token costs one read and one write (docs/design/token-path.md).
 // Bytes that the kernel doesn't accept are buffered, without a bound, and sent
 // later. Code that forwards a stream watches `Unsent` and pauses its source.
+// The memory of the buffer counts in the loop's `held` (net/held_bytes.h).
 //
 // `bytes_accepted` counts the bytes that the kernel has accepted. If the kernel
 // has accepted no byte of a request, the request can't have reached its target;
@@ -53,6 +54,11 @@
   // The connection ends if sent bytes stay unacknowledged, or opening takes,
   // longer than this. Connections to callers and to targets set other values.
   Duration user_timeout = std::chrono::milliseconds(2000);
+  // The kernel accepts no further bytes while this many wait unsent in its own
+  // buffer; 0 leaves that to the kernel, whose buffer grows to some megabytes.
+  // Sent but unacknowledged bytes don't count, so this doesn't slow down a peer
+  // that reads.
+  std::size_t kernel_unsent = 0;
 };
 
 class TcpSocket : public std::enable_shared_from_this<TcpSocket> {
@@ -108,14 +114,20 @@
   std::size_t Unsent() const { return buffer_.size() - buffer_sent_; }
   // Number of bytes that the kernel has accepted since the connection was made.
   std::uint64_t bytes_accepted() const { return bytes_accepted_; }
+  // Number of these that the peer's system has acknowledged: the progress of a
+  // slow peer in finer steps than `bytes_accepted`. Makes a system call.
+  std::uint64_t BytesAcknowledged() const;
+  // Memory of the buffered bytes.
+  std::size_t held() const { return held_.bytes(); }
 
  private:
-  TcpSocket(Loop& loop, int fd) : loop_(loop), fd_(fd) {}
+  TcpSocket(Loop& loop, int fd) : loop_(loop), fd_(fd), held_(loop.held()) {}
   void Start(bool connecting);
   void OnReadable();
   void OnWritable();
   void Fail(SocketEnd end);
   std::size_t SendNow(std::string_view bytes);
+  void DropSent();
 
   Loop& loop_;
   int fd_;
@@ -126,6 +138,7 @@
   // Bytes for the kernel, of which it has accepted the first `buffer_sent_`.
   std::string buffer_;
   std::size_t buffer_sent_ = 0;
+  HeldCount held_;
   std::uint64_t bytes_accepted_ = 0;
 };
 
--- a/relay/events.h
+++ b/relay/events.h
@@ -26,11 +26,14 @@
 #define QUAYTRACK_RELAY_EVENTS_H_
 
 #include <charconv>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 
+#include "net/held_bytes.h"
+
 namespace quaytrack {
 
 // Complete events, unchanged, without those that were forwarded before.
@@ -51,6 +54,8 @@
 
   // Whether part of an event has arrived.
   bool InEvent() const { return !partial_.empty(); }
+  // Memory of the incomplete event.
+  std::size_t held() const { return HeapBytes(partial_); }
   // Drops the incomplete event, when another target continues.
   void DropPartial() { partial_.clear(); }
   // The id of the last event that was returned; empty if events carry none.
@@ -59,6 +64,9 @@
   }
 
  private:
+  // Memory that is kept for the next incomplete event.
+  static constexpr std::size_t kKeptBytes = 4 * 1024;
+
   using EventId = std::optional<std::int64_t>;
 
   // The position of an event relative to the one with the id `last`.
@@ -114,6 +122,8 @@
     ++out.count;
   }
   partial_.erase(0, used);
+  // One large read would otherwise keep its memory until the stream ends.
+  if (partial_.capacity() > kKeptBytes) partial_.shrink_to_fit();
   last_id_ = last;
   return out;
 }
--- a/relay/final_answer.cc
+++ b/relay/final_answer.cc
@@ -59,12 +59,14 @@
     case RelayCause::kOutsideResidency:
     case RelayCause::kTurnedAway:
     case RelayCause::kCrashesTargets:
+    case RelayCause::kTargetsFull:
       return 503;
     case RelayCause::kTargetFailed:
       return 502;
     case RelayCause::kTimedOut:
       return ran == Ran::kNo ? 503 : 504;
     case RelayCause::kStopped:
+    case RelayCause::kMemoryFull:
       return ran == Ran::kNo ? 503 : 502;
     case RelayCause::kServed:
     case RelayCause::kTargetError:
@@ -82,6 +84,7 @@
     case RelayCause::kTargetsLimited:
     case RelayCause::kTurnedAway:
     case RelayCause::kTimedOut:
+    case RelayCause::kTargetsFull:
       return kRetryAfterTargetChange;
     case RelayCause::kNoConfiguration:
       return kRetryAfterConfiguration;
@@ -91,6 +94,7 @@
     case RelayCause::kOutsideResidency:
       return kRetryAfterOperatorChange;
     case RelayCause::kStopped:
+    case RelayCause::kMemoryFull:
       return kRetryAfterOtherRouter;
     case RelayCause::kCrashesTargets:
       return kCrashMemory;
--- a/relay/final_answer.h
+++ b/relay/final_answer.h
@@ -50,6 +50,8 @@
   kCallerGone,
   kStopped,         // a planned stop has no time left for it
   kCrashesTargets,  // relay/crash_watch.h
+  kMemoryFull,      // this router buffers too much; relay/memory_guard.h
+  kTargetsFull,     // at the bound of bytes that this router may have there
 };
 
 template <>
@@ -74,7 +76,9 @@
        {RelayCause::kStreamBroke, "stream_broke"},
        {RelayCause::kCallerGone, "caller_gone"},
        {RelayCause::kStopped, "stopped"},
-       {RelayCause::kCrashesTargets, "crashes_targets"}});
+       {RelayCause::kCrashesTargets, "crashes_targets"},
+       {RelayCause::kMemoryFull, "memory_full"},
+       {RelayCause::kTargetsFull, "targets_full"}});
 };
 
 struct FinalAnswer {
--- a/relay/relay_context.h
+++ b/relay/relay_context.h
@@ -26,6 +26,7 @@
 
 class BudgetDriver;
 class CrashWatch;
+class MemoryGuard;
 class RolloutDriver;
 
 // A prompt that was sent to an engine, as announced to peers.
@@ -52,6 +53,7 @@
   RolloutDriver& rollouts;
   RelayMetrics& metrics;
   const PlannedStop& stop;
+  MemoryGuard& memory;
   std::function<void(const SentPrompt& sent)> announce_prompt;
   // Called when a target's answer states that the target is leaving.
   std::function<void(const TargetEntry& target)> on_target_leaving;
--- a/relay/relay_metrics.cc
+++ b/relay/relay_metrics.cc
@@ -38,6 +38,11 @@
                   .Name("quaytrack_state")
                   .Help("What the router holds, by name")
                   .Register(registry_)),
+      memory_cuts_(
+          prometheus::BuildCounter()
+              .Name("quaytrack_memory_cuts_total")
+              .Help("Connections cut as buffers were at their bound, by rank")
+              .Register(registry_)),
       retries_(&prometheus::BuildCounter()
                     .Name("quaytrack_retries_total")
                     .Help("Requests sent to a second target")
@@ -77,6 +82,10 @@
   over_expected_->Observe(ToSeconds(took) * 1000 / expected_ms);
 }
 
+void RelayMetrics::CountMemoryCut(std::string_view rank) {
+  memory_cuts_.Add({{"rank", std::string(rank)}}).Increment();
+}
+
 void RelayMetrics::SetGauge(const std::string& name, double value) {
   gauges_.Add({{"name", name}}).Set(value);
 }
--- a/relay/relay_metrics.h
+++ b/relay/relay_metrics.h
@@ -11,6 +11,8 @@
 //                                  the time expected when its engine was chosen
 //   quaytrack_sends_held_back_total
 //                                  sends stopped before anything was written
+//   quaytrack_memory_cuts_total    connections cut as memory was full, by rank
+//                                  (dispatch/memory_pressure.h)
 //   quaytrack_state                gauges of the router, by name
 //
 //   metrics.CountEnd(customer, NameOf(cause), took);
@@ -50,6 +52,7 @@
   void ObserveFirstEvent(Duration took, double expected_ms);
   void CountRetry() { retries_->Increment(); }
   void CountHeldBack() { held_back_->Increment(); }
+  void CountMemoryCut(std::string_view rank);
   void SetGauge(const std::string& name, double value);
 
   // The text format that a scrape returns.
@@ -67,6 +70,7 @@
   prometheus::Family<prometheus::Histogram>& total_;
   prometheus::Histogram* over_expected_;
   prometheus::Family<prometheus::Gauge>& gauges_;
+  prometheus::Family<prometheus::Counter>& memory_cuts_;
   prometheus::Counter* retries_;
   prometheus::Counter* held_back_;
   std::set<CustomerName> labelled_;
--- a/relay/relay_options.h
+++ b/relay/relay_options.h
@@ -7,6 +7,7 @@
 #ifndef QUAYTRACK_RELAY_RELAY_OPTIONS_H_
 #define QUAYTRACK_RELAY_RELAY_OPTIONS_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <map>
@@ -53,6 +54,18 @@
   return {settings.exposure_share * kTrialShareOfExposure};
 }
 
+// Bytes of requests that all routers together may have at one target, whose
+// memory isn't known: eight of the largest bodies that callers may send by
+// default. Each router has an equal share, but at least `kMinTargetBytes`,
+// which is more than the 48 slots of an engine take at 4 KB a request.
+inline constexpr std::size_t kTargetBytes = 32 << 20;
+inline constexpr std::size_t kMinTargetBytes = 256 << 10;
+
+inline std::size_t TargetByteLimit(std::size_t routers) {
+  return std::max(kMinTargetBytes,
+                  kTargetBytes / std::max<std::size_t>(1, routers));
+}
+
 inline std::map<ServiceName, ColdRule> ColdRulesFrom(const ServiceMap& map) {
   std::map<ServiceName, ColdRule> out;
   for (const ServiceRule& it : map.services()) {
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -96,6 +96,7 @@
           .rollouts = rollouts_,
           .metrics = metrics_,
           .stop = stop_,
+          .memory = memory_,
           .announce_prompt =
               [this](const SentPrompt& it) { BroadcastPrompt(it); },
           .on_target_leaving =
@@ -104,6 +105,8 @@
       caller_server_(loop, clock),
       admin_server_(loop, clock),
       metrics_server_(loop, clock),
+      memory_({loop, clock, caller_server_, requests_, metrics_},
+              settings.memory_mb),
       stop_(loop, clock, charts.drain, PlannedStopTimesFrom(settings),
             StopHandlers()),
       link_(loop, clock, settings.link_mbps) {
@@ -167,6 +170,7 @@
     BroadcastRateLimits();
     CheckLink();
   });
+  memory_.Start();
   configs_.Start();
   fleet_.Start();
   budgets_.Start();
@@ -379,6 +383,7 @@
 void RelayRouter::OnFleetChanged() {
   const FleetDirectory& directory = fleet_.directory();
   retries_.SetRouters(directory.size());
+  if (memory_.on()) placement_.SetByteLimit(TargetByteLimit(directory.size()));
   peers_.KeepLinksTo(directory.MembersToLink());
   SetFeedRoles();
   if (!fleet_.settled()) return;
@@ -532,6 +537,8 @@
                     static_cast<double>(caller_server_.connections()));
   metrics_.SetGauge("peers_linked", static_cast<double>(peers_.peers()));
   metrics_.SetGauge("link_load", link_.load());
+  metrics_.SetGauge("held_bytes", static_cast<double>(memory_.held()));
+  metrics_.SetGauge("held_bytes_bound", static_cast<double>(memory_.bound()));
   metrics_.SetGauge("config_version", static_cast<double>(configs_.version()));
   metrics_.SetGauge("cold_targets",
                     static_cast<double>(placement_.cold(clock_.Now())));
--- a/relay/relay_router.h
+++ b/relay/relay_router.h
@@ -19,6 +19,7 @@
 //   the list of routers    relay/fleet_driver.h, fleet/fleet.h
 //   links to other routers relay/peer_mesh.h
 //   the VM's network link  relay/link_monitor.h, dispatch/link_watch.h
+//   memory of buffers      relay/memory_guard.h, dispatch/memory_pressure.h
 //   a planned stop         relay/planned_stop.h
 //
 // This class itself decides only readiness, which the balancer polls. A router
@@ -49,6 +50,7 @@
 #include "relay/crash_watch.h"
 #include "relay/fleet_driver.h"
 #include "relay/link_monitor.h"
+#include "relay/memory_guard.h"
 #include "relay/peer_mesh.h"
 #include "relay/planned_stop.h"
 #include "relay/relay_chart.h"
@@ -142,6 +144,7 @@
   CallerServer caller_server_;
   CallerServer admin_server_;
   CallerServer metrics_server_;
+  MemoryGuard memory_;
   PlannedStop stop_;
   LinkMonitor link_;
   std::unique_ptr<Timer> check_timer_;
--- a/relay/relay_settings.cc
+++ b/relay/relay_settings.cc
@@ -43,6 +43,8 @@
       "Megabits a second of this VM's network link; 0 if unknown");
   add("--cores", flags.cores,
       "Processors of this VM, may be a fraction; 0 if unknown");
+  add("--memory-mb", flags.memory_mb,
+      "Megabytes of memory of this VM; 0 if unknown");
   add("--cover-s", flags.cover_s,
       "Seconds of its own spending that a router keeps granted at least");
   AddCheckFlag(app, flags);
@@ -74,6 +76,7 @@
   }
   check.Range("--link-mbps", flags.link_mbps, 0.0, 1e6);
   check.Range("--cores", flags.cores, 0.0, 4096.0);
+  check.Range("--memory-mb", flags.memory_mb, 0.0, 1e8);
   check.Range("--cover-s", flags.cover_s, 0, 600);
   static_cast<RelayValues&>(out) = flags;
   static_cast<LogSettings&>(out) = CheckLog(flags, check);
--- a/relay/relay_settings.h
+++ b/relay/relay_settings.h
@@ -61,6 +61,9 @@
   // which may be a fraction; 0 if unknown.
   double link_mbps = 0;
   double cores = 0;
+  // The VM's memory in megabytes (10^6 bytes); 0 if unknown, and then what is
+  // buffered for callers and targets has no bound (dispatch/memory_pressure.h).
+  double memory_mb = 0;
 };
 
 // The flags as given, before they are checked.
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "relay/budget_driver.h"
+#include "relay/memory_guard.h"
 #include "relay/rollout_driver.h"
 
 namespace quaytrack {
@@ -13,9 +14,9 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-// Bytes that are buffered for a slow caller. Beyond this, reading from the
-// target stops until the buffer has drained.
-constexpr std::size_t kMaxUnsentBytes = 64 * 1024;
+// Interval of the checks whether a response that its caller leaves unread can
+// be read in full. A few times in MemoryPressure::kUnreadTime.
+constexpr Duration kUnreadCheck = milliseconds(250);
 
 // The mean pause between events is reported only from this many events on.
 constexpr int kMinEventsForMeanPause = 3;
@@ -33,7 +34,10 @@
       map_(std::move(map)),
       caller_(std::move(caller)),
       request_(std::move(request)),
-      machine_(context.chart) {}
+      machine_(context.chart),
+      held_bytes_(context.loop.held()) {
+  CountHeld();
+}
 
 void RelayedRequest::Start() {
   const auto self = shared_from_this();
@@ -44,7 +48,13 @@
       Admit({map_.get(), context_.caller_dialect, request_,
              draw(context_.random), context_.stop.LatestDeadline()},
             admission_);
+  if (context_.memory.on()) caller_->SetUser({customer().value, id().value});
   if (refused) return GiveUp(Ran::kNo, *refused);
+  if (request_.body_refused) {
+    context_.memory.LogRefused(id(), customer(), request_.refused_bytes);
+    return GiveUp(Ran::kNo, RelayCause::kMemoryFull);
+  }
+  admission_.placement.bytes = request_.body.size();
   deadline_timer_ = context_.loop.After(std::max(Left(), Duration::zero()),
                                         [this] { OnDeadline(); });
   if (IsBlamed()) return RefuseBlamed();
@@ -79,16 +89,24 @@
       caller_->EndStream();
       return End(Ran::kUnknown);
     case RelayAction::kAbortStream:
-      if (cause_ != RelayCause::kStopped) cause_ = RelayCause::kStreamBroke;
+      if (cause_ != RelayCause::kStopped && cause_ != RelayCause::kMemoryFull) {
+        cause_ = RelayCause::kStreamBroke;
+      }
       stream_cut_ = true;
-      caller_->Abort();
+      if (cause_ == RelayCause::kMemoryFull) {
+        caller_->Cut();
+      } else {
+        caller_->Abort();
+      }
       return End(Ran::kUnknown);
     case RelayAction::kRefuse:
       return AnswerCaller(Ran::kNo);
     case RelayAction::kFail:
       // Whatever ended the last attempt, a target that may have run the request
-      // counts as failed. Only kTimedOut and kStopped stay the cause.
-      if (cause_ != RelayCause::kTimedOut && cause_ != RelayCause::kStopped) {
+      // counts as failed. Only kTimedOut, kStopped and kMemoryFull stay the
+      // cause.
+      if (cause_ != RelayCause::kTimedOut && cause_ != RelayCause::kStopped &&
+          cause_ != RelayCause::kMemoryFull) {
         cause_ = RelayCause::kTargetFailed;
       }
       return AnswerCaller(Ran::kUnknown);
@@ -157,6 +175,7 @@
   const Instant now = context_.clock.Now();
   if (placement.HasCold(now, request)) return RelayCause::kTargetsCold;
   if (placement.HasLimited(now, request)) return RelayCause::kTargetsLimited;
+  if (placement.HasFullOfBytes(request)) return RelayCause::kTargetsFull;
   if (placement.IsClosedOff(request)) return RelayCause::kHallsClosed;
   return placement.IsOutsideResidency(request) ? RelayCause::kOutsideResidency
                                                : RelayCause::kNoTarget;
@@ -181,7 +200,9 @@
   // Reading was paused for the previous target; the new one is read until the
   // caller's buffer is full again.
   paused_ = false;
+  unread_timer_.reset();
   events_.DropPartial();
+  CountHeld();
 
   CallHandle::Handlers on;
   const auto self = shared_from_this();
@@ -289,7 +310,14 @@
                          answer_facts_.sealed)) {
     return ForwardEvents(bytes);
   }
+  // A call runs on without its caller: only its end matters.
+  if (machine_.state() == RelayState::kCallerLeft) return;
   body_.append(bytes);
+  CountHeld();
+}
+
+void RelayedRequest::CountHeld() {
+  held_bytes_.Set(HeapBytes(request_.body) + HeapBytes(body_) + events_.held());
 }
 
 // Forwards complete events. This runs for every chunk of a stream, so it does
@@ -297,6 +325,7 @@
 // chart.
 void RelayedRequest::ForwardEvents(std::string_view bytes) {
   const StreamEvents events = events_.Take(bytes);
+  CountHeld();
   if (events.out_of_order) {
     return EndAttempt(Ran::kUnknown, PlacementOutcome::kFailed);
   }
@@ -311,9 +340,10 @@
   progress_.events += events.count;
   attempt_events_ += static_cast<int>(events.count);
   caller_->WriteChunk(events.bytes);
-  if (!paused_ && caller_->Unsent() > kMaxUnsentBytes) {
-    paused_ = true;
-    call_->PauseReading();
+  const std::size_t unsent = caller_->Unsent();
+  if (!paused_ && unsent > 0 &&
+      unsent > context_.memory.UnsentLimit(read_in_full_)) {
+    PauseTarget();
   }
   // While reading is paused, a missing event says nothing about the target, so
   // the event timeout is off. Data that was read before the pause may still
@@ -323,6 +353,34 @@
   if (route.Repeatable()) SetAttemptTimer(NextEventTimeout(route));
 }
 
+void RelayedRequest::PauseTarget() {
+  paused_ = true;
+  paused_at_ = context_.clock.Now();
+  call_->PauseReading();
+  if (!context_.memory.on()) return;
+  unread_timer_ = context_.loop.Every(kUnreadCheck, [this] { OnUnread(); });
+}
+
+// A target cuts a response that is left unread for some seconds, so a response
+// that is paused for longer than that takes is read in full if memory allows.
+void RelayedRequest::OnUnread() {
+  const Duration paused = context_.clock.Now() - paused_at_;
+  if (paused < MemoryPressure::kUnreadTime) return;
+  if (!context_.memory.MayReadInFull()) return;
+  read_in_full_ = true;
+  ResumeTarget();
+}
+
+void RelayedRequest::ResumeTarget() {
+  paused_ = false;
+  unread_timer_.reset();
+  if (!call_) return;
+  call_->ResumeReading();
+  last_event_at_ = context_.clock.Now();
+  const RouteRule& route = *admission_.route;
+  if (route.Repeatable()) SetAttemptTimer(NextEventTimeout(route));
+}
+
 void RelayedRequest::OnFirstEvent() {
   first_event_at_ = context_.clock.Now();
   const Duration waited = context_.clock.Now() - sent_at_;
@@ -349,13 +407,8 @@
   caller_->StartStream(HeadForCaller(answer_));
   attempt_timer_.reset();
   caller_->OnDrained([self = shared_from_this()] {
-    if (!self->paused_) return;
-    self->paused_ = false;
-    if (!self->call_) return;
-    self->call_->ResumeReading();
-    self->last_event_at_ = self->context_.clock.Now();
-    const RouteRule& route = *self->admission_.route;
-    if (route.Repeatable()) self->SetAttemptTimer(NextEventTimeout(route));
+    self->read_in_full_ = false;
+    if (self->paused_) self->ResumeTarget();
   });
 }
 
@@ -442,10 +495,11 @@
   call_->Cancel();
   call_.reset();
   attempt_timer_.reset();
+  unread_timer_.reset();
   const TargetEntry& target = progress_.choice.target;
   if (context_.placement.IsListed(target)) {
     context_.placement.OnEnded(context_.clock.Now(), target.name, prefill_,
-                               outcome);
+                               outcome, admission_.placement.bytes);
   }
   prefill_ = 0;
 }
@@ -568,6 +622,17 @@
   GiveUp(ran, RelayCause::kStopped);
 }
 
+// Ends the request as EndForStop does: a stream is cut, and what the caller
+// read of it is charged.
+void RelayedRequest::EndForMemory() {
+  const auto self = shared_from_this();
+  if (machine_.state() == RelayState::kEnded) return;
+  LeaveHoldQueue();
+  const Ran ran = RanInAttempt();
+  StopAttempt(PlacementOutcome::kNeutral);
+  GiveUp(ran, RelayCause::kMemoryFull);
+}
+
 void RelayedRequest::LeaveHoldQueue() {
   if (machine_.state() != RelayState::kAwaitingHold) return;
   context_.budgets.Forget(shared_from_this());
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -36,6 +36,7 @@
 #ifndef QUAYTRACK_RELAY_RELAYED_REQUEST_H_
 #define QUAYTRACK_RELAY_RELAYED_REQUEST_H_
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -76,8 +77,20 @@
   // Ends the request when a planned stop has no more time for it. `left` is the
   // time until the process is killed.
   void EndForStop(Duration left);
+  // Ends the request because this router buffers too much.
+  void EndForMemory();
 
   Instant started_at() const { return request_.begun; }
+  bool IsRunning() const { return machine_.state() != RelayState::kEnded; }
+  const std::shared_ptr<CallerConnection>& caller() const { return caller_; }
+  // Memory of the request's body, and of what is buffered of its answer.
+  std::size_t held() const { return held_bytes_.bytes(); }
+  // A count that rises while the answer arrives.
+  std::uint64_t Moved() const {
+    return body_.size() + static_cast<std::uint64_t>(progress_.events);
+  }
+  // Whether the target isn't read, as the caller doesn't read.
+  bool IsPaused() const { return paused_; }
 
   const RequestId& id() const override { return admission_.facts.id; }
   const CustomerName& customer() const override { return admission_.customer; }
@@ -103,6 +116,10 @@
   void HandleTargetNotices();
   void OnBody(std::string_view bytes);
   void ForwardEvents(std::string_view bytes);
+  void PauseTarget();
+  void ResumeTarget();
+  void OnUnread();
+  void CountHeld();
   void OnFirstEvent();
   void OnLaterEvents(Instant now);
   void BeginStream();
@@ -166,6 +183,11 @@
   std::string body_;
   // The caller reads too slowly, so reading from the target is paused.
   bool paused_ = false;
+  Instant paused_at_{};
+  std::unique_ptr<Timer> unread_timer_;
+  // The caller reads too slowly, but its answer is read in full, so that the
+  // target doesn't cut it.
+  bool read_in_full_ = false;
   // Outcome of the attempt, as reported to the placement.
   PlacementOutcome outcome_ = PlacementOutcome::kNeutral;
 
@@ -173,6 +195,7 @@
   Fingerprint fingerprint_;
   EventReader events_;
   RequestProgress progress_;
+  HeldCount held_bytes_;
   // The caller received the start of a stream, but not its end.
   bool stream_cut_ = false;
   // Arrival of the first event of this attempt.
