--- a/http/caller_server.cc
+++ b/http/caller_server.cc
@@ -55,6 +55,8 @@
   const Instant now = clock_.Now();
   for (const auto& it : all) {
     if (it->phase_ != CallerConnection::Phase::kIdle) continue;
+    // Its next request may have been sent, and isn't read yet.
+    if (it->awaits_drain_) continue;
     if (!it->AwaitsFirstRequest(now)) it->CloseIdle();
   }
 }
@@ -65,7 +67,7 @@
   for (const auto& it : connections_) {
     const bool coming = it->phase_ == CallerConnection::Phase::kReading ||
                         it->handing_over_ || it->AwaitsFirstRequest(now);
-    if (coming || it->flushing_) ++out;
+    if (coming || it->flushing_ || it->awaits_drain_) ++out;
   }
   return out;
 }
--- a/relay/testing/final_answer_test.cc
+++ b/relay/testing/final_answer_test.cc
@@ -43,6 +43,12 @@
      "{\"error\":\"stopped\",\"ran\":\"no\"}\n"},
     {RelayCause::kStopped, Ran::kUnknown, 502, "",
      "{\"error\":\"stopped\",\"ran\":\"unknown\"}\n"},
+    {RelayCause::kMemoryFull, Ran::kNo, 503, "0.05",
+     "{\"error\":\"memory_full\",\"ran\":\"no\"}\n"},
+    {RelayCause::kMemoryFull, Ran::kUnknown, 502, "",
+     "{\"error\":\"memory_full\",\"ran\":\"unknown\"}\n"},
+    {RelayCause::kTargetsFull, Ran::kNo, 503, "0.20",
+     "{\"error\":\"targets_full\",\"ran\":\"no\"}\n"},
     {RelayCause::kTargetFailed, Ran::kUnknown, 502, "",
      "{\"error\":\"target_failed\",\"ran\":\"unknown\"}\n"},
 };
@@ -68,6 +74,7 @@
     if (it.value == RelayCause::kTargetFailed) continue;
     if (it.value == RelayCause::kTimedOut) continue;
     if (it.value == RelayCause::kStopped) continue;
+    if (it.value == RelayCause::kMemoryFull) continue;
     BOOST_TEST(FinalStatus(it.value, Ran::kNo) ==
                FinalStatus(it.value, Ran::kUnknown));
   }
--- a/testing/fleet.h
+++ b/testing/fleet.h
@@ -106,6 +106,10 @@
   int Command(std::vector<std::string> arguments, std::string* output);
   // The number of lines in the processes' logs that contain `text`.
   int LogCount(const std::string& text) const;
+  // The file with the log of a process that was started once.
+  std::string LogPath(const std::string& name) const {
+    return directory_ + "/" + name + ".log";
+  }
 
  protected:
   Loop& loop() { return loop_; }
