--- a/dispatch/memory_pressure.cc
+++ b/dispatch/memory_pressure.cc
@@ -65,8 +65,8 @@
 
 MemoryRank MemoryPressure::RankOf(const MemoryHolder& holder,
                                   Duration stalled) {
-  if (holder.awaits_target) return MemoryRank::kAwaitsTarget;
   if (stalled < kStallTime) return MemoryRank::kProgressing;
+  if (holder.awaits_target) return MemoryRank::kAwaitsTarget;
   const bool unread = holder.is_paused && stalled >= kUnreadTime;
   return unread ? MemoryRank::kUnread : MemoryRank::kStalled;
 }
--- a/dispatch/memory_pressure.h
+++ b/dispatch/memory_pressure.h
@@ -18,9 +18,9 @@
 // The order of cuts. A holder is what is buffered for one connection. The
 // holders are ranked (MemoryRank): an answer whose caller has left it unread
 // for kUnreadTime comes first, as its target would soon cut it anyway; then
-// other holders without progress for kStallTime; then requests that wait for
-// their target, which is not their callers' fault; then those that make
-// progress. Within a rank, the customer that holds the most gives first, and of
+// other holders without progress for kStallTime; then requests that have waited
+// for their target as long, which is not their callers' fault; then those that
+// make progress. Within a rank, the customer that holds the most gives first, and of
 // its holders the one with the most bytes times the time without progress. So a
 // caller that reads slowly but steadily keeps its answer while another rests,
 // and a customer that holds little keeps its connections while another fills
@@ -58,7 +58,7 @@
 enum class MemoryRank {
   kUnread,   // an answer that its caller has left unread for kUnreadTime
   kStalled,  // no progress for kStallTime
-  kAwaitsTarget,
+  kAwaitsTarget,  // no progress of its target for kStallTime
   kProgressing,
 };
 
--- a/dispatch/testing/memory_pressure_test.cc
+++ b/dispatch/testing/memory_pressure_test.cc
@@ -144,6 +144,17 @@
   BOOST_TEST(CutAt(1'160'000) == Ids{1}, boost::test_tools::per_element());
 }
 
+// Guards against cutting a stream between two of its events, which holds
+// little, before a caller that fills the memory.
+BOOST_FIXTURE_TEST_CASE(AStreamBetweenTwoEventsIsNotTakenForASlowTarget,
+                        Fixture) {
+  Add(1, "a", 1'150'000);
+  Add(2, "b", 3'000);
+  holders[1].awaits_target = true;
+  Wait(milliseconds(400));
+  BOOST_TEST(CutAt(1'160'000) == Ids{1}, boost::test_tools::per_element());
+}
+
 // Its target would cut it soon, so it is the least loss.
 BOOST_FIXTURE_TEST_CASE(AnAnswerThatWasLeftUnreadGoesFirst, Fixture) {
   Add(1, "a", 900'000);
