--- a/dispatch/memory_pressure.cc
+++ b/dispatch/memory_pressure.cc
@@ -93,7 +93,7 @@
     out.weight = static_cast<double>(it.held) *
                  (ToSeconds(out.cut.without_progress) + kMinSeconds);
     *out.sum += it.held;
-    all.push_back(std::move(out));
+    all.push_back(out);
   }
   // Each cut lowers what its customer holds, so the customers' turns alternate
   // once they hold the same.
--- a/relay/memory_guard.cc
+++ b/relay/memory_guard.cc
@@ -106,7 +106,7 @@
   });
   std::vector<Owner> out;
   const auto add = [&](const std::shared_ptr<CallerConnection>& caller,
-                       std::shared_ptr<RelayedRequest> request) {
+                       const std::shared_ptr<RelayedRequest>& request) {
     // The small buffer that an idle connection keeps is no reason to cut it. A
     // request that is about to start is listed when it has.
     if (!request && (caller->IsIdle() || caller->IsAnswering())) return;
@@ -122,17 +122,15 @@
       holder.awaits_target = !holder.is_paused && caller->Unsent() == 0;
     }
     holders.push_back(std::move(holder));
-    out.push_back({caller, std::move(request)});
+    out.push_back({caller, request});
   };
   parts_.callers.ForEach([&](const std::shared_ptr<CallerConnection>& it) {
     const auto found = running.find(it.get());
     if (found == running.end()) return add(it, nullptr);
-    add(it, std::move(found->second));
+    add(it, found->second);
     running.erase(found);
   });
-  for (auto& [caller, request] : running) {
-    add(request->caller(), std::move(request));
-  }
+  for (const auto& [caller, request] : running) add(request->caller(), request);
   return out;
 }
 
