--- a/http/target_connection.cc
+++ b/http/target_connection.cc
@@ -233,6 +233,10 @@
   out->connection_ = connection;
   connection->call = out;
   connection->complete = false;
+  if (receive_buffer_ > 0) {
+    connection->socket->LimitReceiveBuffer(receive_buffer_);
+    connection->reusable = false;
+  }
   connection->taken_before = connection->socket->bytes_accepted();
   if (connection->socket->connected()) {
     connection->socket->Write(call.bytes);
--- a/http/target_connection.h
+++ b/http/target_connection.h
@@ -115,6 +115,10 @@
   void OnUnexpectedEnd(std::function<void(const std::string& address)> action) {
     on_unexpected_end_ = std::move(action);
   }
+  // Limits the kernel's buffer of received bytes for the calls that start from
+  // now on; 0 for no limit. A paused answer fills that buffer. The connections
+  // of these calls aren't reused, as the limit can't be taken back.
+  void SetReceiveBuffer(std::size_t bytes) { receive_buffer_ = bytes; }
   // Number of connections opened so far.
   std::uint64_t opened() const { return opened_; }
 
@@ -136,6 +140,7 @@
   // its list and is reused first.
   std::map<std::string, std::vector<ConnectionPtr>> idle_;
   std::uint64_t opened_ = 0;
+  std::size_t receive_buffer_ = 0;
   std::function<void(const std::string&)> on_unexpected_end_ = [](const auto&) {
   };
   std::unique_ptr<Timer> sweep_;
--- a/net/tcp_socket.cc
+++ b/net/tcp_socket.cc
@@ -210,6 +210,10 @@
   if (read_event_ != nullptr) event_del(read_event_);
 }
 
+void TcpSocket::LimitReceiveBuffer(std::size_t bytes) {
+  if (fd_ >= 0) SetOption(fd_, SOL_SOCKET, SO_RCVBUF, static_cast<int>(bytes));
+}
+
 void TcpSocket::ResumeReading() {
   if (read_event_ != nullptr && connected_) event_add(read_event_, nullptr);
 }
--- a/net/tcp_socket.h
+++ b/net/tcp_socket.h
@@ -96,6 +96,9 @@
   // Stops and restarts reading, so that a slow consumer slows down the peer.
   void PauseReading();
   void ResumeReading();
+  // Sets the size of the kernel's buffer for received bytes, which otherwise
+  // grows as needed. There is no way back.
+  void LimitReceiveBuffer(std::size_t bytes);
   // Closes the connection without calling `ended`. With `reset`, the peer gets
   // an error instead of an end of the stream.
   void Close(bool reset = false);
--- a/relay/memory_guard.cc
+++ b/relay/memory_guard.cc
@@ -20,6 +20,11 @@
 // read in one turn of the loop then add 8 MB at most, instead of 64 MB.
 constexpr std::size_t kTightRead = 8 * 1024;
 
+// The kernel's buffer of received bytes for calls that start while memory is
+// tight. 1,000 paused answers then take some 16 MB there, instead of 64 MB or
+// more.
+constexpr std::size_t kTightReceiveBuffer = 8 * 1024;
+
 // Lines of one event in a second.
 constexpr int kMaxLines = 10;
 
@@ -76,6 +81,8 @@
   parts_.loop.held().SetMaxRead(pressure_.IsTight() ? kTightRead
                                                     : HeldBytes::kNever);
   if (!changed) return;
+  parts_.targets.SetReceiveBuffer(pressure_.IsTight() ? kTightReceiveBuffer
+                                                      : 0);
   LogEvent(Event::kMemoryState,
            {{"state", pressure_.IsTight() ? "tight" : "eased"},
             {"held", Text(held())},
--- a/relay/memory_guard.h
+++ b/relay/memory_guard.h
@@ -2,7 +2,8 @@
 // passes what is buffered to dispatch/memory_pressure.h, which decides, and
 // carries out the decisions.
 //
-//   MemoryGuard memory({loop, clock, callers, requests, metrics}, memory_mb);
+//   MemoryGuard memory({loop, clock, callers, targets, requests, metrics},
+//                      memory_mb);
 //   memory.Start();
 //   if (unsent > memory.UnsentLimit(false)) ...      // pause the target
 //
@@ -16,8 +17,8 @@
 //
 // Without a known size of the memory, nothing is bounded and no timer runs.
 //
-// Owns the decision's state and the alarm. Loop, server, requests and metrics
-// must outlive it. It fails only in that there may be nothing to cut; then
+// Owns the decision's state and the alarm. Its parts must
+// outlive it. It fails only in that there may be nothing to cut; then
 // `memory_state` and the gauges show what is held.
 
 #ifndef QUAYTRACK_RELAY_MEMORY_GUARD_H_
@@ -32,6 +33,7 @@
 #include "base/ids.h"
 #include "dispatch/memory_pressure.h"
 #include "http/caller_server.h"
+#include "http/target_connection.h"
 #include "net/loop.h"
 #include "relay/relay_metrics.h"
 #include "relay/running_requests.h"
@@ -44,6 +46,7 @@
     Loop& loop;
     const Clock& clock;
     CallerServer& callers;
+    TargetConnections& targets;
     const RunningRequests& requests;
     RelayMetrics& metrics;
   };
