--- a/dispatch/memory_pressure.h
+++ b/dispatch/memory_pressure.h
@@ -20,11 +20,11 @@
 // for kUnreadTime comes first, as its target would soon cut it anyway; then
 // other holders without progress for kStallTime; then requests that have waited
 // for their target as long, which is not their callers' fault; then those that
-// make progress. Within a rank, the customer that holds the most gives first, and of
-// its holders the one with the most bytes times the time without progress. So a
-// caller that reads slowly but steadily keeps its answer while another rests,
-// and a customer that holds little keeps its connections while another fills
-// the memory.
+// make progress. Within a rank, the customer that holds the most gives first,
+// and of its holders the one with the most bytes times the time without
+// progress. So a caller that reads slowly but steadily keeps its answer while
+// another rests, and a customer that holds little keeps its connections while
+// another fills the memory.
 //
 // Admission. A body may take 1 / kLargeBody of what is left below the bound, so
 // the size that is refused shrinks as memory fills, and small requests are
@@ -56,8 +56,8 @@
 
 // The order in which holders are cut.
 enum class MemoryRank {
-  kUnread,   // an answer that its caller has left unread for kUnreadTime
-  kStalled,  // no progress for kStallTime
+  kUnread,        // an answer that its caller has left unread for kUnreadTime
+  kStalled,       // no progress for kStallTime
   kAwaitsTarget,  // no progress of its target for kStallTime
   kProgressing,
 };
