--- a/prepaid/scarcity.h
+++ b/prepaid/scarcity.h
@@ -15,12 +15,14 @@
 //
 //   Reserve  The tokens within reach are no more than its protection level:
 //            the sum, over the more urgent classes, of the demand over the
-//            horizon, times the mean size of the request's class as a fraction
-//            of the mean size of the more urgent one, if that is less than 1.
-//            Where one urgent request takes the tokens of many less urgent
-//            ones, a full reserve would serve far fewer callers with the same
-//            tokens (docs/design/scarce-budgets.md has figures).
-//   Parity   The budget is scarce, and a larger part of its class's requests
+//            horizon. A class counts in full if its requests are no larger than
+//            this class's on average, not at all if they are twice as large or
+//            larger, and in proportion between. Where one urgent request takes
+//            the tokens of many less urgent ones, a full reserve would serve
+//            far fewer callers with the same tokens
+//            (docs/design/scarce-budgets.md has figures).
+//   Parity   The tokens within reach last the more urgent classes only a short
+//            time (`kContestTime`), and a larger part of this class's requests
 //            than of a more urgent class's was served lately.
 //
 // A class that received less than `kFloorShare` of the tokens held lately isn't
--- a/relay/hold_queue.h
+++ b/relay/hold_queue.h
@@ -12,9 +12,9 @@
 // request of the same urgency doesn't overtake one that waits, or large
 // requests would starve while small ones keep arriving. Once the first has left
 // or was refused, the next is held, if the grant allows it, at the next
-// `Expire`: at most 10 ms later
-// (`check_every`), while requests are refused after 160 ms. The ledger is given
-// the sum that waits, and sizes its next write by it.
+// `Expire`: at most 10 ms later (`check_every`), while requests are refused
+// after 160 ms. The ledger is given the sum that waits, and sizes its next
+// write by it.
 //
 // With a horizon for scarce budgets (prepaid/scarcity.h), a more urgent request
 // goes before the less urgent ones that wait, and a request that must leave the
--- a/relay/remote_holds.h
+++ b/relay/remote_holds.h
@@ -26,8 +26,7 @@
 //
 //   if (holds.Draw(now, id, customer, amount)) ...  // held, without a message
 //   holds.AskInAdvance(now, customer, holders);     // if one is needed
-//   holds.ReturnAdvances(now);                      // before this router
-//   leaves
+//   holds.ReturnAdvances(now);           // before this router leaves
 //
 // Nothing is drawn from an advance whose holder isn't linked. A holder of an
 // older build answers without the amount that it gave; it held all that was
