Log and count why an attempt at a target failed

attempt_ended didn't tell a refused connection from one that didn't open in time, a broken one, or a target that gave no answer, so that a router without links couldn't be told from targets that are ill. The line has the field fault now, and quaytrack_attempts_failed_total counts by it. relay_attempt_test checks the fault of each end.

--- a/relay/attempt.cc
+++ b/relay/attempt.cc
@@ -68,26 +68,32 @@
 
 AttemptResult EvaluateAttempt(const AttemptFacts& facts) {
   if (facts.end == CallEnd::kCancelledBeforeSend) {
-    return {false, Ran::kNo, PlacementOutcome::kNeutral};
+    return {false, Ran::kNo, PlacementOutcome::kNeutral,
+            AttemptFault::kHeldBack};
   }
   if (facts.end == CallEnd::kNotSent) {
-    return {false, Ran::kNo, PlacementOutcome::kFailed};
+    return {false, Ran::kNo, PlacementOutcome::kFailed,
+            AttemptFault::kNotOpened};
+  }
+  AttemptResult failed;
+  if (facts.end == CallEnd::kBroken) {
+    failed.fault = AttemptFault::kBroken;
+    return failed;
   }
-  const AttemptResult failed = {false, Ran::kUnknown,
-                                PlacementOutcome::kFailed};
-  if (facts.end == CallEnd::kBroken) return failed;
   if (facts.answer.not_run) {
-    return {false, Ran::kNo, PlacementOutcome::kRefused};
+    return {false, Ran::kNo, PlacementOutcome::kRefused,
+            AttemptFault::kTurnedAway};
   }
   if (!MayForward(facts.status, facts.answer.sealed)) return failed;
   if (facts.in_event) return failed;
   // A stream that has started can't end with another answer.
   if (facts.streaming && !IsSuccess(facts.status)) return failed;
   // An error may be the fault of the request rather than of the target.
-  const PlacementOutcome outcome = IsServerError(facts.status)
-                                       ? PlacementOutcome::kNeutral
-                                       : PlacementOutcome::kGood;
-  return {true, Ran::kUnknown, outcome};
+  if (IsServerError(facts.status)) {
+    return {true, Ran::kUnknown, PlacementOutcome::kNeutral,
+            AttemptFault::kServerError};
+  }
+  return {true, Ran::kUnknown, PlacementOutcome::kGood, AttemptFault::kNone};
 }
 
 }  // namespace quaytrack
--- a/relay/attempt.h
+++ b/relay/attempt.h
@@ -21,6 +21,7 @@
 #define QUAYTRACK_RELAY_ATTEMPT_H_
 
 #include "base/clock.h"
+#include "base/enum_table.h"
 #include "config/service_map.h"
 #include "dispatch/placement.h"
 #include "http/target_connection.h"
@@ -68,6 +69,34 @@
 // Returns the head that the caller receives: `head` without hop-by-hop headers.
 HttpHead HeadForCaller(const HttpHead& head);
 
+// How an attempt failed. Failures to open a connection point at the path to the
+// target; the others at the target, or at the path.
+enum class AttemptFault {
+  kNone,
+  kNotOpened,    // the connection was refused
+  kOpenTimeout,  // the connection didn't open in time
+  kBroken,       // the connection ended before the answer did
+  kTimeout,      // no answer, or no further event, in time
+  kServerError,  // the target answered with an error
+  kTurnedAway,   // the target states that it didn't run the request
+  kInvalid,      // an answer that can't be forwarded
+  kHeldBack,     // not sent, as the target may no longer receive work
+};
+
+template <>
+struct EnumTable<AttemptFault> {
+  static constexpr auto kEntries = std::to_array<EnumEntry<AttemptFault>>(
+      {{AttemptFault::kNone, "none"},
+       {AttemptFault::kNotOpened, "not_opened"},
+       {AttemptFault::kOpenTimeout, "open_timeout"},
+       {AttemptFault::kBroken, "broken"},
+       {AttemptFault::kTimeout, "timeout"},
+       {AttemptFault::kServerError, "server_error"},
+       {AttemptFault::kTurnedAway, "turned_away"},
+       {AttemptFault::kInvalid, "invalid"},
+       {AttemptFault::kHeldBack, "held_back"}});
+};
+
 // What is known when the connection reports the end of a call.
 struct AttemptFacts {
   CallEnd end = CallEnd::kNotSent;
@@ -86,6 +115,7 @@
   Ran ran = Ran::kUnknown;
   // What the placement records about the target.
   PlacementOutcome outcome = PlacementOutcome::kFailed;
+  AttemptFault fault = AttemptFault::kInvalid;
 };
 
 AttemptResult EvaluateAttempt(const AttemptFacts& facts);
--- a/relay/relay_metrics.cc
+++ b/relay/relay_metrics.cc
@@ -20,6 +20,10 @@
                 .Name("quaytrack_requests_total")
                 .Help("Requests ended, by cause")
                 .Register(registry_)),
+      attempt_faults_(prometheus::BuildCounter()
+                          .Name("quaytrack_attempts_failed_total")
+                          .Help("Attempts without an answer, by fault")
+                          .Register(registry_)),
       first_byte_(prometheus::BuildHistogram()
                       .Name("quaytrack_first_byte_seconds")
                       .Help("From a request's first byte to its first event")
@@ -64,6 +68,10 @@
       .Observe(ToSeconds(took));
 }
 
+void RelayMetrics::CountAttemptFault(std::string_view fault) {
+  attempt_faults_.Add({{"fault", std::string(fault)}}).Increment();
+}
+
 void RelayMetrics::ObserveFirstByte(const CustomerName& customer,
                                     RouteKind kind, Duration took) {
   first_byte_
--- a/relay/relay_metrics.h
+++ b/relay/relay_metrics.h
@@ -2,6 +2,9 @@
 // seconds.
 //
 //   quaytrack_requests_total       ends, by cause (relay/final_answer.h)
+//   quaytrack_attempts_failed_total
+//                                  attempts without an answer, by fault
+//                                  (relay/attempt.h)
 //   quaytrack_retries_total        sends of a request beyond its first
 //   quaytrack_first_byte_seconds   to the first event, by customer and kind of
 //                                  route
@@ -48,6 +51,7 @@
                         Duration took);
   // `expected_ms` must be greater than 0.
   void ObserveFirstEvent(Duration took, double expected_ms);
+  void CountAttemptFault(std::string_view fault);
   void CountRetry() { retries_->Increment(); }
   void CountHeldBack() { held_back_->Increment(); }
   void SetGauge(const std::string& name, double value);
@@ -63,6 +67,7 @@
 
   prometheus::Registry registry_;
   prometheus::Family<prometheus::Counter>& ends_;
+  prometheus::Family<prometheus::Counter>& attempt_faults_;
   prometheus::Family<prometheus::Histogram>& first_byte_;
   prometheus::Family<prometheus::Histogram>& total_;
   prometheus::Histogram* over_expected_;
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -234,7 +234,8 @@
   const auto self = shared_from_this();
   if (!call_) return;
   if (RanInAttempt() == Ran::kNo) {
-    return EndAttempt(Ran::kNo, PlacementOutcome::kFailed);
+    return EndAttempt(Ran::kNo, PlacementOutcome::kFailed,
+                      AttemptFault::kOpenTimeout);
   }
   // The connection has opened in time; the answer has its own timeout.
   const Duration waited = context_.clock.Now() - sent_at_;
@@ -247,7 +248,7 @@
   if (!TakeRetry(Ran::kUnknown)) return;
   ReportStopped();
   StopAttempt(PlacementOutcome::kFailed);
-  LogAttempt(Ran::kUnknown);
+  LogAttempt(Ran::kUnknown, AttemptFault::kTimeout);
   Retry(Ran::kUnknown);
 }
 
@@ -303,7 +304,8 @@
 void RelayedRequest::ForwardEvents(std::string_view bytes) {
   const StreamEvents events = events_.Take(bytes);
   if (events.out_of_order) {
-    return EndAttempt(Ran::kUnknown, PlacementOutcome::kFailed);
+    return EndAttempt(Ran::kUnknown, PlacementOutcome::kFailed,
+                      AttemptFault::kInvalid);
   }
   if (events.bytes.empty()) return;
   const Instant now = context_.clock.Now();
@@ -376,7 +378,7 @@
   if (end == CallEnd::kBroken) ReportLost();
   const bool error = IsServerError(answer_.status);
   if (!result.answered || (error && MaySendAgain(FactsForRetry(result.ran)))) {
-    return EndAttempt(result.ran, result.outcome);
+    return EndAttempt(result.ran, result.outcome, result.fault);
   }
   outcome_ = result.outcome;
   cause_ = IsSuccess(answer_.status) ? RelayCause::kServed
@@ -487,10 +489,11 @@
 // Called when the attempt has failed, by its timeout or at its target. A
 // deadline and a caller that leaves end the whole request instead, and log no
 // line about the attempt.
-void RelayedRequest::EndAttempt(Ran ran, PlacementOutcome outcome) {
+void RelayedRequest::EndAttempt(Ran ran, PlacementOutcome outcome,
+                                AttemptFault fault) {
   const auto self = shared_from_this();
   StopAttempt(outcome);
-  LogAttempt(ran);
+  LogAttempt(ran, fault);
   if (machine_.state() == RelayState::kCallerLeft) {
     return GiveUp(ran, RelayCause::kCallerGone);
   }
@@ -525,9 +528,11 @@
                         : RelayEvent::kRetryMayHaveRun);
 }
 
-void RelayedRequest::LogAttempt(Ran ran) {
+void RelayedRequest::LogAttempt(Ran ran, AttemptFault fault) {
+  context_.metrics.CountAttemptFault(NameOf(fault));
   AttemptEnd end;
   end.ran = ran;
+  end.fault = fault;
   end.now = context_.clock.Now();
   end.took = end.now - sent_at_;
   if (ran != Ran::kNo) end.fingerprint = fingerprint();
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -119,11 +119,11 @@
   void StopAttempt(PlacementOutcome outcome);
   void ReportAnswer(PlacementOutcome outcome) const;
   double FirstOverExpected() const;
-  void EndAttempt(Ran ran, PlacementOutcome outcome);
+  void EndAttempt(Ran ran, PlacementOutcome outcome, AttemptFault fault);
   RetryFacts FactsForRetry(Ran ran);
   bool TakeRetry(Ran ran);
   void Retry(Ran ran);
-  void LogAttempt(Ran ran);
+  void LogAttempt(Ran ran, AttemptFault fault);
   const Fingerprint& fingerprint();
 
   void OnDeadline();
--- a/relay/request_log.h
+++ b/relay/request_log.h
@@ -21,6 +21,7 @@
 #include "dispatch/placement.h"
 #include "dispatch/rate_limits.h"
 #include "relay/admission.h"
+#include "relay/attempt.h"
 #include "relay/final_answer.h"
 #include "relay/ran.h"
 #include "relay/relay_chart.h"
@@ -63,6 +64,7 @@
 // An attempt that has ended.
 struct AttemptEnd {
   Ran ran = Ran::kUnknown;
+  AttemptFault fault = AttemptFault::kNone;
   Instant now{};
   // Time from the send to the end of the attempt.
   Duration took{};
--- a/relay/testing/attempt_test.cc
+++ b/relay/testing/attempt_test.cc
@@ -106,6 +106,7 @@
   bool answered;
   Ran ran;
   PlacementOutcome outcome;
+  AttemptFault fault;
 };
 
 AttemptFacts Facts(CallEnd end, int status, bool sealed = true) {
@@ -136,32 +137,32 @@
 
 const EndCase kEndCases[] = {
     {"not sent", Facts(CallEnd::kNotSent, 0, false), false, Ran::kNo,
-     PlacementOutcome::kFailed},
+     PlacementOutcome::kFailed, AttemptFault::kNotOpened},
     {"held back", Facts(CallEnd::kCancelledBeforeSend, 0, false), false,
-     Ran::kNo, PlacementOutcome::kNeutral},
+     Ran::kNo, PlacementOutcome::kNeutral, AttemptFault::kHeldBack},
     {"broken before an answer", Facts(CallEnd::kBroken, 0, false), false,
-     Ran::kUnknown, PlacementOutcome::kFailed},
+     Ran::kUnknown, PlacementOutcome::kFailed, AttemptFault::kBroken},
     {"broken within an answer", Facts(CallEnd::kBroken, 200), false,
-     Ran::kUnknown, PlacementOutcome::kFailed},
+     Ran::kUnknown, PlacementOutcome::kFailed, AttemptFault::kBroken},
     // The statement that nothing has run must be complete as well.
     {"broken within a refusal", NotRun(CallEnd::kBroken), false, Ran::kUnknown,
-     PlacementOutcome::kFailed},
+     PlacementOutcome::kFailed, AttemptFault::kBroken},
     {"turned away", NotRun(CallEnd::kComplete), false, Ran::kNo,
-     PlacementOutcome::kRefused},
+     PlacementOutcome::kRefused, AttemptFault::kTurnedAway},
     {"without a seal", Facts(CallEnd::kComplete, 200, false), false,
-     Ran::kUnknown, PlacementOutcome::kFailed},
+     Ran::kUnknown, PlacementOutcome::kFailed, AttemptFault::kInvalid},
     {"ended within an event", InEvent(), false, Ran::kUnknown,
-     PlacementOutcome::kFailed},
+     PlacementOutcome::kFailed, AttemptFault::kInvalid},
     {"an error in a stream", Streaming(500), false, Ran::kUnknown,
-     PlacementOutcome::kFailed},
+     PlacementOutcome::kFailed, AttemptFault::kInvalid},
     {"the end of a stream", Streaming(200), true, Ran::kUnknown,
-     PlacementOutcome::kGood},
+     PlacementOutcome::kGood, AttemptFault::kNone},
     {"a complete answer", Facts(CallEnd::kComplete, 200), true, Ran::kUnknown,
-     PlacementOutcome::kGood},
+     PlacementOutcome::kGood, AttemptFault::kNone},
     {"a client error", Facts(CallEnd::kComplete, 404, false), true,
-     Ran::kUnknown, PlacementOutcome::kGood},
+     Ran::kUnknown, PlacementOutcome::kGood, AttemptFault::kNone},
     {"a server error", Facts(CallEnd::kComplete, 500, false), true,
-     Ran::kUnknown, PlacementOutcome::kNeutral},
+     Ran::kUnknown, PlacementOutcome::kNeutral, AttemptFault::kServerError},
 };
 
 BOOST_AUTO_TEST_CASE(EachEndHasItsMeaning) {
@@ -171,6 +172,7 @@
       BOOST_TEST(result.answered == it.answered);
       BOOST_TEST(NameOf(result.ran) == NameOf(it.ran));
       BOOST_TEST((result.outcome == it.outcome));
+      BOOST_TEST(NameOf(result.fault) == NameOf(it.fault));
     }
   }
 }
