--- a/cli/relay_command.cc
+++ b/cli/relay_command.cc
@@ -9,13 +9,12 @@
 #include "cli/commands.h"
 #include "cli/exit_codes.h"
 #include "cli/run_process.h"
+#include "cli/serve_relay.h"
 #include "http/target_connection.h"
 #include "net/loop.h"
 #include "platform/dialects.h"
 #include "platform/platform_store.h"
-#include "relay/relay_chart.h"
 #include "relay/relay_router.h"
-#include "relay/relay_settings.h"
 
 namespace quaytrack {
 namespace {
@@ -26,13 +25,16 @@
     "\\\n"
     "      --listen 10.0.0.7:8080 --admin-listen 10.0.0.7:8081\n";
 
-int Serve(const RelaySettings& settings, const RelayCharts& charts) {
+}  // namespace
+
+int ServeRelay(const RelaySettings& settings, const RelayCharts& charts,
+               const Dialer& dial_target) {
   const SystemClock clock;
   const platform::PlatformCallers callers;
   const platform::PlatformTargets targets;
   const platform::PlatformState state;
   Loop loop;
-  TargetConnections connections(loop, clock);
+  TargetConnections connections(loop, clock, dial_target);
   platform::PlatformStore store(loop, connections, {settings.store});
   RelayRouter router(loop, clock, settings, {callers, targets, state},
                      connections, store, charts);
@@ -47,8 +49,6 @@
   return kExitOk;
 }
 
-}  // namespace
-
 void AddRelayCommand(CLI::App& app, int& exit_code) {
   CLI::App* command = app.add_subcommand(
       "relay", "Run the relay, the router on the platform's interface");
@@ -56,8 +56,11 @@
   auto flags = std::make_shared<RelayFlags>();
   AddRelayFlags(*command, *flags);
   command->callback([flags, &exit_code] {
-    exit_code = RunProcess<RelaySettings>(*flags, CheckRelaySettings,
-                                          BindRelayCharts, Serve);
+    exit_code = RunProcess<RelaySettings>(
+        *flags, CheckRelaySettings, BindRelayCharts,
+        [](const RelaySettings& settings, const RelayCharts& charts) {
+          return ServeRelay(settings, charts, TcpSocket::Connect);
+        });
   });
 }
 
--- a/http/target_connection.cc
+++ b/http/target_connection.cc
@@ -172,9 +172,11 @@
   return connection_ && !connection_->socket->connected();
 }
 
-TargetConnections::TargetConnections(Loop& loop, const Clock& clock)
+TargetConnections::TargetConnections(Loop& loop, const Clock& clock,
+                                     Dialer dial)
     : loop_(loop),
       clock_(clock),
+      dial_(std::move(dial)),
       sweep_(loop.Every(kSweepEvery, [this] { Sweep(); })) {}
 
 TargetConnections::~TargetConnections() {
@@ -209,7 +211,7 @@
   };
   TcpOptions options;
   options.user_timeout = kUserTimeout;
-  out->socket = TcpSocket::Connect(loop_, address, options, std::move(on));
+  out->socket = dial_(loop_, address, options, std::move(on));
   ++opened_;
   return out->socket ? out : nullptr;
 }
--- a/http/target_connection.h
+++ b/http/target_connection.h
@@ -100,7 +100,8 @@
 
 class TargetConnections {
  public:
-  TargetConnections(Loop& loop, const Clock& clock);
+  TargetConnections(Loop& loop, const Clock& clock,
+                    Dialer dial = TcpSocket::Connect);
   ~TargetConnections();
   TargetConnections(const TargetConnections&) = delete;
   TargetConnections& operator=(const TargetConnections&) = delete;
@@ -132,6 +133,7 @@
 
   Loop& loop_;
   const Clock& clock_;
+  Dialer dial_;
   // Idle connections by address. The most recently used one is at the end of
   // its list and is reused first.
   std::map<std::string, std::vector<ConnectionPtr>> idle_;
--- a/net/tcp_socket.h
+++ b/net/tcp_socket.h
@@ -104,6 +104,9 @@
   // even if bytes from before that are still unread. Makes a system call.
   bool PeerHasClosed() const;
 
+  // The descriptor, for its options; -1 once the connection has ended.
+  int fd() const { return fd_; }
+
   // Number of written bytes that the kernel has not accepted.
   std::size_t Unsent() const { return buffer_.size() - buffer_sent_; }
   // Number of bytes that the kernel has accepted since the connection was made.
@@ -129,6 +132,12 @@
   std::uint64_t bytes_accepted_ = 0;
 };
 
+// Opens connections as `TcpSocket::Connect` does. Tests pass others, which
+// make links fail.
+using Dialer = std::function<std::shared_ptr<TcpSocket>(
+    Loop& loop, const std::string& address, const TcpOptions& options,
+    TcpSocket::Handlers handlers)>;
+
 // Accepts connections at "host:port". Destroying the listener stops listening;
 // accepted connections stay open.
 class TcpListener {
--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -125,8 +125,9 @@
 }
 
 bool Fleet::SpawnRouter(int n, std::vector<std::string> arguments,
-                        const std::vector<std::string>& more) {
-  arguments.insert(arguments.begin(), BinaryPath("quaytrack"));
+                        const std::vector<std::string>& more,
+                        const std::string& binary) {
+  arguments.insert(arguments.begin(), BinaryPath(binary));
   arguments.insert(arguments.end(), more.begin(), more.end());
   return Spawn(RouterName(n), "router", std::move(arguments));
 }
--- a/testing/fleet.h
+++ b/testing/fleet.h
@@ -117,9 +117,11 @@
   // Starts the stand-in that `kind` names in testing/standins_main.cc.
   bool SpawnStandin(const std::string& name, const std::string& kind,
                     const std::vector<std::string>& more);
-  // Starts quaytrack as router `n`, with `arguments` and `more`.
+  // Starts `binary`, quaytrack or one that takes its arguments, as router `n`,
+  // with `arguments` and `more`.
   bool SpawnRouter(int n, std::vector<std::string> arguments,
-                   const std::vector<std::string>& more);
+                   const std::vector<std::string>& more,
+                   const std::string& binary = "quaytrack");
   // Whether a router reports at its admin address that it is ready.
   bool RouterReady(int n, const std::string& ready_path);
   // The address of the fault proxy "<upstream>-proxy-<n>", which only router
