Take a refused connection as a target's end only if the links work

A router whose links to all targets are cut is refused by every target. Each request that it had running there was reported as having crashed its target, to the store and to all routers; three reports make all routers refuse the request for an hour.

An end shown by a connection now counts only if this router's links have carried something since the loss. Until then it is kept, and reported as soon as they have; the list of targets shows an end in any case. ARouterWithoutLinksBlamesNobody guards it.

--- a/relay/crash_watch.cc
+++ b/relay/crash_watch.cc
@@ -151,6 +151,7 @@
   if (!Remember(attempt) || probes_.contains(attempt.target.start)) return;
   auto probe = std::make_shared<Probe>();
   probe->target = attempt.target;
+  probe->lost_at = context_.clock.Now();
   probes_[attempt.target.start] = probe;
   StartProbe(probe);
 }
@@ -186,7 +187,8 @@
   // destroyed later.
   context_.loop.Post(
       [probe, timer = std::shared_ptr<Timer>(std::move(probe->timer))] {});
-  if (ended) {
+  probe->seems_ended = ended;
+  if (ended && LinksWork(*probe)) {
     probes_.erase(probe->target.start);
     return OnEnded(probe->target.start);
   }
@@ -204,6 +206,22 @@
       });
 }
 
+void CrashWatch::OnLinksWork() {
+  std::vector<ProbePtr> ended;
+  for (const auto& [target, probe] : probes_) {
+    if (probe->seems_ended && LinksWork(*probe)) ended.push_back(probe);
+  }
+  for (const ProbePtr& it : ended) {
+    probes_.erase(it->target.start);
+    OnEnded(it->target.start);
+  }
+}
+
+bool CrashWatch::LinksWork(const Probe& probe) const {
+  return !on_.links_work_since ||
+         on_.links_work_since(probe.target, probe.lost_at);
+}
+
 void CrashWatch::Report(const LostAttempt& attempt) {
   const WallTime now = context_.clock.WallNow();
   const CrashReport report{attempt.request, attempt.target.start, now,
--- a/relay/crash_watch.h
+++ b/relay/crash_watch.h
@@ -23,7 +23,9 @@
 // request that has run past its start phase at any target.
 //
 // Detecting the end. A target has ended if a connection to it is refused or
-// doesn't open, or if the list of targets shows its name with another start,
+// doesn't open although this router's links to targets have worked since the
+// loss (else all targets would seem to end when a router is cut off), or if the
+// list of targets shows its name with another start,
 // that is, with a later run of its process (TargetStart), or lacks its entry
 // without an announcement that it leaves. Several connections are attempted
 // (`kProbeDelays`), since a port may stay open for a while after its target has
@@ -92,6 +94,10 @@
     // Whether a target may receive work: it is listed with the start of the
     // given entry, and nothing keeps work from it (`Placement::IsOpenToWork`).
     std::function<bool(const TargetEntry&)> is_open_to_work;
+    // Whether this router's links to targets have worked after a time; if not,
+    // they are checked, and `OnLinksWork` is called if they do. Without this
+    // handler, they always have.
+    std::function<bool(const TargetEntry&, Instant)> links_work_since = {};
     // The feed's links to the fleet; unused in a small fleet.
     FeedLinks feed = {};
   };
@@ -139,6 +145,8 @@
   // Called when the list of targets shows that a run of a target's process has
   // ended, and not as planned.
   void OnEnded(const TargetStart& target);
+  // Called when this router's links to targets have been found to work.
+  void OnLinksWork();
   // Called when a request ran to its end at a target, or past its start phase.
   void OnRan(const Fingerprint& request);
   // Called when the store has come back in a later era (kv/store.h), and may
@@ -168,6 +176,10 @@
   // A target that is being probed.
   struct Probe {
     TargetEntry target;
+    Instant lost_at{};
+    // The target seems to have ended, but so it would if this router were cut
+    // off.
+    bool seems_ended = false;
     // Index in `kProbeDelays` of the present or next connection attempt.
     std::size_t step = 0;
     std::shared_ptr<TcpSocket> socket;
@@ -188,6 +200,7 @@
   void ForgetRemembered();
   void StartProbe(const ProbePtr& probe);
   void EndProbe(const ProbePtr& probe, bool ended);
+  bool LinksWork(const Probe& probe) const;
   void Report(const LostAttempt& attempt);
   void Publish(const CrashReports& reports);
   void TrimLocalReports();
--- a/relay/testing/crash_watch_test.cc
+++ b/relay/testing/crash_watch_test.cc
@@ -54,6 +54,10 @@
       return at != listed.end() && !at->second.leaving &&
              at->second.start == it.start;
     };
+    out.links_work_since = [this](const TargetEntry&, Instant) {
+      ++link_checks;
+      return links_work;
+    };
     return out;
   }
 
@@ -104,6 +108,8 @@
   std::string dead;
   std::map<TargetName, TargetEntry> listed;
   std::vector<PeerMessage> sent;
+  bool links_work = true;
+  int link_checks = 0;
   CrashWatch watch;
 };
 
@@ -117,6 +123,28 @@
   BOOST_TEST(store.last_write.conditions.at(0).revision == 0);
 }
 
+// Guards against routers that are cut off from all targets and blame the
+// requests that were running there.
+BOOST_FIXTURE_TEST_CASE(ARouterWithoutLinksBlamesNobody, Fixture) {
+  links_work = false;
+  Lose(Target(1, dead));
+  BOOST_REQUIRE(Await([&] { return link_checks == 3; }));
+  BOOST_TEST(sent.empty());
+  BOOST_TEST(watch.blame().Crashes(kRequest) == 0U);
+  // The list of targets still shows the end.
+  watch.OnEnded(TargetStart("t-1@1"));
+  BOOST_TEST(Reported(1));
+}
+
+BOOST_FIXTURE_TEST_CASE(AnEndIsReportedOnceTheLinksAreKnownToWork, Fixture) {
+  links_work = false;
+  Lose(Target(1, dead));
+  BOOST_REQUIRE(Await([&] { return link_checks == 1; }));
+  links_work = true;
+  watch.OnLinksWork();
+  BOOST_TEST(watch.blame().Crashes(kRequest) == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(ATargetThatLivesSpeaksAgainstNobody, Fixture) {
   Lose(Target(1, alive));
   RunFor(loop, kWriteTime);
