--- a/base/events.h
+++ b/base/events.h
@@ -55,6 +55,8 @@
   kFeedNewsRefused = 1114,
   kStoreEra = 1115,
   kReadingOlder = 1116,
+  kTargetLinksLost = 1117,
+  kTargetLinksBack = 1118,
   // 12xx: bundles, configurations, store items that can't be read.
   kBundleTaken = 1201,
   kBundleRefused = 1202,
@@ -145,6 +147,8 @@
     {Event::kFeedNewsRefused, LogLevel::kWarn, "feed_news_refused"},
     {Event::kStoreEra, LogLevel::kWarn, "store_era"},
     {Event::kReadingOlder, LogLevel::kWarn, "reading_older"},
+    {Event::kTargetLinksLost, LogLevel::kWarn, "target_links_lost"},
+    {Event::kTargetLinksBack, LogLevel::kInfo, "target_links_back"},
     {Event::kBundleTaken, LogLevel::kInfo, "bundle_taken"},
     {Event::kBundleRefused, LogLevel::kWarn, "bundle_refused"},
     {Event::kConfigTaken, LogLevel::kInfo, "config_taken"},
--- a/chart/embedded.cc
+++ b/chart/embedded.cc
@@ -203,6 +203,33 @@
 }
 )chart";
 
+const char kReachChart[] = R"chart({
+  "name": "reach",
+  "initial": "direct",
+  "final": ["direct", "lost", "ill"],
+  "states": {
+    "direct": {
+      "on": {"none_opened": {"to": "lost", "do": "use_tunnels"}},
+      "ignore": ["opened", "peers_fail_too", "peers_due"]
+    },
+    "lost": {
+      "on": {
+        "opened": {"to": "direct", "do": "use_links"},
+        "peers_fail_too": {"to": "ill", "do": "leave_peers"}
+      },
+      "ignore": ["none_opened", "peers_due"]
+    },
+    "ill": {
+      "on": {
+        "opened": {"to": "direct", "do": "use_links"},
+        "peers_due": {"to": "lost", "do": "use_tunnels"}
+      },
+      "ignore": ["none_opened", "peers_fail_too"]
+    }
+  }
+}
+)chart";
+
 const char kRelayChart[] = R"chart({
   "name": "relay",
   "initial": "admitting",
--- a/chart/embedded.h
+++ b/chart/embedded.h
@@ -16,6 +16,7 @@
 extern const char kDrainChart[];
 extern const char kFeedChart[];
 extern const char kForwardChart[];
+extern const char kReachChart[];
 extern const char kRelayChart[];
 extern const char kRolloutChart[];
 
--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -648,4 +648,12 @@
   state.health.Record(now, outcome != PlacementOutcome::kGood);
 }
 
+void Placement::ForgetFailures(const ServiceName& service) {
+  for (auto& [name, state] : targets_) {
+    if (state.entry.service != service) continue;
+    state.health = OutlierEjection();
+    state.warmth.ForgetLost();
+  }
+}
+
 }  // namespace quaytrack
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -269,6 +269,10 @@
   void OnEnded(Instant now, const TargetName& name, Tokens prefill,
                PlacementOutcome outcome);
 
+  // Forgets failures of the service's targets, and that these may have
+  // restarted. Called when this router's links were found to be the cause.
+  void ForgetFailures(const ServiceName& service);
+
   // Notes that a peer sent the target a prompt of which `prefill` tokens are
   // not cached.
   void OnPeerSent(Instant now, const TargetName& name, Tokens prefill);
--- /dev/null
+++ b/dispatch/target_reach.cc
@@ -0,0 +1,181 @@
+#include "dispatch/target_reach.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace quaytrack {
+
+void TargetReach::SetTargets(std::vector<TargetName> targets) {
+  targets_ = std::move(targets);
+  const auto is_gone = [this](const TargetName& it) {
+    return std::find(targets_.begin(), targets_.end(), it) == targets_.end();
+  };
+  std::erase_if(open_failures_,
+                [&](const auto& it) { return is_gone(it.first); });
+  std::erase_if(unanswered_, [&](const auto& it) { return is_gone(it.first); });
+  for (auto& [peer, failed] : peer_failures_) std::erase_if(failed, is_gone);
+}
+
+// --- Evidence ----------------------------------------------------------------
+
+void TargetReach::OnSent(Instant now, const TargetName& target) {
+  unanswered_.try_emplace(target, now);
+}
+
+void TargetReach::OnHeard(Instant now, const TargetName& target) {
+  heard_at_ = now;
+  if (!unanswered_.empty()) unanswered_.erase(target);
+}
+
+// A connection that opens shows that the links work, but not that requests on
+// older connections will be answered.
+void TargetReach::OnOpened(Instant now, const TargetName& target) {
+  heard_at_ = now;
+  open_failures_.clear();
+  unanswered_.erase(target);
+}
+
+void TargetReach::OnOpenFailed(Instant now, const TargetName& target) {
+  open_failures_[target] = now;
+}
+
+void TargetReach::OnProbe(Instant now, const TargetName& target, bool opened) {
+  if (opened) OnOpened(now, target);
+  if (!round_) return;
+  const auto it = round_->results.find(target);
+  if (it == round_->results.end() || it->second) return;
+  it->second = opened;
+  ++round_->ended;
+  if (opened) ++round_->opened;
+}
+
+bool TargetReach::OnPeerTried(const VmName& peer, const TargetName& target,
+                              bool reached) {
+  if (reached) {
+    peer_failures_.clear();
+    return false;
+  }
+  auto& failed = peer_failures_[peer];
+  failed.insert(target);
+  return failed.size() >= SuspectsNeeded();
+}
+
+void TargetReach::ForgetEvidence() {
+  open_failures_.clear();
+  unanswered_.clear();
+  peer_failures_.clear();
+}
+
+void TargetReach::ExpireEvidence(Instant now) {
+  const auto is_old = [now](const auto& it) {
+    return now - it.second > kEvidenceTime;
+  };
+  std::erase_if(open_failures_, is_old);
+  std::erase_if(unanswered_, is_old);
+}
+
+// --- Decisions ---------------------------------------------------------------
+
+ReachStep TargetReach::Check(Instant now) {
+  ReachStep out;
+  ExpireEvidence(now);
+  if (round_) {
+    const bool is_over = round_->ended == round_->results.size() ||
+                         now - round_->started_at >= kProbeTimeout;
+    if (!is_over) return out;
+    if (const auto event = EndRound()) out.action = Apply(now, *event);
+  }
+  if (const auto event = EventOfPeers(now)) {
+    const ReachAction action = Apply(now, *event);
+    if (action != ReachAction::kNone) out.action = action;
+  }
+  if (IsRoundDue(now)) out.probes = StartRound(now);
+  return out;
+}
+
+ReachAction TargetReach::Apply(Instant now, ReachEvent event) {
+  const ReachAction out = machine_.Apply(event);
+  if (out == ReachAction::kNone) return out;
+  changed_at_ = now;
+  some_opened_ = false;
+  ForgetEvidence();
+  return out;
+}
+
+std::optional<ReachEvent> TargetReach::EndRound() {
+  const Round round = *std::exchange(round_, std::nullopt);
+  const bool some = round.opened > 0;
+  const bool most = round.opened * 2 > round.results.size();
+  const bool before = std::exchange(some_opened_, some);
+  if (!some) return ReachEvent::kNoneOpened;
+  // A cut that was suspected is refuted by one connection. The end of a known
+  // one takes more, as long as tunnels serve the requests.
+  if (!IsCutOff()) unanswered_.clear();
+  if (most || before || !IsLost()) return ReachEvent::kOpened;
+  return std::nullopt;
+}
+
+std::optional<ReachEvent> TargetReach::EventOfPeers(Instant now) const {
+  if (!IsCutOff()) return std::nullopt;
+  if (IsLost() && PeersFail()) return ReachEvent::kPeersFailToo;
+  const bool are_due =
+      AreTargetsIll() && able_peers_ > 0 && now - changed_at_ >= kPeersAgain;
+  return are_due ? std::optional(ReachEvent::kPeersDue) : std::nullopt;
+}
+
+bool TargetReach::PeersFail() const {
+  const auto failed = std::count_if(
+      peer_failures_.begin(), peer_failures_.end(),
+      [this](const auto& it) { return it.second.size() >= SuspectsNeeded(); });
+  return static_cast<std::size_t>(failed) >=
+         std::min(kMinFailedPeers, able_peers_);
+}
+
+std::size_t TargetReach::SuspectsNeeded() const {
+  return std::min(kMinSuspects, targets_.size());
+}
+
+bool TargetReach::IsRoundDue(Instant now) const {
+  if (round_ || targets_.empty()) return false;
+  const Duration since = now - last_round_at_;
+  if (IsCutOff()) return since >= kRoundInterval;
+  if (is_doubted_) return true;
+  return since >= kSuspectInterval && IsSuspicious(now);
+}
+
+bool TargetReach::IsSuspicious(Instant now) const {
+  const std::size_t needed = SuspectsNeeded();
+  if (open_failures_.size() >= needed) return true;
+  if (now - heard_at_ < kSilence) return false;
+  const auto silent = std::count_if(
+      unanswered_.begin(), unanswered_.end(),
+      [now](const auto& it) { return now - it.second >= kSilence; });
+  return static_cast<std::size_t>(silent) >= needed;
+}
+
+// Chooses the targets of a round, in turn, so that a target that is down for
+// long doesn't take part in each.
+std::vector<TargetName> TargetReach::StartRound(Instant now) {
+  std::vector<TargetName> out;
+  std::vector<TargetName> suspects;
+  const std::size_t count = targets_.size();
+  std::size_t n = 0;
+  for (; n < count && out.size() < kProbesPerRound; ++n) {
+    const TargetName& it = targets_[(next_probe_ + n) % count];
+    const bool is_suspect =
+        open_failures_.contains(it) || unanswered_.contains(it);
+    (is_suspect ? suspects : out).push_back(it);
+  }
+  next_probe_ = (next_probe_ + n) % count;
+  for (const TargetName& it : suspects) {
+    if (out.size() < kProbesPerRound) out.push_back(it);
+  }
+  last_round_at_ = now;
+  is_doubted_ = false;
+  round_.emplace();
+  round_->started_at = now;
+  for (const TargetName& it : out) round_->results[it];
+  return out;
+}
+
+}  // namespace quaytrack
--- /dev/null
+++ b/dispatch/target_reach.h
@@ -0,0 +1,158 @@
+// TargetReach: whether this router's own links reach the targets of a service.
+//
+//   TargetReach reach(chart);
+//   reach.SetTargets(names);              // those that may get work
+//   reach.OnSent(now, target);            // over this router's own links,
+//   reach.OnHeard(now, target);           // as are the other three
+//   reach.OnOpened(now, target);
+//   reach.OnOpenFailed(now, target);
+//   const ReachStep step = reach.Check(now);
+//   for (it : step.probes) ...            // open a connection, then OnProbe
+//   if (reach.IsLost()) ...               // use a tunnel (tunnel_peers.h)
+//
+// A router may lose its links to all targets while callers, the store and other
+// routers still reach it. Single targets that end or hang are no concern of
+// this class (dispatch/outlier_ejection.h); it looks for failures at several
+// targets at once, and lets probes decide.
+//
+// Suspicion. Opening failed at `kMinSuspects` targets, and no connection opened
+// since; or requests wait at as many targets and nothing was received from the
+// service for `kSilence`. A service with a single target needs only that one.
+//
+// Probe round. Connections are opened to up to `kProbesPerRound` targets, those
+// that aren't suspected first. If none opens within `kProbeTimeout`, the links
+// are lost. So targets that crash don't look like a cut as long as one of those
+// probed is up. While the links are lost, rounds follow every `kRoundInterval`
+// until most connections of a round open, or some in two rounds; if the targets
+// are ill, until one opens.
+//
+// Peers. Where two peers each fail to reach two targets as well, and none has
+// reached a target since, or all peers say that they are cut off, the targets
+// are ill rather than this
+// router's links. Peers are then asked again after `kPeersAgain`.
+//
+// Owns its evidence, which expires. Nothing fails; the clock is passed in and
+// never goes back. The design is docs/design/indirect-paths.md.
+
+#ifndef QUAYTRACK_DISPATCH_TARGET_REACH_H_
+#define QUAYTRACK_DISPATCH_TARGET_REACH_H_
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "dispatch/reach_chart.h"
+
+namespace quaytrack {
+
+// What the owner of a TargetReach has to do.
+struct ReachStep {
+  ReachAction action = ReachAction::kNone;
+  // Targets to open connections to. Call `Check` again after `kProbeTimeout`.
+  std::vector<TargetName> probes;
+};
+
+class TargetReach {
+ public:
+  static constexpr std::size_t kMinSuspects = 2;
+  // Peers that must have failed before the targets count as ill, if there are
+  // as many.
+  static constexpr std::size_t kMinFailedPeers = 2;
+  // Engines may take several hundred milliseconds for a first event, but
+  // rarely send nothing for all requests of a router.
+  static constexpr Duration kSilence = std::chrono::milliseconds(400);
+  // How long a failed opening, or a request without an answer, is evidence.
+  static constexpr Duration kEvidenceTime = std::chrono::milliseconds(2000);
+  static constexpr std::size_t kProbesPerRound = 3;
+  // As the timeout of a request's connection (relay/attempt.cc).
+  static constexpr Duration kProbeTimeout = std::chrono::milliseconds(250);
+  // Start of a round to the start of the next one: while the links are lost,
+  // and at least while they work.
+  static constexpr Duration kRoundInterval = std::chrono::milliseconds(400);
+  static constexpr Duration kSuspectInterval = std::chrono::milliseconds(500);
+  static constexpr Duration kPeersAgain = std::chrono::milliseconds(1000);
+
+  // `chart` must outlive this object.
+  explicit TargetReach(const ReachChart& chart) : machine_(chart) {}
+
+  // Sets the targets that may get work, in a fixed order.
+  void SetTargets(std::vector<TargetName> targets);
+
+  // Evidence of this router's own links. `OnHeard`: part of an answer arrived.
+  void OnSent(Instant now, const TargetName& target);
+  void OnHeard(Instant now, const TargetName& target);
+  void OnOpened(Instant now, const TargetName& target);
+  void OnOpenFailed(Instant now, const TargetName& target);
+  // The outcome of a connection that `Check` asked for.
+  void OnProbe(Instant now, const TargetName& target, bool opened);
+  // Starts a probe round with the next `Check`, unless one is running.
+  void Doubt() { is_doubted_ = true; }
+  // Whether a peer has reached the target. Peers that refuse say nothing.
+  // Returns whether the peer has failed to reach so many targets that it is
+  // likely to be cut off as well.
+  bool OnPeerTried(const VmName& peer, const TargetName& target, bool reached);
+  // Number of peers that don't say that they are cut off from the service.
+  void SetPeers(std::size_t able) { able_peers_ = able; }
+
+  // Decides. Call this after evidence and several times a second.
+  ReachStep Check(Instant now);
+
+  // Whether nobody is known to reach the targets.
+  bool AreTargetsIll() const {
+    return machine_.state() == ReachState::kTargetsIll;
+  }
+  // Whether requests should go through peers.
+  bool IsLost() const { return machine_.state() == ReachState::kLost; }
+  // Whether this router can't reach the targets over its own links, and so
+  // can't carry requests of peers.
+  bool IsCutOff() const { return machine_.state() != ReachState::kDirect; }
+  // Whether this router's own links have worked after `time`.
+  bool HasHeardSince(Instant time) const { return heard_at_ > time; }
+  ReachState state() const { return machine_.state(); }
+
+ private:
+  struct Round {
+    Instant started_at{};
+    std::map<TargetName, std::optional<bool>> results;
+    std::size_t opened = 0;
+    std::size_t ended = 0;
+  };
+
+  ReachAction Apply(Instant now, ReachEvent event);
+  std::optional<ReachEvent> EndRound();
+  std::optional<ReachEvent> EventOfPeers(Instant now) const;
+  bool PeersFail() const;
+  bool IsRoundDue(Instant now) const;
+  bool IsSuspicious(Instant now) const;
+  std::size_t SuspectsNeeded() const;
+  std::vector<TargetName> StartRound(Instant now);
+  void ForgetEvidence();
+  void ExpireEvidence(Instant now);
+
+  ChartMachine<ReachState, ReachEvent, ReachAction> machine_;
+  Instant changed_at_{};
+  std::vector<TargetName> targets_;
+  // The index in `targets_` at which the next round starts.
+  std::size_t next_probe_ = 0;
+  Instant heard_at_{};
+  // Targets at which opening failed since a connection last opened.
+  std::map<TargetName, Instant> open_failures_;
+  // The first request to each target since something was received from it.
+  std::map<TargetName, Instant> unanswered_;
+  bool is_doubted_ = false;
+  std::optional<Round> round_;
+  Instant last_round_at_{};
+  // Whether a connection of the previous round opened.
+  bool some_opened_ = false;
+  // Targets that each peer failed to reach since a peer reached one.
+  std::map<VmName, std::set<TargetName>> peer_failures_;
+  std::size_t able_peers_ = 0;
+};
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_DISPATCH_TARGET_REACH_H_
--- a/dispatch/target_warmth.h
+++ b/dispatch/target_warmth.h
@@ -90,6 +90,9 @@
     uncertain_until_ = now + kUncertainTime;
   }
 
+  // Forgets that the target may have ended.
+  void ForgetLost() { uncertain_until_ = {}; }
+
   // Notes that the target answered a request that was sent at `sent_at`.
   void OnAlive(Instant now, Instant sent_at, Duration cold_start) {
     if (now >= uncertain_until_) return;
--- /dev/null
+++ b/dispatch/testing/target_reach_test.cc
@@ -0,0 +1,230 @@
+// When a router's own links count as lost, and when the targets do.
+
+#include "dispatch/target_reach.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+namespace quaytrack {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Instant kStart{std::chrono::hours(1)};
+
+const ReachChart& TheChart() {
+  static const ReachChart kChart = BindReachChart().value();
+  return kChart;
+}
+
+TargetName Name(int n) { return TargetName("t" + std::to_string(n)); }
+
+class Fixture {
+ public:
+  explicit Fixture(int targets) : reach(TheChart()) {
+    std::vector<TargetName> names;
+    for (int n = 0; n < targets; ++n) names.push_back(Name(n));
+    reach.SetTargets(names);
+    reach.SetPeers(5);
+  }
+
+  // Runs one probe round in which the first `opening` connections open.
+  ReachAction Round(std::size_t opening) {
+    const ReachStep begun = reach.Check(now);
+    probed = begun.probes;
+    if (begun.action != ReachAction::kNone) return begun.action;
+    std::size_t n = 0;
+    for (const TargetName& it : probed) reach.OnProbe(now, it, n++ < opening);
+    return reach.Check(now).action;
+  }
+  void Wait(Duration d) { now += d; }
+  void LoseLinks() {
+    reach.OnOpenFailed(now, Name(0));
+    reach.OnOpenFailed(now, Name(1));
+    BOOST_REQUIRE(Round(0) == ReachAction::kUseTunnels);
+  }
+
+  bool Fail(const char* peer, int target) {
+    return reach.OnPeerTried(VmName(peer), Name(target), false);
+  }
+
+  TargetReach reach;
+  Instant now = kStart;
+  std::vector<TargetName> probed;
+};
+
+BOOST_AUTO_TEST_CASE(NoEvidenceNeedsNoProbes) {
+  Fixture it(4);
+  it.reach.OnSent(it.now, Name(0));
+  it.reach.OnHeard(it.now, Name(0));
+  it.Wait(std::chrono::seconds(10));
+  BOOST_TEST(it.reach.Check(it.now).probes.empty());
+  BOOST_TEST(!it.reach.IsCutOff());
+}
+
+BOOST_AUTO_TEST_CASE(OneTargetThatDoesntOpenIsNoCut) {
+  Fixture it(4);
+  for (int n = 0; n < 20; ++n) {
+    it.reach.OnOpenFailed(it.now, Name(0));
+    BOOST_TEST(it.reach.Check(it.now).probes.empty());
+    it.Wait(milliseconds(50));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AConnectionThatOpensClearsTheFailuresBeforeIt) {
+  Fixture it(4);
+  it.reach.OnOpenFailed(it.now, Name(0));
+  it.reach.OnOpened(it.now, Name(2));
+  it.reach.OnOpenFailed(it.now, Name(1));
+  BOOST_TEST(it.reach.Check(it.now).probes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(TwoTargetsDownAndOthersUpAreNoCut) {
+  Fixture it(4);
+  it.reach.OnOpenFailed(it.now, Name(0));
+  it.reach.OnOpenFailed(it.now, Name(1));
+  BOOST_TEST((it.Round(1) == ReachAction::kNone));
+  BOOST_TEST(it.probed.size() == TargetReach::kProbesPerRound);
+  // Targets that aren't suspected are probed first.
+  BOOST_TEST((it.probed[0] == Name(2)));
+  BOOST_TEST((it.probed[1] == Name(3)));
+  BOOST_TEST(!it.reach.IsCutOff());
+}
+
+BOOST_AUTO_TEST_CASE(NoConnectionOfARoundOpensSoTheLinksAreLost) {
+  Fixture it(4);
+  it.LoseLinks();
+  BOOST_TEST(it.reach.IsLost());
+}
+
+BOOST_AUTO_TEST_CASE(ARoundWithoutAnswersEndsInTime) {
+  Fixture it(4);
+  it.reach.OnOpenFailed(it.now, Name(0));
+  it.reach.OnOpenFailed(it.now, Name(1));
+  BOOST_TEST(it.reach.Check(it.now).probes.size() == 3U);
+  it.Wait(TargetReach::kProbeTimeout - milliseconds(1));
+  BOOST_TEST((it.reach.Check(it.now).action == ReachAction::kNone));
+  it.Wait(milliseconds(1));
+  BOOST_TEST((it.reach.Check(it.now).action == ReachAction::kUseTunnels));
+}
+
+BOOST_AUTO_TEST_CASE(SilenceAtSeveralTargetsIsProbed) {
+  Fixture it(4);
+  it.reach.OnHeard(it.now, Name(3));
+  it.reach.OnSent(it.now, Name(0));
+  it.reach.OnSent(it.now, Name(1));
+  it.Wait(TargetReach::kSilence - milliseconds(1));
+  BOOST_TEST(it.reach.Check(it.now).probes.empty());
+  it.Wait(milliseconds(1));
+  BOOST_TEST((it.Round(0) == ReachAction::kUseTunnels));
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerFromAnyTargetEndsTheSilence) {
+  Fixture it(4);
+  it.reach.OnSent(it.now, Name(0));
+  it.reach.OnSent(it.now, Name(1));
+  it.Wait(TargetReach::kSilence);
+  it.reach.OnHeard(it.now, Name(2));
+  BOOST_TEST(it.reach.Check(it.now).probes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(AServiceWithOneTargetNeedsOnlyThatOne) {
+  Fixture it(1);
+  it.reach.OnOpenFailed(it.now, Name(0));
+  BOOST_TEST((it.Round(0) == ReachAction::kUseTunnels));
+  BOOST_TEST(it.probed.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(MostConnectionsOfARoundEndTheCut) {
+  Fixture it(4);
+  it.LoseLinks();
+  it.Wait(TargetReach::kRoundInterval);
+  BOOST_TEST((it.Round(2) == ReachAction::kUseLinks));
+  BOOST_TEST(!it.reach.IsCutOff());
+}
+
+BOOST_AUTO_TEST_CASE(FewConnectionsInTwoRoundsEndTheCut) {
+  Fixture it(4);
+  it.LoseLinks();
+  it.Wait(TargetReach::kRoundInterval);
+  BOOST_TEST((it.Round(1) == ReachAction::kNone));
+  BOOST_TEST(it.reach.IsLost());
+  it.Wait(TargetReach::kRoundInterval);
+  BOOST_TEST((it.Round(1) == ReachAction::kUseLinks));
+}
+
+BOOST_AUTO_TEST_CASE(WherePeersFailTooTheTargetsAreIll) {
+  Fixture it(4);
+  it.LoseLinks();
+  BOOST_TEST(!it.Fail("vm-1", 0));
+  BOOST_TEST(!it.Fail("vm-2", 0));
+  BOOST_TEST(it.Fail("vm-1", 1));
+  BOOST_TEST((it.reach.Check(it.now).action == ReachAction::kNone));
+  BOOST_TEST(it.Fail("vm-2", 1));
+  BOOST_TEST((it.reach.Check(it.now).action == ReachAction::kLeavePeers));
+  BOOST_TEST(it.reach.IsCutOff());
+  BOOST_TEST(!it.reach.IsLost());
+}
+
+// The peer may have been cut off a moment ago.
+BOOST_AUTO_TEST_CASE(OnePeerThatReachesNothingIsNoSignOfIllTargets) {
+  Fixture it(4);
+  it.LoseLinks();
+  for (int n = 0; n < 4; ++n) it.Fail("vm-1", n);
+  BOOST_TEST((it.reach.Check(it.now).action == ReachAction::kNone));
+  it.reach.SetPeers(1);
+  BOOST_TEST((it.reach.Check(it.now).action == ReachAction::kLeavePeers));
+}
+
+BOOST_AUTO_TEST_CASE(OnePeerThatReachesATargetOutweighsFailuresBefore) {
+  Fixture it(4);
+  it.LoseLinks();
+  it.Fail("vm-1", 0);
+  it.Fail("vm-1", 1);
+  it.reach.OnPeerTried(VmName("vm-3"), Name(2), true);
+  it.Fail("vm-2", 0);
+  it.Fail("vm-2", 1);
+  BOOST_TEST((it.reach.Check(it.now).action == ReachAction::kNone));
+  BOOST_TEST(it.reach.IsLost());
+}
+
+BOOST_AUTO_TEST_CASE(PeersAreAskedAgainOnceSomeReachTheTargets) {
+  Fixture it(4);
+  it.LoseLinks();
+  it.reach.SetPeers(0);
+  BOOST_TEST((it.reach.Check(it.now).action == ReachAction::kLeavePeers));
+  it.Wait(TargetReach::kPeersAgain);
+  it.Round(0);
+  BOOST_TEST(it.reach.AreTargetsIll());
+  it.reach.SetPeers(2);
+  BOOST_TEST((it.reach.Check(it.now).action == ReachAction::kUseTunnels));
+}
+
+BOOST_AUTO_TEST_CASE(OneConnectionShowsThatTargetsAreWellAgain) {
+  Fixture it(4);
+  it.LoseLinks();
+  it.reach.SetPeers(0);
+  it.reach.Check(it.now);
+  it.Wait(TargetReach::kRoundInterval);
+  BOOST_TEST((it.Round(1) == ReachAction::kUseLinks));
+}
+
+BOOST_AUTO_TEST_CASE(TargetsThatAreGoneAreNoEvidence) {
+  Fixture it(4);
+  it.reach.OnOpenFailed(it.now, Name(0));
+  it.reach.OnOpenFailed(it.now, Name(1));
+  it.reach.SetTargets({Name(2), Name(3)});
+  BOOST_TEST(it.reach.Check(it.now).probes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(OldEvidenceExpires) {
+  Fixture it(4);
+  it.reach.OnOpenFailed(it.now, Name(0));
+  it.Wait(TargetReach::kEvidenceTime + milliseconds(1));
+  it.reach.OnOpenFailed(it.now, Name(1));
+  BOOST_TEST(it.reach.Check(it.now).probes.empty());
+}
+
+}  // namespace
+}  // namespace quaytrack
--- a/fleet/fleet.cc
+++ b/fleet/fleet.cc
@@ -90,6 +90,14 @@
   return out;
 }
 
+std::vector<FleetMember> FleetDirectory::Others() const {
+  std::vector<FleetMember> out;
+  for (const auto& [vm, member] : members_) {
+    if (vm != self_) out.push_back(member);
+  }
+  return out;
+}
+
 std::vector<VmName> FleetDirectory::HoldersFor(
     const CustomerName& customer) const {
   return HoldersInOrderOf(customer.value);
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -147,6 +147,8 @@
   // This router's place in the rendezvous order of `key`; std::nullopt before
   // the list was read.
   std::optional<RendezvousPlace> PlaceFor(const std::string& key) const;
+  // All routers but this one.
+  std::vector<FleetMember> Others() const;
   // Number of routers, including this one.
   std::size_t size() const { return members_.size(); }
   const FleetMember& self() const { return members_.at(self_); }
--- a/http/caller_server.h
+++ b/http/caller_server.h
@@ -57,7 +57,9 @@
   void StopListening() { listener_.Stop(); }
   // From now on every answer is the last of its connection.
   void StartClosing() { closing_ = true; }
-  bool closing() const { return closing_; }
+  // The same for a while: until called with false.
+  void SendAway(bool away) { sending_away_ = away; }
+  bool closing() const { return closing_ || sending_away_; }
   // Closes the connections without a running request, except those that have
   // just been opened, as a request is likely to be on its way.
   void CloseIdle();
@@ -81,6 +83,7 @@
   CallerLimits limits_;
   Handler handler_;
   bool closing_ = false;
+  bool sending_away_ = false;
   TcpListener listener_;
   std::set<std::shared_ptr<CallerConnection>> connections_;
   std::unique_ptr<Timer> sweep_;
--- a/http/target_connection.cc
+++ b/http/target_connection.cc
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 #include <utility>
 
+#include "http/tunnel.h"
+
 namespace quaytrack {
 namespace {
 
@@ -13,6 +16,9 @@
 constexpr Duration kCloseMargin = std::chrono::milliseconds(1500);
 // How long a target is assumed to keep an idle connection if it gives no time.
 constexpr Duration kIdleDefault = std::chrono::seconds(4);
+// How long a connection that has carried no call is kept, plus kCloseMargin:
+// some targets close those sooner than others.
+constexpr Duration kUnusedIdleTime = std::chrono::milliseconds(3000);
 // Interval of the checks for connections that have been idle for too long.
 constexpr Duration kSweepEvery = std::chrono::milliseconds(500);
 // Maximum number of idle connections to one address; beyond it, the connection
@@ -80,6 +86,7 @@
   void OnData(std::string_view bytes) {
     const auto keep = shared_from_this();
     if (!call) return Drop();
+    if (tunnel && !tunnel->complete()) return OnTunnelHead(bytes);
     while (!bytes.empty() && call && !complete) {
       const std::size_t used = parser.Feed(bytes);
       if (parser.fault() != HttpFault::kNone) {
@@ -94,6 +101,7 @@
 
   void OnEnded(SocketEnd end) {
     const auto keep = shared_from_this();
+    if (probe_done) return EndProbe(false);
     if (!call) {
       const bool unexpected = owner.clock_.Now() - idle_since < idle_time;
       Drop();
@@ -105,13 +113,49 @@
       return owner.Finish(keep, CallEnd::kComplete, false);
     }
     if (!call) return;
+    if (tunnel && !tunnel->complete())
+      return owner.Finish(keep, CallEnd::kNoTunnel, false);
     owner.Finish(keep, taken ? CallEnd::kBroken : CallEnd::kNotSent, false);
   }
 
-  // Sends the bytes of the call that waited for the connection.
   void OnConnected() {
     const auto keep = shared_from_this();
+    if (probe_done) {
+      idle_time = kUnusedIdleTime;
+      owner.KeepIdle(keep);
+      return EndProbe(true);
+    }
     if (!call) return;
+    if (tunnel) return socket->Write(TunnelRequest(address));
+    SendCall();
+  }
+
+  void EndProbe(bool opened) {
+    const auto keep = shared_from_this();
+    owner.probes_.erase(keep);
+    std::exchange(probe_done, nullptr)(opened);
+  }
+
+  // Takes the peer's answer to the request for a tunnel.
+  void OnTunnelHead(std::string_view bytes) {
+    const auto keep = shared_from_this();
+    const std::size_t used = tunnel->Feed(bytes);
+    if (!tunnel->complete() && !tunnel->malformed()) return;
+    const auto status = tunnel->Status();
+    // Targets send nothing before they are asked.
+    const bool surplus = used < bytes.size();
+    if (status == TunnelStatus::kOpen && !surplus) {
+      taken_before = socket->bytes_accepted();
+      return SendCall();
+    }
+    const bool target_fails = status == TunnelStatus::kUnreachable;
+    owner.Finish(keep, target_fails ? CallEnd::kNotSent : CallEnd::kNoTunnel,
+                 false);
+  }
+
+  // Sends the bytes of the call that waited for the connection.
+  void SendCall() {
+    const auto keep = shared_from_this();
     if (may_send && !may_send()) {
       return owner.Finish(keep, CallEnd::kCancelledBeforeSend, false);
     }
@@ -135,6 +179,10 @@
   // `bytes` and `may_send` of a call that waits for the connection to open.
   std::string unsent;
   std::function<bool()> may_send;
+  // The peer's answer, on a connection through a tunnel.
+  std::optional<TunnelHead> tunnel;
+  // Set while the connection is opened by `Probe`.
+  std::function<void(bool)> probe_done;
   // Value of the socket's `bytes_accepted` at the start of the current call.
   std::uint64_t taken_before = 0;
   // Whether the current answer isn't the expected one.
@@ -164,12 +212,14 @@
 }
 
 bool CallHandle::sent() const {
-  return connection_ &&
+  return connection_ && !connecting() &&
          connection_->socket->bytes_accepted() > connection_->taken_before;
 }
 
 bool CallHandle::connecting() const {
-  return connection_ && !connection_->socket->connected();
+  if (!connection_) return false;
+  const auto& tunnel = connection_->tunnel;
+  return !connection_->socket->connected() || (tunnel && !tunnel->complete());
 }
 
 TargetConnections::TargetConnections(Loop& loop, const Clock& clock,
@@ -180,6 +230,7 @@
       sweep_(loop.Every(kSweepEvery, [this] { Sweep(); })) {}
 
 TargetConnections::~TargetConnections() {
+  for (const ConnectionPtr& it : probes_) it->socket->Close();
   for (auto& [address, list] : idle_) {
     for (const ConnectionPtr& it : list) it->socket->Close();
   }
@@ -198,8 +249,40 @@
     const std::string& address) {
   auto out = std::make_shared<CallHandle::Connection>(*this);
   out->address = address;
+  out->socket = dial_(loop_, address, Options(), HandlersOf(out));
+  ++opened_;
+  return out->socket ? out : nullptr;
+}
+
+TargetConnections::ConnectionPtr TargetConnections::OpenTunnel(
+    const std::string& address, const std::string& via) {
+  auto out = std::make_shared<CallHandle::Connection>(*this);
+  out->address = address;
+  out->tunnel.emplace();
+  out->reusable = false;
+  out->socket = TcpSocket::Connect(loop_, via, Options(), HandlersOf(out));
+  return out->socket ? out : nullptr;
+}
+
+void TargetConnections::Probe(const std::string& address,
+                              std::function<void(bool)> done) {
+  const ConnectionPtr connection = Open(address);
+  if (!connection) return loop_.Post([done = std::move(done)] { done(false); });
+  connection->probe_done = std::move(done);
+  // Until it has opened, nothing else refers to the connection.
+  probes_.insert(connection);
+}
+
+TcpOptions TargetConnections::Options() {
+  TcpOptions out;
+  out.user_timeout = kUserTimeout;
+  return out;
+}
+
+TcpSocket::Handlers TargetConnections::HandlersOf(
+    const ConnectionPtr& connection) {
   TcpSocket::Handlers on;
-  const std::weak_ptr<CallHandle::Connection> weak = out;
+  const std::weak_ptr<CallHandle::Connection> weak = connection;
   on.data = [weak](std::string_view bytes) {
     if (const auto it = weak.lock()) it->OnData(bytes);
   };
@@ -209,11 +292,7 @@
   on.connected = [weak] {
     if (const auto it = weak.lock()) it->OnConnected();
   };
-  TcpOptions options;
-  options.user_timeout = kUserTimeout;
-  out->socket = dial_(loop_, address, options, std::move(on));
-  ++opened_;
-  return out->socket ? out : nullptr;
+  return on;
 }
 
 std::shared_ptr<CallHandle> TargetConnections::Start(
@@ -221,11 +300,16 @@
   auto out = std::make_shared<CallHandle>();
   out->owner_ = this;
   out->on_ = std::move(handlers);
-  ConnectionPtr connection = TakeIdle(call.address);
-  if (!connection) connection = Open(call.address);
+  const bool direct = call.via.empty();
+  ConnectionPtr connection = direct ? TakeIdle(call.address) : nullptr;
+  if (!connection) {
+    connection =
+        direct ? Open(call.address) : OpenTunnel(call.address, call.via);
+  }
   if (!connection) {
-    loop_.Post([out] {
-      if (out->on_.end) out->on_.end(CallEnd::kNotSent);
+    loop_.Post([out, direct] {
+      if (!out->on_.end) return;
+      out->on_.end(direct ? CallEnd::kNotSent : CallEnd::kNoTunnel);
     });
     return out;
   }
@@ -233,7 +317,7 @@
   connection->call = out;
   connection->complete = false;
   connection->taken_before = connection->socket->bytes_accepted();
-  if (connection->socket->connected()) {
+  if (direct && connection->socket->connected()) {
     connection->socket->Write(call.bytes);
   } else {
     connection->unsent = call.bytes;
--- a/http/target_connection.h
+++ b/http/target_connection.h
@@ -22,6 +22,15 @@
 // timeout=`), because a request that meets that close would count as one that
 // may have run.
 //
+// Tunnels. With `TargetCall::via`, the call goes through a tunnel of a peer
+// (http/tunnel.h) to the address. It counts as connecting until the peer has
+// connected to the target, and nothing of it is sent before. A tunnel carries
+// one call.
+//
+//   targets.Probe("10.0.0.9:80", [](bool opened) {...});
+//
+// opens a connection to find out whether that works, and keeps it for calls.
+//
 // A TargetConnections owns the idle connections; a running call owns its
 // connection. The loop and the clock must outlive the TargetConnections, which
 // must outlive its calls. Handlers are called from the loop, never from inside
@@ -33,6 +42,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -51,6 +61,7 @@
   kNotSent,   // the kernel took no byte: the request can't have run
   kBroken,    // sent at least in part, no complete answer: it may have run
   kCancelledBeforeSend,  // not sent, because `may_send` returned false
+  kNoTunnel,  // not sent, because the peer can't be reached or refused
 };
 
 struct TargetCall {
@@ -63,6 +74,8 @@
   // the choice of the address may have changed. If it returns false, nothing is
   // written and the call ends as `kCancelledBeforeSend`. Optional.
   std::function<bool()> may_send = {};
+  // Address of the peer whose tunnel is used; empty for a direct connection.
+  std::string via = {};
 };
 
 class TargetConnections;
@@ -86,7 +99,7 @@
   void ResumeReading();
   // Whether the kernel has accepted some byte of the request.
   bool sent() const;
-  // Whether the call waits for its connection to open.
+  // Whether the call waits for its connection, or its tunnel, to open.
   bool connecting() const;
 
  private:
@@ -108,6 +121,14 @@
 
   std::shared_ptr<CallHandle> Start(const TargetCall& call,
                                     CallHandle::Handlers handlers);
+  // Opens a connection to the address, and keeps it for calls if it opens.
+  // `done` is called once, and not from inside `Probe`.
+  void Probe(const std::string& address, std::function<void(bool)> done);
+  // Whether a connection to the address is kept for calls.
+  bool HasIdle(const std::string& address) const {
+    const auto it = idle_.find(address);
+    return it != idle_.end() && !it->second.empty();
+  }
   // Closes the idle connections to an address whose target has ended: a request
   // sent on one of them would count as one that may have run.
   void CloseIdle(const std::string& address);
@@ -116,6 +137,7 @@
   void OnUnexpectedEnd(std::function<void(const std::string& address)> action) {
     on_unexpected_end_ = std::move(action);
   }
+  const Dialer& dialer() const { return dial_; }
   // Number of connections opened so far.
   std::uint64_t opened() const { return opened_; }
 
@@ -125,6 +147,9 @@
 
   ConnectionPtr TakeIdle(const std::string& address);
   ConnectionPtr Open(const std::string& address);
+  ConnectionPtr OpenTunnel(const std::string& address, const std::string& via);
+  static TcpSocket::Handlers HandlersOf(const ConnectionPtr& connection);
+  static TcpOptions Options();
   // Keeps the connection for the next request to its address.
   void KeepIdle(const ConnectionPtr& connection);
   void Finish(const ConnectionPtr& connection, CallEnd end, bool reusable);
@@ -137,6 +162,8 @@
   // Idle connections by address. The most recently used one is at the end of
   // its list and is reused first.
   std::map<std::string, std::vector<ConnectionPtr>> idle_;
+  // Connections that are being opened by `Probe`.
+  std::set<ConnectionPtr> probes_;
   std::uint64_t opened_ = 0;
   std::function<void(const std::string&)> on_unexpected_end_ = [](const auto&) {
   };
--- /dev/null
+++ b/http/testing/tunnel_test.cc
@@ -0,0 +1,279 @@
+// Calls through a tunnel of a peer, over loopback.
+
+#include "http/tunnel.h"
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "http/target_connection.h"
+#include "http/tunnel_server.h"
+#include "net/peer_link.h"
+#include "testing/run_for.h"
+
+namespace quaytrack {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr char kRequest[] = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+constexpr char kAnswer[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+constexpr char kWithoutLength[] = "HTTP/1.1 200 OK\r\n\r\nok";
+constexpr Duration kLimit = std::chrono::seconds(5);
+
+enum class AfterAnswer { kStay, kClose, kReset };
+
+// A target that gives each connection's first bytes one answer.
+struct Target {
+  explicit Target(Loop& it) : loop(it) {
+    port = listener.Listen("127.0.0.1:0");
+  }
+  void Accept(int fd) {
+    auto socket = TcpSocket::Adopt(loop, fd, TcpOptions());
+    TcpSocket* raw = socket.get();
+    TcpSocket::Handlers on;
+    on.data = [this, raw](std::string_view bytes) {
+      received += bytes;
+      raw->Write(answer);
+      if (after == AfterAnswer::kStay) return;
+      if (after == AfterAnswer::kClose) return raw->Close();
+      timer = loop.After(milliseconds(50), [raw] { raw->Close(true); });
+    };
+    on.ended = [this](SocketEnd) { ++ended; };
+    socket->SetHandlers(std::move(on));
+    sockets.push_back(std::move(socket));
+  }
+  std::string Address() const { return "127.0.0.1:" + std::to_string(port); }
+
+  Loop& loop;
+  TcpListener listener{loop, [this](int fd) { Accept(fd); }};
+  std::uint16_t port = 0;
+  std::string answer = kAnswer;
+  AfterAnswer after = AfterAnswer::kStay;
+  std::string received;
+  int ended = 0;
+  std::vector<std::shared_ptr<TcpSocket>> sockets;
+  std::unique_ptr<Timer> timer;
+};
+
+// A peer that carries tunnels.
+struct Peer {
+  explicit Peer(Loop& loop)
+      : tunnels(std::make_unique<TunnelServer>(
+            loop, TcpSocket::Connect,
+            TunnelServer::Handlers{
+                [this](const std::string&) { return status; },
+                [](const std::string&, bool) {}})),
+        server(loop, [](const std::shared_ptr<PeerLink>&) {}) {
+    server.OnOther([this](std::shared_ptr<TcpSocket> socket,
+                          std::string_view first_bytes) {
+      if (tunnels) tunnels->Accept(std::move(socket), first_bytes);
+    });
+    port = server.Listen("127.0.0.1:0");
+  }
+  std::string Address() const { return "127.0.0.1:" + std::to_string(port); }
+
+  TunnelStatus status = TunnelStatus::kOpen;
+  std::unique_ptr<TunnelServer> tunnels;
+  PeerServer server;
+  std::uint16_t port = 0;
+};
+
+struct Fixture {
+  void Start(const std::string& address, const std::string& via) {
+    CallHandle::Handlers on;
+    on.head = [this](const HttpHead&) {
+      if (pauses) call->PauseReading();
+      return true;
+    };
+    on.body = [this](std::string_view it) { body += it; };
+    on.end = [this](CallEnd it) {
+      end = it;
+      loop.Stop();
+    };
+    call = connections.Start(
+        {address, kRequest, [this] { return may_send; }, via}, std::move(on));
+  }
+  void Run() {
+    const auto timer = loop.After(kLimit, [this] { loop.Stop(); });
+    loop.Run();
+    BOOST_REQUIRE(end.has_value());
+  }
+  void Call() {
+    Start(target.Address(), peer.Address());
+    Run();
+  }
+
+  SystemClock clock;
+  Loop loop;
+  Target target{loop};
+  Peer peer{loop};
+  TargetConnections connections{loop, clock};
+  bool may_send = true;
+  // Reading pauses with the head of the answer.
+  bool pauses = false;
+  std::shared_ptr<CallHandle> call;
+  std::optional<CallEnd> end;
+  std::string body;
+};
+
+BOOST_FIXTURE_TEST_CASE(CarriesARequestAndItsAnswerUnchanged, Fixture) {
+  Call();
+  BOOST_TEST((end == CallEnd::kComplete));
+  BOOST_TEST(body == "ok");
+  BOOST_TEST(target.received == kRequest);
+}
+
+BOOST_FIXTURE_TEST_CASE(ATunnelEndsWithItsRequest, Fixture) {
+  Call();
+  RunFor(loop, milliseconds(100));
+  BOOST_TEST(target.ended == 1);
+  BOOST_TEST(peer.tunnels->size() == 0U);
+  Call();
+  BOOST_TEST(peer.tunnels->opened() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAnswerWithoutLengthIsCompleteIfItsTargetCloses,
+                        Fixture) {
+  target.answer = kWithoutLength;
+  target.after = AfterAnswer::kClose;
+  Call();
+  BOOST_TEST((end == CallEnd::kComplete));
+  BOOST_TEST(body == "ok");
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAnswerWithoutLengthThatIsResetIsBroken, Fixture) {
+  target.answer = kWithoutLength;
+  target.after = AfterAnswer::kReset;
+  Call();
+  BOOST_TEST((end == CallEnd::kBroken));
+}
+
+BOOST_FIXTURE_TEST_CASE(ARefusedTunnelCarriesNothing, Fixture) {
+  for (const TunnelStatus it :
+       {TunnelStatus::kNoRoom, TunnelStatus::kNoTarget}) {
+    peer.status = it;
+    Call();
+    BOOST_TEST((end == CallEnd::kNoTunnel));
+  }
+  BOOST_TEST(target.received.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(ATargetThatThePeerCantReachIsNotThePeersFault,
+                        Fixture) {
+  target.listener.Stop();
+  Call();
+  BOOST_TEST((end == CallEnd::kNotSent));
+}
+
+BOOST_FIXTURE_TEST_CASE(APeerThatIsDownCarriesNothing, Fixture) {
+  Start(target.Address(), "127.0.0.1:1");
+  Run();
+  BOOST_TEST((end == CallEnd::kNoTunnel));
+}
+
+BOOST_FIXTURE_TEST_CASE(NothingIsSentBeforeTheTunnelIsOpen, Fixture) {
+  may_send = false;
+  Start(target.Address(), peer.Address());
+  BOOST_TEST(call->connecting());
+  BOOST_TEST(!call->sent());
+  Run();
+  BOOST_TEST((end == CallEnd::kCancelledBeforeSend));
+  RunFor(loop, milliseconds(100));
+  BOOST_TEST(target.received.empty());
+}
+
+// The request may have run, and must not be reported as not run.
+BOOST_FIXTURE_TEST_CASE(APeerThatDiesHalfwayLeavesTheRequestUnknown, Fixture) {
+  target.answer = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok";
+  Start(target.Address(), peer.Address());
+  RunFor(loop, milliseconds(100));
+  BOOST_TEST(call->sent());
+  peer.tunnels.reset();
+  Run();
+  BOOST_TEST((end == CallEnd::kBroken));
+}
+
+BOOST_FIXTURE_TEST_CASE(ACallerThatLeavesIsNoticedAtTheTarget, Fixture) {
+  target.answer = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok";
+  Start(target.Address(), peer.Address());
+  RunFor(loop, milliseconds(100));
+  call->Cancel();
+  RunFor(loop, milliseconds(100));
+  BOOST_TEST(target.ended == 1);
+  BOOST_TEST(peer.tunnels->size() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ASlowReaderSlowsTheTargetDown, Fixture) {
+  constexpr std::size_t kBytes = 32 * 1024 * 1024;
+  target.answer =
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBytes) +
+      "\r\n\r\n" + std::string(kBytes, 'x');
+  pauses = true;
+  Start(target.Address(), peer.Address());
+  RunFor(loop, milliseconds(300));
+  // What the kernel and the tunnel hold is a fraction of the answer.
+  BOOST_REQUIRE(target.sockets.size() == 1U);
+  BOOST_TEST(target.sockets[0]->Unsent() > kBytes / 4);
+  call->ResumeReading();
+  Run();
+  BOOST_TEST((end == CallEnd::kComplete));
+  BOOST_TEST(body.size() == kBytes);
+}
+
+BOOST_FIXTURE_TEST_CASE(AProbeIsKeptForCalls, Fixture) {
+  std::optional<bool> opened;
+  connections.Probe(target.Address(), [&](bool it) { opened = it; });
+  RunFor(loop, milliseconds(100));
+  BOOST_TEST(opened.value_or(false));
+  BOOST_TEST(connections.HasIdle(target.Address()));
+  Start(target.Address(), "");
+  BOOST_TEST(!call->connecting());
+  Run();
+  BOOST_TEST((end == CallEnd::kComplete));
+  BOOST_TEST(target.sockets.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AProbeOfAClosedPortFails, Fixture) {
+  std::optional<bool> opened;
+  connections.Probe("127.0.0.1:1", [&](bool it) { opened = it; });
+  RunFor(loop, milliseconds(100));
+  BOOST_TEST(!opened.value_or(true));
+}
+
+BOOST_AUTO_TEST_CASE(HeadsAreReadInAnyPieces) {
+  const std::string text = TunnelRequest("10.0.0.9:80");
+  TunnelHead head;
+  for (char it : text) {
+    BOOST_TEST(!head.complete());
+    head.Feed({&it, 1});
+  }
+  BOOST_TEST(head.complete());
+  BOOST_TEST(head.TargetAddress().value_or("") == "10.0.0.9:80");
+  BOOST_TEST(!head.Status().has_value());
+
+  TunnelHead answer;
+  const std::string with_more = TunnelAnswer(TunnelStatus::kNoRoom) + "more";
+  BOOST_TEST(answer.Feed(with_more) == with_more.size() - 4);
+  BOOST_TEST((answer.Status() == TunnelStatus::kNoRoom));
+}
+
+BOOST_AUTO_TEST_CASE(OtherBytesAreNoHead) {
+  for (const char* it :
+       {"GET / HTTP/1.1\r\n\r\n", "CONNECT  HTTP/1.1\r\n\r\n",
+        "CONNECT 10.0.0.9:80\r\n\r\n", "CONNECT 10.0.0.9:80 SMTP\r\n\r\n",
+        "HTTP/1.1 299 x\r\n\r\n", "HTTP/1.1\r\n\r\n"}) {
+    TunnelHead head;
+    head.Feed(it);
+    BOOST_TEST(!head.TargetAddress().has_value(), it);
+    BOOST_TEST(!head.Status().has_value(), it);
+  }
+  TunnelHead endless;
+  endless.Feed(std::string(5000, 'x'));
+  BOOST_TEST(endless.malformed());
+}
+
+}  // namespace
+}  // namespace quaytrack
--- a/net/peer_link.cc
+++ b/net/peer_link.cc
@@ -29,6 +29,12 @@
 // messages are configurations.
 constexpr std::size_t kMaxMessageBytes = 4 * 1024 * 1024;
 
+// The handshake of a link is a GET request, which begins with this byte.
+constexpr char kHandshakeBegin = 'G';
+
+// How long a new connection may stay without bytes.
+constexpr Duration kFirstBytesTimeout = std::chrono::seconds(5);
+
 // One link over one bufferevent. `Endpoint` is websocketpp's client or server,
 // for either end of the connection.
 template <class Endpoint>
@@ -80,6 +86,11 @@
     connection_->set_fail_handler(lost);
   }
 
+  // Takes bytes that were read before `Start`.
+  void TakeFirstBytes(const std::string& bytes) {
+    connection_->read_all(bytes.data(), bytes.size());
+  }
+
   Endpoint& endpoint() { return endpoint_; }
   bufferevent* bev() { return bev_; }
   // Called when a client's socket has connected.
@@ -168,7 +179,52 @@
       accepted_(std::move(accepted)),
       listener_(loop, [this](int fd) { Accept(fd); }) {}
 
+PeerServer::~PeerServer() = default;
+
+struct PeerServer::NewConnection {
+  std::shared_ptr<TcpSocket> socket;
+  std::unique_ptr<Timer> timer;
+};
+
 void PeerServer::Accept(int fd) {
+  auto it = std::make_shared<NewConnection>();
+  TcpOptions options;
+  options.user_timeout = Duration::zero();
+  it->socket = TcpSocket::Adopt(loop_, fd, options);
+  new_.insert(it);
+  const std::weak_ptr<NewConnection> weak = it;
+  TcpSocket::Handlers on;
+  on.data = [this, weak](std::string_view bytes) {
+    if (const auto connection = weak.lock()) OnFirstBytes(connection, bytes);
+  };
+  on.ended = [this, weak](SocketEnd) { new_.erase(weak.lock()); };
+  it->socket->SetHandlers(std::move(on));
+  it->timer = loop_.After(kFirstBytesTimeout,
+                          [this, weak] { new_.erase(weak.lock()); });
+}
+
+void PeerServer::OnFirstBytes(const NewConnectionPtr& it,
+                              std::string_view bytes) {
+  // The handler of the socket is running and can't be replaced yet.
+  it->socket->PauseReading();
+  loop_.Post([this, weak = std::weak_ptr<NewConnection>(it),
+              first_bytes = std::string(bytes)] {
+    if (const auto connection = weak.lock()) PassOn(connection, first_bytes);
+  });
+}
+
+void PeerServer::PassOn(const NewConnectionPtr& it,
+                        const std::string& first_bytes) {
+  new_.erase(it);
+  if (first_bytes.front() == kHandshakeBegin)
+    return StartLink(it->socket->Release(), first_bytes);
+  it->socket->SetHandlers({});
+  if (!other_) return it->socket->Close();
+  it->socket->ResumeReading();
+  other_(it->socket, first_bytes);
+}
+
+void PeerServer::StartLink(int fd, const std::string& first_bytes) {
   using Link = WebsocketLink<ServerEndpoint>;
   SetNoDelay(fd);
   bufferevent* bev =
@@ -178,6 +234,7 @@
   link->Start(connection);
   accepted_(link);
   connection->start();
+  link->TakeFirstBytes(first_bytes);
 }
 
 }  // namespace quaytrack
--- a/net/peer_link.h
+++ b/net/peer_link.h
@@ -8,8 +8,13 @@
 //   PeerServer server(loop, [&](std::shared_ptr<PeerLink> link) {
 //     link->SetHandlers({open, message, closed});   // keep the pointer
 //   });
+//   server.OnOther([](std::shared_ptr<TcpSocket> socket,
+//                     std::string_view first_bytes) {...});
 //   server.Listen("10.0.0.7:8082");
 //
+// A connection whose first bytes don't begin the handshake of a link is passed
+// to the handler of `OnOther`, and closed without one.
+//
 //   const auto link = PeerLink::Connect(loop, "10.0.0.8:8082", handlers);
 //   link->Send(bytes);               // once `open` was called
 //
@@ -33,7 +38,9 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "net/loop.h"
@@ -69,21 +76,35 @@
 class PeerServer {
  public:
   using Accepted = std::function<void(std::shared_ptr<PeerLink>)>;
+  using Other = std::function<void(std::shared_ptr<TcpSocket>,
+                                   std::string_view first_bytes)>;
 
   PeerServer(Loop& loop, Accepted accepted);
+  ~PeerServer();
   PeerServer(const PeerServer&) = delete;
   PeerServer& operator=(const PeerServer&) = delete;
 
+  void OnOther(Other handler) { other_ = std::move(handler); }
+
   // Returns the bound port, or 0 if the address can't be bound.
   std::uint16_t Listen(const std::string& address) {
     return listener_.Listen(address);
   }
 
  private:
+  // A connection whose first bytes haven't arrived.
+  struct NewConnection;
+  using NewConnectionPtr = std::shared_ptr<NewConnection>;
+
   void Accept(int fd);
+  void OnFirstBytes(const NewConnectionPtr& it, std::string_view bytes);
+  void PassOn(const NewConnectionPtr& it, const std::string& first_bytes);
+  void StartLink(int fd, const std::string& first_bytes);
 
   Loop& loop_;
   Accepted accepted_;
+  Other other_;
+  std::set<NewConnectionPtr> new_;
   TcpListener listener_;
 };
 
--- a/net/tcp_socket.cc
+++ b/net/tcp_socket.cc
@@ -80,12 +80,21 @@
 
 TcpSocket::~TcpSocket() { Close(); }
 
-void TcpSocket::Close(bool reset) {
-  if (fd_ < 0) return;
+void TcpSocket::StopEvents() {
   if (read_event_ != nullptr) event_free(read_event_);
   if (write_event_ != nullptr) event_free(write_event_);
   read_event_ = nullptr;
   write_event_ = nullptr;
+}
+
+int TcpSocket::Release() {
+  StopEvents();
+  return std::exchange(fd_, -1);
+}
+
+void TcpSocket::Close(bool reset) {
+  if (fd_ < 0) return;
+  StopEvents();
   if (reset) {
     const linger abort{1, 0};
     setsockopt(fd_, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
--- a/net/tcp_socket.h
+++ b/net/tcp_socket.h
@@ -51,7 +51,8 @@
 
 struct TcpOptions {
   // The connection ends if sent bytes stay unacknowledged, or opening takes,
-  // longer than this. Connections to callers and to targets set other values.
+  // longer than this. Connections to callers and to targets set other values;
+  // zero leaves it to the kernel.
   Duration user_timeout = std::chrono::milliseconds(2000);
 };
 
@@ -93,6 +94,9 @@
   // Closes the connection without calling `ended`. With `reset`, the peer gets
   // an error instead of an end of the stream.
   void Close(bool reset = false);
+  // Gives the descriptor away, without closing the connection. The socket is
+  // then as after `Close`.
+  int Release();
   // Signals to the peer that no more bytes will be sent.
   void ShutdownWrite();
   // Returns false once the connection has ended or was closed.
@@ -115,6 +119,7 @@
  private:
   TcpSocket(Loop& loop, int fd) : loop_(loop), fd_(fd) {}
   void Start(bool connecting);
+  void StopEvents();
   void OnReadable();
   void OnWritable();
   void Fail(SocketEnd end);
--- a/relay/attempt.cc
+++ b/relay/attempt.cc
@@ -71,6 +71,10 @@
     return {false, Ran::kNo, PlacementOutcome::kNeutral,
             AttemptFault::kHeldBack};
   }
+  if (facts.end == CallEnd::kNoTunnel) {
+    return {false, Ran::kNo, PlacementOutcome::kNeutral,
+            AttemptFault::kNoTunnel};
+  }
   if (facts.end == CallEnd::kNotSent) {
     return {false, Ran::kNo, PlacementOutcome::kFailed,
             AttemptFault::kNotOpened};
--- a/relay/attempt.h
+++ b/relay/attempt.h
@@ -80,6 +80,8 @@
   kServerError,  // the target answered with an error
   kTurnedAway,   // the target states that it didn't run the request
   kInvalid,      // an answer that can't be forwarded
+  kNoTunnel,     // no tunnel through the chosen peer; not sent
+  kPathChanged,  // stopped, as the way to the target has changed
   kHeldBack,     // not sent, as the target may no longer receive work
 };
 
@@ -94,6 +96,8 @@
        {AttemptFault::kServerError, "server_error"},
        {AttemptFault::kTurnedAway, "turned_away"},
        {AttemptFault::kInvalid, "invalid"},
+       {AttemptFault::kNoTunnel, "no_tunnel"},
+       {AttemptFault::kPathChanged, "path_changed"},
        {AttemptFault::kHeldBack, "held_back"}});
 };
 
--- a/relay/final_answer.cc
+++ b/relay/final_answer.cc
@@ -62,6 +62,7 @@
     case RelayCause::kTargetsLimited:
     case RelayCause::kHallsClosed:
     case RelayCause::kOutsideResidency:
+    case RelayCause::kTargetsUnreachable:
     case RelayCause::kTurnedAway:
     case RelayCause::kCrashesTargets:
       return 503;
@@ -97,6 +98,7 @@
     case RelayCause::kHallsClosed:
     case RelayCause::kOutsideResidency:
       return kRetryAfterOperatorChange;
+    case RelayCause::kTargetsUnreachable:
     case RelayCause::kStopped:
       return kRetryAfterOtherRouter;
     case RelayCause::kCrashesTargets:
--- a/relay/final_answer.h
+++ b/relay/final_answer.h
@@ -40,12 +40,13 @@
   kBudgetUnavailable,
   kBudgetReserved,  // scarce, and kept for more urgent requests
   kNoTarget,
-  kTargetsCold,       // just started, at their limit for now
-  kTargetsLimited,    // at the rate limits that they announced
-  kHallsClosed,       // operators closed the halls of all targets
-  kOutsideResidency,  // no target in an allowed region
-  kTurnedAway,        // no attempt has run; no retry is allowed
-  kTargetFailed,      // the request may have run
+  kTargetsCold,         // just started, at their limit for now
+  kTargetsLimited,      // at the rate limits that they announced
+  kHallsClosed,         // operators closed the halls of all targets
+  kOutsideResidency,    // no target in an allowed region
+  kTargetsUnreachable,  // by this router, and no peer carries the request
+  kTurnedAway,          // no attempt has run; no retry is allowed
+  kTargetFailed,        // the request may have run
   kTimedOut,
   kStreamBroke,
   kCallerGone,
@@ -70,6 +71,7 @@
        {RelayCause::kTargetsLimited, "targets_limited"},
        {RelayCause::kHallsClosed, "halls_closed"},
        {RelayCause::kOutsideResidency, "outside_residency"},
+       {RelayCause::kTargetsUnreachable, "targets_unreachable"},
        {RelayCause::kTurnedAway, "turned_away"},
        {RelayCause::kTargetFailed, "target_failed"},
        {RelayCause::kTimedOut, "timed_out"},
--- a/relay/peer_mesh.h
+++ b/relay/peer_mesh.h
@@ -35,6 +35,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -70,6 +71,10 @@
 
   // Listens on `address`, "host:port". Returns the bound port, or 0 on failure.
   std::uint16_t Listen(const std::string& address);
+  // Sets the handler for connections that don't open a link (net/peer_link.h).
+  void OnOther(PeerServer::Other handler) {
+    server_.OnOther(std::move(handler));
+  }
   // Dials those of `members` to which no link is open, now and whenever a link
   // is lost. Links that peers opened stay.
   void KeepLinksTo(const std::vector<FleetMember>& members);
--- a/relay/peer_messages.cc
+++ b/relay/peer_messages.cc
@@ -314,6 +314,9 @@
   out.targets_revision = {json.value("targets_era", std::int64_t{0}),
                           json.value("targets", std::int64_t{0})};
   out.store_era = json.value("store_era", std::int64_t{0});
+  for (const Json& it : json.value("cut_off", Json::array())) {
+    out.cut_off.insert(ServiceName(it.get<std::string>()));
+  }
   out.engine_speeds = LinesFromJson(json.value("engines", Json()));
   out.size_class = json.value("size", 0);
   out.marks = MarksFromJson(json.value("marks", Json::object()));
@@ -365,6 +368,9 @@
     }
   }
   if (message.store_era != 0) json["store_era"] = message.store_era;
+  for (const ServiceName& it : message.cut_off) {
+    json["cut_off"].push_back(it.value);
+  }
   for (const auto& [service, line] : message.engine_speeds) {
     json["engines"][service.value] = LineToJson(line);
   }
--- a/relay/peer_messages.h
+++ b/relay/peer_messages.h
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -129,6 +130,8 @@
   StoreRevision targets_revision;
   // kHello, kPing: the latest era of the store that the sender has seen.
   std::int64_t store_era = 0;
+  // kHello, kPing: services that the sender's own links don't reach.
+  std::set<ServiceName> cut_off;
   // kHello, kPing: the prefill speed of each service's engines, as the sender
   // has learned it.
   std::map<ServiceName, SpeedLine> engine_speeds;
--- a/relay/relay_chart.h
+++ b/relay/relay_chart.h
@@ -30,6 +30,7 @@
 #include "chart/chart.h"
 #include "chart/drain_chart.h"
 #include "chart/embedded.h"
+#include "dispatch/reach_chart.h"
 #include "relay/feed_chart.h"
 #include "rollout/rollout_chart.h"
 
@@ -157,6 +158,7 @@
   DrainChart drain;
   FeedChart feed;
   RolloutChart rollout;
+  ReachChart reach;
 };
 
 inline boost::leaf::result<RelayCharts> BindRelayCharts() {
@@ -165,8 +167,9 @@
   BOOST_LEAF_AUTO(drain, BindDrainChart());
   BOOST_LEAF_AUTO(feed, BindFeedChart());
   BOOST_LEAF_AUTO(rollout, BindRolloutChart());
+  BOOST_LEAF_AUTO(reach, BindReachChart());
   return RelayCharts{std::move(request), std::move(drain), std::move(feed),
-                     std::move(rollout)};
+                     std::move(rollout), std::move(reach)};
 }
 
 }  // namespace quaytrack
--- a/relay/relay_context.h
+++ b/relay/relay_context.h
@@ -26,6 +26,7 @@
 
 class BudgetDriver;
 class CrashWatch;
+class ReachDriver;
 class RolloutDriver;
 
 // A prompt that was sent to an engine, as announced to peers.
@@ -46,6 +47,7 @@
   std::minstd_rand& random;
   BudgetDriver& budgets;
   Placement& placement;
+  ReachDriver& reach;
   TargetConnections& targets;
   RetryShares& retries;
   CrashWatch& crashes;
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -67,6 +67,14 @@
       store_(store),
       placement_(HallName(settings.hall), RatesFrom(settings, clock.Now()),
                  HallRegions::Parse(settings.regions).value_or(HallRegions())),
+      reach_({loop, clock, charts.reach, connections}, SelfFrom(settings),
+             HallRegions::Parse(settings.regions).value_or(HallRegions()),
+             ReachHandlers()),
+      tunnels_(loop, connections.dialer(),
+               {[this](const std::string& it) { return MayCarry(it); },
+                [this](const std::string& address, bool opened) {
+                  reach_.OnDialed(address, opened);
+                }}),
       fleet_(loop, store, SelfFrom(settings), FleetOptionsFrom(settings)),
       budgets_(loop, clock, store, fleet_.directory(),
                {self_, BootId(), clock.Now()}, PrepaidPolicyFrom(settings)),
@@ -90,6 +98,7 @@
           .random = random_,
           .budgets = budgets_,
           .placement = placement_,
+          .reach = reach_,
           .targets = connections,
           .retries = retries_,
           .crashes = crashes_,
@@ -116,6 +125,10 @@
   });
   store_.OnNewEra([this] { loop_.Post([this] { OnStoreEra(); }); });
   budgets_.SetHandlers(BudgetHandlers());
+  peers_.OnOther(
+      [this](std::shared_ptr<TcpSocket> socket, std::string_view first_bytes) {
+        tunnels_.Accept(std::move(socket), first_bytes);
+      });
   connections_.OnUnexpectedEnd([this](const std::string& address) {
     placement_.OnConnectionsLost(clock_.Now(), address);
   });
@@ -163,6 +176,8 @@
     for (StateFeed* it : Feeds()) it->Check();
     crashes_.Check();
     rollouts_.Check();
+    reach_.Check();
+    caller_server_.SendAway(reach_.IsStranded());
     LogColdTargets();
     BroadcastRateLimits();
     CheckLink();
@@ -243,6 +258,7 @@
   out.store_reachable = [this](bool it) { OnStoreReachable(it); };
   out.halls_changed = [this] {
     placement_.SetClosedHalls(clock_.Now(), configs_.halls().closed());
+    UpdateReachableTargets();
   };
   out.rollout_ordered = [this](const ServiceName& service,
                                const RolloutOrder* order) {
@@ -256,6 +272,7 @@
   out.feed = LinksOfFeeds();
   out.changed = [this] {
     placement_.SetTargets(clock_.Now(), targets_.registry().entries());
+    UpdateReachableTargets();
   };
   out.restarted = [this](const TargetEntry& before) {
     connections_.CloseIdle(before.address);
@@ -275,9 +292,49 @@
   out.is_open_to_work = [this](const TargetEntry& it) {
     return placement_.IsOpenToWork(it);
   };
+  out.links_work_since = [this](const TargetEntry& target, Instant time) {
+    if (reach_.HasHeardSince(time)) return true;
+    reach_.Doubt(target.service);
+    return false;
+  };
+  return out;
+}
+
+// --- The way to the targets --------------------------------------------------
+
+ReachDriver::Handlers RelayRouter::ReachHandlers() {
+  ReachDriver::Handlers out;
+  out.members = [this] { return fleet_.directory().Others(); };
+  out.changed = [this](const ServiceName& service, ReachAction action) {
+    OnReachChanged(service, action);
+  };
+  out.links_work = [this] { crashes_.OnLinksWork(); };
   return out;
 }
 
+void RelayRouter::UpdateReachableTargets() {
+  reach_.SetTargets(
+      targets_.registry().entries(),
+      [this](const TargetEntry& it) { return placement_.IsOpenToWork(it); });
+}
+
+void RelayRouter::OnReachChanged(const ServiceName& service,
+                                 ReachAction action) {
+  peers_.BroadcastHeartbeat();
+  if (action != ReachAction::kUseTunnels) return;
+  placement_.ForgetFailures(service);
+  context_.requests.ForEach(
+      [&](RelayedRequest& it) { it.OnLinksLost(service); });
+}
+
+// Whether this router opens a tunnel for a peer. A router that stops or whose
+// link is busy leaves that to others.
+TunnelStatus RelayRouter::MayCarry(const std::string& address) const {
+  const bool has_room = !stop_.started() && !link_.IsBusy() &&
+                        tunnels_.size() <= ReachDriver::kMaxCarried;
+  return has_room ? reach_.MayCarry(address) : TunnelStatus::kNoRoom;
+}
+
 RolloutDriver::Handlers RelayRouter::RolloutHandlers() {
   RolloutDriver::Handlers out;
   out.rule = [this](const ServiceName& service, const VersionRule& rule,
@@ -325,7 +382,10 @@
   PeerMesh::Handlers out;
   out.message = [this](const PeerMessage& it) { OnPeerMessage(it); };
   out.fill = [this](PeerMessage& it) { FillHeartbeat(it); };
-  out.lost = [this](const Incarnation& it) { budgets_.OnPeerLost(it); };
+  out.lost = [this](const Incarnation& it) {
+    budgets_.OnPeerLost(it);
+    reach_.OnPeerLost(it);
+  };
   return out;
 }
 
@@ -340,12 +400,13 @@
   out.close_idle = [this] { caller_server_.CloseIdle(); };
   out.return_grants = [this] { budgets_.StartLeaving(); };
   out.requests = [this] {
-    return context_.requests.size() + caller_server_.Unfinished();
+    return context_.requests.size() + caller_server_.Unfinished() +
+           tunnels_.size();
   };
   out.grants_returned = [this] { return budgets_.HasLeft(); };
   out.requests_before = [this](Instant time) {
     return context_.requests.CountStartedBefore(time) +
-           caller_server_.Unfinished();
+           caller_server_.Unfinished() + tunnels_.size();
   };
   out.end_unfinished = [this](Duration left) {
     context_.requests.ForEach(
@@ -428,6 +489,7 @@
   configs_.OnPeer(message);
   targets_.OnPeer(message);
   crashes_.OnPeer(message);
+  reach_.OnPeer(message);
   rollouts_.OnPeer(message);
   CheckRouterCount(message);
 }
@@ -494,6 +556,7 @@
   message.leaving = targets_.registry().announced_leaving();
   message.keeps_budgets = budgets_.ledger().ActsAsHolder();
   message.engine_speeds = placement_.LearnedSpeeds();
+  message.cut_off = reach_.CutOff();
   rollouts_.Fill(message);
   FillMarks(message);
   if (message.kind != PeerMessageKind::kHello) return;
@@ -515,7 +578,8 @@
 // --- The balancer and operators ----------------------------------------------
 
 bool RelayRouter::IsReady() const {
-  return !stop_.started() && configs_.map() != nullptr && !link_.IsBusy();
+  return !stop_.started() && configs_.map() != nullptr && !link_.IsBusy() &&
+         !reach_.IsStranded();
 }
 
 void RelayRouter::AnswerAdmin(const std::shared_ptr<CallerConnection>& caller,
@@ -550,6 +614,12 @@
                     static_cast<double>(crashes_.blame().size()));
   metrics_.SetGauge("blamed_requests",
                     static_cast<double>(crashes_.blame().blamed().size()));
+  metrics_.SetGauge("services_cut_off",
+                    static_cast<double>(reach_.CutOff().size()));
+  metrics_.SetGauge("tunnels_used", static_cast<double>(reach_.tunnels()));
+  metrics_.SetGauge("tunnels_carried", static_cast<double>(tunnels_.size()));
+  metrics_.SetGauge("tunnels_carried_total",
+                    static_cast<double>(tunnels_.opened()));
   metrics_.SetGauge("rollouts_running",
                     static_cast<double>(rollouts_.running()));
   metrics_.SetGauge("scarce_budgets",
--- a/relay/relay_router.h
+++ b/relay/relay_router.h
@@ -18,14 +18,17 @@
 //   a service's versions   relay/rollout_driver.h, rollout/rollout.h
 //   the list of routers    relay/fleet_driver.h, fleet/fleet.h
 //   links to other routers relay/peer_mesh.h
+//   the way to the targets relay/reach_driver.h, dispatch/target_reach.h
 //   the VM's network link  relay/link_monitor.h, dispatch/link_watch.h
 //   a planned stop         relay/planned_stop.h
 //
 // This class itself decides only readiness, which the balancer polls. A router
-// is ready if it has a configuration, no planned stop has started and its
-// network link is not busy. Losing the store or the peers doesn't make it
-// unready: otherwise callers would lose all routers at once, although each can
-// still serve requests for which it has budgets.
+// is ready if it has a configuration, no planned stop has started, its network
+// link is not busy, and it isn't stranded, that is, refuses requests that peers
+// could serve because neither its own links nor a peer's reach their targets.
+// Losing the store or the peers doesn't make it unready: otherwise callers
+// would lose all routers at once, although each can still serve requests for
+// which it has budgets.
 //
 // RelayRouter owns all of the parts above. Interface, connections, store,
 // charts and loop must outlive it.
@@ -43,6 +46,7 @@
 #include "chart/drain_chart.h"
 #include "http/caller_server.h"
 #include "http/target_connection.h"
+#include "http/tunnel_server.h"
 #include "net/loop.h"
 #include "relay/budget_driver.h"
 #include "relay/config_follower.h"
@@ -51,6 +55,7 @@
 #include "relay/link_monitor.h"
 #include "relay/peer_mesh.h"
 #include "relay/planned_stop.h"
+#include "relay/reach_driver.h"
 #include "relay/relay_chart.h"
 #include "relay/relay_context.h"
 #include "relay/relay_metrics.h"
@@ -91,6 +96,10 @@
   CrashWatch::Handlers CrashHandlers();
   RolloutDriver::Handlers RolloutHandlers();
   RolloutContext SceneOfRollouts() const;
+  ReachDriver::Handlers ReachHandlers();
+  TunnelStatus MayCarry(const std::string& address) const;
+  void UpdateReachableTargets();
+  void OnReachChanged(const ServiceName& service, ReachAction action);
   std::array<StateFeed*, 3> Feeds();
   PeerMesh::Handlers PeerHandlers();
   PlannedStop::Handlers StopHandlers();
@@ -126,6 +135,8 @@
   TargetConnections& connections_;
   KvStore& store_;
   Placement placement_;
+  ReachDriver reach_;
+  TunnelServer tunnels_;
   RelayMetrics metrics_;
   FleetDriver fleet_;
   BudgetDriver budgets_;
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "relay/budget_driver.h"
+#include "relay/reach_driver.h"
 #include "relay/rollout_driver.h"
 
 namespace quaytrack {
@@ -24,6 +25,10 @@
 // part, and within it routes are ranked on this many levels.
 constexpr int kRouteLevels = 3;
 
+// Peers that are asked for a tunnel for one request. Asking a further one takes
+// as long as the caller's next attempt at another router.
+constexpr std::size_t kMaxTriedPeers = 2;
+
 }  // namespace
 
 RelayedRequest::RelayedRequest(const RelayContext& context, ServiceMapPtr map,
@@ -152,6 +157,11 @@
       context_.placement.Choose(context_.clock.Now(), admission_.placement);
   if (!choice) return GiveUp(Ran::kNo, CauseOfNoChoice());
   progress_.choice = *choice;
+  const auto path = context_.reach.PathTo(
+      choice->target, admission_.placement.residency, tried_peers_);
+  if (path.kind == PathKind::kNone)
+    return GiveUp(Ran::kNo, RelayCause::kTargetsUnreachable);
+  progress_.path = path;
   Apply(RelayEvent::kTargetChosen);
 }
 
@@ -193,6 +203,7 @@
   on.head = [self](const HttpHead& head) { return self->OnHead(head); };
   on.body = [self](std::string_view bytes) { self->OnBody(bytes); };
   on.end = [self](CallEnd end) { self->OnCallEnd(end); };
+  context_.reach.OnSent(progress_.path, target);
   call_ = context_.targets.Start(MakeCall(), std::move(on));
   const RouteRule& route = *admission_.route;
   SetAttemptTimer(call_->connecting() ? ConnectTimeout(route, Left())
@@ -205,7 +216,7 @@
   context_.announce_prompt({progress_.choice.target.name, prefill_});
 }
 
-TargetCall RelayedRequest::MakeCall() const {
+TargetCall RelayedRequest::MakeCall() {
   SendFacts facts;
   facts.target = progress_.choice.target.name;
   facts.customer = admission_.customer;
@@ -219,13 +230,18 @@
   out.bytes =
       context_.target_dialect.Head(request_.head, facts, request_.body.size());
   out.bytes += request_.body;
-  out.may_send = [this] {
-    return context_.placement.MayStillSend(
-        context_.clock.Now(), progress_.choice, admission_.placement);
-  };
+  out.may_send = [this] { return MaySend(); };
+  out.via = progress_.path.address;
   return out;
 }
 
+// Called when the connection, or the tunnel, has opened.
+bool RelayedRequest::MaySend() {
+  context_.reach.OnOpened(progress_.path, progress_.choice.target.name);
+  return context_.placement.MayStillSend(context_.clock.Now(), progress_.choice,
+                                         admission_.placement);
+}
+
 void RelayedRequest::SetAttemptTimer(Duration timeout) {
   attempt_timer_ = context_.loop.After(timeout, [this] { OnAttemptTimeout(); });
 }
@@ -234,6 +250,8 @@
   const auto self = shared_from_this();
   if (!call_) return;
   if (RanInAttempt() == Ran::kNo) {
+    if (!progress_.path.direct()) return OnNoTunnel(AttemptFault::kOpenTimeout);
+    OnNotOpened();
     return EndAttempt(Ran::kNo, PlacementOutcome::kFailed,
                       AttemptFault::kOpenTimeout);
   }
@@ -255,6 +273,7 @@
 bool RelayedRequest::OnHead(const HttpHead& head) {
   const AnswerFacts facts = context_.target_dialect.Read(head);
   if (!AnswersRequest(facts, id())) return false;
+  context_.reach.OnHeard(progress_.path, progress_.choice.target.name);
   answer_ = head;
   progress_.status = head.status;
   progress_.head_at = context_.clock.Now();
@@ -308,6 +327,7 @@
                       AttemptFault::kInvalid);
   }
   if (events.bytes.empty()) return;
+  context_.reach.OnHeard(progress_.path, progress_.choice.target.name);
   const Instant now = context_.clock.Now();
   if (machine_.state() != RelayState::kStreaming) {
     OnFirstEvent();
@@ -375,6 +395,8 @@
   const AttemptResult result = EvaluateAttempt(
       {end, answer_facts_, answer_.status, events_.InEvent(), streaming});
   if (end == CallEnd::kCancelledBeforeSend) return OnSendHeldBack(result);
+  if (end == CallEnd::kNoTunnel) return OnNoTunnel(result.fault);
+  if (end == CallEnd::kNotSent) OnNotOpened();
   if (end == CallEnd::kBroken) ReportLost();
   const bool error = IsServerError(answer_.status);
   if (!result.answered || (error && MaySendAgain(FactsForRetry(result.ran)))) {
@@ -398,6 +420,52 @@
   Retry(result.ran);
 }
 
+// Called when the peer that was to carry the request is unreachable or refuses.
+// Nothing was sent, and the target isn't at fault, so it may be chosen again.
+void RelayedRequest::OnNoTunnel(AttemptFault fault) {
+  context_.reach.OnTunnelFailed(progress_.path);
+  tried_peers_.insert(progress_.path.peer);
+  UndoSend(PlacementOutcome::kNeutral);
+  LogAttempt(Ran::kNo, fault);
+  if (tried_peers_.size() >= kMaxTriedPeers)
+    return GiveUp(Ran::kNo, RelayCause::kTargetsUnreachable);
+  Retry(Ran::kNo);
+}
+
+// Ends an attempt of which nothing was sent, as if it had not been made.
+void RelayedRequest::UndoSend(PlacementOutcome outcome) {
+  StopAttempt(outcome);
+  --progress_.sends;
+  admission_.placement.tried.erase(progress_.choice.target.name);
+}
+
+void RelayedRequest::OnNotOpened() {
+  context_.reach.OnOpenFailed(progress_.path, progress_.choice.target.name);
+}
+
+bool RelayedRequest::IsSilent() const {
+  const Instant heard = std::max(
+      {sent_at_, progress_.head_at.value_or(sent_at_), last_event_at_});
+  return context_.clock.Now() - heard >= TargetReach::kSilence &&
+         context_.reach.IsSilent(admission_.service->name);
+}
+
+void RelayedRequest::OnLinksLost(const ServiceName& service) {
+  const auto self = shared_from_this();
+  const bool is_affected =
+      call_ && progress_.path.direct() && admission_.service->name == service;
+  if (!is_affected) return;
+  if (RanInAttempt() == Ran::kNo) {
+    UndoSend(PlacementOutcome::kNeutral);
+    LogAttempt(Ran::kNo, AttemptFault::kPathChanged);
+    return Retry(Ran::kNo);
+  }
+  if (paused_ || !IsSilent() || !TakeRetry(Ran::kUnknown)) return;
+  StopAttempt(PlacementOutcome::kNeutral);
+  LogAttempt(Ran::kUnknown, AttemptFault::kPathChanged);
+  Retry(Ran::kUnknown);
+}
+
 // --- After an attempt --------------------------------------------------------
 
 std::optional<Duration> RelayedRequest::TimeSinceFirstEvent() const {
@@ -412,6 +480,8 @@
 // Called when the target closed the connection. The target may have crashed,
 // possibly because of this request.
 void RelayedRequest::ReportLost() {
+  // The peer may be what has ended.
+  if (!progress_.path.direct()) return;
   if (CrashWatch::HasPassedStartPhase(TimeSinceFirstEvent())) {
     passed_start_phase_ = true;
     ReportRan();
@@ -448,6 +518,7 @@
   ReportAnswer(outcome);
   call_->Cancel();
   call_.reset();
+  context_.reach.OnEnded(progress_.path);
   attempt_timer_.reset();
   const TargetEntry& target = progress_.choice.target;
   if (context_.placement.IsListed(target)) {
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -38,6 +38,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -78,6 +79,11 @@
   // time until the process is killed.
   void EndForStop(Duration left);
 
+  // Called when the service's targets are found to be out of reach of this
+  // router's own links. Sends the request another way if it waits for a
+  // connection, or if it may run twice and the links have been silent.
+  void OnLinksLost(const ServiceName& service);
+
   Instant started_at() const { return request_.begun; }
 
   const RequestId& id() const override { return admission_.facts.id; }
@@ -98,7 +104,8 @@
   // One attempt at one target.
   void Send();
   void AnnouncePrompt() const;
-  TargetCall MakeCall() const;
+  TargetCall MakeCall();
+  bool MaySend();
   void SetAttemptTimer(Duration timeout);
   void OnAttemptTimeout();
   bool OnHead(const HttpHead& head);
@@ -110,6 +117,10 @@
   void BeginStream();
   void OnCallEnd(CallEnd end);
   void OnSendHeldBack(const AttemptResult& result);
+  void OnNoTunnel(AttemptFault fault);
+  void UndoSend(PlacementOutcome outcome);
+  void OnNotOpened();
+  bool IsSilent() const;
   Ran RanInAttempt() const;
   std::optional<Duration> TimeSinceFirstEvent() const;
   void ReportRan();
@@ -171,6 +182,9 @@
   // Outcome of the attempt, as reported to the placement.
   PlacementOutcome outcome_ = PlacementOutcome::kNeutral;
 
+  // Peers that refused the request a tunnel, or couldn't be reached.
+  std::set<VmName> tried_peers_;
+
   // State of all attempts. The fingerprint is empty until it is first needed.
   Fingerprint fingerprint_;
   EventReader events_;
--- a/relay/request_log.h
+++ b/relay/request_log.h
@@ -24,6 +24,7 @@
 #include "relay/attempt.h"
 #include "relay/final_answer.h"
 #include "relay/ran.h"
+#include "relay/reach_driver.h"
 #include "relay/relay_chart.h"
 
 namespace quaytrack {
@@ -37,6 +38,8 @@
   // The target of the latest attempt, and the values that decided for that
   // target.
   PlacementChoice choice;
+  // The way to that target.
+  TargetPath path;
   // Status of the latest answer's head; 0 before the first. An attempt without
   // an answer keeps the status of the one before.
   int status = 0;
--- a/relay/testing/peer_messages_test.cc
+++ b/relay/testing/peer_messages_test.cc
@@ -44,6 +44,13 @@
         R"({"kind": "ping", "from": "vm1@1"})");
 }
 
+BOOST_AUTO_TEST_CASE(ServicesOutOfReachKeepTheirForm) {
+  PeerMessage it = Message(PeerMessageKind::kPing);
+  it.cut_off = {ServiceName("desk"), ServiceName("llm")};
+  Check(it, R"({"kind": "ping", "from": "vm1@1",
+                "cut_off": ["desk", "llm"]})");
+}
+
 BOOST_AUTO_TEST_CASE(MessagesAboutTheStoreKeepTheirForm) {
   PeerMessage heartbeat = Message(PeerMessageKind::kPing);
   heartbeat.marks[FeedName::kTargets] = {12,
