Count a retry only if the attempt before it was sent

The share bounds the load of retries on targets, and an attempt whose connection didn't open puts none on any. The bound of three sends of a request stays.

--- a/relay/attempt.h
+++ b/relay/attempt.h
@@ -101,6 +101,12 @@
        {AttemptFault::kHeldBack, "held_back"}});
 };
 
+// Whether nothing of the attempt was sent.
+inline bool IsUnsent(AttemptFault fault) {
+  return fault == AttemptFault::kNotOpened ||
+         fault == AttemptFault::kOpenTimeout;
+}
+
 // What is known when the connection reports the end of a call.
 struct AttemptFacts {
   CallEnd end = CallEnd::kNotSent;
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -263,7 +263,7 @@
   // The attempt is stopped only if the request may be sent to another target,
   // so the retry is taken before the attempt ends. `EndAttempt` takes it
   // afterwards.
-  if (!TakeRetry(Ran::kUnknown)) return;
+  if (!TakeRetry(Ran::kUnknown, AttemptFault::kTimeout)) return;
   ReportStopped();
   StopAttempt(PlacementOutcome::kFailed);
   LogAttempt(Ran::kUnknown, AttemptFault::kTimeout);
@@ -460,7 +460,9 @@
     LogAttempt(Ran::kNo, AttemptFault::kPathChanged);
     return Retry(Ran::kNo);
   }
-  if (paused_ || !IsSilent() || !TakeRetry(Ran::kUnknown)) return;
+  if (paused_ || !IsSilent() ||
+      !TakeRetry(Ran::kUnknown, AttemptFault::kPathChanged))
+    return;
   StopAttempt(PlacementOutcome::kNeutral);
   LogAttempt(Ran::kUnknown, AttemptFault::kPathChanged);
   Retry(Ran::kUnknown);
@@ -568,7 +570,7 @@
   if (machine_.state() == RelayState::kCallerLeft) {
     return GiveUp(ran, RelayCause::kCallerGone);
   }
-  if (TakeRetry(ran)) return Retry(ran);
+  if (TakeRetry(ran, fault)) return Retry(ran);
   GiveUp(ran, RelayCause::kTurnedAway);
 }
 
@@ -586,10 +588,11 @@
   return out;
 }
 
-bool RelayedRequest::TakeRetry(Ran ran) {
-  const bool taken =
-      context_.retries.TakeRetry(context_.clock.Now(), FactsForRetry(ran),
-                                 context_.placement, admission_.placement);
+bool RelayedRequest::TakeRetry(Ran ran, AttemptFault fault) {
+  RetryFacts facts = FactsForRetry(ran);
+  facts.was_sent = !IsUnsent(fault);
+  const bool taken = context_.retries.TakeRetry(
+      context_.clock.Now(), facts, context_.placement, admission_.placement);
   if (taken) context_.metrics.CountRetry();
   return taken;
 }
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -132,7 +132,7 @@
   double FirstOverExpected() const;
   void EndAttempt(Ran ran, PlacementOutcome outcome, AttemptFault fault);
   RetryFacts FactsForRetry(Ran ran);
-  bool TakeRetry(Ran ran);
+  bool TakeRetry(Ran ran, AttemptFault fault);
   void Retry(Ran ran);
   void LogAttempt(Ran ran, AttemptFault fault);
   const Fingerprint& fingerprint();
--- a/relay/retry.h
+++ b/relay/retry.h
@@ -10,6 +10,8 @@
 //        another target.
 //   2. A target that wasn't tried is available (`Placement::Choose`).
 //   3. The service's retries are within their share (dispatch/retry_share.h).
+//      An attempt that sent nothing put no load on a target, so the next one
+//      is no retry in this sense.
 //
 // Condition 1 is checked first as it is free, and 3 last as it counts the
 // retry. A target that turned the request away, or never received it, has not
@@ -47,6 +49,8 @@
 struct RetryFacts {
   // Whether the attempt that has ended may have run the request.
   Ran ran = Ran::kUnknown;
+  // Whether something of that attempt was sent.
+  bool was_sent = true;
   bool caller_gone = false;
   // The attempt may have crashed its target, and one more crash would mark the
   // request as one that crashes targets.
--- a/relay/testing/retry_test.cc
+++ b/relay/testing/retry_test.cc
@@ -119,6 +119,20 @@
   BOOST_TEST(!Take(Facts(Ran::kUnknown)));
 }
 
+// Guards against requests that are refused without a further attempt because
+// connections that didn't open have used up the retries.
+BOOST_FIXTURE_TEST_CASE(AnAttemptThatSentNothingUsesNoRetry, Fixture) {
+  RetryFacts unsent = Facts(Ran::kNo);
+  unsent.was_sent = false;
+  for (int n = 0; n < 20; ++n) BOOST_TEST(Take(unsent));
+  BOOST_TEST(Take(Facts(Ran::kNo)));
+  BOOST_TEST(Take(Facts(Ran::kUnknown)));
+  BOOST_TEST(!Take(Facts(Ran::kUnknown)));
+  // The bound on the sends of one request still holds.
+  unsent.sends = kMaxSends;
+  BOOST_TEST(!Take(unsent));
+}
+
 BOOST_FIXTURE_TEST_CASE(ARetryThatCantBeSentIsNotCounted, Fixture) {
   RetryFacts expired = Facts(Ran::kNo);
   expired.left = {};
