--- a/testing/fleet.cc
+++ b/testing/fleet.cc
@@ -227,6 +227,12 @@
   return true;
 }
 
+nlohmann::json Fleet::Get(const std::string& name, const std::string& path) {
+  TestRequest request;
+  request.path = path;
+  return Call(Process(name).admin, request).Json();
+}
+
 nlohmann::json Fleet::Executions(const std::string& kind) {
   nlohmann::json out = nlohmann::json::array();
   for (const auto& [name, it] : std::map(processes_)) {
--- a/testing/fleet.h
+++ b/testing/fleet.h
@@ -100,6 +100,8 @@
   bool WaitFor(const std::function<bool()>& condition,
                Duration limit = std::chrono::seconds(40));
 
+  // What the admin address of a stand-in answers for `path`.
+  nlohmann::json Get(const std::string& name, const std::string& path);
   // The executions that all targets of a kind have recorded.
   nlohmann::json Executions(const std::string& kind);
   // Runs the quaytrack command; returns its exit code and output.
