Keep within a share of brittle targets' slots

What callers saw: targets that say that they fail when they turn away too much fell over again and again, and the requests that ran there were then refused as crashing their targets, at all routers and for an hour.

Cause: nothing read what targets say of it, and each router offers a target what it has, so that their sum passes its room; and a fall looks like a crash by whatever ran there.

Change: dispatch/brittle_services.h knows from answers and heartbeats which services are brittle. Their targets' slots are divided among the routers by rendezvous places, so that the shares add up to the slots without a message; a rejection pauses the target for a second. Where there are fewer slots than routers and a router has no share of any target, it may send each one request at a time: the bound is then not strict. Ends of brittle targets blame no request.

--- a/base/events.h
+++ b/base/events.h
@@ -89,6 +89,8 @@
   kTargetBacksOff = 1322,
   kRolloutState = 1323,
   kRolloutWritten = 1324,
+  kTargetsBrittle = 1325,
+  kTargetsSound = 1326,
   // 14xx: requests, budgets, bills and claims.
   kRequestRefused = 1401,
   kRequestFinished = 1402,
@@ -179,6 +181,8 @@
     {Event::kTargetBacksOff, LogLevel::kInfo, "target_backs_off"},
     {Event::kRolloutState, LogLevel::kInfo, "rollout_state"},
     {Event::kRolloutWritten, LogLevel::kInfo, "rollout_written"},
+    {Event::kTargetsBrittle, LogLevel::kWarn, "targets_brittle"},
+    {Event::kTargetsSound, LogLevel::kInfo, "targets_sound"},
     {Event::kRequestRefused, LogLevel::kDebug, "request_refused"},
     {Event::kRequestFinished, LogLevel::kDebug, "request_finished"},
     {Event::kCallerGone, LogLevel::kDebug, "caller_gone"},
--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -52,6 +52,9 @@
 // version is known within this time: targets and orders are read from the
 // store, one after the other.
 constexpr Duration kOrderKnownWithin = std::chrono::milliseconds(1000);
+// A brittle target that has turned away a request gets nothing from this router
+// for this long: the span over which it counts rejections.
+constexpr Duration kBrittlePause = std::chrono::milliseconds(1000);
 // Minimum number of targets that serve the share of the next version.
 constexpr std::size_t kMinShareTargets = 2;
 
@@ -182,7 +185,7 @@
 }
 
 bool Placement::MaySend(Instant now, const State& state) const {
-  if (now < state.pause_until) return false;
+  if (now < state.pause_until || IsAtBrittleBound(now, state)) return false;
   if (IsCold(now, state) && !MaySendCold(now, state)) return false;
   return !state.limit_per_s || MaySendLimited(now, state);
 }
@@ -234,6 +237,32 @@
   return changed;
 }
 
+// --- Brittle targets ---------------------------------------------------------
+
+bool Placement::IsAtBrittleBound(Instant now, const State& state) const {
+  return brittle_.IsBrittle(now, state.entry.service) &&
+         state.running >= BrittleBound(state);
+}
+
+// A router that has no share of any target of the service may send each one
+// request at a time: else its callers would all be refused. Pauses after a
+// rejection (`kBrittlePause`) bound what such routers cause.
+int Placement::BrittleBound(const State& state) const {
+  const auto& place = LocalPlace(state);
+  if (!place) return 1;
+  const int bound = ConcurrencyBound(state.entry.slots, *place);
+  return bound == 0 && OwnsNoBrittle(state.entry.service) ? 1 : bound;
+}
+
+bool Placement::OwnsNoBrittle(const ServiceName& service) const {
+  return std::none_of(targets_.begin(), targets_.end(), [&](const auto& it) {
+    const State& state = it.second;
+    if (state.entry.service != service || !AcceptsWork(state)) return false;
+    const auto& place = LocalPlace(state);
+    return place && ConcurrencyBound(state.entry.slots, *place) > 0;
+  });
+}
+
 // --- Pauses ------------------------------------------------------------------
 
 void Placement::OnBackOff(Instant now, const TargetStart& target,
@@ -330,7 +359,8 @@
   return std::any_of(targets_.begin(), targets_.end(), [&](const auto& it) {
     const State& state = it.second;
     return IsEligible(state, request) &&
-           (state.limit_per_s || now < state.pause_until);
+           (state.limit_per_s || now < state.pause_until ||
+            IsAtBrittleBound(now, state));
   });
 }
 
@@ -644,6 +674,10 @@
   state.running = std::max(0, state.running - 1);
   state.prefill = std::max<Tokens>(0, state.prefill - prefill);
   if (outcome == PlacementOutcome::kFailed) state.warmth.OnLost(now);
+  if (outcome == PlacementOutcome::kRefused &&
+      brittle_.IsBrittle(now, state.entry.service)) {
+    state.pause_until = std::max(state.pause_until, now + kBrittlePause);
+  }
   if (outcome == PlacementOutcome::kNeutral) return;
   state.health.Record(now, outcome != PlacementOutcome::kGood);
 }
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -13,18 +13,20 @@
 // Rule. A target is excluded if it is leaving or its hall is closed
 // (`AcceptsWork`), if the request may not be processed in the target's region
 // (base/residency.h), or if the request was sent there before. A target is also
-// excluded while a pause that it requested lasts (dispatch/back_off.h), and, if
-// it is cold or has announced a rate limit (dispatch/rate_limits.h), unless
-// this router may send there (dispatch/shared_rate.h); then the target competes
-// like any other. While operators move a service to another version, a request
-// goes to targets of the version whose turn it is (dispatch/version_gate.h). If
-// targets of other versions can serve, a version that is listed for the first
-// time beside others gets no requests until an order of the operators about the
-// version would be known. A target whose limit was last confirmed a while ago
-// comes first if this router may send to it, because only its answer can show
-// that the limit has ended. Of the other targets, ejected ones
-// (dispatch/outlier_ejection.h) are used only if all are ejected. Among equals,
-// the target with the lowest expected cost in milliseconds is chosen:
+// excluded while a pause that it requested lasts (dispatch/back_off.h), while
+// it is brittle and has this router's share of its slots in use
+// (dispatch/brittle_services.h), and, if it is cold or has announced a rate
+// limit (dispatch/rate_limits.h), unless this router may send there
+// (dispatch/shared_rate.h); then the target competes like any other. While
+// operators move a service to another version, a request goes to targets of the
+// version whose turn it is (dispatch/version_gate.h). If targets of other
+// versions can serve, a version that is listed for the first time beside others
+// gets no requests until an order of the operators about the version would be
+// known. A target whose limit was last confirmed a while ago comes first if
+// this router may send to it, because only its answer can show that the limit
+// has ended. Of the other targets, ejected ones (dispatch/outlier_ejection.h)
+// are used only if all are ejected. Among equals, the target with the lowest
+// expected cost in milliseconds is chosen:
 //
 //   engines         (tokens to be prefilled there x learned time per token
 //                    (dispatch/prefill_speed.h)
@@ -92,6 +94,7 @@
 #include "base/ids.h"
 #include "base/residency.h"
 #include "dispatch/back_off.h"
+#include "dispatch/brittle_services.h"
 #include "dispatch/outlier_ejection.h"
 #include "dispatch/prefill_speed.h"
 #include "dispatch/prefix_cache.h"
@@ -222,8 +225,8 @@
   //
   // Whether some target could get the request, but is cold.
   bool HasCold(Instant now, const PlacementRequest& request) const;
-  // Whether some target could get the request, but has a rate limit or has
-  // asked for a pause.
+  // Whether some target could get the request, but has a rate limit, has asked
+  // for a pause, or is brittle and has its share of this router's requests.
   bool HasLimited(Instant now, const PlacementRequest& request) const;
   // Whether some target could get the request if its hall were not closed.
   bool IsClosedOff(const PlacementRequest& request) const;
@@ -264,6 +267,13 @@
     return rate_limits_.TakeUnreported(now, forwards);
   }
   const RateLimits& rate_limits() const { return rate_limits_; }
+  // Takes what an answer of the service states about how much its targets bear
+  // (dispatch/brittle_services.h). Returns whether this has changed.
+  bool OnBrittle(Instant now, const ServiceName& service,
+                 std::optional<int> max_turned_away) {
+    return brittle_.OnAnswer(now, service, max_turned_away);
+  }
+  BrittleServices& brittle() { return brittle_; }
   // Notes that a request has ended at the target. `prefill` is the result of
   // OnSent, or 0 after OnAnswering.
   void OnEnded(Instant now, const TargetName& name, Tokens prefill,
@@ -364,7 +374,10 @@
   const std::optional<RendezvousPlace>& LocalPlace(const State& state) const;
   bool MaySendCold(Instant now, const State& state) const;
   bool MaySendLimited(Instant now, const State& state) const;
-  // Checks the pause, cold and limit rules together.
+  bool IsAtBrittleBound(Instant now, const State& state) const;
+  int BrittleBound(const State& state) const;
+  bool OwnsNoBrittle(const ServiceName& service) const;
+  // Checks the pause, cold, limit and brittleness rules together.
   bool MaySend(Instant now, const State& state) const;
   bool IsProbeDue(Instant now, const State& state) const;
   // Restores the known limit and pauses of a target whose start is listed for
@@ -407,6 +420,7 @@
   PlacementRates rates_;
   RateLimits rate_limits_;
   BackOffs back_offs_;
+  BrittleServices brittle_;
   // A target's announcement that it is leaving.
   struct LeavingNotice {
     TargetStart start;
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -484,6 +484,10 @@
   }
   CheckStoreEra(message);
   ApplyRateLimits(message);
+  for (const auto& [service, max_turned_away] :
+       placement_.brittle().OnPeer(clock_.Now(), message.brittle)) {
+    LogBrittle(service, max_turned_away, "peer");
+  }
   placement_.SetPeerSpeeds(message.engine_speeds);
   budgets_.OnPeer(message);
   configs_.OnPeer(message);
@@ -557,6 +561,7 @@
   message.keeps_budgets = budgets_.ledger().ActsAsHolder();
   message.engine_speeds = placement_.LearnedSpeeds();
   message.cut_off = reach_.CutOff();
+  message.brittle = placement_.brittle().Reports(clock_.Now());
   rollouts_.Fill(message);
   FillMarks(message);
   if (message.kind != PeerMessageKind::kHello) return;
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -301,6 +301,12 @@
     context_.placement.OnBackOff(*progress_.head_at, target.start,
                                  answer_facts_.back_off);
   }
+  const BrittleStatement& brittle = answer_facts_.brittle;
+  if (brittle.is_stated &&
+      context_.placement.OnBrittle(*progress_.head_at, target.service,
+                                   brittle.max_turned_away)) {
+    LogBrittle(target.service, brittle.max_turned_away, "answer");
+  }
   const bool changed = context_.placement.OnRate(
       *progress_.head_at, target.start, sent_at_, answer_facts_.rate);
   if (!changed) return;
@@ -479,11 +485,18 @@
   if (context_.crashes.HasReports()) context_.crashes.OnRan(fingerprint());
 }
 
+// Whether the target may have ended because of its load, or the connection
+// because of the peer in between, so that the request can't be blamed.
+bool RelayedRequest::MayEndUnderLoad() const {
+  return !progress_.path.direct() ||
+         context_.placement.brittle().IsBrittle(context_.clock.Now(),
+                                                admission_.service->name);
+}
+
 // Called when the target closed the connection. The target may have crashed,
 // possibly because of this request.
 void RelayedRequest::ReportLost() {
-  // The peer may be what has ended.
-  if (!progress_.path.direct()) return;
+  if (MayEndUnderLoad()) return;
   if (CrashWatch::HasPassedStartPhase(TimeSinceFirstEvent())) {
     passed_start_phase_ = true;
     ReportRan();
@@ -497,7 +510,7 @@
 // hang, because of the request.
 void RelayedRequest::ReportStopped() {
   const bool at_target = RanInAttempt() == Ran::kUnknown;
-  if (!at_target || passed_start_phase_ ||
+  if (!at_target || MayEndUnderLoad() || passed_start_phase_ ||
       CrashWatch::HasPassedStartPhase(TimeSinceFirstEvent()))
     return;
   context_.crashes.OnStopped(MakeLostAttempt());
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -124,6 +124,7 @@
   Ran RanInAttempt() const;
   std::optional<Duration> TimeSinceFirstEvent() const;
   void ReportRan();
+  bool MayEndUnderLoad() const;
   void ReportLost();
   void ReportStopped();
   LostAttempt MakeLostAttempt();
--- a/relay/request_log.cc
+++ b/relay/request_log.cc
@@ -61,6 +61,18 @@
             {"by", by}});
 }
 
+void LogBrittle(const ServiceName& service, std::optional<int> max_turned_away,
+                const std::string& by) {
+  if (!max_turned_away) {
+    return LogEvent(Event::kTargetsSound,
+                    {{"service", service.value}, {"by", by}});
+  }
+  LogEvent(Event::kTargetsBrittle,
+           {{"service", service.value},
+            {"max_turned_away", std::to_string(*max_turned_away)},
+            {"by", by}});
+}
+
 void LogRequestEnded(const Admission& admission,
                      const RequestProgress& progress, const RequestEnd& end) {
   const RouteRule* route = admission.route;
--- a/relay/testing/peer_messages_test.cc
+++ b/relay/testing/peer_messages_test.cc
@@ -51,6 +51,12 @@
                 "cut_off": ["desk", "llm"]})");
 }
 
+BOOST_AUTO_TEST_CASE(BrittleServicesKeepTheirForm) {
+  PeerMessage it = Message(PeerMessageKind::kPing);
+  it.brittle = {{ServiceName("desk"), 3}};
+  Check(it, R"({"kind": "ping", "from": "vm1@1", "brittle": {"desk": 3}})");
+}
+
 BOOST_AUTO_TEST_CASE(MessagesAboutTheStoreKeepTheirForm) {
   PeerMessage heartbeat = Message(PeerMessageKind::kPing);
   heartbeat.marks[FeedName::kTargets] = {12,
