--- a/dispatch/target_reach.cc
+++ b/dispatch/target_reach.cc
@@ -24,6 +24,7 @@
 
 void TargetReach::OnHeard(Instant now, const TargetName& target) {
   heard_at_ = now;
+  refuted_ = 0;
   if (!unanswered_.empty()) unanswered_.erase(target);
 }
 
@@ -110,7 +111,10 @@
   if (!some) return ReachEvent::kNoneOpened;
   // A cut that was suspected is refuted by one connection. The end of a known
   // one takes more, as long as tunnels serve the requests.
-  if (!IsCutOff()) unanswered_.clear();
+  if (!IsCutOff()) {
+    unanswered_.clear();
+    refuted_ = std::min(refuted_ + 1, kMaxDoublings);
+  }
   if (most || before || !IsLost()) return ReachEvent::kOpened;
   return std::nullopt;
 }
@@ -140,7 +144,7 @@
   const Duration since = now - last_round_at_;
   if (IsCutOff()) return since >= kRoundInterval;
   if (is_doubted_) return true;
-  return since >= kSuspectInterval && IsSuspicious(now);
+  return since >= kSuspectInterval * (1 << refuted_) && IsSuspicious(now);
 }
 
 bool TargetReach::IsSuspicious(Instant now) const {
--- a/dispatch/target_reach.h
+++ b/dispatch/target_reach.h
@@ -71,9 +71,12 @@
   // As the timeout of a request's connection (relay/attempt.cc).
   static constexpr Duration kProbeTimeout = std::chrono::milliseconds(250);
   // Start of a round to the start of the next one: while the links are lost,
-  // and at least while they work.
+  // and at least while they work. The latter doubles, at most `kMaxDoublings`
+  // times, with each round that finds nothing wrong before an answer arrives:
+  // some services just answer slowly.
   static constexpr Duration kRoundInterval = std::chrono::milliseconds(400);
   static constexpr Duration kSuspectInterval = std::chrono::milliseconds(500);
+  static constexpr int kMaxDoublings = 3;
   static constexpr Duration kPeersAgain = std::chrono::milliseconds(1000);
 
   // `chart` must outlive this object.
@@ -146,6 +149,8 @@
   bool is_doubted_ = false;
   std::optional<Round> round_;
   Instant last_round_at_{};
+  // Rounds that found nothing wrong since an answer arrived.
+  int refuted_ = 0;
   // Whether a connection of the previous round opened.
   bool some_opened_ = false;
   // Targets that each peer failed to reach since a peer reached one.
--- a/dispatch/testing/target_reach_test.cc
+++ b/dispatch/testing/target_reach_test.cc
@@ -120,6 +120,25 @@
   BOOST_TEST((it.Round(0) == ReachAction::kUseTunnels));
 }
 
+BOOST_AUTO_TEST_CASE(AServiceThatIsJustSlowIsProbedLessAndLess) {
+  Fixture it(4);
+  int rounds = 0;
+  for (int n = 0; n < 100; ++n) {
+    it.reach.OnSent(it.now, Name(n % 4));
+    it.Wait(milliseconds(100));
+    it.Round(3);
+    if (!it.probed.empty()) ++rounds;
+  }
+  // In 10 s; without doubling it would be a round every 0.5 s.
+  BOOST_TEST(rounds <= 5);
+  it.reach.OnHeard(it.now, Name(0));
+  it.reach.OnSent(it.now, Name(0));
+  it.reach.OnSent(it.now, Name(1));
+  it.Wait(TargetReach::kSilence);
+  it.Round(0);
+  BOOST_TEST(it.reach.IsLost());
+}
+
 BOOST_AUTO_TEST_CASE(AnAnswerFromAnyTargetEndsTheSilence) {
   Fixture it(4);
   it.reach.OnSent(it.now, Name(0));
--- a/http/tunnel_server.cc
+++ b/http/tunnel_server.cc
@@ -1,5 +1,6 @@
 #include "http/tunnel_server.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace quaytrack {
@@ -33,6 +34,13 @@
   }
 }
 
+std::size_t TunnelServer::size() const {
+  const auto unsent =
+      std::count_if(closing_.begin(), closing_.end(),
+                    [](const TunnelPtr& it) { return it->peer->Unsent() > 0; });
+  return tunnels_.size() + static_cast<std::size_t>(unsent);
+}
+
 void TunnelServer::Accept(std::shared_ptr<TcpSocket> socket,
                           std::string_view first_bytes) {
   auto it = std::make_shared<Tunnel>();
--- a/http/tunnel_server.h
+++ b/http/tunnel_server.h
@@ -52,8 +52,9 @@
 
   // Takes a peer's connection; `first_bytes` have been read from it.
   void Accept(std::shared_ptr<TcpSocket> socket, std::string_view first_bytes);
-  // Number of tunnels that carry a request, or are being opened.
-  std::size_t size() const { return tunnels_.size(); }
+  // Number of tunnels that carry a request, are being opened, or have bytes for
+  // their peer that the kernel has not accepted.
+  std::size_t size() const;
   // Number of tunnels opened so far.
   std::uint64_t opened() const { return opened_; }
 
