Satisfy the linter in the tunnel's code and the faulty links

clang-tidy refused a default member initializer used inside its class, a needless copy and unused results; behaviour is unchanged. The four unit and process test programs of the changed files pass.

--- a/dispatch/target_reach.cc
+++ b/dispatch/target_reach.cc
@@ -176,9 +176,10 @@
   }
   last_round_at_ = now;
   is_doubted_ = false;
-  round_.emplace();
-  round_->started_at = now;
-  for (const TargetName& it : out) round_->results[it];
+  Round round;
+  round.started_at = now;
+  for (const TargetName& it : out) round.results[it];
+  round_ = std::move(round);
   return out;
 }
 
--- a/http/tunnel_server.cc
+++ b/http/tunnel_server.cc
@@ -155,14 +155,13 @@
   if (it->peer->Unsent() == 0) it->peer->ShutdownWrite();
 }
 
-void TunnelServer::Remove(const TunnelPtr& it) {
-  const TunnelPtr keep = it;
-  tunnels_.erase(keep);
-  closing_.erase(keep);
-  keep->peer->Close();
-  if (keep->target) keep->target->Close();
+void TunnelServer::Remove(TunnelPtr it) {
+  tunnels_.erase(it);
+  closing_.erase(it);
+  it->peer->Close();
+  if (it->target) it->target->Close();
   // A handler of its sockets or its timer may be running.
-  loop_.Post([keep] {});
+  loop_.Post([keep = std::move(it)] {});
 }
 
 }  // namespace quaytrack
--- a/http/tunnel_server.h
+++ b/http/tunnel_server.h
@@ -80,7 +80,7 @@
   void Refuse(const TunnelPtr& it, TunnelStatus status);
   void OnTargetEnded(const TunnelPtr& it, SocketEnd end);
   void FinishPeer(const TunnelPtr& it);
-  void Remove(const TunnelPtr& it);
+  void Remove(TunnelPtr it);
 
   Loop& loop_;
   Dialer dial_;
--- a/testing/faulty_links.cc
+++ b/testing/faulty_links.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cstdlib>
 #include <fstream>
 #include <utility>
 
@@ -34,7 +35,7 @@
 void Reset(int fd) {
   sockaddr none{};
   none.sa_family = AF_UNSPEC;
-  connect(fd, &none, sizeof none);
+  static_cast<void>(connect(fd, &none, sizeof none));
 }
 
 int NewSocket() {
@@ -50,13 +51,15 @@
   at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t size = sizeof at;
   const int listener = NewSocket();
-  bind(listener, reinterpret_cast<sockaddr*>(&at), size);
+  if (bind(listener, reinterpret_cast<sockaddr*>(&at), size) != 0) std::abort();
   listen(listener, 0);
   getsockname(listener, reinterpret_cast<sockaddr*>(&at), &size);
   full_queue_.push_back(listener);
   for (int n = 0; n < kQueueFillers; ++n) {
     full_queue_.push_back(NewSocket());
-    connect(full_queue_.back(), reinterpret_cast<sockaddr*>(&at), size);
+    // The socket doesn't block: it stays half open.
+    static_cast<void>(
+        connect(full_queue_.back(), reinterpret_cast<sockaddr*>(&at), size));
   }
   full_address_ = "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
 }
