Wait 2.5 s for acknowledgements of targets

Callers got 502 for calls whose target, or the network to it, was silent for a second: the user timeout of 0.9 s ended the connection. A sound target may be silent for a second or so, and the retransmission that it answers can come as late again, so connections to targets, and those that are made for peers, wait for 2.5 s.

--- a/http/target_connection.cc
+++ b/http/target_connection.cc
@@ -24,10 +24,6 @@
 // Maximum number of idle connections to one address; beyond it, the connection
 // that has been idle for longest is closed.
 constexpr std::size_t kMaxIdlePerAddress = 16;
-// How long sent bytes may stay unacknowledged, and how long a connection may
-// take to open. This time is short, so that an unreachable target is detected
-// within a second.
-constexpr Duration kUserTimeout = std::chrono::milliseconds(900);
 // Bytes of the head and the body of an answer. The body is in effect unlimited,
 // because reading pauses when the caller is slow.
 constexpr HttpLimits kAnswerLimits{64 * 1024, std::size_t{1} << 40};
@@ -275,7 +271,7 @@
 
 TcpOptions TargetConnections::Options() {
   TcpOptions out;
-  out.user_timeout = kUserTimeout;
+  out.user_timeout = kTargetUserTimeout;
   return out;
 }
 
--- a/http/target_connection.h
+++ b/http/target_connection.h
@@ -55,6 +55,12 @@
 
 namespace quaytrack {
 
+// How long bytes sent to a target may stay unacknowledged. A sound target may
+// be silent for a second or so, and the retransmission that it then answers may
+// come as late again. Shorter timeouts of requests are those of
+// relay/attempt.h.
+inline constexpr Duration kTargetUserTimeout = std::chrono::milliseconds(2500);
+
 // How a call ended, as seen on its connection.
 enum class CallEnd {
   kComplete,  // a complete answer arrived
--- a/http/tunnel_server.cc
+++ b/http/tunnel_server.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "http/target_connection.h"
+
 namespace quaytrack {
 
 struct TunnelServer::Tunnel {
@@ -106,7 +108,7 @@
     if (const auto tunnel = weak.lock()) tunnel->peer->ResumeReading();
   };
   TcpOptions options;
-  options.user_timeout = kUserTimeout;
+  options.user_timeout = kTargetUserTimeout;
   it->target = dial_(loop_, address, options, std::move(on));
   if (!it->target) Refuse(it, TunnelStatus::kUnreachable);
 }
--- a/http/tunnel_server.h
+++ b/http/tunnel_server.h
@@ -66,9 +66,6 @@
   // How long the connection to a target may take to open. It is shorter than
   // the timeout of the peer's request, so that the peer learns the reason.
   static constexpr Duration kConnectTimeout = std::chrono::milliseconds(150);
-  // How long sent bytes may stay unacknowledged by a target, as on this
-  // router's own connections.
-  static constexpr Duration kUserTimeout = std::chrono::milliseconds(900);
   // How long the end of an answer may take to reach the peer.
   static constexpr Duration kCloseTimeout = std::chrono::seconds(2);
 
