Name rejection limits and unhealthy targets by the field's words

A newcomer met words of the users' pages (brittle, turned away, fall) and private ones (ill, doubt, stranded, refuted, send away). Constants of the new modules state the reason for their size.

--- a/chart/embedded.cc
+++ b/chart/embedded.cc
@@ -206,7 +206,7 @@
 const char kReachChart[] = R"chart({
   "name": "reach",
   "initial": "direct",
-  "final": ["direct", "lost", "ill"],
+  "final": ["direct", "lost", "unhealthy"],
   "states": {
     "direct": {
       "on": {"none_opened": {"to": "lost", "do": "use_tunnels"}},
@@ -215,11 +215,11 @@
     "lost": {
       "on": {
         "opened": {"to": "direct", "do": "use_links"},
-        "peers_fail_too": {"to": "ill", "do": "leave_peers"}
+        "peers_fail_too": {"to": "unhealthy", "do": "leave_peers"}
       },
       "ignore": ["none_opened", "peers_due"]
     },
-    "ill": {
+    "unhealthy": {
       "on": {
         "opened": {"to": "direct", "do": "use_links"},
         "peers_due": {"to": "lost", "do": "use_tunnels"}
--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -52,9 +52,9 @@
 // version is known within this time: targets and orders are read from the
 // store, one after the other.
 constexpr Duration kOrderKnownWithin = std::chrono::milliseconds(1000);
-// A brittle target that has turned away a request gets nothing from this router
-// for this long: the span over which it counts rejections.
-constexpr Duration kBrittlePause = std::chrono::milliseconds(1000);
+// A target with a rejection limit that has rejected a request gets nothing from
+// this router for this long: the span over which it counts rejections.
+constexpr Duration kRejectionPause = std::chrono::milliseconds(1000);
 // Minimum number of targets that serve the share of the next version.
 constexpr std::size_t kMinShareTargets = 2;
 
@@ -185,7 +185,7 @@
 }
 
 bool Placement::MaySend(Instant now, const State& state) const {
-  if (now < state.pause_until || IsAtBrittleBound(now, state)) return false;
+  if (now < state.pause_until || IsAtSlotShare(now, state)) return false;
   if (IsCold(now, state) && !MaySendCold(now, state)) return false;
   return !state.limit_per_s || MaySendLimited(now, state);
 }
@@ -237,29 +237,29 @@
   return changed;
 }
 
-// --- Brittle targets ---------------------------------------------------------
+// --- Rejection limits --------------------------------------------------------
 
-bool Placement::IsAtBrittleBound(Instant now, const State& state) const {
-  return brittle_.IsBrittle(now, state.entry.service) &&
-         state.running >= BrittleBound(state);
+bool Placement::IsAtSlotShare(Instant now, const State& state) const {
+  return rejection_limits_.IsLimited(now, state.entry.service) &&
+         state.running >= SlotShareAt(state);
 }
 
 // A router that has no share of any target of the service may send each one
 // request at a time: else its callers would all be refused. Pauses after a
-// rejection (`kBrittlePause`) bound what such routers cause.
-int Placement::BrittleBound(const State& state) const {
+// rejection (`kRejectionPause`) bound what such routers cause.
+int Placement::SlotShareAt(const State& state) const {
   const auto& place = LocalPlace(state);
   if (!place) return 1;
-  const int bound = ConcurrencyBound(state.entry.slots, *place);
-  return bound == 0 && OwnsNoBrittle(state.entry.service) ? 1 : bound;
+  const int bound = SlotShare(state.entry.slots, *place);
+  return bound == 0 && HasNoSlotShare(state.entry.service) ? 1 : bound;
 }
 
-bool Placement::OwnsNoBrittle(const ServiceName& service) const {
+bool Placement::HasNoSlotShare(const ServiceName& service) const {
   return std::none_of(targets_.begin(), targets_.end(), [&](const auto& it) {
     const State& state = it.second;
     if (state.entry.service != service || !AcceptsWork(state)) return false;
     const auto& place = LocalPlace(state);
-    return place && ConcurrencyBound(state.entry.slots, *place) > 0;
+    return place && SlotShare(state.entry.slots, *place) > 0;
   });
 }
 
@@ -360,7 +360,7 @@
     const State& state = it.second;
     return IsEligible(state, request) &&
            (state.limit_per_s || now < state.pause_until ||
-            IsAtBrittleBound(now, state));
+            IsAtSlotShare(now, state));
   });
 }
 
@@ -675,8 +675,8 @@
   state.prefill = std::max<Tokens>(0, state.prefill - prefill);
   if (outcome == PlacementOutcome::kFailed) state.warmth.OnLost(now);
   if (outcome == PlacementOutcome::kRefused &&
-      brittle_.IsBrittle(now, state.entry.service)) {
-    state.pause_until = std::max(state.pause_until, now + kBrittlePause);
+      rejection_limits_.IsLimited(now, state.entry.service)) {
+    state.pause_until = std::max(state.pause_until, now + kRejectionPause);
   }
   if (outcome == PlacementOutcome::kNeutral) return;
   state.health.Record(now, outcome != PlacementOutcome::kGood);
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -14,8 +14,8 @@
 // (`AcceptsWork`), if the request may not be processed in the target's region
 // (base/residency.h), or if the request was sent there before. A target is also
 // excluded while a pause that it requested lasts (dispatch/back_off.h), while
-// it is brittle and has this router's share of its slots in use
-// (dispatch/brittle_services.h), and, if it is cold or has announced a rate
+// it has a rejection limit and this router's share of its slots in use
+// (dispatch/rejection_limits.h), and, if it is cold or has announced a rate
 // limit (dispatch/rate_limits.h), unless this router may send there
 // (dispatch/shared_rate.h); then the target competes like any other. While
 // operators move a service to another version, a request goes to targets of the
@@ -94,11 +94,11 @@
 #include "base/ids.h"
 #include "base/residency.h"
 #include "dispatch/back_off.h"
-#include "dispatch/brittle_services.h"
 #include "dispatch/outlier_ejection.h"
 #include "dispatch/prefill_speed.h"
 #include "dispatch/prefix_cache.h"
 #include "dispatch/rate_limits.h"
+#include "dispatch/rejection_limits.h"
 #include "dispatch/shared_rate.h"
 #include "dispatch/target_warmth.h"
 #include "dispatch/version_gate.h"
@@ -226,7 +226,8 @@
   // Whether some target could get the request, but is cold.
   bool HasCold(Instant now, const PlacementRequest& request) const;
   // Whether some target could get the request, but has a rate limit, has asked
-  // for a pause, or is brittle and has its share of this router's requests.
+  // for a pause, or has a rejection limit and its share of this router's
+  // requests.
   bool HasLimited(Instant now, const PlacementRequest& request) const;
   // Whether some target could get the request if its hall were not closed.
   bool IsClosedOff(const PlacementRequest& request) const;
@@ -268,12 +269,12 @@
   }
   const RateLimits& rate_limits() const { return rate_limits_; }
   // Takes what an answer of the service states about how much its targets bear
-  // (dispatch/brittle_services.h). Returns whether this has changed.
-  bool OnBrittle(Instant now, const ServiceName& service,
-                 std::optional<int> max_turned_away) {
-    return brittle_.OnAnswer(now, service, max_turned_away);
+  // (dispatch/rejection_limits.h). Returns whether this has changed.
+  bool OnRejectionLimit(Instant now, const ServiceName& service,
+                        std::optional<int> max_rejections) {
+    return rejection_limits_.OnAnswer(now, service, max_rejections);
   }
-  BrittleServices& brittle() { return brittle_; }
+  RejectionLimits& rejection_limits() { return rejection_limits_; }
   // Notes that a request has ended at the target. `prefill` is the result of
   // OnSent, or 0 after OnAnswering.
   void OnEnded(Instant now, const TargetName& name, Tokens prefill,
@@ -374,10 +375,10 @@
   const std::optional<RendezvousPlace>& LocalPlace(const State& state) const;
   bool MaySendCold(Instant now, const State& state) const;
   bool MaySendLimited(Instant now, const State& state) const;
-  bool IsAtBrittleBound(Instant now, const State& state) const;
-  int BrittleBound(const State& state) const;
-  bool OwnsNoBrittle(const ServiceName& service) const;
-  // Checks the pause, cold, limit and brittleness rules together.
+  bool IsAtSlotShare(Instant now, const State& state) const;
+  int SlotShareAt(const State& state) const;
+  bool HasNoSlotShare(const ServiceName& service) const;
+  // Checks the pause, cold, rate and rejection rules together.
   bool MaySend(Instant now, const State& state) const;
   bool IsProbeDue(Instant now, const State& state) const;
   // Restores the known limit and pauses of a target whose start is listed for
@@ -420,7 +421,7 @@
   PlacementRates rates_;
   RateLimits rate_limits_;
   BackOffs back_offs_;
-  BrittleServices brittle_;
+  RejectionLimits rejection_limits_;
   // A target's announcement that it is leaving.
   struct LeavingNotice {
     TargetStart start;
--- a/dispatch/reach_chart.h
+++ b/dispatch/reach_chart.h
@@ -1,9 +1,9 @@
 // How a router reaches the targets of one service (dispatch/target_reach.h):
 // chart/charts/reach.json.
 //
-//   direct  over its own links
-//   lost    its own links are lost: over tunnels through peers
-//   ill     peers don't reach the targets either
+//   direct     over its own links
+//   lost       its own links are lost: over tunnels through peers
+//   unhealthy  peers don't reach the targets either
 //
 // Each state may be the last one, as a process may end at any time.
 
@@ -16,7 +16,7 @@
 
 namespace quaytrack {
 
-enum class ReachState { kDirect, kLost, kTargetsIll };
+enum class ReachState { kDirect, kLost, kUnhealthy };
 enum class ReachEvent {
   kNoneOpened,    // no connection of a probe round opened
   kOpened,        // connections open again
@@ -27,10 +27,10 @@
 
 template <>
 struct EnumTable<ReachState> {
-  static constexpr auto kEntries =
-      std::to_array<EnumEntry<ReachState>>({{ReachState::kDirect, "direct"},
-                                            {ReachState::kLost, "lost"},
-                                            {ReachState::kTargetsIll, "ill"}});
+  static constexpr auto kEntries = std::to_array<EnumEntry<ReachState>>(
+      {{ReachState::kDirect, "direct"},
+       {ReachState::kLost, "lost"},
+       {ReachState::kUnhealthy, "unhealthy"}});
 };
 
 template <>
--- a/dispatch/target_reach.cc
+++ b/dispatch/target_reach.cc
@@ -24,7 +24,7 @@
 
 void TargetReach::OnHeard(Instant now, const TargetName& target) {
   heard_at_ = now;
-  refuted_ = 0;
+  cleared_rounds_ = 0;
   if (!unanswered_.empty()) unanswered_.erase(target);
 }
 
@@ -113,7 +113,7 @@
   // one takes more, as long as tunnels serve the requests.
   if (!IsCutOff()) {
     unanswered_.clear();
-    refuted_ = std::min(refuted_ + 1, kMaxDoublings);
+    cleared_rounds_ = std::min(cleared_rounds_ + 1, kMaxDoublings);
   }
   if (most || before || !IsLost()) return ReachEvent::kOpened;
   return std::nullopt;
@@ -122,8 +122,8 @@
 std::optional<ReachEvent> TargetReach::EventOfPeers(Instant now) const {
   if (!IsCutOff()) return std::nullopt;
   if (IsLost() && PeersFail()) return ReachEvent::kPeersFailToo;
-  const bool are_due =
-      AreTargetsIll() && able_peers_ > 0 && now - changed_at_ >= kPeersAgain;
+  const bool are_due = AreTargetsUnhealthy() && usable_peers_ > 0 &&
+                       now - changed_at_ >= kPeersAgain;
   return are_due ? std::optional(ReachEvent::kPeersDue) : std::nullopt;
 }
 
@@ -132,7 +132,7 @@
       peer_failures_.begin(), peer_failures_.end(),
       [this](const auto& it) { return it.second.size() >= SuspectsNeeded(); });
   return static_cast<std::size_t>(failed) >=
-         std::min(kMinFailedPeers, able_peers_);
+         std::min(kMinFailedPeers, usable_peers_);
 }
 
 std::size_t TargetReach::SuspectsNeeded() const {
@@ -143,8 +143,9 @@
   if (round_ || targets_.empty()) return false;
   const Duration since = now - last_round_at_;
   if (IsCutOff()) return since >= kRoundInterval;
-  if (is_doubted_) return true;
-  return since >= kSuspectInterval * (1 << refuted_) && IsSuspicious(now);
+  if (probe_requested_) return true;
+  return since >= kSuspectInterval * (1 << cleared_rounds_) &&
+         IsSuspicious(now);
 }
 
 bool TargetReach::IsSuspicious(Instant now) const {
@@ -175,7 +176,7 @@
     if (out.size() < kProbesPerRound) out.push_back(it);
   }
   last_round_at_ = now;
-  is_doubted_ = false;
+  probe_requested_ = false;
   Round round;
   round.started_at = now;
   for (const TargetName& it : out) round.results[it];
--- a/dispatch/target_reach.h
+++ b/dispatch/target_reach.h
@@ -24,12 +24,12 @@
 // are lost. So targets that crash don't look like a cut as long as one of those
 // probed is up. While the links are lost, rounds follow every `kRoundInterval`
 // until most connections of a round open, or some in two rounds; if the targets
-// are ill, until one opens.
+// are unhealthy, until one opens.
 //
 // Peers. Where two peers each fail to reach two targets as well, and none has
 // reached a target since, or all peers say that they are cut off, the targets
-// are ill rather than this
-// router's links. Peers are then asked again after `kPeersAgain`.
+// are unhealthy rather than this router's links. Peers are then asked again
+// after `kPeersAgain`.
 //
 // Owns its evidence, which expires. Nothing fails; the clock is passed in and
 // never goes back. The design is docs/design/indirect-paths.md.
@@ -58,25 +58,30 @@
 
 class TargetReach {
  public:
+  // One target may have ended; it says nothing about the links.
   static constexpr std::size_t kMinSuspects = 2;
-  // Peers that must have failed before the targets count as ill, if there are
-  // as many.
+  // Peers that must have failed before the targets count as unhealthy, if there
+  // are as many.
   static constexpr std::size_t kMinFailedPeers = 2;
   // Engines may take several hundred milliseconds for a first event, but
   // rarely send nothing for all requests of a router.
   static constexpr Duration kSilence = std::chrono::milliseconds(400);
-  // How long a failed opening, or a request without an answer, is evidence.
+  // How long a failed opening, or a request without an answer, is evidence. A
+  // router with few callers opens a connection a second or so.
   static constexpr Duration kEvidenceTime = std::chrono::milliseconds(2000);
+  // Enough that targets that are down by themselves rarely make up a round.
   static constexpr std::size_t kProbesPerRound = 3;
   // As the timeout of a request's connection (relay/attempt.cc).
   static constexpr Duration kProbeTimeout = std::chrono::milliseconds(250);
   // Start of a round to the start of the next one: while the links are lost,
-  // and at least while they work. The latter doubles, at most `kMaxDoublings`
+  // which bounds the return to them, and at least while they work. The latter
+  // doubles, at most `kMaxDoublings`
   // times, with each round that finds nothing wrong before an answer arrives:
   // some services just answer slowly.
   static constexpr Duration kRoundInterval = std::chrono::milliseconds(400);
   static constexpr Duration kSuspectInterval = std::chrono::milliseconds(500);
   static constexpr int kMaxDoublings = 3;
+  // The interval of peers' heartbeats, in which they report what they reach.
   static constexpr Duration kPeersAgain = std::chrono::milliseconds(1000);
 
   // `chart` must outlive this object.
@@ -92,21 +97,21 @@
   void OnOpenFailed(Instant now, const TargetName& target);
   // The outcome of a connection that `Check` asked for.
   void OnProbe(Instant now, const TargetName& target, bool opened);
-  // Starts a probe round with the next `Check`, unless one is running.
-  void Doubt() { is_doubted_ = true; }
+  // Starts a probe round with the next `Check`, once none is running.
+  void RequestProbes() { probe_requested_ = true; }
   // Whether a peer has reached the target. Peers that refuse say nothing.
   // Returns whether the peer has failed to reach so many targets that it is
   // likely to be cut off as well.
   bool OnPeerTried(const VmName& peer, const TargetName& target, bool reached);
   // Number of peers that don't say that they are cut off from the service.
-  void SetPeers(std::size_t able) { able_peers_ = able; }
+  void SetPeers(std::size_t usable) { usable_peers_ = usable; }
 
   // Decides. Call this after evidence and several times a second.
   ReachStep Check(Instant now);
 
   // Whether nobody is known to reach the targets.
-  bool AreTargetsIll() const {
-    return machine_.state() == ReachState::kTargetsIll;
+  bool AreTargetsUnhealthy() const {
+    return machine_.state() == ReachState::kUnhealthy;
   }
   // Whether requests should go through peers.
   bool IsLost() const { return machine_.state() == ReachState::kLost; }
@@ -146,16 +151,16 @@
   std::map<TargetName, Instant> open_failures_;
   // The first request to each target since something was received from it.
   std::map<TargetName, Instant> unanswered_;
-  bool is_doubted_ = false;
+  bool probe_requested_ = false;
   std::optional<Round> round_;
   Instant last_round_at_{};
   // Rounds that found nothing wrong since an answer arrived.
-  int refuted_ = 0;
+  int cleared_rounds_ = 0;
   // Whether a connection of the previous round opened.
   bool some_opened_ = false;
   // Targets that each peer failed to reach since a peer reached one.
   std::map<VmName, std::set<TargetName>> peer_failures_;
-  std::size_t able_peers_ = 0;
+  std::size_t usable_peers_ = 0;
 };
 
 }  // namespace quaytrack
--- a/dispatch/testing/cut_fleet_test.cc
+++ b/dispatch/testing/cut_fleet_test.cc
@@ -182,9 +182,9 @@
 
   void Request(Router& it) {
     const bool is_due = IsDue(it);
-    const bool served = it.reach->IsLost()          ? OverPeers(it)
-                        : it.reach->AreTargetsIll() ? false
-                                                    : Directly(it);
+    const bool served = it.reach->IsLost()                ? OverPeers(it)
+                        : it.reach->AreTargetsUnhealthy() ? false
+                                                          : Directly(it);
     if (!is_due) return;
     ++due;
     if (served) ++due_served;
--- a/dispatch/testing/brittle_services_test.cc
+++ b/dispatch/testing/rejection_limits_test.cc
@@ -1,7 +1,7 @@
-// Brittle targets: what is known of them, and that all routers together stay
+// Rejection limits: what is known of them, and that all routers together stay
 // within their slots without a message between them.
 
-#include "dispatch/brittle_services.h"
+#include "dispatch/rejection_limits.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -21,33 +21,33 @@
 using std::chrono::milliseconds;
 
 BOOST_AUTO_TEST_CASE(AnAnswerThatSaysNothingEndsIt) {
-  BrittleServices it;
-  BOOST_TEST(!it.IsBrittle(kStart, kDesk));
+  RejectionLimits it;
+  BOOST_TEST(!it.IsLimited(kStart, kDesk));
   BOOST_TEST(it.OnAnswer(kStart, kDesk, 3));
   BOOST_TEST(!it.OnAnswer(kStart, kDesk, 3));
-  BOOST_TEST(it.IsBrittle(kStart, kDesk));
-  BOOST_TEST(!it.IsBrittle(kStart, kEngines));
+  BOOST_TEST(it.IsLimited(kStart, kDesk));
+  BOOST_TEST(!it.IsLimited(kStart, kEngines));
   BOOST_TEST(it.OnAnswer(kStart, kDesk, std::nullopt));
-  BOOST_TEST(!it.IsBrittle(kStart, kDesk));
+  BOOST_TEST(!it.IsLimited(kStart, kDesk));
 }
 
 BOOST_AUTO_TEST_CASE(WithoutAnswersItEnds) {
-  BrittleServices it;
+  RejectionLimits it;
   it.OnAnswer(kStart, kDesk, 3);
   BOOST_TEST(
-      it.IsBrittle(kStart + BrittleServices::kMemory - Duration(1), kDesk));
-  BOOST_TEST(!it.IsBrittle(kStart + BrittleServices::kMemory, kDesk));
+      it.IsLimited(kStart + RejectionLimits::kMemory - Duration(1), kDesk));
+  BOOST_TEST(!it.IsLimited(kStart + RejectionLimits::kMemory, kDesk));
 }
 
 BOOST_AUTO_TEST_CASE(OnlyOwnRecentAnswersAreReported) {
-  BrittleServices own;
+  RejectionLimits own;
   own.OnAnswer(kStart, kDesk, 3);
-  BrittleServices told;
+  RejectionLimits told;
   BOOST_TEST(told.OnPeer(kStart, own.Reports(kStart)).size() == 1U);
   BOOST_TEST(told.OnPeer(kStart, own.Reports(kStart)).empty());
-  BOOST_TEST(told.IsBrittle(kStart, kDesk));
+  BOOST_TEST(told.IsLimited(kStart, kDesk));
   BOOST_TEST(told.Reports(kStart).empty());
-  BOOST_TEST(own.Reports(kStart + BrittleServices::kReportedFor).empty());
+  BOOST_TEST(own.Reports(kStart + RejectionLimits::kReportedFor).empty());
 }
 
 BOOST_AUTO_TEST_CASE(TheSharesAddUpToTheSlots) {
@@ -55,16 +55,16 @@
     for (int slots = 1; slots <= 64; ++slots) {
       int sum = 0;
       for (std::size_t rank = 0; rank < routers; ++rank)
-        sum += ConcurrencyBound(slots, {rank, routers});
+        sum += SlotShare(slots, {rank, routers});
       BOOST_TEST(sum == slots);
     }
   }
 }
 
-// Routers that all know that the service is brittle, with drawn loads.
-class BrittleFleet {
+// Routers that all know the limit, with drawn loads.
+class LimitedFleet {
  public:
-  BrittleFleet(unsigned seed, int routers, int targets, int slots)
+  LimitedFleet(unsigned seed, int routers, int targets, int slots)
       : random_(seed), entries_(Targets(kDesk, targets)) {
     for (auto& [name, entry] : entries_) {
       entry.slots = slots;
@@ -77,7 +77,7 @@
       it.SetPlaceLookup([n, routers](const TargetStart& target) {
         return PlaceOf(n, routers, target.value);
       });
-      it.OnBrittle(kStart, kDesk, 3);
+      it.OnRejectionLimit(kStart, kDesk, 3);
     }
     running_.resize(routers_.size());
   }
@@ -149,7 +149,7 @@
     const int routers = 2 + static_cast<int>(draw() % 11);
     const int slots = routers + static_cast<int>(draw() % 60);
     const int targets = 1 + static_cast<int>(draw() % 12);
-    BrittleFleet fleet(seed, routers, targets, slots);
+    LimitedFleet fleet(seed, routers, targets, slots);
     for (int n = 0; n < 5; ++n) {
       fleet.Fill();
       BOOST_TEST(fleet.Most() <= slots, "seed " << seed);
@@ -163,7 +163,7 @@
 // With fewer slots than routers, each router still serves.
 BOOST_AUTO_TEST_CASE(EachRouterMaySendSomething) {
   for (unsigned seed = 1; seed <= 10; ++seed) {
-    BrittleFleet fleet(seed, 40, 3, 6);
+    LimitedFleet fleet(seed, 40, 3, 6);
     for (std::size_t n = 0; n < fleet.size(); ++n)
       BOOST_TEST(fleet.HasRoom(n), "seed " << seed << ", router " << n);
   }
@@ -173,7 +173,7 @@
 BOOST_AUTO_TEST_CASE(ARejectionIsAPause) {
   Placement placement(HallName("hall-0"));
   placement.SetTargets(kStart, Targets(kDesk, 1));
-  placement.OnBrittle(kStart, kDesk, 3);
+  placement.OnRejectionLimit(kStart, kDesk, 3);
   PlacementRequest request;
   request.service = kDesk;
   const TargetName name("t0");
--- a/dispatch/testing/target_reach_test.cc
+++ b/dispatch/testing/target_reach_test.cc
@@ -215,7 +215,7 @@
   BOOST_TEST((it.reach.Check(it.now).action == ReachAction::kLeavePeers));
   it.Wait(TargetReach::kPeersAgain);
   it.Round(0);
-  BOOST_TEST(it.reach.AreTargetsIll());
+  BOOST_TEST(it.reach.AreTargetsUnhealthy());
   it.reach.SetPeers(2);
   BOOST_TEST((it.reach.Check(it.now).action == ReachAction::kUseTunnels));
 }
--- a/dispatch/tunnel_peers.h
+++ b/dispatch/tunnel_peers.h
@@ -44,9 +44,13 @@
 
 class TunnelPeers {
  public:
+  // A peer that is full or restarting may have room again this soon.
   static constexpr Duration kFirstPause = std::chrono::milliseconds(500);
   static constexpr int kMaxDoublings = 3;
+  // Longer than a peer's link takes to count as lost (relay/peer_mesh.h).
   static constexpr Duration kKnownFor = std::chrono::seconds(5);
+  // Traffic between halls takes longer and may be charged for, but a few peers
+  // of the hall must not carry everything.
   static constexpr int kOtherHall = 4;
 
   TunnelPeers(VmName self, HallName hall)
--- a/http/caller_server.h
+++ b/http/caller_server.h
@@ -57,9 +57,9 @@
   void StopListening() { listener_.Stop(); }
   // From now on every answer is the last of its connection.
   void StartClosing() { closing_ = true; }
-  // The same for a while: until called with false.
-  void SendAway(bool away) { sending_away_ = away; }
-  bool closing() const { return closing_ || sending_away_; }
+  // The same until it is called with false.
+  void CloseAfterAnswers(bool away) { closing_after_answers_ = away; }
+  bool closing() const { return closing_ || closing_after_answers_; }
   // Closes the connections without a running request, except those that have
   // just been opened, as a request is likely to be on its way.
   void CloseIdle();
@@ -83,7 +83,7 @@
   CallerLimits limits_;
   Handler handler_;
   bool closing_ = false;
-  bool sending_away_ = false;
+  bool closing_after_answers_ = false;
   TcpListener listener_;
   std::set<std::shared_ptr<CallerConnection>> connections_;
   std::unique_ptr<Timer> sweep_;
--- a/http/tunnel_server.h
+++ b/http/tunnel_server.h
@@ -62,6 +62,7 @@
   struct Tunnel;
   using TunnelPtr = std::shared_ptr<Tunnel>;
 
+  // A few answers' events; more would only delay the backpressure.
   static constexpr std::size_t kMaxBufferedBytes = 32 * 1024;
   // How long the connection to a target may take to open. It is shorter than
   // the timeout of the peer's request, so that the peer learns the reason.
--- a/relay/dialect.h
+++ b/relay/dialect.h
@@ -64,13 +64,13 @@
   std::string last_event;
 };
 
-// What an answer states about how much its target bears.
-struct BrittleStatement {
+// What an answer states about rejections that its target bears.
+struct RejectionStatement {
   // The rest of this statement is valid.
   bool is_stated = false;
-  // The number of requests a second that the target can turn away without
+  // The number of requests a second that the target can reject without
   // failing; unset if it states no bound.
-  std::optional<int> max_turned_away;
+  std::optional<int> max_rejections;
 };
 
 // The contents of an answer's head.
@@ -86,7 +86,7 @@
   std::chrono::milliseconds cold_for{0};
   // The target's rate limit, as stated in the head.
   RateStatement rate;
-  BrittleStatement brittle;
+  RejectionStatement rejections;
   // Whether the target announces that it leaves.
   bool leaving = false;
   // How long the target accepts no further requests from this router; 0 if not
--- a/relay/peer_messages.cc
+++ b/relay/peer_messages.cc
@@ -314,9 +314,9 @@
   out.targets_revision = {json.value("targets_era", std::int64_t{0}),
                           json.value("targets", std::int64_t{0})};
   out.store_era = json.value("store_era", std::int64_t{0});
-  const Json brittle = json.value("brittle", Json::object());
-  for (const auto& [service, count] : brittle.items()) {
-    out.brittle[ServiceName(service)] = count.get<int>();
+  const Json rejections = json.value("rejections", Json::object());
+  for (const auto& [service, count] : rejections.items()) {
+    out.rejections[ServiceName(service)] = count.get<int>();
   }
   for (const Json& it : json.value("cut_off", Json::array())) {
     out.cut_off.insert(ServiceName(it.get<std::string>()));
@@ -372,8 +372,8 @@
     }
   }
   if (message.store_era != 0) json["store_era"] = message.store_era;
-  for (const auto& [service, count] : message.brittle) {
-    json["brittle"][service.value] = count;
+  for (const auto& [service, count] : message.rejections) {
+    json["rejections"][service.value] = count;
   }
   for (const ServiceName& it : message.cut_off) {
     json["cut_off"].push_back(it.value);
--- a/relay/peer_messages.h
+++ b/relay/peer_messages.h
@@ -26,9 +26,9 @@
 #include "base/clock.h"
 #include "base/enum_table.h"
 #include "base/ids.h"
-#include "dispatch/brittle_services.h"
 #include "dispatch/prefill_speed.h"
 #include "dispatch/rate_limits.h"
+#include "dispatch/rejection_limits.h"
 #include "fleet/closed_halls.h"
 #include "fleet/target_registry.h"
 #include "relay/feed_news.h"
@@ -131,9 +131,8 @@
   StoreRevision targets_revision;
   // kHello, kPing: the latest era of the store that the sender has seen.
   std::int64_t store_era = 0;
-  // kHello, kPing: services whose targets told the sender lately that they are
-  // brittle.
-  BrittleReports brittle;
+  // kHello, kPing: rejection limits that targets stated to the sender lately.
+  RejectionReports rejections;
   // kHello, kPing: services that the sender's own links don't reach.
   std::set<ServiceName> cut_off;
   // kHello, kPing: the prefill speed of each service's engines, as the sender
--- a/relay/reach_driver.cc
+++ b/relay/reach_driver.cc
@@ -48,13 +48,13 @@
   out.service = target.service;
   const TargetReach* reach = Find(target.service);
   if (reach == nullptr || !reach->IsCutOff()) return out;
-  if (reach->AreTargetsIll()) return PathToIll(target);
+  if (reach->AreTargetsUnhealthy()) return PathToUnhealthy(target);
   const Instant now = context_.clock.Now();
   const auto candidates = PeersFor(target.service, residency);
   const TunnelPeer* peer = peers_.Choose(now, candidates, tried);
   if (peer == nullptr) {
     out.kind = PathKind::kNone;
-    stranded_at_ = now;
+    path_missing_at_ = now;
     return out;
   }
   out.kind = PathKind::kTunnel;
@@ -63,7 +63,7 @@
   return out;
 }
 
-TargetPath ReachDriver::PathToIll(const TargetEntry& target) const {
+TargetPath ReachDriver::PathToUnhealthy(const TargetEntry& target) const {
   TargetPath out;
   out.service = target.service;
   const bool may_answer =
@@ -86,7 +86,7 @@
   return out;
 }
 
-std::size_t ReachDriver::AblePeers(const ServiceName& service) const {
+std::size_t ReachDriver::UsablePeers(const ServiceName& service) const {
   return static_cast<std::size_t>(std::count_if(
       reports_.begin(), reports_.end(),
       [&](const auto& it) { return !it.second.cut_off.contains(service); }));
@@ -172,7 +172,7 @@
 }
 
 void ReachDriver::CheckService(const ServiceName& name, Service& service) {
-  service.reach.SetPeers(AblePeers(name));
+  service.reach.SetPeers(UsablePeers(name));
   const ReachStep step = service.reach.Check(context_.clock.Now());
   if (!step.probes.empty()) StartProbes(name, service, step.probes);
   if (step.action == ReachAction::kNone) return;
@@ -211,10 +211,10 @@
   if (opened) on_.links_work();
 }
 
-void ReachDriver::Doubt(const ServiceName& service) {
+void ReachDriver::RequestProbes(const ServiceName& service) {
   const auto it = services_.find(service);
   if (it == services_.end()) return;
-  it->second.reach.Doubt();
+  it->second.reach.RequestProbes();
   CheckService(it->first, it->second);
 }
 
@@ -246,9 +246,9 @@
                                          TargetReach::kSilence);
 }
 
-bool ReachDriver::IsStranded() const {
-  return stranded_at_ != Instant() &&
-         context_.clock.Now() - stranded_at_ < kStrandedFor;
+bool ReachDriver::LacksPath() const {
+  return path_missing_at_ != Instant() &&
+         context_.clock.Now() - path_missing_at_ < kLacksPathFor;
 }
 
 TunnelStatus ReachDriver::MayCarry(const std::string& address) const {
--- a/relay/reach_driver.h
+++ b/relay/reach_driver.h
@@ -80,17 +80,21 @@
   struct Handlers {
     // All other routers on the list of routers.
     std::function<std::vector<FleetMember>()> members;
-    // Called after a service's path has changed; peers are to be told.
+    // Called after a service's path has changed, and not from inside another
+    // call; peers are to be told.
     std::function<void(const ServiceName&, ReachAction)> changed;
     // Called when a probe has opened.
     std::function<void()> links_work;
   };
 
-  // Tunnels that this router carries at once, at most.
+  // Tunnels that this router carries at once, at most. Each takes two
+  // descriptors and up to four times TunnelServer::kMaxBufferedBytes, so all
+  // take at most 32 MiB.
   static constexpr std::size_t kMaxCarried = 256;
-  // A router that refused a request for want of a path reports that it isn't
-  // ready for this long.
-  static constexpr Duration kStrandedFor = std::chrono::milliseconds(1000);
+  // How long a router that refused a request for want of a path reports that it
+  // isn't ready: long enough for the balancer's next check, and short, as peers
+  // may have room again.
+  static constexpr Duration kLacksPathFor = std::chrono::milliseconds(1000);
 
   ReachDriver(const Context& context, const FleetMember& self,
               HallRegions regions, Handlers handlers);
@@ -99,7 +103,7 @@
   void SetTargets(const std::map<TargetName, TargetEntry>& entries,
                   const std::function<bool(const TargetEntry&)>& may_get_work);
 
-  // `tried` are peers that refused the request. A refusal is counted.
+  // `tried` are peers that refused the request.
   TargetPath PathTo(const TargetEntry& target, const Residency& residency,
                     const std::set<VmName>& tried);
 
@@ -126,9 +130,10 @@
   bool HasHeardSince(Instant time) const { return heard_at_ > time; }
   bool IsSilent(const ServiceName& service) const;
   // Probes the targets of the service, to find out whether the links work.
-  void Doubt(const ServiceName& service);
-  // Whether requests were refused a moment ago that another router could serve.
-  bool IsStranded() const;
+  void RequestProbes(const ServiceName& service);
+  // Whether a request that any router may serve was refused a moment ago, as no
+  // peer carries it.
+  bool LacksPath() const;
   // Whether this router carries a tunnel to the address, if it has room.
   TunnelStatus MayCarry(const std::string& address) const;
   int tunnels() const { return peers_.tunnels(); }
@@ -147,9 +152,9 @@
 
   std::vector<TunnelPeer> PeersFor(const ServiceName& service,
                                    const Residency& residency) const;
-  std::size_t AblePeers(const ServiceName& service) const;
+  std::size_t UsablePeers(const ServiceName& service) const;
   TargetReach* Find(const ServiceName& service);
-  TargetPath PathToIll(const TargetEntry& target) const;
+  TargetPath PathToUnhealthy(const TargetEntry& target) const;
   void CloseIdle(const Service& service);
   void CheckService(const ServiceName& name, Service& service);
   void StartProbes(const ServiceName& name, Service& service,
@@ -168,7 +173,7 @@
   // When this router's own links last carried something.
   Instant heard_at_{};
   // When a request was last refused for want of a path.
-  Instant stranded_at_{};
+  Instant path_missing_at_{};
 };
 
 }  // namespace quaytrack
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -177,7 +177,7 @@
     crashes_.Check();
     rollouts_.Check();
     reach_.Check();
-    caller_server_.SendAway(reach_.IsStranded());
+    caller_server_.CloseAfterAnswers(reach_.LacksPath());
     LogColdTargets();
     BroadcastRateLimits();
     CheckLink();
@@ -294,7 +294,7 @@
   };
   out.links_work_since = [this](const TargetEntry& target, Instant time) {
     if (reach_.HasHeardSince(time)) return true;
-    reach_.Doubt(target.service);
+    reach_.RequestProbes(target.service);
     return false;
   };
   return out;
@@ -484,9 +484,9 @@
   }
   CheckStoreEra(message);
   ApplyRateLimits(message);
-  for (const auto& [service, max_turned_away] :
-       placement_.brittle().OnPeer(clock_.Now(), message.brittle)) {
-    LogBrittle(service, max_turned_away, "peer");
+  for (const auto& [service, max_rejections] :
+       placement_.rejection_limits().OnPeer(clock_.Now(), message.rejections)) {
+    LogRejectionLimit(service, max_rejections, "peer");
   }
   placement_.SetPeerSpeeds(message.engine_speeds);
   budgets_.OnPeer(message);
@@ -561,7 +561,7 @@
   message.keeps_budgets = budgets_.ledger().ActsAsHolder();
   message.engine_speeds = placement_.LearnedSpeeds();
   message.cut_off = reach_.CutOff();
-  message.brittle = placement_.brittle().Reports(clock_.Now());
+  message.rejections = placement_.rejection_limits().Reports(clock_.Now());
   rollouts_.Fill(message);
   FillMarks(message);
   if (message.kind != PeerMessageKind::kHello) return;
@@ -584,7 +584,7 @@
 
 bool RelayRouter::IsReady() const {
   return !stop_.started() && configs_.map() != nullptr && !link_.IsBusy() &&
-         !reach_.IsStranded();
+         !reach_.LacksPath();
 }
 
 void RelayRouter::AnswerAdmin(const std::shared_ptr<CallerConnection>& caller,
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -25,8 +25,8 @@
 // part, and within it routes are ranked on this many levels.
 constexpr int kRouteLevels = 3;
 
-// Peers that are asked for a tunnel for one request. Asking a further one takes
-// as long as the caller's next attempt at another router.
+// Peers that are asked for a tunnel for one request. After that, an attempt at
+// another router is the caller's better choice.
 constexpr std::size_t kMaxTriedPeers = 2;
 
 }  // namespace
@@ -301,11 +301,11 @@
     context_.placement.OnBackOff(*progress_.head_at, target.start,
                                  answer_facts_.back_off);
   }
-  const BrittleStatement& brittle = answer_facts_.brittle;
-  if (brittle.is_stated &&
-      context_.placement.OnBrittle(*progress_.head_at, target.service,
-                                   brittle.max_turned_away)) {
-    LogBrittle(target.service, brittle.max_turned_away, "answer");
+  const RejectionStatement& rejections = answer_facts_.rejections;
+  if (rejections.is_stated &&
+      context_.placement.OnRejectionLimit(*progress_.head_at, target.service,
+                                          rejections.max_rejections)) {
+    LogRejectionLimit(target.service, rejections.max_rejections, "answer");
   }
   const bool changed = context_.placement.OnRate(
       *progress_.head_at, target.start, sent_at_, answer_facts_.rate);
@@ -489,8 +489,8 @@
 // because of the peer in between, so that the request can't be blamed.
 bool RelayedRequest::MayEndUnderLoad() const {
   return !progress_.path.direct() ||
-         context_.placement.brittle().IsBrittle(context_.clock.Now(),
-                                                admission_.service->name);
+         context_.placement.rejection_limits().IsLimited(
+             context_.clock.Now(), admission_.service->name);
 }
 
 // Called when the target closed the connection. The target may have crashed,
--- a/relay/request_log.cc
+++ b/relay/request_log.cc
@@ -61,15 +61,16 @@
             {"by", by}});
 }
 
-void LogBrittle(const ServiceName& service, std::optional<int> max_turned_away,
-                const std::string& by) {
-  if (!max_turned_away) {
-    return LogEvent(Event::kTargetsSound,
+void LogRejectionLimit(const ServiceName& service,
+                       std::optional<int> max_rejections,
+                       const std::string& by) {
+  if (!max_rejections) {
+    return LogEvent(Event::kRejectionsUnlimited,
                     {{"service", service.value}, {"by", by}});
   }
-  LogEvent(Event::kTargetsBrittle,
+  LogEvent(Event::kRejectionsLimited,
            {{"service", service.value},
-            {"max_turned_away", std::to_string(*max_turned_away)},
+            {"max_rejections", std::to_string(*max_rejections)},
             {"by", by}});
 }
 
--- a/relay/request_log.h
+++ b/relay/request_log.h
@@ -92,10 +92,11 @@
 void LogSaysLeaving(const RequestId& id, const TargetEntry& target);
 void LogBacksOff(const RequestId& id, const TargetEntry& target, Duration wait);
 
-// Logs that a service's targets have become brittle, or sound if
-// `max_turned_away` is unset; `by` names the source.
-void LogBrittle(const ServiceName& service, std::optional<int> max_turned_away,
-                const std::string& by);
+// Logs a service's new rejection limit, or its end if `max_rejections` is
+// unset; `by` names the source.
+void LogRejectionLimit(const ServiceName& service,
+                       std::optional<int> max_rejections,
+                       const std::string& by);
 
 // Logs that a target's rate limit has changed; `by` names the source.
 void LogRateLimit(const TargetStart& target, const RateLimits& limits,
--- a/relay/testing/peer_messages_test.cc
+++ b/relay/testing/peer_messages_test.cc
@@ -51,10 +51,10 @@
                 "cut_off": ["desk", "llm"]})");
 }
 
-BOOST_AUTO_TEST_CASE(BrittleServicesKeepTheirForm) {
+BOOST_AUTO_TEST_CASE(RejectionLimitsKeepTheirForm) {
   PeerMessage it = Message(PeerMessageKind::kPing);
-  it.brittle = {{ServiceName("desk"), 3}};
-  Check(it, R"({"kind": "ping", "from": "vm1@1", "brittle": {"desk": 3}})");
+  it.rejections = {{ServiceName("desk"), 3}};
+  Check(it, R"({"kind": "ping", "from": "vm1@1", "rejections": {"desk": 3}})");
 }
 
 BOOST_AUTO_TEST_CASE(MessagesAboutTheStoreKeepTheirForm) {
