Tell a change of paths after the event, and judge readiness by free requests

Two faults found by reading. A change of a service's path was told inside the event that caused it: a request whose attempt was just being ended opened a tunnel, which was then stopped by the rest of that end. The change is posted now. And a refused request that is bound to a region made its router unready, although others were carried; only requests that any router may serve count.

relay_reach_driver_test covers paths, readiness and tunnels for peers without a network; AChangeIsToldAfterTheEventThatCausedIt and APeerInAnotherRegionCarriesNoBoundRequest fail without the change.

--- a/base/residency.h
+++ b/base/residency.h
@@ -31,6 +31,8 @@
   explicit Residency(std::set<RegionName> regions)
       : regions_(std::move(regions)) {}
 
+  // Whether some region is excluded.
+  bool IsBound() const { return regions_.has_value(); }
   bool IsNowhere() const { return regions_ && regions_->empty(); }
   // Whether requests may be processed in `region`. An empty name stands for an
   // unknown region.
--- a/relay/reach_driver.cc
+++ b/relay/reach_driver.cc
@@ -54,7 +54,9 @@
   const TunnelPeer* peer = peers_.Choose(now, candidates, tried);
   if (peer == nullptr) {
     out.kind = PathKind::kNone;
-    path_missing_at_ = now;
+    // A request that is bound to this router's region may be refused although
+    // others are carried.
+    if (!residency.IsBound()) path_missing_at_ = now;
     return out;
   }
   out.kind = PathKind::kTunnel;
@@ -179,7 +181,9 @@
   if (step.action == ReachAction::kUseTunnels && IsSilent(name))
     CloseIdle(service);
   LogChange(name, service, step.action);
-  on_.changed(name, step.action);
+  // Posted, because a request that is just ending an attempt may be affected.
+  context_.loop.Post(
+      [this, name, action = step.action] { on_.changed(name, action); });
 }
 
 // A request on a kept connection that was silently cut would count as one that
