Reach driver's test: let the change come inside another event

The round now ends inside OnOpenFailed: the test fails on the code before (the change is told at once), as does APeerInAnotherRegionCarriesNoBoundRequest, and both pass since.

--- a/relay/testing/reach_driver_test.cc
+++ b/relay/testing/reach_driver_test.cc
@@ -108,11 +108,13 @@
   direct.service = kLlm;
   reach.OnOpenFailed(direct, TargetName("t0"));
   reach.OnOpenFailed(direct, TargetName("t1"));
-  RunFor(loop, milliseconds(1));
+  // The probe round is over with this event.
   clock.now += TargetReach::kProbeTimeout;
-  changes.clear();
-  reach.Check();
+  reach.OnOpenFailed(direct, TargetName("t2"));
+  BOOST_TEST(reach.CutOff().contains(kLlm));
   BOOST_TEST(changes.empty());
+  RunFor(loop, milliseconds(20));
+  BOOST_TEST(changes.size() == 1U);
 }
 
 BOOST_FIXTURE_TEST_CASE(LostLinksAreReplacedByAPeer, Fixture) {
