--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -15,8 +15,7 @@
 
 // Milliseconds for each running request of an engine, and for an engine that is
 // not the preferred one. `kNotPreferredMs` keeps equal costs from spreading a
-// part over all engines. Of 0, 80 and 150 ms, 150 ms made engines prefill the
-// fewest shared tokens again and gave callers the most of what they are owed.
+// part over all engines, each of which would have to prefill it.
 constexpr double kPerRunningMs = 3;
 constexpr double kNotPreferredMs = 150;
 // Milliseconds for a target in another hall.
@@ -30,9 +29,8 @@
 constexpr double kSlownessWeight = 0.2;
 // Bound on the ratio of actual to expected time of one answer. Most answers
 // that take longer waited for prompts of other routers, which shows nothing
-// about the target. With 20, prompts left the engines that had their parts
-// cached, and callers got 0.006 to 0.011 less of what they are owed; bounds
-// from 1 to 2 differ by less than the spread between runs.
+// about the target. A higher bound makes prompts leave engines that have their
+// parts cached.
 constexpr double kMaxSlowness = 2;
 
 // Peers are notified of a prompt that keeps its engine busy for this fraction
@@ -48,15 +46,9 @@
 // ended costs its target little.
 constexpr Duration kProbeAfter = std::chrono::seconds(2);
 
-// When a version is listed for the first time, the operators' order about the
-// version is known within this time: targets and orders are read from the
-// store, one after the other.
-constexpr Duration kOrderKnownWithin = std::chrono::milliseconds(1000);
 // A target with a rejection limit that has rejected a request gets nothing from
 // this router for this long: the span over which it counts rejections.
 constexpr Duration kRejectionPause = std::chrono::milliseconds(1000);
-// Minimum number of targets that serve the share of the next version.
-constexpr std::size_t kMinShareTargets = 2;
 
 // Candidates are compared by the members of Rank in their order; the least
 // candidate is chosen.
@@ -405,118 +397,6 @@
   return out;
 }
 
-// --- Versions ----------------------------------------------------------------
-
-const VersionGate& Placement::GateOf(const ServiceName& service) const {
-  static const VersionGate kNone;
-  const auto it = gates_.find(service);
-  return it == gates_.end() ? kNone : it->second;
-}
-
-void Placement::SetVersionRule(const ServiceName& service, VersionRule rule,
-                               double offset) {
-  gates_[service].SetRule(std::move(rule), offset);
-  ChooseShareTargets(service);
-}
-
-bool Placement::HasVersion(const ServiceName& service,
-                           const VersionName& version) const {
-  return std::any_of(targets_.begin(), targets_.end(), [&](const auto& it) {
-    const State& state = it.second;
-    return state.entry.service == service && AcceptsWork(state) &&
-           state.entry.version == version;
-  });
-}
-
-std::size_t Placement::RunningAtOtherVersions(
-    const ServiceName& service, const VersionName& version) const {
-  std::size_t out = 0;
-  for (const auto& [name, state] : targets_) {
-    if (state.entry.service != service) continue;
-    if (state.entry.version == version) continue;
-    out += static_cast<std::size_t>(state.running);
-  }
-  return out;
-}
-
-// Notes when the version of a target was first listed. All versions in the
-// first list of a service existed before this router started, so they need not
-// wait.
-void Placement::NoteVersion(Instant now, State& state) {
-  ServiceVersions& known = versions_[state.entry.service];
-  if (known.since.empty()) known.first_listed_at = now;
-  const bool is_first = known.first_listed_at == now;
-  const auto [it, is_new] = known.since.try_emplace(
-      state.entry.version, is_first ? Instant::min() : now);
-  state.version_since = it->second;
-  latest_version_ = std::max(latest_version_, it->second);
-}
-
-bool Placement::IsVersionReady(Instant now, const State& state,
-                               const VersionGate& gate) {
-  return gate.IsNext(state.entry.version) ||
-         now - kOrderKnownWithin >= state.version_since;
-}
-
-bool Placement::HasReadyVersion(Instant now, const PlacementRequest& request,
-                                const VersionGate& gate) const {
-  if (now - kOrderKnownWithin >= latest_version_) return false;
-  return std::any_of(targets_.begin(), targets_.end(), [&](const auto& it) {
-    return IsEligible(it.second, request) &&
-           IsVersionReady(now, it.second, gate);
-  });
-}
-
-// Which version gets the request. A request that was already sent to the next
-// version is retried at the others.
-VersionTurn Placement::TurnOf(const PlacementRequest& request,
-                              const VersionGate& gate) const {
-  const VersionTurn turn = gate.Turn();
-  if (turn != VersionTurn::kNext) return turn;
-  for (const TargetName& it : request.tried) {
-    const auto target = targets_.find(it);
-    if (target == targets_.end()) continue;
-    if (gate.IsNext(target->second.entry.version)) return VersionTurn::kOthers;
-  }
-  return turn;
-}
-
-bool Placement::IsNextAlone(const PlacementRequest& request,
-                            const VersionGate& gate) const {
-  if (gate.rule().next.empty() || !gate.rule().allow_next_alone) return false;
-  return std::none_of(targets_.begin(), targets_.end(), [&](const auto& it) {
-    const State& state = it.second;
-    return IsEligible(state, request) &&
-           gate.MayTake(VersionTurn::kOthers, state.entry.version);
-  });
-}
-
-// Chooses the targets of the next version that serve its share of the requests.
-// Their number is the same share of the number of other targets, but at least
-// `kMinShareTargets`, so that each bears about the same load as any other
-// target. All routers choose the same targets.
-void Placement::ChooseShareTargets(const ServiceName& service) {
-  const VersionGate& gate = GateOf(service);
-  std::vector<std::pair<std::uint64_t, State*>> next;
-  std::size_t others = 0;
-  for (auto& [name, state] : targets_) {
-    if (state.entry.service != service || !AcceptsWork(state)) continue;
-    state.serves_share = false;
-    if (!gate.IsNext(state.entry.version)) {
-      ++others;
-      continue;
-    }
-    const std::string& version = state.entry.version.value;
-    next.emplace_back(RendezvousWeight(name.value, version), &state);
-  }
-  const auto wanted = static_cast<std::size_t>(
-      std::lround(gate.rule().share * static_cast<double>(others)));
-  const std::size_t chosen =
-      std::min(next.size(), std::max(kMinShareTargets, wanted));
-  std::sort(next.rbegin(), next.rend());
-  for (std::size_t n = 0; n < chosen; ++n) next[n].second->serves_share = true;
-}
-
 double Placement::PeerPrefillMs(Instant now, const State& state) {
   return std::max(0.0, Milliseconds(state.peers_busy_until - now));
 }
