--- a/dispatch/link_watch.h
+++ b/dispatch/link_watch.h
@@ -20,10 +20,6 @@
 // second. The link's capacity is a setting (--link-mbps); without it, the link
 // is never busy. The log event `link_busy` reports each change.
 //
-// With the thresholds below and a headroom (--cover-s) of 10 s, introduced
-// together, callers got 0.546 of what they are owed in a simulation of a day,
-// up from 0.346.
-//
 // Owns its last totals and the smoothed load; cannot fail.
 
 #ifndef QUAYTRACK_DISPATCH_LINK_WATCH_H_
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -50,15 +50,12 @@
 // Why peers are notified: a router sends an engine only a fraction of its
 // prompts, so it does not see most of what a prompt would wait behind. In a
 // fleet where all routers are linked, each notifies the others of a prompt that
-// keeps an engine busy, and they charge the time until it is done. This gained
-// 0.006 to 0.011 of what callers are owed on days with faults. Cached parts are
-// not reported, because reporting them gained nothing. The time charged is
-// derived from the learned speed, which gained 0.008 to 0.019 over a fixed
-// speed of 50 tokens in a millisecond on engines that prefill 32.
+// keeps an engine busy, and they charge the time until it is done. The time is
+// derived from the learned speed, as engines differ in it. Cached parts aren't
+// reported: the preferred target already makes routers agree on them.
 //
-// Not done: dedicated engines for long prompts. They served a tenth more short
-// prompts in time but a twentieth fewer long ones, which are more urgent
-// (docs/policy/).
+// Not done: dedicated engines for long prompts. They favour short prompts over
+// long ones, which are more urgent.
 //
 // Why a preferred target: a router knows only what its own requests left in an
 // engine's cache. To make routers agree without communication, the prompt's
--- a/dispatch/shared_rate.h
+++ b/dispatch/shared_rate.h
@@ -41,8 +41,6 @@
 // move a request into another span at the target than the one in which it was
 // sent.
 //
-// docs/design/rate-limits.md has the proof.
-//
 // Owns the times of sends; does not read the clock; cannot fail.
 
 #ifndef QUAYTRACK_DISPATCH_SHARED_RATE_H_
--- a/dispatch/target_reach.h
+++ b/dispatch/target_reach.h
@@ -32,7 +32,7 @@
 // after `kPeersAgain`.
 //
 // Owns its evidence, which expires. Nothing fails; the clock is passed in and
-// never goes back. The design is docs/design/indirect-paths.md.
+// never goes back.
 
 #ifndef QUAYTRACK_DISPATCH_TARGET_REACH_H_
 #define QUAYTRACK_DISPATCH_TARGET_REACH_H_
--- a/evhttp/http_server.h
+++ b/evhttp/http_server.h
@@ -31,7 +31,7 @@
 // before it. evhttp would buffer it, register the socket for writing and write
 // in the next iteration of the loop. For each token, buffering costs two
 // changes of the epoll set and an iteration, which was a quarter of a streamed
-// token's cost (docs/design/token-path.md).
+// token's cost.
 
 struct evbuffer;
 struct evbuffer_cb_entry;
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -17,8 +17,7 @@
 // Holders are few because a router's grant is unavailable to the others until
 // it is returned, because the prepaid record grows with each router that has
 // grants, and because each write of the record makes all concurrent writes
-// fail. In a run with 86 routers the record alone took 8.8 store calls a second
-// of each router (docs/design/prepaid.md).
+// fail.
 //
 // Size of a VM. Each holder serves an equal share of its hall's customers and
 // communicates with each router of the hall, whatever its size, so the largest
@@ -107,9 +106,8 @@
 struct FleetOptions {
   // Number of routers up to which every router is a holder.
   std::size_t small_fleet = 12;
-  // Holders of each hall in a larger fleet. In a simulation of a day with 86
-  // routers, callers got 0.132 of what they are owed with two holders, and
-  // 0.195 with three, or 0.346 after other changes (docs/design/prepaid.md).
+  // Holders of each hall in a larger fleet: enough that the loss of one leaves
+  // the others room for its work.
   std::size_t holders_per_hall = 3;
   // Holders in other halls to which a router that isn't a holder keeps links.
   // Such a router asks them when it can reach no holder of its hall.
--- a/ledger/sync.h
+++ b/ledger/sync.h
@@ -20,7 +20,7 @@
 // so that records and bills agree in every revision.
 //
 // Other routers' changes. Records are not watched: with many routers each write
-// would be sent to all of them (docs/design/ledger.md has the figures). A
+// would be sent to all of them. A
 // record that other routers write too is read right before it is written, and a
 // small message, `need`, asks other routers to read a record immediately.
 //
@@ -79,8 +79,7 @@
   // --commit-spacing-ms.
   Duration commit_spacing = std::chrono::milliseconds(100);
   // Minimum time between two commits while a witness has copies of all
-  // unwritten bills and no request waits for a grant: 0.04 writes per request
-  // at 25 requests per second (docs/design/bills-and-witness.md).
+  // unwritten bills and no request waits for a grant.
   Duration witnessed_spacing = std::chrono::milliseconds(1000);
   // Maximum time that a request waits for a larger grant.
   Duration hold_timeout = std::chrono::milliseconds(800);
--- a/net/tcp_socket.h
+++ b/net/tcp_socket.h
@@ -14,7 +14,7 @@
 // (http/caller_connection.h, http/target_connection.h).
 //
 // `Write` passes bytes to the kernel at once if none wait before them, so a
-// streamed token costs one read and one write (docs/design/token-path.md).
+// streamed token costs one read and one write.
 // Bytes that the kernel doesn't accept are buffered, without a bound, and sent
 // later. Code that forwards a stream watches `Unsent` and pauses its source.
 //
--- a/prepaid/hold_advance.h
+++ b/prepaid/hold_advance.h
@@ -1,6 +1,5 @@
 // Holds in advance: a router without a grant holds a lump sum at a holder, from
 // which its requests then draw without a message.
-// docs/design/holds-in-advance.md has the protocol and its reasons.
 //
 // `HoldAdvances` decides for the router that asks:
 //
--- a/prepaid/prepaid_policy.h
+++ b/prepaid/prepaid_policy.h
@@ -4,7 +4,6 @@
 // requests while the store is unreachable. A router that keeps too much takes
 // tokens from the others, and if all routers lose power, whatever they might
 // have spent is charged to the customer, because the true amount is unknown.
-// docs/design/prepaid.md compares other designs and values.
 //
 // Shares are fractions of 1. prepaid/grant_sizing.h describes how the sizes are
 // used, prepaid/prepaid_ledger.h how the times are used.
@@ -33,15 +32,11 @@
   // long at the rate at which all routers spend them; if the tokens last for
   // less, baseline and headroom fall in proportion. Tokens that an outage
   // leaves unspent can be spent after it, but tokens charged after a power loss
-  // are gone. On three deployments, 30 s served 0.019, 0.007 and 0.010 more of
-  // what callers are owed on days with faults, and cost 0.02 to 0.06 on days
-  // with store outages alone. docs/design/prepaid.md also has figures for 20
-  // and 45 s.
+  // are gone.
   Duration full_size_horizon = std::chrono::seconds(30);
   // Fraction of a grant's target size that a router may spend before
-  // `withhold_time` has passed. With 0.25, a `withhold_time` of 2 s and reports
-  // every 0.6 s, simulations of two days gave callers 0.505 and 0.480 of what
-  // they are owed; with 0.35, 3 s and 1 s, it was 0.466 and 0.491.
+  // `withhold_time` has passed. What is spent beyond the reports of that time
+  // is charged at its worst if the router dies.
   double spendable_share = 0.25;
   // How long after a write the withheld tokens may not be spent.
   Duration withhold_time = std::chrono::milliseconds(2000);
--- a/prepaid/scarcity.h
+++ b/prepaid/scarcity.h
@@ -19,8 +19,7 @@
 //            this class's on average, not at all if they are twice as large or
 //            larger, and in proportion between. Where one urgent request takes
 //            the tokens of many less urgent ones, a full reserve would serve
-//            far fewer callers with the same tokens
-//            (docs/design/scarce-budgets.md has figures).
+//            far fewer callers with the same tokens.
 //   Parity   The tokens within reach last the more urgent classes only a short
 //            time (`kContestTime`), and a larger part of this class's requests
 //            than of a more urgent class's was served lately.
--- a/relay/attempt.cc
+++ b/relay/attempt.cc
@@ -13,8 +13,9 @@
 constexpr Duration kConnectTimeout = milliseconds(250);
 
 // The timeout of a stream's first event, as a multiple of the route's target
-// for it (`RouteRule::target_latency`). When it was 1.25, the router spent
-// 731,000 of 3.7M tokens on sends that it had itself given up.
+// for it (`RouteRule::target_latency`). A send that the router gives up has
+// used its engine in vain, so a slow one is left more time than a lost one
+// would need.
 constexpr double kStreamTimeoutFactor = 2.6;
 
 // The timeout of the complete answer on other routes, as a multiple of
--- a/relay/crash_watch.cc
+++ b/relay/crash_watch.cc
@@ -14,11 +14,9 @@
 constexpr char kPrefix[] = "quaytrack/crash/";
 
 // How long a router of a large fleet waits for a reader's heartbeat before it
-// follows the crash reports itself. It exceeds the longest usual cuts from the
-// store, 9 s: in one such cut 280 routers each lost their readers' heartbeats,
-// and called the store for the crash reports as well, which made 1,700 to 2,700
-// more calls in a simulation of a day. Peers send each other crashes at once,
-// whatever the store does.
+// follows the crash reports itself. It exceeds the usual cuts from the store,
+// after which all routers would read the reports at once. Peers send each other
+// crashes at once, whatever the store does.
 constexpr Duration kReaderTimeout = std::chrono::seconds(10);
 
 // Time within which a target must accept a connection; otherwise the target
--- a/relay/crash_watch.h
+++ b/relay/crash_watch.h
@@ -116,9 +116,8 @@
   // target.
   static constexpr std::size_t kMaxRemembered = 64;
 
-  // Length of a stream's start phase, from its first event. The requests that
-  // crashed engines did so before a first event, after 0.01 to 0.11 s; the
-  // start phase also covers requests that crash an engine after some tokens.
+  // Length of a stream's start phase, from its first event. A request that
+  // crashes an engine does so before a first event, or after some tokens.
   static constexpr Duration kStartPhase = std::chrono::milliseconds(300);
 
   // Whether a request has run long enough to rule out that it crashes its
--- a/relay/relay_settings.h
+++ b/relay/relay_settings.h
@@ -48,11 +48,10 @@
   // routers together during a roll-out.
   double exposure_share = 0.1;
   // Fraction of a budget's remaining tokens that all routers together keep
-  // granted. docs/design/prepaid.md, "Measured", compares values.
+  // granted.
   double standing_share = 0.3;
   // In a fleet of up to `small_fleet` routers, each keeps grants; in a larger
   // one, `holders_per_hall` routers in each hall do (fleet/fleet.h).
-  // docs/design/prepaid.md, "Large fleets", compares three and two a hall.
   int small_fleet = 12;
   int holders_per_hall = 3;
   // The region of each hall (fleet/hall_regions.h).
@@ -67,9 +66,7 @@
 struct RelayFlags : RelayValues, LogFlags {
   int retry_window_s = 10;
   int drain_s = 8;
-  // docs/design/prepaid.md, "Headroom", compares values.
   int cover_s = 5;
-  // docs/design/scarce-budgets.md, "The horizon".
   int scarce_horizon_s = 0;
 };
 
--- a/router/forward_impl.h
+++ b/router/forward_impl.h
@@ -14,7 +14,7 @@
 
 // Maximum time to write a claim, after which the caller is refused, and to
 // write the claim's end, after which the answer is sent although the end isn't
-// stored (docs/design/claims.md).
+// stored.
 inline constexpr Duration kClaimTimeout = std::chrono::milliseconds(1500);
 
 template <ForwardJob Job>
