End callers' connections with an answer while a router lacks a peer

A router that found no peer to carry its requests reported that it isn't ready, but its callers stayed on their connections and were refused again and again: CallerServer::CloseAfterAnswers set a flag that no connection read. Answers that begin meanwhile announce the close now. One that began before keeps its connection, as the caller's next request might cross the close.

http_connections_test AServerThatLacksSomethingEndsConnectionsForATime failed before (no Connection: close, connection open); all its cases pass.

--- a/http/caller_connection.cc
+++ b/http/caller_connection.cc
@@ -144,7 +144,7 @@
 
 void CallerConnection::Reply(const HttpHead& head, std::string_view body) {
   if (!open()) return;
-  const bool keep_alive = keep_alive_ && !server_.closing_;
+  const bool keep_alive = keep_alive_ && !server_.closing();
   keep_alive_ = keep_alive;
   const std::string framing =
       "Content-Length: " + std::to_string(body.size()) + "\r\n";
@@ -156,7 +156,7 @@
 
 void CallerConnection::StartStream(const HttpHead& head) {
   if (!open()) return;
-  keep_alive_ = keep_alive_ && !server_.closing_;
+  keep_alive_ = keep_alive_ && !server_.closing();
   socket_->Write(
       HeadBytes(head, "Transfer-Encoding: chunked\r\n", keep_alive_));
 }
--- a/http/caller_server.h
+++ b/http/caller_server.h
@@ -57,8 +57,9 @@
   void StopListening() { listener_.Stop(); }
   // From now on every answer is the last of its connection.
   void StartClosing() { closing_ = true; }
-  // The same until it is called with false.
-  void CloseAfterAnswers(bool away) { closing_after_answers_ = away; }
+  // The same until it is called with false, but only answers that begin
+  // meanwhile, as those announce that their connection closes.
+  void CloseAfterAnswers(bool close) { closing_after_answers_ = close; }
   bool closing() const { return closing_ || closing_after_answers_; }
   // Closes the connections without a running request, except those that have
   // just been opened, as a request is likely to be on its way.
--- a/http/testing/connections_test.cc
+++ b/http/testing/connections_test.cc
@@ -292,6 +292,37 @@
   BOOST_TEST(ended);
 }
 
+// Guards against callers that stay on their connections to a router that can't
+// serve them.
+BOOST_FIXTURE_TEST_CASE(AServerThatLacksSomethingEndsConnectionsForATime,
+                        CallerFixture) {
+  handler = [this](CallerConnection& caller) {
+    server.CloseAfterAnswers(requests.size() == 2U);
+    ReplyOk(caller);
+  };
+  Send(kRequest);
+  BOOST_TEST(!ended);
+  Send(kRequest);
+  BOOST_TEST(received.ends_with("Connection: close\r\n\r\nok"));
+  BOOST_TEST(ended);
+}
+
+// Guards against a close that the caller doesn't expect: its next request might
+// cross it.
+BOOST_FIXTURE_TEST_CASE(AStreamThatDidNotAnnounceACloseKeepsItsConnection,
+                        CallerFixture) {
+  handler = [this](CallerConnection& caller) {
+    HttpHead head;
+    head.status = 200;
+    caller.StartStream(head);
+    server.CloseAfterAnswers(true);
+    caller.EndStream();
+  };
+  Send(kRequest);
+  BOOST_TEST(received.ends_with("\r\n0\r\n\r\n"));
+  BOOST_TEST(!ended);
+}
+
 BOOST_FIXTURE_TEST_CASE(AStreamThatIsAbortedDoesNotLookComplete,
                         CallerFixture) {
   handler = [](CallerConnection& caller) {
