Report unready while no holder of budgets answers

It is unready now while such requests are refused and no holder has answered for 400 ms, and closes callers' connections after their answers. A stall of the router itself is no evidence.

--- a/relay/budget_driver.h
+++ b/relay/budget_driver.h
@@ -127,6 +127,9 @@
   std::uint64_t refused_at_once() const {
     return remote_.refused_at_once() + queue_.refused_at_once();
   }
+  // Whether this router keeps no grants and finds no router that does, so that
+  // it refuses the requests of all customers with budgets.
+  bool LacksHolder() const { return remote_.LacksHolder(clock_.Now()); }
   // This router's advances, and the sum of those that it has given.
   const HoldAdvances& advances() const { return remote_.advances(); }
   Tokens AdvancesGiven() const { return served_.Advanced(); }
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -176,7 +176,7 @@
     crashes_.Check();
     rollouts_.Check();
     reach_.Check();
-    caller_server_.CloseAfterAnswers(reach_.LacksPath());
+    caller_server_.CloseAfterAnswers(LacksPeer());
     LogColdTargets();
     BroadcastRateLimits();
     CheckLink();
--- a/relay/relay_router.h
+++ b/relay/relay_router.h
@@ -105,6 +105,9 @@
   PlannedStop::Handlers StopHandlers();
   void ServeCallers();
   bool IsReady() const;
+  // Whether requests are refused for want of a peer that another router may
+  // find.
+  bool LacksPeer() const;
   // Sends `message` with this router as its sender.
   void SendTo(const Incarnation& peer, PeerMessage message);
   void Broadcast(PeerMessage message);
--- a/relay/relay_router_messages.cc
+++ b/relay/relay_router_messages.cc
@@ -123,7 +123,11 @@
 
 bool RelayRouter::IsReady() const {
   return !stop_.started() && configs_.map() != nullptr && !link_.IsBusy() &&
-         !reach_.LacksPath();
+         !LacksPeer();
+}
+
+bool RelayRouter::LacksPeer() const {
+  return reach_.LacksPath() || budgets_.LacksHolder();
 }
 
 void RelayRouter::AnswerAdmin(const std::shared_ptr<CallerConnection>& caller,
--- a/relay/remote_holds.cc
+++ b/relay/remote_holds.cc
@@ -112,6 +112,7 @@
 }
 
 void RemoteHolds::OnAnswer(Instant now, const PeerMessage& message) {
+  if (message.answer != HoldAnswer::kNotHolder) answered_at_ = now;
   if (probes_.contains(message.request)) return OnProbeAnswered(now, message);
   // A holder that stops takes back what it gave in advance.
   if (message.answer == HoldAnswer::kNotHolder) {
@@ -209,6 +210,7 @@
     if (!hold.holder.empty()) continue;
     const bool refused = !hold.skipped.empty() && !hold.request.advance;
     if (refused) LogRefusedAtOnce(now, at->first, hold);
+    if (!hold.request.advance && !stalled_) no_holder_at_ = now;
     Finish(now, at, PrepaidVerdict::kShort);
   }
 }
--- a/relay/remote_holds.h
+++ b/relay/remote_holds.h
@@ -21,6 +21,9 @@
 // that a request is refused at the next `CheckTimeouts` if no other holder is
 // left. Such a holder is probed with holds of zero tokens until it answers.
 //
+// `LacksHolder` is true while requests are refused because no holder is linked
+// or answers, as this router then serves no customer that has a budget.
+//
 // Requests of a customer that sends many draw from holds in advance
 // (prepaid/hold_advance.h), which are asked for like the hold of a request:
 //
@@ -62,6 +65,13 @@
 
 class RemoteHolds {
  public:
+  // How long a refusal for want of a holder counts: long enough for the
+  // balancer's next check, and short, as a holder may answer again.
+  static constexpr Duration kLacksHolderFor = std::chrono::milliseconds(1000);
+  // Without any answer for this long, no holder answers: two timeouts of a
+  // holder (relay/hold_patience.h).
+  static constexpr Duration kMinSilence = std::chrono::milliseconds(400);
+
   struct Options {
     HoldTimeouts timeouts;
     // Interval at which an unacknowledged cost is sent again.
@@ -134,6 +144,11 @@
   // Number of requests that were refused without asking a holder, as none
   // answers in time.
   std::uint64_t refused_at_once() const { return refused_at_once_; }
+  bool LacksHolder(Instant now) const {
+    return no_holder_at_ != Instant() &&
+           now - no_holder_at_ < kLacksHolderFor &&
+           now - answered_at_ >= kMinSilence;
+  }
 
  private:
   // A hold that was requested and is not answered yet.
@@ -209,6 +224,10 @@
   // Whether the latest check came late, so that answers may lie unread.
   bool stalled_ = false;
   std::uint64_t refused_at_once_ = 0;
+  // When a request was last refused because no holder was left to ask.
+  Instant no_holder_at_{};
+  // When a holder last answered this router, be it with a refusal.
+  Instant answered_at_{};
   LineLimit refusal_lines_{kRefusalLinesPerSecond};
   // The holder of each granted hold.
   std::map<RequestId, Incarnation> held_;
--- a/relay/testing/holds_test.cc
+++ b/relay/testing/holds_test.cc
@@ -358,6 +358,30 @@
   BOOST_TEST(remote->refused_at_once() == 0U);
 }
 
+// Guards against a router that refuses all callers and looks well.
+BOOST_FIXTURE_TEST_CASE(WhileAllHoldersAreSilentARouterLacksThem, Fixture) {
+  AskFor(*this, milliseconds(200));
+  BOOST_TEST(!remote->LacksHolder(now));
+  holders[0].silent = true;
+  AskFor(*this, milliseconds(1500));
+  BOOST_TEST(!remote->LacksHolder(now));
+  holders[1].silent = true;
+  AskFor(*this, milliseconds(1000));
+  BOOST_TEST(remote->LacksHolder(now));
+  holders[1].silent = false;
+  AskFor(*this, milliseconds(140));
+  BOOST_TEST(!remote->LacksHolder(now));
+}
+
+BOOST_FIXTURE_TEST_CASE(ARouterWithoutLinksToHoldersLacksThem, Fixture) {
+  linked = false;
+  Ask("r", 100);
+  Advance(milliseconds(10));
+  BOOST_TEST(remote->LacksHolder(now));
+  now += RemoteHolds::kLacksHolderFor;
+  BOOST_TEST(!remote->LacksHolder(now));
+}
+
 // Guards against refusals by a router that was itself frozen, with the answers
 // unread.
 BOOST_FIXTURE_TEST_CASE(AStallOfThisRouterIsNoSilence, Fixture) {
