Report unready after refusals for want of the list of routers

A router that starts while the store is away may have its configuration from a peer, and can't read the list of routers, which names the holders of budgets. It refused model requests and was ready. It is unready from the first such refusal until it has read the list. relay_budgets_test WithoutAListOfRoutersARefusalMakesARouterUnready guards it.

--- a/relay/budget_driver.cc
+++ b/relay/budget_driver.cc
@@ -288,10 +288,16 @@
   std::erase_if(early_holds_, [&](const EarlyHold& it) {
     if (it.arrived_at > expired) return false;
     PostAnswer(it.waiter, PrepaidVerdict::kShort);
+    refused_early_hold_ = true;
     return true;
   });
 }
 
+bool BudgetDriver::LacksHolder() const {
+  const bool is_early = refused_early_hold_ && !fleet_.IsRead();
+  return is_early || remote_.LacksHolder(clock_.Now());
+}
+
 // --- Peers -------------------------------------------------------------------
 
 void BudgetDriver::SendTo(const Incarnation& peer, PeerMessage message) {
--- a/relay/budget_driver.h
+++ b/relay/budget_driver.h
@@ -127,9 +127,10 @@
   std::uint64_t refused_at_once() const {
     return remote_.refused_at_once() + queue_.refused_at_once();
   }
-  // Whether this router keeps no grants and finds no router that does, so that
-  // it refuses the requests of all customers with budgets.
-  bool LacksHolder() const { return remote_.LacksHolder(clock_.Now()); }
+  // Whether this router refuses the requests of all customers with budgets, as
+  // it keeps no grants and finds no router that does, or as it has refused some
+  // before it could read the list of routers.
+  bool LacksHolder() const;
   // This router's advances, and the sum of those that it has given.
   const HoldAdvances& advances() const { return remote_.advances(); }
   Tokens AdvancesGiven() const { return served_.Advanced(); }
@@ -173,6 +174,8 @@
   ServedHolds served_;
   AdvancePolicy advance_policy_;
   std::vector<EarlyHold> early_holds_;
+  // Whether one of them was refused.
+  bool refused_early_hold_ = false;
   // The limits of the configuration in force.
   std::map<CustomerName, Tokens> limits_;
   // Runs while any request waits.
--- a/relay/testing/budgets_test.cc
+++ b/relay/testing/budgets_test.cc
@@ -1119,6 +1119,18 @@
   BOOST_TEST(!it->was_exhausted);
 }
 
+// Guards against a router that refuses all callers and looks well.
+BOOST_FIXTURE_TEST_CASE(WithoutAListOfRoutersARefusalMakesARouterUnready,
+                        EarlyFixture) {
+  BOOST_TEST(!budgets.LacksHolder());
+  const WaiterPtr it = Make("r", 1000);
+  BOOST_TEST((budgets.Hold(it) == PrepaidVerdict::kShort));
+  BOOST_TEST(Answered(*it));
+  BOOST_TEST(budgets.LacksHolder());
+  ReadFleet();
+  BOOST_TEST(!budgets.LacksHolder());
+}
+
 BOOST_FIXTURE_TEST_CASE(AnEarlyRequestThatIsForgottenIsNotAnswered,
                         EarlyFixture) {
   const WaiterPtr it = Make("r", 1000);
