--- a/relay/testing/reach_driver_test.cc
+++ b/relay/testing/reach_driver_test.cc
@@ -83,9 +83,8 @@
   ReachChart chart = BindReachChart().value();
   TargetConnections connections{
       loop, clock,
-      [](Loop&, const std::string&, const TcpOptions&, TcpSocket::Handlers) {
-        return std::shared_ptr<TcpSocket>();
-      }};
+      [](Loop&, const std::string&, const TcpOptions&,
+         const TcpSocket::Handlers&) { return std::shared_ptr<TcpSocket>(); }};
   std::vector<FleetMember> members = {Member("vm-1", "hall-0"),
                                       Member("vm-2", "hall-1")};
   std::map<TargetName, TargetEntry> entries;
