Probe all services once the links to one are lost

Evidence was counted by service, and a request that waits and a connection that doesn't open, at different targets, didn't add up. They do now, and a service whose links were just lost makes the others be probed at once.

--- a/dispatch/target_reach.cc
+++ b/dispatch/target_reach.cc
@@ -150,12 +150,14 @@
 
 bool TargetReach::IsSuspicious(Instant now) const {
   const std::size_t needed = SuspectsNeeded();
-  if (open_failures_.size() >= needed) return true;
+  std::size_t suspects = open_failures_.size();
+  if (suspects >= needed) return true;
   if (now - heard_at_ < kSilence) return false;
-  const auto silent = std::count_if(
-      unanswered_.begin(), unanswered_.end(),
-      [now](const auto& it) { return now - it.second >= kSilence; });
-  return static_cast<std::size_t>(silent) >= needed;
+  for (const auto& [target, sent_at] : unanswered_) {
+    const bool is_silent = now - sent_at >= kSilence;
+    if (is_silent && !open_failures_.contains(target)) ++suspects;
+  }
+  return suspects >= needed;
 }
 
 // Chooses the targets of a round, in turn, so that a target that is down for
--- a/dispatch/target_reach.h
+++ b/dispatch/target_reach.h
@@ -16,8 +16,9 @@
 // targets at once, and lets probes decide.
 //
 // Suspicion. Opening failed at `kMinSuspects` targets, and no connection opened
-// since; or requests wait at as many targets and nothing was received from the
-// service for `kSilence`. A service with a single target needs only that one.
+// since. Targets at which requests wait count as well while nothing was
+// received from the service for `kSilence`. A service with a single target
+// needs only that one.
 //
 // Probe round. Connections are opened to up to `kProbesPerRound` targets, those
 // that aren't suspected first. If none opens within `kProbeTimeout`, the links
--- a/dispatch/testing/target_reach_test.cc
+++ b/dispatch/testing/target_reach_test.cc
@@ -120,6 +120,17 @@
   BOOST_TEST((it.Round(0) == ReachAction::kUseTunnels));
 }
 
+// Guards against lost links that are noticed late where requests are few: one
+// waits on a kept connection, and the next can't open one.
+BOOST_AUTO_TEST_CASE(ASilentTargetAndOneThatDoesntOpenAreProbed) {
+  Fixture it(4);
+  it.reach.OnSent(it.now, Name(0));
+  it.Wait(TargetReach::kSilence);
+  BOOST_TEST(it.reach.Check(it.now).probes.empty());
+  it.reach.OnOpenFailed(it.now, Name(1));
+  BOOST_TEST((it.Round(0) == ReachAction::kUseTunnels));
+}
+
 BOOST_AUTO_TEST_CASE(AServiceThatIsJustSlowIsProbedLessAndLess) {
   Fixture it(4);
   int rounds = 0;
--- a/relay/reach_driver.cc
+++ b/relay/reach_driver.cc
@@ -175,15 +175,28 @@
 
 void ReachDriver::CheckService(const ServiceName& name, Service& service) {
   service.reach.SetPeers(UsablePeers(name));
+  const bool was_direct = !service.reach.IsCutOff();
   const ReachStep step = service.reach.Check(context_.clock.Now());
   if (!step.probes.empty()) StartProbes(name, service, step.probes);
   if (step.action == ReachAction::kNone) return;
   if (step.action == ReachAction::kUseTunnels && IsSilent(name))
     CloseIdle(service);
   LogChange(name, service, step.action);
+  if (was_direct) ProbeOthers(name);
   // Posted, because a request that is just ending an attempt may be affected.
-  context_.loop.Post(
-      [this, name, action = step.action] { on_.changed(name, action); });
+  context_.loop.Post([this, name, action = step.action] {
+    on_.changed(name, action);
+    Check();
+  });
+}
+
+// What cuts the links to one service often cuts those to the others, and one
+// with few requests would take long to show it.
+void ReachDriver::ProbeOthers(const ServiceName& lost) {
+  for (auto& [name, service] : services_) {
+    if (name != lost && !service.reach.IsCutOff())
+      service.reach.RequestProbes();
+  }
 }
 
 // A request on a kept connection that was silently cut would count as one that
--- a/relay/reach_driver.h
+++ b/relay/reach_driver.h
@@ -12,7 +12,8 @@
 //
 // dispatch/target_reach.h decides for each service whether the router's own
 // links reach it, and dispatch/tunnel_peers.h which peer carries a request.
-// This class opens the probes, knows the peers' reports, and logs changes.
+// This class opens the probes, knows the peers' reports, and logs changes. If
+// the links to one service are lost, it probes the others at once.
 //
 // Where neither this router nor a peer opens connections to the targets, a
 // request is sent only on a kept connection of a service that still answers on
@@ -157,6 +158,8 @@
   TargetPath PathToUnhealthy(const TargetEntry& target) const;
   void CloseIdle(const Service& service);
   void CheckService(const ServiceName& name, Service& service);
+  // Probes the services whose links aren't known to be lost.
+  void ProbeOthers(const ServiceName& lost);
   void StartProbes(const ServiceName& name, Service& service,
                    const std::vector<TargetName>& targets);
   void OnProbe(const ServiceName& name, const TargetName& target, bool opened);
--- a/relay/testing/reach_driver_test.cc
+++ b/relay/testing/reach_driver_test.cc
@@ -38,17 +38,18 @@
 
 struct Fixture {
   Fixture() {
-    for (int n = 0; n < 4; ++n) {
-      TargetEntry it;
-      it.name = TargetName("t" + std::to_string(n));
-      it.service = kLlm;
-      it.address = "t" + std::to_string(n) + ":1";
-      entries[it.name] = it;
-    }
-    reach.SetTargets(entries, [](const TargetEntry&) { return true; });
+    for (int n = 0; n < 4; ++n) AddTarget("t" + std::to_string(n), kLlm);
     for (const FleetMember& it : members) Report(it.vm, {});
   }
 
+  void AddTarget(const std::string& name, const ServiceName& service) {
+    TargetEntry it;
+    it.name = TargetName(name);
+    it.service = service;
+    it.address = name + ":1";
+    entries[it.name] = it;
+    reach.SetTargets(entries, [](const TargetEntry&) { return true; });
+  }
   ReachDriver::Handlers Handlers() {
     ReachDriver::Handlers out;
     out.members = [this] { return members; };
@@ -127,6 +128,15 @@
   BOOST_TEST((Path({}, {VmName("vm-1")}).peer == VmName("vm-2")));
 }
 
+// Guards against lost links that a service with few requests notices late.
+BOOST_FIXTURE_TEST_CASE(LostLinksToOneServiceMakeTheOthersProbed, Fixture) {
+  const ServiceName desk("desk");
+  AddTarget("d0", desk);
+  BOOST_TEST(!reach.CutOff().contains(desk));
+  LoseLinks();
+  BOOST_TEST(reach.CutOff().contains(desk));
+}
+
 // Guards against a body that leaves its router for another region.
 BOOST_FIXTURE_TEST_CASE(APeerInAnotherRegionCarriesNoBoundRequest, Fixture) {
   LoseLinks();
