--- a/dispatch/testing/cut_fleet_test.cc
+++ b/dispatch/testing/cut_fleet_test.cc
@@ -388,7 +388,7 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(AServiceThatIsDownIsTakenAsIll) {
+BOOST_AUTO_TEST_CASE(AfterAServiceWasDownRoutersUseTheirLinks) {
   for (unsigned seed = 1; seed <= kSeeds; ++seed) {
     CutFleet fleet(seed, 5, 4);
     fleet.down_any_ = true;
--- a/relay/relay_router.h
+++ b/relay/relay_router.h
@@ -24,11 +24,11 @@
 //
 // This class itself decides only readiness, which the balancer polls. A router
 // is ready if it has a configuration, no planned stop has started, its network
-// link is not busy, and it isn't stranded, that is, refuses requests that peers
-// could serve because neither its own links nor a peer's reach their targets.
-// Losing the store or the peers doesn't make it unready: otherwise callers
-// would lose all routers at once, although each can still serve requests for
-// which it has budgets.
+// link is not busy, and it refuses nobody for want of a peer: one that carries
+// requests to targets which its own links don't reach, or one that keeps
+// budgets, if it keeps none. Losing the store or the peers doesn't make a
+// router unready that still serves requests, be it with what it has of the
+// budgets: otherwise callers would lose all routers at once.
 //
 // RelayRouter owns all of the parts above. Interface, connections, store,
 // charts and loop must outlive it.
