Check a request that waits alone with one connection

A single silent target was no evidence, as it may be the target's fault. One connection to another target is opened now; if that fails as well, a probe round decides. Checks have their own intervals, which grow, so a slow target costs one connection each time. Requests that go on waiting at a target keep its evidence.

In ASilentTargetAndOneThatDoesntOpenAreProbed the check that one silent target starts no probe is replaced by one on how many the round of both opens; that a single one starts exactly one stands in the new test. Each test of this file says now which failure it guards against.

--- a/dispatch/target_reach.cc
+++ b/dispatch/target_reach.cc
@@ -19,12 +19,14 @@
 // --- Evidence ----------------------------------------------------------------
 
 void TargetReach::OnSent(Instant now, const TargetName& target) {
-  unanswered_.try_emplace(target, now);
+  unanswered_.try_emplace(target, Unanswered{now, now}).first->second.last =
+      now;
 }
 
 void TargetReach::OnHeard(Instant now, const TargetName& target) {
   heard_at_ = now;
   cleared_rounds_ = 0;
+  cleared_checks_ = 0;
   if (!unanswered_.empty()) unanswered_.erase(target);
 }
 
@@ -68,11 +70,12 @@
 }
 
 void TargetReach::ExpireEvidence(Instant now) {
-  const auto is_old = [now](const auto& it) {
+  std::erase_if(open_failures_, [now](const auto& it) {
     return now - it.second > kEvidenceTime;
-  };
-  std::erase_if(open_failures_, is_old);
-  std::erase_if(unanswered_, is_old);
+  });
+  std::erase_if(unanswered_, [now](const auto& it) {
+    return now - it.second.last > kEvidenceTime;
+  });
 }
 
 // --- Decisions ---------------------------------------------------------------
@@ -80,11 +83,16 @@
 ReachStep TargetReach::Check(Instant now) {
   ReachStep out;
   ExpireEvidence(now);
+  // More evidence needs a whole round, at once.
+  if (round_ && round_->is_check && IsSuspicious(now)) {
+    round_.reset();
+    probe_requested_ = true;
+  }
   if (round_) {
     const bool is_over = round_->ended == round_->results.size() ||
                          now - round_->started_at >= kProbeTimeout;
     if (!is_over) return out;
-    if (const auto event = EndRound()) out.action = Apply(now, *event);
+    if (const auto event = EndRound(now)) out.action = Apply(now, *event);
   }
   if (const auto event = EventOfPeers(now)) {
     const ReachAction action = Apply(now, *event);
@@ -103,9 +111,15 @@
   return out;
 }
 
-std::optional<ReachEvent> TargetReach::EndRound() {
+std::optional<ReachEvent> TargetReach::EndRound(Instant now) {
   const Round round = *std::exchange(round_, std::nullopt);
   const bool some = round.opened > 0;
+  if (round.is_check && !some) {
+    for (const auto& [target, opened] : round.results)
+      open_failures_[target] = now;
+    probe_requested_ = true;
+    return std::nullopt;
+  }
   const bool most = round.opened * 2 > round.results.size();
   const bool before = std::exchange(some_opened_, some);
   if (!some) return ReachEvent::kNoneOpened;
@@ -113,7 +127,8 @@
   // one takes more, as long as tunnels serve the requests.
   if (!IsCutOff()) {
     unanswered_.clear();
-    cleared_rounds_ = std::min(cleared_rounds_ + 1, kMaxDoublings);
+    int& cleared = round.is_check ? cleared_checks_ : cleared_rounds_;
+    cleared = std::min(cleared + 1, kMaxDoublings);
   }
   if (most || before || !IsLost()) return ReachEvent::kOpened;
   return std::nullopt;
@@ -144,20 +159,31 @@
   const Duration since = now - last_round_at_;
   if (IsCutOff()) return since >= kRoundInterval;
   if (probe_requested_) return true;
-  return since >= kSuspectInterval * (1 << cleared_rounds_) &&
-         IsSuspicious(now);
+  if (since < kSuspectInterval * (1 << cleared_rounds_)) return false;
+  if (IsSuspicious(now)) return true;
+  return HasSilentTarget(now) &&
+         now - last_check_at_ >= kSuspectInterval * (1 << cleared_checks_);
 }
 
 bool TargetReach::IsSuspicious(Instant now) const {
-  const std::size_t needed = SuspectsNeeded();
-  std::size_t suspects = open_failures_.size();
-  if (suspects >= needed) return true;
-  if (now - heard_at_ < kSilence) return false;
-  for (const auto& [target, sent_at] : unanswered_) {
-    const bool is_silent = now - sent_at >= kSilence;
-    if (is_silent && !open_failures_.contains(target)) ++suspects;
+  return CountSuspects(now) >= SuspectsNeeded();
+}
+
+std::size_t TargetReach::CountSuspects(Instant now) const {
+  std::size_t out = open_failures_.size();
+  if (now - heard_at_ < kSilence) return out;
+  for (const auto& [target, requests] : unanswered_) {
+    const bool is_silent = now - requests.first >= kSilence;
+    if (is_silent && !open_failures_.contains(target)) ++out;
   }
-  return suspects >= needed;
+  return out;
+}
+
+bool TargetReach::HasSilentTarget(Instant now) const {
+  if (now - heard_at_ < kSilence) return false;
+  return std::any_of(
+      unanswered_.begin(), unanswered_.end(),
+      [now](const auto& it) { return now - it.second.first >= kSilence; });
 }
 
 // Chooses the targets of a round, in turn, so that a target that is down for
@@ -165,9 +191,13 @@
 std::vector<TargetName> TargetReach::StartRound(Instant now) {
   std::vector<TargetName> out;
   std::vector<TargetName> suspects;
+  Round round;
+  round.started_at = now;
+  round.is_check = !IsCutOff() && !probe_requested_ && !IsSuspicious(now);
+  const std::size_t size = round.is_check ? 1 : kProbesPerRound;
   const std::size_t count = targets_.size();
   std::size_t n = 0;
-  for (; n < count && out.size() < kProbesPerRound; ++n) {
+  for (; n < count && out.size() < size; ++n) {
     const TargetName& it = targets_[(next_probe_ + n) % count];
     const bool is_suspect =
         open_failures_.contains(it) || unanswered_.contains(it);
@@ -175,12 +205,10 @@
   }
   next_probe_ = (next_probe_ + n) % count;
   for (const TargetName& it : suspects) {
-    if (out.size() < kProbesPerRound) out.push_back(it);
+    if (out.size() < size) out.push_back(it);
   }
-  last_round_at_ = now;
+  (round.is_check ? last_check_at_ : last_round_at_) = now;
   probe_requested_ = false;
-  Round round;
-  round.started_at = now;
   for (const TargetName& it : out) round.results[it];
   round_ = std::move(round);
   return out;
--- a/dispatch/target_reach.h
+++ b/dispatch/target_reach.h
@@ -18,14 +18,18 @@
 // Suspicion. Opening failed at `kMinSuspects` targets, and no connection opened
 // since. Targets at which requests wait count as well while nothing was
 // received from the service for `kSilence`. A service with a single target
-// needs only that one.
+// needs only that one. Where a single target is silent and others exist, one
+// connection to another target is opened; if that fails as well, there are two
+// suspects, and a probe round follows at once.
 //
 // Probe round. Connections are opened to up to `kProbesPerRound` targets, those
 // that aren't suspected first. If none opens within `kProbeTimeout`, the links
 // are lost. So targets that crash don't look like a cut as long as one of those
-// probed is up. While the links are lost, rounds follow every `kRoundInterval`
-// until most connections of a round open, or some in two rounds; if the targets
-// are unhealthy, until one opens.
+// probed is up. Nor do targets that are too busy to accept connections, as long
+// as something arrives from the service during the round: a cut that leaves
+// open connections alone refuses new ones at once. While the links are lost,
+// rounds follow every `kRoundInterval` until most connections of a round open,
+// or some in two rounds; if the targets are unhealthy, until one opens.
 //
 // Peers. Where two peers each fail to reach two targets as well, and none has
 // reached a target since, or all peers say that they are cut off, the targets
@@ -67,8 +71,9 @@
   // Engines may take several hundred milliseconds for a first event, but
   // rarely send nothing for all requests of a router.
   static constexpr Duration kSilence = std::chrono::milliseconds(400);
-  // How long a failed opening, or a request without an answer, is evidence. A
-  // router with few callers opens a connection a second or so.
+  // How long a failed opening, or a request without an answer, is evidence:
+  // longer than a second, so that the requests of a router with few callers add
+  // up, and short, as targets restart.
   static constexpr Duration kEvidenceTime = std::chrono::milliseconds(2000);
   // Enough that targets that are down by themselves rarely make up a round.
   static constexpr std::size_t kProbesPerRound = 3;
@@ -76,9 +81,9 @@
   static constexpr Duration kProbeTimeout = std::chrono::milliseconds(250);
   // Start of a round to the start of the next one: while the links are lost,
   // which bounds the return to them, and at least while they work. The latter
-  // doubles, at most `kMaxDoublings`
-  // times, with each round that finds nothing wrong before an answer arrives:
-  // some services just answer slowly.
+  // doubles, at most `kMaxDoublings` times, with each round that finds nothing
+  // wrong before an answer arrives: some services just answer slowly. The same
+  // holds for checks of a single silent target.
   static constexpr Duration kRoundInterval = std::chrono::milliseconds(400);
   static constexpr Duration kSuspectInterval = std::chrono::milliseconds(500);
   static constexpr int kMaxDoublings = 3;
@@ -119,6 +124,8 @@
   // Whether this router can't reach the targets over its own links, and so
   // can't carry requests of peers.
   bool IsCutOff() const { return machine_.state() != ReachState::kDirect; }
+  // Whether this router's own links are lost, or are being probed.
+  bool IsInDoubt() const { return IsCutOff() || round_.has_value(); }
   // Whether this router's own links have worked after `time`.
   bool HasHeardSince(Instant time) const { return heard_at_ > time; }
   ReachState state() const { return machine_.state(); }
@@ -126,17 +133,27 @@
  private:
   struct Round {
     Instant started_at{};
+    // One connection, because of a single silent target: it decides nothing.
+    bool is_check = false;
     std::map<TargetName, std::optional<bool>> results;
     std::size_t opened = 0;
     std::size_t ended = 0;
   };
 
+  // Requests to a target since something was received from it.
+  struct Unanswered {
+    Instant first{};
+    Instant last{};
+  };
+
   ReachAction Apply(Instant now, ReachEvent event);
-  std::optional<ReachEvent> EndRound();
+  std::optional<ReachEvent> EndRound(Instant now);
   std::optional<ReachEvent> EventOfPeers(Instant now) const;
   bool PeersFail() const;
   bool IsRoundDue(Instant now) const;
   bool IsSuspicious(Instant now) const;
+  std::size_t CountSuspects(Instant now) const;
+  bool HasSilentTarget(Instant now) const;
   std::size_t SuspectsNeeded() const;
   std::vector<TargetName> StartRound(Instant now);
   void ForgetEvidence();
@@ -150,13 +167,15 @@
   Instant heard_at_{};
   // Targets at which opening failed since a connection last opened.
   std::map<TargetName, Instant> open_failures_;
-  // The first request to each target since something was received from it.
-  std::map<TargetName, Instant> unanswered_;
+  std::map<TargetName, Unanswered> unanswered_;
   bool probe_requested_ = false;
   std::optional<Round> round_;
   Instant last_round_at_{};
-  // Rounds that found nothing wrong since an answer arrived.
+  // Checks don't delay rounds, so each has its times.
+  Instant last_check_at_{};
+  // Rounds and checks that found nothing wrong since an answer arrived.
   int cleared_rounds_ = 0;
+  int cleared_checks_ = 0;
   // Whether a connection of the previous round opened.
   bool some_opened_ = false;
   // Targets that each peer failed to reach since a peer reached one.
--- a/dispatch/testing/target_reach_test.cc
+++ b/dispatch/testing/target_reach_test.cc
@@ -54,6 +54,7 @@
   std::vector<TargetName> probed;
 };
 
+// Guards against probes while nothing is wrong.
 BOOST_AUTO_TEST_CASE(NoEvidenceNeedsNoProbes) {
   Fixture it(4);
   it.reach.OnSent(it.now, Name(0));
@@ -63,6 +64,7 @@
   BOOST_TEST(!it.reach.IsCutOff());
 }
 
+// Guards against a target that is down and looks like lost links.
 BOOST_AUTO_TEST_CASE(OneTargetThatDoesntOpenIsNoCut) {
   Fixture it(4);
   for (int n = 0; n < 20; ++n) {
@@ -72,6 +74,7 @@
   }
 }
 
+// Guards against failures that add up although the links work.
 BOOST_AUTO_TEST_CASE(AConnectionThatOpensClearsTheFailuresBeforeIt) {
   Fixture it(4);
   it.reach.OnOpenFailed(it.now, Name(0));
@@ -80,6 +83,7 @@
   BOOST_TEST(it.reach.Check(it.now).probes.empty());
 }
 
+// Guards against a crash of some targets that looks like lost links.
 BOOST_AUTO_TEST_CASE(TwoTargetsDownAndOthersUpAreNoCut) {
   Fixture it(4);
   it.reach.OnOpenFailed(it.now, Name(0));
@@ -92,12 +96,14 @@
   BOOST_TEST(!it.reach.IsCutOff());
 }
 
+// Guards against lost links that go unnoticed.
 BOOST_AUTO_TEST_CASE(NoConnectionOfARoundOpensSoTheLinksAreLost) {
   Fixture it(4);
   it.LoseLinks();
   BOOST_TEST(it.reach.IsLost());
 }
 
+// Guards against connections that hang and keep a round from ending.
 BOOST_AUTO_TEST_CASE(ARoundWithoutAnswersEndsInTime) {
   Fixture it(4);
   it.reach.OnOpenFailed(it.now, Name(0));
@@ -109,6 +115,7 @@
   BOOST_TEST((it.reach.Check(it.now).action == ReachAction::kUseTunnels));
 }
 
+// Guards against lost links on which old connections just hang.
 BOOST_AUTO_TEST_CASE(SilenceAtSeveralTargetsIsProbed) {
   Fixture it(4);
   it.reach.OnHeard(it.now, Name(3));
@@ -126,11 +133,48 @@
   Fixture it(4);
   it.reach.OnSent(it.now, Name(0));
   it.Wait(TargetReach::kSilence);
-  BOOST_TEST(it.reach.Check(it.now).probes.empty());
   it.reach.OnOpenFailed(it.now, Name(1));
   BOOST_TEST((it.Round(0) == ReachAction::kUseTunnels));
+  BOOST_TEST(it.probed.size() == TargetReach::kProbesPerRound);
+}
+
+// Guards against lost links that are noticed late where requests are few: one
+// that waits alone has one connection opened elsewhere, and only a round after
+// that decides.
+BOOST_AUTO_TEST_CASE(ARequestThatWaitsAloneIsCheckedWithOneConnection) {
+  Fixture it(4);
+  it.reach.OnSent(it.now, Name(0));
+  it.Wait(TargetReach::kSilence - milliseconds(1));
+  BOOST_TEST(it.reach.Check(it.now).probes.empty());
+  it.Wait(milliseconds(1));
+  const ReachStep check = it.reach.Check(it.now);
+  BOOST_REQUIRE(check.probes.size() == 1U);
+  BOOST_TEST((check.probes[0] != Name(0)));
+  it.Wait(TargetReach::kProbeTimeout);
+  const ReachStep round = it.reach.Check(it.now);
+  BOOST_TEST((round.action == ReachAction::kNone));
+  BOOST_TEST(round.probes.size() == TargetReach::kProbesPerRound);
+  it.Wait(TargetReach::kProbeTimeout);
+  BOOST_TEST((it.reach.Check(it.now).action == ReachAction::kUseTunnels));
+  // With checks every 200 ms and a request right after one.
+  BOOST_TEST((it.now - kStart + milliseconds(100) <= milliseconds(1000)));
+}
+
+// Guards against probes that a single slow target causes again and again.
+BOOST_AUTO_TEST_CASE(ASlowTargetIsNoCutAndIsCheckedLessAndLess) {
+  Fixture it(4);
+  int probes = 0;
+  for (int n = 0; n < 100; ++n) {
+    it.reach.OnSent(it.now, Name(0));
+    it.Wait(milliseconds(100));
+    BOOST_TEST((it.Round(3) == ReachAction::kNone));
+    probes += static_cast<int>(it.probed.size());
+  }
+  // One connection each time: at 0.4 s, then after 1, 2, 4 and 4 s.
+  BOOST_TEST(probes <= 5);
 }
 
+// Guards against probes that a slow service causes again and again.
 BOOST_AUTO_TEST_CASE(AServiceThatIsJustSlowIsProbedLessAndLess) {
   Fixture it(4);
   int rounds = 0;
@@ -150,6 +194,7 @@
   BOOST_TEST(it.reach.IsLost());
 }
 
+// Guards against slow targets that look like lost links.
 BOOST_AUTO_TEST_CASE(AnAnswerFromAnyTargetEndsTheSilence) {
   Fixture it(4);
   it.reach.OnSent(it.now, Name(0));
@@ -159,6 +204,7 @@
   BOOST_TEST(it.reach.Check(it.now).probes.empty());
 }
 
+// Guards against lost links of a service that can show no second failure.
 BOOST_AUTO_TEST_CASE(AServiceWithOneTargetNeedsOnlyThatOne) {
   Fixture it(1);
   it.reach.OnOpenFailed(it.now, Name(0));
@@ -166,6 +212,7 @@
   BOOST_TEST(it.probed.size() == 1U);
 }
 
+// Guards against detours over peers after a cut has ended.
 BOOST_AUTO_TEST_CASE(MostConnectionsOfARoundEndTheCut) {
   Fixture it(4);
   it.LoseLinks();
@@ -174,6 +221,7 @@
   BOOST_TEST(!it.reach.IsCutOff());
 }
 
+// Guards against detours that last because some targets are down.
 BOOST_AUTO_TEST_CASE(FewConnectionsInTwoRoundsEndTheCut) {
   Fixture it(4);
   it.LoseLinks();
@@ -184,7 +232,8 @@
   BOOST_TEST((it.Round(1) == ReachAction::kUseLinks));
 }
 
-BOOST_AUTO_TEST_CASE(WherePeersFailTooTheTargetsAreIll) {
+// Guards against requests that are passed around while a service is down.
+BOOST_AUTO_TEST_CASE(WherePeersFailTooTheTargetsAreUnhealthy) {
   Fixture it(4);
   it.LoseLinks();
   BOOST_TEST(!it.Fail("vm-1", 0));
@@ -198,7 +247,7 @@
 }
 
 // The peer may have been cut off a moment ago.
-BOOST_AUTO_TEST_CASE(OnePeerThatReachesNothingIsNoSignOfIllTargets) {
+BOOST_AUTO_TEST_CASE(OnePeerThatReachesNothingIsNoSignOfUnhealthyTargets) {
   Fixture it(4);
   it.LoseLinks();
   for (int n = 0; n < 4; ++n) it.Fail("vm-1", n);
@@ -207,6 +256,7 @@
   BOOST_TEST((it.reach.Check(it.now).action == ReachAction::kLeavePeers));
 }
 
+// Guards against peers that are left although one of them reaches the targets.
 BOOST_AUTO_TEST_CASE(OnePeerThatReachesATargetOutweighsFailuresBefore) {
   Fixture it(4);
   it.LoseLinks();
@@ -219,6 +269,7 @@
   BOOST_TEST(it.reach.IsLost());
 }
 
+// Guards against refusals that outlast the trouble of the peers.
 BOOST_AUTO_TEST_CASE(PeersAreAskedAgainOnceSomeReachTheTargets) {
   Fixture it(4);
   it.LoseLinks();
@@ -231,6 +282,7 @@
   BOOST_TEST((it.reach.Check(it.now).action == ReachAction::kUseTunnels));
 }
 
+// Guards against refusals that outlast the trouble of the targets.
 BOOST_AUTO_TEST_CASE(OneConnectionShowsThatTargetsAreWellAgain) {
   Fixture it(4);
   it.LoseLinks();
@@ -240,6 +292,7 @@
   BOOST_TEST((it.Round(1) == ReachAction::kUseLinks));
 }
 
+// Guards against planned ends of targets that look like lost links.
 BOOST_AUTO_TEST_CASE(TargetsThatAreGoneAreNoEvidence) {
   Fixture it(4);
   it.reach.OnOpenFailed(it.now, Name(0));
@@ -248,6 +301,7 @@
   BOOST_TEST(it.reach.Check(it.now).probes.empty());
 }
 
+// Guards against failures that add up over a long time.
 BOOST_AUTO_TEST_CASE(OldEvidenceExpires) {
   Fixture it(4);
   it.reach.OnOpenFailed(it.now, Name(0));
