Count no send over links that are lost or being probed

The request whose own attempts showed that the links were lost was refused as turned_away, though a peer could carry it: three attempts that sent nothing, 250 ms each while the links hang, counted as its three sends. Such attempts don't count while the links are lost or being probed, and their targets may be chosen again once peers are used. What becomes of an attempt when the links are found lost is a function without sockets now (StepAfterLostLinks, attempt_test).

--- a/relay/attempt.cc
+++ b/relay/attempt.cc
@@ -67,6 +67,14 @@
   return out;
 }
 
+LostLinksStep StepAfterLostLinks(const LostLinksFacts& facts) {
+  if (!facts.is_direct) return LostLinksStep::kKeep;
+  if (facts.ran == Ran::kNo) return LostLinksStep::kUndo;
+  // Connections may live on while new ones are refused.
+  if (facts.is_paused || !facts.is_silent) return LostLinksStep::kKeep;
+  return LostLinksStep::kRetry;
+}
+
 AttemptResult EvaluateAttempt(const AttemptFacts& facts) {
   if (facts.end == CallEnd::kCancelledBeforeSend) {
     return {false, Ran::kNo, PlacementOutcome::kNeutral,
--- a/relay/attempt.h
+++ b/relay/attempt.h
@@ -107,6 +107,26 @@
          fault == AttemptFault::kOpenTimeout;
 }
 
+// What becomes of an attempt when its router's own links are found lost.
+enum class LostLinksStep {
+  kKeep,   // it goes on, or ends by itself
+  kUndo,   // it ends as if it had not been made, as nothing of it was sent
+  kRetry,  // it ends, if the request may be sent again
+};
+
+struct LostLinksFacts {
+  // The attempt uses the links.
+  bool is_direct = true;
+  // Whether the attempt may have run the request.
+  Ran ran = Ran::kUnknown;
+  // Reading is paused for a slow caller, so silence is no sign.
+  bool is_paused = false;
+  // Nothing has arrived on the links for a while.
+  bool is_silent = false;
+};
+
+LostLinksStep StepAfterLostLinks(const LostLinksFacts& facts);
+
 // What is known when the connection reports the end of a call.
 struct AttemptFacts {
   CallEnd end = CallEnd::kNotSent;
--- a/relay/reach_driver.cc
+++ b/relay/reach_driver.cc
@@ -39,6 +39,11 @@
   return it == services_.end() ? nullptr : &it->second.reach;
 }
 
+const TargetReach* ReachDriver::Find(const ServiceName& service) const {
+  const auto it = services_.find(service);
+  return it == services_.end() ? nullptr : &it->second.reach;
+}
+
 // --- Paths -------------------------------------------------------------------
 
 TargetPath ReachDriver::PathTo(const TargetEntry& target,
@@ -257,10 +262,19 @@
 }
 
 bool ReachDriver::IsSilent(const ServiceName& service) const {
-  const auto it = services_.find(service);
-  if (it == services_.end()) return false;
-  return !it->second.reach.HasHeardSince(context_.clock.Now() -
-                                         TargetReach::kSilence);
+  const TargetReach* it = Find(service);
+  return it != nullptr &&
+         !it->HasHeardSince(context_.clock.Now() - TargetReach::kSilence);
+}
+
+bool ReachDriver::IsCutOff(const ServiceName& service) const {
+  const TargetReach* it = Find(service);
+  return it != nullptr && it->IsCutOff();
+}
+
+bool ReachDriver::IsInDoubt(const ServiceName& service) const {
+  const TargetReach* it = Find(service);
+  return it != nullptr && it->IsInDoubt();
 }
 
 bool ReachDriver::LacksPath() const {
--- a/relay/reach_driver.h
+++ b/relay/reach_driver.h
@@ -130,6 +130,10 @@
   // Whether this router's own links have carried something after `time`.
   bool HasHeardSince(Instant time) const { return heard_at_ > time; }
   bool IsSilent(const ServiceName& service) const;
+  // Whether this router's own links to the service are lost.
+  bool IsCutOff(const ServiceName& service) const;
+  // The same, or they are being probed.
+  bool IsInDoubt(const ServiceName& service) const;
   // Probes the targets of the service, to find out whether the links work.
   void RequestProbes(const ServiceName& service);
   // Whether a request that any router may serve was refused a moment ago, as no
@@ -155,6 +159,7 @@
                                    const Residency& residency) const;
   std::size_t UsablePeers(const ServiceName& service) const;
   TargetReach* Find(const ServiceName& service);
+  const TargetReach* Find(const ServiceName& service) const;
   TargetPath PathToUnhealthy(const TargetEntry& target) const;
   void CloseIdle(const Service& service);
   void CheckService(const ServiceName& name, Service& service);
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -134,6 +134,7 @@
   void EndAttempt(Ran ran, PlacementOutcome outcome, AttemptFault fault);
   RetryFacts FactsForRetry(Ran ran);
   bool TakeRetry(Ran ran, AttemptFault fault);
+  void UncountSend();
   void Retry(Ran ran);
   void LogAttempt(Ran ran, AttemptFault fault);
   const Fingerprint& fingerprint();
@@ -185,6 +186,9 @@
 
   // Peers that refused the request a tunnel, or couldn't be reached.
   std::set<VmName> tried_peers_;
+  // Targets to which no connection opened while the links were in doubt. They
+  // may be chosen again once peers are used.
+  std::set<TargetName> unopened_;
 
   // State of all attempts. The fingerprint is empty until it is first needed.
   Fingerprint fingerprint_;
--- a/relay/relayed_request_attempts.cc
+++ b/relay/relayed_request_attempts.cc
@@ -312,20 +312,22 @@
 
 void RelayedRequest::OnLinksLost(const ServiceName& service) {
   const auto self = shared_from_this();
-  const bool is_affected =
-      call_ && progress_.path.direct() && admission_.service->name == service;
-  if (!is_affected) return;
-  if (RanInAttempt() == Ran::kNo) {
-    UndoSend(PlacementOutcome::kNeutral);
-    LogAttempt(Ran::kNo, AttemptFault::kPathChanged);
-    return Retry(Ran::kNo);
+  if (!call_ || admission_.service->name != service) return;
+  const Ran ran = RanInAttempt();
+  switch (
+      StepAfterLostLinks({progress_.path.direct(), ran, paused_, IsSilent()})) {
+    case LostLinksStep::kKeep:
+      return;
+    case LostLinksStep::kUndo:
+      UndoSend(PlacementOutcome::kNeutral);
+      break;
+    case LostLinksStep::kRetry:
+      if (!TakeRetry(ran, AttemptFault::kPathChanged)) return;
+      StopAttempt(PlacementOutcome::kNeutral);
+      break;
   }
-  if (paused_ || !IsSilent() ||
-      !TakeRetry(Ran::kUnknown, AttemptFault::kPathChanged))
-    return;
-  StopAttempt(PlacementOutcome::kNeutral);
-  LogAttempt(Ran::kUnknown, AttemptFault::kPathChanged);
-  Retry(Ran::kUnknown);
+  LogAttempt(ran, AttemptFault::kPathChanged);
+  Retry(ran);
 }
 
 // --- After an attempt --------------------------------------------------------
@@ -458,12 +460,26 @@
 bool RelayedRequest::TakeRetry(Ran ran, AttemptFault fault) {
   RetryFacts facts = FactsForRetry(ran);
   facts.was_sent = !IsUnsent(fault);
+  facts.links_in_doubt = progress_.path.direct() &&
+                         context_.reach.IsInDoubt(admission_.service->name);
+  if (!CountsAsSend(facts)) {
+    UncountSend();
+    facts.sends = progress_.sends;
+  }
   const bool taken = context_.retries.TakeRetry(
       context_.clock.Now(), facts, context_.placement, admission_.placement);
   if (taken) context_.metrics.CountRetry();
   return taken;
 }
 
+void RelayedRequest::UncountSend() {
+  --progress_.sends;
+  unopened_.insert(progress_.choice.target.name);
+  if (!context_.reach.IsCutOff(admission_.service->name)) return;
+  for (const TargetName& it : unopened_) admission_.placement.tried.erase(it);
+  unopened_.clear();
+}
+
 void RelayedRequest::Retry(Ran ran) {
   Apply(ran == Ran::kNo ? RelayEvent::kRetryNotRun
                         : RelayEvent::kRetryMayHaveRun);
--- a/relay/retry.h
+++ b/relay/retry.h
@@ -17,7 +17,9 @@
 // retry. A target that turned the request away, or never received it, has not
 // run it, so the route's `max_attempts` doesn't prevent another send. That send
 // still counts towards `max_attempts` once an attempt may have run. Every send
-// counts for 3, which bounds the load on the service's targets.
+// counts for 3, which bounds the load on the service's targets. An attempt that
+// sent nothing is no send (`CountsAsSend`) while this router's own links may be
+// lost: once they are known to be, a peer carries the request.
 //
 //   shares.OnRequest(now, service);                       // once a request
 //   if (shares.TakeRetry(now, facts, placement, request)) // after an attempt
@@ -51,6 +53,9 @@
   Ran ran = Ran::kUnknown;
   // Whether something of that attempt was sent.
   bool was_sent = true;
+  // Whether this router's own links to the service are lost or being probed,
+  // and the attempt used them.
+  bool links_in_doubt = false;
   bool caller_gone = false;
   // The attempt may have crashed its target, and one more crash would mark the
   // request as one that crashes targets.
@@ -66,6 +71,11 @@
 
 bool MaySendAgain(const RetryFacts& facts);
 
+// Whether the attempt counts for `RetryFacts::sends`.
+inline bool CountsAsSend(const RetryFacts& facts) {
+  return facts.was_sent || !facts.links_in_doubt;
+}
+
 // This router's share of the retries of each service (dispatch/retry_share.h).
 class RetryShares {
  public:
--- a/relay/testing/attempt_test.cc
+++ b/relay/testing/attempt_test.cc
@@ -177,5 +177,23 @@
   }
 }
 
+// Guards against requests that wait for lost links until their deadline.
+BOOST_AUTO_TEST_CASE(AttemptsThatWaitOnLostLinksEnd) {
+  const LostLinksFacts unsent{true, Ran::kNo, false, true};
+  BOOST_TEST((StepAfterLostLinks(unsent) == LostLinksStep::kUndo));
+  const LostLinksFacts silent{true, Ran::kUnknown, false, true};
+  BOOST_TEST((StepAfterLostLinks(silent) == LostLinksStep::kRetry));
+}
+
+// Guards against answers that are cut although they still arrive.
+BOOST_AUTO_TEST_CASE(AttemptsThatDontWaitOnLostLinksGoOn) {
+  const LostLinksFacts answered{true, Ran::kUnknown, false, false};
+  BOOST_TEST((StepAfterLostLinks(answered) == LostLinksStep::kKeep));
+  const LostLinksFacts paused{true, Ran::kUnknown, true, true};
+  BOOST_TEST((StepAfterLostLinks(paused) == LostLinksStep::kKeep));
+  const LostLinksFacts at_peer{false, Ran::kNo, false, true};
+  BOOST_TEST((StepAfterLostLinks(at_peer) == LostLinksStep::kKeep));
+}
+
 }  // namespace
 }  // namespace quaytrack
--- a/relay/testing/retry_test.cc
+++ b/relay/testing/retry_test.cc
@@ -170,5 +170,17 @@
   BOOST_TEST(fixture.Take(Facts(Ran::kNo)));
 }
 
+// Guards against a request that is refused, though a peer could carry it,
+// because its attempts showed that this router's links are lost.
+BOOST_AUTO_TEST_CASE(AnUnsentAttemptOverLostLinksIsNoSend) {
+  RetryFacts facts = Facts(Ran::kNo);
+  facts.was_sent = false;
+  BOOST_TEST(CountsAsSend(facts));
+  facts.links_in_doubt = true;
+  BOOST_TEST(!CountsAsSend(facts));
+  facts.was_sent = true;
+  BOOST_TEST(CountsAsSend(facts));
+}
+
 }  // namespace
 }  // namespace quaytrack
