Don't take overloaded targets for lost links

A round whose connections hang no longer counts if something arrives from the service during it. Connections that are refused still do, as in a cut that leaves open ones alone.

--- a/dispatch/target_reach.cc
+++ b/dispatch/target_reach.cc
@@ -114,6 +114,10 @@
 std::optional<ReachEvent> TargetReach::EndRound(Instant now) {
   const Round round = *std::exchange(round_, std::nullopt);
   const bool some = round.opened > 0;
+  if (!some && !IsCutOff() && IsDisproved(round)) {
+    open_failures_.clear();
+    return std::nullopt;
+  }
   if (round.is_check && !some) {
     for (const auto& [target, opened] : round.results)
       open_failures_[target] = now;
@@ -134,6 +138,14 @@
   return std::nullopt;
 }
 
+// Connections that don't open in time while answers arrive on others show that
+// the targets are overloaded. A cut that lets open connections live refuses new
+// ones at once.
+bool TargetReach::IsDisproved(const Round& round) const {
+  const std::size_t refused = round.ended - round.opened;
+  return refused < SuspectsNeeded() && HasHeardSince(round.started_at);
+}
+
 std::optional<ReachEvent> TargetReach::EventOfPeers(Instant now) const {
   if (!IsCutOff()) return std::nullopt;
   if (IsLost() && PeersFail()) return ReachEvent::kPeersFailToo;
--- a/dispatch/target_reach.h
+++ b/dispatch/target_reach.h
@@ -148,6 +148,7 @@
 
   ReachAction Apply(Instant now, ReachEvent event);
   std::optional<ReachEvent> EndRound(Instant now);
+  bool IsDisproved(const Round& round) const;
   std::optional<ReachEvent> EventOfPeers(Instant now) const;
   bool PeersFail() const;
   bool IsRoundDue(Instant now) const;
--- a/dispatch/testing/target_reach_test.cc
+++ b/dispatch/testing/target_reach_test.cc
@@ -103,6 +103,33 @@
   BOOST_TEST(it.reach.IsLost());
 }
 
+// Guards against overloaded targets that look like lost links: they accept no
+// connection in time, and still answer on those that are open.
+BOOST_AUTO_TEST_CASE(AnAnswerDuringARoundThatHangsShowsThatTheLinksWork) {
+  Fixture it(4);
+  it.reach.OnOpenFailed(it.now, Name(0));
+  it.reach.OnOpenFailed(it.now, Name(1));
+  BOOST_TEST(it.reach.Check(it.now).probes.size() == 3U);
+  it.Wait(TargetReach::kProbeTimeout / 2);
+  it.reach.OnHeard(it.now, Name(1));
+  it.Wait(TargetReach::kProbeTimeout / 2);
+  BOOST_TEST((it.reach.Check(it.now).action == ReachAction::kNone));
+  BOOST_TEST(!it.reach.IsCutOff());
+}
+
+// Guards against a cut that refuses new connections and lets open ones live.
+BOOST_AUTO_TEST_CASE(RefusedConnectionsAreACutWhateverOpenOnesCarry) {
+  Fixture it(4);
+  it.reach.OnOpenFailed(it.now, Name(0));
+  it.reach.OnOpenFailed(it.now, Name(1));
+  const ReachStep step = it.reach.Check(it.now);
+  it.Wait(milliseconds(1));
+  it.reach.OnHeard(it.now, Name(1));
+  for (const TargetName& target : step.probes)
+    it.reach.OnProbe(it.now, target, false);
+  BOOST_TEST((it.reach.Check(it.now).action == ReachAction::kUseTunnels));
+}
+
 // Guards against connections that hang and keep a round from ending.
 BOOST_AUTO_TEST_CASE(ARoundWithoutAnswersEndsInTime) {
   Fixture it(4);
