--- a/dispatch/testing/cut_fleet_test.cc
+++ b/dispatch/testing/cut_fleet_test.cc
@@ -336,6 +336,7 @@
   }
 }
 
+// Guards against routers that follow each change of a flapping link too late.
 BOOST_AUTO_TEST_CASE(CutsThatFlapLeaveMostRequestsServed) {
   for (unsigned seed = 1; seed <= kSeeds; ++seed) {
     CutFleet fleet(seed, 7, 12);
--- a/dispatch/testing/rejection_limits_test.cc
+++ b/dispatch/testing/rejection_limits_test.cc
@@ -20,6 +20,7 @@
 
 using std::chrono::milliseconds;
 
+// Guards against a limit that outlasts its cause.
 BOOST_AUTO_TEST_CASE(AnAnswerThatSaysNothingEndsIt) {
   RejectionLimits it;
   BOOST_TEST(!it.IsLimited(kStart, kDesk));
@@ -31,6 +32,7 @@
   BOOST_TEST(!it.IsLimited(kStart, kDesk));
 }
 
+// Guards against a limit that nothing ends.
 BOOST_AUTO_TEST_CASE(WithoutAnswersItEnds) {
   RejectionLimits it;
   it.OnAnswer(kStart, kDesk, 3);
@@ -39,6 +41,7 @@
   BOOST_TEST(!it.IsLimited(kStart + RejectionLimits::kMemory, kDesk));
 }
 
+// Guards against routers that keep a limit alive by telling each other.
 BOOST_AUTO_TEST_CASE(OnlyOwnRecentAnswersAreReported) {
   RejectionLimits own;
   own.OnAnswer(kStart, kDesk, 3);
@@ -50,6 +53,7 @@
   BOOST_TEST(own.Reports(kStart + RejectionLimits::kReportedFor).empty());
 }
 
+// Guards against routers that overload a target together.
 BOOST_AUTO_TEST_CASE(TheSharesAddUpToTheSlots) {
   for (std::size_t routers = 1; routers <= 80; ++routers) {
     for (int slots = 1; slots <= 64; ++slots) {
@@ -143,6 +147,8 @@
   std::map<TargetName, int> at_target_;
 };
 
+// Guards against targets that have to reject requests, and slots that are
+// wasted.
 BOOST_AUTO_TEST_CASE(ATargetNeverGetsMoreThanItsSlots) {
   for (unsigned seed = 1; seed <= 40; ++seed) {
     std::mt19937 draw(seed);
--- a/dispatch/testing/tunnel_peers_test.cc
+++ b/dispatch/testing/tunnel_peers_test.cc
@@ -28,6 +28,7 @@
   return out;
 }
 
+// Guards against requests that are handed on in vain.
 BOOST_AUTO_TEST_CASE(PeersThatAreCutOffOrWereTriedAreLeftOut) {
   const TunnelPeers peers(kSelf, kHall);
   auto all = Peers(2);
@@ -36,11 +37,13 @@
   BOOST_TEST((peers.Choose(kStart, all, {VmName("vm-2")}) == nullptr));
 }
 
+// Guards against a router that is on its own list of candidates.
 BOOST_AUTO_TEST_CASE(ARouterDoesntChooseItself) {
   const TunnelPeers peers(VmName("vm-1"), kHall);
   BOOST_TEST((peers.Choose(kStart, Peers(1), {}) == nullptr));
 }
 
+// Guards against time lost on routers that are gone.
 BOOST_AUTO_TEST_CASE(LinkedPeersComeBeforeOthers) {
   const TunnelPeers peers(kSelf, kHall);
   auto all = Peers(3);
@@ -48,6 +51,7 @@
   BOOST_TEST((peers.Choose(kStart, all, {})->member.vm == VmName("vm-1")));
 }
 
+// Guards against a peer that is overloaded, and traffic between halls.
 BOOST_AUTO_TEST_CASE(TunnelsSpreadAndTheOwnHallIsPreferredUpToABound) {
   TunnelPeers peers(kSelf, kHall);
   const auto all = Peers(6);
@@ -68,6 +72,7 @@
   for (const TunnelPeer& it : all) BOOST_TEST(tunnels[it.member.vm] > 0);
 }
 
+// Guards against a peer that each request tries in vain.
 BOOST_AUTO_TEST_CASE(APeerThatFailsIsLeftOutEachTimeForLonger) {
   TunnelPeers peers(kSelf, kHall);
   const auto all = Peers(1);
--- a/http/testing/tunnel_test.cc
+++ b/http/testing/tunnel_test.cc
@@ -119,6 +119,7 @@
   std::string body;
 };
 
+// Guards against bytes that a peer changes.
 BOOST_FIXTURE_TEST_CASE(CarriesARequestAndItsAnswerUnchanged, Fixture) {
   Call();
   BOOST_TEST((end == CallEnd::kComplete));
@@ -126,6 +127,7 @@
   BOOST_TEST(target.received == kRequest);
 }
 
+// Guards against a kept tunnel that meets its peer's planned stop.
 BOOST_FIXTURE_TEST_CASE(ATunnelEndsWithItsRequest, Fixture) {
   Call();
   RunFor(loop, milliseconds(100));
@@ -135,6 +137,7 @@
   BOOST_TEST(peer.tunnels->opened() == 2U);
 }
 
+// Guards against a whole answer that is taken for a broken one.
 BOOST_FIXTURE_TEST_CASE(AnAnswerWithoutLengthIsCompleteIfItsTargetCloses,
                         Fixture) {
   target.answer = kWithoutLength;
@@ -144,6 +147,7 @@
   BOOST_TEST(body == "ok");
 }
 
+// Guards against a broken answer that looks complete.
 BOOST_FIXTURE_TEST_CASE(AnAnswerWithoutLengthThatIsResetIsBroken, Fixture) {
   target.answer = kWithoutLength;
   target.after = AfterAnswer::kReset;
@@ -151,6 +155,7 @@
   BOOST_TEST((end == CallEnd::kBroken));
 }
 
+// Guards against a request that runs although it was refused.
 BOOST_FIXTURE_TEST_CASE(ARefusedTunnelCarriesNothing, Fixture) {
   for (const TunnelStatus it :
        {TunnelStatus::kNoRoom, TunnelStatus::kNoTarget}) {
@@ -161,6 +166,7 @@
   BOOST_TEST(target.received.empty());
 }
 
+// Guards against peers that are left for the fault of a target.
 BOOST_FIXTURE_TEST_CASE(ATargetThatThePeerCantReachIsNotThePeersFault,
                         Fixture) {
   target.listener.Stop();
@@ -168,12 +174,14 @@
   BOOST_TEST((end == CallEnd::kNotSent));
 }
 
+// Guards against a target that is left for the fault of a peer.
 BOOST_FIXTURE_TEST_CASE(APeerThatIsDownCarriesNothing, Fixture) {
   Start(target.Address(), "127.0.0.1:1");
   Run();
   BOOST_TEST((end == CallEnd::kNoTunnel));
 }
 
+// Guards against a request that was reported as not run, and runs.
 BOOST_FIXTURE_TEST_CASE(NothingIsSentBeforeTheTunnelIsOpen, Fixture) {
   may_send = false;
   Start(target.Address(), peer.Address());
@@ -196,6 +204,7 @@
   BOOST_TEST((end == CallEnd::kBroken));
 }
 
+// Guards against targets that work for callers that have left.
 BOOST_FIXTURE_TEST_CASE(ACallerThatLeavesIsNoticedAtTheTarget, Fixture) {
   target.answer = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok";
   Start(target.Address(), peer.Address());
@@ -206,6 +215,7 @@
   BOOST_TEST(peer.tunnels->size() == 0U);
 }
 
+// Guards against answers that fill a peer's memory.
 BOOST_FIXTURE_TEST_CASE(ASlowReaderSlowsTheTargetDown, Fixture) {
   constexpr std::size_t kBytes = 32 * 1024 * 1024;
   target.answer =
@@ -223,6 +233,7 @@
   BOOST_TEST(body.size() == kBytes);
 }
 
+// Guards against connections that probes waste.
 BOOST_FIXTURE_TEST_CASE(AProbeIsKeptForCalls, Fixture) {
   std::optional<bool> opened;
   connections.Probe(target.Address(), [&](bool it) { opened = it; });
@@ -236,6 +247,7 @@
   BOOST_TEST(target.sockets.size() == 1U);
 }
 
+// Guards against a probe that reports a connection which did not open.
 BOOST_FIXTURE_TEST_CASE(AProbeOfAClosedPortFails, Fixture) {
   std::optional<bool> opened;
   connections.Probe("127.0.0.1:1", [&](bool it) { opened = it; });
@@ -243,6 +255,7 @@
   BOOST_TEST(!opened.value_or(true));
 }
 
+// Guards against heads that are split, or have bytes behind them.
 BOOST_AUTO_TEST_CASE(HeadsAreReadInAnyPieces) {
   const std::string text = TunnelRequest("10.0.0.9:80");
   TunnelHead head;
@@ -260,6 +273,7 @@
   BOOST_TEST((answer.Status() == TunnelStatus::kNoRoom));
 }
 
+// Guards against other protocols, and heads without an end.
 BOOST_AUTO_TEST_CASE(OtherBytesAreNoHead) {
   for (const char* it :
        {"GET / HTTP/1.1\r\n\r\n", "CONNECT  HTTP/1.1\r\n\r\n",
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -329,6 +329,7 @@
 // Whether this router opens a tunnel for a peer. A router that stops or whose
 // link is busy leaves that to others.
 TunnelStatus RelayRouter::MayCarry(const std::string& address) const {
+  // The tunnel that asks is one of `tunnels_`.
   const bool has_room = !stop_.started() && !link_.IsBusy() &&
                         tunnels_.size() <= ReachDriver::kMaxCarried;
   return has_room ? reach_.MayCarry(address) : TunnelStatus::kNoRoom;
--- a/relay/testing/reach_driver_test.cc
+++ b/relay/testing/reach_driver_test.cc
@@ -96,6 +96,7 @@
                     Handlers()};
 };
 
+// Guards against detours without a cause.
 BOOST_FIXTURE_TEST_CASE(RequestsAreDirectWhileTheLinksWork, Fixture) {
   BOOST_TEST(Path().direct());
   BOOST_TEST(reach.CutOff().empty());
@@ -117,6 +118,7 @@
   BOOST_TEST(changes.size() == 1U);
 }
 
+// Guards against refusals while a peer reaches the targets.
 BOOST_FIXTURE_TEST_CASE(LostLinksAreReplacedByAPeer, Fixture) {
   LoseLinks();
   BOOST_REQUIRE(changes.size() == 1U);
@@ -148,6 +150,7 @@
   BOOST_TEST(!reach.LacksPath());
 }
 
+// Guards against a router that refuses its callers and looks well.
 BOOST_FIXTURE_TEST_CASE(WithoutAPeerWithRoomTheRouterIsNotReady, Fixture) {
   LoseLinks();
   for (int n = 0; n < 2; ++n) reach.OnTunnelFailed(Path());
@@ -168,6 +171,7 @@
   BOOST_TEST(reach.CutOff().contains(kLlm));
 }
 
+// Guards against requests that are handed on twice.
 BOOST_FIXTURE_TEST_CASE(OnlyARouterWithLinksCarriesForPeers, Fixture) {
   BOOST_TEST((reach.MayCarry("t1:1") == TunnelStatus::kOpen));
   BOOST_TEST((reach.MayCarry("other:1") == TunnelStatus::kNoTarget));
