--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -22,11 +22,9 @@
 // Size of a VM. Each holder serves an equal share of its hall's customers and
 // communicates with each router of the hall, whatever its size, so the largest
 // VMs carry this load best. VMs are compared by size class (`SizeClass`), and a
-// hash decides among VMs of one class. With 295 routers, five halls and three
-// VMs with ten times the link in each, choosing these three refused 0.080 of a
-// day's requests, and choosing any three refused 0.101. A hall that has fewer
-// large VMs than holders also takes smaller ones. A VM that is gone stays in
-// the list, so the roles of the others don't change.
+// hash decides among VMs of one class. A hall that has fewer large VMs than
+// holders also takes smaller ones. A VM that is gone stays in the list, so the
+// roles of the others don't change.
 //
 // Readers. In a larger fleet the holders also read the store for all routers
 // (relay/state_feed.h), since they are linked to the routers that need the
--- a/relay/relay_options.h
+++ b/relay/relay_options.h
@@ -45,12 +45,12 @@
 }
 
 // A version that is being rolled out gets this fraction of the share of
-// requests that a bad version may get (`RelaySettings::exposure_share`). The
+// requests that a bad version may get (`RelaySettings::unproven_share`). The
 // rest covers routers that restart and begin to count anew.
-inline constexpr double kTrialShareOfExposure = 0.6;
+inline constexpr double kTrialShareOfUnproven = 0.6;
 
 inline Rollout::Options RolloutOptionsFrom(const RelaySettings& settings) {
-  return {settings.exposure_share * kTrialShareOfExposure};
+  return {settings.unproven_share * kTrialShareOfUnproven};
 }
 
 inline std::map<ServiceName, ColdRule> ColdRulesFrom(const ServiceMap& map) {
--- a/relay/relay_settings.cc
+++ b/relay/relay_settings.cc
@@ -27,7 +27,7 @@
       "rate");
   add("--cold-slack", flags.cold_slack,
       "Requests to a cold target beyond that, in any second");
-  add("--exposure-share", flags.exposure_share,
+  add("--unproven-share", flags.unproven_share,
       "Fraction of a service's requests that an unproven version may get");
   add("--drain-s", flags.drain_s,
       "Seconds from SIGTERM until the process is killed");
@@ -67,7 +67,7 @@
   check.Range("--retry-window-s", flags.retry_window_s, 1, 3600);
   check.Range("--cold-overage", flags.cold_overage, 0.0, 1000.0);
   check.Range("--cold-slack", flags.cold_slack, 0.0, 1e6);
-  check.Range("--exposure-share", flags.exposure_share, 0.0, 1.0);
+  check.Range("--unproven-share", flags.unproven_share, 0.0, 1.0);
   check.Range("--drain-s", flags.drain_s, 1, 24 * 3600);
   check.Range("--standing-share", flags.standing_share, 0.01, 0.9);
   check.Range("--small-fleet", flags.small_fleet, 0, 1000);
--- a/relay/relay_settings.h
+++ b/relay/relay_settings.h
@@ -46,7 +46,7 @@
   double cold_slack = 0;
   // Fraction of a service's requests that a bad version may get from all
   // routers together during a roll-out.
-  double exposure_share = 0.1;
+  double unproven_share = 0.1;
   // Fraction of a budget's remaining tokens that all routers together keep
   // granted.
   double standing_share = 0.3;
--- a/relay/remote_holds.cc
+++ b/relay/remote_holds.cc
@@ -14,8 +14,9 @@
 
 // Time between two `CheckTimeouts` from which this router counts as stalled:
 // answers may have arrived that it hasn't read, so what times out then is no
-// evidence. More than the 90 ms for which a VM with 0.09 cores is stopped in
-// each 100 ms. After a stall of a holder's timeout, no evidence is left.
+// evidence. A VM with a small share of a core is stopped for most of each 100
+// ms, which is no stall. After a stall of a holder's timeout, no evidence is
+// left.
 constexpr Duration kStall = std::chrono::milliseconds(100);
 
 PrepaidVerdict VerdictOf(HoldAnswer answer) {
--- a/relay/state_feed.cc
+++ b/relay/state_feed.cc
@@ -31,10 +31,8 @@
 
 // The interval at which all readers of a fleet together call the store if
 // holders don't. Of the five readers that a router is linked to, the latest
-// heartbeat then nearly always shows an age below `kMaxHeartbeatAge`. With 130
-// ms, and waits and heartbeats in step after a common start, 280 routers
-// switched between receiving and reading every two seconds: 18,400 calls in a
-// 48 s simulation of a day.
+// heartbeat then nearly always shows an age below `kMaxHeartbeatAge`. If it
+// doesn't, the routers of a hall switch to reading the store, and back.
 constexpr Duration kFleetCallInterval = milliseconds(80);
 // Bounds for one reader's wait. The lower bound is much longer than a call,
 // which takes some milliseconds; by the upper bound a lost wait is noticed
--- a/relay/state_feed.h
+++ b/relay/state_feed.h
@@ -10,14 +10,12 @@
 //
 // In a small fleet each router follows the store itself (kv/follower.h). In a
 // larger one, following costs a call of each router for every change, and one
-// for every wait that ends without a change: 295 routers made 11,000 to 30,000
-// calls in a 48 s simulation of a day, most of them for this. So a few routers
-// of each hall are its **readers**: the holders of the hall (fleet/fleet.h).
-// The list of routers determines the readers, so none has to be appointed, and
-// the other routers are already linked to them. Readers follow the store and
-// send its changes to their hall and to each other. The other routers make no
-// calls while they receive these changes. The states are in
-// chart/charts/feed.json.
+// for every wait that ends without a change. So a few routers of each hall are
+// its **readers**: the holders of the hall (fleet/fleet.h). The list of routers
+// determines the readers, so none has to be appointed, and the other routers
+// are already linked to them. Readers follow the store and send its changes to
+// their hall and to each other. The other routers make no calls while they
+// receive these changes. The states are in chart/charts/feed.json.
 //
 // The store remains the only authority. Updates carry the store's revisions and
 // take effect only if they start at or before the revision that is known here;
--- a/relay/target_follower.cc
+++ b/relay/target_follower.cc
@@ -15,16 +15,15 @@
 
 // A target whose entry expired in an outage is listed again within about 2 s of
 // the store's return, and a target that left may get work until 2 s after its
-// entry was seen missing. The value stays below the second bound, which 2.2 s
-// broke. With 1.7 s, 40 simulations of a day on each site broke no rule.
+// entry was seen missing. The value leaves 0.3 s of the second bound for what
+// follows: the change reaches all routers, and requests that were just sent
+// arrive.
 constexpr Duration kRelistTime = std::chrono::milliseconds(1700);
 
 // Delay from an answer with changes to the next wait. Targets change in series,
 // when a fleet starts or is replaced, and a router that starts a new wait after
-// each change makes a call for each. In one simulation, together with other
-// changes, this delay cut the store calls of a starting fleet from 5,917 to
-// 4,124. It does no harm, as a target announces that it leaves seconds before
-// it ends.
+// each change makes a call for each. The delay does no harm, as a target
+// announces that it leaves seconds before it ends.
 constexpr Duration kTargetSpacing = std::chrono::milliseconds(400);
 
 // How long a starting router waits for a reader to send the list. If all
