--- a/relay/testing/state_feed_test.cc
+++ b/relay/testing/state_feed_test.cc
@@ -4,6 +4,7 @@
 #include "relay/state_feed.h"
 
 #include <boost/test/unit_test.hpp>
+#include <deque>
 
 #include "kv/testing/scripted_store.h"
 #include "relay/testing/feed_fleet.h"
@@ -252,6 +253,26 @@
   }
 }
 
+// Guards against a router that takes itself for current by messages that were
+// seconds on their way, in a full link or before a slow process: their age
+// doesn't include that time.
+BOOST_FIXTURE_TEST_CASE(HeartbeatsThatComeLateShowNoRouterCurrent, Fixture) {
+  constexpr int kSecondsLate = 3;
+  std::deque<PeerMessage> on_the_way;
+  for (int n = 0; n < 3 * kSecondsLate; ++n) {
+    fleet.clock.now += milliseconds(1000);
+    PeerMessage heartbeat;
+    heartbeat.from = a.self;
+    heartbeat.marks[FeedName::kTargets] = {2, {}};
+    on_the_way.push_back(heartbeat);
+    if (on_the_way.size() <= kSecondsLate) continue;
+    follower.feed.OnPeer(on_the_way.front());
+    on_the_way.pop_front();
+    follower.feed.Check();
+  }
+  BOOST_TEST((follower.feed.state() == FeedState::kReading));
+}
+
 // A reader that has lost the store goes on sending heartbeats; their age shows
 // the loss.
 BOOST_FIXTURE_TEST_CASE(ReadersWithoutTheStoreHoldNobodyBack, Fixture) {
--- a/testing/fault_proxy.cc
+++ b/testing/fault_proxy.cc
@@ -1,6 +1,8 @@
 // A TCP proxy that injects faults on command:
 //
-//   pass          forwards both ways, after `delay_ms`;
+//   pass          forwards both ways, after `delay_ms`; with `kb_per_s`,
+//   answers
+//                 pass at that rate, which the connections share;
 //   cut           closes every connection and accepts no new one;
 //   freeze        keeps connections open and forwards nothing;
 //   drop_answers  forwards requests and discards answers.
@@ -11,6 +13,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <list>
 #include <memory>
 #include <string>
@@ -32,12 +35,17 @@
 
 class FaultProxy;
 
+// Steps in which answers are forwarded at a limited rate.
+constexpr int kTicksPerS = 50;
+
 // One proxied connection: the caller's side and the upstream's side.
 struct Link {
   FaultProxy* proxy = nullptr;
   bufferevent* caller = nullptr;
   bufferevent* upstream = nullptr;
   std::vector<std::unique_ptr<Timer>> delays;
+  // The upstream has closed; its last bytes are still to be forwarded.
+  bool ended = false;
 
   ~Link() {
     if (caller != nullptr) bufferevent_free(caller);
@@ -113,6 +121,7 @@
       evbuffer_drain(in, evbuffer_get_length(in));
       return;
     }
+    if (answer && bytes_per_tick_ > 0) return;
     bufferevent* to = answer ? link.caller : link.upstream;
     if (delay_ms_ == 0) {
       bufferevent_write_buffer(to, bufferevent_get_input(from));
@@ -131,6 +140,11 @@
     if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0) return;
     auto* link = static_cast<Link*>(raw);
     FaultProxy* proxy = link->proxy;
+    if (bufferevent_getfd(link->upstream) >= 0 && proxy->bytes_per_tick_ > 0 &&
+        evbuffer_get_length(bufferevent_get_input(link->upstream)) > 0) {
+      link->ended = true;
+      return;
+    }
     // Forwards bytes that were read before both sides close.
     proxy->Forward(*link, link->upstream);
     proxy->standin_.loop().Post([proxy, link] { proxy->Drop(link); });
@@ -140,8 +154,31 @@
     std::erase_if(links_, [link](const auto& it) { return it.get() == link; });
   }
 
+  // Forwards the next part of the answers, the same from each connection.
+  void Tick() {
+    std::list<Link*> waiting;
+    for (const auto& it : links_) {
+      const evbuffer* in = bufferevent_get_input(it->upstream);
+      if (evbuffer_get_length(in) > 0) waiting.push_back(it.get());
+    }
+    for (Link* it : waiting) {
+      const std::size_t bytes =
+          std::max<std::size_t>(1, bytes_per_tick_ / waiting.size());
+      evbuffer* in = bufferevent_get_input(it->upstream);
+      evbuffer_remove_buffer(in, bufferevent_get_output(it->caller), bytes);
+      if (it->ended && evbuffer_get_length(in) == 0) Drop(it);
+    }
+  }
+
   void SetMode(const Params& params) {
     delay_ms_ = params.Number("delay_ms", 0);
+    const int rate = params.Number("kb_per_s", 0);
+    bytes_per_tick_ = static_cast<std::size_t>(rate) * 1000 / kTicksPerS;
+    tick_.reset();
+    if (rate > 0) {
+      tick_ = standin_.loop().Every(
+          std::chrono::milliseconds(1000 / kTicksPerS), [this] { Tick(); });
+    }
     quaytrack::SetMode(params, kModes, mode_);
     if (mode_ == Mode::kCut) links_.clear();
     if (mode_ != Mode::kPass) return;
@@ -157,6 +194,9 @@
   std::list<std::unique_ptr<Link>> links_;
   Mode mode_ = Mode::kPass;
   int delay_ms_ = 0;
+  // The most that all connections together forward in a tick; 0 is unlimited.
+  std::size_t bytes_per_tick_ = 0;
+  std::unique_ptr<Timer> tick_;
 };
 
 }  // namespace
