Let only large VMs read the store where a hall has two of them

Holders stay as they are; of them only those of the largest size class read the store, if they are at least two. ReadersAreOnTheLargestVmsIfTheseAreEnough counts three readers before and two now. Hall and fleet sizes without a third large VM are the only ones that change.

--- a/fleet/fleet.cc
+++ b/fleet/fleet.cc
@@ -70,15 +70,32 @@
     halls[member.hall].push_back(member);
   }
   holders_.clear();
+  readers_.clear();
   for (auto& [hall, members] : halls) {
     if (!IsSmall() && members.size() > options_.holders_per_hall) {
       SortBySize(members);
       members.resize(options_.holders_per_hall);
     }
     holders_.insert(holders_.end(), members.begin(), members.end());
+    if (!IsSmall()) ChooseReaders(members);
   }
 }
 
+// Adds the readers among the holders of a hall.
+void FleetDirectory::ChooseReaders(const std::vector<FleetMember>& holders) {
+  const auto larger = [](const FleetMember& a, const FleetMember& b) {
+    return a.size_class < b.size_class;
+  };
+  const int largest =
+      std::max_element(holders.begin(), holders.end(), larger)->size_class;
+  std::vector<VmName> out;
+  for (const FleetMember& it : holders) {
+    if (it.size_class == largest) out.push_back(it.vm);
+  }
+  if (out.size() < options_.min_readers_per_hall) out = NamesOf(holders);
+  readers_.insert(out.begin(), out.end());
+}
+
 bool FleetDirectory::IsHolder(const VmName& vm) const {
   return std::any_of(holders_.begin(), holders_.end(),
                      [&](const FleetMember& it) { return it.vm == vm; });
@@ -104,8 +121,9 @@
 }
 
 std::vector<VmName> FleetDirectory::ReadersToAsk() const {
-  if (IsSmall()) return {};
-  return HoldersInOrderOf(self_.value);
+  std::vector<VmName> out = HoldersInOrderOf(self_.value);
+  std::erase_if(out, [&](const VmName& it) { return !IsReader(it); });
+  return out;
 }
 
 bool FleetDirectory::SendsUpdatesTo(const VmName& vm) const {
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -28,8 +28,11 @@
 //
 // Readers. In a larger fleet the holders also read the store for all routers
 // (relay/state_feed.h), since they are linked to the routers that need the
-// updates. In a small fleet each router reads the store for itself, so there
-// are no readers.
+// updates. Of a hall's holders only those on its largest VMs do, if these are
+// at least `FleetOptions::min_readers_per_hall`: a change may be as large as a
+// small VM's link carries in a second, and a reader sends it to its whole hall.
+// In a small fleet each router reads the store for itself, so there are no
+// readers.
 //
 // A router that has not read the list must not become a holder. It would take
 // its fleet for a small one; when all routers of a large fleet restart under
@@ -61,6 +64,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -107,6 +111,8 @@
   // Holders of each hall in a larger fleet: enough that the loss of one leaves
   // the others room for its work.
   std::size_t holders_per_hall = 3;
+  // Readers of a hall that are enough without VMs of a lower size class.
+  std::size_t min_readers_per_hall = 2;
   // Holders in other halls to which a router that isn't a holder keeps links.
   // Such a router asks them when it can reach no holder of its hall.
   std::size_t links_to_other_halls = 2;
@@ -131,8 +137,8 @@
   // The routers to which this router keeps links.
   std::vector<FleetMember> MembersToLink() const;
   // Whether the router reads the store for other routers.
-  bool IsReader(const VmName& vm) const { return !IsSmall() && IsHolder(vm); }
-  std::size_t readers() const { return IsSmall() ? 0 : holders_.size(); }
+  bool IsReader(const VmName& vm) const { return readers_.contains(vm); }
+  std::size_t readers() const { return readers_.size(); }
   // Readers in the order in which this router asks them: those of its hall come
   // first. The order differs between the routers of a hall.
   std::vector<VmName> ReadersToAsk() const;
@@ -154,6 +160,7 @@
  private:
   void ChooseHolders();
   std::vector<FleetMember> OtherHolders() const;
+  void ChooseReaders(const std::vector<FleetMember>& holders);
   // All holders but this router: those of its hall come first, and both groups
   // are ordered by their rendezvous weights for `key`.
   std::vector<VmName> HoldersInOrderOf(const std::string& key) const;
@@ -164,6 +171,7 @@
   std::map<VmName, FleetMember> members_;
   // The holders of all halls. Cached, as each request needs them.
   std::vector<FleetMember> holders_;
+  std::set<VmName> readers_;
 };
 
 // Returns a router's entry in the store, as CBOR.
--- a/fleet/testing/fleet_test.cc
+++ b/fleet/testing/fleet_test.cc
@@ -77,6 +77,24 @@
   BOOST_TEST(fleet.readers() == 3U);
 }
 
+// Guards against a reader whose own link is full: of three holders only the two
+// on large VMs read the store.
+BOOST_AUTO_TEST_CASE(ReadersAreOnTheLargestVmsIfTheseAreEnough) {
+  std::vector<FleetMember> members;
+  for (int n = 0; n < 20; ++n) members.push_back(Member(kHalls * n));
+  members[7].size_class = members[11].size_class = 3;
+  FleetDirectory fleet(members[0], {});
+  fleet.Put(members);
+  BOOST_TEST(fleet.readers() == 2U);
+  BOOST_TEST(fleet.IsReader(members[7].vm));
+  BOOST_TEST(fleet.IsReader(members[11].vm));
+  BOOST_TEST(fleet.ReadersToAsk().size() == 2U);
+  int holders = 0;
+  for (const FleetMember& it : members)
+    holders += fleet.IsHolder(it.vm) ? 1 : 0;
+  BOOST_TEST(holders == 3);
+}
+
 BOOST_AUTO_TEST_CASE(SizesCountByDoublings) {
   BOOST_TEST(SizeClass({.link_mbps = 1000, .cores = 0.26}) ==
              SizeClass({.link_mbps = 1100, .cores = 0.27}));
