Read an answer of the store to its end, however slowly it arrives

A configuration was never in force at routers whose links need longer for it than the time-out of a call: the call ended after 1.5 s (a wait after 8.7 s) and was made again, and the answer sent again from its start, for ever, in a link that the copies kept full.

A call says whether its answer is arriving.

--- a/kv/store.h
+++ b/kv/store.h
@@ -29,7 +29,8 @@
 // revisions of one era; a write that reaches the store in a later era ends as
 // rejected or unknown, because the same number may name other content there.
 // Keys are text and values any bytes. Times are `Duration`s; the implementation
-// sets how long a call waits for an answer.
+// sets how long a call waits for an answer. An answer may be large and the link
+// slow, so a call whose answer is arriving isn't unanswered.
 
 #ifndef QUAYTRACK_KV_STORE_H_
 #define QUAYTRACK_KV_STORE_H_
@@ -129,6 +130,9 @@
   class Call {
    public:
     virtual ~Call() = default;
+    // Whether part of the answer has arrived. Such a call is worth waiting for:
+    // a new one would transfer the answer from its start.
+    virtual bool IsReceiving() const { return false; }
   };
   using CallPtr = std::unique_ptr<Call>;
 
