Count parts of a message when a link between routers is taken for silent

Links on which one large message was arriving were closed after 3.5 s, because only complete messages counted; the message was lost and sent again.

A link that receives bytes is not silent. PeerLink tells how much of an incomplete message has arrived, for those that would ask again.

--- a/net/peer_link.cc
+++ b/net/peer_link.cc
@@ -79,6 +79,8 @@
     connection_->set_message_handler(
         [this](const ws::connection_hdl&,
                const typename Endpoint::message_ptr& message) {
+          partial_ = 0;
+          message_ended_ = true;
           if (handlers_.message) handlers_.message(message->get_payload());
         });
     const auto lost = [this](const ws::connection_hdl&) { Close(); };
@@ -87,9 +89,10 @@
   }
 
   // Takes bytes that were read before `Start`.
-  void TakeFirstBytes(const std::string& bytes) {
-    connection_->read_all(bytes.data(), bytes.size());
-  }
+  void TakeFirstBytes(const std::string& bytes) { TakeBytes(bytes); }
+
+  std::uint64_t received() const override { return received_; }
+  std::uint64_t partial() const override { return partial_; }
 
   Endpoint& endpoint() { return endpoint_; }
   bufferevent* bev() { return bev_; }
@@ -102,7 +105,14 @@
     evbuffer* in = bufferevent_get_input(bev);
     std::string bytes(evbuffer_get_length(in), '\0');
     evbuffer_remove(in, &bytes[0], bytes.size());
-    keep->connection_->read_all(bytes.data(), bytes.size());
+    keep->TakeBytes(bytes);
+  }
+
+  void TakeBytes(const std::string& bytes) {
+    received_ += bytes.size();
+    message_ended_ = false;
+    connection_->read_all(bytes.data(), bytes.size());
+    if (!message_ended_) partial_ += bytes.size();
   }
 
   static void OnEvent(bufferevent*, short what, void* self) {
@@ -139,6 +149,10 @@
   Endpoint endpoint_;
   ConnectionPtr connection_;
   Handlers handlers_;
+  std::uint64_t received_ = 0;
+  std::uint64_t partial_ = 0;
+  // Whether the bytes that are being read have completed a message.
+  bool message_ended_ = false;
   bool closed_ = false;
 };
 
--- a/net/peer_link.h
+++ b/net/peer_link.h
@@ -64,6 +64,12 @@
   virtual void SetHandlers(Handlers handlers) = 0;
   // Sends a message. Does nothing on a link that has closed.
   virtual void Send(const std::string& message) = 0;
+  // Number of bytes received so far.
+  virtual std::uint64_t received() const = 0;
+  // Number of bytes received of a message that isn't complete, to tell whether
+  // a large one is arriving. Bytes that came in one piece with the end of the
+  // message before aren't counted.
+  virtual std::uint64_t partial() const = 0;
 
   // Opens a link to "host:port". Returns null if `address` isn't valid; for a
   // peer that can't be reached, `closed` is called.
--- a/relay/peer_mesh.cc
+++ b/relay/peer_mesh.cc
@@ -13,8 +13,8 @@
 
 // The first check comes after a random share of the interval, from this to 1.
 constexpr double kMinFirstCheckShare = 0.5;
-// A link without messages for this long counts as cut: three heartbeats are
-// missing.
+// A link that receives nothing for this long counts as cut: three heartbeats
+// are missing.
 constexpr Duration kMaxSilence = std::chrono::milliseconds(3500);
 
 }  // namespace
@@ -79,7 +79,7 @@
     LogEvent(Event::kPeerMessageRefused, {{"peer", it->peer.value}});
     return;
   }
-  it->last_received = clock_.Now();
+  NoteReceived(*it);
   if (it->peer.empty()) OnFirstMessage(it, message->from);
   on_.message(*message);
 }
@@ -139,10 +139,18 @@
   DialMissing();
 }
 
+void PeerMesh::NoteReceived(Link& it) const {
+  const std::uint64_t received = it.link->received();
+  if (received == it.received) return;
+  it.received = received;
+  it.last_received = clock_.Now();
+}
+
 void PeerMesh::CloseSilent() {
   const Instant now = clock_.Now();
   std::vector<LinkPtr> silent;
   for (const LinkPtr& it : links_) {
+    NoteReceived(*it);
     if (now - it->last_received > kMaxSilence) silent.push_back(it);
   }
   for (const LinkPtr& it : silent) {
@@ -171,12 +179,20 @@
   });
 }
 
-std::size_t PeerMesh::peers() const {
+std::vector<Incarnation> PeerMesh::Linked() const {
   std::set<Incarnation> out;
   for (const LinkPtr& it : links_) {
     if (!it->peer.empty()) out.insert(it->peer);
   }
-  return out.size();
+  return {out.begin(), out.end()};
+}
+
+std::uint64_t PeerMesh::PartialBytes(const Incarnation& peer) const {
+  std::uint64_t out = 0;
+  for (const LinkPtr& it : links_) {
+    if (it->peer == peer) out += it->link->partial();
+  }
+  return out;
 }
 
 // --- Messages ----------------------------------------------------------------
--- a/relay/peer_mesh.h
+++ b/relay/peer_mesh.h
@@ -15,8 +15,10 @@
 // incarnation (run of the router's process) on a VM closes the links to the
 // previous incarnation, whose process has ended.
 //
-// Losing a link. A cut sends no signal, so a link on which no message arrived
-// for `kMaxSilence` is closed, and dialled again if it is to be kept. Each
+// Losing a link. A cut sends no signal, so a link on which nothing arrived for
+// `kMaxSilence` is closed, and dialled again if it is to be kept. Parts of a
+// message count: on a slow link a large one takes longer than that, and closing
+// the link would lose it. Each
 // router sends a heartbeat on all links every `kCheckInterval`, starting at a
 // random moment (`DrawFirstCheck`), with the versions that it knows, so that a
 // peer learns of a change even if the store doesn't notify it
@@ -92,7 +94,11 @@
   // The incarnation that is linked on a VM; empty if none is.
   Incarnation LinkedOn(const VmName& vm) const;
   // How many peers are linked.
-  std::size_t peers() const;
+  std::size_t peers() const { return Linked().size(); }
+  std::vector<Incarnation> Linked() const;
+  // Bytes that have arrived of a message of the peer that isn't complete
+  // (PeerLink::partial).
+  std::uint64_t PartialBytes(const Incarnation& peer) const;
 
  private:
   struct Link {
@@ -101,8 +107,10 @@
     VmName dialled;
     // Empty until the peer's first message.
     Incarnation peer;
-    // When the link was opened or last received a message.
+    // When the link was opened or last received bytes, as far as this was
+    // noticed, and how many it had received by then.
     Instant last_received{};
+    std::uint64_t received = 0;
   };
   using LinkPtr = std::shared_ptr<Link>;
 
@@ -117,6 +125,7 @@
   void DialMissing();
   void CheckFrom(Duration first_check);
   void CheckLinks();
+  void NoteReceived(Link& it) const;
   void CloseSilent();
   const Link* FindPeer(const Incarnation& peer) const;
   PeerMessage Heartbeat(PeerMessageKind kind) const;
