--- a/kv/follower.cc
+++ b/kv/follower.cc
@@ -16,12 +16,15 @@
 
 // Timeout of the first wait after a failed call.
 constexpr Duration kTimeoutAfterFailure = std::chrono::milliseconds(100);
+// Timeout of a check, which is answered at once.
+constexpr Duration kCheckTimeout = std::chrono::milliseconds(1);
 
 }  // namespace
 
-StoreFollower::StoreFollower(Loop& loop, KvStore& store, Options options,
-                             Handlers handlers)
+StoreFollower::StoreFollower(Loop& loop, const Clock& clock, KvStore& store,
+                             Options options, Handlers handlers)
     : loop_(loop),
+      clock_(clock),
       store_(store),
       options_(std::move(options)),
       on_(std::move(handlers)),
@@ -31,6 +34,7 @@
   if (paused_) return;
   has_read_ = false;
   read_start_revision_ = revision_;
+  asked_at_ = clock_.Now();
   call_ = store_.Range(options_.prefix,
                        [this](const StoreSnapshot& it) { OnSnapshot(it); });
 }
@@ -38,11 +42,20 @@
 void StoreFollower::Wait() {
   if (paused_) return;
   wait_start_revision_ = revision_;
+  asked_at_ = clock_.Now();
   const Duration timeout =
       has_failed_ ? std::min(kTimeoutAfterFailure, options_.wait_timeout)
                   : options_.wait_timeout;
   call_ = store_.Wait(options_.prefix, revision_, timeout,
-                      [this](const StoreChanges& it) { OnChanges(it); });
+                      [this](const StoreChanges& it) { OnWaitAnswer(it); });
+}
+
+void StoreFollower::Check() {
+  if (paused_ || !has_read_ || check_) return;
+  check_start_revision_ = revision_;
+  check_asked_at_ = clock_.Now();
+  check_ = store_.Wait(options_.prefix, revision_, kCheckTimeout,
+                       [this](const StoreChanges& it) { OnCheckAnswer(it); });
 }
 
 void StoreFollower::OnSnapshot(const StoreSnapshot& snapshot) {
@@ -52,7 +65,7 @@
   has_read_ = true;
   if (snapshot.revision < revision_) return IgnoreOlder(snapshot.revision);
   logged_older_ = false;
-  if (on_.answered) on_.answered();
+  if (on_.answered) on_.answered(asked_at_);
   revision_ = snapshot.revision;
   if (latest_change_.era < revision_.era) latest_change_ = {revision_.era, 0};
   for (const StoreItem& it : snapshot.items) {
@@ -76,28 +89,47 @@
   RetryLater();
 }
 
-void StoreFollower::OnChanges(const StoreChanges& changes) {
+void StoreFollower::OnWaitAnswer(const StoreChanges& changes) {
   call_.reset();
   if (changes.forgotten) return Read();
   SetReachable(changes.end == StoreEnd::kDone);
   if (changes.end != StoreEnd::kDone) return RetryLater();
   if (changes.revision.era != wait_start_revision_.era) return Read();
-  // `SkipTo` was called during the wait, and some changes in this answer may be
-  // older than the skipped ones; so they are ignored.
-  if (wait_start_revision_ < revision_) return CallLater(options_.spacing);
-  if (on_.answered) on_.answered();
+  const bool used = TakeChanges(changes, wait_start_revision_, asked_at_);
+  if (used && changes.changes.empty()) return Wait();
+  CallLater(options_.spacing);
+}
+
+// A check that fails changes nothing: the wait notices the loss of the store.
+// An answer that requires a read, or that was overtaken, is not used either.
+void StoreFollower::OnCheckAnswer(const StoreChanges& changes) {
+  check_.reset();
+  if (paused_ || !has_read_) return;
+  if (changes.forgotten) return call_->IsReceiving() ? void() : ReadAgain();
+  if (changes.end != StoreEnd::kDone) return;
+  if (changes.revision.era != revision_.era) return CheckEra();
+  TakeChanges(changes, check_start_revision_, check_asked_at_);
+}
+
+bool StoreFollower::TakeChanges(const StoreChanges& changes,
+                                StoreRevision since, Instant asked_at) {
+  // `SkipTo` was called since the call started, or another call was answered
+  // first, and some changes in this answer may be older than the known ones; so
+  // they are ignored.
+  if (since < revision_) return false;
+  if (on_.answered) on_.answered(asked_at);
   revision_ = std::max(revision_, changes.revision);
-  if (changes.changes.empty()) return Wait();
+  if (changes.changes.empty()) return true;
   for (const StoreChange& it : changes.changes) {
     latest_change_ = std::max(latest_change_, it.item.revision);
     on_.changed(it);
   }
   on_.settled();
-  CallLater(options_.spacing);
+  return true;
 }
 
 void StoreFollower::RestartWait() {
-  if (has_read_ && call_) Wait();
+  if (has_read_ && call_ && !call_->IsReceiving()) Wait();
 }
 
 void StoreFollower::CheckEra() {
@@ -108,6 +140,7 @@
 void StoreFollower::Pause() {
   paused_ = true;
   call_.reset();
+  check_.reset();
   call_timer_.reset();
 }
 
--- a/kv/follower.h
+++ b/kv/follower.h
@@ -3,7 +3,7 @@
 //
 //   StoreFollower::Options options;
 //   options.prefix = "op/";
-//   StoreFollower follower(loop, store, options, handlers);
+//   StoreFollower follower(loop, clock, store, options, handlers);
 //   follower.Start();
 //   follower.RestartWait();       // the current wait may have been lost
 //
@@ -35,7 +35,16 @@
 // unanswered; so the first wait after a failed call is short, as its answer
 // names the era.
 //
-// A follower owns its call and timer. Loop and store must outlive the follower.
+// Nothing tells an open wait from one that was lost on its way. `Check` asks
+// whether there are changes, without waiting for one. Its answer, like that of
+// any call, shows all changes that were made before the call started;
+// `answered` passes that time on.
+//
+// A wait or a read whose answer has begun to arrive is not started again: on a
+// slow link the answer would never arrive as a whole.
+//
+// A follower owns its calls and timer. Loop, clock and store must outlive the
+// follower.
 // Revisions are those of the store (kv/store.h); times are measured by the
 // loop.
 
@@ -83,17 +92,23 @@
     // Called when the store has become unreachable (false) or reachable again
     // (true).
     std::function<void(bool reachable)> reachable;
-    // Called when the store has answered. If calls of `replaced` or `changed`
-    // follow, they complete the state as of this answer. Optional.
-    std::function<void()> answered = {};
+    // Called when the store has answered a call that started at `asked_at`. If
+    // calls of `replaced` or `changed` follow, they complete the state: it then
+    // includes all changes made before that time. Optional.
+    std::function<void(Instant asked_at)> answered = {};
   };
 
-  StoreFollower(Loop& loop, KvStore& store, Options options, Handlers handlers);
+  StoreFollower(Loop& loop, const Clock& clock, KvStore& store, Options options,
+                Handlers handlers);
 
   void Start() { Read(); }
   // Replaces the current wait, which may have been lost, by a new one. Does
-  // nothing during a read or the delay before the next call.
+  // nothing during a read, while the wait's answer is arriving, or during the
+  // delay before the next call.
   void RestartWait();
+  // Asks the store whether there are changes after `revision()`. Does nothing
+  // before the first read, during a pause, or while another check is open.
+  void Check();
   // Makes no calls until `Resume`.
   void Pause();
   // Makes calls again: waits for changes after `revision()`, or reads all items
@@ -132,7 +147,12 @@
   void Resume(void (StoreFollower::*call)());
   void OnSnapshot(const StoreSnapshot& snapshot);
   void IgnoreOlder(StoreRevision revision);
-  void OnChanges(const StoreChanges& changes);
+  void OnWaitAnswer(const StoreChanges& changes);
+  void OnCheckAnswer(const StoreChanges& changes);
+  // Takes the answer to a wait or a check from revision `since`. Returns
+  // whether it was used.
+  bool TakeChanges(const StoreChanges& changes, StoreRevision since,
+                   Instant asked_at);
   // Once `delay` has passed, starts a wait, or a read if all items have to be
   // read.
   void CallLater(Duration delay);
@@ -140,12 +160,14 @@
   void SetReachable(bool reachable);
 
   Loop& loop_;
+  const Clock& clock_;
   KvStore& store_;
   Options options_;
   Handlers on_;
   StoreRevision revision_;
-  // `revision_` at the start of the current wait.
+  // `revision_` at the start of the current wait, and of the current check.
   StoreRevision wait_start_revision_;
+  StoreRevision check_start_revision_;
   // `revision_` at the start of the current read.
   StoreRevision read_start_revision_;
   StoreRevision latest_change_;
@@ -160,6 +182,9 @@
   Duration retry_after_;
   std::minstd_rand random_{std::random_device{}()};
   KvStore::CallPtr call_;
+  Instant asked_at_{};
+  KvStore::CallPtr check_;
+  Instant check_asked_at_{};
   std::unique_ptr<Timer> call_timer_;
 };
 
--- a/kv/testing/follower_test.cc
+++ b/kv/testing/follower_test.cc
@@ -64,7 +64,7 @@
     if (changes == kAnswers) loop.Stop();
   };
   on.reachable = [](bool) {};
-  StoreFollower follower(loop, store, options, on);
+  StoreFollower follower(loop, clock, store, options, on);
   const Instant start = clock.Now();
   follower.Start();
   loop.Run();
@@ -75,6 +75,7 @@
 // Guards against endless calls for a revision that no item has: an entry was
 // removed before the first read, and a router took its revision for unread.
 BOOST_AUTO_TEST_CASE(WhatWentBeforeTheFirstReadHasBeenRead) {
+  const SystemClock clock;
   Loop loop;
   BusyStore store(loop);
   StoreFollower::Handlers on;
@@ -82,7 +83,7 @@
   on.changed = [](const StoreChange&) {};
   on.settled = [&] { loop.Stop(); };
   on.reachable = [](bool) {};
-  StoreFollower follower(loop, store, {"a/"}, on);
+  StoreFollower follower(loop, clock, store, {"a/"}, on);
   follower.Start();
   loop.Run();
   // The store is at revision 1 and has no items.
@@ -112,7 +113,7 @@
 };
 
 struct FollowFixture {
-  FollowFixture() : follower(loop, store, Options(), log.Handlers()) {
+  FollowFixture() : follower(loop, clock, store, Options(), log.Handlers()) {
     follower.Start();
   }
   static StoreFollower::Options Options() {
@@ -130,6 +131,7 @@
   using Lines = std::vector<std::string>;
   // Longer than a delay with its jitter.
   static constexpr Duration kPause = milliseconds(50);
+  const SystemClock clock;
   Loop loop;
   ScriptedStore store;
   HandlerLog log;
@@ -196,9 +198,42 @@
   BOOST_TEST(store.waits.started == 2U);
 }
 
+// Guards against a wait that was lost: a check finds what it would have shown,
+// and the wait's own answer, if it comes after all, changes nothing.
+BOOST_FIXTURE_TEST_CASE(ACheckFindsWhatALostWaitHides, FollowFixture) {
+  AnswerRead(StoreEnd::kDone);
+  log.Take();
+  follower.Check();
+  BOOST_TEST(store.waits.started == 2U);
+  // One check at a time.
+  follower.Check();
+  BOOST_TEST(store.waits.started == 2U);
+  BOOST_REQUIRE(store.waits.entries.size() == 2U);
+  const auto wait = store.waits.entries.front();
+  const auto check = store.waits.entries.back();
+  check->done({StoreEnd::kDone, false, 5, {{{"a/c", "", 5}, false}}});
+  BOOST_TEST((log.Take() == Lines{"new a/c", "settled"}));
+  BOOST_TEST(follower.revision() == 5);
+  wait->done({StoreEnd::kDone, false, 5, {{{"a/c", "", 5}, false}}});
+  BOOST_TEST(log.Take().empty());
+}
+
+// Guards against an answer that is given up while it arrives: on a slow link
+// the next one would be, too.
+BOOST_FIXTURE_TEST_CASE(AWaitWhoseAnswerArrivesIsNotAskedAgain, FollowFixture) {
+  AnswerRead(StoreEnd::kDone);
+  store.receiving = true;
+  follower.RestartWait();
+  BOOST_TEST(store.waits.started == 1U);
+  store.receiving = false;
+  follower.RestartWait();
+  BOOST_TEST(store.waits.started == 2U);
+}
+
 // Guards against late detection of a new era: the store holds a wait whose
 // revision number exists in the new era too until the wait times out.
 BOOST_AUTO_TEST_CASE(TheFirstWaitAfterAFailureIsShort) {
+  const SystemClock clock;
   Loop loop;
   ScriptedStore store;
   StoreFollower::Options options;
@@ -210,7 +245,7 @@
   on.changed = [](const StoreChange&) {};
   on.settled = [] {};
   on.reachable = [](bool) {};
-  StoreFollower follower(loop, store, options, on);
+  StoreFollower follower(loop, clock, store, options, on);
   follower.Start();
   BOOST_TEST(store.AnswerRange("a/", {StoreEnd::kDone, {1, 5}, {}}));
   BOOST_TEST((store.last_timeout["a/"] == options.wait_timeout));
--- a/kv/testing/scripted_store.h
+++ b/kv/testing/scripted_store.h
@@ -27,17 +27,17 @@
  public:
   CallPtr Range(const std::string& prefix,
                 std::function<void(const StoreSnapshot&)> done) override {
-    return ranges.Add(prefix, std::move(done));
+    return ranges.Add(prefix, std::move(done), receiving);
   }
   CallPtr Write(const StoreWrite& write,
                 std::function<void(const StoreWritten&)> done) override {
     last_write = write;
-    return writes.Add(write.puts.at(0).key, std::move(done));
+    return writes.Add(write.puts.at(0).key, std::move(done), receiving);
   }
   CallPtr Wait(const std::string& prefix, StoreRevision, Duration timeout,
                std::function<void(const StoreChanges&)> done) override {
     last_timeout[prefix] = timeout;
-    return waits.Add(prefix, std::move(done));
+    return waits.Add(prefix, std::move(done), receiving);
   }
   std::uint64_t calls() const override {
     return ranges.started + writes.started + waits.started;
@@ -63,17 +63,20 @@
       bool cancelled = false;
     };
     struct Handle final : Call {
-      explicit Handle(std::shared_ptr<Entry> it) : entry(std::move(it)) {}
+      Handle(std::shared_ptr<Entry> it, const bool& is_receiving)
+          : entry(std::move(it)), receiving(is_receiving) {}
       ~Handle() override { entry->cancelled = true; }
+      bool IsReceiving() const override { return receiving; }
       std::shared_ptr<Entry> entry;
+      const bool& receiving;
     };
 
-    CallPtr Add(const std::string& key, Done done) {
+    CallPtr Add(const std::string& key, Done done, const bool& receiving) {
       ++started;
       ++started_by_key[key];
       entries.push_back(
           std::make_shared<Entry>(Entry{key, std::move(done), false}));
-      return std::make_unique<Handle>(entries.back());
+      return std::make_unique<Handle>(entries.back(), receiving);
     }
     // False if no such call is open.
     bool Answer(const std::string& key, const Result& result) {
@@ -92,6 +95,8 @@
     std::map<std::string, int> started_by_key;
     std::list<std::shared_ptr<Entry>> entries;
   };
+  // Whether the answers of all open calls have begun to arrive.
+  bool receiving = false;
   // Timeout of the latest wait for each prefix.
   std::map<std::string, Duration> last_timeout;
   OpenCalls<StoreSnapshot> ranges;
--- a/relay/budget_driver.cc
+++ b/relay/budget_driver.cc
@@ -35,9 +35,6 @@
   out.reachable = [this](bool it) {
     if (on_.store_reachable) on_.store_reachable(it);
   };
-  out.answered = [this] {
-    if (on_.store_answered) on_.store_answered();
-  };
   return out;
 }
 
@@ -331,6 +328,8 @@
     case PeerMessageKind::kUpdate:
     case PeerMessageKind::kStateRequest:
     case PeerMessageKind::kState:
+    case PeerMessageKind::kMarkRequest:
+    case PeerMessageKind::kMark:
     case PeerMessageKind::kCrashes:
     case PeerMessageKind::kRateLimits:
       return;
--- a/relay/budget_driver.h
+++ b/relay/budget_driver.h
@@ -67,8 +67,6 @@
     std::function<Incarnation(const VmName&)> linked;
     // Called when the store was lost (false) or is back (true).
     std::function<void(bool)> store_reachable;
-    // Called when the store has answered a call.
-    std::function<void()> store_answered;
     // Whether the customer's budget is scarce, so that nothing is given in
     // advance. Without this handler, none is.
     std::function<bool(const CustomerName&)> is_scarce;
--- a/relay/config_follower.cc
+++ b/relay/config_follower.cc
@@ -1,5 +1,6 @@
 #include "relay/config_follower.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 #include <vector>
@@ -14,10 +15,11 @@
                                const SharedStateReader& reader,
                                Handlers handlers)
     : loop_(context.loop),
+      clock_(context.clock),
       reader_(reader),
       on_(std::move(handlers)),
       feed_(context, {FeedName::kConfig, {reader.ConfigPrefix()}},
-            StoreHandlers(), on_.feed) {}
+            StoreHandlers(), LinksOfFeed()) {}
 
 StateFeed::Handlers ConfigFollower::StoreHandlers() {
   StateFeed::Handlers on;
@@ -36,6 +38,11 @@
     LogEvent(reachable ? Event::kKvBack : Event::kKvLost, {{"by", "config"}});
     on_.store_reachable(reachable);
   };
+  // The state that the answer shows is passed on first.
+  on.answered = [this](Instant) {
+    if (awaiting_.empty()) return;
+    serve_timer_ = loop_.After(Duration::zero(), [this] { ServeAwaiting(); });
+  };
   return on;
 }
 
@@ -125,13 +132,18 @@
 // --- The configuration -------------------------------------------------------
 
 void ConfigFollower::AdoptIfHigher(const StoreItem& item, Source source) {
+  const auto read = ReadOrLog(item, [&] { return reader_.Config(item); });
+  if (!read && source == Source::kStore) is_unreadable_ = true;
   // `next` is null if the item isn't the configuration or can't be read.
-  const ServiceMapPtr next = ReadOrLog(item, [&] {
-                               return reader_.Config(item);
-                             }).value_or(ServiceMapPtr());
-  if (!next || next->version() <= version()) return;
+  const ServiceMapPtr next = read.value_or(ServiceMapPtr());
+  if (!next) return;
+  if (source == Source::kStore) is_unreadable_ = false;
+  if (next->version() <= version()) return;
   map_ = next;
   item_ = item;
+  packed_values_ = {};
+  later_since_.reset();
+  requested_from_.clear();
   LogEvent(Event::kConfigTaken,
            {{"version", std::to_string(version())},
             {"from", source == Source::kStore ? "store" : "peer"}});
@@ -146,22 +158,25 @@
       AdoptIfHigher({message.item_key, message.item_value, 0}, Source::kPeer);
       return;
     case PeerMessageKind::kConfigRequest:
-      SendTo(message.from);
+      SendTo(message);
       return;
     default:
-      if (message.config_version > version())
-        RequestFromPeerLater(message.from);
+      if (message.kind == PeerMessageKind::kMark) OnMark(message);
+      if (message.config_version <= version()) return;
+      NoteLaterVersion();
+      RequestFromPeerLater(message.from);
   }
 }
 
-void ConfigFollower::SendTo(const Incarnation& peer) {
+void ConfigFollower::SendTo(const PeerMessage& request) {
   if (!map_) return;
   PeerMessage out;
   out.kind = PeerMessageKind::kConfig;
   out.item_key = item_.key;
-  out.item_value = item_.value;
+  out.packed = request.packed;
+  out.item_value = out.packed ? packed_values_.Pack(item_) : item_.value;
   out.halls = halls_.states();
-  on_.send(peer, out);
+  on_.send(request.from, out);
 }
 
 void ConfigFollower::RequestFromPeerLater(const Incarnation& peer) {
@@ -169,11 +184,88 @@
   const std::uint64_t old_version = version();
   request_timer_ = loop_.After(kLocalWaitTime, [this, peer, old_version] {
     request_timer_.reset();
-    if (version() != old_version) return;
+    if (version() != old_version || IsReceiving()) return;
+    requested_from_.insert(peer);
     PeerMessage out;
     out.kind = PeerMessageKind::kConfigRequest;
+    out.packed = true;
     on_.send(peer, out);
   });
 }
 
+// Whether a later configuration seems to be on its way here.
+bool ConfigFollower::IsReceiving() const {
+  return feed_.IsReceiving() ||
+         std::any_of(requested_from_.begin(), requested_from_.end(),
+                     [this](const Incarnation& it) {
+                       return on_.feed.partial_bytes(it) != 0;
+                     });
+}
+
+// --- Currency ----------------------------------------------------------------
+
+// Adds to this router's marks what makes them true of its configuration, too.
+FeedLinks ConfigFollower::LinksOfFeed() const {
+  FeedLinks out = on_.feed;
+  out.send = [this](const Incarnation& peer, PeerMessage message) {
+    const bool is_mark = message.kind == PeerMessageKind::kMark;
+    if (is_mark && !is_unreadable_) message.config_version = version();
+    on_.feed.send(peer, std::move(message));
+  };
+  return out;
+}
+
+// A router that the store doesn't answer knows an earlier revision than its
+// peer, but may have the same configuration.
+void ConfigFollower::OnMark(const PeerMessage& message) {
+  const bool is_mine = message.update.feed == FeedName::kConfig &&
+                       message.config_version == version() && map_;
+  const auto asked_at = AskedAt(message, clock_.Now());
+  if (!is_mine || !asked_at) return;
+  current_by_peer_ = std::max(current_by_peer_, *asked_at - message.update.age);
+  ServeAwaiting();
+}
+
+bool ConfigFollower::IsCurrentAt(Instant at) const {
+  if (!map_ || is_unreadable_) return false;
+  return std::max(feed_.current_at(), current_by_peer_) >= at;
+}
+
+void ConfigFollower::AwaitCurrent(Instant at, std::function<void(bool)> done) {
+  awaiting_.push_back({at, std::move(done)});
+  if (awaiting_timer_) return;
+  awaiting_timer_ = loop_.After(kAnswerTime, [this] { EndAwaiting(); });
+  feed_.AskNow();
+}
+
+void ConfigFollower::ServeAwaiting() {
+  serve_timer_.reset();
+  std::vector<Awaiting> served;
+  std::erase_if(awaiting_, [&](Awaiting& it) {
+    if (!IsCurrentAt(it.at)) return false;
+    served.push_back(std::move(it));
+    return true;
+  });
+  if (awaiting_.empty()) awaiting_timer_.reset();
+  for (const Awaiting& it : served) it.done(true);
+}
+
+void ConfigFollower::EndAwaiting() {
+  awaiting_timer_.reset();
+  for (const Awaiting& it : std::exchange(awaiting_, {})) {
+    it.done(IsCurrentAt(it.at));
+  }
+}
+
+void ConfigFollower::NoteLaterVersion() {
+  later_heard_ = clock_.Now();
+  if (!later_since_) later_since_ = later_heard_;
+}
+
+bool ConfigFollower::IsOutdated() const {
+  const Instant now = clock_.Now();
+  return later_since_ && now - *later_since_ > kMaxBehind &&
+         now - later_heard_ < kVersionHeard;
+}
+
 }  // namespace quaytrack
--- a/relay/config_follower.h
+++ b/relay/config_follower.h
@@ -17,8 +17,20 @@
 // higher one first gives its own wait for changes some time (`kLocalWaitTime`),
 // as the store usually notifies all routers at once. If its version hasn't
 // changed by then, it sends a request to that peer, which sends the store's
-// item unchanged. Only one such request is in progress at a time; after a lost
-// request or answer, the next heartbeat causes another.
+// item unchanged. After a lost request or answer, the next heartbeat causes
+// another; while an answer is arriving, none is sent, because a second copy of
+// a large configuration would delay the first.
+//
+// Currency. A router refuses a request for its route or its key only if it
+// knows that the configuration in force has neither: `IsCurrentAt` says whether
+// every configuration that was accepted by a time has been read here, as shown
+// by the store or by a peer that was asked (relay/state_feed.h). `AwaitCurrent`
+// asks both. A configuration that was accepted and can't be read here leaves
+// that unknown.
+//
+// `IsOutdated` says whether a peer has had a later configuration in force for
+// so long that this one must not be used any more. Without such a peer a router
+// serves by what it has: an outage of the store must not stop the fleet.
 //
 // Halls that are closed to new work are stored below the same prefix, so they
 // cost no calls of their own (fleet/closed_halls.h). They are sent with each
@@ -46,12 +58,15 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <set>
 #include <vector>
 
 #include "config/service_map.h"
 #include "fleet/closed_halls.h"
 #include "net/loop.h"
 #include "relay/dialect.h"
+#include "relay/packed_value_cache.h"
 #include "relay/peer_messages.h"
 #include "relay/state_feed.h"
 #include "rollout/order_book.h"
@@ -60,6 +75,13 @@
 
 class ConfigFollower {
  public:
+  // How long `AwaitCurrent` waits for an answer.
+  static constexpr Duration kAnswerTime = std::chrono::milliseconds(400);
+  // How long a router may know of a later configuration before it stops using
+  // its own: less than the 2 s within which a configuration must be in force.
+  static constexpr Duration kMaxBehind = std::chrono::milliseconds(1500);
+  // How long a peer's word on its version holds: two heartbeats.
+  static constexpr Duration kVersionHeard = std::chrono::milliseconds(2500);
   // Time from the first read of a later era until the store's halls and orders
   // replace those known from before. Operators write again within some seconds
   // what the store has lost.
@@ -93,6 +115,15 @@
   void RestartStoreWait() { feed_.RestartWait(); }
   StateFeed& feed() { return feed_; }
 
+  // Whether every configuration that was accepted by `at` has been read here.
+  bool IsCurrentAt(Instant at) const;
+  // Asks the store and peers, and calls `done` with true once
+  // `IsCurrentAt(at)`, or with false after `kAnswerTime`. Never calls it from
+  // inside.
+  void AwaitCurrent(Instant at, std::function<void(bool)> done);
+  // Whether a peer has had a later configuration for over `kMaxBehind`.
+  bool IsOutdated() const;
+
   // Null until a configuration was adopted.
   const ServiceMapPtr& map() const { return map_; }
   // Version of the configuration in force; 0 if there is none.
@@ -114,17 +145,46 @@
   void ReportHalls(const std::vector<HallName>& changed, Source source);
   void AdoptIfHigher(const StoreItem& item, Source source);
   void RequestFromPeerLater(const Incarnation& peer);
-  void SendTo(const Incarnation& peer);
+  bool IsReceiving() const;
+  void SendTo(const PeerMessage& request);
+
+  // Currency.
+  FeedLinks LinksOfFeed() const;
+  void OnMark(const PeerMessage& message);
+  void NoteLaterVersion();
+  void ServeAwaiting();
+  void EndAwaiting();
 
   Loop& loop_;
+  const Clock& clock_;
   const SharedStateReader& reader_;
   Handlers on_;
   ServiceMapPtr map_;
-  // The item that `map_` was read from; it is sent to peers.
+  // The item that `map_` was read from; it is sent to peers. Its revision is 0
+  // if it came from a peer.
   StoreItem item_;
+  PackedValueCache packed_values_;
   ClosedHalls halls_;
   RolloutOrders orders_;
+  // The latest configuration of the store can't be read.
+  bool is_unreadable_ = false;
+  // Every configuration that was accepted by this time is known here, by the
+  // word of a peer that has the same one in force.
+  Instant current_by_peer_{};
+  // Since when peers have a later configuration, and when one last said so.
+  std::optional<Instant> later_since_;
+  Instant later_heard_{};
+  struct Awaiting {
+    Instant at{};
+    std::function<void(bool)> done;
+  };
+  std::vector<Awaiting> awaiting_;
+  // Runs until those that wait are told that no answer came.
+  std::unique_ptr<Timer> awaiting_timer_;
+  std::unique_ptr<Timer> serve_timer_;
   StateFeed feed_;
+  // Peers that were asked for a later configuration than the present one.
+  std::set<Incarnation> requested_from_;
   std::unique_ptr<Timer> request_timer_;
   // Runs while the state of the halls differs from the store's.
   std::unique_ptr<Timer> stored_halls_timer_;
--- a/relay/feed_news.h
+++ b/relay/feed_news.h
@@ -19,7 +19,9 @@
 // to send to each router at a time, and any reader can send the next page.
 //
 // Ages are durations by the sender's clock, so the clocks of two routers are
-// never compared. They don't include the time that the message takes.
+// never compared. They don't include the time that the message takes; a
+// receiver that needs it counts from the time at which it asked
+// (`PeerMessage::asked_ms`).
 
 #ifndef QUAYTRACK_RELAY_FEED_NEWS_H_
 #define QUAYTRACK_RELAY_FEED_NEWS_H_
--- a/relay/peer_messages.cc
+++ b/relay/peer_messages.cc
@@ -5,6 +5,7 @@
 #include <cmath>
 
 #include "base/cbor.h"
+#include "base/packed_text.h"
 
 namespace quaytrack {
 namespace {
@@ -16,6 +17,9 @@
 constexpr double kTokenTimeUnit = 1e6;
 constexpr double kBaseUnit = 1000;
 constexpr std::size_t kLineFields = 3;
+// Bound on an unpacked value: more than the store accepts, and than a message
+// may carry (net/peer_link.h).
+constexpr std::size_t kMaxValueBytes = 4 * 1024 * 1024;
 // Longer ages are clamped to this, which bounds how far a time is set back.
 constexpr std::int64_t kMaxAgeMs = 3'600'000;
 // Upper bound of a Retry-After from a holder, in milliseconds.
@@ -287,7 +291,32 @@
 
 bool CarriesUpdate(PeerMessageKind kind) {
   return kind == PeerMessageKind::kUpdate || kind == PeerMessageKind::kState ||
-         kind == PeerMessageKind::kStateRequest;
+         kind == PeerMessageKind::kStateRequest ||
+         kind == PeerMessageKind::kMarkRequest ||
+         kind == PeerMessageKind::kMark;
+}
+
+// Unpacks the values of a message; returns false if one is damaged.
+bool UnpackValues(PeerMessage& message) {
+  std::vector<std::string*> values;
+  if (message.kind == PeerMessageKind::kConfig) {
+    values.push_back(&message.item_value);
+  }
+  for (StoreChange& it : message.update.changes) {
+    if (!it.removed) values.push_back(&it.item.value);
+  }
+  for (std::string* it : values) {
+    auto value = UnpackText(*it, kMaxValueBytes);
+    if (!value) return false;
+    *it = std::move(*value);
+  }
+  message.packed = false;
+  return true;
+}
+
+// Whether the values of a message that says so are packed.
+bool CarriesValues(PeerMessageKind kind) {
+  return kind == PeerMessageKind::kState || kind == PeerMessageKind::kConfig;
 }
 
 // Returns std::nullopt for an unknown kind or feed.
@@ -334,14 +363,30 @@
     if (!update) return std::nullopt;
     out.update = std::move(*update);
   }
+  out.asked_ms = json.value("asked", std::int64_t{0});
   out.target = TargetName(json.value("target", ""));
   out.item_key = json.value("key", "");
   out.item_value = json.value("value", "");
+  out.packed = json.value("packed", false);
+  const bool is_packed = out.packed && CarriesValues(*kind);
+  if (is_packed && !UnpackValues(out)) return std::nullopt;
   return out;
 }
 
 }  // namespace
 
+std::int64_t AskedMs(Instant now) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             now.time_since_epoch())
+      .count();
+}
+
+std::optional<Instant> AskedAt(const PeerMessage& answer, Instant now) {
+  const Instant out{std::chrono::milliseconds(answer.asked_ms)};
+  if (answer.asked_ms == 0 || out > now) return std::nullopt;
+  return out;
+}
+
 std::string EncodePeerMessage(const PeerMessage& message) {
   Json json = {{"kind", NameOf(message.kind)}, {"from", message.from.value}};
   if (!message.customer.empty()) {
@@ -394,6 +439,7 @@
     json["rollouts"] = RolloutsToJson(message.rollouts);
   }
   if (CarriesUpdate(message.kind)) json["news"] = UpdateToJson(message.update);
+  if (message.asked_ms != 0) json["asked"] = message.asked_ms;
   if (message.kind == PeerMessageKind::kPromptSent) {
     json["target"] = message.target.value;
   }
@@ -401,6 +447,7 @@
     json["key"] = message.item_key;
     json["value"] = message.item_value;
   }
+  if (message.packed) json["packed"] = true;
   return ToCbor(json);
 }
 
--- a/relay/peer_messages.h
+++ b/relay/peer_messages.h
@@ -52,6 +52,8 @@
   kUpdate,           // changes that a reader has received from the store
   kStateRequest,     // requests the changes of a feed, or all of its items
   kState,            // a page of the answer
+  kMarkRequest,      // asks how current the receiver is on a feed
+  kMark,             // the answer: `update` without changes
   kCrashes,          // crashes of targets that the sender observed
   kRateLimits,       // rate limits that targets have announced
 };
@@ -73,6 +75,8 @@
        {PeerMessageKind::kUpdate, "news"},
        {PeerMessageKind::kStateRequest, "state_wanted"},
        {PeerMessageKind::kState, "state"},
+       {PeerMessageKind::kMarkRequest, "mark_wanted"},
+       {PeerMessageKind::kMark, "mark"},
        {PeerMessageKind::kCrashes, "crashes"},
        {PeerMessageKind::kRateLimits, "rate_limits"}});
 };
@@ -123,8 +127,8 @@
   std::string address;
   // kHello: the size class of fleet/fleet.h.
   int size_class = 0;
-  // kHello, kPing: the version of the configuration in force at the sender, and
-  // whether the sender keeps grants of prepaid budgets.
+  // kHello, kPing, kMark: the version of the configuration in force at the
+  // sender. kHello, kPing: whether the sender keeps grants of prepaid budgets.
   std::uint64_t config_version = 0;
   bool keeps_budgets = false;
   // Revision of the latest change of the list of targets that the sender knows.
@@ -153,16 +157,31 @@
   // kHello, kPing: the sender's reports on services that move to another
   // version.
   std::map<ServiceName, RolloutReport> rollouts;
-  // kUpdate, kState, and kStateRequest, which has no changes.
+  // kUpdate, kState, and kStateRequest, kMarkRequest and kMark, which have no
+  // changes. kMark: `revision` and `age` as in a FeedMark.
   FeedUpdate update;
+  // kStateRequest, kMarkRequest: when the request was sent, in milliseconds of
+  // the sender's steady clock. kState, kMark: that time, unchanged. 0 if
+  // unknown.
+  std::int64_t asked_ms = 0;
   // kPromptSent: the engine that the prompt was sent to.
   TargetName target;
   // kConfig, kCrashes: key and value of the store's item; for kCrashes the
   // value holds only the new crashes.
   std::string item_key;
   std::string item_value;
+  // kStateRequest, kConfigRequest: the sender accepts packed values
+  // (base/packed_text.h). kState, kConfig: the values are packed; decoding
+  // unpacks them.
+  bool packed = false;
 };
 
+// The value of `PeerMessage::asked_ms` for a request that is sent at `now`.
+std::int64_t AskedMs(Instant now);
+// When this router sent the request that `answer` answers; std::nullopt if the
+// answer names no time that has passed. Answers of earlier builds name none.
+std::optional<Instant> AskedAt(const PeerMessage& answer, Instant now);
+
 std::string EncodePeerMessage(const PeerMessage& message);
 // Returns std::nullopt if `bytes` is no valid message.
 std::optional<PeerMessage> DecodePeerMessage(std::string_view bytes);
--- a/relay/prepaid_store.cc
+++ b/relay/prepaid_store.cc
@@ -265,7 +265,6 @@
 // --- Reports -----------------------------------------------------------------
 
 void PrepaidStore::SetReachable(bool reachable) {
-  if (reachable) on_.answered();
   if (reachable == reachable_) return;
   reachable_ = reachable;
   LogEvent(reachable ? Event::kKvBack : Event::kKvLost, {{"by", "budgets"}});
--- a/relay/prepaid_store.h
+++ b/relay/prepaid_store.h
@@ -50,8 +50,6 @@
     std::function<void()> ledger_changed;
     // Called when the store was lost (false) or is back (true).
     std::function<void(bool)> reachable;
-    // Called when the store has answered a call.
-    std::function<void()> answered;
   };
 
   PrepaidStore(Loop& loop, const Clock& clock, KvStore& store, Incarnation self,
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -209,9 +209,6 @@
     return budgets_.IsScarce(it);
   };
   out.store_reachable = [this](bool it) { OnStoreReachable(it); };
-  out.store_answered = [this] {
-    for (StateFeed* it : Feeds()) it->OnStoreAnswered();
-  };
   return out;
 }
 
@@ -232,12 +229,23 @@
     return fleet_.directory().IsReader(VmOf(peer));
   };
   out.readers = [this] { return LinkedReaders(); };
-  out.store_answered = [this](const StateFeed& it) {
-    NotifyOtherFeeds(Feeds(), it);
+  out.checking_peer = [this] { return CheckingPeer(); };
+  out.peers = [this] { return peers_.Linked(); };
+  out.partial_bytes = [this](const Incarnation& peer) {
+    return peers_.PartialBytes(peer);
   };
   return out;
 }
 
+// The first, in the order of names, of the linked peers that follow the store;
+// empty if this router comes before it.
+Incarnation RelayRouter::CheckingPeer() const {
+  const auto peers =
+      fleet_.directory().IsSmall() ? peers_.Linked() : LinkedReaders();
+  const auto it = std::min_element(peers.begin(), peers.end());
+  return it == peers.end() || self_ < *it ? Incarnation() : *it;
+}
+
 std::vector<Incarnation> RelayRouter::LinkedReaders() const {
   std::vector<Incarnation> out;
   for (const VmName& it : fleet_.directory().ReadersToAsk()) {
@@ -459,8 +467,7 @@
   const FleetDirectory& directory = fleet_.directory();
   if (!directory.IsRead()) return;
   const bool self_is_reader = directory.IsReader(directory.self().vm);
-  for (StateFeed* it : Feeds())
-    it->SetRole(self_is_reader, directory.readers());
+  for (StateFeed* it : Feeds()) it->SetRole(self_is_reader);
 }
 
 void RelayRouter::OnConfigAdopted() {
--- a/relay/relay_router.h
+++ b/relay/relay_router.h
@@ -90,6 +90,7 @@
  private:
   BudgetDriver::Handlers BudgetHandlers();
   FeedLinks LinksOfFeeds();
+  Incarnation CheckingPeer() const;
   std::vector<Incarnation> LinkedReaders() const;
   ConfigFollower::Handlers ConfigHandlers();
   TargetFollower::Handlers TargetHandlers();
--- a/relay/state_feed.cc
+++ b/relay/state_feed.cc
@@ -17,34 +17,22 @@
 // Added to `Options::fresh_for`: a random time up to this, drawn once by each
 // router, so that routers that lose their readers or the store at the same
 // moment don't all call at once.
-constexpr Duration kFreshSpread = milliseconds(300);
-// A heartbeat whose age is at most this ends a router's own calls. It is less
-// than `kFreshFor`, so that routers don't switch back and forth.
-constexpr Duration kMaxHeartbeatAge = milliseconds(1000);
-
-// Time added to each age in a peer's message, as the age doesn't include the
-// transit. When fifteen readers pass an age on to each other, each sending once
-// a second, an age without this addition would come out younger by fifteen
-// transit times. With it the age grows unless a message takes longer; links of
-// a fleet take some milliseconds.
-constexpr Duration kTransitTime = milliseconds(100);
-
-// The interval at which all readers of a fleet together call the store if
-// holders don't. Of the five readers that a router is linked to, the latest
-// heartbeat then nearly always shows an age below `kMaxHeartbeatAge`. If it
-// doesn't, the routers of a hall switch to reading the store, and back.
-constexpr Duration kFleetCallInterval = milliseconds(80);
-// Bounds for one reader's wait. The lower bound is much longer than a call,
-// which takes some milliseconds; by the upper bound a lost wait is noticed
-// within the limit of 3 s.
-constexpr Duration kMinWaitTimeout = milliseconds(500);
-constexpr Duration kMaxWaitTimeout = milliseconds(2000);
-// Each wait lasts a random share of its length, from this to 1, so that readers
-// that started together don't call together.
-constexpr double kMinTimeoutShare = 0.5;
-// While the store has answered other calls within this time, short waits are
-// needless.
-constexpr Duration kRecentAnswer = milliseconds(500);
+constexpr Duration kFreshSpread = milliseconds(200);
+// A router asks a reader every this part of `fresh_for`, and a reader that is
+// asked answers without a question of its own if it was current within the next
+// part. Together they leave time for a reader that doesn't answer.
+constexpr int kPollsPerFreshTime = 4;
+constexpr int kChecksPerFreshTime = 5;
+// A router that was current within this share of `fresh_for`, as shown by a
+// reader, makes no calls of its own. It is less than 1, so that routers don't
+// switch back and forth.
+constexpr double kCurrentShare = 0.75;
+// How long a reader gives another one to answer before it asks the store: much
+// longer than a round trip between halls.
+constexpr Duration kReaderAnswerTime = milliseconds(150);
+
+// Peers that `AskNow` asks at once: some may be cut off like this router.
+constexpr std::size_t kMaxAsked = 4;
 
 // Pauses between calls that fail. Readers retry often, as all routers depend on
 // them. The other routers are many and will be notified by readers: with a
@@ -68,15 +56,11 @@
 constexpr std::size_t kMaxUnrequestedBytes = 32 * 1024;
 // A request without an answer goes to another reader after this time, and to
 // the next one after twice as long. A reader that is slow to answer is likely
-// to have many requests.
+// to have many requests. While an answer is arriving, the request isn't
+// repeated, since each copy of a large answer delays all of them.
 constexpr Duration kFirstRequestTimeout = milliseconds(300);
 constexpr Duration kMaxRequestTimeout = milliseconds(2400);
 
-Duration ReaderWaitTimeout(std::size_t readers) {
-  const Duration timeout = kFleetCallInterval * static_cast<int>(readers);
-  return std::clamp(timeout, kMinWaitTimeout, kMaxWaitTimeout);
-}
-
 std::size_t BytesOf(const std::vector<StoreChange>& changes) {
   std::size_t out = 0;
   for (const StoreChange& it : changes) out += it.item.value.size();
@@ -91,11 +75,13 @@
       options_(std::move(options)),
       on_(std::move(handlers)),
       links_(std::move(links)),
-      follower_(context.loop, context.store, options_.follower,
+      follower_(context.loop, context.clock, context.store, options_.follower,
                 FollowerHandlers()),
       machine_(context.chart),
-      current_at_(context.clock.Now()),
-      fresh_for_(options_.fresh_for + Jittered(random_, kFreshSpread, 0, 1)) {}
+      fresh_for_(options_.fresh_for + Jittered(random_, kFreshSpread, 0, 1)),
+      max_reader_age_(
+          duration_cast<Duration>(options_.fresh_for * kCurrentShare)),
+      poll_(options_.fresh_for / kPollsPerFreshTime) {}
 
 void StateFeed::StartFromReaders(Duration within) {
   if (HasState() || IsReader()) return;
@@ -122,29 +108,13 @@
   on.changed = [this](const StoreChange& it) { OnChange(it); };
   on.settled = [this] { Settle(); };
   on.reachable = [this](bool reachable) { SetLost(!reachable); };
-  on.answered = [this] { OnAnswered(); };
+  on.answered = [this](Instant asked_at) { OnStoreAnswered(asked_at); };
   return on;
 }
 
-void StateFeed::OnAnswered() {
-  MarkCurrent(Duration::zero());
-  links_.store_answered(*this);
-  if (IsReader()) follower_.SetWaitTimeout(NextWaitTimeout());
-}
-
-Duration StateFeed::NextWaitTimeout() {
-  const Instant now = context_.clock.Now();
-  const bool busy = now - store_answered_at_ < kRecentAnswer;
-  return Jittered(random_, busy ? kMaxWaitTimeout : ReaderWaitTimeout(readers_),
-                  kMinTimeoutShare, 1);
-}
-
-void StateFeed::OnStoreAnswered() {
-  store_answered_at_ = context_.clock.Now();
-  if (!IsOfPresentEra(Known())) return;
-  if (IsReader() && !store_lost_ && follower_.IsWaiting()) {
-    current_at_ = store_answered_at_;
-  }
+void StateFeed::OnStoreAnswered(Instant asked_at) {
+  SetLost(false);
+  MarkCurrent(asked_at);
 }
 
 void StateFeed::OnItems(const std::vector<StoreItem>& items) {
@@ -176,17 +146,28 @@
 
 // --- States ------------------------------------------------------------------
 
-void StateFeed::SetRole(bool is_reader, std::size_t readers) {
-  readers_ = readers;
+void StateFeed::SetRole(bool is_reader) {
   Apply(is_reader ? FeedEvent::kChosen : FeedEvent::kResigned);
 }
 
 void StateFeed::Check() {
+  PollReaders();
+  CheckWait();
   if (state() == FeedState::kNotified && Age() > fresh_for_) {
     Apply(FeedEvent::kStale);
   }
 }
 
+// Checks with the store whether the open wait was lost.
+void StateFeed::CheckWait() {
+  if (state() != FeedState::kReading || !links_.checking_peer().empty()) return;
+  const Instant now = context_.clock.Now();
+  const Duration interval = options_.fresh_for;
+  if (Age() < interval || now - checked_at_ < interval) return;
+  checked_at_ = now;
+  follower_.Check();
+}
+
 void StateFeed::Apply(FeedEvent event) {
   const FeedState before = state();
   const FeedAction action = machine_.Apply(event);
@@ -209,15 +190,14 @@
     case FeedAction::kResumeCalls:
       SetLost(true);
       follower_.SetRetry(kFirstRetry, kMaxRetry);
-      return follower_.Resume();
+      follower_.Resume();
+      return follower_.Check();
     case FeedAction::kReadForAll:
-      follower_.SetWaitTimeout(NextWaitTimeout());
       follower_.SetRetry(kReaderRetry, kReaderRetry);
       return follower_.ReadAgain();
     case FeedAction::kReadForItself:
       has_items_ = false;
       items_.Clear();
-      follower_.SetWaitTimeout(options_.follower.wait_timeout);
       return follower_.SetRetry(kFirstRetry, kMaxRetry);
   }
 }
@@ -237,10 +217,14 @@
       if (IsValid(message)) OnUpdate(message.update);
       return;
     case PeerMessageKind::kState:
-      if (IsValid(message)) OnState(message.update);
+      if (IsValid(message)) OnState(message);
       return;
     case PeerMessageKind::kStateRequest:
-      return SendState(message.from, message.update);
+      return SendState(message);
+    case PeerMessageKind::kMarkRequest:
+      return OnMarkRequest(message);
+    case PeerMessageKind::kMark:
+      return OnMarkAnswer(message);
     default:
       return;
   }
@@ -269,26 +253,26 @@
   return false;
 }
 
+// A heartbeat shows which changes there are, and says nothing about the
+// present.
 void StateFeed::OnMark(const FeedMark& mark) {
   // This router has no state yet, so it is behind whatever the reader's
   // revision.
   if (start_timer_ && !HasState()) return OnBehind(1);
-  if (!HasRead(mark.revision)) return OnBehind(mark.revision);
-  if (!IsOfPresentEra(mark.revision)) return;
-  MarkCurrentByReader(mark.age);
+  if (!HasRead(mark.revision)) OnBehind(mark.revision);
 }
 
 void StateFeed::OnUpdate(const FeedUpdate& update) {
-  if (update.revision <= Known()) return OnMark({update.revision, update.age});
+  if (update.revision <= Known()) return;
   // The read in progress shows all changes of `update`.
   if (IsReader() && !has_items_) return;
   const bool leads_on =
       update.since <= Known() && update.since.era == update.revision.era;
   if (update.only_notice || !leads_on) return OnBehind(update.revision);
-  // The end of an outage is reported before the removals made during it.
-  MarkCurrent(update.age + kTransitTime);
+  // A change shows that the store is back; that is reported before the removals
+  // made during an outage.
+  SetLost(false);
   ApplyChanges(update);
-  MarkCurrentByReader(update.age);
 }
 
 // Applies the changes that aren't known yet. Two readers may batch the same
@@ -305,15 +289,18 @@
   Settle();
 }
 
-void StateFeed::OnState(const FeedUpdate& update) {
+void StateFeed::OnState(const PeerMessage& message) {
+  const FeedUpdate& update = message.update;
   if (update.revision <= Known()) return;
   const bool leads_on =
       update.since == StoreRevision() ||
       (update.since <= Known() && update.since.era == update.revision.era);
   if (!leads_on) return;
-  const Instant shown_at = context_.clock.Now() - update.age;
+  const auto asked_at = AskedAt(message, context_.clock.Now());
+  const Instant current_at = asked_at ? *asked_at - update.age : Instant{};
   const bool begins = update.after.empty();
-  pages_shown_at_ = begins ? shown_at : std::min(pages_shown_at_, shown_at);
+  pages_current_at_ =
+      begins ? current_at : std::min(pages_current_at_, current_at);
   const PageStep step = pages_.AddPage(update);
   if (step == PageStep::kIgnored) return;
   request_timeout_ = kFirstRequestTimeout;
@@ -323,13 +310,12 @@
   RequestState();
 }
 
-void StateFeed::ApplyState(FeedUpdate update) {
+void StateFeed::ApplyState(const FeedUpdate& update) {
   if (update.revision <= Known()) return;
-  update.age = context_.clock.Now() - pages_shown_at_;
-  MarkCurrent(update.age + kTransitTime);
+  SetLost(false);
   if (update.since != StoreRevision()) {
     ApplyChanges(update);
-    return MarkCurrentByReader(update.age);
+    return MarkCurrentByReader(pages_current_at_);
   }
   std::vector<StoreItem> items;
   StoreRevision latest(update.revision.era, 0);
@@ -340,30 +326,107 @@
   follower_.SkipTo(update.revision, latest);
   OnItems(items);
   Settle();
-  MarkCurrentByReader(update.age);
+  MarkCurrentByReader(pages_current_at_);
+}
+
+// Called when every change made by `at` is known here, or is about to be passed
+// to the handlers.
+void StateFeed::MarkCurrent(Instant at) {
+  if (at <= current_at_) return;
+  current_at_ = at;
+  if (on_.answered) on_.answered(at);
+  if (mark_requests_.empty()) return;
+  // The answers include the changes that are passed on first.
+  answer_timer_ =
+      context_.loop.After(Duration::zero(), [this] { AnswerMarkRequests(); });
+}
+
+// Called when a reader has shown this; a router that is current by readers
+// needs no calls of its own.
+void StateFeed::MarkCurrentByReader(Instant at) {
+  MarkCurrent(at);
+  if (context_.clock.Now() - at > max_reader_age_) return;
+  SetLost(false);
+  if (HasState()) Apply(FeedEvent::kReaderCurrent);
+}
+
+// --- Questions about the present ---------------------------------------------
+
+void StateFeed::PollReaders() {
+  if (IsReader()) return;
+  const auto reader = poll_.Next(context_.clock.Now(), links_.readers());
+  if (reader) SendMarkRequest(*reader);
+}
+
+void StateFeed::AskNow() {
+  if (state() != FeedState::kNotified) follower_.Check();
+  std::vector<Incarnation> peers = links_.readers();
+  if (peers.empty()) peers = links_.peers();
+  if (peers.size() > kMaxAsked) peers.resize(kMaxAsked);
+  for (const Incarnation& it : peers) SendMarkRequest(it);
+}
+
+void StateFeed::SendMarkRequest(const Incarnation& peer) {
+  PeerMessage out;
+  out.kind = PeerMessageKind::kMarkRequest;
+  out.update.feed = options_.name;
+  out.asked_ms = AskedMs(context_.clock.Now());
+  links_.send(peer, std::move(out));
+}
+
+// A router that relies on readers has nothing to tell that they wouldn't.
+void StateFeed::OnMarkRequest(const PeerMessage& message) {
+  if (state() == FeedState::kNotified || !HasState()) return;
+  if (IsReader() && !has_items_) return;
+  mark_requests_[message.from] = message.asked_ms;
+  if (Age() <= options_.fresh_for / kChecksPerFreshTime) {
+    return AnswerMarkRequests();
+  }
+  AskForMarkRequests();
+}
+
+void StateFeed::AskForMarkRequests() {
+  const Incarnation peer = links_.checking_peer();
+  if (peer.empty()) return follower_.Check();
+  if (ask_timer_) return;
+  SendMarkRequest(peer);
+  ask_timer_ = context_.loop.After(kReaderAnswerTime, [this] {
+    ask_timer_.reset();
+    if (!mark_requests_.empty()) follower_.Check();
+  });
 }
 
-// Called when every change made up to `age` ago is known here, or is about to
-// be passed to the handlers.
-void StateFeed::MarkCurrent(Duration age) {
-  current_at_ = std::max(current_at_, context_.clock.Now() - age);
-  if (age <= kMaxHeartbeatAge) SetLost(false);
+void StateFeed::AnswerMarkRequests() {
+  answer_timer_.reset();
+  for (const auto& [peer, asked_ms] : std::exchange(mark_requests_, {})) {
+    PeerMessage out;
+    out.kind = PeerMessageKind::kMark;
+    out.update.feed = options_.name;
+    out.update.revision = LatestKnown();
+    out.update.age = Age();
+    out.asked_ms = asked_ms;
+    links_.send(peer, std::move(out));
+  }
 }
 
-// Called when a reader has shown that this router is current, so that this
-// router needs no calls of its own.
-void StateFeed::MarkCurrentByReader(Duration age) {
-  MarkCurrent(age + kTransitTime);
-  if (age <= kMaxHeartbeatAge && HasState()) Apply(FeedEvent::kReaderCurrent);
+void StateFeed::OnMarkAnswer(const PeerMessage& message) {
+  const FeedUpdate& mark = message.update;
+  const Instant now = context_.clock.Now();
+  const auto asked_at = AskedAt(message, now);
+  if (!asked_at || !links_.is_reader(message.from)) return;
+  poll_.OnAnswer(message.from, mark.age <= max_reader_age_);
+  if (!HasRead(mark.revision)) return OnBehind(mark.revision);
+  if (!IsOfPresentEra(mark.revision)) return;
+  MarkCurrentByReader(*asked_at - mark.age);
 }
 
+// --- Readers -----------------------------------------------------------------
+
 std::optional<FeedMark> StateFeed::Mark() const {
   if (!IsReader() || !has_items_) return std::nullopt;
   return FeedMark{LatestKnown(), Age()};
 }
 
-// --- Readers -----------------------------------------------------------------
-
 void StateFeed::RecordChange(const StoreChange& change) {
   items_.Apply(change);
   pending_.push_back(change);
@@ -390,19 +453,28 @@
          bytes > items_.bytes() / kMinItemsToChangesRatio;
 }
 
-void StateFeed::SendState(const Incarnation& peer, const FeedUpdate& wanted) {
+void StateFeed::PackValues(FeedUpdate& update) {
+  for (StoreChange& it : update.changes) {
+    if (!it.removed) it.item.value = packed_values_.Pack(it.item);
+  }
+}
+
+void StateFeed::SendState(const PeerMessage& request) {
   if (!IsReader() || !has_items_) return;
   // An item of a list that was read in pages may be of a later change than
   // `Known`; the next wait reports that change at once.
   if (Known() < follower_.latest_change()) return;
-  auto page = items_.PageFor(wanted, Known());
+  auto page = items_.PageFor(request.update, Known());
   if (!page) return;
   PeerMessage out;
   out.kind = PeerMessageKind::kState;
   out.update = std::move(*page);
   out.update.feed = options_.name;
   out.update.age = Age();
-  links_.send(peer, std::move(out));
+  out.asked_ms = request.asked_ms;
+  out.packed = request.packed;
+  if (out.packed) PackValues(out.update);
+  links_.send(request.from, std::move(out));
 }
 
 // --- Routers that are behind -------------------------------------------------
@@ -427,15 +499,24 @@
   out.kind = PeerMessageKind::kStateRequest;
   out.update = pages_.Next(Known());
   out.update.feed = options_.name;
-  links_.send(readers[reader_index_ % readers.size()], std::move(out));
-  request_timer_ = context_.loop.After(request_timeout_, [this] {
-    request_timer_.reset();
-    if (HasRead(peer_revision_)) return pages_.Drop();
-    RequestFromNextReader();
-  });
+  out.asked_ms = AskedMs(context_.clock.Now());
+  out.packed = true;
+  requested_from_ = readers[reader_index_ % readers.size()];
+  links_.send(requested_from_, std::move(out));
+  StartRequestTimer();
+}
+
+void StateFeed::StartRequestTimer() {
+  partial_bytes_ = links_.partial_bytes(requested_from_);
+  request_timer_ =
+      context_.loop.After(request_timeout_, [this] { OnRequestTimeout(); });
 }
 
-void StateFeed::RequestFromNextReader() {
+void StateFeed::OnRequestTimeout() {
+  request_timer_.reset();
+  if (HasRead(peer_revision_)) return pages_.Drop();
+  const std::uint64_t arrived = links_.partial_bytes(requested_from_);
+  if (arrived != 0 && arrived != partial_bytes_) return StartRequestTimer();
   ++reader_index_;
   request_timeout_ = std::min(request_timeout_ * 2, kMaxRequestTimeout);
   RequestState();
--- a/relay/state_feed.h
+++ b/relay/state_feed.h
@@ -3,7 +3,7 @@
 //
 //   StateFeed feed(context, options, handlers, links);
 //   feed.Start();
-//   feed.SetRole(fleet.IsReader(self), fleet.readers());
+//   feed.SetRole(fleet.IsReader(self));
 //   feed.OnPeer(message);                  // each message of a peer
 //   feed.Check();                          // several times a second
 //   heartbeat.marks[options.name] = *feed.Mark();
@@ -29,25 +29,35 @@
 // items on request. A message of an earlier era than the known one shows
 // nothing, not even that nothing has changed.
 //
-// No rule depends on a reader staying alive. Routers are notified that nothing
-// has changed, as well as of changes: each heartbeat of a reader carries the
-// age of its knowledge (`FeedMark`). The age is the lowest of those that the
-// store and the other readers have shown, plus `kTransitTime` for the transit,
-// so that readers without the store can't keep each other current. A router
-// that wasn't shown for `kFreshFor` that it is current calls the store itself
-// from then on, until a reader is current again. So a reader that is dead,
-// frozen, cut off on either side or slow delays no router for longer, and a
-// reader that is behind sets no router back. Including the time of the call, a
-// router that reaches the store knows each change after at most kFreshFor +
-// kFreshSpread + the interval of `Check`, about 2 s.
+// No rule depends on a reader staying alive, nor on how long a message takes. A
+// router is **current** as of a time of its own clock: it knows every change
+// that the store had accepted by then. Only answers to its own questions show
+// that, because nothing else bounds how long the news was on its way, in a full
+// link or in a process that stood still:
 //
-// A reader counts as current when the store answers a call while a wait for
-// changes is open that the store would have answered before. The answer to any
-// call counts, including another feed's wait, as holders call the store all the
-// time for the budgets. Where they don't, readers end their waits often enough
-// that together they call about once in `kFleetCallInterval`, however many they
-// are, so the calls don't grow with the fleet. A wait that was lost ends after
-// `kMaxWaitTimeout`, or sooner if another reader's heartbeat shows a change.
+//   - a call to the store shows all changes made before the call was started;
+//   - a reader's answer to a mark request (kMarkRequest) shows all changes that
+//     the reader knew, less the age that it states, as of the time at which the
+//     request was sent. The request carries that time and the answer repeats
+//     it; no clocks of two routers are compared.
+//
+// A router asks the readers in turn, and the next one after an answer that
+// doesn't come or is old (relay/reader_poll.h). A reader that is asked, and
+// wasn't current for a while, asks the first reader in the order of names, and
+// the store if it is the first itself or gets no answer at once. So the calls
+// to the store don't grow with the fleet. Heartbeats and updates carry changes
+// and show that there are some, but not that there are none.
+//
+// A router that isn't current for `kFreshFor` calls the store itself, until a
+// reader has shown that it is current again. So a reader that is dead, frozen,
+// cut off on either side or slow delays no router for longer. Including the
+// time of the call, a router that reaches the store knows each change after at
+// most kFreshFor + kFreshSpread + the interval of `Check`, about 2 s.
+//
+// Nothing tells a lost wait from an open one. In a small fleet the first router
+// in the order of names therefore checks every `Options::fresh_for`, and its
+// heartbeats show the others what it finds. In a large fleet, routers without a
+// current reader each check as often.
 //
 // Loss of the store. Routers that rely on readers take missing heartbeats for a
 // loss of the store, and the first heartbeat after it for its return, and
@@ -62,12 +72,12 @@
 #define QUAYTRACK_RELAY_STATE_FEED_H_
 
 #include <algorithm>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <random>
-#include <span>
 #include <string>
 #include <vector>
 
@@ -77,13 +87,13 @@
 #include "relay/feed_chart.h"
 #include "relay/feed_news.h"
 #include "relay/feed_pages.h"
+#include "relay/packed_value_cache.h"
 #include "relay/peer_messages.h"
+#include "relay/reader_poll.h"
 
 namespace quaytrack {
 
-class StateFeed;
-
-// Connects a feed to other routers, and to the other feeds of its process.
+// Connects a feed to other routers.
 struct FeedLinks {
   // Sends a message to one peer.
   std::function<void(const Incarnation&, PeerMessage)> send;
@@ -91,13 +101,24 @@
   // hall and the other readers.
   std::function<void(PeerMessage)> publish;
   // Whether the peer is a reader, by this router's list of routers.
-  std::function<bool(const Incarnation&)> is_reader;
+  std::function<bool(const Incarnation&)> is_reader = [](const Incarnation&) {
+    return false;
+  };
   // The linked readers, in the order in which this router sends them requests.
-  std::function<std::vector<Incarnation>()> readers;
-  // Called when the store has answered a call of `feed`; see
-  // `NotifyOtherFeeds`.
-  std::function<void(const StateFeed& feed)> store_answered =
-      [](const StateFeed&) {};
+  std::function<std::vector<Incarnation>()> readers = [] {
+    return std::vector<Incarnation>();
+  };
+  // The linked peer that asks the store for all that follow it; empty if this
+  // router does.
+  std::function<Incarnation()> checking_peer = [] { return Incarnation(); };
+  // All linked peers, readers or not.
+  std::function<std::vector<Incarnation>()> peers = [] {
+    return std::vector<Incarnation>();
+  };
+  // Number of bytes that have arrived of a message of the peer that isn't
+  // complete yet; 0 if there is none.
+  std::function<std::uint64_t(const Incarnation&)> partial_bytes =
+      [](const Incarnation&) { return 0; };
 };
 
 // What the feeds of a process share.
@@ -110,10 +131,9 @@
 
 class StateFeed {
  public:
-  // How long a router relies on the last heartbeat that showed it to be
-  // current. Several readers send one each second (relay/peer_mesh.h), so this
-  // allows for a few lost ones. The tightest bound is 2 s, for a configuration
-  // to be in force.
+  // How long a router that relies on readers goes without being current before
+  // it calls the store itself. The tightest bound is 2 s, for a configuration
+  // to be in force; the rest of it is for that call.
   static constexpr Duration kFreshFor = std::chrono::milliseconds(1500);
 
   // How long a starting router waits for a reader's items before it reads the
@@ -129,7 +149,8 @@
     // other ways.
     Duration fresh_for = kFreshFor;
   };
-  // The handlers of a StoreFollower; `answered` is not used.
+  // The handlers of a StoreFollower. `answered` is called when `current_at` has
+  // risen, before the changes that it includes are passed on.
   using Handlers = StoreFollower::Handlers;
 
   StateFeed(const FeedContext& context, Options options, Handlers handlers,
@@ -142,16 +163,18 @@
   // reader, and reads the store only if no reader has started to send them
   // within `within`.
   void StartFromReaders(Duration within = kDefaultReaderTimeout);
-  // Sets whether this router is one of the fleet's `readers` readers.
-  void SetRole(bool is_reader, std::size_t readers);
+  // Sets whether this router is a reader.
+  void SetRole(bool is_reader);
   void OnPeer(const PeerMessage& message);
-  // Called when the store has answered some call of this router.
-  void OnStoreAnswered();
   // Called when an answer to some call of this router has shown a later era of
   // the store.
   void OnStoreEra() { follower_.CheckEra(); }
-  // Detects that this router wasn't shown to be current for too long.
+  // Asks readers and the store as described above, and detects that this router
+  // wasn't current for too long.
   void Check();
+  // Asks the store, if this router may call it, and the peers whether there are
+  // changes. An answer raises `current_at`.
+  void AskNow();
   // Starts the open wait for changes again, as it may be lost.
   void RestartWait();
   // Reads up to `revision`, which a peer knows and this router doesn't.
@@ -169,8 +192,13 @@
   // an earlier change.
   bool HasRead(StoreRevision revision) const { return revision <= Known(); }
   FeedState state() const { return machine_.state(); }
-  // Time since this router was last known to be current.
+  // Every change that the store had accepted by this time is known here.
+  Instant current_at() const { return current_at_; }
   Duration Age() const { return context_.clock.Now() - current_at_; }
+  // Whether a reader's answer with changes is arriving.
+  bool IsReceiving() const {
+    return request_timer_ && links_.partial_bytes(requested_from_) != 0;
+  }
 
  private:
   StoreFollower::Handlers FollowerHandlers();
@@ -199,25 +227,35 @@
   bool IsValid(const PeerMessage& message) const;
   void OnMark(const FeedMark& mark);
   void OnUpdate(const FeedUpdate& update);
-  void OnState(const FeedUpdate& update);
-  void ApplyState(FeedUpdate update);
+  void OnState(const PeerMessage& message);
+  void ApplyState(const FeedUpdate& update);
   void ApplyChanges(const FeedUpdate& update);
-  void OnAnswered();
-  Duration NextWaitTimeout();
-  void MarkCurrent(Duration age);
-  void MarkCurrentByReader(Duration age);
+  void OnStoreAnswered(Instant asked_at);
+  void MarkCurrent(Instant at);
+  void MarkCurrentByReader(Instant at);
+
+  // Questions to the store and to readers.
+  void CheckWait();
+  void PollReaders();
+  void AskForMarkRequests();
+  void SendMarkRequest(const Incarnation& peer);
+  void OnMarkRequest(const PeerMessage& message);
+  void OnMarkAnswer(const PeerMessage& message);
+  void AnswerMarkRequests();
 
   // Functions of readers.
   void RecordChange(const StoreChange& change);
   void SendPending();
   // Whether changes of this size are only announced, and sent on request.
   bool ShouldOnlyAnnounce(std::size_t bytes) const;
-  void SendState(const Incarnation& peer, const FeedUpdate& wanted);
+  void PackValues(FeedUpdate& update);
+  void SendState(const PeerMessage& request);
 
   // Functions of routers that are behind.
   void OnBehind(StoreRevision revision);
   void RequestState();
-  void RequestFromNextReader();
+  void StartRequestTimer();
+  void OnRequestTimeout();
   void WaitForReaders(Duration within);
 
   FeedContext context_;
@@ -226,50 +264,51 @@
   FeedLinks links_;
   StoreFollower follower_;
   ChartMachine<FeedState, FeedEvent, FeedAction> machine_;
-  // The time at which every change of the store was known here.
-  Instant current_at_;
+  Instant current_at_{};
   std::minstd_rand random_{std::random_device{}()};
-  // How long this router relies on the last heartbeat that showed it to be
-  // current.
+  // `Options::fresh_for` with a random part.
   Duration fresh_for_;
-  // Number of the fleet's readers; set at readers.
-  std::size_t readers_ = 0;
-  // When the store last answered a call of another part of this process.
-  Instant store_answered_at_{};
+  // The largest age of an answer by which a router is current.
+  Duration max_reader_age_;
   bool store_lost_ = false;
+  ReaderPoll poll_;
+  Instant checked_at_{};
+  // Peers whose mark requests wait for the store's answer, with the time that
+  // each request carries.
+  std::map<Incarnation, std::int64_t> mark_requests_;
+  // Runs until these requests are answered.
+  std::unique_ptr<Timer> answer_timer_;
+  // Runs until the store is asked because a reader hasn't answered.
+  std::unique_ptr<Timer> ask_timer_;
 
   // At a reader, whether `items_` holds all items.
   bool has_items_ = false;
   FeedItemTable items_;
+  PackedValueCache packed_values_;
   // Changes after `announced_revision_`, not yet sent to the hall.
   std::vector<StoreChange> pending_;
   StoreRevision announced_revision_;
 
   // The latest revision that a peer is known to have.
   StoreRevision peer_revision_;
-  // The pages received so far of an answer, and the lowest time at which they
-  // were current.
+  // The pages received so far of an answer, and the time as of which they are
+  // current.
   FeedPageAssembler pages_;
-  Instant pages_shown_at_{};
+  Instant pages_current_at_{};
   // Runs until a reader has sent all items at the start, or the store is read.
   std::unique_ptr<Timer> start_timer_;
   // Index of the linked reader that gets the next request.
   std::size_t reader_index_ = 0;
-  // Time after which the request goes to another reader.
+  // The reader that got the last request, and what had arrived of its next
+  // message when this was last looked at.
+  Incarnation requested_from_;
+  std::uint64_t partial_bytes_ = 0;
+  // Time after which the request goes to another reader, unless its answer is
+  // arriving.
   Duration request_timeout_{};
   std::unique_ptr<Timer> request_timer_;
 };
 
-// Notifies the other feeds of a process that the store has answered `feed`:
-// they are current, and needn't call as often. `feed` itself isn't notified, as
-// its own calls say nothing of how often other calls are answered.
-inline void NotifyOtherFeeds(std::span<StateFeed* const> feeds,
-                             const StateFeed& feed) {
-  for (StateFeed* it : feeds) {
-    if (it != &feed) it->OnStoreAnswered();
-  }
-}
-
 }  // namespace quaytrack
 
 #endif  // QUAYTRACK_RELAY_STATE_FEED_H_
--- a/relay/testing/config_follower_test.cc
+++ b/relay/testing/config_follower_test.cc
@@ -139,6 +139,92 @@
   BOOST_TEST(sent.empty());
 }
 
+// --- Currency ----------------------------------------------------------------
+
+// Longer than `AwaitCurrent` waits.
+constexpr Duration kUnanswered = milliseconds(500);
+
+struct CurrencyFixture : Fixture {
+  void PeerMark(std::uint64_t version, Instant asked_at) {
+    PeerMessage it;
+    it.kind = PeerMessageKind::kMark;
+    it.from = kPeer;
+    it.update.feed = FeedName::kConfig;
+    it.update.age = milliseconds(100);
+    it.config_version = version;
+    it.asked_ms = AskedMs(asked_at);
+    follower.OnPeer(it);
+  }
+  void Await(Instant at) {
+    follower.AwaitCurrent(at, [this](bool it) { answers.push_back(it); });
+  }
+  std::vector<bool> answers;
+};
+
+// Guards against a refusal by a configuration that may have been replaced: what
+// is known is known as of the last answered call's start.
+BOOST_FIXTURE_TEST_CASE(ItIsCurrentAsOfAnAnsweredCall, CurrencyFixture) {
+  BOOST_TEST(!follower.IsCurrentAt(clock.Now() - std::chrono::hours(1)));
+  const Instant before = clock.Now();
+  RunFor(loop, milliseconds(20));
+  StoreHas("5");
+  BOOST_TEST(!follower.IsCurrentAt(before));
+  Await(before);
+  BOOST_TEST(store.AnswerWait("c/", {StoreEnd::kDone, false, 1, {}}));
+  RunFor(loop, milliseconds(20));
+  BOOST_TEST((answers == std::vector<bool>{true}));
+  BOOST_TEST(follower.IsCurrentAt(before));
+}
+
+BOOST_FIXTURE_TEST_CASE(WithoutAnAnswerItIsNotCurrent, CurrencyFixture) {
+  StoreHas("5");
+  Await(clock.Now());
+  RunFor(loop, kUnanswered);
+  BOOST_TEST((answers == std::vector<bool>{false}));
+}
+
+// A router that the store doesn't answer is current by a peer with the same
+// configuration, and not by one with another.
+BOOST_FIXTURE_TEST_CASE(APeerWithTheSameVersionShowsItCurrent,
+                        CurrencyFixture) {
+  StoreHas("5");
+  RunFor(loop, milliseconds(150));
+  const Instant asked_at = clock.Now();
+  Await(asked_at - milliseconds(101));
+  PeerMark(6, asked_at);
+  BOOST_TEST(answers.empty());
+  PeerMark(5, asked_at);
+  BOOST_TEST((answers == std::vector<bool>{true}));
+  BOOST_TEST(!follower.IsCurrentAt(asked_at));
+}
+
+BOOST_FIXTURE_TEST_CASE(AnUnreadableConfigurationLeavesItInDoubt,
+                        CurrencyFixture) {
+  const Instant before = clock.Now() - std::chrono::hours(1);
+  StoreHas("5");
+  BOOST_TEST(follower.IsCurrentAt(before));
+  StoreShows({"six"});
+  BOOST_TEST(!follower.IsCurrentAt(before));
+  RunFor(loop, milliseconds(300));
+  StoreShows({"7"});
+  BOOST_TEST(follower.IsCurrentAt(before));
+}
+
+// Guards against serving by a configuration that peers have long replaced.
+BOOST_FIXTURE_TEST_CASE(ItIsOutdatedWhileAPeerHasALaterOne, CurrencyFixture) {
+  StoreHas("5");
+  PeerHasVersion(6);
+  BOOST_TEST(!follower.IsOutdated());
+  RunFor(loop, ConfigFollower::kMaxBehind + milliseconds(50));
+  BOOST_TEST(follower.IsOutdated());
+  PeerSends("6");
+  BOOST_TEST(!follower.IsOutdated());
+  // A peer that is gone holds nobody up.
+  PeerHasVersion(7);
+  RunFor(loop, ConfigFollower::kVersionHeard + milliseconds(50));
+  BOOST_TEST(!follower.IsOutdated());
+}
+
 // --- Closed halls ------------------------------------------------------------
 
 struct HallsFixture : Fixture {
--- a/relay/testing/feed_fleet.h
+++ b/relay/testing/feed_fleet.h
@@ -132,9 +132,12 @@
                 std::function<void(const StoreWritten&)>) override {
     return nullptr;
   }
-  CallPtr Wait(const std::string&, StoreRevision after, Duration,
+  CallPtr Wait(const std::string&, StoreRevision after, Duration timeout,
                std::function<void(const StoreChanges&)> done) override {
     ++calls_;
+    if (timeout <= std::chrono::milliseconds(1)) {
+      return AnswerAtOnce(after.number, std::move(done));
+    }
     wait_ = std::make_shared<Open>();
     wait_->after = after.number;
     wait_->done = std::move(done);
@@ -144,6 +147,24 @@
   }
   std::uint64_t calls() const override { return calls_; }
 
+  // Answers a wait without a timeout, whatever has changed.
+  CallPtr AnswerAtOnce(std::int64_t after,
+                       std::function<void(const StoreChanges&)> done) {
+    const auto call = std::make_shared<Open>();
+    auto out = std::make_unique<Handle>(call);
+    if (cut) return out;
+    Post(call, [this, after, done = std::move(done)] {
+      NoteEra(store_.era());
+      StoreChanges it;
+      it.end = StoreEnd::kDone;
+      it.forgotten = after > store_.revision();
+      it.revision = Tagged(store_.revision());
+      it.changes = Tagged(store_.Changes(after, store_.revision()));
+      done(it);
+    });
+    return out;
+  }
+
   // Answers the open wait if there are changes for it.
   void AnswerWait() {
     if (!waits() || cut || store_.revision() == wait_->after) return;
@@ -220,8 +241,6 @@
   std::string hall;
   bool is_reader = false;
   FeedItems items;
-  // How often an answer of the store was reported to other feeds.
-  int answers = 0;
   // Bytes of keys and values received from other nodes.
   std::size_t received = 0;
   // Reports on the store: lost (false) and back (true).
@@ -257,9 +276,7 @@
     Turn();
   }
   void SetRoles() {
-    std::size_t readers = 0;
-    for (auto& it : nodes) readers += it->is_reader ? 1 : 0;
-    for (auto& it : nodes) it->feed.SetRole(it->is_reader, readers);
+    for (auto& it : nodes) it->feed.SetRole(it->is_reader);
   }
   void Turn() {
     if (!brief_turns) return RunFor(loop, std::chrono::milliseconds(2));
@@ -287,13 +304,18 @@
   void Deliver(const Sent& it) {
     FeedNode* node = Find(it.to);
     if (node == nullptr) return;
+    // Encoding and decoding unpacks the values.
+    const PeerMessage message =
+        it.message.packed
+            ? DecodePeerMessage(EncodePeerMessage(it.message)).value()
+            : it.message;
     std::size_t bytes = 0;
-    for (const StoreChange& change : it.message.update.changes) {
+    for (const StoreChange& change : message.update.changes) {
       bytes += change.item.key.size() + change.item.value.size();
     }
     node->received += bytes;
     largest = std::max(largest, bytes);
-    node->feed.OnPeer(it.message);
+    node->feed.OnPeer(message);
   }
   void DeliverAll() {
     while (!sent.empty()) {
@@ -303,8 +325,21 @@
       Deliver(it);
     }
   }
-  // Sends each reader's heartbeat to all nodes.
+  // Sends each reader's heartbeat to all nodes, and lets each node ask readers
+  // whether it is current.
   void BroadcastHeartbeats() {
+    SendHeartbeats();
+    Poll();
+  }
+  // Lets each node ask a reader, and delivers the questions and the answers.
+  void Poll() {
+    for (auto& it : nodes) it->feed.Check();
+    DeliverAll();
+    // A reader that has to ask the store answers in a later turn.
+    Turn();
+    DeliverAll();
+  }
+  void SendHeartbeats() {
     for (auto& from : nodes) {
       const auto mark = from->feed.Mark();
       if (!mark) continue;
@@ -329,6 +364,8 @@
   std::vector<std::unique_ptr<FeedNode>> nodes;
   std::list<Sent> sent;
   int delivered = 0;
+  // Bytes that each node has received of an incomplete message.
+  std::uint64_t partial_bytes = 0;
   // The most bytes of keys and values in one message.
   std::size_t largest = 0;
   // Makes turns last only some milliseconds, for tests of many steps.
@@ -388,7 +425,16 @@
     }
     return all;
   };
-  out.store_answered = [this](const StateFeed&) { ++answers; };
+  out.partial_bytes = [this](const Incarnation&) {
+    return fleet.partial_bytes;
+  };
+  out.checking_peer = [this] {
+    Incarnation first = self;
+    for (auto& node : fleet.nodes) {
+      if (node->is_reader) first = std::min(first, node->self);
+    }
+    return first == self ? Incarnation() : first;
+  };
   return out;
 }
 
--- a/relay/testing/peer_messages_test.cc
+++ b/relay/testing/peer_messages_test.cc
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "base/cbor.h"
+#include "base/packed_text.h"
 
 namespace quaytrack {
 namespace {
@@ -79,6 +80,52 @@
              "notice": false, "changes": []}})");
 }
 
+BOOST_AUTO_TEST_CASE(QuestionsAboutMarksKeepTheirForm) {
+  for (const auto kind : {PeerMessageKind::kMarkRequest, PeerMessageKind::kMark,
+                          PeerMessageKind::kStateRequest}) {
+    PeerMessage out;
+    out.kind = kind;
+    out.from = Incarnation("vm-1@1");
+    out.update.feed = FeedName::kConfig;
+    out.update.revision = {2, 7};
+    out.update.age = std::chrono::milliseconds(30);
+    out.asked_ms = 123456;
+    out.config_version = 9;
+    const auto in = DecodePeerMessage(EncodePeerMessage(out));
+    BOOST_REQUIRE(in.has_value());
+    BOOST_TEST((in->kind == kind));
+    BOOST_TEST(in->update.revision == out.update.revision);
+    BOOST_TEST((in->update.age == out.update.age));
+    BOOST_TEST(in->asked_ms == 123456);
+    BOOST_TEST(in->config_version == 9U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(PackedValuesAreUnpacked) {
+  const std::string value(20'000, 'x');
+  PeerMessage config;
+  config.kind = PeerMessageKind::kConfig;
+  config.item_key = "c/config";
+  config.item_value = PackText(value);
+  config.packed = true;
+  PeerMessage state;
+  state.kind = PeerMessageKind::kState;
+  state.update.revision = 5;
+  state.update.changes = {{{"t/1", PackText(value), 4}, false},
+                          {{"t/2", "", 5}, true}};
+  state.packed = true;
+  const std::string bytes = EncodePeerMessage(state);
+  BOOST_TEST(bytes.size() < value.size() / 10);
+  BOOST_TEST(DecodePeerMessage(EncodePeerMessage(config))->item_value == value);
+  const auto in = DecodePeerMessage(bytes);
+  BOOST_REQUIRE(in.has_value());
+  BOOST_TEST(in->update.changes.at(0).item.value == value);
+  BOOST_TEST(in->update.changes.at(1).removed);
+  // A damaged value makes the whole message invalid.
+  state.update.changes[0].item.value = "damaged";
+  BOOST_TEST(!DecodePeerMessage(EncodePeerMessage(state)));
+}
+
 BOOST_AUTO_TEST_CASE(PagesKeepTheirForm) {
   PeerMessage state_request = Message(PeerMessageKind::kStateRequest);
   state_request.update.feed = FeedName::kTargets;
--- a/relay/testing/state_feed_test.cc
+++ b/relay/testing/state_feed_test.cc
@@ -3,6 +3,7 @@
 
 #include "relay/state_feed.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <deque>
 
@@ -45,12 +46,6 @@
     out.update.changes = fleet.store.Changes(since, revision);
     return out;
   }
-  static PeerMessage Heartbeat(const FeedNode& node) {
-    PeerMessage out;
-    out.from = node.self;
-    out.marks[FeedName::kTargets] = *node.feed.Mark();
-    return out;
-  }
   // Lets time pass without any heartbeat.
   void PassTimeSilently(Duration time) {
     fleet.clock.now += time;
@@ -88,48 +83,6 @@
   BOOST_TEST((late.items == fleet.store.ItemsAt(fleet.store.revision())));
 }
 
-// Each answer to a reader is reported to the other feeds of its process.
-BOOST_AUTO_TEST_CASE(AnAnswerOfTheStoreIsToldToOtherFeeds) {
-  FeedFleet fleet;
-  FeedNode& it = fleet.Add("vm", true);
-  fleet.store.Put("t/1", "one");
-  fleet.StartAll();
-  const int before = it.answers;
-  BOOST_TEST(before > 0);
-  fleet.store.Put("t/2", "two");
-  fleet.Propagate();
-  BOOST_TEST(it.answers == before + 1);
-}
-
-// A reader on a process without other calls to the store keeps its waits as
-// short as required: its own answers say nothing of how often other calls are
-// answered.
-BOOST_AUTO_TEST_CASE(TheOwnAnswersDontLengthenAReadersWaits) {
-  const SystemClock clock;
-  Loop loop;
-  ScriptedStore store;
-  std::vector<StateFeed*> feeds;
-  FeedLinks links;
-  links.is_reader = [](const Incarnation&) { return true; };
-  links.publish = [](const PeerMessage&) {};
-  links.store_answered = [&](const StateFeed& it) {
-    NotifyOtherFeeds(feeds, it);
-  };
-  StateFeed::Handlers on;
-  on.replaced = [](const std::vector<StoreItem>&) {};
-  on.changed = [](const StoreChange&) {};
-  on.settled = [] {};
-  on.reachable = [](bool) {};
-  StateFeed feed({loop, clock, store, TheFeedChart()},
-                 {FeedName::kTargets, {.prefix = "t/"}}, on, links);
-  feeds.push_back(&feed);
-  feed.Start();
-  feed.SetRole(true, 1);
-  BOOST_REQUIRE(store.AnswerRange("t/", {StoreEnd::kDone, 1, {}}));
-  BOOST_REQUIRE(store.AnswerWait("t/", {StoreEnd::kDone, false, 1, {}}));
-  BOOST_TEST((store.last_timeout.at("t/") <= milliseconds(500)));
-}
-
 BOOST_AUTO_TEST_CASE(WithoutReadersARouterFollowsTheStoreItself) {
   FeedFleet fleet;
   FeedNode& it = fleet.Add("vm", false);
@@ -241,16 +194,18 @@
 
 // The other reader may be dead, frozen or cut off from this router.
 BOOST_FIXTURE_TEST_CASE(OneReaderOfTwoIsEnough, Fixture) {
-  fleet.nodes[0]->is_reader = true;
-  for (int n = 0; n < 5; ++n) {
-    fleet.clock.now += milliseconds(900);
-    PeerMessage heartbeat;
-    heartbeat.from = b.self;
-    heartbeat.marks[FeedName::kTargets] = {2, {}};
-    follower.feed.OnPeer(heartbeat);
+  for (int n = 0; n < 15; ++n) {
+    fleet.clock.now += milliseconds(200);
     follower.feed.Check();
+    fleet.sent.remove_if([&](const auto& it) { return it.to == a.self; });
+    fleet.DeliverAll();
+    fleet.Turn();
+    fleet.sent.remove_if(
+        [&](const auto& it) { return it.message.from == a.self; });
+    fleet.DeliverAll();
     BOOST_TEST((follower.feed.state() == FeedState::kNotified));
   }
+  BOOST_TEST((follower.feed.Age() < StateFeed::kFreshFor));
 }
 
 // Guards against a router that takes itself for current by messages that were
@@ -310,38 +265,126 @@
   BOOST_TEST((far_follower.items == Now()));
 }
 
-// Holders call the store for the budgets; each answer shows that the store
-// would have reported a change.
-BOOST_FIXTURE_TEST_CASE(AnyAnswerShowsAReaderThatItIsCurrent, Fixture) {
+// Guards against a reader that takes an open wait, which may be lost, for a
+// sign that it is current: only the time at which an answered call was started
+// shows that.
+BOOST_AUTO_TEST_CASE(AnAnswerShowsAReaderCurrentAsOfItsCall) {
+  FeedFleet fleet;
+  FeedNode& reader = fleet.Add("reader", true);
+  fleet.store.Put("t/1", "one");
+  fleet.StartAll();
   fleet.clock.now += milliseconds(1200);
-  BOOST_TEST((a.feed.Mark()->age >= milliseconds(1200)));
-  a.feed.OnStoreAnswered();
-  BOOST_TEST((a.feed.Mark()->age == Duration::zero()));
+  BOOST_TEST((reader.feed.Age() >= milliseconds(1200)));
+  fleet.store.Put("t/2", "two");
+  fleet.Propagate();
+  BOOST_TEST((reader.items == fleet.store.ItemsAt(fleet.store.revision())));
+  BOOST_TEST((reader.feed.Age() >= milliseconds(1200)));
 }
 
-BOOST_FIXTURE_TEST_CASE(WithoutAWaitOtherAnswersShowNothing, Fixture) {
-  FeedNode& late = fleet.Add("late", true);
-  late.client.cut = true;
-  late.feed.Start();
-  fleet.SetRoles();
-  fleet.clock.now += milliseconds(1200);
-  late.feed.OnStoreAnswered();
-  BOOST_TEST((late.feed.Age() >= milliseconds(1200)));
-  BOOST_TEST(!late.feed.Mark().has_value());
+// A reader that is asked, and isn't current, asks the store before it answers;
+// one call serves all who ask meanwhile.
+BOOST_FIXTURE_TEST_CASE(AReaderThatIsAskedChecksWithTheStore, Fixture) {
+  FeedNode& second = fleet.Add("told too", false);
+  fleet.clock.now += milliseconds(1000);
+  const auto calls = a.client.calls();
+  for (FeedNode* it : {&follower, &second}) {
+    PeerMessage request;
+    request.kind = PeerMessageKind::kMarkRequest;
+    request.from = it->self;
+    request.update.feed = FeedName::kTargets;
+    request.asked_ms = AskedMs(fleet.clock.now);
+    a.feed.OnPeer(request);
+  }
+  fleet.Turn();
+  fleet.DeliverAll();
+  BOOST_TEST(a.client.calls() == calls + 1);
+  BOOST_TEST((follower.feed.Age() == Duration::zero()));
 }
 
-// Two readers that have both lost the store exchange heartbeats all the time.
-BOOST_FIXTURE_TEST_CASE(ReadersDontKeepEachOtherCurrent, Fixture) {
-  constexpr Duration kTransitTime = milliseconds(60);
-  a.client.cut = b.client.cut = true;
-  for (int n = 0; n < 60; ++n) {
-    const PeerMessage from_a = Heartbeat(a);
-    const PeerMessage from_b = Heartbeat(b);
-    fleet.clock.now += kTransitTime;
-    a.feed.OnPeer(from_b);
-    b.feed.OnPeer(from_a);
+// Of all readers the first one asks the store, so the calls don't grow with
+// their number.
+BOOST_FIXTURE_TEST_CASE(OneReaderAsksTheStoreForAll, Fixture) {
+  const auto calls = b.client.calls();
+  fleet.clock.now += milliseconds(1000);
+  PeerMessage request;
+  request.kind = PeerMessageKind::kMarkRequest;
+  request.from = follower.self;
+  request.update.feed = FeedName::kTargets;
+  request.asked_ms = AskedMs(fleet.clock.now);
+  b.feed.OnPeer(request);
+  for (int n = 0; n < 3; ++n) {
+    fleet.DeliverAll();
+    fleet.Turn();
+  }
+  BOOST_TEST((follower.feed.Age() == Duration::zero()));
+  BOOST_TEST(b.client.calls() == calls);
+}
+
+// The first reader may be frozen, or without the store.
+BOOST_FIXTURE_TEST_CASE(AReaderWhoseQuestionIsUnansweredAsksTheStore, Fixture) {
+  fleet.clock.now += milliseconds(1000);
+  PeerMessage request;
+  request.kind = PeerMessageKind::kMarkRequest;
+  request.from = follower.self;
+  request.update.feed = FeedName::kTargets;
+  request.asked_ms = AskedMs(fleet.clock.now);
+  b.feed.OnPeer(request);
+  fleet.sent.clear();
+  RunFor(fleet.loop, milliseconds(250));
+  fleet.DeliverAll();
+  BOOST_TEST((follower.feed.Age() == Duration::zero()));
+}
+
+// An answer counts from the time of its question, however late it comes, and
+// one without such a time shows nothing.
+BOOST_FIXTURE_TEST_CASE(AnAnswerCountsFromItsQuestion, Fixture) {
+  PeerMessage answer;
+  answer.kind = PeerMessageKind::kMark;
+  answer.from = a.self;
+  answer.update.feed = FeedName::kTargets;
+  answer.update.revision = 2;
+  answer.update.age = milliseconds(100);
+  answer.asked_ms = AskedMs(fleet.clock.now);
+  fleet.clock.now += milliseconds(3000);
+  follower.feed.OnPeer(answer);
+  BOOST_TEST((follower.feed.Age() >= milliseconds(3000)));
+  answer.asked_ms = 0;
+  follower.feed.OnPeer(answer);
+  answer.asked_ms = AskedMs(fleet.clock.now + milliseconds(1000));
+  follower.feed.OnPeer(answer);
+  BOOST_TEST((follower.feed.Age() >= milliseconds(3000)));
+}
+
+// Guards against a request that is repeated while its answer arrives: each copy
+// of a large answer delays all of them on the link of the router.
+BOOST_FIXTURE_TEST_CASE(AnAnswerThatIsArrivingIsNotRequestedAgain, Fixture) {
+  fleet.store.Put("t/1", std::string(20'000, 'x'));
+  a.client.AnswerWait();
+  b.client.AnswerWait();
+  fleet.Turn();
+  fleet.partial_bytes = 1000;
+  while (!fleet.sent.empty() &&
+         fleet.sent.front().message.kind == PeerMessageKind::kUpdate) {
+    const FeedFleet::Sent it = fleet.sent.front();
+    fleet.sent.pop_front();
+    fleet.Deliver(it);
   }
-  BOOST_TEST((a.feed.Mark()->age > milliseconds(3000)));
+  const auto requests = [&] {
+    return std::count_if(
+        fleet.sent.begin(), fleet.sent.end(), [&](const auto& it) {
+          return it.message.kind == PeerMessageKind::kStateRequest &&
+                 it.message.from == follower.self;
+        });
+  };
+  BOOST_TEST(requests() == 1);
+  for (int n = 0; n < 4; ++n) {
+    fleet.partial_bytes += 1000;
+    RunFor(fleet.loop, milliseconds(200));
+  }
+  BOOST_TEST(requests() == 1);
+  // Nothing more arrives, so another reader is asked.
+  RunFor(fleet.loop, kRequestRepeated);
+  BOOST_TEST(requests() == 2);
 }
 
 // A list is read in two pages: an item of the second is newer than a change to
