Refuse for a route or a key only by a configuration that is current

Callers got 404 for a route that had been in force for 3.4 s, from a router that hadn't received it. One that has known for 1.5 s that a peer has a later configuration in force refuses with 503, too, as another router can serve. Without such a peer it serves by what it has, as an outage of the store must not stop the fleet; a configuration that can't be read leaves 401 and 404 in doubt.

Known routes are served on throughout.

--- a/relay/final_answer.cc
+++ b/relay/final_answer.cc
@@ -55,6 +55,7 @@
     case RelayCause::kNoRoute:
       return 404;
     case RelayCause::kNoConfiguration:
+    case RelayCause::kConfigurationInDoubt:
     case RelayCause::kBudgetUnavailable:
     case RelayCause::kBudgetReserved:
     case RelayCause::kNoTarget:
@@ -98,6 +99,7 @@
     case RelayCause::kHallsClosed:
     case RelayCause::kOutsideResidency:
       return kRetryAfterOperatorChange;
+    case RelayCause::kConfigurationInDoubt:
     case RelayCause::kTargetsUnreachable:
     case RelayCause::kStopped:
       return kRetryAfterOtherRouter;
--- a/relay/final_answer.h
+++ b/relay/final_answer.h
@@ -33,6 +33,9 @@
   kServed,
   kTargetError,  // an error from the target, forwarded
   kNoConfiguration,
+  // The configuration may have been replaced, and a later one may decide
+  // otherwise.
+  kConfigurationInDoubt,
   kMalformed,
   kNoRoute,
   kUnknownKey,
@@ -60,6 +63,7 @@
       {{RelayCause::kServed, "served"},
        {RelayCause::kTargetError, "target_error"},
        {RelayCause::kNoConfiguration, "no_configuration"},
+       {RelayCause::kConfigurationInDoubt, "configuration_in_doubt"},
        {RelayCause::kMalformed, "malformed"},
        {RelayCause::kNoRoute, "no_route"},
        {RelayCause::kUnknownKey, "unknown_key"},
--- a/relay/relay_context.h
+++ b/relay/relay_context.h
@@ -25,6 +25,7 @@
 namespace quaytrack {
 
 class BudgetDriver;
+class ConfigFollower;
 class CrashWatch;
 class ReachDriver;
 class RolloutDriver;
@@ -44,6 +45,7 @@
   const TargetDialect& target_dialect;
   // Each request uses the parts below.
   RunningRequests& requests;
+  ConfigFollower& configs;
   std::minstd_rand& random;
   BudgetDriver& budgets;
   Placement& placement;
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -94,6 +94,7 @@
           .caller_dialect = interface.callers,
           .target_dialect = interface.targets,
           .requests = requests_,
+          .configs = configs_,
           .random = random_,
           .budgets = budgets_,
           .placement = placement_,
@@ -137,8 +138,8 @@
 void RelayRouter::ServeCallers() {
   caller_server_.Serve(
       [this](std::shared_ptr<CallerConnection> caller, CallerRequest request) {
-        std::make_shared<RelayedRequest>(context_, configs_.map(),
-                                         std::move(caller), std::move(request))
+        std::make_shared<RelayedRequest>(context_, std::move(caller),
+                                         std::move(request))
             ->Start();
       });
   admin_server_.Serve(
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -5,14 +5,23 @@
 #include <utility>
 
 #include "relay/budget_driver.h"
+#include "relay/config_follower.h"
 #include "relay/reach_driver.h"
 
 namespace quaytrack {
-RelayedRequest::RelayedRequest(const RelayContext& context, ServiceMapPtr map,
+namespace {
+
+// Age of the router's knowledge up to which a refusal for the route or the key
+// is sent without a question. A configuration has to be in force 2 s after it
+// was accepted.
+constexpr Duration kTrustedAge = std::chrono::milliseconds(1500);
+
+}  // namespace
+
+RelayedRequest::RelayedRequest(const RelayContext& context,
                                std::shared_ptr<CallerConnection> caller,
                                CallerRequest request)
     : context_(context),
-      map_(std::move(map)),
       caller_(std::move(caller)),
       request_(std::move(request)),
       machine_(context.chart) {}
@@ -21,12 +30,46 @@
   const auto self = shared_from_this();
   context_.requests.Add(self);
   caller_->OnGone([self] { self->OnCallerGone(); });
-  std::uniform_real_distribution<double> draw(0, 1);
-  const auto refused =
-      Admit({map_.get(), context_.caller_dialect, request_,
-             draw(context_.random), context_.stop.LatestDeadline()},
-            admission_);
+  const auto refused = AdmitByCurrentMap();
+  if (refused && !MayTrust(*refused)) {
+    return context_.configs.AwaitCurrent(
+        request_.begun - kTrustedAge,
+        [self](bool is_current) { self->OnConfigAsked(is_current); });
+  }
   if (refused) return GiveUp(Ran::kNo, *refused);
+  if (context_.configs.IsOutdated())
+    return GiveUp(Ran::kNo, RelayCause::kConfigurationInDoubt);
+  Begin();
+}
+
+std::optional<RelayCause> RelayedRequest::AdmitByCurrentMap() {
+  std::uniform_real_distribution<double> draw(0, 1);
+  map_ = context_.configs.map();
+  admission_ = {};
+  return Admit({map_.get(), context_.caller_dialect, request_,
+                draw(context_.random), context_.stop.LatestDeadline()},
+               admission_);
+}
+
+// Whether the refusal holds by every configuration that may be in force.
+bool RelayedRequest::MayTrust(RelayCause refused) const {
+  if (refused != RelayCause::kNoRoute && refused != RelayCause::kUnknownKey)
+    return true;
+  return context_.configs.IsCurrentAt(request_.begun - kTrustedAge);
+}
+
+// Called when the store or a peer has shown the present configuration, or none
+// has answered.
+void RelayedRequest::OnConfigAsked(bool is_current) {
+  const auto self = shared_from_this();
+  if (machine_.state() == RelayState::kEnded) return;
+  const auto refused = AdmitByCurrentMap();
+  if (!refused) return Begin();
+  const bool holds = is_current || MayTrust(*refused);
+  GiveUp(Ran::kNo, holds ? *refused : RelayCause::kConfigurationInDoubt);
+}
+
+void RelayedRequest::Begin() {
   deadline_timer_ = context_.loop.After(std::max(Left(), Duration::zero()),
                                         [this] { OnDeadline(); });
   if (IsBlamed()) return RefuseBlamed();
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -24,6 +24,10 @@
 // must outlive it.
 //
 // Guarantees, and where they are implemented:
+//   - A request is refused for its route or its key only by a configuration
+//   that
+//     is known to be current (`OnConfigAsked`), and isn't served by one that is
+//     known to be replaced (`Start`).
 //   - A request that may have run is never reported as not run (the chart). One
 //     that must not be repeated is sent again only if it certainly has not run
 //     (`MaySendAgain`).
@@ -63,8 +67,7 @@
 class RelayedRequest : public HoldWaiter,
                        public std::enable_shared_from_this<RelayedRequest> {
  public:
-  // `map` is the current configuration; null before the router has read one.
-  RelayedRequest(const RelayContext& context, ServiceMapPtr map,
+  RelayedRequest(const RelayContext& context,
                  std::shared_ptr<CallerConnection> caller,
                  CallerRequest request);
 
@@ -95,6 +98,10 @@
   void Apply(RelayEvent event);
   void Do(RelayAction action);
 
+  std::optional<RelayCause> AdmitByCurrentMap();
+  bool MayTrust(RelayCause refused) const;
+  void OnConfigAsked(bool is_current);
+  void Begin();
   void Hold();
   void Choose();
   RelayCause CauseOfNoChoice() const;
@@ -154,7 +161,9 @@
   Duration Left() const { return admission_.deadline - context_.clock.Now(); }
 
   const RelayContext& context_;
-  const ServiceMapPtr map_;
+  // The configuration by which the request was admitted or refused; null if the
+  // router hadn't read one.
+  ServiceMapPtr map_;
   const std::shared_ptr<CallerConnection> caller_;
   const CallerRequest request_;
   ChartMachine<RelayState, RelayEvent, RelayAction> machine_;
