Keep the bound on retries over all routers and processes

Each router kept to 0.8 of its share, but a process that had just started had a whole share again, also of what the process before it had used; until it had read the list of routers it took itself for the only one, with the whole slack; retries counted when they were decided, not when they arrive; and routers that take over each other's callers counted requests of different times.

--- a/relay/relay_options.h
+++ b/relay/relay_options.h
@@ -25,8 +25,10 @@
 
 namespace quaytrack {
 
-inline RetryShareOptions RetryOptionsFrom(const RelaySettings& settings) {
+inline RetryShareOptions RetryOptionsFrom(const RelaySettings& settings,
+                                          Instant started_at) {
   RetryShareOptions out;
+  out.started_at = started_at;
   out.ratio = settings.retry_ratio;
   out.slack = settings.retry_slack;
   out.window = settings.retry_window;
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -86,7 +86,7 @@
       rollouts_({clock, store, charts.rollout}, interface.state,
                 RolloutOptionsFrom(settings), RolloutHandlers()),
       peers_(loop, clock, self_, PeerHandlers(), PeerMesh::DrawFirstCheck()),
-      retries_(RetryOptionsFrom(settings)),
+      retries_(RetryOptionsFrom(settings, clock.Now())),
       context_{
           .loop = loop,
           .clock = clock,
@@ -451,7 +451,7 @@
 
 void RelayRouter::OnFleetChanged() {
   const FleetDirectory& directory = fleet_.directory();
-  retries_.SetRouters(directory.size());
+  retries_.SetRouters(directory.IsRead() ? directory.size() : 0);
   peers_.KeepLinksTo(directory.MembersToLink());
   SetFeedRoles();
   if (!fleet_.settled()) return;
--- a/relay/retry.h
+++ b/relay/retry.h
@@ -81,7 +81,8 @@
  public:
   explicit RetryShares(const RetryShareOptions& options) : options_(options) {}
 
-  // Sets the number of routers that share the retries of a service.
+  // Sets the number of routers that share the retries of a service; 0 while
+  // this is unknown.
   void SetRouters(std::size_t routers) { routers_ = routers; }
 
   // Called when a request for the service was admitted.
@@ -97,7 +98,7 @@
   RetryShare& ShareOf(const ServiceName& service);
 
   RetryShareOptions options_;
-  std::size_t routers_ = 1;
+  std::size_t routers_ = 0;
   // Each entry is created on first use.
   std::map<ServiceName, RetryShare> shares_;
 };
