Let a stream go on only at the version that began it

No part compared versions, and a router that a caller came back to couldn't know the first one.

The version is part of the request now, as its regions are, so that one predicate decides for first sends, retries and the last look before bytes are written. It is set by the first event that is passed on; before that event goes out, the router tells its witnesses, who remember it until the caller's deadline. A router at which a caller takes a stream up asks them, and holders of other halls ask each other. If nobody knows, or no target of that version is left, the stream is refused at once as not run. A target whose connections have just broken, and that may be another version under its name, gets no rest of a stream.

--- a/base/events.h
+++ b/base/events.h
@@ -113,6 +113,7 @@
   kBudgetScarce = 1419,
   kBudgetEased = 1420,
   kBudgetReserved = 1421,
+  kStreamTakenUp = 1422,
 };
 
 struct EventInfo {
@@ -204,6 +205,7 @@
     {Event::kBudgetScarce, LogLevel::kWarn, "budget_scarce"},
     {Event::kBudgetEased, LogLevel::kInfo, "budget_eased"},
     {Event::kBudgetReserved, LogLevel::kInfo, "budget_reserved"},
+    {Event::kStreamTakenUp, LogLevel::kInfo, "stream_taken_up"},
 });
 
 }  // namespace quaytrack
--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -436,6 +436,7 @@
   if (!gate.MayTake(turn, state.entry.version)) return false;
   const bool is_partial = turn == VersionTurn::kNext && gate.rule().share < 1;
   if (is_partial && !state.serves_share) return false;
+  if (request.version && MayHaveRestarted(now, state)) return false;
   return !only_ready_versions || IsVersionReady(now, state, gate);
 }
 
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -19,7 +19,8 @@
 // limit (dispatch/rate_limits.h), unless this router may send there
 // (dispatch/shared_rate.h); then the target competes like any other. While
 // operators move a service to another version, a request goes to targets of the
-// version whose turn it is (dispatch/version_gate.h). If targets of other
+// version whose turn it is (dispatch/version_gate.h). The rest of a stream goes
+// to the version that began it, whosever turn it is. If targets of other
 // versions can serve, a version that is listed for the first time beside others
 // gets no requests until an order of the operators about the version would be
 // known. A target whose limit was last confirmed a while ago comes first if
@@ -129,6 +130,8 @@
   Duration pause_limit{};
   // Where the request may be processed.
   Residency residency;
+  // The only version that the request may go to; unset if any may serve it.
+  std::optional<VersionName> version;
   // Targets that the request was sent to and that must not be chosen again.
   std::set<TargetName> tried;
 
@@ -160,6 +163,9 @@
 
 class Placement {
  public:
+  // A stream's caller comes back within this time of its first event.
+  static constexpr Duration kMaxStreamAge = std::chrono::seconds(60);
+
   // `hall` is the hall of this router.
   explicit Placement(HallName hall, PlacementRates rates = {},
                      HallRegions regions = {})
@@ -189,6 +195,12 @@
                       double offset);
   // Whether some target of the version may get work.
   bool HasVersion(const ServiceName& service, const VersionName& version) const;
+  // The only version of the service that this router has ever seen listed, if
+  // it has followed the list for `min_time`; std::nullopt otherwise. After
+  // `kMaxStreamAge`, each stream that a caller can take up began there.
+  std::optional<VersionName> OnlyVersion(Instant now,
+                                         const ServiceName& service,
+                                         Duration min_time) const;
   // Number of this router's requests that run at other versions of the service.
   std::size_t RunningAtOtherVersions(const ServiceName& service,
                                      const VersionName& version) const;
@@ -364,7 +376,13 @@
   // and halls.
   static bool IsEligible(const State& state, const PlacementRequest& request) {
     return state.entry.service == request.service && AcceptsWork(state) &&
-           request.residency.Allows(state.region);
+           request.residency.Allows(state.region) &&
+           (!request.version || state.entry.version == *request.version);
+  }
+  // Whether the target may be another one by now than its entry says.
+  static bool MayHaveRestarted(Instant now, const State& state) {
+    return state.entry.started_at != WallTime{} &&
+           state.warmth.MayHaveRestarted(now);
   }
   // Returns null if this start of the target is not listed.
   const State* Find(const TargetEntry& target) const;
--- a/dispatch/placement_versions.cc
+++ b/dispatch/placement_versions.cc
@@ -44,6 +44,17 @@
   });
 }
 
+std::optional<VersionName> Placement::OnlyVersion(Instant now,
+                                                  const ServiceName& service,
+                                                  Duration min_time) const {
+  const auto it = versions_.find(service);
+  if (it == versions_.end()) return std::nullopt;
+  const ServiceVersions& known = it->second;
+  if (known.since.size() != 1) return std::nullopt;
+  if (now - known.first_listed_at < min_time) return std::nullopt;
+  return known.since.begin()->first;
+}
+
 std::size_t Placement::RunningAtOtherVersions(
     const ServiceName& service, const VersionName& version) const {
   std::size_t out = 0;
@@ -87,6 +98,7 @@
 // version is retried at the others.
 VersionTurn Placement::TurnOf(const PlacementRequest& request,
                               const VersionGate& gate) const {
+  if (request.version) return VersionTurn::kAny;
   const VersionTurn turn = gate.Turn();
   if (turn != VersionTurn::kNext) return turn;
   for (const TargetName& it : request.tried) {
--- a/dispatch/target_warmth.h
+++ b/dispatch/target_warmth.h
@@ -28,7 +28,7 @@
 // has to end by itself, because a target that gets no requests cannot show that
 // it is alive.
 //
-// Owns three times; does not read the clock; cannot fail.
+// Owns four times; does not read the clock; cannot fail.
 
 #ifndef QUAYTRACK_DISPATCH_TARGET_WARMTH_H_
 #define QUAYTRACK_DISPATCH_TARGET_WARMTH_H_
@@ -88,10 +88,11 @@
     if (!IsCold(now)) reason_ = ColdSign::kLost;
     lost_at_ = now;
     uncertain_until_ = now + kUncertainTime;
+    restart_until_ = uncertain_until_;
   }
 
   // Forgets that the target may have ended.
-  void ForgetLost() { uncertain_until_ = {}; }
+  void ForgetLost() { uncertain_until_ = restart_until_ = {}; }
 
   // Notes that the target answered a request that was sent at `sent_at`.
   void OnAlive(Instant now, Instant sent_at, Duration cold_start) {
@@ -100,9 +101,13 @@
       uncertain_until_ = {};
       return OnCold(now, cold_start, ColdSign::kLost);
     }
-    if (now - lost_at_ > kInFlightGrace) uncertain_until_ = {};
+    if (now - lost_at_ > kInFlightGrace) ForgetLost();
   }
 
+  // Whether the target may have started again since its entry was written. An
+  // answer to a later request doesn't show that it hasn't.
+  bool MayHaveRestarted(Instant now) const { return now < restart_until_; }
+
   bool IsCold(Instant now) const {
     return now < cold_until_ || now < uncertain_until_;
   }
@@ -113,6 +118,7 @@
   Instant cold_until_{};
   Instant lost_at_{};
   Instant uncertain_until_{};
+  Instant restart_until_{};
   ColdSign reason_ = ColdSign::kEntry;
 };
 
--- a/dispatch/testing/placement_version_test.cc
+++ b/dispatch/testing/placement_version_test.cc
@@ -177,5 +177,74 @@
   BOOST_TEST(!it.HasVersion(kDesk, kNew));
 }
 
+// Guards against the rest of a stream at another version than the one that
+// began it, whatever else speaks for that one.
+BOOST_FIXTURE_TEST_CASE(TheRestOfAStreamStaysAtItsVersion, Fixture) {
+  StartNew(kStart);
+  const Instant later = kStart + seconds(5);
+  for (const double share : {0.0, 0.1, 0.9}) {
+    if (share > 0) SetRule(share);
+    for (const VersionName& version : {kOld, kNew}) {
+      PlacementRequest request = Prompt(3, 1003);
+      request.version = version;
+      for (int n = 0; n < 12; ++n) {
+        const auto choice = it.Choose(later, request);
+        BOOST_REQUIRE(choice.has_value());
+        BOOST_TEST((choice->target.version == version));
+        request.tried.insert(choice->target.name);
+      }
+      // No target of that version is left.
+      BOOST_TEST(!it.Choose(later, request));
+    }
+  }
+}
+
+// Guards against bytes for a target that has become another version while the
+// connection was opened.
+BOOST_FIXTURE_TEST_CASE(TheLastLookComparesTheVersion, Fixture) {
+  PlacementRequest request = Prompt(3, 1003);
+  request.version = kOld;
+  const auto choice = it.Choose(kStart, request);
+  BOOST_REQUIRE(choice.has_value());
+  BOOST_TEST(it.MayStillSend(kStart, *choice, request));
+  targets[choice->target.name].version = kNew;
+  it.SetTargets(kStart, targets);
+  BOOST_TEST(!it.MayStillSend(kStart, *choice, request));
+}
+
+// Guards against a target that has started again under its name, as another
+// version, before its entry shows it.
+BOOST_FIXTURE_TEST_CASE(ATargetThatMayHaveRestartedGetsNoRestOfAStream,
+                        Fixture) {
+  for (auto& [name, entry] : targets) {
+    entry.started_at = WallTime(seconds(100));
+    entry.address = name.value;
+  }
+  it.SetTargets(kStart, targets);
+  PlacementRequest request = Prompt(3, 1003);
+  request.version = kOld;
+  std::set<TargetName> lost;
+  for (int n = 0; n < 12; ++n) {
+    const auto choice = it.Choose(kStart, request);
+    BOOST_REQUIRE(choice.has_value());
+    BOOST_TEST(lost.insert(choice->target.name).second);
+    it.OnConnectionsLost(kStart, choice->target.address);
+  }
+  BOOST_TEST(!it.Choose(kStart, request));
+  BOOST_TEST(it.Choose(kStart + kMaxEntryDelay, request).has_value());
+  request.version.reset();
+  BOOST_TEST(it.Choose(kStart, request).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(TheOnlyVersionIsKnownAfterAStreamsTime, Fixture) {
+  const Duration age = Placement::kMaxStreamAge;
+  BOOST_TEST((it.OnlyVersion(kStart, kEngines, {}) == kOld));
+  BOOST_TEST(!it.OnlyVersion(kStart, kEngines, age));
+  BOOST_TEST((it.OnlyVersion(kStart + age, kEngines, age) == kOld));
+  StartNew(kStart + age);
+  BOOST_TEST(!it.OnlyVersion(kStart + 2 * age, kEngines, age));
+  BOOST_TEST(!it.OnlyVersion(kStart + 2 * age, kEngines, {}));
+}
+
 }  // namespace
 }  // namespace quaytrack
--- a/fleet/fleet.cc
+++ b/fleet/fleet.cc
@@ -120,6 +120,15 @@
   return HoldersInOrderOf(customer.value);
 }
 
+std::vector<VmName> FleetDirectory::LinkableHolders() const {
+  return NamesOf(OtherHolders());
+}
+
+HallName FleetDirectory::HallOf(const VmName& vm) const {
+  const auto it = members_.find(vm);
+  return it == members_.end() ? HallName() : it->second.hall;
+}
+
 std::vector<VmName> FleetDirectory::ReadersToAsk() const {
   std::vector<VmName> out = HoldersInOrderOf(self_.value);
   std::erase_if(out, [&](const VmName& it) { return !IsReader(it); });
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -139,6 +139,10 @@
   // Whether the router reads the store for other routers.
   bool IsReader(const VmName& vm) const { return readers_.contains(vm); }
   std::size_t readers() const { return readers_.size(); }
+  // All holders but this router.
+  std::vector<VmName> LinkableHolders() const;
+  // The hall of a router on the list; empty if it isn't.
+  HallName HallOf(const VmName& vm) const;
   // Readers in the order in which this router asks them: those of its hall come
   // first. The order differs between the routers of a hall.
   std::vector<VmName> ReadersToAsk() const;
--- a/relay/budget_driver.cc
+++ b/relay/budget_driver.cc
@@ -330,6 +330,9 @@
     case PeerMessageKind::kState:
     case PeerMessageKind::kMarkRequest:
     case PeerMessageKind::kMark:
+    case PeerMessageKind::kStreamBegan:
+    case PeerMessageKind::kVersionRequest:
+    case PeerMessageKind::kVersion:
     case PeerMessageKind::kCrashes:
     case PeerMessageKind::kRateLimits:
       return;
--- a/relay/dialect.h
+++ b/relay/dialect.h
@@ -46,6 +46,10 @@
   // don't use a model.
   Tokens prompt_tokens = 0;
   Tokens max_output_tokens = 0;
+  // Whether the caller takes a stream up after an event that it has received,
+  // and the id of the try that brought its first event; empty if not stated.
+  bool takes_up = false;
+  RequestId first_try;
   // The prompt's parts in order, which select a target with a matching prefix
   // cache; may be empty.
   std::vector<PromptPart> parts;
--- a/relay/final_answer.cc
+++ b/relay/final_answer.cc
@@ -63,6 +63,8 @@
     case RelayCause::kTargetsLimited:
     case RelayCause::kHallsClosed:
     case RelayCause::kOutsideResidency:
+    case RelayCause::kVersionUnknown:
+    case RelayCause::kVersionGone:
     case RelayCause::kTargetsUnreachable:
     case RelayCause::kTurnedAway:
     case RelayCause::kCrashesTargets:
@@ -89,6 +91,8 @@
     case RelayCause::kTargetsLimited:
     case RelayCause::kTurnedAway:
     case RelayCause::kTimedOut:
+    case RelayCause::kVersionUnknown:
+    case RelayCause::kVersionGone:
       return kRetryAfterTargetChange;
     case RelayCause::kNoConfiguration:
       return kRetryAfterConfiguration;
--- a/relay/final_answer.h
+++ b/relay/final_answer.h
@@ -47,6 +47,8 @@
   kTargetsLimited,      // at the rate limits that they announced
   kHallsClosed,         // operators closed the halls of all targets
   kOutsideResidency,    // no target in an allowed region
+  kVersionUnknown,      // of a stream that its caller takes up
+  kVersionGone,         // no target of the version that began the stream
   kTargetsUnreachable,  // by this router, and no peer carries the request
   kTurnedAway,          // no attempt has run; no retry is allowed
   kTargetFailed,        // the request may have run
@@ -75,6 +77,8 @@
        {RelayCause::kTargetsLimited, "targets_limited"},
        {RelayCause::kHallsClosed, "halls_closed"},
        {RelayCause::kOutsideResidency, "outside_residency"},
+       {RelayCause::kVersionUnknown, "version_unknown"},
+       {RelayCause::kVersionGone, "version_gone"},
        {RelayCause::kTargetsUnreachable, "targets_unreachable"},
        {RelayCause::kTurnedAway, "turned_away"},
        {RelayCause::kTargetFailed, "target_failed"},
--- a/relay/peer_messages.cc
+++ b/relay/peer_messages.cc
@@ -22,6 +22,8 @@
 constexpr std::size_t kMaxValueBytes = 4 * 1024 * 1024;
 // Longer ages are clamped to this, which bounds how far a time is set back.
 constexpr std::int64_t kMaxAgeMs = 3'600'000;
+// Upper bound on how long a peer may have a stream's version kept.
+constexpr std::int64_t kMaxKeepMs = 120'000;
 // Upper bound of a Retry-After from a holder, in milliseconds.
 constexpr std::int64_t kMaxRetryAfterMs = 10'000;
 
@@ -363,6 +365,11 @@
     if (!update) return std::nullopt;
     out.update = std::move(*update);
   }
+  out.version = VersionName(json.value("version", ""));
+  out.is_known = json.value("known", false);
+  out.for_other = json.value("for_other", false);
+  out.keep_for = std::chrono::milliseconds(std::clamp<std::int64_t>(
+      json.value("keep_ms", std::int64_t{0}), 0, kMaxKeepMs));
   out.asked_ms = json.value("asked", std::int64_t{0});
   out.target = TargetName(json.value("target", ""));
   out.item_key = json.value("key", "");
@@ -440,6 +447,12 @@
   }
   if (CarriesUpdate(message.kind)) json["news"] = UpdateToJson(message.update);
   if (message.asked_ms != 0) json["asked"] = message.asked_ms;
+  if (!message.version.empty()) json["version"] = message.version.value;
+  if (message.is_known) json["known"] = true;
+  if (message.for_other) json["for_other"] = true;
+  if (message.keep_for > Duration::zero()) {
+    json["keep_ms"] = AgeToJson(message.keep_for);
+  }
   if (message.kind == PeerMessageKind::kPromptSent) {
     json["target"] = message.target.value;
   }
--- a/relay/peer_messages.h
+++ b/relay/peer_messages.h
@@ -54,6 +54,9 @@
   kState,            // a page of the answer
   kMarkRequest,      // asks how current the receiver is on a feed
   kMark,             // the answer: `update` without changes
+  kStreamBegan,      // at which version a stream began
+  kVersionRequest,   // asks at which version a stream began
+  kVersion,          // the answer
   kCrashes,          // crashes of targets that the sender observed
   kRateLimits,       // rate limits that targets have announced
 };
@@ -77,6 +80,9 @@
        {PeerMessageKind::kState, "state"},
        {PeerMessageKind::kMarkRequest, "mark_wanted"},
        {PeerMessageKind::kMark, "mark"},
+       {PeerMessageKind::kStreamBegan, "stream_began"},
+       {PeerMessageKind::kVersionRequest, "version_wanted"},
+       {PeerMessageKind::kVersion, "version"},
        {PeerMessageKind::kCrashes, "crashes"},
        {PeerMessageKind::kRateLimits, "rate_limits"}});
 };
@@ -110,7 +116,8 @@
   // kTransferRequest: the peer may transfer all its unused grant; otherwise it
   // keeps half.
   bool all = false;
-  // kHoldRequest, kHoldAnswer, kSettle, kSettled.
+  // kHoldRequest, kHoldAnswer, kSettle, kSettled, kStreamBegan,
+  // kVersionRequest, kVersion.
   RequestId request;
   HoldAnswer answer = HoldAnswer::kNotHolder;
   // kHoldRequest: the urgency of the request; 0 is the most urgent.
@@ -164,6 +171,14 @@
   // the sender's steady clock. kState, kMark: that time, unchanged. 0 if
   // unknown.
   std::int64_t asked_ms = 0;
+  // kStreamBegan, kVersion: the software version of the stream's targets.
+  VersionName version;
+  // kVersion: whether the sender knows `version`.
+  bool is_known = false;
+  // kVersionRequest: the sender asks on behalf of another router.
+  bool for_other = false;
+  // kStreamBegan: how long the stream's caller may come back.
+  Duration keep_for{};
   // kPromptSent: the engine that the prompt was sent to.
   TargetName target;
   // kConfig, kCrashes: key and value of the store's item; for kCrashes the
--- a/relay/relay_context.h
+++ b/relay/relay_context.h
@@ -29,6 +29,7 @@
 class CrashWatch;
 class ReachDriver;
 class RolloutDriver;
+class VersionLookup;
 
 // A prompt that was sent to an engine, as announced to peers.
 struct SentPrompt {
@@ -54,6 +55,7 @@
   RetryShares& retries;
   CrashWatch& crashes;
   RolloutDriver& rollouts;
+  VersionLookup& versions;
   RelayMetrics& metrics;
   const PlannedStop& stop;
   std::function<void(const SentPrompt& sent)> announce_prompt;
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -85,6 +85,7 @@
                CrashHandlers()),
       rollouts_({clock, store, charts.rollout}, interface.state,
                 RolloutOptionsFrom(settings), RolloutHandlers()),
+      versions_(loop, clock, VersionHandlers()),
       peers_(loop, clock, self_, PeerHandlers(), PeerMesh::DrawFirstCheck()),
       retries_(RetryOptionsFrom(settings, clock.Now())),
       context_{
@@ -103,6 +104,7 @@
           .retries = retries_,
           .crashes = crashes_,
           .rollouts = rollouts_,
+          .versions = versions_,
           .metrics = metrics_,
           .stop = stop_,
           .announce_prompt =
@@ -383,6 +385,38 @@
   return out;
 }
 
+VersionLookup::Handlers RelayRouter::VersionHandlers() {
+  VersionLookup::Handlers out;
+  out.send = [this](const Incarnation& peer, PeerMessage it) {
+    SendTo(peer, std::move(it));
+  };
+  out.witnesses = [this] { return LinkedHolders(HolderSet::kOwnHall); };
+  out.to_ask = [this] { return LinkedHolders(HolderSet::kAll); };
+  out.to_ask_for_others = [this] {
+    return LinkedHolders(HolderSet::kOtherHalls);
+  };
+  return out;
+}
+
+// In a small fleet, where all routers are holders and halls don't matter, each
+// set but that of other halls has all linked peers.
+std::vector<Incarnation> RelayRouter::LinkedHolders(HolderSet set) const {
+  const FleetDirectory& directory = fleet_.directory();
+  if (directory.IsSmall()) {
+    if (set == HolderSet::kOtherHalls) return {};
+    return peers_.Linked();
+  }
+  std::vector<Incarnation> out;
+  for (const VmName& it : directory.LinkableHolders()) {
+    const bool own_hall = directory.HallOf(it) == directory.self().hall;
+    if (set == HolderSet::kOwnHall && !own_hall) continue;
+    if (set == HolderSet::kOtherHalls && own_hall) continue;
+    Incarnation peer = peers_.LinkedOn(it);
+    if (!peer.empty()) out.push_back(std::move(peer));
+  }
+  return out;
+}
+
 std::array<StateFeed*, 3> RelayRouter::Feeds() {
   return {&configs_.feed(), &targets_.feed(), &crashes_.feed()};
 }
--- a/relay/relay_router.h
+++ b/relay/relay_router.h
@@ -16,6 +16,7 @@
 //   the list of targets    relay/target_follower.h
 //   what crashes targets   relay/crash_watch.h, dispatch/crash_blame.h
 //   a service's versions   relay/rollout_driver.h, rollout/rollout.h
+//   a stream's version     relay/version_lookup.h, relay/stream_versions.h
 //   the list of routers    relay/fleet_driver.h, fleet/fleet.h
 //   links to other routers relay/peer_mesh.h
 //   the way to the targets relay/reach_driver.h, dispatch/target_reach.h
@@ -64,6 +65,7 @@
 #include "relay/rollout_driver.h"
 #include "relay/running_requests.h"
 #include "relay/target_follower.h"
+#include "relay/version_lookup.h"
 
 namespace quaytrack {
 
@@ -97,6 +99,10 @@
   CrashWatch::Handlers CrashHandlers();
   RolloutDriver::Handlers RolloutHandlers();
   RolloutContext SceneOfRollouts() const;
+  VersionLookup::Handlers VersionHandlers();
+  // Holders of budgets, by their halls.
+  enum class HolderSet { kAll, kOwnHall, kOtherHalls };
+  std::vector<Incarnation> LinkedHolders(HolderSet set) const;
   ReachDriver::Handlers ReachHandlers();
   TunnelStatus MayCarry(const std::string& address) const;
   void UpdateReachableTargets();
@@ -148,6 +154,7 @@
   TargetFollower targets_;
   CrashWatch crashes_;
   RolloutDriver rollouts_;
+  VersionLookup versions_;
   PeerMesh peers_;
   RetryShares retries_;
   RunningRequests requests_;
--- a/relay/relay_router_messages.cc
+++ b/relay/relay_router_messages.cc
@@ -18,6 +18,7 @@
     fleet_.OnHello({VmOf(message.from), message.hall, message.address,
                     message.size_class});
   }
+  versions_.OnPeer(message);
   if (message.kind == PeerMessageKind::kPromptSent) {
     return placement_.OnPeerSent(clock_.Now(), message.target, message.amount);
   }
@@ -170,6 +171,7 @@
                     static_cast<double>(tunnels_.opened()));
   metrics_.SetGauge("rollouts_running",
                     static_cast<double>(rollouts_.running()));
+  metrics_.SetGauge("stream_versions", static_cast<double>(versions_.size()));
   metrics_.SetGauge("scarce_budgets",
                     static_cast<double>(budgets_.CountScarce()));
   metrics_.SetGauge("store_era", static_cast<double>(store_.era()));
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -7,6 +7,7 @@
 #include "relay/budget_driver.h"
 #include "relay/config_follower.h"
 #include "relay/reach_driver.h"
+#include "relay/version_lookup.h"
 
 namespace quaytrack {
 namespace {
@@ -74,6 +75,40 @@
                                         [this] { OnDeadline(); });
   if (IsBlamed()) return RefuseBlamed();
   context_.retries.OnRequest(context_.clock.Now(), admission_.service->name);
+  const bool takes_up = admission_.route->kind == RouteKind::kStreaming &&
+                        admission_.facts.takes_up;
+  takes_up ? FindVersion() : Hold();
+}
+
+void RelayedRequest::FindVersion() {
+  const RequestId& first_try = admission_.facts.first_try;
+  const auto found =
+      [self = shared_from_this()](const std::optional<VersionName>& version) {
+        self->OnVersionFound(version);
+      };
+  if (first_try.empty()) {
+    return context_.loop.Post([found] { found(std::nullopt); });
+  }
+  context_.versions.Find(first_try, found);
+}
+
+void RelayedRequest::OnVersionFound(std::optional<VersionName> version) {
+  const auto self = shared_from_this();
+  if (machine_.state() == RelayState::kEnded) return;
+  if (!version) {
+    // A caller that names no first try knows nothing of versions, so it comes
+    // from a deployment that has had one.
+    const Duration min_time = admission_.facts.first_try.empty()
+                                  ? Duration::zero()
+                                  : Placement::kMaxStreamAge;
+    version = context_.placement.OnlyVersion(
+        context_.clock.Now(), admission_.service->name, min_time);
+  }
+  LogStreamTakenUp(admission_, version);
+  if (!version) return GiveUp(Ran::kNo, RelayCause::kVersionUnknown);
+  if (!context_.placement.HasVersion(admission_.service->name, *version))
+    return GiveUp(Ran::kNo, RelayCause::kVersionGone);
+  admission_.placement.version = std::move(version);
   Hold();
 }
 
@@ -189,6 +224,9 @@
   if (progress_.sends > 0) return RelayCause::kTurnedAway;
   const Placement& placement = context_.placement;
   const PlacementRequest& request = admission_.placement;
+  if (request.version &&
+      !placement.HasVersion(request.service, *request.version))
+    return RelayCause::kVersionGone;
   const Instant now = context_.clock.Now();
   if (placement.HasCold(now, request)) return RelayCause::kTargetsCold;
   if (placement.HasLimited(now, request)) return RelayCause::kTargetsLimited;
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -35,6 +35,8 @@
 //     this request. An answer that is cut short never looks complete
 //     (`EvaluateAttempt`, `AbortStream`).
 //   - The final answer is sent at once when the request is given up (`GiveUp`).
+//   - A stream goes on only at the version that began it, in this answer
+//     (`BindToVersion`) and if its caller takes it up (`FindVersion`).
 //   - A hold on the budget is settled once (`End`).
 
 #ifndef QUAYTRACK_RELAY_RELAYED_REQUEST_H_
@@ -102,6 +104,9 @@
   bool MayTrust(RelayCause refused) const;
   void OnConfigAsked(bool is_current);
   void Begin();
+  void FindVersion();
+  void OnVersionFound(std::optional<VersionName> version);
+  void BindToVersion();
   void Hold();
   void Choose();
   RelayCause CauseOfNoChoice() const;
--- a/relay/relayed_request_attempts.cc
+++ b/relay/relayed_request_attempts.cc
@@ -7,6 +7,7 @@
 #include "relay/reach_driver.h"
 #include "relay/relayed_request.h"
 #include "relay/rollout_driver.h"
+#include "relay/version_lookup.h"
 
 namespace quaytrack {
 namespace {
@@ -189,6 +190,7 @@
   if (events.bytes.empty()) return;
   context_.reach.OnHeard(progress_.path, progress_.choice.target.name);
   const Instant now = context_.clock.Now();
+  if (progress_.events == 0) BindToVersion();
   if (machine_.state() != RelayState::kStreaming) {
     OnFirstEvent();
   } else {
@@ -210,6 +212,19 @@
   if (route.Repeatable()) SetAttemptTimer(NextEventTimeout(route));
 }
 
+// Called before the first event is passed on. From then on the stream belongs
+// to its target's version, also if this router ends and the caller comes back
+// elsewhere.
+void RelayedRequest::BindToVersion() {
+  const VersionName& version = progress_.choice.target.version;
+  admission_.placement.version = version;
+  if (!admission_.route->resumable) return;
+  const Duration waits =
+      admission_.facts.time_left.value_or(admission_.route->timeout);
+  const Duration longest = Placement::kMaxStreamAge;
+  context_.versions.Announce(id(), version, std::min(waits, longest));
+}
+
 void RelayedRequest::OnFirstEvent() {
   first_event_at_ = context_.clock.Now();
   const Duration waited = context_.clock.Now() - sent_at_;
--- a/relay/request_log.cc
+++ b/relay/request_log.cc
@@ -33,6 +33,15 @@
                                    {"left_s", std::to_string(left_s)}});
 }
 
+void LogStreamTakenUp(const Admission& admission,
+                      const std::optional<VersionName>& version) {
+  LogEvent(Event::kStreamTakenUp,
+           {{"request", admission.facts.id.value},
+            {"first", admission.facts.first_try.value},
+            {"known", version ? "yes" : "no"},
+            {"version", version.value_or(VersionName()).value}});
+}
+
 void LogSendHeldBack(const RequestId& id, const TargetEntry& target) {
   LogEvent(Event::kSendHeldBack, {{"request", id.value},
                                   {"target", target.name.value},
--- a/relay/request_log.h
+++ b/relay/request_log.h
@@ -83,6 +83,11 @@
 void LogBlamedRefused(const RequestId& id, const Fingerprint& fingerprint,
                       Duration left);
 
+// Logs a request whose caller takes a stream up, and the version that began it;
+// unset if nobody knows.
+void LogStreamTakenUp(const Admission& admission,
+                      const std::optional<VersionName>& version);
+
 // Logs a request that was not written to a target, as the target may no longer
 // receive work.
 void LogSendHeldBack(const RequestId& id, const TargetEntry& target);
