Let routers without a current reader check their own waits

In a large fleet a router that has lost its readers left the check of its wait to the first linked reader, which may be frozen; a lost wait was then noticed after 8.7 s. Only readers leave it to the first of them now. By reading; the rule for small fleets is held by LostWaitsDelayNoConfiguration.

--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -240,11 +240,13 @@
   return out;
 }
 
-// The first, in the order of names, of the linked peers that follow the store;
-// empty if this router comes before it.
+// The first, in the order of names, of the linked peers that follow the store
+// as this router does; empty if this router comes before it.
 Incarnation RelayRouter::CheckingPeer() const {
-  const auto peers =
-      fleet_.directory().IsSmall() ? peers_.Linked() : LinkedReaders();
+  const FleetDirectory& directory = fleet_.directory();
+  const bool small = directory.IsSmall();
+  if (!small && !directory.IsReader(directory.self().vm)) return {};
+  const auto peers = small ? peers_.Linked() : LinkedReaders();
   const auto it = std::min_element(peers.begin(), peers.end());
   return it == peers.end() || self_ < *it ? Incarnation() : *it;
 }
