Bind no stream to the version of a target that may have restarted

A target that has started again under its name may be another version before its entry shows it. It got no rest of a stream, but one that began there was noted at the old version, and the last look before bytes are written didn't ask. Such a stream isn't noted now and doesn't go on elsewhere, and the last look compares. A question that is open when the note arrives is answered by it.

ATargetThatMayHaveRestartedGetsNoRestOfAStream holds the first part (VersionOf was not there before).

--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -335,6 +335,7 @@
   const State* state = Find(choice.target);
   if (state == nullptr || !IsEligible(*state, request)) return false;
   if (!GateOf(request.service).Admits(state->entry.version)) return false;
+  if (request.version && MayHaveRestarted(now, *state)) return false;
   if (now < state->pause_until) return false;
   if (IsCold(now, *state) && !choice.is_cold) return false;
   return !state->limit_per_s || choice.is_limited;
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -195,6 +195,10 @@
                       double offset);
   // Whether some target of the version may get work.
   bool HasVersion(const ServiceName& service, const VersionName& version) const;
+  // The version of a target that a request was sent to; std::nullopt if it may
+  // have started again since its entry was written, perhaps as another version.
+  std::optional<VersionName> VersionOf(Instant now,
+                                       const TargetEntry& target) const;
   // The only version of the service that this router has ever seen listed, if
   // it has followed the list for `min_time`; std::nullopt otherwise. After
   // `kMaxStreamAge`, each stream that a caller can take up began there.
--- a/dispatch/placement_versions.cc
+++ b/dispatch/placement_versions.cc
@@ -44,6 +44,17 @@
   });
 }
 
+std::optional<VersionName> Placement::VersionOf(
+    Instant now, const TargetEntry& target) const {
+  const auto it = targets_.find(target.name);
+  if (it == targets_.end()) return target.version;
+  const State& state = it->second;
+  const bool is_same = state.entry.start == target.start &&
+                       state.entry.version == target.version;
+  if (!is_same || MayHaveRestarted(now, state)) return std::nullopt;
+  return target.version;
+}
+
 std::optional<VersionName> Placement::OnlyVersion(Instant now,
                                                   const ServiceName& service,
                                                   Duration min_time) const {
--- a/dispatch/testing/placement_version_test.cc
+++ b/dispatch/testing/placement_version_test.cc
@@ -231,6 +231,10 @@
     it.OnConnectionsLost(kStart, choice->target.address);
   }
   BOOST_TEST(!it.Choose(kStart, request));
+  // Nor does its version bind a stream that has begun there.
+  const TargetEntry& target = targets.begin()->second;
+  BOOST_TEST(!it.VersionOf(kStart, target));
+  BOOST_TEST((it.VersionOf(kStart + kMaxEntryDelay, target) == kOld));
   BOOST_TEST(it.Choose(kStart + kMaxEntryDelay, request).has_value());
   request.version.reset();
   BOOST_TEST(it.Choose(kStart, request).has_value());
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -208,6 +208,7 @@
 void RelayedRequest::Choose() {
   if (IsBlamed()) return RefuseBlamed();
   if (Left() < kMinTimeToSend) return OnDeadline();
+  if (!may_go_on_) return GiveUp(Ran::kNo, RelayCause::kVersionUnknown);
   const auto choice =
       context_.placement.Choose(context_.clock.Now(), admission_.placement);
   if (!choice) return GiveUp(Ran::kNo, CauseOfNoChoice());
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -208,6 +208,9 @@
   Fingerprint fingerprint_;
   EventReader events_;
   RequestProgress progress_;
+  // Whether the stream may go on at another target; not if its version isn't
+  // known.
+  bool may_go_on_ = true;
   // The caller received the start of a stream, but not its end.
   bool stream_cut_ = false;
   // Arrival of the first event of this attempt.
--- a/relay/relayed_request_attempts.cc
+++ b/relay/relayed_request_attempts.cc
@@ -216,13 +216,18 @@
 // to its target's version, also if this router ends and the caller comes back
 // elsewhere.
 void RelayedRequest::BindToVersion() {
-  const VersionName& version = progress_.choice.target.version;
+  const auto version = context_.placement.VersionOf(context_.clock.Now(),
+                                                    progress_.choice.target);
+  if (!version) {
+    may_go_on_ = false;
+    return;
+  }
   admission_.placement.version = version;
   if (!admission_.route->resumable) return;
   const Duration waits =
       admission_.facts.time_left.value_or(admission_.route->timeout);
   const Duration longest = Placement::kMaxStreamAge;
-  context_.versions.Announce(id(), version, std::min(waits, longest));
+  context_.versions.Announce(id(), *version, std::min(waits, longest));
 }
 
 void RelayedRequest::OnFirstEvent() {
--- a/relay/version_lookup.cc
+++ b/relay/version_lookup.cc
@@ -47,8 +47,9 @@
   const Instant now = clock_.Now();
   switch (message.kind) {
     case PeerMessageKind::kStreamBegan:
-      return versions_.Note(now, message.request, message.version,
-                            now + message.keep_for);
+      versions_.Note(now, message.request, message.version,
+                     now + message.keep_for);
+      return End(message.request, versions_.Find(now, message.request));
     case PeerMessageKind::kVersionRequest:
       return OnRequest(message);
     case PeerMessageKind::kVersion:
