Survive a check that finds the store's history forgotten without an open wait

A check's answer asked the open wait whether it was receiving, and there is none in the delay after an answer with changes.

ACheckWithoutAWaitMayFindTheHistoryForgotten crashed before and passes.

--- a/kv/follower.cc
+++ b/kv/follower.cc
@@ -105,7 +105,8 @@
 void StoreFollower::OnCheckAnswer(const StoreChanges& changes) {
   check_.reset();
   if (paused_ || !has_read_) return;
-  if (changes.forgotten) return call_->IsReceiving() ? void() : ReadAgain();
+  const bool is_receiving = call_ && call_->IsReceiving();
+  if (changes.forgotten && !is_receiving) return ReadAgain();
   if (changes.end != StoreEnd::kDone) return;
   if (changes.revision.era != revision_.era) return CheckEra();
   TakeChanges(changes, check_start_revision_, check_asked_at_);
--- a/kv/testing/follower_test.cc
+++ b/kv/testing/follower_test.cc
@@ -218,6 +218,19 @@
   BOOST_TEST(log.Take().empty());
 }
 
+// Guards against a crash: the store forgets its history while the follower is
+// in the delay after changes, so that no wait is open when a check tells it.
+BOOST_FIXTURE_TEST_CASE(ACheckWithoutAWaitMayFindTheHistoryForgotten,
+                        FollowFixture) {
+  AnswerRead(StoreEnd::kDone);
+  follower.Check();
+  const auto check = store.waits.entries.back();
+  BOOST_TEST(AnswerWait({StoreEnd::kDone, false, 5, {{{"a/b", "", 5}, true}}}));
+  log.Take();
+  check->done({StoreEnd::kRefused, true, 0, {}});
+  BOOST_TEST(AnswerRead(StoreEnd::kDone));
+}
+
 // Guards against an answer that is given up while it arrives: on a slow link
 // the next one would be, too.
 BOOST_FIXTURE_TEST_CASE(AWaitWhoseAnswerArrivesIsNotAskedAgain, FollowFixture) {
