Give the first process on a VM its part of the retries at once

That wait is for what an earlier process on the VM may have used, and the first one has none.

The first write of a router's entry requires that there is no entry yet, which tells.

--- a/dispatch/retry_share.h
+++ b/dispatch/retry_share.h
@@ -24,9 +24,11 @@
 //   - By slack: an equal part of `slack` for each router on the list. What a
 //     router has sent of it is forgotten after `window` + `kMaxArrival`, and a
 //     process has none for that long, as the one before it on the same VM may
-//     have used the whole part. Nor has it any before it has read the list.
-//     `margin` allows for routers that have joined and that others don't know
-//     yet: up to a third of those on the list.
+//     have used the whole part. The first process on a VM need not wait. None
+//     has slack before it has read the list, so one that never read it, and
+//     left no entry there, used none. `margin` allows for routers that have
+//     joined and that others don't know yet: up to a third of those on the
+//     list.
 //
 // So the rule holds however the load is distributed and moves, and whichever
 // routers restart, together or alone.
@@ -79,6 +81,11 @@
   // Sets how many routers share the slack; 0 while this is unknown.
   void SetRouters(std::size_t routers) { routers_ = routers; }
 
+  // Sets whether an earlier process on this VM may have used the slack.
+  void SetHasPredecessor(bool has_predecessor) {
+    has_predecessor_ = has_predecessor;
+  }
+
   // Notes that a request was admitted. `TryRetry` counts retries.
   void OnRequest(Instant now) {
     DropOld(now);
@@ -112,7 +119,8 @@
 
   double SlackPart(Instant now) const {
     const Duration wait = options_.window + kMaxArrival;
-    if (routers_ == 0 || now - options_.started_at < wait) return 0;
+    if (routers_ == 0) return 0;
+    if (has_predecessor_ && now - options_.started_at < wait) return 0;
     return options_.slack * options_.margin / static_cast<double>(routers_);
   }
 
@@ -126,6 +134,7 @@
 
   RetryShareOptions options_;
   std::size_t routers_ = 0;
+  bool has_predecessor_ = true;
   // Requests that haven't paid for a retry.
   std::deque<Instant> requests_;
   // Retries that the slack has paid for.
--- a/dispatch/testing/retry_fleet_test.cc
+++ b/dispatch/testing/retry_fleet_test.cc
@@ -41,7 +41,10 @@
  public:
   World(std::uint32_t seed, Trouble trouble)
       : random_(seed), trouble_(trouble), requests_(kSteps), retries_(kSteps) {
-    for (int n = 0; n < kRouters; ++n) routers_.push_back(Start(0));
+    for (int n = 0; n < kRouters; ++n) {
+      routers_.push_back(Start(0));
+      routers_.back().share.SetHasPredecessor(false);
+    }
   }
 
   void Run() {
--- a/relay/fleet_driver.cc
+++ b/relay/fleet_driver.cc
@@ -51,9 +51,17 @@
 void FleetDriver::WriteEntry() {
   const FleetMember& self = directory_.self();
   StoreWrite write;
-  write.puts.push_back({kPrefix + self.vm.value, EncodeMember(self), 0});
+  const std::string key = kPrefix + self.vm.value;
+  write.puts.push_back({key, EncodeMember(self), 0});
+  if (!has_predecessor_) write.conditions.push_back({key, 0});
   call_ = store_.Write(write, [this](const StoreWritten& it) {
     call_.reset();
+    // After an unanswered write, the entry may be this process's own; it then
+    // counts as a predecessor's.
+    if (it.end == StoreEnd::kRejected && !has_predecessor_) {
+      has_predecessor_ = true;
+      return WriteEntry();
+    }
     if (it.end != StoreEnd::kDone) {
       return RunLater(kRetryAfter, &FleetDriver::WriteEntry);
     }
@@ -137,6 +145,7 @@
 // era at about the same time.
 void FleetDriver::OnStoreEra() {
   call_.reset();
+  has_predecessor_ = true;
   RunLater(kRetryAfter, &FleetDriver::WriteEntry);
 }
 
--- a/relay/fleet_driver.h
+++ b/relay/fleet_driver.h
@@ -26,6 +26,9 @@
 // grows with both (`ReadingSpread`): together they take the same share of the
 // store's link in a fleet of any size.
 //
+// The first write of the entry requires that there is none, which shows whether
+// this process is the first on its VM.
+//
 // A store that comes back from an older copy of itself, in a later era, may
 // lack this router's entry, or have that of an earlier run; the entry is then
 // written again.
@@ -85,6 +88,8 @@
   void OnStoreEra();
 
   const FleetDirectory& directory() const { return directory_; }
+  // Whether an earlier process on this VM may have written an entry.
+  bool has_predecessor() const { return has_predecessor_; }
   // Whether the list was read for the second time, or was found complete.
   // Routers that started together with this one have then had time to write
   // their entries.
@@ -109,6 +114,7 @@
   std::function<void()> changed_;
   std::function<void()> first_read_;
   bool settled_ = false;
+  bool has_predecessor_ = false;
   // Interval from the next read to the one after it.
   Duration interval_;
   Duration max_interval_;
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -488,6 +488,7 @@
 void RelayRouter::OnFleetChanged() {
   const FleetDirectory& directory = fleet_.directory();
   retries_.SetRouters(directory.IsRead() ? directory.size() : 0);
+  retries_.SetHasPredecessor(fleet_.has_predecessor());
   peers_.KeepLinksTo(directory.MembersToLink());
   SetFeedRoles();
   if (!fleet_.settled()) return;
--- a/relay/retry.cc
+++ b/relay/retry.cc
@@ -22,6 +22,7 @@
 RetryShare& RetryShares::ShareOf(const ServiceName& service) {
   RetryShare& out = shares_.try_emplace(service, options_).first->second;
   out.SetRouters(routers_);
+  out.SetHasPredecessor(has_predecessor_);
   return out;
 }
 
--- a/relay/retry.h
+++ b/relay/retry.h
@@ -84,6 +84,10 @@
   // Sets the number of routers that share the retries of a service; 0 while
   // this is unknown.
   void SetRouters(std::size_t routers) { routers_ = routers; }
+  // Sets whether an earlier process on this VM may have used the slack.
+  void SetHasPredecessor(bool has_predecessor) {
+    has_predecessor_ = has_predecessor;
+  }
 
   // Called when a request for the service was admitted.
   void OnRequest(Instant now, const ServiceName& service) {
@@ -99,6 +103,7 @@
 
   RetryShareOptions options_;
   std::size_t routers_ = 0;
+  bool has_predecessor_ = true;
   // Each entry is created on first use.
   std::map<ServiceName, RetryShare> shares_;
 };
--- a/relay/testing/fleet_driver_test.cc
+++ b/relay/testing/fleet_driver_test.cc
@@ -53,7 +53,9 @@
   FleetMember self = Member("vm-1");
   self.address = "vm-1:2";
   BOOST_TEST((DecodeMember(store.last_write.puts[0].value) == self));
-  BOOST_TEST(store.last_write.conditions.empty());
+  // The first write finds out whether there is an entry of an earlier process.
+  BOOST_REQUIRE(store.last_write.conditions.size() == 1U);
+  BOOST_TEST(store.last_write.conditions[0].revision == 0);
   for (const StoreEnd it : {StoreEnd::kRefused, StoreEnd::kUnknown}) {
     BOOST_TEST(AnswerWrite(it));
     RunFor(loop, kRetried);
@@ -64,6 +66,17 @@
   BOOST_TEST(store.ranges.started == 1U);
 }
 
+// Guards against a router that can't enter itself because of an earlier process
+// on its VM, and against one that takes itself for the first.
+BOOST_FIXTURE_TEST_CASE(AnEntryOfAnEarlierProcessIsReplaced, Fixture) {
+  BOOST_TEST(!driver.has_predecessor());
+  BOOST_TEST(AnswerWrite(StoreEnd::kRejected));
+  BOOST_TEST(driver.has_predecessor());
+  BOOST_TEST(store.last_write.conditions.empty());
+  BOOST_TEST(AnswerWrite(StoreEnd::kDone));
+  BOOST_TEST(store.ranges.started == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(AReadThatFailsIsMadeAgain, Fixture) {
   AnswerWrite(StoreEnd::kDone);
   BOOST_TEST(AnswerRead(StoreEnd::kRefused, {}));
--- a/relay/testing/retry_test.cc
+++ b/relay/testing/retry_test.cc
@@ -181,6 +181,11 @@
   const Duration wait = options.window + RetryShare::kMaxArrival;
   BOOST_TEST(!share.TryRetry(kNow + wait - milliseconds(1)));
   BOOST_TEST(share.TryRetry(kNow + wait));
+  // The first process on a VM has it at once.
+  RetryShare first(options);
+  first.SetRouters(2);
+  first.SetHasPredecessor(false);
+  BOOST_TEST(first.TryRetry(kNow));
 }
 
 // Guards against a router that takes itself for the only one.
