--- a/relay/testing/version_lookup_test.cc
+++ b/relay/testing/version_lookup_test.cc
@@ -82,7 +82,8 @@
     node.lookup = std::make_unique<VersionLookup>(loop, clock, std::move(on));
   }
   Node& At(int hall, int n) {
-    return nodes[static_cast<std::size_t>(hall * 4 + n)];
+    return nodes.at(static_cast<std::size_t>(hall) * 4 +
+                    static_cast<std::size_t>(n));
   }
   void DeliverAll() {
     while (!sent.empty()) {
