--- a/relay/testing/state_feed_test.cc
+++ b/relay/testing/state_feed_test.cc
@@ -355,6 +355,29 @@
   BOOST_TEST((follower.feed.Age() >= milliseconds(3000)));
 }
 
+// Two readers that have both lost the store ask each other all the time.
+BOOST_FIXTURE_TEST_CASE(ReadersDontKeepEachOtherCurrent, Fixture) {
+  constexpr Duration kTransitTime = milliseconds(60);
+  a.client.cut = b.client.cut = true;
+  const Instant lost_at = fleet.clock.now;
+  for (int n = 0; n < 60; ++n) {
+    for (FeedNode* it : {&a, &b}) {
+      FeedNode& other = it == &a ? b : a;
+      PeerMessage request;
+      request.kind = PeerMessageKind::kMarkRequest;
+      request.from = other.self;
+      request.update.feed = FeedName::kTargets;
+      request.asked_ms = AskedMs(fleet.clock.now);
+      it->feed.OnPeer(request);
+    }
+    fleet.clock.now += kTransitTime;
+    fleet.DeliverAll();
+  }
+  BOOST_TEST((a.feed.current_at() <= lost_at));
+  BOOST_TEST((b.feed.current_at() <= lost_at));
+  BOOST_TEST((a.feed.Mark()->age > milliseconds(3000)));
+}
+
 // Guards against a request that is repeated while its answer arrives: each copy
 // of a large answer delays all of them on the link of the router.
 BOOST_FIXTURE_TEST_CASE(AnAnswerThatIsArrivingIsNotRequestedAgain, Fixture) {
