--- a/base/testing/packed_text_test.cc
+++ b/base/testing/packed_text_test.cc
@@ -15,8 +15,7 @@
 std::string Routes(int count) {
   std::string out;
   for (int n = 0; n < count; ++n) {
-    out += R"({"host":"a.example","path-prefix":"/)" +
-           std::to_string(n * 7919) +
+    out += R"({"host":"a.example","path":"/)" + std::to_string(n * 7919) +
            R"(/","kind":"streaming","service":"s"},)";
   }
   return out;
