--- a/relay/state_feed.h
+++ b/relay/state_feed.h
@@ -11,7 +11,7 @@
 // In a small fleet each router follows the store itself (kv/follower.h). In a
 // larger one, following costs a call of each router for every change, and one
 // for every wait that ends without a change. So a few routers of each hall are
-// its **readers**: the holders of the hall (fleet/fleet.h). The list of routers
+// its **readers**: holders of the hall (fleet/fleet.h). The list of routers
 // determines the readers, so none has to be appointed, and the other routers
 // are already linked to them. Readers follow the store and send its changes to
 // their hall and to each other. The other routers make no calls while they
@@ -59,9 +59,10 @@
 // heartbeats show the others what it finds. In a large fleet, routers without a
 // current reader each check as often.
 //
-// Loss of the store. Routers that rely on readers take missing heartbeats for a
-// loss of the store, and the first heartbeat after it for its return, and
-// report both as a follower does; relay/target_follower.h depends on that.
+// Loss of the store. Routers that rely on readers take it for lost when they
+// aren't current any more, and for back when they are, or when a change
+// arrives, and report both as a follower does; relay/target_follower.h depends
+// on that.
 //
 // StateFeed owns the follower, the time up to which its state is current and,
 // at readers, all items. Loop, clock, store and chart must outlive it. An
