--- a/kv/follower.h
+++ b/kv/follower.h
@@ -43,8 +43,7 @@
 // A wait or a read whose answer has begun to arrive is not started again: on a
 // slow link the answer would never arrive as a whole.
 //
-// A follower owns its calls and timer. Loop, clock and store must outlive the
-// follower.
+// A follower owns its calls and timer. Loop, clock and store must outlive it.
 // Revisions are those of the store (kv/store.h); times are measured by the
 // loop.
 
@@ -122,9 +121,7 @@
   // Tells the follower that its user has received all changes up to `revision`
   // from elsewhere; `latest` is the revision of the last of them.
   void SkipTo(StoreRevision revision, StoreRevision latest);
-  // Change `Options::wait_timeout`, and `retry_after` and `longest_retry`. The
-  // running call keeps its timeout.
-  void SetWaitTimeout(Duration timeout) { options_.wait_timeout = timeout; }
+  // Changes `Options::retry_after` and `longest_retry`.
   void SetRetry(Duration first, Duration longest);
 
   // Whether a wait is running; if so, the store reports a change at once.
--- a/relay/config_follower.h
+++ b/relay/config_follower.h
@@ -168,8 +168,8 @@
   RolloutOrders orders_;
   // The latest configuration of the store can't be read.
   bool is_unreadable_ = false;
-  // Every configuration that was accepted by this time is known here, by the
-  // word of a peer that has the same one in force.
+  // Every configuration that was accepted by this time is known here, as shown
+  // by a peer that has the same one in force.
   Instant current_by_peer_{};
   // Since when peers have a later configuration, and when one last said so.
   std::optional<Instant> later_since_;
