Remove a query of the follower that nothing calls

Whether a wait is open no longer shows that a router is current. Sources that include the header were checked for syntax; no test was run on this commit.

--- a/kv/follower.h
+++ b/kv/follower.h
@@ -124,8 +124,6 @@
   // Changes `Options::retry_after` and `longest_retry`.
   void SetRetry(Duration first, Duration longest);
 
-  // Whether a wait is running; if so, the store reports a change at once.
-  bool IsWaiting() const { return has_read_ && call_; }
   // All changes up to this revision have been reported or skipped; 0 before the
   // first read.
   StoreRevision revision() const { return revision_; }
