--- a/relay/relay_metrics.cc
+++ b/relay/relay_metrics.cc
@@ -24,6 +24,10 @@
                           .Name("quaytrack_attempts_failed_total")
                           .Help("Attempts without an answer, by fault")
                           .Register(registry_)),
+      cut_streams_(prometheus::BuildCounter()
+                       .Name("quaytrack_streams_cut_total")
+                       .Help("Streams cut short, by who did it and why")
+                       .Register(registry_)),
       first_byte_(prometheus::BuildHistogram()
                       .Name("quaytrack_first_byte_seconds")
                       .Help("From a request's first byte to its first event")
@@ -68,6 +72,11 @@
       .Observe(ToSeconds(took));
 }
 
+void RelayMetrics::CountCutStream(std::string_view by, std::string_view why) {
+  cut_streams_.Add({{"by", std::string(by)}, {"why", std::string(why)}})
+      .Increment();
+}
+
 void RelayMetrics::CountAttemptFault(std::string_view fault) {
   attempt_faults_.Add({{"fault", std::string(fault)}}).Increment();
 }
--- a/relay/relay_metrics.h
+++ b/relay/relay_metrics.h
@@ -52,6 +52,8 @@
   // `expected_ms` must be greater than 0.
   void ObserveFirstEvent(Duration took, double expected_ms);
   void CountAttemptFault(std::string_view fault);
+  // A stream that its caller got the start of, but not the end.
+  void CountCutStream(std::string_view by, std::string_view why);
   void CountRetry() { retries_->Increment(); }
   void CountHeldBack() { held_back_->Increment(); }
   void SetGauge(const std::string& name, double value);
@@ -68,6 +70,7 @@
   prometheus::Registry registry_;
   prometheus::Family<prometheus::Counter>& ends_;
   prometheus::Family<prometheus::Counter>& attempt_faults_;
+  prometheus::Family<prometheus::Counter>& cut_streams_;
   prometheus::Family<prometheus::Histogram>& first_byte_;
   prometheus::Family<prometheus::Histogram>& total_;
   prometheus::Histogram* over_expected_;
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -114,6 +114,7 @@
 
 void RelayedRequest::Apply(RelayEvent event) {
   const auto self = shared_from_this();
+  why_ = cause_;
   Do(machine_.Apply(event));
 }
 
@@ -315,9 +316,13 @@
   }
   const Duration took = context_.clock.Now() - request_.begun;
   context_.metrics.CountEnd(customer(), NameOf(cause_), took);
-  LogRequestEnded(
-      admission_, progress_,
-      {cause_, EndStatus(ran), cost, map_ ? map_->version() : 0, took});
+  if (stream_cut_) {
+    context_.metrics.CountCutStream(NameOf(EndedByOf(why_, last_fault_)),
+                                    NameOf(why_));
+  }
+  LogRequestEnded(admission_, progress_,
+                  {cause_, why_, last_fault_, EndStatus(ran), cost,
+                   map_ ? map_->version() : 0, took});
   context_.loop.Post(
       [this, self = shared_from_this()] { context_.requests.Remove(self); });
 }
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -223,6 +223,10 @@
   std::optional<Duration> retry_after_;
   // Why the request ends; set before the event that ends it.
   RelayCause cause_ = RelayCause::kServed;
+  // The same, as it was before the chart chose what the caller is told.
+  RelayCause why_ = RelayCause::kServed;
+  // Fault of the last attempt that ended without an answer.
+  AttemptFault last_fault_ = AttemptFault::kNone;
 };
 
 }  // namespace quaytrack
--- a/relay/relayed_request_attempts.cc
+++ b/relay/relayed_request_attempts.cc
@@ -506,6 +506,7 @@
 }
 
 void RelayedRequest::LogAttempt(Ran ran, AttemptFault fault) {
+  last_fault_ = fault;
   context_.metrics.CountAttemptFault(NameOf(fault));
   AttemptEnd end;
   end.ran = ran;
--- a/relay/request_log.cc
+++ b/relay/request_log.cc
@@ -107,7 +107,10 @@
             {"held", std::to_string(admission.worst_case)},
             {"cost", std::to_string(end.cost)},
             {"config", std::to_string(end.config_version)},
-            {"ms", MillisecondsText(end.took)}});
+            {"ms", MillisecondsText(end.took)},
+            {"by", std::string(NameOf(EndedByOf(end.why, end.fault)))},
+            {"why", std::string(NameOf(end.why))},
+            {"fault", std::string(NameOf(end.fault))}});
 }
 
 void LogRequestOverran(const Admission& admission,
--- a/relay/request_log.h
+++ b/relay/request_log.h
@@ -22,6 +22,7 @@
 #include "dispatch/rate_limits.h"
 #include "relay/admission.h"
 #include "relay/attempt.h"
+#include "relay/ended_by.h"
 #include "relay/final_answer.h"
 #include "relay/ran.h"
 #include "relay/reach_driver.h"
@@ -53,6 +54,11 @@
 
 struct RequestEnd {
   RelayCause cause = RelayCause::kServed;
+  // Why the request was given up. `cause` is what the caller was told: a stream
+  // that was cut is `kStreamBroke` for whatever reason.
+  RelayCause why = RelayCause::kServed;
+  // Fault of the last attempt that ended without an answer.
+  AttemptFault fault = AttemptFault::kNone;
   // The status that the caller got, from the target or the router; 0 if a
   // stream was cut or the caller had left.
   int status = 0;
