--- a/base/events.h
+++ b/base/events.h
@@ -91,6 +91,8 @@
   kRolloutWritten = 1324,
   kRejectionsLimited = 1325,
   kRejectionsUnlimited = 1326,
+  kAttemptKept = 1327,
+  kAttemptWentOn = 1328,
   // 14xx: requests, budgets, bills and claims.
   kRequestRefused = 1401,
   kRequestFinished = 1402,
@@ -184,6 +186,8 @@
     {Event::kRolloutWritten, LogLevel::kInfo, "rollout_written"},
     {Event::kRejectionsLimited, LogLevel::kWarn, "rejections_limited"},
     {Event::kRejectionsUnlimited, LogLevel::kInfo, "rejections_unlimited"},
+    {Event::kAttemptKept, LogLevel::kInfo, "attempt_kept"},
+    {Event::kAttemptWentOn, LogLevel::kInfo, "attempt_went_on"},
     {Event::kRequestRefused, LogLevel::kDebug, "request_refused"},
     {Event::kRequestFinished, LogLevel::kDebug, "request_finished"},
     {Event::kCallerGone, LogLevel::kDebug, "caller_gone"},
--- a/chart/embedded.cc
+++ b/chart/embedded.cc
@@ -245,8 +245,8 @@
         "caller_gone_not_run": {"to": "ended", "do": "drop"},
         "caller_gone_may_have_run": {"to": "ended", "do": "abandon"}
       },
-      "ignore": ["target_chosen", "first_event", "answer_complete",
-                 "retry_not_run", "retry_may_have_run",
+      "ignore": ["attempt_goes_on", "target_chosen", "first_event",
+                 "answer_complete", "retry_not_run", "retry_may_have_run",
                  "caller_gone_call_runs_on"]
     },
     "awaiting_hold": {
@@ -257,9 +257,10 @@
         "caller_gone_not_run": {"to": "ended", "do": "drop"},
         "caller_gone_may_have_run": {"to": "ended", "do": "abandon"}
       },
-      "ignore": ["hold_unneeded", "hold_delayed", "target_chosen",
-                 "first_event", "answer_complete", "retry_not_run",
-                 "retry_may_have_run", "caller_gone_call_runs_on"]
+      "ignore": ["attempt_goes_on", "hold_unneeded", "hold_delayed",
+                 "target_chosen", "first_event", "answer_complete",
+                 "retry_not_run", "retry_may_have_run",
+                 "caller_gone_call_runs_on"]
     },
     "choosing": {
       "on": {
@@ -269,8 +270,9 @@
         "caller_gone_not_run": {"to": "ended", "do": "drop"},
         "caller_gone_may_have_run": {"to": "ended", "do": "abandon"}
       },
-      "ignore": ["hold_unneeded", "hold_delayed", "hold_granted", "first_event",
-                 "answer_complete", "retry_not_run", "retry_may_have_run",
+      "ignore": ["attempt_goes_on", "hold_unneeded", "hold_delayed",
+                 "hold_granted", "first_event", "answer_complete",
+                 "retry_not_run", "retry_may_have_run",
                  "caller_gone_call_runs_on"]
     },
     "trying": {
@@ -285,12 +287,13 @@
         "caller_gone_may_have_run": {"to": "ended", "do": "abandon"},
         "caller_gone_call_runs_on": {"to": "caller_left"}
       },
-      "ignore": ["hold_unneeded", "hold_delayed", "hold_granted",
-                 "target_chosen"]
+      "ignore": ["attempt_goes_on", "hold_unneeded", "hold_delayed",
+                 "hold_granted", "target_chosen"]
     },
     "choosing_again": {
       "on": {
         "target_chosen": {"to": "trying_again", "do": "send"},
+        "attempt_goes_on": {"to": "trying_again"},
         "give_up_not_run": {"to": "ended", "do": "fail"},
         "give_up_may_have_run": {"to": "ended", "do": "fail"},
         "caller_gone_not_run": {"to": "ended", "do": "abandon"},
@@ -306,6 +309,7 @@
         "answer_complete": {"to": "ended", "do": "reply"},
         "retry_not_run": {"to": "choosing_again", "do": "choose"},
         "retry_may_have_run": {"to": "choosing_again", "do": "choose"},
+        "attempt_goes_on": {"to": "trying_again"},
         "give_up_not_run": {"to": "ended", "do": "fail"},
         "give_up_may_have_run": {"to": "ended", "do": "fail"},
         "caller_gone_not_run": {"to": "ended", "do": "abandon"},
@@ -326,12 +330,13 @@
         "caller_gone_may_have_run": {"to": "ended", "do": "abandon"},
         "caller_gone_call_runs_on": {"to": "ended", "do": "abandon"}
       },
-      "ignore": ["hold_unneeded", "hold_delayed", "hold_granted",
-                 "target_chosen", "first_event"]
+      "ignore": ["attempt_goes_on", "hold_unneeded", "hold_delayed",
+                 "hold_granted", "target_chosen", "first_event"]
     },
     "choosing_to_resume": {
       "on": {
         "target_chosen": {"to": "resuming", "do": "send"},
+        "attempt_goes_on": {"to": "resuming"},
         "give_up_not_run": {"to": "ended", "do": "abort_stream"},
         "give_up_may_have_run": {"to": "ended", "do": "abort_stream"},
         "caller_gone_not_run": {"to": "ended", "do": "abandon"},
@@ -347,6 +352,7 @@
         "answer_complete": {"to": "ended", "do": "end_stream"},
         "retry_not_run": {"to": "choosing_to_resume", "do": "choose"},
         "retry_may_have_run": {"to": "choosing_to_resume", "do": "choose"},
+        "attempt_goes_on": {"to": "resuming"},
         "give_up_not_run": {"to": "ended", "do": "abort_stream"},
         "give_up_may_have_run": {"to": "ended", "do": "abort_stream"},
         "caller_gone_not_run": {"to": "ended", "do": "abandon"},
@@ -364,17 +370,18 @@
         "give_up_not_run": {"to": "ended", "do": "drop"},
         "give_up_may_have_run": {"to": "ended", "do": "abandon"}
       },
-      "ignore": ["hold_unneeded", "hold_delayed", "hold_granted",
-                 "target_chosen", "first_event", "caller_gone_not_run",
-                 "caller_gone_may_have_run", "caller_gone_call_runs_on"]
+      "ignore": ["attempt_goes_on", "hold_unneeded", "hold_delayed",
+                 "hold_granted", "target_chosen", "first_event",
+                 "caller_gone_not_run", "caller_gone_may_have_run",
+                 "caller_gone_call_runs_on"]
     },
     "ended": {
       "on": {
         "hold_granted": {"to": "ended", "do": "return_hold"}
       },
-      "ignore": ["hold_unneeded", "hold_delayed", "target_chosen",
-                 "first_event", "answer_complete", "retry_not_run",
-                 "retry_may_have_run", "give_up_not_run",
+      "ignore": ["attempt_goes_on", "hold_unneeded", "hold_delayed",
+                 "target_chosen", "first_event", "answer_complete",
+                 "retry_not_run", "retry_may_have_run", "give_up_not_run",
                  "give_up_may_have_run", "caller_gone_not_run",
                  "caller_gone_may_have_run", "caller_gone_call_runs_on"]
     }
--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -282,6 +282,13 @@
   state.warmth.OnAlive(now, sent_at, RuleOf(state.entry.service).cold_time);
 }
 
+void Placement::OnSilent(Instant now, const TargetName& name) {
+  const auto it = targets_.find(name);
+  if (it == targets_.end()) return;
+  it->second.warmth.OnLost(now);
+  it->second.health.Record(now, true);
+}
+
 void Placement::OnConnectionsLost(Instant now, const std::string& address) {
   for (auto& [name, state] : targets_) {
     if (state.entry.address == address) state.warmth.OnLost(now);
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -258,6 +258,9 @@
   void OnAnswering(const TargetName& name, Tokens prefill, Duration waited);
   // Notes that the target has answered a request that was sent at `sent_at`.
   void OnAlive(Instant now, const TargetName& name, Instant sent_at);
+  // Notes that a request was without an answer at the target for too long. It
+  // counts as a failure; the request still runs there.
+  void OnSilent(Instant now, const TargetName& name);
   // Notes that connections to the address were closed for no known reason.
   void OnConnectionsLost(Instant now, const std::string& address);
   // Notes that the target has announced that it stays cold for `remaining`.
--- a/dispatch/testing/placement_version_test.cc
+++ b/dispatch/testing/placement_version_test.cc
@@ -240,6 +240,24 @@
   BOOST_TEST(it.Choose(kStart, request).has_value());
 }
 
+// Guards against a sound target that loses its bound streams, and the versions
+// of those that begin there, for a moment of silence.
+BOOST_FIXTURE_TEST_CASE(ATargetThatWasSilentAndAnswersHasNotRestarted,
+                        Fixture) {
+  constexpr Duration kSilence = std::chrono::milliseconds(1300);
+  for (auto& [name, entry] : targets) {
+    entry.started_at = WallTime(seconds(100));
+  }
+  it.SetTargets(kStart, targets);
+  const TargetEntry& target = targets.begin()->second;
+  PlacementRequest request = Prompt(3, 1003);
+  it.OnSent(kStart, target.name, request, true);
+  it.OnSilent(kStart + kSilence / 2, target.name);
+  BOOST_TEST(!it.VersionOf(kStart + kSilence / 2, target));
+  it.OnAlive(kStart + kSilence, target.name, kStart);
+  BOOST_TEST((it.VersionOf(kStart + kSilence, target) == kOld));
+}
+
 BOOST_FIXTURE_TEST_CASE(TheOnlyVersionIsKnownAfterAStreamsTime, Fixture) {
   const Duration age = Placement::kMaxStreamAge;
   BOOST_TEST((it.OnlyVersion(kStart, kEngines, {}) == kOld));
--- a/relay/attempt.h
+++ b/relay/attempt.h
@@ -7,10 +7,10 @@
 //   const AttemptResult it = EvaluateAttempt({end, answer, status, ...});
 //   if (!it.answered) ...  // `it.ran` decides whether it may be sent again
 //
-// Timeouts. An attempt that takes too long is stopped only if the request may
-// be sent to another target. Otherwise waiting is the best option for the
-// caller, and only the deadline ends the attempt. An attempt whose connection
-// doesn't open in time is always stopped, as nothing of it has run.
+// Timeouts. An attempt that takes too long isn't stopped, as its target may be
+// sound and go on: the request is sent to another target beside it, if it may
+// be (relay/relayed_request.h). An attempt whose connection doesn't open in
+// time is always stopped, as nothing of it has run.
 //
 // Answers. A success is forwarded only if it is complete and carries the seal
 // by which its target vouches for it. Errors carry no seal and are forwarded as
@@ -76,13 +76,14 @@
   kNotOpened,    // the connection was refused
   kOpenTimeout,  // the connection didn't open in time
   kBroken,       // the connection ended before the answer did
-  kTimeout,      // no answer, or no further event, in time
+  kTimeout,      // no answer, or no further event, before another's
   kServerError,  // the target answered with an error
   kTurnedAway,   // the target states that it didn't run the request
   kInvalid,      // an answer that can't be forwarded
   kNoTunnel,     // no tunnel through the chosen peer; not sent
-  kPathChanged,  // stopped, as the way to the target has changed
+  kPathChanged,  // the way to the target has changed
   kHeldBack,     // not sent, as the target may no longer receive work
+  kSuperseded,   // stopped, as an earlier attempt has answered
 };
 
 template <>
@@ -98,7 +99,8 @@
        {AttemptFault::kInvalid, "invalid"},
        {AttemptFault::kNoTunnel, "no_tunnel"},
        {AttemptFault::kPathChanged, "path_changed"},
-       {AttemptFault::kHeldBack, "held_back"}});
+       {AttemptFault::kHeldBack, "held_back"},
+       {AttemptFault::kSuperseded, "superseded"}});
 };
 
 // Whether nothing of the attempt was sent.
--- /dev/null
+++ b/relay/attempt_state.h
@@ -0,0 +1,69 @@
+// AttemptState: what a request (relay/relayed_request.h) knows of one attempt,
+// that is, of its send to one target.
+//
+//   AttemptState attempt;
+//   attempt.call = targets.Start(call, handlers);
+//   if (attempt.ran() == Ran::kUnknown) ...
+//
+// It owns the call. There are no errors; times are those of the router's clock.
+
+#ifndef QUAYTRACK_RELAY_ATTEMPT_STATE_H_
+#define QUAYTRACK_RELAY_ATTEMPT_STATE_H_
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "dispatch/placement.h"
+#include "http/target_connection.h"
+#include "net/http_message.h"
+#include "relay/attempt.h"
+#include "relay/dialect.h"
+#include "relay/events.h"
+#include "relay/ran.h"
+#include "relay/reach_driver.h"
+
+namespace quaytrack {
+
+struct AttemptState {
+  // Distinguishes the attempts of one request.
+  int number = 0;
+  // The target, and the way to it.
+  PlacementChoice choice;
+  TargetPath path;
+  // The call to the target; null before the send and after the end.
+  std::shared_ptr<CallHandle> call;
+  Instant sent_at{};
+  // Arrival of the answer's head, of its first event, and of its latest events.
+  std::optional<Instant> head_at;
+  std::optional<Instant> first_event_at;
+  Instant last_event_at{};
+  // Events that this attempt brought.
+  int events = 0;
+  // Tokens of the prompt that the target has yet to prefill.
+  Tokens prefill = 0;
+  // Head of the answer, and its contents; empty until it arrives.
+  HttpHead answer;
+  AnswerFacts facts;
+  // Body of an answer that is forwarded only when it is complete.
+  std::string body;
+  // The caller reads too slowly, so reading from the target is paused.
+  bool paused = false;
+  // Of a kept attempt: why another one was begun, and the events read so far.
+  AttemptFault kept_for = AttemptFault::kNone;
+  EventReader reader;
+
+  // Whether the target may have run the request.
+  Ran ran() const { return call && call->sent() ? Ran::kUnknown : Ran::kNo; }
+  // When something was last heard of the target, or the send.
+  Instant HeardAt() const {
+    return std::max({sent_at, head_at.value_or(sent_at), last_event_at});
+  }
+};
+
+}  // namespace quaytrack
+
+#endif  // QUAYTRACK_RELAY_ATTEMPT_STATE_H_
--- a/relay/ended_by.cc
+++ b/relay/ended_by.cc
@@ -17,6 +17,7 @@
     case AttemptFault::kNoTunnel:
     case AttemptFault::kPathChanged:
     case AttemptFault::kHeldBack:
+    case AttemptFault::kSuperseded:
       return false;
   }
   return false;
--- a/relay/relay_chart.h
+++ b/relay/relay_chart.h
@@ -16,9 +16,12 @@
 //   - A hold on a budget is settled once, with that transition. A hold that is
 //     granted to a request that has ended is returned at once.
 //
-// An attempt is one send to one target. Events that end an attempt come in two
-// kinds, by whether that attempt may have run (relay/ran.h); the state covers
-// the attempts before it.
+// An attempt is one send to one target. One that is silent may be kept while
+// the request is sent to another target; that is the event that it may have run
+// and is sent again, and `attempt_goes_on` follows if the kept one answers
+// first or is the only one left. Events that end an attempt come in two kinds,
+// by whether that attempt may have run (relay/ran.h); the state covers the
+// attempts before it.
 //
 // Only the first event of a stream in each attempt goes through the chart:
 // later ones are too many, and change no state.
@@ -69,6 +72,8 @@
   // The attempt has ended, and the request will be sent again.
   kRetryNotRun,
   kRetryMayHaveRun,
+  // An earlier attempt, which may have run and was kept, is the current one.
+  kAttemptGoesOn,
   // The attempt, if there was one, and the request have ended.
   kGiveUpNotRun,
   kGiveUpMayHaveRun,
@@ -124,6 +129,7 @@
        {RelayEvent::kAnswerComplete, "answer_complete"},
        {RelayEvent::kRetryNotRun, "retry_not_run"},
        {RelayEvent::kRetryMayHaveRun, "retry_may_have_run"},
+       {RelayEvent::kAttemptGoesOn, "attempt_goes_on"},
        {RelayEvent::kGiveUpNotRun, "give_up_not_run"},
        {RelayEvent::kGiveUpMayHaveRun, "give_up_may_have_run"},
        {RelayEvent::kCallerGoneNotRun, "caller_gone_not_run"},
--- a/relay/relay_metrics.cc
+++ b/relay/relay_metrics.cc
@@ -51,6 +51,11 @@
                     .Help("Requests sent to a second target")
                     .Register(registry_)
                     .Add({})),
+      kept_(&prometheus::BuildCounter()
+                 .Name("quaytrack_attempts_kept_total")
+                 .Help("Silent attempts that went on beside another one")
+                 .Register(registry_)
+                 .Add({})),
       held_back_(&prometheus::BuildCounter()
                       .Name("quaytrack_sends_held_back_total")
                       .Help("Requests not written to a target that may get no "
--- a/relay/relay_metrics.h
+++ b/relay/relay_metrics.h
@@ -55,6 +55,7 @@
   // A stream that its caller got the start of, but not the end.
   void CountCutStream(std::string_view by, std::string_view why);
   void CountRetry() { retries_->Increment(); }
+  void CountKept() { kept_->Increment(); }
   void CountHeldBack() { held_back_->Increment(); }
   void SetGauge(const std::string& name, double value);
 
@@ -76,6 +77,7 @@
   prometheus::Histogram* over_expected_;
   prometheus::Family<prometheus::Gauge>& gauges_;
   prometheus::Counter* retries_;
+  prometheus::Counter* kept_;
   prometheus::Counter* held_back_;
   std::set<CustomerName> labelled_;
 };
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -134,7 +134,7 @@
     case RelayAction::kBeginStream:
       return BeginStream();
     case RelayAction::kReply:
-      caller_->Reply(HeadForCaller(answer_), body_);
+      caller_->Reply(HeadForCaller(attempt_.answer), attempt_.body);
       return End(Ran::kUnknown);
     case RelayAction::kEndStream:
       caller_->EndStream();
@@ -207,18 +207,26 @@
 }
 
 void RelayedRequest::Choose() {
-  if (IsBlamed()) return RefuseBlamed();
-  if (Left() < kMinTimeToSend) return OnDeadline();
-  if (!may_go_on_) return GiveUp(Ran::kNo, RelayCause::kVersionUnknown);
+  if (IsBlamed()) {
+    if (!GoOnWithKept()) RefuseBlamed();
+    return;
+  }
+  if (Left() < kMinTimeToSend) {
+    if (!GoOnWithKept()) OnDeadline();
+    return;
+  }
+  if (!may_go_on_)
+    return GiveUpUnlessKept(Ran::kNo, RelayCause::kVersionUnknown);
   const auto choice =
       context_.placement.Choose(context_.clock.Now(), admission_.placement);
-  if (!choice) return GiveUp(Ran::kNo, CauseOfNoChoice());
-  progress_.choice = *choice;
+  if (!choice) return GiveUpUnlessKept(Ran::kNo, CauseOfNoChoice());
   const auto path = context_.reach.PathTo(
       choice->target, admission_.placement.residency, tried_peers_);
   if (path.kind == PathKind::kNone)
-    return GiveUp(Ran::kNo, RelayCause::kTargetsUnreachable);
-  progress_.path = path;
+    return GiveUpUnlessKept(Ran::kNo, RelayCause::kTargetsUnreachable);
+  attempt_ = {};
+  attempt_.choice = *choice;
+  attempt_.path = path;
   Apply(RelayEvent::kTargetChosen);
 }
 
@@ -245,8 +253,8 @@
   if (state == RelayState::kEnded) return;
   LeaveHoldQueue();
   if (state == RelayState::kAwaitingHold) return OnHoldRefused(false);
-  ReportStopped();
-  const Ran ran = RanInAttempt();
+  ReportStopped(attempt_);
+  const Ran ran = attempt_.ran();
   // A target that is sending events is not at fault for the deadline.
   const bool answering = state == RelayState::kStreaming;
   StopAttempt(answering ? PlacementOutcome::kNeutral
@@ -261,10 +269,10 @@
 void RelayedRequest::EndForStop(Duration left) {
   const auto self = shared_from_this();
   if (machine_.state() == RelayState::kEnded) return;
-  LogRequestOverran(admission_, progress_, machine_.state(),
+  LogRequestOverran(admission_, progress_, attempt_, machine_.state(),
                     context_.clock.Now() - request_.begun, left);
   LeaveHoldQueue();
-  const Ran ran = RanInAttempt();
+  const Ran ran = attempt_.ran();
   StopAttempt(PlacementOutcome::kNeutral);
   GiveUp(ran, RelayCause::kStopped);
 }
@@ -279,12 +287,12 @@
   const RelayState state = machine_.state();
   if (state == RelayState::kEnded) return;
   LeaveHoldQueue();
-  const Ran ran = RanInAttempt();
+  const Ran ran = attempt_.ran();
   // A call that must not be repeated runs on to its end.
   const bool runs_on = ran == Ran::kUnknown &&
                        admission_.route->kind == RouteKind::kNonIdempotent;
   if (runs_on) return Apply(RelayEvent::kCallerGoneCallRunsOn);
-  ReportStopped();
+  ReportStopped(attempt_);
   StopAttempt(PlacementOutcome::kNeutral);
   cause_ = RelayCause::kCallerGone;
   Apply(ran == Ran::kNo ? RelayEvent::kCallerGoneNotRun
@@ -307,6 +315,7 @@
 // attempts together.
 void RelayedRequest::End(Ran ran) {
   StopAttempt(outcome_);
+  EndAllKept();
   deadline_timer_.reset();
   Tokens cost = 0;
   if (held_) {
@@ -320,7 +329,7 @@
     context_.metrics.CountCutStream(NameOf(EndedByOf(why_, last_fault_)),
                                     NameOf(why_));
   }
-  LogRequestEnded(admission_, progress_,
+  LogRequestEnded(admission_, progress_, attempt_,
                   {cause_, why_, last_fault_, EndStatus(ran), cost,
                    map_ ? map_->version() : 0, took});
   context_.loop.Post(
@@ -330,7 +339,7 @@
 int RelayedRequest::EndStatus(Ran ran) const {
   const bool forwarded =
       cause_ == RelayCause::kServed || cause_ == RelayCause::kTargetError;
-  if (forwarded) return answer_.status;
+  if (forwarded) return attempt_.answer.status;
   return stream_cut_ ? 0 : FinalStatus(cause_, ran);
 }
 
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -18,11 +18,21 @@
 //   relay/request_cost.h  what the customer is charged
 //   relay/request_log.h   log lines about the request
 //
-// A request owns its caller's exchange, at most one call to a target, its entry
-// in RunningRequests, the hold on its customer's budget and its timers. It
+// A request owns its caller's exchange, its calls to targets, its entry in
+// RunningRequests, the hold on its customer's budget and its timers. It
 // releases them all when it ends, and it ends once. The objects in RelayContext
 // must outlive it.
 //
+// Kept attempts. A target that is silent may be sound and go on. So an attempt
+// that was silent for too long isn't stopped when the request is sent to
+// another target: it is kept (`KeepAttempt`) until one of them brings the next
+// part of the answer, that is, an event or, for other answers, the whole of it.
+// That attempt goes on (`GoOnWith`), and the others are stopped. Where no
+// further attempt is left or may be made, the request waits for a kept one
+// (`GoOnWithKept`) until its deadline. Only requests that may be repeated have
+// kept attempts; kept or not, their number is bounded by the rules of
+// relay/retry.h.
+//
 // Guarantees, and where they are implemented:
 //   - A request is refused for its route or its key only by a configuration
 //   that
@@ -31,6 +41,9 @@
 //   - A request that may have run is never reported as not run (the chart). One
 //     that must not be repeated is sent again only if it certainly has not run
 //     (`MaySendAgain`).
+//   - A request isn't given up while an attempt may still finish
+//     (`GiveUpUnlessKept`), but for its deadline, its caller and a planned
+//     stop.
 //   - An answer is forwarded only if its target vouches for it and it answers
 //     this request. An answer that is cut short never looks complete
 //     (`EvaluateAttempt`, `AbortStream`).
@@ -47,12 +60,14 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "config/service_map.h"
 #include "http/caller_connection.h"
 #include "http/target_connection.h"
 #include "relay/admission.h"
 #include "relay/attempt.h"
+#include "relay/attempt_state.h"
 #include "relay/crash_watch.h"
 #include "relay/events.h"
 #include "relay/final_answer.h"
@@ -117,14 +132,16 @@
   void Send();
   void AnnouncePrompt() const;
   TargetCall MakeCall();
+  CallHandle::Handlers HandlersOf(int number);
   bool MaySend();
   void SetAttemptTimer(Duration timeout);
   void OnAttemptTimeout();
-  bool OnHead(const HttpHead& head);
-  void HandleTargetNotices();
+  void CheckAgainLater();
+  bool OnHead(AttemptState& attempt, const HttpHead& head);
+  void HandleTargetNotices(const AttemptState& attempt);
   void OnBody(std::string_view bytes);
-  void ForwardEvents(std::string_view bytes);
-  void OnFirstEvent();
+  void Forward(const StreamEvents& events);
+  void OnFirstEvent(Instant now);
   void OnLaterEvents(Instant now);
   void BeginStream();
   void OnCallEnd(CallEnd end);
@@ -133,24 +150,38 @@
   void UndoSend(PlacementOutcome outcome);
   void OnNotOpened();
   bool IsSilent() const;
-  Ran RanInAttempt() const;
-  std::optional<Duration> TimeSinceFirstEvent() const;
+  std::optional<Duration> TimeSinceFirstEvent(
+      const AttemptState& attempt) const;
   void ReportRan();
-  bool MayEndUnderLoad() const;
-  void ReportLost();
-  void ReportStopped();
-  LostAttempt MakeLostAttempt();
+  bool MayEndUnderLoad(const AttemptState& attempt) const;
+  void ReportLost(const AttemptState& attempt);
+  void ReportStopped(const AttemptState& attempt);
+  LostAttempt MakeLostAttempt(const AttemptState& attempt);
   void StopAttempt(PlacementOutcome outcome);
-  void ReportAnswer(PlacementOutcome outcome) const;
-  double FirstOverExpected() const;
+  void Stop(AttemptState& attempt, PlacementOutcome outcome);
+  void ReportAnswer(const AttemptState& attempt,
+                    PlacementOutcome outcome) const;
+  static double FirstOverExpected(const AttemptState& attempt);
   void EndAttempt(Ran ran, PlacementOutcome outcome, AttemptFault fault);
   RetryFacts FactsForRetry(Ran ran);
   bool TakeRetry(Ran ran, AttemptFault fault);
   void UncountSend();
   void Retry(Ran ran);
-  void LogAttempt(Ran ran, AttemptFault fault);
+  void LogAttempt(const AttemptState& attempt, Ran ran, AttemptFault fault);
   const Fingerprint& fingerprint();
 
+  // Kept attempts (relayed_request_kept.cc).
+  void KeepAttempt(AttemptFault kept_for);
+  AttemptState* FindKept(int number);
+  void OnKeptBody(AttemptState& attempt, std::string_view bytes);
+  void OnKeptEnd(AttemptState& attempt, CallEnd end);
+  void EndKept(int number, PlacementOutcome outcome, AttemptFault fault);
+  void EndAllKept();
+  void GoOnWith(int number);
+  bool GoOnWithKept();
+  void MakeCurrent(int number);
+  void GiveUpUnlessKept(Ran ran, RelayCause cause);
+
   void OnDeadline();
   void OnCallerGone();
   void LeaveHoldQueue();
@@ -177,25 +208,14 @@
   // The request holds tokens of the budget, which must be settled.
   bool held_ = false;
 
-  // The attempt. `call_` is set while the request is at a target; the other
-  // members keep the values of the latest attempt.
-  std::shared_ptr<CallHandle> call_;
+  // The current attempt; after its end, it keeps the values of the latest one.
+  AttemptState attempt_;
+  // Earlier attempts that were silent for too long and may still finish.
+  std::vector<AttemptState> kept_;
+  // Number of attempts so far.
+  int attempts_ = 0;
   std::unique_ptr<Timer> attempt_timer_;
-  Instant sent_at_{};
-  // Arrival of the latest events of this attempt, and the number of events.
-  Instant last_event_at_{};
-  int attempt_events_ = 0;
-  // Tokens of the prompt that the target has yet to prefill.
-  Tokens prefill_ = 0;
-  HttpHead answer_;
-  // Contents of the head of this attempt's answer; empty until the head
-  // arrives.
-  AnswerFacts answer_facts_;
-  // Body of an answer that is forwarded only when it is complete.
-  std::string body_;
-  // The caller reads too slowly, so reading from the target is paused.
-  bool paused_ = false;
-  // Outcome of the attempt, as reported to the placement.
+  // Outcome of the current attempt, as reported to the placement.
   PlacementOutcome outcome_ = PlacementOutcome::kNeutral;
 
   // Peers that refused the request a tunnel, or couldn't be reached.
@@ -213,8 +233,6 @@
   bool may_go_on_ = true;
   // The caller received the start of a stream, but not its end.
   bool stream_cut_ = false;
-  // Arrival of the first event of this attempt.
-  std::optional<Instant> first_event_at_;
   // Some attempt has run past its start phase (CrashWatch::kStartPhase).
   bool passed_start_phase_ = false;
   // The request may have crashed the target of the last attempt.
--- a/relay/relayed_request_attempts.cc
+++ b/relay/relayed_request_attempts.cc
@@ -30,50 +30,65 @@
 // another router is the caller's better choice.
 constexpr std::size_t kMaxTriedPeers = 2;
 
+// How often a stream whose target is silent is looked at again while no other
+// target may be asked.
+constexpr Duration kRetryCheckInterval = milliseconds(500);
+
 }  // namespace
 
 // --- At a target -------------------------------------------------------------
 
 void RelayedRequest::Send() {
-  const TargetName& target = progress_.choice.target.name;
+  const TargetName& target = attempt_.choice.target.name;
   ++progress_.sends;
   admission_.placement.tried.insert(target);
-  sent_at_ = context_.clock.Now();
-  progress_.head_at.reset();
-  first_event_at_.reset();
+  attempt_.number = ++attempts_;
+  attempt_.sent_at = context_.clock.Now();
   may_have_crashed_ = false;
-  prefill_ = context_.placement.OnSent(sent_at_, target, admission_.placement,
-                                       progress_.choice.is_preferred);
+  attempt_.prefill =
+      context_.placement.OnSent(attempt_.sent_at, target, admission_.placement,
+                                attempt_.choice.is_preferred);
   AnnouncePrompt();
-  attempt_events_ = 0;
-  answer_facts_ = {};
-  body_.clear();
-  // Reading was paused for the previous target; the new one is read until the
-  // caller's buffer is full again.
-  paused_ = false;
   events_.DropPartial();
+  context_.reach.OnSent(attempt_.path, target);
+  attempt_.call =
+      context_.targets.Start(MakeCall(), HandlersOf(attempt_.number));
+  const RouteRule& route = *admission_.route;
+  SetAttemptTimer(attempt_.call->connecting()
+                      ? ConnectTimeout(route, Left())
+                      : FirstAnswerTimeout(route, Left()));
+}
 
-  CallHandle::Handlers on;
+// A call that has ended, or was cancelled, calls none of its handlers, so each
+// attempt that they refer to is the current one or kept.
+CallHandle::Handlers RelayedRequest::HandlersOf(int number) {
   const auto self = shared_from_this();
-  on.head = [self](const HttpHead& head) { return self->OnHead(head); };
-  on.body = [self](std::string_view bytes) { self->OnBody(bytes); };
-  on.end = [self](CallEnd end) { self->OnCallEnd(end); };
-  context_.reach.OnSent(progress_.path, target);
-  call_ = context_.targets.Start(MakeCall(), std::move(on));
-  const RouteRule& route = *admission_.route;
-  SetAttemptTimer(call_->connecting() ? ConnectTimeout(route, Left())
-                                      : FirstAnswerTimeout(route, Left()));
+  CallHandle::Handlers on;
+  on.head = [self, number](const HttpHead& head) {
+    AttemptState* kept = self->FindKept(number);
+    return self->OnHead(kept ? *kept : self->attempt_, head);
+  };
+  on.body = [self, number](std::string_view bytes) {
+    AttemptState* kept = self->FindKept(number);
+    kept ? self->OnKeptBody(*kept, bytes) : self->OnBody(bytes);
+  };
+  on.end = [self, number](CallEnd end) {
+    AttemptState* kept = self->FindKept(number);
+    kept ? self->OnKeptEnd(*kept, end) : self->OnCallEnd(end);
+  };
+  return on;
 }
 
 void RelayedRequest::AnnouncePrompt() const {
-  if (!context_.placement.IsWorthReporting(admission_.placement, prefill_))
+  const Tokens prefill = attempt_.prefill;
+  if (!context_.placement.IsWorthReporting(admission_.placement, prefill))
     return;
-  context_.announce_prompt({progress_.choice.target.name, prefill_});
+  context_.announce_prompt({attempt_.choice.target.name, prefill});
 }
 
 TargetCall RelayedRequest::MakeCall() {
   SendFacts facts;
-  facts.target = progress_.choice.target.name;
+  facts.target = attempt_.choice.target.name;
   facts.customer = admission_.customer;
   facts.time_left = duration_cast<milliseconds>(Left());
   facts.priority =
@@ -81,19 +96,19 @@
   const bool resumes = machine_.state() == RelayState::kResuming;
   if (resumes) facts.last_event = events_.last_id();
   TargetCall out;
-  out.address = progress_.choice.target.address;
+  out.address = attempt_.choice.target.address;
   out.bytes =
       context_.target_dialect.Head(request_.head, facts, request_.body.size());
   out.bytes += request_.body;
   out.may_send = [this] { return MaySend(); };
-  out.via = progress_.path.address;
+  out.via = attempt_.path.address;
   return out;
 }
 
 // Called when the connection, or the tunnel, has opened.
 bool RelayedRequest::MaySend() {
-  context_.reach.OnOpened(progress_.path, progress_.choice.target.name);
-  return context_.placement.MayStillSend(context_.clock.Now(), progress_.choice,
+  context_.reach.OnOpened(attempt_.path, attempt_.choice.target.name);
+  return context_.placement.MayStillSend(context_.clock.Now(), attempt_.choice,
                                          admission_.placement);
 }
 
@@ -103,67 +118,70 @@
 
 void RelayedRequest::OnAttemptTimeout() {
   const auto self = shared_from_this();
-  if (!call_) return;
-  if (RanInAttempt() == Ran::kNo) {
-    if (!progress_.path.direct()) return OnNoTunnel(AttemptFault::kOpenTimeout);
+  if (!attempt_.call) return;
+  if (attempt_.ran() == Ran::kNo) {
+    if (!attempt_.path.direct()) return OnNoTunnel(AttemptFault::kOpenTimeout);
     OnNotOpened();
     return EndAttempt(Ran::kNo, PlacementOutcome::kFailed,
                       AttemptFault::kOpenTimeout);
   }
   // The connection has opened in time; the answer has its own timeout.
-  const Duration waited = context_.clock.Now() - sent_at_;
+  const Duration waited = context_.clock.Now() - attempt_.sent_at;
   const Duration timeout = FirstAnswerTimeout(*admission_.route, Left());
   const bool answering = machine_.state() == RelayState::kStreaming;
   if (!answering && waited < timeout) return SetAttemptTimer(timeout - waited);
-  // The attempt is stopped only if the request may be sent to another target,
-  // so the retry is taken before the attempt ends. `EndAttempt` takes it
-  // afterwards.
-  if (!TakeRetry(Ran::kUnknown, AttemptFault::kTimeout)) return;
-  ReportStopped();
-  StopAttempt(PlacementOutcome::kFailed);
-  LogAttempt(Ran::kUnknown, AttemptFault::kTimeout);
+  if (!TakeRetry(Ran::kUnknown, AttemptFault::kTimeout))
+    return CheckAgainLater();
+  KeepAttempt(AttemptFault::kTimeout);
   Retry(Ran::kUnknown);
 }
 
-bool RelayedRequest::OnHead(const HttpHead& head) {
+// Called when the target of a stream is silent and no other may be asked at
+// present. One may be later: targets and the service's retries become free.
+void RelayedRequest::CheckAgainLater() {
+  const bool has_begun = progress_.events > 0;
+  if (has_begun && MaySendAgain(FactsForRetry(Ran::kUnknown)))
+    SetAttemptTimer(kRetryCheckInterval);
+}
+
+bool RelayedRequest::OnHead(AttemptState& attempt, const HttpHead& head) {
   const AnswerFacts facts = context_.target_dialect.Read(head);
   if (!AnswersRequest(facts, id())) return false;
-  context_.reach.OnHeard(progress_.path, progress_.choice.target.name);
-  answer_ = head;
-  progress_.status = head.status;
-  progress_.head_at = context_.clock.Now();
-  answer_facts_ = facts;
-  const TargetEntry& target = progress_.choice.target;
-  HandleTargetNotices();
+  context_.reach.OnHeard(attempt.path, attempt.choice.target.name);
+  attempt.answer = head;
+  attempt.head_at = context_.clock.Now();
+  attempt.facts = facts;
+  const TargetEntry& target = attempt.choice.target;
+  HandleTargetNotices(attempt);
   if (!context_.placement.IsListed(target)) return true;
-  context_.placement.OnAlive(*progress_.head_at, target.name, sent_at_);
+  context_.placement.OnAlive(*attempt.head_at, target.name, attempt.sent_at);
   if (facts.cold_for > milliseconds(0)) {
-    context_.placement.OnCold(*progress_.head_at, target.name, facts.cold_for);
+    context_.placement.OnCold(*attempt.head_at, target.name, facts.cold_for);
   }
   return true;
 }
 
 // Applies what the head of the answer states about its target. The target may
 // be missing from the list of targets, as an entry can disappear for a while.
-void RelayedRequest::HandleTargetNotices() {
-  const TargetEntry& target = progress_.choice.target;
-  if (answer_facts_.leaving) {
+void RelayedRequest::HandleTargetNotices(const AttemptState& attempt) {
+  const TargetEntry& target = attempt.choice.target;
+  if (attempt.facts.leaving) {
     LogSaysLeaving(id(), target);
     context_.on_target_leaving(target);
   }
-  if (answer_facts_.back_off > milliseconds(0)) {
-    LogBacksOff(id(), target, answer_facts_.back_off);
-    context_.placement.OnBackOff(*progress_.head_at, target.start,
-                                 answer_facts_.back_off);
+  if (attempt.facts.back_off > milliseconds(0)) {
+    LogBacksOff(id(), target, attempt.facts.back_off);
+    context_.placement.OnBackOff(*attempt.head_at, target.start,
+                                 attempt.facts.back_off);
   }
-  const RejectionStatement& rejections = answer_facts_.rejections;
+  const RejectionStatement& rejections = attempt.facts.rejections;
   if (rejections.is_stated &&
-      context_.placement.OnRejectionLimit(*progress_.head_at, target.service,
+      context_.placement.OnRejectionLimit(*attempt.head_at, target.service,
                                           rejections.max_rejections)) {
     LogRejectionLimit(target.service, rejections.max_rejections, "answer");
   }
   const bool changed = context_.placement.OnRate(
-      *progress_.head_at, target.start, sent_at_, answer_facts_.rate);
+      *attempt.head_at, target.start, attempt.sent_at, attempt.facts.rate);
   if (!changed) return;
   LogRateLimit(target.start, context_.placement.rate_limits(), "answer");
 }
@@ -171,43 +189,43 @@
 void RelayedRequest::OnBody(std::string_view bytes) {
   const auto self = shared_from_this();
   if (machine_.state() == RelayState::kEnded) return;
-  if (IsForwardedByEvent(admission_.route->kind, answer_.status,
-                         answer_facts_.sealed)) {
-    return ForwardEvents(bytes);
+  const bool by_event = IsForwardedByEvent(
+      admission_.route->kind, attempt_.answer.status, attempt_.facts.sealed);
+  if (!by_event) {
+    attempt_.body.append(bytes);
+    return;
   }
-  body_.append(bytes);
-}
-
-// Forwards complete events. This runs for every chunk of a stream, so it does
-// as little as possible: only the first event of an attempt goes through the
-// chart.
-void RelayedRequest::ForwardEvents(std::string_view bytes) {
   const StreamEvents events = events_.Take(bytes);
   if (events.out_of_order) {
     return EndAttempt(Ran::kUnknown, PlacementOutcome::kFailed,
                       AttemptFault::kInvalid);
   }
-  if (events.bytes.empty()) return;
-  context_.reach.OnHeard(progress_.path, progress_.choice.target.name);
+  if (!events.bytes.empty()) Forward(events);
+}
+
+// Forwards complete events. This runs for every chunk of a stream, so it does
+// as little as possible: only the first event of an attempt, or after a silence
+// in which another was begun, goes through the chart.
+void RelayedRequest::Forward(const StreamEvents& events) {
+  EndAllKept();
+  context_.reach.OnHeard(attempt_.path, attempt_.choice.target.name);
   const Instant now = context_.clock.Now();
   if (progress_.events == 0) BindToVersion();
-  if (machine_.state() != RelayState::kStreaming) {
-    OnFirstEvent();
-  } else {
-    OnLaterEvents(now);
-  }
-  last_event_at_ = now;
+  attempt_.first_event_at ? OnLaterEvents(now) : OnFirstEvent(now);
+  if (machine_.state() != RelayState::kStreaming)
+    Apply(RelayEvent::kFirstEvent);
+  attempt_.last_event_at = now;
   progress_.events += events.count;
-  attempt_events_ += static_cast<int>(events.count);
+  attempt_.events += events.count;
   caller_->WriteChunk(events.bytes);
-  if (!paused_ && caller_->Unsent() > kMaxUnsentBytes) {
-    paused_ = true;
-    call_->PauseReading();
+  if (!attempt_.paused && caller_->Unsent() > kMaxUnsentBytes) {
+    attempt_.paused = true;
+    attempt_.call->PauseReading();
   }
   // While reading is paused, a missing event says nothing about the target, so
   // the event timeout is off. Data that was read before the pause may still
   // contain events, which arrive here as well.
-  if (paused_) return attempt_timer_.reset();
+  if (attempt_.paused) return attempt_timer_.reset();
   const RouteRule& route = *admission_.route;
   if (route.Repeatable()) SetAttemptTimer(NextEventTimeout(route));
 }
@@ -217,7 +235,7 @@
 // elsewhere.
 void RelayedRequest::BindToVersion() {
   const auto version = context_.placement.VersionOf(context_.clock.Now(),
-                                                    progress_.choice.target);
+                                                    attempt_.choice.target);
   if (!version) {
     may_go_on_ = false;
     return;
@@ -230,37 +248,35 @@
   context_.versions.Announce(id(), *version, std::min(waits, longest));
 }
 
-void RelayedRequest::OnFirstEvent() {
-  first_event_at_ = context_.clock.Now();
-  const Duration waited = context_.clock.Now() - sent_at_;
+void RelayedRequest::OnFirstEvent(Instant now) {
+  attempt_.first_event_at = now;
+  const Duration waited = now - attempt_.sent_at;
   progress_.first_event = waited;
-  if (progress_.choice.first_event_ms > 0) {
-    context_.metrics.ObserveFirstEvent(waited, progress_.choice.first_event_ms);
-  }
-  const TargetEntry& target = progress_.choice.target;
+  const double expected_ms = attempt_.choice.first_event_ms;
+  if (expected_ms > 0) context_.metrics.ObserveFirstEvent(waited, expected_ms);
+  const TargetEntry& target = attempt_.choice.target;
   if (context_.placement.IsListed(target)) {
-    context_.placement.OnAnswering(target.name, prefill_, waited);
+    context_.placement.OnAnswering(target.name, attempt_.prefill, waited);
   }
-  prefill_ = 0;
-  Apply(RelayEvent::kFirstEvent);
+  attempt_.prefill = 0;
 }
 
 void RelayedRequest::OnLaterEvents(Instant now) {
   progress_.longest_pause =
-      std::max(progress_.longest_pause, now - last_event_at_);
+      std::max(progress_.longest_pause, now - attempt_.last_event_at);
 }
 
 void RelayedRequest::BeginStream() {
   context_.metrics.ObserveFirstByte(customer(), admission_.route->kind,
                                     context_.clock.Now() - request_.begun);
-  caller_->StartStream(HeadForCaller(answer_));
+  caller_->StartStream(HeadForCaller(attempt_.answer));
   attempt_timer_.reset();
   caller_->OnDrained([self = shared_from_this()] {
-    if (!self->paused_) return;
-    self->paused_ = false;
-    if (!self->call_) return;
-    self->call_->ResumeReading();
-    self->last_event_at_ = self->context_.clock.Now();
+    if (!self->attempt_.paused) return;
+    self->attempt_.paused = false;
+    if (!self->attempt_.call) return;
+    self->attempt_.call->ResumeReading();
+    self->attempt_.last_event_at = self->context_.clock.Now();
     const RouteRule& route = *self->admission_.route;
     if (route.Repeatable()) self->SetAttemptTimer(NextEventTimeout(route));
   });
@@ -272,19 +288,23 @@
   if (state == RelayState::kEnded) return;
   const bool streaming =
       state == RelayState::kStreaming || state == RelayState::kResuming;
-  const AttemptResult result = EvaluateAttempt(
-      {end, answer_facts_, answer_.status, events_.InEvent(), streaming});
+  const AttemptResult result =
+      EvaluateAttempt({end, attempt_.facts, attempt_.answer.status,
+                       events_.InEvent(), streaming});
   if (end == CallEnd::kCancelledBeforeSend) return OnSendHeldBack(result);
   if (end == CallEnd::kNoTunnel) return OnNoTunnel(result.fault);
   if (end == CallEnd::kNotSent) OnNotOpened();
-  if (end == CallEnd::kBroken) ReportLost();
-  const bool error = IsServerError(answer_.status);
-  if (!result.answered || (error && MaySendAgain(FactsForRetry(result.ran)))) {
+  if (end == CallEnd::kBroken) ReportLost(attempt_);
+  const bool error = IsServerError(attempt_.answer.status);
+  const bool may_be_served =
+      !kept_.empty() || MaySendAgain(FactsForRetry(result.ran));
+  if (!result.answered || (error && may_be_served)) {
     return EndAttempt(result.ran, result.outcome, result.fault);
   }
+  EndAllKept();
   outcome_ = result.outcome;
-  cause_ = IsSuccess(answer_.status) ? RelayCause::kServed
-                                     : RelayCause::kTargetError;
+  cause_ = IsSuccess(attempt_.answer.status) ? RelayCause::kServed
+                                             : RelayCause::kTargetError;
   if (cause_ == RelayCause::kServed) ReportRan();
   Apply(RelayEvent::kAnswerComplete);
 }
@@ -293,7 +313,7 @@
 // closed to new work in the meantime. The attempt doesn't count as a send and
 // uses no retry.
 void RelayedRequest::OnSendHeldBack(const AttemptResult& result) {
-  LogSendHeldBack(id(), progress_.choice.target);
+  LogSendHeldBack(id(), attempt_.choice.target);
   context_.metrics.CountHeldBack();
   StopAttempt(result.outcome);
   --progress_.sends;
@@ -303,12 +323,12 @@
 // Called when the peer that was to carry the request is unreachable or refuses.
 // Nothing was sent, and the target isn't at fault, so it may be chosen again.
 void RelayedRequest::OnNoTunnel(AttemptFault fault) {
-  context_.reach.OnTunnelFailed(progress_.path);
-  tried_peers_.insert(progress_.path.peer);
+  context_.reach.OnTunnelFailed(attempt_.path);
+  tried_peers_.insert(attempt_.path.peer);
   UndoSend(PlacementOutcome::kNeutral);
-  LogAttempt(Ran::kNo, fault);
+  LogAttempt(attempt_, Ran::kNo, fault);
   if (tried_peers_.size() >= kMaxTriedPeers)
-    return GiveUp(Ran::kNo, RelayCause::kTargetsUnreachable);
+    return GiveUpUnlessKept(Ran::kNo, RelayCause::kTargetsUnreachable);
   Retry(Ran::kNo);
 }
 
@@ -316,45 +336,43 @@
 void RelayedRequest::UndoSend(PlacementOutcome outcome) {
   StopAttempt(outcome);
   --progress_.sends;
-  admission_.placement.tried.erase(progress_.choice.target.name);
+  admission_.placement.tried.erase(attempt_.choice.target.name);
 }
 
 void RelayedRequest::OnNotOpened() {
-  context_.reach.OnOpenFailed(progress_.path, progress_.choice.target.name);
+  context_.reach.OnOpenFailed(attempt_.path, attempt_.choice.target.name);
 }
 
 bool RelayedRequest::IsSilent() const {
-  const Instant heard = std::max(
-      {sent_at_, progress_.head_at.value_or(sent_at_), last_event_at_});
-  return context_.clock.Now() - heard >= TargetReach::kSilence &&
+  return context_.clock.Now() - attempt_.HeardAt() >= TargetReach::kSilence &&
          context_.reach.IsSilent(admission_.service->name);
 }
 
 void RelayedRequest::OnLinksLost(const ServiceName& service) {
   const auto self = shared_from_this();
-  if (!call_ || admission_.service->name != service) return;
-  const Ran ran = RanInAttempt();
-  switch (
-      StepAfterLostLinks({progress_.path.direct(), ran, paused_, IsSilent()})) {
+  if (!attempt_.call || admission_.service->name != service) return;
+  const Ran ran = attempt_.ran();
+  switch (StepAfterLostLinks(
+      {attempt_.path.direct(), ran, attempt_.paused, IsSilent()})) {
     case LostLinksStep::kKeep:
       return;
     case LostLinksStep::kUndo:
       UndoSend(PlacementOutcome::kNeutral);
-      break;
+      LogAttempt(attempt_, ran, AttemptFault::kPathChanged);
+      return Retry(ran);
     case LostLinksStep::kRetry:
       if (!TakeRetry(ran, AttemptFault::kPathChanged)) return;
-      StopAttempt(PlacementOutcome::kNeutral);
-      break;
+      KeepAttempt(AttemptFault::kPathChanged);
+      return Retry(ran);
   }
-  LogAttempt(ran, AttemptFault::kPathChanged);
-  Retry(ran);
 }
 
 // --- After an attempt --------------------------------------------------------
 
-std::optional<Duration> RelayedRequest::TimeSinceFirstEvent() const {
-  if (!first_event_at_) return std::nullopt;
-  return context_.clock.Now() - *first_event_at_;
+std::optional<Duration> RelayedRequest::TimeSinceFirstEvent(
+    const AttemptState& attempt) const {
+  if (!attempt.first_event_at) return std::nullopt;
+  return context_.clock.Now() - *attempt.first_event_at;
 }
 
 void RelayedRequest::ReportRan() {
@@ -363,88 +381,94 @@
 
 // Whether the target may have ended because of its load, or the connection
 // because of the peer in between, so that the request can't be blamed.
-bool RelayedRequest::MayEndUnderLoad() const {
-  return !progress_.path.direct() ||
+bool RelayedRequest::MayEndUnderLoad(const AttemptState& attempt) const {
+  return !attempt.path.direct() ||
          context_.placement.rejection_limits().IsLimited(
              context_.clock.Now(), admission_.service->name);
 }
 
 // Called when the target closed the connection. The target may have crashed,
 // possibly because of this request.
-void RelayedRequest::ReportLost() {
-  if (MayEndUnderLoad()) return;
-  if (CrashWatch::HasPassedStartPhase(TimeSinceFirstEvent())) {
+void RelayedRequest::ReportLost(const AttemptState& attempt) {
+  if (MayEndUnderLoad(attempt)) return;
+  if (CrashWatch::HasPassedStartPhase(TimeSinceFirstEvent(attempt))) {
     passed_start_phase_ = true;
     ReportRan();
   }
   if (passed_start_phase_) return;
   may_have_crashed_ = true;
-  context_.crashes.OnLost(MakeLostAttempt());
+  context_.crashes.OnLost(MakeLostAttempt(attempt));
 }
 
 // Called when this router stops the attempt. The target may be about to end, or
 // hang, because of the request.
-void RelayedRequest::ReportStopped() {
-  const bool at_target = RanInAttempt() == Ran::kUnknown;
-  if (!at_target || MayEndUnderLoad() || passed_start_phase_ ||
-      CrashWatch::HasPassedStartPhase(TimeSinceFirstEvent()))
+void RelayedRequest::ReportStopped(const AttemptState& attempt) {
+  const bool at_target = attempt.ran() == Ran::kUnknown;
+  if (!at_target || MayEndUnderLoad(attempt) || passed_start_phase_ ||
+      CrashWatch::HasPassedStartPhase(TimeSinceFirstEvent(attempt)))
     return;
-  context_.crashes.OnStopped(MakeLostAttempt());
+  context_.crashes.OnStopped(MakeLostAttempt(attempt));
 }
 
-LostAttempt RelayedRequest::MakeLostAttempt() {
-  const Instant since = progress_.head_at.value_or(sent_at_);
-  return {id(), fingerprint(), progress_.choice.target,
+LostAttempt RelayedRequest::MakeLostAttempt(const AttemptState& attempt) {
+  const Instant since = attempt.head_at.value_or(attempt.sent_at);
+  return {id(), fingerprint(), attempt.choice.target,
           context_.clock.Now() - since};
 }
 
-Ran RelayedRequest::RanInAttempt() const {
-  return call_ && call_->sent() ? Ran::kUnknown : Ran::kNo;
+void RelayedRequest::StopAttempt(PlacementOutcome outcome) {
+  if (!attempt_.call) return;
+  attempt_timer_.reset();
+  Stop(attempt_, outcome);
 }
 
 // Ends the call to the target, if there is one. Each end of an attempt calls
 // this.
-void RelayedRequest::StopAttempt(PlacementOutcome outcome) {
-  if (!call_) return;
-  ReportAnswer(outcome);
-  call_->Cancel();
-  call_.reset();
-  context_.reach.OnEnded(progress_.path);
-  attempt_timer_.reset();
-  const TargetEntry& target = progress_.choice.target;
+void RelayedRequest::Stop(AttemptState& attempt, PlacementOutcome outcome) {
+  if (!attempt.call) return;
+  ReportAnswer(attempt, outcome);
+  attempt.call->Cancel();
+  attempt.call.reset();
+  context_.reach.OnEnded(attempt.path);
+  const TargetEntry& target = attempt.choice.target;
   if (context_.placement.IsListed(target)) {
-    context_.placement.OnEnded(context_.clock.Now(), target.name, prefill_,
-                               outcome);
+    // The placement knows already that a kept attempt failed (`OnSilent`).
+    const bool is_known = attempt.kept_for == AttemptFault::kTimeout &&
+                          outcome == PlacementOutcome::kFailed;
+    context_.placement.OnEnded(context_.clock.Now(), target.name,
+                               attempt.prefill,
+                               is_known ? PlacementOutcome::kNeutral : outcome);
   }
-  prefill_ = 0;
+  attempt.prefill = 0;
 }
 
 // Reports the answer for the evaluation of a version that is being rolled out.
 // Rejections that are no failure, and attempts that this router stopped, say
 // nothing about the version.
-void RelayedRequest::ReportAnswer(PlacementOutcome outcome) const {
-  const TargetEntry& target = progress_.choice.target;
+void RelayedRequest::ReportAnswer(const AttemptState& attempt,
+                                  PlacementOutcome outcome) const {
+  const TargetEntry& target = attempt.choice.target;
   if (!context_.rollouts.IsEvaluating(target.service)) return;
-  const bool has_head = progress_.head_at.has_value();
-  const bool error =
-      has_head && !answer_facts_.not_run && IsServerError(answer_.status);
+  const bool has_head = attempt.head_at.has_value();
+  const bool error = has_head && !attempt.facts.not_run &&
+                     IsServerError(attempt.answer.status);
   const bool failed = outcome == PlacementOutcome::kFailed || error;
   if (!failed && outcome != PlacementOutcome::kGood) return;
   AttemptOutcome seen;
   seen.failed = failed;
-  if (!failed && has_head) seen.first_event = FirstOverExpected();
-  if (first_event_at_ && attempt_events_ >= kMinEventsForMeanPause) {
-    seen.pause = ToSeconds(last_event_at_ - *first_event_at_) * 1000 /
-                 (attempt_events_ - 1);
+  if (!failed && has_head) seen.first_event = FirstOverExpected(attempt);
+  if (attempt.first_event_at && attempt.events >= kMinEventsForMeanPause) {
+    seen.pause = ToSeconds(attempt.last_event_at - *attempt.first_event_at) *
+                 1000 / (attempt.events - 1);
   }
   context_.rollouts.OnAnswer(target.service, target.version,
                              admission_.route->name, seen);
 }
 
-double RelayedRequest::FirstOverExpected() const {
-  const Instant first = first_event_at_.value_or(*progress_.head_at);
-  const double took_ms = ToSeconds(first - sent_at_) * 1000;
-  const double expected_ms = progress_.choice.first_event_ms;
+double RelayedRequest::FirstOverExpected(const AttemptState& attempt) {
+  const Instant first = attempt.first_event_at.value_or(*attempt.head_at);
+  const double took_ms = ToSeconds(first - attempt.sent_at) * 1000;
+  const double expected_ms = attempt.choice.first_event_ms;
   return expected_ms > 0 ? took_ms / expected_ms : took_ms;
 }
 
@@ -455,12 +479,13 @@
                                 AttemptFault fault) {
   const auto self = shared_from_this();
   StopAttempt(outcome);
-  LogAttempt(ran, fault);
+  LogAttempt(attempt_, ran, fault);
   if (machine_.state() == RelayState::kCallerLeft) {
     return GiveUp(ran, RelayCause::kCallerGone);
   }
   if (TakeRetry(ran, fault)) return Retry(ran);
-  GiveUp(ran, RelayCause::kTurnedAway);
+  GiveUpUnlessKept(
+      ran, may_go_on_ ? RelayCause::kTurnedAway : RelayCause::kVersionUnknown);
 }
 
 RetryFacts RelayedRequest::FactsForRetry(Ran ran) {
@@ -471,7 +496,9 @@
   out.left = Left();
   out.sends = progress_.sends;
   out.crashes_targets =
-      may_have_crashed_ && context_.crashes.IsOneCrashFromBlame(fingerprint());
+      IsBlamed() || (may_have_crashed_ &&
+                     context_.crashes.IsOneCrashFromBlame(fingerprint()));
+  out.may_go_on = may_go_on_;
   out.repeatable = route.Repeatable();
   out.max_attempts = route.max_attempts;
   return out;
@@ -480,7 +507,7 @@
 bool RelayedRequest::TakeRetry(Ran ran, AttemptFault fault) {
   RetryFacts facts = FactsForRetry(ran);
   facts.was_sent = !IsUnsent(fault);
-  facts.links_in_doubt = progress_.path.direct() &&
+  facts.links_in_doubt = attempt_.path.direct() &&
                          context_.reach.IsInDoubt(admission_.service->name);
   if (!CountsAsSend(facts)) {
     UncountSend();
@@ -494,7 +521,7 @@
 
 void RelayedRequest::UncountSend() {
   --progress_.sends;
-  unopened_.insert(progress_.choice.target.name);
+  unopened_.insert(attempt_.choice.target.name);
   if (!context_.reach.IsCutOff(admission_.service->name)) return;
   for (const TargetName& it : unopened_) admission_.placement.tried.erase(it);
   unopened_.clear();
@@ -505,16 +532,16 @@
                         : RelayEvent::kRetryMayHaveRun);
 }
 
-void RelayedRequest::LogAttempt(Ran ran, AttemptFault fault) {
-  last_fault_ = fault;
+void RelayedRequest::LogAttempt(const AttemptState& attempt, Ran ran,
+                                AttemptFault fault) {
+  if (fault != AttemptFault::kSuperseded) last_fault_ = fault;
   context_.metrics.CountAttemptFault(NameOf(fault));
   AttemptEnd end;
   end.ran = ran;
   end.fault = fault;
   end.now = context_.clock.Now();
-  end.took = end.now - sent_at_;
   if (ran != Ran::kNo) end.fingerprint = fingerprint();
-  LogAttemptEnded(id(), progress_, end);
+  LogAttemptEnded(id(), progress_, attempt, end);
 }
 
 const Fingerprint& RelayedRequest::fingerprint() {
--- a/relay/request_log.cc
+++ b/relay/request_log.cc
@@ -8,23 +8,47 @@
 namespace quaytrack {
 
 void LogAttemptEnded(const RequestId& id, const RequestProgress& progress,
-                     const AttemptEnd& end) {
-  const auto& head_at = progress.head_at;
+                     const AttemptState& attempt, const AttemptEnd& end) {
+  const auto& head_at = attempt.head_at;
   LogEvent(
       Event::kAttemptEnded,
       {{"request", id.value},
-       {"target", progress.choice.target.name.value},
-       {"via", progress.path.peer.value},
+       {"target", attempt.choice.target.name.value},
+       {"via", attempt.path.peer.value},
        {"ran", std::string(NameOf(end.ran))},
        {"fault", std::string(NameOf(end.fault))},
-       {"status", std::to_string(progress.status)},
+       {"status", std::to_string(attempt.answer.status)},
        {"events", std::to_string(progress.events)},
        {"sends", std::to_string(progress.sends)},
-       {"ms", MillisecondsText(end.took)},
+       {"ms", MillisecondsText(end.now - attempt.sent_at)},
        {"begun_ms", head_at ? MillisecondsText(end.now - *head_at) : "none"},
        {"fingerprint", end.fingerprint.value}});
 }
 
+void LogAttemptKept(const RequestId& id, const RequestProgress& progress,
+                    const AttemptState& attempt, Instant now) {
+  LogEvent(Event::kAttemptKept,
+           {{"request", id.value},
+            {"target", attempt.choice.target.name.value},
+            {"via", attempt.path.peer.value},
+            {"for", std::string(NameOf(attempt.kept_for))},
+            {"events", std::to_string(progress.events)},
+            {"sends", std::to_string(progress.sends)},
+            {"silent_ms", MillisecondsText(now - attempt.HeardAt())}});
+}
+
+void LogAttemptWentOn(const RequestId& id, const RequestProgress& progress,
+                      const AttemptState& attempt, bool has_answered,
+                      Instant now) {
+  LogEvent(Event::kAttemptWentOn,
+           {{"request", id.value},
+            {"target", attempt.choice.target.name.value},
+            {"by", has_answered ? "answer" : "no_other"},
+            {"events", std::to_string(progress.events)},
+            {"sends", std::to_string(progress.sends)},
+            {"silent_ms", MillisecondsText(now - attempt.HeardAt())}});
+}
+
 void LogBlamedRefused(const RequestId& id, const Fingerprint& fingerprint,
                       Duration left) {
   const auto left_s = std::chrono::ceil<std::chrono::seconds>(left).count();
@@ -84,9 +108,10 @@
 }
 
 void LogRequestEnded(const Admission& admission,
-                     const RequestProgress& progress, const RequestEnd& end) {
+                     const RequestProgress& progress,
+                     const AttemptState& attempt, const RequestEnd& end) {
   const RouteRule* route = admission.route;
-  const PlacementChoice& choice = progress.choice;
+  const PlacementChoice& choice = attempt.choice;
   LogEvent(Event::kRelayEnded,
            {{"request", admission.facts.id.value},
             {"route", route == nullptr ? "" : route->name},
@@ -94,7 +119,7 @@
             {"cause", std::string(NameOf(end.cause))},
             {"status", std::to_string(end.status)},
             {"target", choice.target.name.value},
-            {"via", progress.path.peer.value},
+            {"via", attempt.path.peer.value},
             {"version", choice.target.version.value},
             {"sends", std::to_string(progress.sends)},
             {"home", choice.is_preferred ? "yes" : "no"},
@@ -114,12 +139,13 @@
 }
 
 void LogRequestOverran(const Admission& admission,
-                       const RequestProgress& progress, RelayState state,
+                       const RequestProgress& progress,
+                       const AttemptState& attempt, RelayState state,
                        Duration since, Duration left) {
   LogEvent(Event::kRequestOverran,
            {{"request", admission.facts.id.value},
             {"route", admission.route == nullptr ? "" : admission.route->name},
-            {"target", progress.choice.target.name.value},
+            {"target", attempt.choice.target.name.value},
             {"state", std::string(NameOf(state))},
             {"events", std::to_string(progress.events)},
             {"first_ms", MillisecondsText(progress.first_event)},
--- a/relay/request_log.h
+++ b/relay/request_log.h
@@ -4,8 +4,8 @@
 // `request_overran` names requests for which a planned stop has no more time.
 //
 //   RequestProgress progress;             // updated by the request
-//   LogAttemptEnded(id, progress, {Ran::kUnknown, now, took, fingerprint});
-//   LogRequestEnded(admission, progress, {cause, status, cost, version, took});
+//   LogAttemptEnded(id, progress, attempt, {Ran::kUnknown, fault, now, ...});
+//   LogRequestEnded(admission, progress, attempt, {cause, why, ...});
 //
 // The functions keep no state and report no errors. Times are durations of
 // std::chrono, costs are tokens.
@@ -18,14 +18,13 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
-#include "dispatch/placement.h"
 #include "dispatch/rate_limits.h"
 #include "relay/admission.h"
 #include "relay/attempt.h"
+#include "relay/attempt_state.h"
 #include "relay/ended_by.h"
 #include "relay/final_answer.h"
 #include "relay/ran.h"
-#include "relay/reach_driver.h"
 #include "relay/relay_chart.h"
 
 namespace quaytrack {
@@ -36,16 +35,6 @@
   int sends = 0;
   // Events of the stream that were forwarded.
   int events = 0;
-  // The target of the latest attempt, and the values that decided for that
-  // target.
-  PlacementChoice choice;
-  // The way to that target.
-  TargetPath path;
-  // Status of the latest answer's head; 0 before the first. An attempt without
-  // an answer keeps the status of the one before.
-  int status = 0;
-  // When the latest attempt's answer began; unset if there is none.
-  std::optional<Instant> head_at;
   // Time from the latest send to its first event, if one has arrived.
   Duration first_event{};
   // The longest pause between two events of one attempt, as received.
@@ -75,14 +64,23 @@
   Ran ran = Ran::kUnknown;
   AttemptFault fault = AttemptFault::kNone;
   Instant now{};
-  // Time from the send to the end of the attempt.
-  Duration took{};
   // Fingerprint of the request if it may have run in this attempt; else empty.
   Fingerprint fingerprint;
 };
 
 void LogAttemptEnded(const RequestId& id, const RequestProgress& progress,
-                     const AttemptEnd& end);
+                     const AttemptState& attempt, const AttemptEnd& end);
+
+// Logs that an attempt without an answer goes on while the request is sent to
+// another target, for the reason `kept_for`.
+void LogAttemptKept(const RequestId& id, const RequestProgress& progress,
+                    const AttemptState& attempt, Instant now);
+
+// Logs that a kept attempt is the current one again: it has answered, or it is
+// the only one that may still finish.
+void LogAttemptWentOn(const RequestId& id, const RequestProgress& progress,
+                      const AttemptState& attempt, bool has_answered,
+                      Instant now);
 
 // Logs that a request was refused because it crashes targets. It will be
 // refused for the time `left` from now.
@@ -113,14 +111,17 @@
 void LogRateLimit(const TargetStart& target, const RateLimits& limits,
                   const std::string& by);
 
+// `attempt` is the latest one.
 void LogRequestEnded(const Admission& admission,
-                     const RequestProgress& progress, const RequestEnd& end);
+                     const RequestProgress& progress,
+                     const AttemptState& attempt, const RequestEnd& end);
 
 // Logs a request that still runs when a planned stop has no more time for
 // requests. `state` is its chart's state, `since` the time from its first byte,
 // and `left` the time until the process is killed.
 void LogRequestOverran(const Admission& admission,
-                       const RequestProgress& progress, RelayState state,
+                       const RequestProgress& progress,
+                       const AttemptState& attempt, RelayState state,
                        Duration since, Duration left);
 
 }  // namespace quaytrack
--- a/relay/retry.cc
+++ b/relay/retry.cc
@@ -4,6 +4,7 @@
 
 bool MaySendAgain(const RetryFacts& facts) {
   if (facts.caller_gone || facts.crashes_targets) return false;
+  if (!facts.may_go_on) return false;
   if (facts.left < kMinTimeToSend) return false;
   if (facts.sends >= kMaxSends) return false;
   if (facts.ran == Ran::kNo) return true;
--- a/relay/retry.h
+++ b/relay/retry.h
@@ -6,6 +6,7 @@
 //      - it has not been sent too often;
 //      - it isn't known to crash targets, and wouldn't be after one more
 //        crash, if it may have crashed this target (relay/crash_watch.h);
+//      - it isn't a stream whose version is unknown;
 //      - if the attempt may have run, its route allows repetition, and allows
 //        another target.
 //   2. A target that wasn't tried is available (`Placement::Choose`).
@@ -57,9 +58,11 @@
   // and the attempt used them.
   bool links_in_doubt = false;
   bool caller_gone = false;
-  // The attempt may have crashed its target, and one more crash would mark the
-  // request as one that crashes targets.
+  // The request is known to crash targets, or may have crashed the target of
+  // this attempt and would be after one more crash.
   bool crashes_targets = false;
+  // Another target may do the rest; not of a stream whose version is unknown.
+  bool may_go_on = true;
   // Time until the deadline.
   Duration left{};
   // Number of sends, including this attempt.
--- a/relay/testing/relay_chart_test.cc
+++ b/relay/testing/relay_chart_test.cc
@@ -85,7 +85,7 @@
                               << NameOf((step).to))
 
 BOOST_AUTO_TEST_CASE(EveryPairOfTheChartIsThere) {
-  BOOST_TEST(AllSteps().size() == 11U * 13U);
+  BOOST_TEST(AllSteps().size() == 11U * 14U);
   BOOST_TEST((TheChart().Initial() == State::kAdmitting));
   for (const auto& [state, name] : EnumTable<State>::kEntries) {
     BOOST_TEST(TheChart().IsFinal(state) == (state == State::kEnded), name);
@@ -213,6 +213,27 @@
   BOOST_TEST(machine.done());
 }
 
+// Guards against a request that is ended because its second attempt failed,
+// while the first was kept and answers.
+BOOST_AUTO_TEST_CASE(AKeptAttemptGoesOn) {
+  Follow({{ChartEvent::kHoldGranted, Action::kTakeHold},
+          {ChartEvent::kTargetChosen, Action::kSend},
+          {ChartEvent::kFirstEvent, Action::kBeginStream},
+          {ChartEvent::kRetryMayHaveRun, Action::kChoose},
+          {ChartEvent::kTargetChosen, Action::kSend},
+          {ChartEvent::kAttemptGoesOn, Action::kNone},
+          {ChartEvent::kFirstEvent, Action::kNone},
+          {ChartEvent::kRetryMayHaveRun, Action::kChoose},
+          {ChartEvent::kAttemptGoesOn, Action::kNone},
+          {ChartEvent::kAnswerComplete, Action::kEndStream}});
+  Follow({{ChartEvent::kHoldGranted, Action::kTakeHold},
+          {ChartEvent::kTargetChosen, Action::kSend},
+          {ChartEvent::kRetryMayHaveRun, Action::kChoose},
+          {ChartEvent::kTargetChosen, Action::kSend},
+          {ChartEvent::kAttemptGoesOn, Action::kNone},
+          {ChartEvent::kAnswerComplete, Action::kReply}});
+}
+
 BOOST_AUTO_TEST_CASE(AStreamGoesOnAtAnotherTarget) {
   Follow({{ChartEvent::kHoldDelayed, Action::kNone},
           {ChartEvent::kHoldGranted, Action::kTakeHold},
--- a/relay/testing/retry_test.cc
+++ b/relay/testing/retry_test.cc
@@ -42,6 +42,16 @@
   BOOST_TEST(MaySendAgain(facts));
 }
 
+// Guards against a retry that is taken for a stream that may not go on at
+// another target, since nothing could answer it.
+BOOST_AUTO_TEST_CASE(AStreamOfUnknownVersionIsNotSentAgain) {
+  for (const Ran ran : {Ran::kNo, Ran::kUnknown}) {
+    RetryFacts facts = Facts(ran);
+    facts.may_go_on = false;
+    BOOST_TEST(!MaySendAgain(facts));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(WhatHasNotRunIsSentAgainWhateverItsRouteAllows) {
   RetryFacts facts = Facts(Ran::kNo);
   facts.repeatable = false;
