Report nothing of a cancelled call whose connection couldn't be opened

A call whose connection can't be opened at once reports that in a later turn of the loop, also if it was cancelled in between. With kept attempts that report would be taken for the end of the attempt that goes on, and stop it. ACancelledCallReportsNothing failed before.

--- a/http/target_connection.cc
+++ b/http/target_connection.cc
@@ -192,11 +192,13 @@
 };
 
 void CallHandle::Cancel() {
+  // Without a connection, the report that it couldn't be opened may be on its
+  // way.
+  const auto on = std::exchange(on_, {});
   if (!connection_) return;
   const auto connection = std::exchange(connection_, nullptr);
   connection->call.reset();
   connection->socket->Close();
-  on_ = {};
 }
 
 void CallHandle::PauseReading() {
--- a/http/testing/connections_test.cc
+++ b/http/testing/connections_test.cc
@@ -111,6 +111,19 @@
   TargetConnections connections{loop, clock};
 };
 
+// Guards against the report of a cancelled call whose connection couldn't be
+// opened: it would be taken for that of the attempt that has followed.
+BOOST_FIXTURE_TEST_CASE(ACancelledCallReportsNothing, Fixture) {
+  TargetConnections unopened(loop, clock, [](auto&&...) { return nullptr; });
+  bool has_ended = false;
+  CallHandle::Handlers on;
+  on.end = [&](CallEnd) { has_ended = true; };
+  const auto call = unopened.Start({target.Address(), kRequest}, on);
+  call->Cancel();
+  RunFor(milliseconds(20));
+  BOOST_TEST(!has_ended);
+}
+
 BOOST_FIXTURE_TEST_CASE(AConnectionIsUsedAgainAfterACleanExchange, Fixture) {
   target.answers = {kAnswer, kAnswer};
   for (int n = 0; n < 2; ++n) {
