--- a/base/cbor.h
+++ b/base/cbor.h
@@ -35,7 +35,7 @@
 // and `get` do for a missing key or a wrong type.
 //
 // The parser has a mode without exceptions, but even there it throws for an
-// impossible length (docs/FINDINGS.md), so the exceptions are caught here.
+// impossible length, so the exceptions are caught here.
 template <class Read>
 auto FromCbor(std::string_view bytes, Read read)
     -> std::optional<decltype(read(nlohmann::json()))> {
--- a/relay/fleet_driver.h
+++ b/relay/fleet_driver.h
@@ -18,8 +18,7 @@
 // poll. They send with each heartbeat how many routers they know, and the other
 // routers read the list only if they know another number, or after a long time.
 // A router that knows the same number as a reader settles without a second
-// read. Nothing removes an entry; a VM that is gone for good stays in the list
-// (docs/FINDINGS.md).
+// read. Nothing removes an entry; a VM that is gone for good stays in the list.
 //
 // The size of the list grows with the fleet, and so does the number of routers
 // that read it. So all routers but the readers spread a read over a time that
--- a/relay/target_follower.h
+++ b/relay/target_follower.h
@@ -42,8 +42,8 @@
 // (fleet/target_registry.h).
 //
 // The inputs are the store's answers and `OnStoreReachable`; times are the
-// loop's. Two earlier forms of the rule failed: one without keeping, and one in
-// which each report extended it (docs/FINDINGS.md).
+// loop's. Without keeping, all targets would seem gone after an outage; if each
+// report extended it, targets that have left would keep getting work.
 //
 // Store, reader and loop must outlive the follower. An entry that can't be read
 // is refused and logged; its target counts as no longer listed, by the rule
