Decide about kept attempts without sockets

They are in relay/kept_attempts.h now, with relay_kept_attempts_test; what happens is unchanged. The interval of the looks has its reason. resident_silent_target_test passes.

--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -14,6 +14,7 @@
 //   dispatch/placement.h  which target
 //   relay/attempt.h       timeouts of an attempt, and what its answer means
 //   relay/retry.h         whether the request is sent to another target
+//   relay/kept_attempts.h which attempt carries on, and when one is waited for
 //   relay/final_answer.h  the router's own answer, and its Retry-After
 //   relay/request_cost.h  what the customer is charged
 //   relay/request_log.h   log lines about the request
@@ -23,15 +24,13 @@
 // releases them all when it ends, and it ends once. The objects in RelayContext
 // must outlive it.
 //
-// Kept attempts. A target that is silent may be sound and go on. So an attempt
-// that was silent for too long isn't stopped when the request is sent to
-// another target: it is kept (`KeepAttempt`) until one of them brings the next
-// part of the answer, that is, an event or, for other answers, the whole of it.
-// That attempt goes on (`GoOnWith`), and the others are stopped. Where no
-// further attempt is left or may be made, the request waits for a kept one
-// (`GoOnWithKept`) until its deadline. Only requests that may be repeated have
-// kept attempts; kept or not, their number is bounded by the rules of
-// relay/retry.h.
+// Kept attempts. An attempt that is silent for too long isn't stopped when the
+// request is sent to another target: it is kept (`KeepAttempt`) until one of
+// them brings the next part of the answer. That one goes on (`GoOnWith`), and
+// the others are stopped. Where no further attempt is made, the request waits
+// for a kept one (`GoOnWithKept`) until its deadline. Only requests that may be
+// repeated have kept attempts; the rules of relay/retry.h bound the number of
+// all attempts.
 //
 // Guarantees, and where they are implemented:
 //   - A request is refused for its route or its key only by a configuration
@@ -60,7 +59,6 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "config/service_map.h"
 #include "http/caller_connection.h"
@@ -73,6 +71,7 @@
 #include "relay/final_answer.h"
 #include "relay/fingerprint.h"
 #include "relay/hold_waiter.h"
+#include "relay/kept_attempts.h"
 #include "relay/relay_chart.h"
 #include "relay/relay_context.h"
 #include "relay/request_cost.h"
@@ -136,7 +135,7 @@
   bool MaySend();
   void SetAttemptTimer(Duration timeout);
   void OnAttemptTimeout();
-  void CheckAgainLater();
+  SilenceFacts FactsOfSilence(bool has_retry);
   bool OnHead(AttemptState& attempt, const HttpHead& head);
   void HandleTargetNotices(const AttemptState& attempt);
   void OnBody(std::string_view bytes);
@@ -172,7 +171,6 @@
 
   // Kept attempts (relayed_request_kept.cc).
   void KeepAttempt(AttemptFault kept_for);
-  AttemptState* FindKept(int number);
   void OnKeptBody(AttemptState& attempt, std::string_view bytes);
   void OnKeptEnd(AttemptState& attempt, CallEnd end);
   void EndKept(int number, PlacementOutcome outcome, AttemptFault fault);
@@ -210,8 +208,7 @@
 
   // The current attempt; after its end, it keeps the values of the latest one.
   AttemptState attempt_;
-  // Earlier attempts that were silent for too long and may still finish.
-  std::vector<AttemptState> kept_;
+  KeptAttempts kept_;
   // Number of attempts so far.
   int attempts_ = 0;
   std::unique_ptr<Timer> attempt_timer_;
--- a/relay/relayed_request_attempts.cc
+++ b/relay/relayed_request_attempts.cc
@@ -30,10 +30,6 @@
 // another router is the caller's better choice.
 constexpr std::size_t kMaxTriedPeers = 2;
 
-// How often a stream whose target is silent is looked at again while no other
-// target may be asked.
-constexpr Duration kRetryCheckInterval = milliseconds(500);
-
 }  // namespace
 
 // --- At a target -------------------------------------------------------------
@@ -65,15 +61,15 @@
   const auto self = shared_from_this();
   CallHandle::Handlers on;
   on.head = [self, number](const HttpHead& head) {
-    AttemptState* kept = self->FindKept(number);
+    AttemptState* kept = self->kept_.Find(number);
     return self->OnHead(kept ? *kept : self->attempt_, head);
   };
   on.body = [self, number](std::string_view bytes) {
-    AttemptState* kept = self->FindKept(number);
+    AttemptState* kept = self->kept_.Find(number);
     kept ? self->OnKeptBody(*kept, bytes) : self->OnBody(bytes);
   };
   on.end = [self, number](CallEnd end) {
-    AttemptState* kept = self->FindKept(number);
+    AttemptState* kept = self->kept_.Find(number);
     kept ? self->OnKeptEnd(*kept, end) : self->OnCallEnd(end);
   };
   return on;
@@ -130,18 +126,21 @@
   const Duration timeout = FirstAnswerTimeout(*admission_.route, Left());
   const bool answering = machine_.state() == RelayState::kStreaming;
   if (!answering && waited < timeout) return SetAttemptTimer(timeout - waited);
-  if (!TakeRetry(Ran::kUnknown, AttemptFault::kTimeout))
-    return CheckAgainLater();
-  KeepAttempt(AttemptFault::kTimeout);
-  Retry(Ran::kUnknown);
+  const bool has_retry = TakeRetry(Ran::kUnknown, AttemptFault::kTimeout);
+  switch (StepAfterSilence(FactsOfSilence(has_retry))) {
+    case SilenceStep::kWait:
+      return;
+    case SilenceStep::kCheckLater:
+      return SetAttemptTimer(kRetryCheckInterval);
+    case SilenceStep::kSendBeside:
+      KeepAttempt(AttemptFault::kTimeout);
+      return Retry(Ran::kUnknown);
+  }
 }
 
-// Called when the target of a stream is silent and no other may be asked at
-// present. One may be later: targets and the service's retries become free.
-void RelayedRequest::CheckAgainLater() {
-  const bool has_begun = progress_.events > 0;
-  if (has_begun && MaySendAgain(FactsForRetry(Ran::kUnknown)))
-    SetAttemptTimer(kRetryCheckInterval);
+SilenceFacts RelayedRequest::FactsOfSilence(bool has_retry) {
+  return {progress_.events > 0, MaySendAgain(FactsForRetry(Ran::kUnknown)),
+          has_retry};
 }
 
 bool RelayedRequest::OnHead(AttemptState& attempt, const HttpHead& head) {
@@ -483,9 +482,16 @@
   if (machine_.state() == RelayState::kCallerLeft) {
     return GiveUp(ran, RelayCause::kCallerGone);
   }
-  if (TakeRetry(ran, fault)) return Retry(ran);
-  GiveUpUnlessKept(
-      ran, may_go_on_ ? RelayCause::kTurnedAway : RelayCause::kVersionUnknown);
+  switch (StepAfterEnd(TakeRetry(ran, fault), !kept_.empty())) {
+    case EndStep::kRetry:
+      return Retry(ran);
+    case EndStep::kAwaitKept:
+      GoOnWithKept();
+      return;
+    case EndStep::kGiveUp:
+      return GiveUp(ran, may_go_on_ ? RelayCause::kTurnedAway
+                                    : RelayCause::kVersionUnknown);
+  }
 }
 
 RetryFacts RelayedRequest::FactsForRetry(Ran ran) {
--- a/relay/relayed_request_kept.cc
+++ b/relay/relayed_request_kept.cc
@@ -1,7 +1,6 @@
 // The part of RelayedRequest that is about kept attempts: those that were
 // silent for too long and may still finish, beside the current one.
 
-#include <algorithm>
 #include <utility>
 
 #include "relay/reach_driver.h"
@@ -17,37 +16,24 @@
   if (is_silent && context_.placement.IsListed(target))
     context_.placement.OnSilent(now, target.name);
   attempt_timer_.reset();
-  attempt_.kept_for = kept_for;
-  attempt_.reader = events_;
-  LogAttemptKept(id(), progress_, attempt_, now);
+  LogAttemptKept(id(), progress_, attempt_, kept_for, now);
   context_.metrics.CountKept();
-  kept_.push_back(std::exchange(attempt_, {}));
-}
-
-// Returns null if the attempt isn't a kept one.
-AttemptState* RelayedRequest::FindKept(int number) {
-  const auto it = std::find_if(
-      kept_.begin(), kept_.end(),
-      [number](const AttemptState& one) { return one.number == number; });
-  return it == kept_.end() ? nullptr : &*it;
+  kept_.Add(std::exchange(attempt_, {}), kept_for, events_);
 }
 
 void RelayedRequest::OnKeptBody(AttemptState& attempt, std::string_view bytes) {
   const auto self = shared_from_this();
-  const bool by_event = IsForwardedByEvent(
-      admission_.route->kind, attempt.answer.status, attempt.facts.sealed);
-  if (!by_event) {
-    attempt.body.append(bytes);
-    return;
-  }
-  const StreamEvents events = attempt.reader.Take(bytes);
-  if (events.out_of_order) {
-    return EndKept(attempt.number, PlacementOutcome::kFailed,
-                   AttemptFault::kInvalid);
+  const int number = attempt.number;
+  const KeptBytes read = StepAfterBytes(admission_.route->kind, attempt, bytes);
+  switch (read.step) {
+    case KeptStep::kStay:
+      return;
+    case KeptStep::kEnd:
+      return EndKept(number, PlacementOutcome::kFailed, AttemptFault::kInvalid);
+    case KeptStep::kGoOn:
+      GoOnWith(number);
+      return Forward(read.events);
   }
-  if (events.bytes.empty()) return;
-  GoOnWith(attempt.number);
-  Forward(events);
 }
 
 void RelayedRequest::OnKeptEnd(AttemptState& attempt, CallEnd end) {
@@ -56,7 +42,8 @@
   const AttemptResult result =
       EvaluateAttempt({end, attempt.facts, attempt.answer.status,
                        attempt.reader.InEvent(), streaming});
-  if (result.answered && !IsServerError(attempt.answer.status)) {
+  const KeptStep step = StepAfterKeptEnd(result, attempt.answer.status);
+  if (step == KeptStep::kGoOn) {
     GoOnWith(attempt.number);
     return OnCallEnd(end);
   }
@@ -67,11 +54,7 @@
 // Ends a kept attempt while another one goes on.
 void RelayedRequest::EndKept(int number, PlacementOutcome outcome,
                              AttemptFault fault) {
-  const auto at = std::find_if(
-      kept_.begin(), kept_.end(),
-      [number](const AttemptState& one) { return one.number == number; });
-  AttemptState attempt = std::move(*at);
-  kept_.erase(at);
+  AttemptState attempt = kept_.Take(number);
   Stop(attempt, outcome);
   LogAttempt(attempt, Ran::kUnknown, fault);
 }
@@ -80,7 +63,7 @@
 // ends.
 void RelayedRequest::EndAllKept() {
   while (!kept_.empty()) {
-    const AttemptState& it = kept_.back();
+    const AttemptState& it = kept_.latest();
     ReportStopped(it);
     const bool is_silent = it.kept_for == AttemptFault::kTimeout;
     EndKept(it.number,
@@ -109,18 +92,15 @@
 // no further one is made. Returns false if there is none.
 bool RelayedRequest::GoOnWithKept() {
   if (kept_.empty()) return false;
-  MakeCurrent(kept_.back().number);
+  MakeCurrent(kept_.latest().number);
   LogAttemptWentOn(id(), progress_, attempt_, false, context_.clock.Now());
-  CheckAgainLater();
+  const SilenceStep step = StepAfterSilence(FactsOfSilence(false));
+  if (step == SilenceStep::kCheckLater) SetAttemptTimer(kRetryCheckInterval);
   return true;
 }
 
 void RelayedRequest::MakeCurrent(int number) {
-  const auto at = std::find_if(
-      kept_.begin(), kept_.end(),
-      [number](const AttemptState& one) { return one.number == number; });
-  attempt_ = std::move(*at);
-  kept_.erase(at);
+  attempt_ = kept_.Take(number);
   attempt_.kept_for = AttemptFault::kNone;
   events_ = attempt_.reader;
   Apply(RelayEvent::kAttemptGoesOn);
--- a/relay/request_log.cc
+++ b/relay/request_log.cc
@@ -26,12 +26,13 @@
 }
 
 void LogAttemptKept(const RequestId& id, const RequestProgress& progress,
-                    const AttemptState& attempt, Instant now) {
+                    const AttemptState& attempt, AttemptFault kept_for,
+                    Instant now) {
   LogEvent(Event::kAttemptKept,
            {{"request", id.value},
             {"target", attempt.choice.target.name.value},
             {"via", attempt.path.peer.value},
-            {"for", std::string(NameOf(attempt.kept_for))},
+            {"for", std::string(NameOf(kept_for))},
             {"events", std::to_string(progress.events)},
             {"sends", std::to_string(progress.sends)},
             {"silent_ms", MillisecondsText(now - attempt.HeardAt())}});
--- a/relay/request_log.h
+++ b/relay/request_log.h
@@ -74,7 +74,8 @@
 // Logs that an attempt without an answer goes on while the request is sent to
 // another target, for the reason `kept_for`.
 void LogAttemptKept(const RequestId& id, const RequestProgress& progress,
-                    const AttemptState& attempt, Instant now);
+                    const AttemptState& attempt, AttemptFault kept_for,
+                    Instant now);
 
 // Logs that a kept attempt is the current one again: it has answered, or it is
 // the only one that may still finish.
