Log the shared parts of a prompt whose attempt ended

Whether requests that were running at targets that crashed share a part of their prompts couldn't be seen: no line named the parts. attempt_ended has the first eight shared ones since, for requests that may have run.

--- a/dispatch/prefix_cache.cc
+++ b/dispatch/prefix_cache.cc
@@ -1,9 +1,27 @@
 #include "dispatch/prefix_cache.h"
 
 #include <algorithm>
+#include <cinttypes>
+#include <cstdio>
+#include <unordered_set>
 
 namespace quaytrack {
 
+std::vector<PartId> SharedParts(const std::vector<PromptPart>& parts) {
+  std::vector<PartId> out;
+  std::unordered_set<PartId> seen;
+  for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
+    if (seen.insert(parts[i].id).second) out.push_back(parts[i].id);
+  }
+  return out;
+}
+
+std::string HexText(PartId id) {
+  char out[17];
+  std::snprintf(out, sizeof out, "%" PRIx64, id);
+  return out;
+}
+
 Tokens SharedTokens(const std::vector<PromptPart>& parts) {
   Tokens out = 0;
   for (std::size_t i = 0; i + 1 < parts.size(); ++i) out += parts[i].tokens;
--- a/dispatch/prefix_cache.h
+++ b/dispatch/prefix_cache.h
@@ -20,6 +20,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -28,12 +29,20 @@
 
 namespace quaytrack {
 
+// Identifies the text of a part of a prompt.
+using PartId = std::uint64_t;
+
 // A part of a prompt, which other prompts may share unless it is the last.
 struct PromptPart {
-  std::uint64_t id = 0;
+  PartId id = 0;
   Tokens tokens = 0;
 };
 
+// The distinct shared parts, in the order of the prompt.
+std::vector<PartId> SharedParts(const std::vector<PromptPart>& parts);
+// The id as callers write it, in hexadecimal digits.
+std::string HexText(PartId id);
+
 // Tokens of all shared parts, which are all but the last.
 Tokens SharedTokens(const std::vector<PromptPart>& parts);
 
--- a/relay/relayed_request_attempts.cc
+++ b/relay/relayed_request_attempts.cc
@@ -546,7 +546,10 @@
   end.ran = ran;
   end.fault = fault;
   end.now = context_.clock.Now();
-  if (ran != Ran::kNo) end.fingerprint = fingerprint();
+  if (ran != Ran::kNo) {
+    end.fingerprint = fingerprint();
+    end.parts = SharedParts(admission_.facts.parts);
+  }
   LogAttemptEnded(id(), progress_, attempt, end);
 }
 
--- a/relay/request_log.cc
+++ b/relay/request_log.cc
@@ -1,11 +1,28 @@
 #include "relay/request_log.h"
 
+#include <algorithm>
 #include <cmath>
 #include <string>
 
 #include "base/log.h"
 
 namespace quaytrack {
+namespace {
+
+// Bounds the length of a log line.
+constexpr std::size_t kMaxLoggedParts = 8;
+
+// "5c1e07a2,91bd3f06": as callers name the parts.
+std::string PartsText(const std::vector<PartId>& parts) {
+  std::string out;
+  for (std::size_t n = 0; n < std::min(parts.size(), kMaxLoggedParts); ++n) {
+    if (n > 0) out += ',';
+    out += HexText(parts[n]);
+  }
+  return out;
+}
+
+}  // namespace
 
 void LogAttemptEnded(const RequestId& id, const RequestProgress& progress,
                      const AttemptState& attempt, const AttemptEnd& end) {
@@ -22,7 +39,8 @@
        {"sends", std::to_string(progress.sends)},
        {"ms", MillisecondsText(end.now - attempt.sent_at)},
        {"begun_ms", head_at ? MillisecondsText(end.now - *head_at) : "none"},
-       {"fingerprint", end.fingerprint.value}});
+       {"fingerprint", end.fingerprint.value},
+       {"parts", PartsText(end.parts)}});
 }
 
 void LogAttemptKept(const RequestId& id, const RequestProgress& progress,
--- a/relay/request_log.h
+++ b/relay/request_log.h
@@ -15,6 +15,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 #include "base/clock.h"
 #include "base/ids.h"
@@ -66,6 +67,8 @@
   Instant now{};
   // Fingerprint of the request if it may have run in this attempt; else empty.
   Fingerprint fingerprint;
+  // The shared parts of its prompt.
+  std::vector<PartId> parts;
 };
 
 void LogAttemptEnded(const RequestId& id, const RequestProgress& progress,
