Bound the bytes of an event, an answer and its interim answers

Callers saw: nothing yet; by reading, and by tests, a target in trouble that sends bytes without end made a router grow until its memory was gone.

Cause: an incomplete event and an answer that is forwarded when it is whole were buffered without a bound, and interim answers were skipped without one.

Change: an event of more than 256 KB, a buffered answer of more than 1 MB, and more than 16 skipped answers end the attempt, which counts as invalid. The end of an event is searched for in new bytes only.

--- a/http/target_connection.cc
+++ b/http/target_connection.cc
@@ -27,6 +27,9 @@
 // Bytes of the head and the body of an answer. The body is in effect unlimited,
 // because reading pauses when the caller is slow.
 constexpr HttpLimits kAnswerLimits{64 * 1024, std::size_t{1} << 40};
+// Maximum number of answers that are skipped before the expected one: interim
+// ones, and delayed ones to earlier requests.
+constexpr int kMaxSkipped = 16;
 // Lower statuses are those of interim answers.
 constexpr int kFirstFinalStatus = 200;
 
@@ -58,6 +61,7 @@
 
   void OnHead(HttpHead& head) {
     skipping = true;
+    ++heads;
     // A head with a 1xx status is an interim answer; it is skipped, and the
     // final answer follows.
     if (head.status < kFirstFinalStatus) return;
@@ -85,7 +89,8 @@
     if (tunnel && !tunnel->complete()) return OnTunnelHead(bytes);
     while (!bytes.empty() && call && !complete) {
       const std::size_t used = parser.Feed(bytes);
-      if (parser.fault() != HttpFault::kNone) {
+      const bool too_many = skipping && heads > kMaxSkipped;
+      if (parser.fault() != HttpFault::kNone || too_many) {
         return owner.Finish(keep, CallEnd::kBroken, false);
       }
       bytes.remove_prefix(used);
@@ -181,6 +186,8 @@
   std::function<void(bool)> probe_done;
   // Value of the socket's `bytes_accepted` at the start of the current call.
   std::uint64_t taken_before = 0;
+  // Number of heads that have arrived for the current call.
+  int heads = 0;
   // Whether the current answer isn't the expected one.
   bool skipping = false;
   // Whether the expected answer is complete.
@@ -314,6 +321,7 @@
   out->connection_ = connection;
   connection->call = out;
   connection->complete = false;
+  connection->heads = 0;
   connection->taken_before = connection->socket->bytes_accepted();
   if (direct && connection->socket->connected()) {
     connection->socket->Write(call.bytes);
--- a/relay/attempt_state.h
+++ b/relay/attempt_state.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "base/clock.h"
 #include "base/ids.h"
@@ -28,6 +29,10 @@
 
 namespace quaytrack {
 
+// Largest answer that is forwarded only when it is complete, in bytes. Streams
+// are forwarded as they come and have no such bound.
+inline constexpr std::size_t kMaxBufferedAnswer = 1024 * 1024;
+
 struct AttemptState {
   // Distinguishes the attempts of one request.
   int number = 0;
@@ -58,6 +63,12 @@
   AttemptFault kept_for = AttemptFault::kNone;
   EventReader reader;
 
+  // Appends bytes to `body`. Returns false if it would be too large.
+  bool TakeBody(std::string_view bytes) {
+    if (body.size() + bytes.size() > kMaxBufferedAnswer) return false;
+    body.append(bytes);
+    return true;
+  }
   // Whether the target may have run the request.
   Ran ran() const { return call && call->sent() ? Ran::kUnknown : Ran::kNo; }
   // When something was last heard of the target, or the send.
--- a/relay/events.h
+++ b/relay/events.h
@@ -19,13 +19,15 @@
 //
 // EventReader owns the bytes of the incomplete event and the id of the last
 // complete one, and relies on ids that are integers and rise by one. Events
-// without such an id are forwarded as they are. There are no errors: bytes that
-// are no event stream are treated as one event that never completes.
+// without such an id are forwarded as they are. Bytes that are no event stream
+// are treated as one event that never completes, until it is too large.
 
 #ifndef QUAYTRACK_RELAY_EVENTS_H_
 #define QUAYTRACK_RELAY_EVENTS_H_
 
+#include <algorithm>
 #include <charconv>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -40,10 +42,18 @@
   // An event's id skips a number. `bytes` is then empty, and omits also the
   // earlier events of the same `Take`.
   bool out_of_order = false;
+  // An event is larger than EventReader::kMaxEventBytes. `bytes` is then empty.
+  bool too_large = false;
+
+  bool valid() const { return !out_of_order && !too_large; }
 };
 
 class EventReader {
  public:
+  // Largest event that is read, in bytes. Events hold some tokens each, and a
+  // target in trouble may send bytes without end.
+  static constexpr std::size_t kMaxEventBytes = 256 * 1024;
+
   // Appends received bytes, and returns the events that these complete: all of
   // them, or none if an event was skipped. The caller must forward the returned
   // events, as `last_id` counts them.
@@ -52,7 +62,10 @@
   // Whether part of an event has arrived.
   bool InEvent() const { return !partial_.empty(); }
   // Drops the incomplete event, when another target continues.
-  void DropPartial() { partial_.clear(); }
+  void DropPartial() {
+    partial_.clear();
+    searched_ = 0;
+  }
   // The id of the last event that was returned; empty if events carry none.
   std::string last_id() const {
     return last_id_ ? std::to_string(*last_id_) : std::string();
@@ -88,6 +101,8 @@
   }
 
   std::string partial_;
+  // Bytes of `partial_` that have been searched for the end of the event.
+  std::size_t searched_ = 0;
   EventId last_id_;
 };
 
@@ -97,7 +112,7 @@
   EventId last = last_id_;
   std::size_t used = 0;
   while (true) {
-    const std::size_t end = partial_.find("\n\n", used);
+    const std::size_t end = partial_.find("\n\n", std::max(used, searched_));
     if (end == std::string::npos) break;
     const std::size_t next = end + 2;
     const std::string_view event(partial_.data() + used, next - used);
@@ -107,13 +122,20 @@
     if (order == Order::kRepeated) continue;
     if (order == Order::kSkips) {
       partial_.erase(0, used);
+      searched_ = 0;
       return {.bytes = "", .count = 0, .out_of_order = true};
     }
     if (id) last = id;
     out.bytes += event;
     ++out.count;
   }
+  if (partial_.size() - used > kMaxEventBytes) {
+    DropPartial();
+    return {.bytes = "", .count = 0, .too_large = true};
+  }
   partial_.erase(0, used);
+  // The last byte may be the first half of the end.
+  searched_ = partial_.empty() ? 0 : partial_.size() - 1;
   last_id_ = last;
   return out;
 }
--- a/relay/kept_attempts.cc
+++ b/relay/kept_attempts.cc
@@ -46,12 +46,13 @@
   const bool by_event =
       IsForwardedByEvent(kind, attempt.answer.status, attempt.facts.sealed);
   if (!by_event) {
-    attempt.body.append(bytes);
-    return {};
+    KeptBytes out;
+    if (!attempt.TakeBody(bytes)) out.step = KeptStep::kEnd;
+    return out;
   }
   KeptBytes out;
   out.events = attempt.reader.Take(bytes);
-  if (out.events.out_of_order) {
+  if (!out.events.valid()) {
     out.step = KeptStep::kEnd;
   } else if (!out.events.bytes.empty()) {
     out.step = KeptStep::kGoOn;
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -139,6 +139,7 @@
   bool OnHead(AttemptState& attempt, const HttpHead& head);
   void HandleTargetNotices(const AttemptState& attempt);
   void OnBody(std::string_view bytes);
+  void EndInvalid();
   void Forward(const StreamEvents& events);
   void OnFirstEvent(Instant now);
   void OnLaterEvents(Instant now);
--- a/relay/relayed_request_attempts.cc
+++ b/relay/relayed_request_attempts.cc
@@ -191,17 +191,18 @@
   const bool by_event = IsForwardedByEvent(
       admission_.route->kind, attempt_.answer.status, attempt_.facts.sealed);
   if (!by_event) {
-    attempt_.body.append(bytes);
+    if (!attempt_.TakeBody(bytes)) EndInvalid();
     return;
   }
   const StreamEvents events = events_.Take(bytes);
-  if (events.out_of_order) {
-    return EndAttempt(Ran::kUnknown, PlacementOutcome::kFailed,
-                      AttemptFault::kInvalid);
-  }
+  if (!events.valid()) return EndInvalid();
   if (!events.bytes.empty()) Forward(events);
 }
 
+void RelayedRequest::EndInvalid() {
+  EndAttempt(Ran::kUnknown, PlacementOutcome::kFailed, AttemptFault::kInvalid);
+}
+
 // Forwards complete events. This runs for every chunk of a stream, so it does
 // as little as possible: only the first event of an attempt, or after a silence
 // in which another was begun, goes through the chart.
--- a/relay/testing/events_test.cc
+++ b/relay/testing/events_test.cc
@@ -20,6 +20,25 @@
   BOOST_TEST(it.last_id() == "1");
 }
 
+// Guards against a target that sends bytes without end.
+BOOST_AUTO_TEST_CASE(AnEventThatIsTooLargeIsNotRead) {
+  EventReader it;
+  it.Take("id: 1\ndata: a\n\n");
+  const std::string block(EventReader::kMaxEventBytes, 'x');
+  BOOST_TEST(it.Take(block).valid());
+  BOOST_TEST(it.Take("x").too_large);
+  BOOST_TEST(!it.InEvent());
+  BOOST_TEST(it.last_id() == "1");
+}
+
+// The end of an event may arrive in two halves.
+BOOST_AUTO_TEST_CASE(AnEndInTwoHalvesIsFound) {
+  EventReader it;
+  BOOST_TEST(it.Take("id: 1\ndata: a\n").count == 0);
+  BOOST_TEST(it.Take("\nid: 2\n").count == 1);
+  BOOST_TEST(it.Take("data: b\n\n").count == 1);
+}
+
 BOOST_AUTO_TEST_CASE(DropsWhatWasPassedOnBefore) {
   EventReader it;
   it.Take("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
