Bound the work of a crash report, and what many parts displace

Reports of one crash were sorted with a count for each comparison; a request with hundreds of parts could displace the good runs of popular ones; a refusal whose test is due named no time to come back; and the gauge of suspects counted causes without reports.

--- a/dispatch/crash_blame.cc
+++ b/dispatch/crash_blame.cc
@@ -339,8 +339,10 @@
 void CrashBlame::CountReports() {
   reports_ = 0;
   part_reports_ = 0;
+  suspected_ = 0;
   for (const auto& [cause, it] : suspects_) {
     reports_ += it.reports.size();
+    if (!it.reports.empty()) ++suspected_;
     if (it.kind == CauseKind::kPart) part_reports_ += it.reports.size();
   }
 }
--- a/dispatch/crash_blame.h
+++ b/dispatch/crash_blame.h
@@ -184,6 +184,8 @@
   std::vector<CrashReport> LatestOf(const Blame& blame) const;
   // Whether nothing is suspected.
   bool empty() const { return reports_ == 0; }
+  // Number of causes with reports, and of all that is remembered.
+  std::size_t suspected() const { return suspected_; }
   std::size_t size() const { return suspects_.size(); }
 
  private:
@@ -246,6 +248,7 @@
   std::vector<CauseId> suspected_parts_;
   std::size_t reports_ = 0;
   std::size_t part_reports_ = 0;
+  std::size_t suspected_ = 0;
 };
 
 }  // namespace quaytrack
--- a/dispatch/testing/part_blame_test.cc
+++ b/dispatch/testing/part_blame_test.cc
@@ -156,7 +156,8 @@
   for (int n = 0; n < 300; ++n) {
     ++target;
     for (int part = 0; part < 32; ++part) {
-      it.Note(Report(static_cast<PartId>(n * 32 + part), target, n, n * 100),
+      it.Note(Report(static_cast<PartId>(n) * 32 + static_cast<PartId>(part),
+                     target, n, n * 100),
               At(n * 100));
     }
     if (n % 50 == 0) it.Note(Report(kHarmful, target, n, n * 100), At(n * 100));
--- a/relay/crash_watch.cc
+++ b/relay/crash_watch.cc
@@ -1,6 +1,9 @@
 #include "relay/crash_watch.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <functional>
+#include <tuple>
 #include <utility>
 
 #include "base/log.h"
@@ -36,6 +39,10 @@
 constexpr Duration kRanDelayPerRouter = milliseconds(10);
 constexpr Duration kMinRanDelay = milliseconds(50);
 
+// A test that is due may have to wait for a request at the router that may make
+// it.
+constexpr Duration kMinRefusal = std::chrono::seconds(1);
+
 template <class Report>
 void AddIfAbsent(std::vector<Report>& list, const Report& it) {
   if (std::find(list.begin(), list.end(), it) != list.end()) return;
@@ -77,7 +84,8 @@
             FeedHandlers(), on_.feed) {}
 
 Duration CrashWatch::Remaining(const Blame& blame) const {
-  return blame_.Remaining(blame, context_.clock.WallNow());
+  return std::clamp<Duration>(blame_.Remaining(blame, context_.clock.WallNow()),
+                              kMinRefusal, kCrashMemory);
 }
 
 // --- Reports of other routers ------------------------------------------------
@@ -329,8 +337,12 @@
 }
 
 void CrashWatch::OnPartsRan(const std::vector<CauseId>& parts, Instant began) {
-  runs_.Note(parts, WallTimeOf(began));
-  for (const CauseId& it : parts) TellRunLater(it);
+  // The popular parts come first, and many parts must not displace others.
+  const std::size_t n = std::min(parts.size(), kMaxPartsPerRequest);
+  const std::vector<CauseId> noted(
+      parts.begin(), parts.begin() + static_cast<std::ptrdiff_t>(n));
+  runs_.Note(noted, WallTimeOf(began));
+  for (const CauseId& it : noted) TellRunLater(it);
 }
 
 // --- Good runs of parts ------------------------------------------------------
@@ -435,22 +447,25 @@
     return is_old(it) || !blame_.Counts(it);
   });
   std::erase_if(local_reports_.ran, is_old);
-  const auto priority = [this](const CrashReport& it) {
-    return std::pair(blame_.Crashes(it.cause), it.at);
-  };
-  auto& crashes = local_reports_.crashes;
-  if (crashes.size() > CrashReports::kMaxPerList) {
-    std::stable_sort(crashes.begin(), crashes.end(),
-                     [&](const auto& a, const auto& b) {
-                       return priority(a) > priority(b);
-                     });
-    crashes.resize(CrashReports::kMaxPerList);
-  }
+  KeepMostImportant(local_reports_.crashes);
   while (local_reports_.ran.size() > CrashReports::kMaxPerList) {
     local_reports_.ran.erase(local_reports_.ran.begin());
   }
 }
 
+void CrashWatch::KeepMostImportant(std::vector<CrashReport>& crashes) const {
+  if (crashes.size() <= CrashReports::kMaxPerList) return;
+  using Rank = std::tuple<std::size_t, WallTime, std::size_t>;
+  std::vector<Rank> ranks;
+  for (std::size_t n = 0; n < crashes.size(); ++n)
+    ranks.emplace_back(blame_.Crashes(crashes[n].cause), crashes[n].at, n);
+  std::sort(ranks.begin(), ranks.end(), std::greater<>());
+  ranks.resize(CrashReports::kMaxPerList);
+  std::vector<CrashReport> kept;
+  for (const Rank& it : ranks) kept.push_back(crashes[std::get<2>(it)]);
+  crashes = std::move(kept);
+}
+
 // --- The store ---------------------------------------------------------------
 
 std::string CrashWatch::LocalKey() const { return kPrefix + self_.value; }
--- a/relay/crash_watch.h
+++ b/relay/crash_watch.h
@@ -196,7 +196,8 @@
     return blame_.Crashes(CauseOf(request.request)) + 1 >= kCrashesToBlame ||
            blame_.HasSuspectedParts(request);
   }
-  // How long a request is still refused by the decision.
+  // How long a request is still refused by the decision, from 1 s to
+  // `kCrashMemory`.
   Duration Remaining(const Blame& blame) const;
   const CrashBlame& blame() const { return blame_; }
   StateFeed& feed() { return feed_; }
@@ -247,6 +248,8 @@
   void Publish(const CrashReports& reports);
   void Send(const CrashReports& reports);
   void TrimLocalReports();
+  // Keeps the reports of the causes with the most crashes, the latest first.
+  void KeepMostImportant(std::vector<CrashReport>& crashes) const;
 
   std::string LocalKey() const;
   void WriteAfter(Duration delay);
--- a/relay/relay_router_messages.cc
+++ b/relay/relay_router_messages.cc
@@ -160,7 +160,7 @@
                       ToSeconds(it->Age()));
   }
   metrics_.SetGauge("suspected_requests",
-                    static_cast<double>(crashes_.blame().size()));
+                    static_cast<double>(crashes_.blame().suspected()));
   metrics_.SetGauge("blamed_requests",
                     static_cast<double>(crashes_.blame().blamed().size()));
   metrics_.SetGauge("services_cut_off",
--- a/relay/testing/crash_watch_test.cc
+++ b/relay/testing/crash_watch_test.cc
@@ -396,7 +396,8 @@
     std::vector<CauseId> parts;
     for (int part = 0; part < 500; ++part) {
       parts.push_back(CauseOf(ServiceName("llm"),
-                              static_cast<PartId>(1000 + n * 500 + part)));
+                              PartId{1000} + static_cast<PartId>(n) * 500 +
+                                  static_cast<PartId>(part)));
     }
     parts.push_back(kPart);
     watch.OnLost({RequestId("id"),
