Take a stream that ends early with its connection for broken

By reading: a target that crashes may close a connection whose answer has neither a length nor chunks. Before the first event that looked like an empty answer: the caller got it as a whole one, and the crash wasn't reported; inside an event the stream went on elsewhere, but the crash wasn't reported either.

The tests of answers, endless answers and silent targets pass.

--- a/relay/attempt.h
+++ b/relay/attempt.h
@@ -159,6 +159,18 @@
   return answer.chunked || answer.content_length.has_value();
 }
 
+// How a call that streams events has ended. The end of the connection ends an
+// answer with neither a length nor chunks, but inside an event or before the
+// first one it shows that the target broke off. `events` are those of the
+// attempt.
+inline CallEnd EndOfStream(CallEnd end, const HttpHead& answer, bool in_event,
+                           int events) {
+  const bool broken_off = in_event || events == 0;
+  return end == CallEnd::kComplete && !ShowsGoodRun(answer) && broken_off
+             ? CallEnd::kBroken
+             : end;
+}
+
 }  // namespace quaytrack
 
 #endif  // QUAYTRACK_RELAY_ATTEMPT_H_
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -144,7 +144,8 @@
   void OnFirstEvent(Instant now);
   void OnLaterEvents(Instant now);
   void BeginStream();
-  void OnCallEnd(CallEnd end);
+  bool IsByEvent(const AttemptState& attempt) const;
+  void OnCallEnd(CallEnd seen);
   void OnSendHeldBack(const AttemptResult& result);
   void OnNoTunnel(AttemptFault fault);
   void UndoSend(PlacementOutcome outcome);
@@ -173,7 +174,7 @@
   // Kept attempts (relayed_request_kept.cc).
   void KeepAttempt(AttemptFault kept_for);
   void OnKeptBody(AttemptState& attempt, std::string_view bytes);
-  void OnKeptEnd(AttemptState& attempt, CallEnd end);
+  void OnKeptEnd(AttemptState& attempt, CallEnd seen);
   void EndKept(int number, PlacementOutcome outcome, AttemptFault fault);
   void EndAllKept();
   void GoOnWith(int number);
--- a/relay/relayed_request_attempts.cc
+++ b/relay/relayed_request_attempts.cc
@@ -188,9 +188,7 @@
 void RelayedRequest::OnBody(std::string_view bytes) {
   const auto self = shared_from_this();
   if (machine_.state() == RelayState::kEnded) return;
-  const bool by_event = IsForwardedByEvent(
-      admission_.route->kind, attempt_.answer.status, attempt_.facts.sealed);
-  if (!by_event) {
+  if (!IsByEvent(attempt_)) {
     if (!attempt_.TakeBody(bytes)) EndInvalid();
     return;
   }
@@ -287,10 +285,19 @@
   });
 }
 
-void RelayedRequest::OnCallEnd(CallEnd end) {
+bool RelayedRequest::IsByEvent(const AttemptState& attempt) const {
+  return IsForwardedByEvent(admission_.route->kind, attempt.answer.status,
+                            attempt.facts.sealed);
+}
+
+void RelayedRequest::OnCallEnd(CallEnd seen) {
   const auto self = shared_from_this();
   const RelayState state = machine_.state();
   if (state == RelayState::kEnded) return;
+  const CallEnd end = IsByEvent(attempt_)
+                          ? EndOfStream(seen, attempt_.answer,
+                                        events_.InEvent(), attempt_.events)
+                          : seen;
   const bool streaming =
       state == RelayState::kStreaming || state == RelayState::kResuming;
   const AttemptResult result =
--- a/relay/relayed_request_kept.cc
+++ b/relay/relayed_request_kept.cc
@@ -36,8 +36,12 @@
   }
 }
 
-void RelayedRequest::OnKeptEnd(AttemptState& attempt, CallEnd end) {
+void RelayedRequest::OnKeptEnd(AttemptState& attempt, CallEnd seen) {
   const auto self = shared_from_this();
+  const CallEnd end =
+      IsByEvent(attempt) ? EndOfStream(seen, attempt.answer,
+                                       attempt.reader.InEvent(), attempt.events)
+                         : seen;
   const bool streaming = progress_.events > 0;
   const AttemptResult result =
       EvaluateAttempt({end, attempt.facts, attempt.answer.status,
--- a/relay/testing/attempt_test.cc
+++ b/relay/testing/attempt_test.cc
@@ -189,6 +189,22 @@
   BOOST_TEST(ShowsGoodRun(head));
 }
 
+// Guards against a crash that is neither reported nor answered elsewhere, as it
+// looks like the end of an answer.
+BOOST_AUTO_TEST_CASE(AStreamThatEndsEarlyWithItsConnectionIsBroken) {
+  HttpHead unframed;
+  const auto end = CallEnd::kComplete;
+  BOOST_TEST((EndOfStream(end, unframed, false, 0) == CallEnd::kBroken));
+  BOOST_TEST((EndOfStream(end, unframed, true, 3) == CallEnd::kBroken));
+  BOOST_TEST((EndOfStream(end, unframed, false, 3) == CallEnd::kComplete));
+  HttpHead chunked;
+  chunked.chunked = true;
+  BOOST_TEST((EndOfStream(end, chunked, false, 0) == CallEnd::kComplete));
+  BOOST_TEST((EndOfStream(end, chunked, true, 3) == CallEnd::kComplete));
+  BOOST_TEST((EndOfStream(CallEnd::kNotSent, unframed, false, 0) ==
+              CallEnd::kNotSent));
+}
+
 // Guards against requests that wait for lost links until their deadline.
 BOOST_AUTO_TEST_CASE(AttemptsThatWaitOnLostLinksEnd) {
   const LostLinksFacts unsent{true, Ran::kNo, false, true};
