--- a/testing/standin.cc
+++ b/testing/standin.cc
@@ -78,6 +78,9 @@
   }
   std::printf("listening 127.0.0.1:%d 127.0.0.1:%d\n", port, admin_port);
   std::fflush(stdout);
+  // The kernel sends it to a process group with stopped members when the shell
+  // that started the group ends.
+  std::signal(SIGHUP, SIG_IGN);
   loop_.OnSignal(SIGTERM, [this] { loop_.Stop(); });
   loop_.OnSignal(SIGINT, [this] { loop_.Stop(); });
   loop_.Run();
