Leave new connections unread while the event loop is late

What callers would see: where a balancer hands most new connections of a hall to one router, it read all of them, and served each later than the one before.

What it doesn't accept is closed before a byte is read, so the caller's next try meets another router.

--- a/base/events.h
+++ b/base/events.h
@@ -38,6 +38,8 @@
   kLogDropped = 1009,
   kLinkBusy = 1010,
   kLinkEased = 1011,
+  kAcceptsLimited = 1012,
+  kAcceptsUnlimited = 1013,
   // 11xx: the store, other routers, the VM list.
   kKvLost = 1101,
   kKvBack = 1102,
@@ -139,6 +141,8 @@
     {Event::kLogDropped, LogLevel::kWarn, "log_dropped"},
     {Event::kLinkBusy, LogLevel::kWarn, "link_busy"},
     {Event::kLinkEased, LogLevel::kInfo, "link_eased"},
+    {Event::kAcceptsLimited, LogLevel::kWarn, "accepts_limited"},
+    {Event::kAcceptsUnlimited, LogLevel::kInfo, "accepts_unlimited"},
     {Event::kKvLost, LogLevel::kWarn, "kv_lost"},
     {Event::kKvBack, LogLevel::kInfo, "kv_back"},
     {Event::kRegistered, LogLevel::kInfo, "registered"},
--- a/http/caller_server.cc
+++ b/http/caller_server.cc
@@ -1,5 +1,7 @@
 #include "http/caller_server.h"
 
+#include <unistd.h>
+
 #include <vector>
 
 namespace quaytrack {
@@ -29,6 +31,11 @@
 }
 
 void CallerServer::Accept(int fd) {
+  if (!may_accept_()) {
+    ++closed_unread_;
+    ::close(fd);
+    return;
+  }
   TcpOptions options;
   options.user_timeout = kUserTimeout;
   auto it = std::make_shared<CallerConnection>(
--- a/http/caller_server.h
+++ b/http/caller_server.h
@@ -51,6 +51,14 @@
   void SetLimits(const CallerLimits& limits) { limits_ = limits; }
   const CallerLimits& limits() const { return limits_; }
 
+  // Sets what decides whether a new connection is accepted. One that isn't is
+  // closed before anything of it is read. Without this, all are accepted.
+  void SetGate(std::function<bool()> may_accept) {
+    may_accept_ = std::move(may_accept);
+  }
+  // Number of connections that were closed unread.
+  std::uint64_t closed_unread() const { return closed_unread_; }
+
   // Listens on "host:port". Returns the bound port, or 0 on failure.
   std::uint16_t Listen(const std::string& address);
   // Accepts no more connections; open ones stay.
@@ -83,6 +91,8 @@
   const Clock& clock_;
   CallerLimits limits_;
   Handler handler_;
+  std::function<bool()> may_accept_ = [] { return true; };
+  std::uint64_t closed_unread_ = 0;
   bool closing_ = false;
   bool closing_after_answers_ = false;
   TcpListener listener_;
--- a/http/testing/connections_test.cc
+++ b/http/testing/connections_test.cc
@@ -284,6 +284,19 @@
   caller.Reply(head, "ok");
 }
 
+// Guards against requests that a router reads although it can't serve them.
+BOOST_FIXTURE_TEST_CASE(AConnectionThatIsNotAcceptedIsClosedUnread,
+                        CallerFixture) {
+  server.SetGate([] { return false; });
+  socket->Write(kRequest);
+  for (int n = 0; n < 100 && !ended; ++n) RunFor(milliseconds(10));
+  BOOST_REQUIRE(ended);
+  BOOST_TEST(requests.empty());
+  BOOST_TEST(received.empty());
+  BOOST_TEST(server.connections() == 0U);
+  BOOST_TEST(server.closed_unread() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(RequestsSentTogetherAreAnsweredInTurn, CallerFixture) {
   handler = ReplyOk;
   Send(std::string(kRequest) + kRequest);
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -138,6 +138,8 @@
 }
 
 void RelayRouter::ServeCallers() {
+  caller_server_.SetGate(
+      [this] { return accept_gate_.MayAccept(clock_.Now()); });
   caller_server_.Serve(
       [this](std::shared_ptr<CallerConnection> caller, CallerRequest request) {
         std::make_shared<RelayedRequest>(context_, std::move(caller),
@@ -184,6 +186,7 @@
     BroadcastRateLimits();
     CheckLink();
   });
+  accept_timer_ = loop_.Every(AcceptGate::kTick, [this] { CheckDelay(); });
   configs_.Start();
   fleet_.Start();
   budgets_.Start();
--- a/relay/relay_router.h
+++ b/relay/relay_router.h
@@ -49,6 +49,7 @@
 #include "http/target_connection.h"
 #include "http/tunnel_server.h"
 #include "net/loop.h"
+#include "relay/accept_gate.h"
 #include "relay/budget_driver.h"
 #include "relay/config_follower.h"
 #include "relay/crash_watch.h"
@@ -136,6 +137,7 @@
                    const CallerRequest& request);
   void AnswerMetrics(const std::shared_ptr<CallerConnection>& caller);
   void CheckLink();
+  void CheckDelay();
   void LogColdTargets();
 
   Loop& loop_;
@@ -166,6 +168,8 @@
   CallerServer metrics_server_;
   PlannedStop stop_;
   LinkMonitor link_;
+  AcceptGate accept_gate_;
+  std::unique_ptr<Timer> accept_timer_;
   std::unique_ptr<Timer> check_timer_;
   bool announced_ready_ = false;
   // The latest era of the store that a peer has sent.
--- a/relay/relay_router_messages.cc
+++ b/relay/relay_router_messages.cc
@@ -148,6 +148,8 @@
                     static_cast<double>(caller_server_.connections()));
   metrics_.SetGauge("peers_linked", static_cast<double>(peers_.peers()));
   metrics_.SetGauge("link_load", link_.load());
+  metrics_.SetGauge("connections_closed_unread",
+                    static_cast<double>(caller_server_.closed_unread()));
   metrics_.SetGauge("config_version", static_cast<double>(configs_.version()));
   metrics_.SetGauge("cold_targets",
                     static_cast<double>(placement_.cold(clock_.Now())));
@@ -210,4 +212,13 @@
             {"requests", std::to_string(context_.requests.size())}});
 }
 
+void RelayRouter::CheckDelay() {
+  if (!accept_gate_.OnTick(clock_.Now())) return;
+  LogEvent(accept_gate_.IsLimited() ? Event::kAcceptsLimited
+                                    : Event::kAcceptsUnlimited,
+           {{"per_s", std::to_string(accept_gate_.rate())},
+            {"closed_unread", std::to_string(caller_server_.closed_unread())},
+            {"requests", std::to_string(context_.requests.size())}});
+}
+
 }  // namespace quaytrack
