Blame a part at five crashes as soon as one of them isn't explained

What drawn fleets showed: where several harmful parts are at each crash, the ones that are blamed first explain the crashes of the others, which then need as many again: four parts had 5 late sends (3 allowed), two with late heads at full targets 7, and 12 beside a harmful request.

Change: a part that has never run well and was at five crashes in all, which is the platform's limit, is blamed once a crash isn't explained by others.

--- a/dispatch/crash_blame.cc
+++ b/dispatch/crash_blame.cc
@@ -235,26 +235,39 @@
 }
 
 bool CrashBlame::Passes(const Candidate& it, const Threshold& threshold) const {
-  if (it.kind == CauseKind::kRequest)
-    return it.crashes.size() >= threshold.request_crashes;
-  const bool is_proven = IsProven(it.cause);
-  const std::size_t crashes =
-      is_proven ? threshold.proven_part_crashes : threshold.part_crashes;
-  const std::size_t moments =
-      is_proven ? threshold.proven_part_moments : threshold.part_moments;
-  return it.crashes.size() >= crashes &&
-         CountRequests(it.crashes) >= kMinRequests &&
-         CountMoments(it.crashes) >= moments;
+  return it.kind == CauseKind::kRequest
+             ? it.crashes.size() >= threshold.request_crashes
+             : PartPasses(it, threshold);
+}
+
+bool CrashBlame::PartPasses(const Candidate& it,
+                            const Threshold& threshold) const {
+  const auto is_spread = [](const Candidate& at, std::size_t moments) {
+    return CountRequests(at.crashes) >= kMinRequests &&
+           CountMoments(at.crashes) >= moments;
+  };
+  const std::size_t n = it.crashes.size();
+  if (IsProven(it.cause)) {
+    return n >= threshold.proven_part_crashes &&
+           is_spread(it, threshold.proven_part_moments);
+  }
+  if (n >= threshold.part_crashes && is_spread(it, threshold.part_moments))
+    return true;
+  const Candidate in_all = Unexplained(it.cause, suspects_.at(it.cause), {});
+  return n > 0 && in_all.crashes.size() >= threshold.unproven_part_crashes &&
+         is_spread(in_all, threshold.part_moments);
 }
 
 std::vector<CrashBlame::Candidate> CrashBlame::Candidates(
     const Targets& explained, const Threshold& threshold) const {
   std::vector<Candidate> out;
   for (const auto& [cause, it] : suspects_) {
-    const std::size_t least = it.kind == CauseKind::kPart
-                                  ? threshold.part_crashes
-                                  : threshold.request_crashes;
-    if (it.reports.size() < least || CountUnexplained(it, explained) < least)
+    const bool is_part = it.kind == CauseKind::kPart;
+    const std::size_t least =
+        is_part ? threshold.part_crashes : threshold.request_crashes;
+    const std::size_t least_unexplained = is_part ? 1 : least;
+    if (it.reports.size() < least ||
+        CountUnexplained(it, explained) < least_unexplained)
       continue;
     Candidate next = Unexplained(cause, it, explained);
     if (Passes(next, threshold)) out.push_back(std::move(next));
@@ -301,12 +314,16 @@
 }
 
 void CrashBlame::Evaluate() {
-  constexpr Threshold kToBlame{kCrashesToBlame, kCrashesToBlamePart,
-                               kMinMoments, kCrashesToBlameProvenPart,
+  constexpr Threshold kToBlame{kCrashesToBlame,
+                               kCrashesToBlamePart,
+                               kMinMoments,
+                               kCrashesOfUnprovenPart,
+                               kCrashesToBlameProvenPart,
                                kMinMomentsOfProvenPart};
   // Neither requests nor parts that have run well are suspected.
   constexpr std::size_t kNever = CrashBlame::kMaxReports + 1;
-  constexpr Threshold kToSuspect{kNever, kCrashesToSuspectPart, 1, kNever, 1};
+  constexpr Threshold kToSuspect{
+      kNever, kCrashesToSuspectPart, 1, kNever, kNever, 1};
   blamed_.clear();
   suspected_parts_.clear();
   CountReports();
--- a/dispatch/crash_blame.h
+++ b/dispatch/crash_blame.h
@@ -27,7 +27,9 @@
 //      with it, and only requests with all of them are refused. The others run
 //      on, and show which of the parts is the cause.
 //   5. What the blamed explain counts against nobody else. Step 3 is repeated
-//      with the remaining crashes.
+//      with the remaining crashes. A part that has never run well and was at
+//      `kCrashesOfUnprovenPart` crashes, explained or not, is blamed as soon as
+//      one isn't: several harmful parts may be at each crash.
 //
 // The decision depends on the reports alone. Routers with the same reports
 // agree, whatever the order of arrival, and what was wrongly blamed because
@@ -75,6 +77,9 @@
 // five still holds within the three sends that the platform allows after it.
 inline constexpr std::size_t kCrashesToBlameProvenPart = 7;
 
+// The platform's limit.
+inline constexpr std::size_t kCrashesOfUnprovenPart = 5;
+
 // Crashes within `kMomentLength` of the first of them are one moment: what
 // fails at once, as the targets on one rack do, has one cause. A part that has
 // run well must have missed its chance to run again between several moments.
@@ -205,6 +210,9 @@
     std::size_t request_crashes;
     std::size_t part_crashes;
     std::size_t part_moments;
+    // Number of crashes, with those that are explained, from which on one that
+    // isn't is enough.
+    std::size_t unproven_part_crashes;
     std::size_t proven_part_crashes;
     std::size_t proven_part_moments;
   };
@@ -232,6 +240,7 @@
                                const Targets& explained);
   Suspect& SuspectOf(const CauseId& cause);
   bool Passes(const Candidate& it, const Threshold& threshold) const;
+  bool PartPasses(const Candidate& it, const Threshold& threshold) const;
   std::vector<Candidate> Candidates(const Targets& explained,
                                     const Threshold& threshold) const;
   static std::vector<CauseId> WithItsCompanions(
