State the end of a target's answer in tunnels between routers

Cause: a tunnel copied bytes, and the end of the peer's connection stood for the end of the target's. The kernel ends the connections of a killed process in order, which is how a target ends an answer without a length.

Change: bytes from the target come in frames, and the last frame states how its connection ended. A tunnel that ends without it is kTunnelBroken: the request may have run, the target isn't blamed, the peer is left, and what may go on does so through another peer. Peers of the version before don't confirm frames; through them only answers with an end of their own are complete, and they are chosen last. Routers of the version before get plain bytes, over a connection that is reset if the carrier ends. A silence behind a peer whose heartbeats have stopped isn't blamed on the target.

--- a/dispatch/testing/tunnel_peers_test.cc
+++ b/dispatch/testing/tunnel_peers_test.cc
@@ -51,6 +51,18 @@
   BOOST_TEST((peers.Choose(kStart, all, {})->member.vm == VmName("vm-1")));
 }
 
+// Guards against answers that end early behind a peer of an earlier version,
+// which can't tell, while another one could carry them.
+BOOST_AUTO_TEST_CASE(PeersThatHideTheEndComeAfterOthers) {
+  TunnelPeers peers(kSelf, kHall);
+  const auto all = Peers(2);
+  const VmName first = peers.Choose(kStart, all, {})->member.vm;
+  peers.OnOpened(kStart, first, false);
+  BOOST_TEST((peers.Choose(kStart, all, {})->member.vm != first));
+  peers.OnOpened(kStart, first, true);
+  BOOST_TEST((peers.Choose(kStart, all, {})->member.vm == first));
+}
+
 // Guards against a peer that is overloaded, and traffic between halls.
 BOOST_AUTO_TEST_CASE(TunnelsSpreadAndTheOwnHallIsPreferredUpToABound) {
   TunnelPeers peers(kSelf, kHall);
--- a/dispatch/tunnel_peers.cc
+++ b/dispatch/tunnel_peers.cc
@@ -14,6 +14,7 @@
 // Candidates are compared by the members in their order; the least is chosen.
 struct Rank {
   bool is_unknown = false;
+  bool hides_end = false;
   int load = 0;
   std::uint64_t order = 0;
 
@@ -41,7 +42,8 @@
     const bool was_used =
         record.opened_at != Instant() && now - record.opened_at < kKnownFor;
     const int distance = member.hall == hall_ ? 0 : kOtherHall;
-    const Rank rank{!it.is_linked && !was_used, record.tunnels + distance,
+    const Rank rank{!it.is_linked && !was_used, !record.states_end,
+                    record.tunnels + distance,
                     RendezvousWeight(member.vm.value, self_.value)};
     if (out != nullptr && !(rank < best)) continue;
     out = &it;
@@ -55,11 +57,12 @@
   record.tunnels = std::max(0, record.tunnels - 1);
 }
 
-void TunnelPeers::OnOpened(Instant now, const VmName& vm) {
+void TunnelPeers::OnOpened(Instant now, const VmName& vm, bool states_end) {
   Record& record = peers_[vm];
   record.failures = 0;
   record.paused_until = {};
   record.opened_at = now;
+  record.states_end = states_end;
 }
 
 void TunnelPeers::OnFailed(Instant now, const VmName& vm) {
--- a/dispatch/tunnel_peers.h
+++ b/dispatch/tunnel_peers.h
@@ -10,11 +10,12 @@
 // Rule. Peers that say that they don't reach the service, that were tried for
 // the request, or that failed a moment ago are left out. Of the others, those
 // that are known to carry (linked, or used within `kKnownFor`) come first, as
-// an entry in the list of routers may be of a VM that is gone. Among them, the
-// one with the fewest tunnels of this router is chosen; being in another hall
-// counts as `kOtherHall` tunnels. The order of equals is a rendezvous order of
-// this router, so that routers that are cut off together choose different
-// peers.
+// an entry in the list of routers may be of a VM that is gone. Peers of a
+// version that can't tell the end of an answer come after them. Among equals,
+// the one with the fewest tunnels of this router is chosen; being in another
+// hall counts as `kOtherHall` tunnels. The order of equals is a rendezvous
+// order of this router, so that routers that are cut off together choose
+// different peers.
 //
 // A peer that fails is left out for `kFirstPause`, twice as long with each
 // further failure, at most for `kFirstPause` x 2^`kMaxDoublings`.
@@ -62,7 +63,9 @@
                            const std::set<VmName>& tried) const;
   void OnStarted(const VmName& vm) { ++peers_[vm].tunnels; }
   void OnEnded(const VmName& vm);
-  void OnOpened(Instant now, const VmName& vm);
+  // `states_end`: the peer tells how the target's connection ends
+  // (http/tunnel.h).
+  void OnOpened(Instant now, const VmName& vm, bool states_end = true);
   void OnFailed(Instant now, const VmName& vm);
   // Number of tunnels in use.
   int tunnels() const;
@@ -74,6 +77,8 @@
     Instant paused_until{};
     // When a tunnel last opened.
     Instant opened_at{};
+    // Whether the latest tunnel stated the end of the target's connection.
+    bool states_end = true;
   };
   // Returns a default record if nothing is known of the peer.
   Record RecordOf(const VmName& vm) const;
--- a/http/target_connection.cc
+++ b/http/target_connection.cc
@@ -87,6 +87,12 @@
     const auto keep = shared_from_this();
     if (!call) return Drop();
     if (tunnel && !tunnel->complete()) return OnTunnelHead(bytes);
+    tunnel && tunnel->framed() ? OnFrames(bytes) : OnAnswer(bytes);
+  }
+
+  // Takes bytes of the target's connection.
+  void OnAnswer(std::string_view bytes) {
+    const auto keep = shared_from_this();
     while (!bytes.empty() && call && !complete) {
       const std::size_t used = parser.Feed(bytes);
       const bool too_many = skipping && heads > kMaxSkipped;
@@ -109,16 +115,51 @@
       if (unexpected) owner.on_unexpected_end_(address);
       return;
     }
+    if (tunnel) return OnTunnelEnded();
+    OnAnswerEnded(end);
+  }
+
+  // The target's connection has ended.
+  void OnAnswerEnded(SocketEnd end) {
+    const auto keep = shared_from_this();
     const bool taken = socket->bytes_accepted() > taken_before;
     if (end == SocketEnd::kClosed && parser.FeedEnd() && complete) {
       return owner.Finish(keep, CallEnd::kComplete, false);
     }
     if (!call) return;
-    if (tunnel && !tunnel->complete())
-      return owner.Finish(keep, CallEnd::kNoTunnel, false);
     owner.Finish(keep, taken ? CallEnd::kBroken : CallEnd::kNotSent, false);
   }
 
+  // The peer's connection has ended, and no frame has told how the target's
+  // did.
+  void OnTunnelEnded() {
+    const auto keep = shared_from_this();
+    const bool taken =
+        tunnel->complete() && socket->bytes_accepted() > taken_before;
+    owner.Finish(keep, taken ? CallEnd::kTunnelBroken : CallEnd::kNoTunnel,
+                 false);
+  }
+
+  void OnFrames(std::string_view bytes) {
+    const auto keep = shared_from_this();
+    while (call && !bytes.empty()) {
+      const TunnelFrame it = frames.Next(bytes);
+      switch (it.kind) {
+        case TunnelFrameKind::kPartial:
+          break;
+        case TunnelFrameKind::kData:
+          OnAnswer(it.data);
+          break;
+        case TunnelFrameKind::kClosed:
+          return OnAnswerEnded(SocketEnd::kClosed);
+        case TunnelFrameKind::kReset:
+          return OnAnswerEnded(SocketEnd::kReset);
+        case TunnelFrameKind::kMalformed:
+          return owner.Finish(keep, CallEnd::kTunnelBroken, false);
+      }
+    }
+  }
+
   void OnConnected() {
     const auto keep = shared_from_this();
     if (probe_done) {
@@ -182,6 +223,7 @@
   std::function<bool()> may_send;
   // The peer's answer, on a connection through a tunnel.
   std::optional<TunnelHead> tunnel;
+  TunnelFrames frames;
   // Set while the connection is opened by `Probe`.
   std::function<void(bool)> probe_done;
   // Value of the socket's `bytes_accepted` at the start of the current call.
@@ -227,6 +269,12 @@
   return !connection_->socket->connected() || (tunnel && !tunnel->complete());
 }
 
+bool CallHandle::sees_end() const {
+  if (!connection_) return true;
+  const auto& tunnel = connection_->tunnel;
+  return !tunnel || tunnel->framed();
+}
+
 TargetConnections::TargetConnections(Loop& loop, const Clock& clock,
                                      Dialer dial)
     : loop_(loop),
--- a/http/target_connection.h
+++ b/http/target_connection.h
@@ -25,7 +25,10 @@
 // Tunnels. With `TargetCall::via`, the call goes through a tunnel of a peer
 // (http/tunnel.h) to the address. It counts as connecting until the peer has
 // connected to the target, and nothing of it is sent before. A tunnel carries
-// one call.
+// one call. The end of an answer without a length is what the peer states; a
+// tunnel that ends without that is broken (`CallEnd::kTunnelBroken`), which
+// says nothing about the target. A peer of an earlier version can't state it,
+// so through such a peer only an answer with its own end is complete.
 //
 //   targets.Probe("10.0.0.9:80", [](bool opened) {...});
 //
@@ -67,7 +70,8 @@
   kNotSent,   // the kernel took no byte: the request can't have run
   kBroken,    // sent at least in part, no complete answer: it may have run
   kCancelledBeforeSend,  // not sent, because `may_send` returned false
-  kNoTunnel,  // not sent, because the peer can't be reached or refused
+  kNoTunnel,      // not sent, because the peer can't be reached or refused
+  kTunnelBroken,  // sent, and the tunnel ended before the answer did
 };
 
 struct TargetCall {
@@ -107,6 +111,9 @@
   bool sent() const;
   // Whether the call waits for its connection, or its tunnel, to open.
   bool connecting() const;
+  // Whether the end of the target's connection would be seen: always, unless
+  // the call goes through a peer that can't state it.
+  bool sees_end() const;
 
  private:
   friend class TargetConnections;
--- a/http/testing/tunnel_test.cc
+++ b/http/testing/tunnel_test.cc
@@ -201,7 +201,107 @@
   BOOST_TEST(call->sent());
   peer.tunnels.reset();
   Run();
-  BOOST_TEST((end == CallEnd::kBroken));
+  BOOST_TEST((end == CallEnd::kTunnelBroken));
+}
+
+// Guards against the end of a peer that is taken for the end of the target's
+// answer, which then looks complete.
+BOOST_FIXTURE_TEST_CASE(ThePeersEndDoesNotCompleteAnAnswerWithoutLength,
+                        Fixture) {
+  target.answer = kWithoutLength;
+  Start(target.Address(), peer.Address());
+  RunFor(loop, milliseconds(100));
+  BOOST_TEST(body == "ok");
+  peer.tunnels.reset();
+  Run();
+  BOOST_TEST((end == CallEnd::kTunnelBroken));
+}
+
+// A peer of the version before frames: it copies bytes, and its connection ends
+// with the target's.
+struct EarlierPeer {
+  explicit EarlierPeer(Loop& it) : loop(it) {
+    port = listener.Listen("127.0.0.1:0");
+  }
+  void Accept(int fd) {
+    socket = TcpSocket::Adopt(loop, fd, TcpOptions());
+    TcpSocket::Handlers on;
+    on.data = [this](std::string_view bytes) {
+      const bool is_head = bytes.starts_with(kTunnelMethod);
+      socket->Write(is_head ? TunnelAnswer(TunnelStatus::kOpen) : answer);
+      if (!is_head) socket->ShutdownWrite();
+    };
+    socket->SetHandlers(std::move(on));
+  }
+  std::string Address() const { return "127.0.0.1:" + std::to_string(port); }
+
+  Loop& loop;
+  std::string answer;
+  std::shared_ptr<TcpSocket> socket;
+  TcpListener listener{loop, [this](int fd) { Accept(fd); }};
+  std::uint16_t port = 0;
+};
+
+// Guards against an answer that looks complete although nobody could tell, as
+// it was carried by a peer of an earlier version.
+BOOST_FIXTURE_TEST_CASE(AnEarlierPeerCompletesOnlyAnswersWithALength, Fixture) {
+  EarlierPeer earlier(loop);
+  earlier.answer = kWithoutLength;
+  Start(target.Address(), earlier.Address());
+  Run();
+  BOOST_TEST((end == CallEnd::kTunnelBroken));
+  end.reset();
+  earlier.answer = kAnswer;
+  Start(target.Address(), earlier.Address());
+  Run();
+  BOOST_TEST((end == CallEnd::kComplete));
+}
+
+// A router of the version before frames, which carries a request through the
+// peer.
+struct EarlierRouter {
+  EarlierRouter(Loop& loop, const std::string& peer,
+                const std::string& target) {
+    TcpSocket::Handlers on;
+    on.data = [this](std::string_view bytes) {
+      received += bytes;
+      if (!asked) socket->Write(kRequest);
+      asked = true;
+    };
+    on.ended = [this](SocketEnd it) { end = it; };
+    socket = TcpSocket::Connect(loop, peer, TcpOptions(), std::move(on));
+    socket->Write("CONNECT " + target + " HTTP/1.1\r\n\r\n");
+  }
+
+  std::shared_ptr<TcpSocket> socket;
+  bool asked = false;
+  std::string received;
+  std::optional<SocketEnd> end;
+};
+
+// Guards against bytes that an earlier version can't read, and against a
+// peer's end that it would take for the end of the answer.
+BOOST_FIXTURE_TEST_CASE(AnEarlierRouterGetsPlainBytesAndSeesThePeersEnd,
+                        Fixture) {
+  target.answer = kWithoutLength;
+  EarlierRouter earlier(loop, peer.Address(), target.Address());
+  RunFor(loop, milliseconds(100));
+  BOOST_TEST(earlier.received.ends_with(kWithoutLength));
+  BOOST_TEST(!earlier.end.has_value());
+  peer.tunnels.reset();
+  RunFor(loop, milliseconds(100));
+  BOOST_REQUIRE(earlier.end.has_value());
+  BOOST_TEST((*earlier.end == SocketEnd::kReset));
+}
+
+BOOST_FIXTURE_TEST_CASE(AnEarlierRouterSeesTheEndOfTheTarget, Fixture) {
+  target.answer = kWithoutLength;
+  target.after = AfterAnswer::kClose;
+  EarlierRouter earlier(loop, peer.Address(), target.Address());
+  RunFor(loop, milliseconds(100));
+  BOOST_TEST(earlier.received.ends_with(kWithoutLength));
+  BOOST_REQUIRE(earlier.end.has_value());
+  BOOST_TEST((*earlier.end == SocketEnd::kClosed));
 }
 
 // Guards against targets that work for callers that have left.
@@ -273,6 +373,38 @@
   BOOST_TEST((answer.Status() == TunnelStatus::kNoRoom));
 }
 
+// Guards against frames that are split or joined by the network.
+BOOST_AUTO_TEST_CASE(FramesAreReadInAnyPieces) {
+  const std::string text = TunnelData("abc") +
+                           TunnelData(std::string(300, 'x')) +
+                           TunnelEnd(SocketEnd::kClosed);
+  for (std::size_t size : {std::size_t{1}, std::size_t{4}, text.size()}) {
+    TunnelFrames frames;
+    std::string data;
+    bool closed = false;
+    for (std::size_t at = 0; at < text.size(); at += size) {
+      std::string_view piece = std::string_view(text).substr(at, size);
+      while (!piece.empty()) {
+        const TunnelFrame it = frames.Next(piece);
+        data += it.data;
+        closed = it.kind == TunnelFrameKind::kClosed;
+        BOOST_TEST((it.kind != TunnelFrameKind::kMalformed));
+      }
+    }
+    BOOST_TEST(data == "abc" + std::string(300, 'x'));
+    BOOST_TEST(closed);
+  }
+}
+
+// Guards against plain bytes that are taken for frames.
+BOOST_AUTO_TEST_CASE(OtherBytesAreNoFrames) {
+  for (std::string_view it : {"HTTP/1.1 200 OK", "D\0\0\0\0", "C\0\0\0\1"}) {
+    TunnelFrames frames;
+    std::string_view bytes(it.data(), 5);
+    BOOST_TEST((frames.Next(bytes).kind == TunnelFrameKind::kMalformed));
+  }
+}
+
 // Guards against other protocols, and heads without an end.
 BOOST_AUTO_TEST_CASE(OtherBytesAreNoHead) {
   for (const char* it :
--- a/http/tunnel.cc
+++ b/http/tunnel.cc
@@ -11,18 +11,76 @@
 // Bytes of a head. Requests and answers have about a hundred.
 constexpr std::size_t kMaxHeadBytes = 1024;
 
+// The header line that asks for frames and confirms them.
+constexpr std::string_view kFramesLine = "\r\nTunnel-Frames: 1";
+
+// A frame's header: its kind, and the number of bytes that follow, in network
+// byte order.
+constexpr std::size_t kFrameHeaderBytes = 5;
+constexpr char kDataFrame = 'D';
+constexpr char kClosedFrame = 'C';
+constexpr char kResetFrame = 'R';
+
+std::string FrameHeader(char kind, std::uint32_t size) {
+  std::string out(1, kind);
+  for (int shift = 24; shift >= 0; shift -= 8)
+    out.push_back(static_cast<char>((size >> shift) & 0xff));
+  return out;
+}
+
+std::uint32_t SizeIn(std::string_view header) {
+  std::uint32_t out = 0;
+  for (char it : header.substr(1))
+    out = (out << 8) | static_cast<unsigned char>(it);
+  return out;
+}
+
 }  // namespace
 
 std::string TunnelRequest(const std::string& address) {
   return std::string(kTunnelMethod) + address + " " + std::string(kVersion) +
-         "\r\nHost: " + address + std::string(kHeadEnd);
+         "\r\nHost: " + address + std::string(kFramesLine) +
+         std::string(kHeadEnd);
+}
+
+std::string TunnelData(std::string_view bytes) {
+  std::string out =
+      FrameHeader(kDataFrame, static_cast<std::uint32_t>(bytes.size()));
+  out += bytes;
+  return out;
 }
 
-std::string TunnelAnswer(TunnelStatus status) {
+std::string TunnelEnd(SocketEnd end) {
+  return FrameHeader(end == SocketEnd::kClosed ? kClosedFrame : kResetFrame, 0);
+}
+
+TunnelFrame TunnelFrames::Next(std::string_view& bytes) {
+  if (left_ == 0) {
+    const std::size_t missing = kFrameHeaderBytes - header_.size();
+    header_.append(bytes.substr(0, missing));
+    bytes.remove_prefix(std::min(missing, bytes.size()));
+    if (header_.size() < kFrameHeaderBytes) return {};
+    const char kind = header_.front();
+    left_ = SizeIn(header_);
+    header_.clear();
+    if (kind == kDataFrame && left_ > 0) return Next(bytes);
+    if (kind == kClosedFrame && left_ == 0) return {TunnelFrameKind::kClosed};
+    if (kind == kResetFrame && left_ == 0) return {TunnelFrameKind::kReset};
+    return {TunnelFrameKind::kMalformed};
+  }
+  if (bytes.empty()) return {};
+  const std::string_view data = bytes.substr(0, left_);
+  bytes.remove_prefix(data.size());
+  left_ -= static_cast<std::uint32_t>(data.size());
+  return {TunnelFrameKind::kData, data};
+}
+
+std::string TunnelAnswer(TunnelStatus status, bool framed) {
   std::string out = std::string(kVersion) + " " +
                     std::to_string(static_cast<int>(status)) + " " +
                     std::string(NameOf(status));
   if (status != TunnelStatus::kOpen) out += "\r\nContent-Length: 0";
+  if (framed) out += kFramesLine;
   return out + std::string(kHeadEnd);
 }
 
@@ -65,4 +123,8 @@
   return it->value;
 }
 
+bool TunnelHead::framed() const {
+  return complete_ && text_.find(kFramesLine) != std::string::npos;
+}
+
 }  // namespace quaytrack
--- a/http/tunnel.h
+++ b/http/tunnel.h
@@ -9,15 +9,34 @@
 //
 // After a head with status 200 both directions carry bytes of the target's
 // connection. Any other status ends the connection.
+//
+// Frames. The end of the peer's connection doesn't show how the target's
+// connection ended, as it also ends with the peer's process. So the bytes from
+// the target come in frames, and the last frame states the end:
+//
+//   peer->Write(TunnelData(bytes));          // at the peer
+//   peer->Write(TunnelEnd(SocketEnd::kClosed));
+//   TunnelFrames frames;                     // at the router that asked
+//   while (!bytes.empty()) {
+//     const TunnelFrame it = frames.Next(bytes);
+//     ...
+//   }
+//
+// A tunnel whose connection ends without such a frame is broken. The router
+// asks for frames in its head, and the peer's head confirms them. A peer of an
+// earlier version does neither: its tunnels carry plain bytes.
 
 #ifndef QUAYTRACK_HTTP_TUNNEL_H_
 #define QUAYTRACK_HTTP_TUNNEL_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 
 #include "base/enum_table.h"
+#include "net/tcp_socket.h"
 
 namespace quaytrack {
 
@@ -43,9 +62,15 @@
 // between routers.
 inline constexpr std::string_view kTunnelMethod = "CONNECT ";
 
-// `address` is that of the target, "host:port".
+// `address` is that of the target, "host:port". The request asks for frames.
 std::string TunnelRequest(const std::string& address);
-std::string TunnelAnswer(TunnelStatus status);
+// `framed` confirms frames; only with TunnelStatus::kOpen.
+std::string TunnelAnswer(TunnelStatus status, bool framed = false);
+
+// A frame with bytes of the target, and the frame that states how the target's
+// connection ended.
+std::string TunnelData(std::string_view bytes);
+std::string TunnelEnd(SocketEnd end);
 
 // Collects the head of a request or an answer.
 class TunnelHead {
@@ -60,6 +85,8 @@
   std::optional<std::string> TargetAddress() const;
   // std::nullopt unless this is the head of an answer with a known status.
   std::optional<TunnelStatus> Status() const;
+  // Whether the head asks for frames, or confirms them.
+  bool framed() const;
 
  private:
   std::string text_;
@@ -67,6 +94,33 @@
   bool malformed_ = false;
 };
 
+enum class TunnelFrameKind {
+  kPartial,    // more bytes are needed
+  kData,       // bytes of the target
+  kClosed,     // the target has closed its connection
+  kReset,      // the target's connection was reset
+  kMalformed,  // the bytes aren't frames
+};
+
+struct TunnelFrame {
+  TunnelFrameKind kind = TunnelFrameKind::kPartial;
+  // Of kData: the next bytes, which may be a part of the frame's.
+  std::string_view data = {};
+};
+
+// Reads frames from pieces of any size, without copying their contents.
+class TunnelFrames {
+ public:
+  // Takes bytes off the front of `bytes`, which must outlive the result.
+  TunnelFrame Next(std::string_view& bytes);
+
+ private:
+  // The header of the current frame, as far as it has arrived.
+  std::string header_;
+  // Bytes of the current frame that are yet to arrive.
+  std::uint32_t left_ = 0;
+};
+
 }  // namespace quaytrack
 
 #endif  // QUAYTRACK_HTTP_TUNNEL_H_
--- a/http/tunnel_server.cc
+++ b/http/tunnel_server.cc
@@ -18,10 +18,9 @@
 
 namespace {
 
-// Copies bytes to the other side, and stops reading while that side is slow.
-void Copy(std::string_view bytes, TcpSocket& from, TcpSocket& to,
-          std::size_t max_buffered) {
-  to.Write(bytes);
+// Stops reading from one side while the other one is slow.
+void PauseIfSlow(TcpSocket& from, const TcpSocket& to,
+                 std::size_t max_buffered) {
   if (to.Unsent() > max_buffered) from.PauseReading();
 }
 
@@ -74,7 +73,8 @@
   if (!it->head.complete()) return ReadHead(it, bytes);
   // A peer sends nothing before it is answered, and nothing after the end.
   if (!it->target || !it->target->connected()) return Remove(it);
-  Copy(bytes, *it->peer, *it->target, kMaxBufferedBytes);
+  it->target->Write(bytes);
+  PauseIfSlow(*it->peer, *it->target, kMaxBufferedBytes);
 }
 
 void TunnelServer::ReadHead(const TunnelPtr& it, std::string_view bytes) {
@@ -99,7 +99,9 @@
   on.data = [weak](std::string_view bytes) {
     const auto tunnel = weak.lock();
     if (!tunnel) return;
-    Copy(bytes, *tunnel->target, *tunnel->peer, kMaxBufferedBytes);
+    const bool framed = tunnel->head.framed();
+    tunnel->peer->Write(framed ? TunnelData(bytes) : bytes);
+    PauseIfSlow(*tunnel->target, *tunnel->peer, kMaxBufferedBytes);
   };
   on.ended = [this, weak](SocketEnd end) {
     if (const auto tunnel = weak.lock()) OnTargetEnded(tunnel, end);
@@ -124,7 +126,9 @@
   it->timer.reset();
   ++opened_;
   on_.dialed(*it->head.TargetAddress(), true);
-  it->peer->Write(TunnelAnswer(TunnelStatus::kOpen));
+  const bool framed = it->head.framed();
+  if (!framed) it->peer->ResetWhenClosed();
+  it->peer->Write(TunnelAnswer(TunnelStatus::kOpen, framed));
 }
 
 void TunnelServer::Refuse(const TunnelPtr& it, TunnelStatus status) {
@@ -138,7 +142,9 @@
 void TunnelServer::OnTargetEnded(const TunnelPtr& it, SocketEnd end) {
   if (!it->head.complete() || closing_.contains(it)) return;
   if (it->timer) return OnNotConnected(it);
-  if (end == SocketEnd::kReset) {
+  if (it->head.framed()) {
+    it->peer->Write(TunnelEnd(end));
+  } else if (end == SocketEnd::kReset) {
     it->peer->Close(true);
     return Remove(it);
   }
--- a/http/tunnel_server.h
+++ b/http/tunnel_server.h
@@ -8,9 +8,12 @@
 // A tunnel is two sockets, and copies bytes between them. The peer's connection
 // is answered once the connection to the target has opened, so that a peer
 // that wasn't answered knows that the target got nothing. How the target's
-// connection ends is passed on: an answer without a length is complete only if
-// its connection was closed and not reset. When the peer leaves, the
-// connection to the target is closed at once.
+// connection ends is passed on in a frame of its own (http/tunnel.h): an answer
+// without a length is complete only if its connection was closed and not reset.
+// A router of an earlier version that asks for no frames would take any end of
+// the tunnel for that of the answer. Its connection is therefore reset if this
+// process ends. When the peer leaves, the connection to the target is closed at
+// once.
 //
 // A tunnel buffers at most `kMaxBufferedBytes` in each direction, and what one
 // read returns; then it stops reading from the faster side.
--- a/net/tcp_socket.cc
+++ b/net/tcp_socket.cc
@@ -95,14 +95,16 @@
 void TcpSocket::Close(bool reset) {
   if (fd_ < 0) return;
   StopEvents();
-  if (reset) {
-    const linger abort{1, 0};
-    setsockopt(fd_, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
-  }
+  if (reset) ResetWhenClosed();
   close(fd_);
   fd_ = -1;
 }
 
+void TcpSocket::ResetWhenClosed() {
+  const linger abort{1, 0};
+  setsockopt(fd_, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+}
+
 void TcpSocket::ShutdownWrite() {
   if (fd_ >= 0) shutdown(fd_, SHUT_WR);
 }
--- a/net/tcp_socket.h
+++ b/net/tcp_socket.h
@@ -94,6 +94,9 @@
   // Closes the connection without calling `ended`. With `reset`, the peer gets
   // an error instead of an end of the stream.
   void Close(bool reset = false);
+  // From now on the peer gets an error when the connection is closed, also if
+  // this process is killed. An end signalled by `ShutdownWrite` stays one.
+  void ResetWhenClosed();
   // Gives the descriptor away, without closing the connection. The socket is
   // then as after `Close`.
   int Release();
--- a/relay/attempt.cc
+++ b/relay/attempt.cc
@@ -88,6 +88,11 @@
     return {false, Ran::kNo, PlacementOutcome::kFailed,
             AttemptFault::kNotOpened};
   }
+  // The peer's process or the path to it has ended; the target may be sound.
+  if (facts.end == CallEnd::kTunnelBroken) {
+    return {false, Ran::kUnknown, PlacementOutcome::kNeutral,
+            AttemptFault::kTunnelBroken};
+  }
   AttemptResult failed;
   if (facts.end == CallEnd::kBroken) {
     failed.fault = AttemptFault::kBroken;
--- a/relay/attempt.h
+++ b/relay/attempt.h
@@ -73,17 +73,18 @@
 // target; the others at the target, or at the path.
 enum class AttemptFault {
   kNone,
-  kNotOpened,    // the connection was refused
-  kOpenTimeout,  // the connection didn't open in time
-  kBroken,       // the connection ended before the answer did
-  kTimeout,      // no answer, or no further event, before another's
-  kServerError,  // the target answered with an error
-  kTurnedAway,   // the target states that it didn't run the request
-  kInvalid,      // an answer that can't be forwarded
-  kNoTunnel,     // no tunnel through the chosen peer; not sent
-  kPathChanged,  // the way to the target has changed
-  kHeldBack,     // not sent, as the target may no longer receive work
-  kSuperseded,   // stopped, as an earlier attempt has answered
+  kNotOpened,     // the connection was refused
+  kOpenTimeout,   // the connection didn't open in time
+  kBroken,        // the connection ended before the answer did
+  kTimeout,       // no answer, or no further event, before another's
+  kServerError,   // the target answered with an error
+  kTurnedAway,    // the target states that it didn't run the request
+  kInvalid,       // an answer that can't be forwarded
+  kNoTunnel,      // no tunnel through the chosen peer; not sent
+  kTunnelBroken,  // the tunnel ended before the answer did
+  kPathChanged,   // the way to the target has changed
+  kHeldBack,      // not sent, as the target may no longer receive work
+  kSuperseded,    // stopped, as an earlier attempt has answered
 };
 
 template <>
@@ -98,6 +99,7 @@
        {AttemptFault::kTurnedAway, "turned_away"},
        {AttemptFault::kInvalid, "invalid"},
        {AttemptFault::kNoTunnel, "no_tunnel"},
+       {AttemptFault::kTunnelBroken, "tunnel_broken"},
        {AttemptFault::kPathChanged, "path_changed"},
        {AttemptFault::kHeldBack, "held_back"},
        {AttemptFault::kSuperseded, "superseded"}});
--- a/relay/attempt_state.h
+++ b/relay/attempt_state.h
@@ -62,6 +62,8 @@
   // Of a kept attempt: why another one was begun, and the events read so far.
   AttemptFault kept_for = AttemptFault::kNone;
   EventReader reader;
+  // Of a kept attempt: its target is the one that was silent, not a peer.
+  bool target_was_silent = false;
 
   // Appends bytes to `body`. Returns false if it would be too large.
   bool TakeBody(std::string_view bytes) {
--- a/relay/ended_by.cc
+++ b/relay/ended_by.cc
@@ -15,6 +15,7 @@
     case AttemptFault::kOpenTimeout:
     case AttemptFault::kTimeout:
     case AttemptFault::kNoTunnel:
+    case AttemptFault::kTunnelBroken:
     case AttemptFault::kPathChanged:
     case AttemptFault::kHeldBack:
     case AttemptFault::kSuperseded:
--- a/relay/reach_driver.cc
+++ b/relay/reach_driver.cc
@@ -107,7 +107,8 @@
     it->OnSent(context_.clock.Now(), target);
 }
 
-void ReachDriver::OnOpened(const TargetPath& path, const TargetName& target) {
+void ReachDriver::OnOpened(const TargetPath& path, const TargetName& target,
+                           bool sees_end) {
   const Instant now = context_.clock.Now();
   TargetReach* it = Find(path.service);
   if (path.direct()) {
@@ -115,7 +116,7 @@
     if (it != nullptr) it->OnOpened(now, target);
     return;
   }
-  peers_.OnOpened(now, path.peer);
+  peers_.OnOpened(now, path.peer, sees_end);
   if (it != nullptr) it->OnPeerTried(path.peer, target, true);
 }
 
@@ -164,7 +165,8 @@
   const bool is_report = message.kind == PeerMessageKind::kHello ||
                          message.kind == PeerMessageKind::kPing;
   if (!is_report) return;
-  reports_[VmOf(message.from)] = {message.from, message.cut_off};
+  reports_[VmOf(message.from)] = {message.from, message.cut_off,
+                                  context_.clock.Now()};
 }
 
 void ReachDriver::OnPeerLost(const Incarnation& peer) {
@@ -277,6 +279,12 @@
   return it != nullptr && it->IsInDoubt();
 }
 
+bool ReachDriver::IsPeerAlive(const TargetPath& path) const {
+  const auto it = reports_.find(path.peer);
+  return it != reports_.end() &&
+         context_.clock.Now() - it->second.heard_at < kPeerAliveFor;
+}
+
 bool ReachDriver::LacksPath() const {
   return path_missing_at_ != Instant() &&
          context_.clock.Now() - path_missing_at_ < kLacksPathFor;
--- a/relay/reach_driver.h
+++ b/relay/reach_driver.h
@@ -97,6 +97,10 @@
   // may have room again.
   static constexpr Duration kLacksPathFor = std::chrono::milliseconds(1000);
 
+  // Longest time between two heartbeats of a running peer
+  // (PeerMesh::kCheckInterval), with a margin for a busy one.
+  static constexpr Duration kPeerAliveFor = std::chrono::milliseconds(1100);
+
   ReachDriver(const Context& context, const FleetMember& self,
               HallRegions regions, Handlers handlers);
 
@@ -108,13 +112,14 @@
   TargetPath PathTo(const TargetEntry& target, const Residency& residency,
                     const std::set<VmName>& tried);
 
-  // Events of attempts.
+  // Events of attempts. `sees_end`: CallHandle::sees_end.
   void OnSent(const TargetPath& path, const TargetName& target);
-  void OnOpened(const TargetPath& path, const TargetName& target);
+  void OnOpened(const TargetPath& path, const TargetName& target,
+                bool sees_end = true);
   void OnHeard(const TargetPath& path, const TargetName& target);
   // The target couldn't be connected to, by this router or by the peer.
   void OnOpenFailed(const TargetPath& path, const TargetName& target);
-  // The peer couldn't be reached, or refused the tunnel.
+  // The peer couldn't be reached, refused the tunnel, or ended it.
   void OnTunnelFailed(const TargetPath& path);
   void OnEnded(const TargetPath& path);
 
@@ -134,6 +139,9 @@
   bool IsCutOff(const ServiceName& service) const;
   // The same, or they are being probed.
   bool IsInDoubt(const ServiceName& service) const;
+  // Whether the peer of the tunnel was heard from a moment ago, so that a
+  // silence is the target's.
+  bool IsPeerAlive(const TargetPath& path) const;
   // Probes the targets of the service, to find out whether the links work.
   void RequestProbes(const ServiceName& service);
   // Whether a request that any router may serve was refused a moment ago, as no
@@ -153,6 +161,7 @@
   struct Report {
     Incarnation peer;
     std::set<ServiceName> cut_off;
+    Instant heard_at{};
   };
 
   std::vector<TunnelPeer> PeersFor(const ServiceName& service,
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -148,6 +148,8 @@
   void OnCallEnd(CallEnd seen);
   void OnSendHeldBack(const AttemptResult& result);
   void OnNoTunnel(AttemptFault fault);
+  void OnTunnelBroken(const AttemptResult& result);
+  void LeavePeer(const TargetPath& path);
   void UndoSend(PlacementOutcome outcome);
   void OnNotOpened();
   bool IsSilent() const;
@@ -217,8 +219,11 @@
   // Outcome of the current attempt, as reported to the placement.
   PlacementOutcome outcome_ = PlacementOutcome::kNeutral;
 
-  // Peers that refused the request a tunnel, or couldn't be reached.
+  // Peers that refused the request a tunnel, couldn't be reached, or broke it
+  // off.
   std::set<VmName> tried_peers_;
+  // Number of tunnels that were not opened.
+  int refused_tunnels_ = 0;
   // Targets to which no connection opened while the links were in doubt. They
   // may be chosen again once peers are used.
   std::set<TargetName> unopened_;
--- a/relay/relayed_request_attempts.cc
+++ b/relay/relayed_request_attempts.cc
@@ -26,9 +26,9 @@
 // part, and within it routes are ranked on this many levels.
 constexpr int kRouteLevels = 3;
 
-// Peers that are asked for a tunnel for one request. After that, an attempt at
+// Peers that may refuse one request a tunnel. After that, an attempt at
 // another router is the caller's better choice.
-constexpr std::size_t kMaxTriedPeers = 2;
+constexpr int kMaxRefusedTunnels = 2;
 
 }  // namespace
 
@@ -103,7 +103,8 @@
 
 // Called when the connection, or the tunnel, has opened.
 bool RelayedRequest::MaySend() {
-  context_.reach.OnOpened(attempt_.path, attempt_.choice.target.name);
+  const bool sees_end = !attempt_.call || attempt_.call->sees_end();
+  context_.reach.OnOpened(attempt_.path, attempt_.choice.target.name, sees_end);
   return context_.placement.MayStillSend(context_.clock.Now(), attempt_.choice,
                                          admission_.placement);
 }
@@ -305,6 +306,7 @@
                        events_.InEvent(), streaming});
   if (end == CallEnd::kCancelledBeforeSend) return OnSendHeldBack(result);
   if (end == CallEnd::kNoTunnel) return OnNoTunnel(result.fault);
+  if (end == CallEnd::kTunnelBroken) return OnTunnelBroken(result);
   if (end == CallEnd::kNotSent) OnNotOpened();
   if (end == CallEnd::kBroken) ReportLost(attempt_);
   const bool error = IsServerError(attempt_.answer.status);
@@ -336,15 +338,28 @@
 // Called when the peer that was to carry the request is unreachable or refuses.
 // Nothing was sent, and the target isn't at fault, so it may be chosen again.
 void RelayedRequest::OnNoTunnel(AttemptFault fault) {
-  context_.reach.OnTunnelFailed(attempt_.path);
-  tried_peers_.insert(attempt_.path.peer);
+  LeavePeer(attempt_.path);
   UndoSend(PlacementOutcome::kNeutral);
   LogAttempt(attempt_, Ran::kNo, fault);
-  if (tried_peers_.size() >= kMaxTriedPeers)
+  if (++refused_tunnels_ >= kMaxRefusedTunnels)
     return GiveUpUnlessKept(Ran::kNo, RelayCause::kTargetsUnreachable);
   Retry(Ran::kNo);
 }
 
+// Called when the peer that carried the request has ended before the answer
+// did. The target isn't at fault, so it may be chosen again, through another
+// peer.
+void RelayedRequest::OnTunnelBroken(const AttemptResult& result) {
+  LeavePeer(attempt_.path);
+  admission_.placement.tried.erase(attempt_.choice.target.name);
+  EndAttempt(result.ran, result.outcome, result.fault);
+}
+
+void RelayedRequest::LeavePeer(const TargetPath& path) {
+  context_.reach.OnTunnelFailed(path);
+  tried_peers_.insert(path.peer);
+}
+
 // Ends an attempt of which nothing was sent, as if it had not been made.
 void RelayedRequest::UndoSend(PlacementOutcome outcome) {
   StopAttempt(outcome);
--- a/relay/relayed_request_kept.cc
+++ b/relay/relayed_request_kept.cc
@@ -13,7 +13,11 @@
   const Instant now = context_.clock.Now();
   const TargetEntry& target = attempt_.choice.target;
   const bool is_silent = kept_for == AttemptFault::kTimeout;
-  if (is_silent && context_.placement.IsListed(target))
+  const bool by_peer =
+      !attempt_.path.direct() && !context_.reach.IsPeerAlive(attempt_.path);
+  attempt_.target_was_silent = is_silent && !by_peer;
+  if (is_silent && by_peer) LeavePeer(attempt_.path);
+  if (attempt_.target_was_silent && context_.placement.IsListed(target))
     context_.placement.OnSilent(now, target.name);
   attempt_timer_.reset();
   LogAttemptKept(id(), progress_, attempt_, kept_for, now);
@@ -52,6 +56,7 @@
     return OnCallEnd(end);
   }
   if (end == CallEnd::kBroken) ReportLost(attempt);
+  if (end == CallEnd::kTunnelBroken) LeavePeer(attempt.path);
   EndKept(attempt.number, result.outcome, result.fault);
 }
 
@@ -69,9 +74,9 @@
   while (!kept_.empty()) {
     const AttemptState& it = kept_.latest();
     ReportStopped(it);
-    const bool is_silent = it.kept_for == AttemptFault::kTimeout;
     EndKept(it.number,
-            is_silent ? PlacementOutcome::kFailed : PlacementOutcome::kNeutral,
+            it.target_was_silent ? PlacementOutcome::kFailed
+                                 : PlacementOutcome::kNeutral,
             it.kept_for);
   }
 }
--- a/relay/testing/attempt_test.cc
+++ b/relay/testing/attempt_test.cc
@@ -144,6 +144,9 @@
      Ran::kUnknown, PlacementOutcome::kFailed, AttemptFault::kBroken},
     {"broken within an answer", Facts(CallEnd::kBroken, 200), false,
      Ran::kUnknown, PlacementOutcome::kFailed, AttemptFault::kBroken},
+    {"its peer ended within an answer", Facts(CallEnd::kTunnelBroken, 200),
+     false, Ran::kUnknown, PlacementOutcome::kNeutral,
+     AttemptFault::kTunnelBroken},
     // The statement that nothing has run must be complete as well.
     {"broken within a refusal", NotRun(CallEnd::kBroken), false, Ran::kUnknown,
      PlacementOutcome::kFailed, AttemptFault::kBroken},
@@ -196,6 +199,8 @@
   const auto end = CallEnd::kComplete;
   BOOST_TEST((EndOfStream(end, unframed, false, 0) == CallEnd::kBroken));
   BOOST_TEST((EndOfStream(end, unframed, true, 3) == CallEnd::kBroken));
+  BOOST_TEST((EndOfStream(CallEnd::kTunnelBroken, unframed, false, 3) ==
+              CallEnd::kTunnelBroken));
   BOOST_TEST((EndOfStream(end, unframed, false, 3) == CallEnd::kComplete));
   HttpHead chunked;
   chunked.chunked = true;
