Let streams go on through peers when a router's links are reset

Cause: a broken stream was no evidence of lost links. Its second attempt used the same links and counted as a send when it was refused; meanwhile all targets looked as if they had restarted, so none of the stream's version was left, and the stream was given up before the probe round told of the cut.

Change: connections to two targets that break within 100 ms start a probe round. A request that finds no target meanwhile waits for its end, and targets behind lost links may be chosen again through peers.

Those beyond the router's share of retries are still cut.

--- a/dispatch/target_reach.cc
+++ b/dispatch/target_reach.cc
@@ -12,6 +12,7 @@
   };
   std::erase_if(open_failures_,
                 [&](const auto& it) { return is_gone(it.first); });
+  std::erase_if(broken_, [&](const auto& it) { return is_gone(it.first); });
   std::erase_if(unanswered_, [&](const auto& it) { return is_gone(it.first); });
   for (auto& [peer, failed] : peer_failures_) std::erase_if(failed, is_gone);
 }
@@ -35,9 +36,14 @@
 void TargetReach::OnOpened(Instant now, const TargetName& target) {
   heard_at_ = now;
   open_failures_.clear();
+  broken_.clear();
   unanswered_.erase(target);
 }
 
+void TargetReach::OnBroken(Instant now, const TargetName& target) {
+  broken_[target] = now;
+}
+
 void TargetReach::OnOpenFailed(Instant now, const TargetName& target) {
   open_failures_[target] = now;
 }
@@ -65,6 +71,7 @@
 
 void TargetReach::ForgetEvidence() {
   open_failures_.clear();
+  broken_.clear();
   unanswered_.clear();
   peer_failures_.clear();
 }
@@ -73,6 +80,9 @@
   std::erase_if(open_failures_, [now](const auto& it) {
     return now - it.second > kEvidenceTime;
   });
+  std::erase_if(broken_, [now](const auto& it) {
+    return now - it.second > kBrokenTogether;
+  });
   std::erase_if(unanswered_, [now](const auto& it) {
     return now - it.second.last > kEvidenceTime;
   });
@@ -116,6 +126,7 @@
   const bool some = round.opened > 0;
   if (!some && !IsCutOff() && IsDisproved(round)) {
     open_failures_.clear();
+    broken_.clear();
     return std::nullopt;
   }
   if (round.is_check && !some) {
@@ -183,10 +194,15 @@
 
 std::size_t TargetReach::CountSuspects(Instant now) const {
   std::size_t out = open_failures_.size();
+  for (const auto& [target, at] : broken_) {
+    if (!open_failures_.contains(target)) ++out;
+  }
   if (now - heard_at_ < kSilence) return out;
   for (const auto& [target, requests] : unanswered_) {
     const bool is_silent = now - requests.first >= kSilence;
-    if (is_silent && !open_failures_.contains(target)) ++out;
+    const bool is_counted =
+        open_failures_.contains(target) || broken_.contains(target);
+    if (is_silent && !is_counted) ++out;
   }
   return out;
 }
@@ -211,8 +227,8 @@
   std::size_t n = 0;
   for (; n < count && out.size() < size; ++n) {
     const TargetName& it = targets_[(next_probe_ + n) % count];
-    const bool is_suspect =
-        open_failures_.contains(it) || unanswered_.contains(it);
+    const bool is_suspect = open_failures_.contains(it) ||
+                            broken_.contains(it) || unanswered_.contains(it);
     (is_suspect ? suspects : out).push_back(it);
   }
   next_probe_ = (next_probe_ + n) % count;
--- a/dispatch/target_reach.h
+++ b/dispatch/target_reach.h
@@ -75,6 +75,9 @@
   // longer than a second, so that the requests of a router with few callers add
   // up, and short, as targets restart.
   static constexpr Duration kEvidenceTime = std::chrono::milliseconds(2000);
+  // Connections to several targets that break within this time may have been
+  // broken by a loss of the links, which resets all at once.
+  static constexpr Duration kBrokenTogether = std::chrono::milliseconds(100);
   // Enough that targets that are down by themselves rarely make up a round.
   static constexpr std::size_t kProbesPerRound = 3;
   // As the timeout of a request's connection (relay/attempt.cc).
@@ -101,6 +104,8 @@
   void OnHeard(Instant now, const TargetName& target);
   void OnOpened(Instant now, const TargetName& target);
   void OnOpenFailed(Instant now, const TargetName& target);
+  // A connection that carried a request ended before its answer.
+  void OnBroken(Instant now, const TargetName& target);
   // The outcome of a connection that `Check` asked for.
   void OnProbe(Instant now, const TargetName& target, bool opened);
   // Starts a probe round with the next `Check`, once none is running.
@@ -124,6 +129,10 @@
   // Whether this router can't reach the targets over its own links, and so
   // can't carry requests of peers.
   bool IsCutOff() const { return machine_.state() != ReachState::kDirect; }
+  // Whether a probe round is about to tell if the links are lost.
+  bool IsBeingProbed() const {
+    return !IsCutOff() && round_.has_value() && !round_->is_check;
+  }
   // Whether this router's own links are lost, or are being probed.
   bool IsInDoubt() const { return IsCutOff() || round_.has_value(); }
   // Whether this router's own links have worked after `time`.
@@ -168,6 +177,9 @@
   Instant heard_at_{};
   // Targets at which opening failed since a connection last opened.
   std::map<TargetName, Instant> open_failures_;
+  // Targets to which a connection broke within `kBrokenTogether`, since a
+  // connection last opened.
+  std::map<TargetName, Instant> broken_;
   std::map<TargetName, Unanswered> unanswered_;
   bool probe_requested_ = false;
   std::optional<Round> round_;
--- a/dispatch/testing/target_reach_test.cc
+++ b/dispatch/testing/target_reach_test.cc
@@ -74,6 +74,26 @@
   }
 }
 
+// Guards against a reset of all links that goes unnoticed until new connections
+// have failed.
+BOOST_AUTO_TEST_CASE(ConnectionsThatBreakTogetherNeedARound) {
+  Fixture it(4);
+  it.reach.OnBroken(it.now, Name(0));
+  BOOST_TEST(it.reach.Check(it.now).probes.empty());
+  it.reach.OnBroken(it.now, Name(1));
+  BOOST_TEST((it.Round(0) == ReachAction::kUseTunnels));
+}
+
+// Guards against targets that end one after the other and look like lost links.
+BOOST_AUTO_TEST_CASE(ConnectionsThatBreakApartNeedNoRound) {
+  Fixture it(4);
+  for (int n = 0; n < 4; ++n) {
+    it.reach.OnBroken(it.now, Name(n));
+    BOOST_TEST(it.reach.Check(it.now).probes.empty());
+    it.Wait(TargetReach::kBrokenTogether * 2);
+  }
+}
+
 // Guards against failures that add up although the links work.
 BOOST_AUTO_TEST_CASE(AConnectionThatOpensClearsTheFailuresBeforeIt) {
   Fixture it(4);
--- a/relay/reach_driver.cc
+++ b/relay/reach_driver.cc
@@ -141,6 +141,13 @@
   CheckService(it->first, it->second);
 }
 
+void ReachDriver::OnBroken(const TargetPath& path, const TargetName& target) {
+  const auto it = services_.find(path.service);
+  if (!path.direct() || it == services_.end()) return;
+  it->second.reach.OnBroken(context_.clock.Now(), target);
+  CheckService(it->first, it->second);
+}
+
 void ReachDriver::OnTunnelFailed(const TargetPath& path) {
   peers_.OnFailed(context_.clock.Now(), path.peer);
 }
@@ -279,6 +286,11 @@
   return it != nullptr && it->IsInDoubt();
 }
 
+bool ReachDriver::IsBeingProbed(const ServiceName& service) const {
+  const TargetReach* it = Find(service);
+  return it != nullptr && it->IsBeingProbed();
+}
+
 bool ReachDriver::IsPeerAlive(const TargetPath& path) const {
   const auto it = reports_.find(path.peer);
   return it != reports_.end() &&
--- a/relay/reach_driver.h
+++ b/relay/reach_driver.h
@@ -119,6 +119,9 @@
   void OnHeard(const TargetPath& path, const TargetName& target);
   // The target couldn't be connected to, by this router or by the peer.
   void OnOpenFailed(const TargetPath& path, const TargetName& target);
+  // The connection ended before the answer. Says nothing of a tunnel: see
+  // `OnTunnelFailed`.
+  void OnBroken(const TargetPath& path, const TargetName& target);
   // The peer couldn't be reached, refused the tunnel, or ended it.
   void OnTunnelFailed(const TargetPath& path);
   void OnEnded(const TargetPath& path);
@@ -139,6 +142,8 @@
   bool IsCutOff(const ServiceName& service) const;
   // The same, or they are being probed.
   bool IsInDoubt(const ServiceName& service) const;
+  // Whether a probe round is about to tell if the links are lost.
+  bool IsBeingProbed(const ServiceName& service) const;
   // Whether the peer of the tunnel was heard from a moment ago, so that a
   // silence is the target's.
   bool IsPeerAlive(const TargetPath& path) const;
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -17,6 +17,10 @@
 // was accepted.
 constexpr Duration kTrustedAge = std::chrono::milliseconds(1500);
 
+// How often a request that waits for the end of a probe round looks for it. A
+// round that finds the links lost tells the requests (`OnLinksLost`).
+constexpr Duration kProbesCheckInterval = std::chrono::milliseconds(20);
+
 }  // namespace
 
 RelayedRequest::RelayedRequest(const RelayContext& context,
@@ -211,6 +215,9 @@
 }
 
 void RelayedRequest::Choose() {
+  const auto self = shared_from_this();
+  probes_timer_.reset();
+  ForgiveDoubtedTargets();
   const bool passes = is_test_ && attempts_ == 0;
   if (!passes && IsBlamed()) {
     if (!GoOnWithKept()) RefuseBlamed();
@@ -224,6 +231,11 @@
     return GiveUpUnlessKept(Ran::kNo, RelayCause::kVersionUnknown);
   const auto choice =
       context_.placement.Choose(context_.clock.Now(), admission_.placement);
+  if (!choice && kept_.empty() && AwaitsProbes()) {
+    probes_timer_ =
+        context_.loop.After(kProbesCheckInterval, [this] { Choose(); });
+    return;
+  }
   if (!choice) return GiveUpUnlessKept(Ran::kNo, CauseOfNoChoice());
   const auto path = context_.reach.PathTo(
       choice->target, admission_.placement.residency, tried_peers_);
@@ -322,6 +334,7 @@
   StopAttempt(outcome_);
   EndAllKept();
   deadline_timer_.reset();
+  probes_timer_.reset();
   Tokens cost = 0;
   if (held_) {
     cost = CostOf({ran, worst_case(), admission_.facts.prompt_tokens,
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -152,6 +152,7 @@
   void LeavePeer(const TargetPath& path);
   void UndoSend(PlacementOutcome outcome);
   void OnNotOpened();
+  void OnBroken(const AttemptState& attempt);
   bool IsSilent() const;
   static std::optional<Duration> TimeWithEvents(const AttemptState& attempt);
   void ReportRan(const AttemptState& attempt);
@@ -168,6 +169,8 @@
   RetryFacts FactsForRetry(Ran ran);
   bool TakeRetry(Ran ran, AttemptFault fault);
   void UncountSend();
+  bool AwaitsProbes() const;
+  void ForgiveDoubtedTargets();
   void Retry(Ran ran);
   void LogAttempt(const AttemptState& attempt, Ran ran, AttemptFault fault);
   const RequestCauses& causes();
@@ -224,9 +227,11 @@
   std::set<VmName> tried_peers_;
   // Number of tunnels that were not opened.
   int refused_tunnels_ = 0;
-  // Targets to which no connection opened while the links were in doubt. They
-  // may be chosen again once peers are used.
-  std::set<TargetName> unopened_;
+  // Targets whose connection didn't open or broke while the links were in
+  // doubt. They may be chosen again once peers are used.
+  std::set<TargetName> doubted_targets_;
+  // Runs while the request waits to learn whether the links are lost.
+  std::unique_ptr<Timer> probes_timer_;
 
   // State of all attempts. What may be the cause of a crash is unset until it
   // is first needed.
--- a/relay/relayed_request_attempts.cc
+++ b/relay/relayed_request_attempts.cc
@@ -308,7 +308,7 @@
   if (end == CallEnd::kNoTunnel) return OnNoTunnel(result.fault);
   if (end == CallEnd::kTunnelBroken) return OnTunnelBroken(result);
   if (end == CallEnd::kNotSent) OnNotOpened();
-  if (end == CallEnd::kBroken) ReportLost(attempt_);
+  if (end == CallEnd::kBroken) OnBroken(attempt_);
   const bool error = IsServerError(attempt_.answer.status);
   const bool may_be_served =
       !kept_.empty() || MaySendAgain(FactsForRetry(result.ran));
@@ -378,7 +378,9 @@
 
 void RelayedRequest::OnLinksLost(const ServiceName& service) {
   const auto self = shared_from_this();
-  if (!attempt_.call || admission_.service->name != service) return;
+  if (!admission_.service || admission_.service->name != service) return;
+  if (probes_timer_) return Choose();
+  if (!attempt_.call) return;
   const Ran ran = attempt_.ran();
   switch (StepAfterLostLinks(
       {attempt_.path.direct(), ran, attempt_.paused, IsSilent()})) {
@@ -422,6 +424,15 @@
              context_.clock.Now(), admission_.service->name);
 }
 
+// Called when a direct connection ended before the answer did. The target may
+// have ended, or the links may be lost.
+void RelayedRequest::OnBroken(const AttemptState& attempt) {
+  if (attempt.path.direct())
+    doubted_targets_.insert(attempt.choice.target.name);
+  context_.reach.OnBroken(attempt.path, attempt.choice.target.name);
+  ReportLost(attempt);
+}
+
 // Called when the target closed the connection. The target may have crashed,
 // possibly because of this request.
 void RelayedRequest::ReportLost(const AttemptState& attempt) {
@@ -550,6 +561,7 @@
   facts.was_sent = !IsUnsent(fault);
   facts.links_in_doubt = attempt_.path.direct() &&
                          context_.reach.IsInDoubt(admission_.service->name);
+  facts.awaits_probes = AwaitsProbes();
   if (!CountsAsSend(facts)) {
     UncountSend();
     facts.sends = progress_.sends;
@@ -562,10 +574,24 @@
 
 void RelayedRequest::UncountSend() {
   --progress_.sends;
-  unopened_.insert(attempt_.choice.target.name);
+  doubted_targets_.insert(attempt_.choice.target.name);
+  ForgiveDoubtedTargets();
+}
+
+// Whether the request may have been sent over links that are lost, which a
+// probe round is about to tell.
+bool RelayedRequest::AwaitsProbes() const {
+  return !doubted_targets_.empty() &&
+         context_.reach.IsBeingProbed(admission_.service->name);
+}
+
+// Once the links are known to be lost, the targets behind them aren't at fault.
+void RelayedRequest::ForgiveDoubtedTargets() {
+  if (doubted_targets_.empty()) return;
   if (!context_.reach.IsCutOff(admission_.service->name)) return;
-  for (const TargetName& it : unopened_) admission_.placement.tried.erase(it);
-  unopened_.clear();
+  for (const TargetName& it : doubted_targets_)
+    admission_.placement.tried.erase(it);
+  doubted_targets_.clear();
 }
 
 void RelayedRequest::Retry(Ran ran) {
--- a/relay/relayed_request_kept.cc
+++ b/relay/relayed_request_kept.cc
@@ -55,7 +55,7 @@
     GoOnWith(attempt.number);
     return OnCallEnd(end);
   }
-  if (end == CallEnd::kBroken) ReportLost(attempt);
+  if (end == CallEnd::kBroken) OnBroken(attempt);
   if (end == CallEnd::kTunnelBroken) LeavePeer(attempt.path);
   EndKept(attempt.number, result.outcome, result.fault);
 }
--- a/relay/retry.cc
+++ b/relay/retry.cc
@@ -15,7 +15,7 @@
                             const Placement& placement,
                             const PlacementRequest& request) {
   if (!MaySendAgain(facts)) return false;
-  if (!placement.Choose(now, request)) return false;
+  if (!facts.awaits_probes && !placement.Choose(now, request)) return false;
   if (!facts.was_sent) return true;
   return ShareOf(request.service).TryRetry(now);
 }
--- a/relay/retry.h
+++ b/relay/retry.h
@@ -9,7 +9,8 @@
 //      - it isn't a stream whose version is unknown;
 //      - if the attempt may have run, its route allows repetition, and allows
 //        another target.
-//   2. A target that wasn't tried is available (`Placement::Choose`).
+//   2. A target that wasn't tried is available (`Placement::Choose`), or may
+//      be once it is known whether this router's own links are lost.
 //   3. The service's retries are within their share (dispatch/retry_share.h).
 //      An attempt that sent nothing put no load on a target, so the next one
 //      is no retry in this sense.
@@ -58,6 +59,9 @@
   // and the attempt used them.
   bool links_in_doubt = false;
   bool caller_gone = false;
+  // A probe round is about to tell whether the targets or the links are lost;
+  // until then it isn't known which targets are available.
+  bool awaits_probes = false;
   // The request is known to crash targets, or may have crashed the target of
   // this attempt and would be after one more crash.
   bool crashes_targets = false;
