Charge budgets less for losses of power, and say 402 only with proof

Cause: what a dead router may have spent counts as spent for ever, and was told as if it were known. Each loss charged a share of what remained.

Change: - The record keeps what was charged without proof. QT1412 tells what was granted, reported, withheld and charged.

--- a/prepaid/grant_sizing.cc
+++ b/prepaid/grant_sizing.cc
@@ -32,12 +32,34 @@
       static_cast<double>(std::max<Tokens>(0, entry.limit - entry.settled));
   const auto members =
       static_cast<double>(std::max<std::size_t>(1, record.members.size()));
-  const double baseline = remaining * policy_.baseline_share / members;
+  const double baseline = Baseline(now, remaining, members, entry, account);
   const double rate = account.spending.PerSecond(now);
   const double headroom = std::min(rate * ToSeconds(policy_.headroom),
                                    remaining * policy_.max_headroom_share);
   return static_cast<Tokens>(std::max(baseline, headroom) *
-                             ScarcityFactor(now, remaining, account));
+                             ScarcityFactor(now, remaining, account) *
+                             RiskFactor(entry));
+}
+
+double GrantSizing::RiskFactor(const PrepaidEntry& entry) const {
+  const auto presumed =
+      static_cast<double>(entry.settled - entry.ProvenSpent());
+  const double bound =
+      static_cast<double>(entry.limit) * policy_.baseline_share;
+  if (bound <= 0) return 1;
+  return std::clamp(1 - presumed / bound, policy_.min_risk_factor, 1.0);
+}
+
+double GrantSizing::Baseline(Instant now, double remaining, double members,
+                             const PrepaidEntry& entry,
+                             const LocalAccount& account) const {
+  const double bound = remaining * policy_.baseline_share / members;
+  const bool observed = account.KnowsSettling(now);
+  if (!observed && entry.spent_per_s == 0) return bound;
+  const double rate = observed ? account.settling.PerSecond(now)
+                               : static_cast<double>(entry.spent_per_s);
+  const double bridged = rate * ToSeconds(policy_.baseline_time) / members;
+  return std::min(bound, bridged);
 }
 
 double GrantSizing::ScarcityFactor(Instant now, double remaining,
--- a/prepaid/grant_sizing.h
+++ b/prepaid/grant_sizing.h
@@ -10,11 +10,13 @@
 // Target size. It depends on the budget's remaining tokens, the number of
 // routers in the record, and this router's rate of spending. It is the larger
 // of
-//   - an equal share of `baseline_share` of the remaining tokens, and
+//   - an equal share of what all routers spend in `baseline_time`, but of at
+//     most `baseline_share` of the remaining tokens,
 //   - the spending of `headroom`, up to `max_headroom_share` of the remaining
 //     tokens.
 // Both fall in proportion if the remaining tokens last for less than
-// `full_size_horizon` at the rate at which the record shows them settled.
+// `full_size_horizon` at the rate at which the record shows them settled, and
+// with what was charged for dead routers without proof.
 // A store outage comes without warning, so each router always keeps what it is
 // likely to need during one.
 //
@@ -79,8 +81,13 @@
                 const PrepaidEntry& entry, const LocalAccount& account) const;
   // The fraction of the full target size that applies, given how long the
   // remaining tokens last.
+  // The fraction that applies, given what was charged without proof before.
+  double RiskFactor(const PrepaidEntry& entry) const;
   double ScarcityFactor(Instant now, double remaining,
                         const LocalAccount& account) const;
+  // What this router keeps whatever it spends itself.
+  double Baseline(Instant now, double remaining, double members,
+                  const PrepaidEntry& entry, const LocalAccount& account) const;
   Tokens Grantable(const PrepaidEntry& entry) const;
 
   Incarnation self_;
--- a/prepaid/prepaid_ledger.cc
+++ b/prepaid/prepaid_ledger.cc
@@ -41,29 +41,33 @@
     account.held += amount;
     return PrepaidVerdict::kHeld;
   }
-  return CanEverHold(customer, limit->second, amount)
-             ? PrepaidVerdict::kShort
-             : PrepaidVerdict::kExhausted;
+  return VerdictBeyondGrant(customer, limit->second, amount);
 }
 
 // Whether this router could hold `amount` if it had all of the budget that
-// isn't known to be spent. What other routers hold, also in advance, or haven't
-// reported may become available again, so it doesn't count as spent. The
-// reserve is never granted.
-bool PrepaidLedger::CanEverHold(const CustomerName& customer, Tokens limit,
-                                Tokens amount) const {
+// isn't settled, and if not, whether that is proven to be spent. What other
+// routers hold, also in advance, or haven't reported may become available
+// again, so it doesn't count as spent. The reserve is never granted.
+PrepaidVerdict PrepaidLedger::VerdictBeyondGrant(const CustomerName& customer,
+                                                 Tokens limit,
+                                                 Tokens amount) const {
   const LocalAccount& account = AccountOf(accounts_, customer);
   Tokens settled = account.unreported;
+  Tokens presumed = 0;
   if (confirmed_) {
     const auto entry = confirmed_->record.customers.find(customer);
     if (entry != confirmed_->record.customers.end()) {
       settled += entry->second.settled;
+      presumed = entry->second.settled - entry->second.ProvenSpent();
     }
     settled += SpentIn(confirmed_->spend, customer).spent;
   }
   const double grantable = static_cast<double>(limit) * (1 - policy_.reserve);
   const Tokens needed = settled + account.held - account.advanced + amount;
-  return static_cast<double>(needed) <= grantable;
+  if (static_cast<double>(needed) <= grantable) return PrepaidVerdict::kShort;
+  return static_cast<double>(needed - presumed) <= grantable
+             ? PrepaidVerdict::kCharged
+             : PrepaidVerdict::kExhausted;
 }
 
 void PrepaidLedger::Settle(Instant now, const CustomerName& customer,
@@ -266,9 +270,19 @@
   ApplyLimits(limits_version_, limits_, next.record);
   RecordTransfers(self_, accounts_, next.record);
   MergeSpending(self_, next);
+  RecordRates(now, next.record);
   ResizeGrants(now, next);
 }
 
+void PrepaidLedger::RecordRates(Instant now, PrepaidRecord& record) const {
+  for (auto& [customer, entry] : record.customers) {
+    const LocalAccount& account = AccountOf(accounts_, customer);
+    if (!account.KnowsSettling(now)) continue;
+    entry.spent_per_s = std::max<Tokens>(
+        1, static_cast<Tokens>(account.settling.PerSecond(now)));
+  }
+}
+
 void PrepaidLedger::ResizeGrants(Instant now, StoreView& view) const {
   for (const auto& [customer, limit] : limits_) {
     PrepaidEntry& entry = view.record.customers[customer];
@@ -428,7 +442,9 @@
     if (before == last.customers.end()) continue;
     const Tokens settled = entry.settled - before->second.settled;
     if (settled <= 0) continue;
-    accounts_[customer].settling.Add(now, static_cast<double>(settled));
+    LocalAccount& account = accounts_[customer];
+    account.settling.Add(now, static_cast<double>(settled));
+    if (!account.settling_since) account.settling_since = now;
   }
 }
 
--- a/prepaid/prepaid_ledger.h
+++ b/prepaid/prepaid_ledger.h
@@ -79,6 +79,8 @@
   kHeld,
   kShort,      // this router's grant is too small; the fleet may have enough
   kExhausted,  // the budget is too small
+  kCharged,    // the rest was charged for routers that are gone, without proof
+               // that it was spent
 };
 
 template <>
@@ -86,7 +88,8 @@
   static constexpr auto kEntries = std::to_array<EnumEntry<PrepaidVerdict>>(
       {{PrepaidVerdict::kHeld, "held"},
        {PrepaidVerdict::kShort, "short"},
-       {PrepaidVerdict::kExhausted, "exhausted"}});
+       {PrepaidVerdict::kExhausted, "exhausted"},
+       {PrepaidVerdict::kCharged, "charged"}});
 };
 
 // The part of the store's data that this router needs. The accounts were read
@@ -240,8 +243,9 @@
   void AwaitPeers(PrepaidRecord& record) const;
   void DeclareSelf(StoreView& view) const;
   void OnDeclared(Instant now);
-  bool CanEverHold(const CustomerName& customer, Tokens limit,
-                   Tokens amount) const;
+  PrepaidVerdict VerdictBeyondGrant(const CustomerName& customer, Tokens limit,
+                                    Tokens amount) const;
+  void RecordRates(Instant now, PrepaidRecord& record) const;
   bool RecordIsDue(Instant now) const;
   bool ReportIsDue(Instant now) const;
   bool HasUnrecordedTransfers() const;
--- a/prepaid/prepaid_policy.h
+++ b/prepaid/prepaid_policy.h
@@ -20,14 +20,23 @@
 struct PrepaidPolicy {
   // --- Sizes of grants -------------------------------------------------------
 
-  // Fraction of a budget's remaining tokens that all routers together keep
-  // granted, in equal amounts (flag --standing-share).
+  // All routers together keep granted, in equal amounts, what they spend of a
+  // budget in this time, so that they serve its customer while the store is
+  // away (flag --baseline-s).
+  Duration baseline_time = std::chrono::seconds(60);
+  // Upper bound of that, as a fraction of the remaining tokens, and its amount
+  // until the rate of spending is known (flag --standing-share).
   double baseline_share = 0.3;
   // A router keeps as much as it spends in this time, if that is more than its
   // baseline (flag --cover-s).
   Duration headroom = std::chrono::seconds(5);
   // Upper bound of the headroom, as a fraction of the remaining tokens.
   double max_headroom_share = 0.6;
+  // Charges without proof reduce baseline and headroom of the same budget: to
+  // nothing in proportion once they reach `baseline_share` of the limit, but
+  // not below this fraction. So several losses of power together cost a budget
+  // little more than one.
+  double min_risk_factor = 0.2;
   // Baseline and headroom apply in full while the remaining tokens last this
   // long at the rate at which all routers spend them; if the tokens last for
   // less, baseline and headroom fall in proportion. Tokens that an outage
--- a/prepaid/prepaid_record.cc
+++ b/prepaid/prepaid_record.cc
@@ -35,6 +35,8 @@
   kGrants,
   kTransferred,
   kContributed,  // absent in older records
+  kPresumed,     // absent in older records
+  kSpentPerS,    // absent in older records
 };
 
 Json EntryToJson(const PrepaidEntry& entry, NameTable& names) {
@@ -53,7 +55,15 @@
   }
   Json out = {entry.limit, entry.limit_version, entry.settled, grants,
               transferred};
-  if (!contributed.empty()) out.push_back(std::move(contributed));
+  Json presumed = Json::array();
+  for (const auto& [router, amount] : entry.presumed) {
+    if (amount != 0) presumed.push_back({names.NumberOf(router), amount});
+  }
+  const bool has_more = !presumed.empty() || entry.spent_per_s != 0;
+  if (!contributed.empty() || has_more) out.push_back(std::move(contributed));
+  if (!has_more) return out;
+  out.push_back(std::move(presumed));
+  out.push_back(entry.spent_per_s);
   return out;
 }
 
@@ -78,6 +88,11 @@
   for (const Json& it : json.at(kContributed)) {
     out.contributed[NameAt(names, it.at(0))] = it.at(1).get<Tokens>();
   }
+  if (json.size() <= kSpentPerS) return out;
+  for (const Json& it : json.at(kPresumed)) {
+    out.presumed[NameAt(names, it.at(0))] = it.at(1).get<Tokens>();
+  }
+  out.spent_per_s = json.at(kSpentPerS).get<Tokens>();
   return out;
 }
 
@@ -103,10 +118,19 @@
   return out;
 }
 
-Tokens WithheldIn(const SpendAccount* spend, const CustomerName& customer) {
-  if (spend == nullptr) return 0;
+CustomerSpend ProvenIn(const SpendAccount* spend,
+                       const CustomerName& customer) {
+  if (spend == nullptr) return {};
   const auto it = spend->customers.find(customer);
-  return it == spend->customers.end() ? 0 : it->second.withheld;
+  return it == spend->customers.end() ? CustomerSpend() : it->second;
+}
+
+// Adds to what is presumed of `router`, which stays 0 or more.
+void AddPresumed(PrepaidEntry& entry, const Incarnation& router,
+                 Tokens amount) {
+  Tokens& at = entry.presumed[router];
+  at = std::max<Tokens>(0, at + amount);
+  if (at == 0) entry.presumed.erase(router);
 }
 
 SpendAccount SpendFromJson(const Json& json) {
@@ -130,8 +154,14 @@
       [](Tokens sum, const auto& it) { return sum + it.second; });
 }
 
+Tokens PrepaidEntry::ProvenSpent() const {
+  return std::accumulate(
+      presumed.begin(), presumed.end(), settled,
+      [](Tokens left, const auto& it) { return left - it.second; });
+}
+
 Tokens PrepaidRecord::ChargeAndRemove(const Incarnation& member,
-                                      const SpendAccount* unspent) {
+                                      const SpendAccount* proven) {
   Tokens out = 0;
   members.erase(member);
   undeclared.erase(member);
@@ -139,12 +169,13 @@
   for (auto& [name, entry] : customers) {
     const auto grant = entry.grants.find(member);
     if (grant == entry.grants.end()) continue;
-    const Tokens returned = WithheldIn(unspent, name);
+    const CustomerSpend known = ProvenIn(proven, name);
     // The charge is negative if the member gave away received tokens beyond its
     // grant. It is corrected when the giver records the transfer to the member.
-    const Tokens charge = grant->second - returned;
+    const Tokens charge = grant->second - known.withheld;
     entry.settled += charge;
     entry.contributed[member] += charge;
+    AddPresumed(entry, member, charge - known.spent);
     out += charge;
     entry.grants.erase(grant);
   }
@@ -157,6 +188,11 @@
     writes.erase(gone.front());
     for (auto& [name, entry] : customers) {
       entry.contributed.erase(gone.front());
+      const auto presumed = entry.presumed.find(gone.front());
+      if (presumed == entry.presumed.end()) continue;
+      const Tokens amount = presumed->second;
+      entry.presumed.erase(presumed);
+      AddPresumed(entry, Incarnation(), amount);
     }
     gone.erase(gone.begin());
   }
@@ -180,12 +216,14 @@
     entry.grants[pair.giver] -= amount;
   } else {
     entry.settled -= amount;
+    AddPresumed(entry, NameIfGone(pair.giver), -amount);
     if (IsGone(pair.giver)) entry.contributed[pair.giver] -= amount;
   }
   if (HasMember(pair.receiver)) {
     entry.grants[pair.receiver] += amount;
   } else {
     entry.settled += amount;
+    AddPresumed(entry, NameIfGone(pair.receiver), amount);
     if (IsGone(pair.receiver)) entry.contributed[pair.receiver] += amount;
   }
 }
--- a/prepaid/prepaid_record.h
+++ b/prepaid/prepaid_record.h
@@ -27,9 +27,11 @@
 //
 // Dead members. A later incarnation on the same VM proves that the earlier one
 // is dead. The grant of the dead one is then charged as spent, because how much
-// of it was spent is unknown. Transfers that are recorded afterwards correct
-// the charge: tokens that the dead router had given away weren't spent by it,
-// and tokens that it had received were.
+// of it was spent is unknown. What was charged beyond the spending that the
+// dead one had reported is `presumed`: it counts against the limit, and it
+// proves nothing to the customer. Transfers that are recorded afterwards
+// correct the charge: tokens that the dead router had given away weren't spent
+// by it, and tokens that it had received were.
 //
 // Withheld tokens. To make the charge for a dead member small, most of a grant
 // is withheld: the holder spends none of it until `withhold_time` has passed
@@ -87,7 +89,15 @@
   // `PrepaidRecord::gone`, has spent or was charged. The rest of `settled` is
   // from routers that were removed from `gone`.
   std::map<Incarnation, Tokens> contributed;
-
+  // The part of `settled` that each former member was charged without proof;
+  // that of members that are no longer in `PrepaidRecord::gone` has no name.
+  std::map<Incarnation, Tokens> presumed;
+  // Tokens that all routers spend in a second, by the latest router that had
+  // observed it; 0 if none has.
+  Tokens spent_per_s = 0;
+
+  // What is proven to be spent.
+  Tokens ProvenSpent() const;
   // Sum of all grants.
   Tokens Outstanding() const;
   // What may still be granted; negative if the limit was lowered below what is
@@ -146,6 +156,10 @@
   bool IsGone(const Incarnation& it) const {
     return std::find(gone.begin(), gone.end(), it) != gone.end();
   }
+  // The router's name in `PrepaidEntry::presumed`.
+  Incarnation NameIfGone(const Incarnation& it) const {
+    return IsGone(it) ? it : Incarnation();
+  }
   bool IsKnown(const Incarnation& it) const {
     return HasMember(it) || IsGone(it);
   }
@@ -154,10 +168,10 @@
   void PruneGone();
 
   // Charges the grants of a member that is dead or leaves, and removes the
-  // member. `unspent` is the member's spend account if the withheld tokens are
-  // proven unspent; else null. Returns the sum charged.
-  Tokens ChargeAndRemove(const Incarnation& member,
-                         const SpendAccount* unspent);
+  // member. `proven` holds what the member is proven to have spent, and as
+  // `withheld` what it is proven to have left unspent; null if nothing is
+  // proven. Returns the sum charged.
+  Tokens ChargeAndRemove(const Incarnation& member, const SpendAccount* proven);
 
   // Raises the running total of `pair` to `total`. Does nothing if `total`
   // isn't higher than the recorded one.
--- a/prepaid/record_change.cc
+++ b/prepaid/record_change.cc
@@ -11,6 +11,18 @@
   return same_clock && age_ms >= 0 && age < withhold_time;
 }
 
+// Fills in the amounts that the record and the account show.
+void AddAmounts(const PrepaidRecord& record, const SpendAccount* account,
+                ChargedPredecessor& charged) {
+  for (const auto& [customer, entry] : record.customers) {
+    charged.granted += GrantIn(entry, charged.dead);
+    if (account == nullptr) continue;
+    const CustomerSpend it = SpentIn(*account, customer);
+    charged.spent += it.spent;
+    charged.withheld += it.withheld;
+  }
+}
+
 }  // namespace
 
 std::int64_t StampMs(Instant it) {
@@ -35,22 +47,26 @@
   std::vector<ChargedPredecessor> out;
   for (const Incarnation& it : record.members) {
     if (it == identity.self || VmOf(it) != VmOf(identity.self)) continue;
-    ChargedPredecessor charged;
-    charged.dead = it;
-    const auto stored = accounts.find(it);
-    if (stored != accounts.end()) {
-      const SpendAccount& spend = stored->second.spend;
-      charged.age_ms = StampMs(identity.started) - spend.stamp_ms;
-      charged.withheld_unspent =
-          spend.era == record.era &&
-          WithheldIsUnspent(identity, spend, charged.age_ms, withhold_time);
-    }
-    out.push_back(charged);
+    out.push_back({.dead = it});
   }
   for (ChargedPredecessor& it : out) {
-    const SpendAccount* unspent =
-        it.withheld_unspent ? &accounts.at(it.dead).spend : nullptr;
-    it.charged = record.ChargeAndRemove(it.dead, unspent);
+    const auto stored = accounts.find(it.dead);
+    const bool proves =
+        stored != accounts.end() && stored->second.spend.era == record.era;
+    const SpendAccount* account = proves ? &stored->second.spend : nullptr;
+    AddAmounts(record, account, it);
+    if (account == nullptr) {
+      it.charged = record.ChargeAndRemove(it.dead, nullptr);
+      continue;
+    }
+    it.age_ms = StampMs(identity.started) - account->stamp_ms;
+    it.withheld_unspent =
+        WithheldIsUnspent(identity, *account, it.age_ms, withhold_time);
+    SpendAccount proven = *account;
+    if (!it.withheld_unspent) {
+      for (auto& [customer, spend] : proven.customers) spend.withheld = 0;
+    }
+    it.charged = record.ChargeAndRemove(it.dead, &proven);
   }
   return out;
 }
--- a/prepaid/record_change.h
+++ b/prepaid/record_change.h
@@ -39,14 +39,20 @@
   Instant started{};
 };
 
-// An earlier incarnation on this VM whose grants a write charges.
+// An earlier incarnation on this VM whose grants a write charges. The amounts
+// are of all customers together.
 struct ChargedPredecessor {
   Incarnation dead;
   // Whether its withheld tokens are proven unspent and are returned.
   bool withheld_unspent = false;
+  // Its grants, and of these what it had reported as spent, and what it
+  // withheld at its last write.
+  Tokens granted = 0;
+  Tokens spent = 0;
+  Tokens withheld = 0;
   // Time from its last write to the start of this process.
   std::int64_t age_ms = 0;
-  // Tokens charged as spent, for all customers together.
+  // Tokens charged as spent. The rest of `granted` is returned.
   Tokens charged = 0;
 };
 
--- a/prepaid/record_merge.cc
+++ b/prepaid/record_merge.cc
@@ -73,6 +73,12 @@
       Tokens& at = out.transferred[pair];
       at = std::max(at, total);
     }
+    out.spent_per_s = std::max(a.spent_per_s, b.spent_per_s);
+    out.presumed = a.presumed;
+    for (const auto& [router, amount] : b.presumed) {
+      Tokens& at = out.presumed[router];
+      at = std::max(at, amount);
+    }
     out.settled = std::max(SettledByPruned(a), SettledByPruned(b));
     for (const Incarnation& it : routers_) {
       const Tokens received = NetReceived(out, it);
--- a/prepaid/store_view.h
+++ b/prepaid/store_view.h
@@ -19,6 +19,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 #include "base/clock.h"
 #include "base/ids.h"
@@ -79,6 +80,13 @@
   static constexpr Duration kSettlingTime = std::chrono::seconds(10);
   // Spending of all routers together, as the record shows it settled.
   DecayingRate settling{kSettlingTime};
+  // When `settling` was first observed, if it was. A rate that has been
+  // observed for less than `kSettlingTime` is too low.
+  std::optional<Instant> settling_since;
+
+  bool KnowsSettling(Instant now) const {
+    return settling_since && now - *settling_since >= kSettlingTime;
+  }
   // Running totals of the transfers to and from each peer.
   std::map<Incarnation, Tokens> transferred_out;
   std::map<Incarnation, Tokens> transferred_in;
--- a/relay/hold_queue.cc
+++ b/relay/hold_queue.cc
@@ -14,7 +14,7 @@
   const auto place = PlaceOf(*waiter, list);
   const Tokens before = SumOf(list.begin(), place);
   const auto refusal = scarce_.OnRequest(now, *waiter, before);
-  if (refusal && !ExceedsBudget(now, *waiter)) {
+  if (refusal && !RefusalByBudget(now, *waiter)) {
     RefuseReserved(now, waiter, *refusal);
     return PrepaidVerdict::kShort;
   }
@@ -23,8 +23,8 @@
         ledger_.Hold(now, customer, waiter->worst_case());
     if (out == PrepaidVerdict::kHeld) scarce_.OnHeld(now, *waiter);
     if (out != PrepaidVerdict::kShort) return out;
-  } else if (ExceedsBudget(now, *waiter)) {
-    return PrepaidVerdict::kExhausted;
+  } else if (const auto verdict = RefusalByBudget(now, *waiter)) {
+    return *verdict;
   }
   if (NothingCanArrive(now, *waiter, list)) {
     RefuseAtOnce(now, waiter);
@@ -143,21 +143,25 @@
   const auto n = std::erase_if(list, [&](const Waiting& it) {
     const Tokens amount = it.waiter->worst_case();
     if (amount <= fits) return false;
-    const bool exceeds = ExceedsBudget(now, *it.waiter);
-    if (exceeds) on_.answer(it.waiter, PrepaidVerdict::kExhausted);
-    if (!exceeds) fits = amount;
-    return exceeds;
+    const auto verdict = RefusalByBudget(now, *it.waiter);
+    if (verdict) on_.answer(it.waiter, *verdict);
+    if (!verdict) fits = amount;
+    return verdict.has_value();
   });
   if (n > 0) UpdateLedger(customer, list);
 }
 
-// Whether the budget can never hold the request. This holds nothing: `Hold` is
-// called only with an amount beyond the allowance, which the ledger refuses.
-bool HoldQueue::ExceedsBudget(Instant now, const HoldWaiter& waiter) {
+// The verdict if the budget can never hold the request. This holds nothing:
+// `Hold` is called only with an amount beyond the allowance, which the ledger
+// refuses.
+std::optional<PrepaidVerdict> HoldQueue::RefusalByBudget(
+    Instant now, const HoldWaiter& waiter) {
   const CustomerName& customer = waiter.customer();
   const Tokens amount = waiter.worst_case();
-  if (ledger_.Allowance(now, customer) >= amount) return false;
-  return ledger_.Hold(now, customer, amount) == PrepaidVerdict::kExhausted;
+  if (ledger_.Allowance(now, customer) >= amount) return std::nullopt;
+  const PrepaidVerdict out = ledger_.Hold(now, customer, amount);
+  if (out == PrepaidVerdict::kShort) return std::nullopt;
+  return out;
 }
 
 bool HoldQueue::Expire(Instant now, bool store_reachable) {
--- a/relay/hold_queue.h
+++ b/relay/hold_queue.h
@@ -46,6 +46,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <utility>
 
 #include "base/clock.h"
@@ -139,7 +140,8 @@
   void ServeList(Instant now, const CustomerName& customer, WaitingList& list);
   void RefuseExhausted(Instant now, const CustomerName& customer,
                        WaitingList& list);
-  bool ExceedsBudget(Instant now, const HoldWaiter& waiter);
+  std::optional<PrepaidVerdict> RefusalByBudget(Instant now,
+                                                const HoldWaiter& waiter);
   void RefuseExpired(Instant now, const CustomerName& customer,
                      WaitingList& list, bool store_reachable);
   bool HasExpired(Instant now, const Waiting& it) const;
--- a/relay/prepaid_store.cc
+++ b/relay/prepaid_store.cc
@@ -277,6 +277,9 @@
              {{"dead", it.dead.value},
               {"lock", it.withheld_unspent ? "held" : "open"},
               {"age_ms", std::to_string(it.age_ms)},
+              {"granted", std::to_string(it.granted)},
+              {"spent", std::to_string(it.spent)},
+              {"withheld", std::to_string(it.withheld)},
               {"charged", std::to_string(it.charged)}});
   }
 }
--- a/relay/relay_options.h
+++ b/relay/relay_options.h
@@ -72,6 +72,7 @@
 
 inline PrepaidPolicy PrepaidPolicyFrom(const RelaySettings& settings) {
   PrepaidPolicy out;
+  out.baseline_time = std::chrono::seconds(settings.baseline_s);
   out.baseline_share = settings.standing_share;
   out.headroom = settings.cover;
   out.scarce_horizon = settings.scarce_horizon;
--- a/relay/relay_settings.cc
+++ b/relay/relay_settings.cc
@@ -31,8 +31,11 @@
       "Fraction of a service's requests that an unproven version may get");
   add("--drain-s", flags.drain_s,
       "Seconds from SIGTERM until the process is killed");
+  add("--baseline-s", flags.baseline_s,
+      "Seconds of a budget's spending that all routers keep granted");
   add("--standing-share", flags.standing_share,
-      "Fraction of a budget's remaining tokens kept granted by all routers");
+      "Largest fraction of a budget's remaining tokens kept so; also the "
+      "fraction until its rate of spending is known");
   add("--small-fleet", flags.small_fleet,
       "Largest fleet in which every router keeps grants of the budgets");
   add("--holders-per-hall", flags.holders_per_hall,
@@ -69,6 +72,7 @@
   check.Range("--cold-slack", flags.cold_slack, 0.0, 1e6);
   check.Range("--unproven-share", flags.unproven_share, 0.0, 1.0);
   check.Range("--drain-s", flags.drain_s, 1, 24 * 3600);
+  check.Range("--baseline-s", flags.baseline_s, 0, 86400);
   check.Range("--standing-share", flags.standing_share, 0.01, 0.9);
   check.Range("--small-fleet", flags.small_fleet, 0, 1000);
   check.Range("--holders-per-hall", flags.holders_per_hall, 1, 100);
--- a/relay/relay_settings.h
+++ b/relay/relay_settings.h
@@ -47,8 +47,9 @@
   // Fraction of a service's requests that a bad version may get from all
   // routers together during a roll-out.
   double unproven_share = 0.1;
-  // Fraction of a budget's remaining tokens that all routers together keep
-  // granted.
+  // All routers together keep granted what they spend of a budget in this time,
+  // in seconds, but at most this fraction of its remaining tokens.
+  int baseline_s = 60;
   double standing_share = 0.3;
   // In a fleet of up to `small_fleet` routers, each keeps grants; in a larger
   // one, `holders_per_hall` routers in each hall do (fleet/fleet.h).
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -186,6 +186,8 @@
       return Apply(RelayEvent::kHoldDelayed);
     case PrepaidVerdict::kExhausted:
       return OnHoldRefused(true);
+    case PrepaidVerdict::kCharged:
+      return OnHoldRefused(false);
   }
 }
 
