--- a/prepaid/prepaid_ledger.cc
+++ b/prepaid/prepaid_ledger.cc
@@ -274,6 +274,7 @@
   ResizeGrants(now, next);
 }
 
+// Routers that start later size their grants by these rates.
 void PrepaidLedger::RecordRates(Instant now, PrepaidRecord& record) const {
   for (auto& [customer, entry] : record.customers) {
     const LocalAccount& account = AccountOf(accounts_, customer);
--- a/prepaid/testing/record_test.cc
+++ b/prepaid/testing/record_test.cc
@@ -83,6 +83,34 @@
   BOOST_TEST(record.customers[kCustomer].Free() == 600);
 }
 
+// Guards against a charge that is taken for spending: only what the dead member
+// had reported is proven, whatever is recorded of it later.
+BOOST_AUTO_TEST_CASE(OnlyReportedSpendingOfADeadMemberIsProven) {
+  PrepaidRecord record = Record();
+  const Tokens before = record.customers[kCustomer].settled;
+  SpendAccount spend;
+  spend.customers[kCustomer] = {30, 0};
+  BOOST_TEST(record.ChargeAndRemove(kOne, &spend) == 250);
+  PrepaidEntry& entry = record.customers[kCustomer];
+  BOOST_TEST(entry.ProvenSpent() == before + 30);
+  record.RecordTransfer(kCustomer, {kOne, kTwo}, 80);
+  BOOST_TEST(entry.ProvenSpent() == before + 30);
+  record.RecordTransfer(kCustomer, {kTwo, kOne}, 40);
+  BOOST_TEST(entry.ProvenSpent() == before + 30);
+  entry.spent_per_s = 7;
+  const auto read = DecodePrepaid(EncodePrepaid(record));
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST((*read == record));
+  // What is presumed of a member outlives its name.
+  for (int n = 0; n < 40; ++n) {
+    const Incarnation it("vm-" + std::to_string(n) + "@1");
+    record.members.insert(it);
+    record.ChargeAndRemove(it, nullptr);
+  }
+  BOOST_TEST(!record.IsGone(kOne));
+  BOOST_TEST(entry.ProvenSpent() == before + 30);
+}
+
 // Guards against transfers that stay in the record for good: when both sides
 // are gone, no router is left to record them again.
 BOOST_AUTO_TEST_CASE(ATransferGoesWithBothItsSides) {
--- a/relay/budget_driver.h
+++ b/relay/budget_driver.h
@@ -5,6 +5,8 @@
 //   switch (budgets.Hold(waiter)) {
 //     case PrepaidVerdict::kHeld:        // send it
 //     case PrepaidVerdict::kExhausted:   // 402: the budget can't ever hold it
+//     case PrepaidVerdict::kCharged:     // 503: it can't either, without proof
+//                                        // that the budget was spent
 //     case PrepaidVerdict::kShort:       // `OnHeld` or `OnHoldRefused` follows
 //   }
 //   budgets.Forget(waiter);              // cancels it while it waits
