--- a/relay/testing/scarce_load_test.cc
+++ b/relay/testing/scarce_load_test.cc
@@ -446,6 +446,8 @@
         return it->OnHeld();
       case PrepaidVerdict::kExhausted:
         return it->OnHoldRefused(true);
+      case PrepaidVerdict::kCharged:
+        return it->OnHoldRefused(false);
       case PrepaidVerdict::kShort:
         return;
     }
