--- a/base/events.h
+++ b/base/events.h
@@ -121,6 +121,7 @@
   kBudgetEased = 1420,
   kBudgetReserved = 1421,
   kStreamTakenUp = 1422,
+  kBudgetCharged = 1423,
 };
 
 struct EventInfo {
@@ -220,6 +221,7 @@
     {Event::kBudgetEased, LogLevel::kInfo, "budget_eased"},
     {Event::kBudgetReserved, LogLevel::kInfo, "budget_reserved"},
     {Event::kStreamTakenUp, LogLevel::kInfo, "stream_taken_up"},
+    {Event::kBudgetCharged, LogLevel::kWarn, "budget_charged"},
 });
 
 }  // namespace quaytrack
--- a/http/testing/tunnel_test.cc
+++ b/http/testing/tunnel_test.cc
@@ -294,6 +294,7 @@
   BOOST_TEST((*earlier.end == SocketEnd::kReset));
 }
 
+// Guards against whole answers that an earlier version takes for broken ones.
 BOOST_FIXTURE_TEST_CASE(AnEarlierRouterSeesTheEndOfTheTarget, Fixture) {
   target.answer = kWithoutLength;
   target.after = AfterAnswer::kClose;
--- a/prepaid/grant_sizing.h
+++ b/prepaid/grant_sizing.h
@@ -79,13 +79,14 @@
   // The target size of this router's grant.
   Tokens Target(Instant now, const PrepaidRecord& record,
                 const PrepaidEntry& entry, const LocalAccount& account) const;
-  // The fraction of the full target size that applies, given how long the
-  // remaining tokens last.
-  // The fraction that applies, given what was charged without proof before.
+  // The fraction of the full target size that applies, given what was charged
+  // without proof before.
   double RiskFactor(const PrepaidEntry& entry) const;
+  // The fraction that applies, given how long the remaining tokens last.
   double ScarcityFactor(Instant now, double remaining,
                         const LocalAccount& account) const;
-  // What this router keeps whatever it spends itself.
+  // What this router keeps even if it spends nothing itself. `remaining` tokens
+  // are shared by `members` routers.
   double Baseline(Instant now, double remaining, double members,
                   const PrepaidEntry& entry, const LocalAccount& account) const;
   Tokens Grantable(const PrepaidEntry& entry) const;
--- a/prepaid/prepaid_policy.h
+++ b/prepaid/prepaid_policy.h
@@ -32,10 +32,11 @@
   Duration headroom = std::chrono::seconds(5);
   // Upper bound of the headroom, as a fraction of the remaining tokens.
   double max_headroom_share = 0.6;
-  // Charges without proof reduce baseline and headroom of the same budget: to
-  // nothing in proportion once they reach `baseline_share` of the limit, but
+  // Charges without proof reduce baseline and headroom of the same budget, in
+  // proportion to their part of what `baseline_share` of the limit allows, but
   // not below this fraction. So several losses of power together cost a budget
-  // little more than one.
+  // little more than one, and a router still keeps enough to answer without
+  // asking the store for each request.
   double min_risk_factor = 0.2;
   // Baseline and headroom apply in full while the remaining tokens last this
   // long at the rate at which all routers spend them; if the tokens last for
@@ -62,8 +63,8 @@
 
   // --- Times of writes -------------------------------------------------------
 
-  // Longest time that spending stays unreported. Raising this from 600 ms and
-  // `spacing` from 250 ms reduced a day's store calls from 5,917 to 4,124.
+  // Longest time that spending stays unreported. Shorter times cost store calls
+  // for each router; longer ones charge more when a router dies.
   Duration report_every = std::chrono::milliseconds(1000);
   // Longest time that transfers stay unrecorded while the store answers.
   Duration record_transfers_every = std::chrono::milliseconds(1500);
--- a/prepaid/testing/record_merge_test.cc
+++ b/prepaid/testing/record_merge_test.cc
@@ -82,6 +82,20 @@
   BOOST_TEST(record.customers.at(kCustomer).settled == 750);
 }
 
+// Guards against a charge without proof that a restored copy turns into
+// spending, and against spending that is no longer proven after it.
+BOOST_AUTO_TEST_CASE(WhatIsPresumedOfADeadMemberStaysSo) {
+  PrepaidRecord charged = Copy();
+  charged.ChargeAndRemove(kOne, nullptr);
+  for (const PrepaidEntry& it :
+       {Merged(charged, Copy()), Merged(Later(), charged),
+        Merged(charged, charged)}) {
+    BOOST_TEST(it.presumed.at(kOne) == 300);
+    const Tokens alive = 50;
+    BOOST_TEST(it.ProvenSpent() == alive + it.contributed.at(kOne) - 300);
+  }
+}
+
 // Guards against omitting a member that joined after the copy was taken.
 BOOST_AUTO_TEST_CASE(AMemberThatJoinedSinceTheCopyIsAwaited) {
   const Incarnation three("vm3@1");
--- a/prepaid/testing/record_test.cc
+++ b/prepaid/testing/record_test.cc
@@ -111,6 +111,27 @@
   BOOST_TEST(entry.ProvenSpent() == before + 30);
 }
 
+// Guards against records that a version without `presumed` can't read, or that
+// this one can't read from it: the fields before it keep their places, and are
+// all that such a version writes.
+BOOST_AUTO_TEST_CASE(ARecordWithChargesReadsAsBeforeInEarlierFields) {
+  PrepaidRecord record = Record();
+  record.ChargeAndRemove(kOne, nullptr);
+  record.customers[kCustomer].spent_per_s = 7;
+  auto json = nlohmann::json::from_cbor(EncodePrepaid(record));
+  auto& entry = json.at("customers").at(kCustomer.value);
+  constexpr std::size_t kEarlierFields = 6;
+  BOOST_REQUIRE(entry.size() > kEarlierFields);
+  while (entry.size() > kEarlierFields) entry.erase(entry.size() - 1);
+  const auto bytes = nlohmann::json::to_cbor(json);
+  const auto read = DecodePrepaid(std::string(bytes.begin(), bytes.end()));
+  BOOST_REQUIRE(read.has_value());
+  PrepaidEntry expected = record.customers[kCustomer];
+  expected.presumed.clear();
+  expected.spent_per_s = 0;
+  BOOST_TEST((read->customers.at(kCustomer) == expected));
+}
+
 // Guards against transfers that stay in the record for good: when both sides
 // are gone, no router is left to record them again.
 BOOST_AUTO_TEST_CASE(ATransferGoesWithBothItsSides) {
--- a/relay/attempt.h
+++ b/relay/attempt.h
@@ -111,6 +111,14 @@
          fault == AttemptFault::kOpenTimeout;
 }
 
+// Who a silent attempt shows to be silent. Behind a peer that has stopped, the
+// target may be sound.
+enum class SilentPart { kTarget, kPeer };
+
+inline SilentPart WhoIsSilent(bool is_direct, bool is_peer_alive) {
+  return is_direct || is_peer_alive ? SilentPart::kTarget : SilentPart::kPeer;
+}
+
 // What becomes of an attempt when its router's own links are found lost.
 enum class LostLinksStep {
   kKeep,   // it goes on, or ends by itself
--- a/relay/budget_driver.cc
+++ b/relay/budget_driver.cc
@@ -7,6 +7,7 @@
 
 void Answer(HoldWaiter& waiter, PrepaidVerdict verdict) {
   if (verdict == PrepaidVerdict::kHeld) return waiter.OnHeld();
+  if (verdict == PrepaidVerdict::kCharged) return waiter.OnHoldCharged();
   waiter.OnHoldRefused(verdict == PrepaidVerdict::kExhausted);
 }
 
--- a/relay/final_answer.cc
+++ b/relay/final_answer.cc
@@ -27,6 +27,10 @@
 // gives each request a shorter time.
 constexpr Duration kRetryAfterReserved = milliseconds(2500);
 
+// A charge without proof is taken back only by an operator who raises the
+// limit, which takes minutes.
+constexpr Duration kRetryAfterCharge = std::chrono::seconds(60);
+
 // Operators close halls and restrict requests to regions for some seconds at
 // least, without stating for how long.
 constexpr Duration kRetryAfterOperatorChange = milliseconds(2000);
@@ -58,6 +62,7 @@
     case RelayCause::kConfigurationInDoubt:
     case RelayCause::kBudgetUnavailable:
     case RelayCause::kBudgetReserved:
+    case RelayCause::kBudgetCharged:
     case RelayCause::kNoTarget:
     case RelayCause::kTargetsCold:
     case RelayCause::kTargetsLimited:
@@ -100,6 +105,8 @@
       return kRetryAfterGrant;
     case RelayCause::kBudgetReserved:
       return kRetryAfterReserved;
+    case RelayCause::kBudgetCharged:
+      return kRetryAfterCharge;
     case RelayCause::kHallsClosed:
     case RelayCause::kOutsideResidency:
       return kRetryAfterOperatorChange;
--- a/relay/final_answer.h
+++ b/relay/final_answer.h
@@ -42,6 +42,7 @@
   kBudgetExhausted,
   kBudgetUnavailable,
   kBudgetReserved,  // scarce, and kept for more urgent requests
+  kBudgetCharged,   // the rest is charged for dead routers, without proof
   kNoTarget,
   kTargetsCold,         // just started, at their limit for now
   kTargetsLimited,      // at the rate limits that they announced
@@ -72,6 +73,7 @@
        {RelayCause::kBudgetExhausted, "budget_exhausted"},
        {RelayCause::kBudgetUnavailable, "budget_unavailable"},
        {RelayCause::kBudgetReserved, "budget_reserved"},
+       {RelayCause::kBudgetCharged, "budget_charged"},
        {RelayCause::kNoTarget, "no_target"},
        {RelayCause::kTargetsCold, "targets_cold"},
        {RelayCause::kTargetsLimited, "targets_limited"},
--- a/relay/hold_waiter.h
+++ b/relay/hold_waiter.h
@@ -3,9 +3,9 @@
 // this router (relay/relayed_request.h), or one of a peer for which this router
 // keeps a grant (relay/served_holds.h).
 //
-// Exactly one of OnHeld, OnHoldRefused and OnHoldReserved is called, once,
-// after `Hold` has returned that the request waits (relay/budget_driver.h). The
-// call comes from a separate callback of the loop.
+// Exactly one of OnHeld, OnHoldRefused, OnHoldReserved and OnHoldCharged is
+// called, once, after `Hold` has returned that the request waits
+// (relay/budget_driver.h). The call comes from a separate callback of the loop.
 
 #ifndef QUAYTRACK_RELAY_HOLD_WAITER_H_
 #define QUAYTRACK_RELAY_HOLD_WAITER_H_
@@ -36,6 +36,10 @@
   virtual void OnHoldReserved(Duration /*retry_after*/) {
     OnHoldRefused(false);
   }
+  // The budget can't hold the worst case, because of what was charged for dead
+  // routers without proof. A waiter that makes no difference is refused as if
+  // the tokens didn't suffice.
+  virtual void OnHoldCharged() { OnHoldRefused(false); }
 };
 
 using HoldWaiterPtr = std::shared_ptr<HoldWaiter>;
--- a/relay/prepaid_store.cc
+++ b/relay/prepaid_store.cc
@@ -282,6 +282,19 @@
               {"withheld", std::to_string(it.withheld)},
               {"charged", std::to_string(it.charged)}});
   }
+  if (!write_.charged.empty()) LogPresumed();
+}
+
+// Logs what stands without proof against each budget after a charge.
+void PrepaidStore::LogPresumed() const {
+  for (const auto& [customer, entry] : write_.record.customers) {
+    const Tokens presumed = entry.settled - entry.ProvenSpent();
+    if (presumed == 0) continue;
+    LogEvent(Event::kBudgetCharged, {{"customer", customer.value},
+                                     {"limit", std::to_string(entry.limit)},
+                                     {"settled", std::to_string(entry.settled)},
+                                     {"presumed", std::to_string(presumed)}});
+  }
 }
 
 void PrepaidStore::LogDeclared() const {
--- a/relay/prepaid_store.h
+++ b/relay/prepaid_store.h
@@ -73,6 +73,7 @@
   void SetReachable(bool reachable);
   void LogCharged() const;
   void LogWritten(std::int64_t revision) const;
+  void LogPresumed() const;
   void LogDeclared() const;
 
   Loop& loop_;
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -187,7 +187,7 @@
     case PrepaidVerdict::kExhausted:
       return OnHoldRefused(true);
     case PrepaidVerdict::kCharged:
-      return OnHoldRefused(false);
+      return OnHoldCharged();
   }
 }
 
@@ -201,6 +201,10 @@
   GiveUp(Ran::kNo, RelayCause::kBudgetReserved);
 }
 
+void RelayedRequest::OnHoldCharged() {
+  GiveUp(Ran::kNo, RelayCause::kBudgetCharged);
+}
+
 // Whether the request is blamed for crashes (relay/crash_watch.h). This is
 // checked before each send, as reports may arrive while the request waits or
 // runs at another target.
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -93,6 +93,7 @@
   void OnHeld() override { Apply(RelayEvent::kHoldGranted); }
   void OnHoldRefused(bool exhausted) override;
   void OnHoldReserved(Duration retry_after) override;
+  void OnHoldCharged() override;
 
   // Ends the request when a planned stop has no more time for it. `left` is the
   // time until the process is killed.
--- a/relay/relayed_request_kept.cc
+++ b/relay/relayed_request_kept.cc
@@ -13,10 +13,11 @@
   const Instant now = context_.clock.Now();
   const TargetEntry& target = attempt_.choice.target;
   const bool is_silent = kept_for == AttemptFault::kTimeout;
-  const bool by_peer =
-      !attempt_.path.direct() && !context_.reach.IsPeerAlive(attempt_.path);
-  attempt_.target_was_silent = is_silent && !by_peer;
-  if (is_silent && by_peer) LeavePeer(attempt_.path);
+  const TargetPath& path = attempt_.path;
+  const SilentPart silent =
+      WhoIsSilent(path.direct(), context_.reach.IsPeerAlive(path));
+  attempt_.target_was_silent = is_silent && silent == SilentPart::kTarget;
+  if (is_silent && silent == SilentPart::kPeer) LeavePeer(path);
   if (attempt_.target_was_silent && context_.placement.IsListed(target))
     context_.placement.OnSilent(now, target.name);
   attempt_timer_.reset();
--- a/relay/request_log.h
+++ b/relay/request_log.h
@@ -1,6 +1,6 @@
 // The log lines about a request: `attempt_ended`, for each attempt that gave
 // the caller no answer, and `relay_ended`, for each request. Together they show
-// the request's path; docs/ON-CALL-relay.md explains how to read them.
+// the request's path; the on-call guide explains how to read them.
 // `request_overran` names requests for which a planned stop has no more time.
 //
 //   RequestProgress progress;             // updated by the request
--- a/relay/testing/advances_test.cc
+++ b/relay/testing/advances_test.cc
@@ -1,5 +1,5 @@
 // Tests holds in advance between RemoteHolds and ServedHolds: each failure that
-// docs/design/holds-in-advance.md names, and drawn histories over a network
+// an advance can bring, and drawn histories over a network
 // that loses, delays and repeats messages, with routers that die, freeze and
 // restart.
 //
--- a/relay/testing/attempt_test.cc
+++ b/relay/testing/attempt_test.cc
@@ -52,6 +52,13 @@
   BOOST_TEST((NextEventTimeout(route) == milliseconds(1000)));
 }
 
+// Guards against a sound target that is blamed for a peer which has stopped.
+BOOST_AUTO_TEST_CASE(ASilenceBehindAPeerThatHasStoppedIsThePeers) {
+  BOOST_TEST((WhoIsSilent(true, false) == SilentPart::kTarget));
+  BOOST_TEST((WhoIsSilent(false, true) == SilentPart::kTarget));
+  BOOST_TEST((WhoIsSilent(false, false) == SilentPart::kPeer));
+}
+
 BOOST_AUTO_TEST_CASE(OnlyTheAnswerToThisRequestIsWaitedFor) {
   const RequestId id("r-1");
   AnswerFacts answer;
--- a/relay/testing/final_answer_test.cc
+++ b/relay/testing/final_answer_test.cc
@@ -31,6 +31,8 @@
      "{\"error\":\"budget_unavailable\",\"ran\":\"no\"}\n"},
     {RelayCause::kBudgetReserved, Ran::kNo, 503, "2.50",
      "{\"error\":\"budget_reserved\",\"ran\":\"no\"}\n"},
+    {RelayCause::kBudgetCharged, Ran::kNo, 503, "60.00",
+     "{\"error\":\"budget_charged\",\"ran\":\"no\"}\n"},
     {RelayCause::kNoTarget, Ran::kNo, 503, "0.20",
      "{\"error\":\"no_target\",\"ran\":\"no\"}\n"},
     {RelayCause::kOutsideResidency, Ran::kNo, 503, "2.00",
--- a/relay/testing/reach_driver_test.cc
+++ b/relay/testing/reach_driver_test.cc
@@ -118,6 +118,45 @@
   BOOST_TEST(changes.size() == 1U);
 }
 
+// Guards against a reset of the links that is noticed only when new connections
+// fail.
+BOOST_FIXTURE_TEST_CASE(ConnectionsThatBreakTogetherShowLostLinks, Fixture) {
+  TargetPath direct;
+  direct.service = kLlm;
+  reach.OnBroken(direct, TargetName("t0"));
+  BOOST_TEST(!reach.IsInDoubt(kLlm));
+  reach.OnBroken(direct, TargetName("t1"));
+  BOOST_TEST(reach.IsBeingProbed(kLlm));
+  RunFor(loop, milliseconds(20));
+  BOOST_TEST(reach.IsCutOff(kLlm));
+  BOOST_TEST(!reach.IsBeingProbed(kLlm));
+}
+
+// Guards against tunnels that break with their peer and look like lost links.
+BOOST_FIXTURE_TEST_CASE(TunnelsThatBreakSayNothingOfTheOwnLinks, Fixture) {
+  TargetPath tunnel;
+  tunnel.kind = PathKind::kTunnel;
+  tunnel.service = kLlm;
+  tunnel.peer = VmName("vm-1");
+  reach.OnBroken(tunnel, TargetName("t0"));
+  reach.OnBroken(tunnel, TargetName("t1"));
+  BOOST_TEST(!reach.IsInDoubt(kLlm));
+}
+
+// Guards against a peer that has stopped and counts as alive.
+BOOST_FIXTURE_TEST_CASE(APeerIsAliveWhileItsHeartbeatsCome, Fixture) {
+  TargetPath tunnel;
+  tunnel.kind = PathKind::kTunnel;
+  tunnel.peer = VmName("vm-1");
+  BOOST_TEST(reach.IsPeerAlive(tunnel));
+  clock.now += ReachDriver::kPeerAliveFor;
+  BOOST_TEST(!reach.IsPeerAlive(tunnel));
+  Report(tunnel.peer, {});
+  BOOST_TEST(reach.IsPeerAlive(tunnel));
+  tunnel.peer = VmName("unknown");
+  BOOST_TEST(!reach.IsPeerAlive(tunnel));
+}
+
 // Guards against refusals while a peer reaches the targets.
 BOOST_FIXTURE_TEST_CASE(LostLinksAreReplacedByAPeer, Fixture) {
   LoseLinks();
--- a/relay/testing/retry_test.cc
+++ b/relay/testing/retry_test.cc
@@ -52,6 +52,23 @@
   }
 }
 
+// Guards against a stream that is given up because all targets look lost while
+// a probe round is about to show that this router's links are.
+BOOST_AUTO_TEST_CASE(ARetryWithoutATargetWaitsOnlyForAProbeRound) {
+  const Placement placement(HallName("hall-1"));
+  PlacementRequest request;
+  request.service = kService;
+  RetryShares shares{RetryShareOptions()};
+  shares.SetRouters(1);
+  shares.SetHasPredecessor(false);
+  RetryFacts facts = Facts(Ran::kUnknown);
+  BOOST_TEST(!shares.TakeRetry(kNow, facts, placement, request));
+  facts.awaits_probes = true;
+  BOOST_TEST(shares.TakeRetry(kNow, facts, placement, request));
+  facts.sends = 2;
+  BOOST_TEST(!shares.TakeRetry(kNow, facts, placement, request));
+}
+
 BOOST_AUTO_TEST_CASE(WhatHasNotRunIsSentAgainWhateverItsRouteAllows) {
   RetryFacts facts = Facts(Ran::kNo);
   facts.repeatable = false;
--- a/relay/testing/scarce_load_test.cc
+++ b/relay/testing/scarce_load_test.cc
@@ -689,8 +689,8 @@
   BOOST_TEST(static_cast<double>(with.left - without.left) <= allowed);
 }
 
-// The classes of docs/design/hard-load.md at about a twelfth of their rates, as
-// one large customer sends them.
+// The classes of a deployment with hard load at about a twelfth of their rates,
+// as one large customer sends them.
 std::vector<RequestClass> FirstDeployment() {
   return {{0, 38, 2400, 2.8, seconds(3)},
           {1, 7, 790, 0.9, seconds(12)},
