--- a/http/target_connection.cc
+++ b/http/target_connection.cc
@@ -228,6 +228,8 @@
   std::function<void(bool)> probe_done;
   // Value of the socket's `bytes_accepted` at the start of the current call.
   std::uint64_t taken_before = 0;
+  // Number of calls that it has carried, with the current one.
+  int calls = 0;
   // Number of heads that have arrived for the current call.
   int heads = 0;
   // Whether the current answer isn't the expected one.
@@ -269,6 +271,10 @@
   return !connection_->socket->connected() || (tunnel && !tunnel->complete());
 }
 
+bool CallHandle::is_first() const {
+  return connection_ && connection_->calls == 1;
+}
+
 bool CallHandle::sees_end() const {
   if (!connection_) return true;
   const auto& tunnel = connection_->tunnel;
@@ -368,6 +374,7 @@
   }
   out->connection_ = connection;
   connection->call = out;
+  ++connection->calls;
   connection->complete = false;
   connection->heads = 0;
   connection->taken_before = connection->socket->bytes_accepted();
--- a/http/target_connection.h
+++ b/http/target_connection.h
@@ -111,6 +111,9 @@
   bool sent() const;
   // Whether the call waits for its connection, or its tunnel, to open.
   bool connecting() const;
+  // Whether the connection has carried no other call, so that nothing of an
+  // earlier answer can arrive.
+  bool is_first() const;
   // Whether the end of the target's connection would be seen: always, unless
   // the call goes through a peer that can't state it.
   bool sees_end() const;
--- a/relay/attempt.cc
+++ b/relay/attempt.cc
@@ -52,9 +52,10 @@
                   Scaled(route.target_gap, kEventTimeoutFactor));
 }
 
-bool AnswersRequest(const AnswerFacts& answer, const RequestId& request) {
+bool AnswersRequest(const AnswerFacts& answer, const RequestId& request,
+                    bool is_first_call) {
   if (answer.request == request) return true;
-  return answer.request.empty() && answer.not_run;
+  return answer.request.empty() && answer.not_run && is_first_call;
 }
 
 HttpHead HeadForCaller(const HttpHead& head) {
--- a/relay/attempt.h
+++ b/relay/attempt.h
@@ -52,8 +52,10 @@
 
 // Whether an answer belongs to this attempt. On a kept-alive connection a
 // target may send an answer to another request. An answer without a request id
-// counts only if it states that nothing has run.
-bool AnswersRequest(const AnswerFacts& answer, const RequestId& request);
+// counts only if it states that nothing has run, and if it can't belong to an
+// earlier call: `is_first_call` is CallHandle::is_first.
+bool AnswersRequest(const AnswerFacts& answer, const RequestId& request,
+                    bool is_first_call);
 
 // Whether an answer with `status` may be forwarded to the caller. `sealed`
 // states that its target vouches for it.
--- a/relay/relayed_request_attempts.cc
+++ b/relay/relayed_request_attempts.cc
@@ -142,7 +142,7 @@
 
 bool RelayedRequest::OnHead(AttemptState& attempt, const HttpHead& head) {
   const AnswerFacts facts = context_.target_dialect.Read(head);
-  if (!AnswersRequest(facts, id())) return false;
+  if (!AnswersRequest(facts, id(), attempt.call->is_first())) return false;
   context_.reach.OnHeard(attempt.path, attempt.choice.target.name);
   attempt.answer = head;
   attempt.head_at = context_.clock.Now();
--- a/relay/testing/attempt_test.cc
+++ b/relay/testing/attempt_test.cc
@@ -63,17 +63,19 @@
   const RequestId id("r-1");
   AnswerFacts answer;
   answer.request = id;
-  BOOST_TEST(AnswersRequest(answer, id));
+  BOOST_TEST(AnswersRequest(answer, id, false));
   answer.request = RequestId("r-2");
-  BOOST_TEST(!AnswersRequest(answer, id));
+  BOOST_TEST(!AnswersRequest(answer, id, true));
   // Not even an answer which states that nothing has run.
   answer.not_run = true;
-  BOOST_TEST(!AnswersRequest(answer, id));
-  // An answer without an id counts only if it states that nothing has run.
+  BOOST_TEST(!AnswersRequest(answer, id, true));
+  // An answer without an id counts only if it states that nothing has run, and
+  // only on a connection that has carried no other call.
   answer.request = {};
-  BOOST_TEST(AnswersRequest(answer, id));
+  BOOST_TEST(AnswersRequest(answer, id, true));
+  BOOST_TEST(!AnswersRequest(answer, id, false));
   answer.not_run = false;
-  BOOST_TEST(!AnswersRequest(answer, id));
+  BOOST_TEST(!AnswersRequest(answer, id, true));
 }
 
 BOOST_AUTO_TEST_CASE(ASuccessNeedsItsSealAndAnErrorDoesNot) {
