--- a/relay/attempt.h
+++ b/relay/attempt.h
@@ -87,6 +87,7 @@
   kPathChanged,   // the way to the target has changed
   kHeldBack,      // not sent, as the target may no longer receive work
   kSuperseded,    // stopped, as an earlier attempt has answered
+  kNoSign,        // stopped beside a silent attempt, as the target was silent
 };
 
 template <>
@@ -104,7 +105,8 @@
        {AttemptFault::kTunnelBroken, "tunnel_broken"},
        {AttemptFault::kPathChanged, "path_changed"},
        {AttemptFault::kHeldBack, "held_back"},
-       {AttemptFault::kSuperseded, "superseded"}});
+       {AttemptFault::kSuperseded, "superseded"},
+       {AttemptFault::kNoSign, "no_sign"}});
 };
 
 // Whether nothing of the attempt was sent.
--- a/relay/ended_by.cc
+++ b/relay/ended_by.cc
@@ -19,6 +19,7 @@
     case AttemptFault::kPathChanged:
     case AttemptFault::kHeldBack:
     case AttemptFault::kSuperseded:
+    case AttemptFault::kNoSign:
       return false;
   }
   return false;
--- a/relay/kept_attempts.cc
+++ b/relay/kept_attempts.cc
@@ -33,6 +33,14 @@
   return out;
 }
 
+std::vector<int> KeptAttempts::SilentNumbers() const {
+  std::vector<int> out;
+  for (const AttemptState& it : attempts_) {
+    if (it.kept_for == AttemptFault::kTimeout) out.push_back(it.number);
+  }
+  return out;
+}
+
 SilenceStep StepAfterSilence(const SilenceFacts& facts) {
   if (facts.has_retry) return SilenceStep::kSendBeside;
   // Before the first event, waiting costs the caller nothing that another look
@@ -65,6 +73,12 @@
   return serves ? KeptStep::kGoOn : KeptStep::kEnd;
 }
 
+OverlapStep StepAfterOverlap(const OverlapFacts& facts) {
+  if (facts.is_answering || facts.is_target_alive)
+    return OverlapStep::kStopSilent;
+  return facts.has_begun ? OverlapStep::kStopCurrent : OverlapStep::kNone;
+}
+
 EndStep StepAfterEnd(bool has_retry, bool has_kept) {
   if (has_retry) return EndStep::kRetry;
   return has_kept ? EndStep::kAwaitKept : EndStep::kGiveUp;
--- a/relay/kept_attempts.h
+++ b/relay/kept_attempts.h
@@ -15,6 +15,13 @@
 //   - Which attempt carries on: the first that brings the next part of the
 //     answer. That is the next whole event of a stream, or the whole of another
 //     answer, unless that is an error (`StepAfterBytes`, `StepAfterKeptEnd`).
+//   - How long two targets may work on one stream: `kMaxOverlap` from the send
+//     to the second one. Then one of them is stopped (`StepAfterOverlap`). If
+//     the second target is at work, that is the silent one: the second one only
+//     has to prefill the prompt. A target that has neither taken the stream nor
+//     sent anything else may be silent itself, and a stream that has begun then
+//     stays where it is. One that hasn't begun may be in both queues, so both
+//     attempts stay.
 //   - What follows the end of the current attempt: a kept one is waited for if
 //     no further one is made (`StepAfterEnd`).
 //
@@ -42,6 +49,11 @@
 // more, so there are several looks before; each costs one choice of a target.
 inline constexpr Duration kRetryCheckInterval = std::chrono::milliseconds(500);
 
+// How long two targets may work on one stream. Engines share their time and
+// memory among streams, so the second run slows others down. Refusals, resets
+// and errors arrive within a round trip, and so before.
+inline constexpr Duration kMaxOverlap = std::chrono::milliseconds(250);
+
 class KeptAttempts {
  public:
   // `kept_for` is why another attempt is made; `reader` has read the stream so
@@ -52,6 +64,9 @@
   // Removes and returns the attempt, which must be kept.
   AttemptState Take(int number);
 
+  // The attempts whose target was silent while it could be reached.
+  std::vector<int> SilentNumbers() const;
+
   bool empty() const { return attempts_.empty(); }
   // The attempt that was added last; there must be one.
   const AttemptState& latest() const { return attempts_.back(); }
@@ -99,6 +114,25 @@
 // `status` is that of the answer.
 KeptStep StepAfterKeptEnd(const AttemptResult& result, int status);
 
+// Which run of a stream is stopped when two targets have worked on it for
+// `kMaxOverlap`.
+enum class OverlapStep {
+  kNone,         // both stay
+  kStopSilent,   // the kept attempts with a silent target
+  kStopCurrent,  // the current one; a kept one is waited for
+};
+
+struct OverlapFacts {
+  // Events of the stream have been forwarded.
+  bool has_begun = false;
+  // The head of the current attempt's answer has arrived, with a success.
+  bool is_answering = false;
+  // Its target has sent part of some answer since the send.
+  bool is_target_alive = false;
+};
+
+OverlapStep StepAfterOverlap(const OverlapFacts& facts);
+
 // What follows the end of the current attempt without an answer.
 enum class EndStep {
   kRetry,      // the request is sent to another target
--- a/relay/reach_driver.cc
+++ b/relay/reach_driver.cc
@@ -32,6 +32,8 @@
       targets.push_back(target);
     service.reach.SetTargets(std::move(targets));
   }
+  std::erase_if(targets_heard_at_,
+                [&](const auto& it) { return !entries.contains(it.first); });
 }
 
 TargetReach* ReachDriver::Find(const ServiceName& service) {
@@ -121,8 +123,9 @@
 }
 
 void ReachDriver::OnHeard(const TargetPath& path, const TargetName& target) {
-  if (!path.direct()) return;
   const Instant now = context_.clock.Now();
+  targets_heard_at_[target] = now;
+  if (!path.direct()) return;
   heard_at_ = now;
   if (TargetReach* it = Find(path.service)) it->OnHeard(now, target);
 }
@@ -276,6 +279,11 @@
          !it->HasHeardSince(context_.clock.Now() - TargetReach::kSilence);
 }
 
+bool ReachDriver::HasHeardFrom(const TargetName& target, Instant time) const {
+  const auto it = targets_heard_at_.find(target);
+  return it != targets_heard_at_.end() && it->second > time;
+}
+
 bool ReachDriver::IsCutOff(const ServiceName& service) const {
   const TargetReach* it = Find(service);
   return it != nullptr && it->IsCutOff();
--- a/relay/reach_driver.h
+++ b/relay/reach_driver.h
@@ -137,6 +137,8 @@
   std::set<ServiceName> CutOff() const;
   // Whether this router's own links have carried something after `time`.
   bool HasHeardSince(Instant time) const { return heard_at_ > time; }
+  // Whether some answer of the target has arrived after `time`, on any path.
+  bool HasHeardFrom(const TargetName& target, Instant time) const;
   bool IsSilent(const ServiceName& service) const;
   // Whether this router's own links to the service are lost.
   bool IsCutOff(const ServiceName& service) const;
@@ -194,6 +196,8 @@
   std::map<VmName, Report> reports_;
   // When this router's own links last carried something.
   Instant heard_at_{};
+  // When part of an answer last arrived from each listed target, on any path.
+  std::map<TargetName, Instant> targets_heard_at_;
   // When a request was last refused for want of a path.
   Instant path_missing_at_{};
 };
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -339,6 +339,7 @@
 void RelayedRequest::End(Ran ran) {
   StopAttempt(outcome_);
   EndAllKept();
+  overlap_timer_.reset();
   deadline_timer_.reset();
   probes_timer_.reset();
   Tokens cost = 0;
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -30,7 +30,8 @@
 // the others are stopped. Where no further attempt is made, the request waits
 // for a kept one (`GoOnWithKept`) until its deadline. Only requests that may be
 // repeated have kept attempts; the rules of relay/retry.h bound the number of
-// all attempts.
+// all attempts. Two targets work on one stream only for a moment
+// (`LimitOverlap`).
 //
 // Guarantees, and where they are implemented:
 //   - A request is refused for its route or its key only by a configuration
@@ -185,6 +186,10 @@
   void EndAllKept();
   void GoOnWith(int number);
   bool GoOnWithKept();
+  Duration TimeBesideAnother(const AttemptState& attempt) const;
+  void LimitOverlap();
+  void OnOverlapOver();
+  void EndSilentKept();
   void MakeCurrent(int number);
   void GiveUpUnlessKept(Ran ran, RelayCause cause);
 
@@ -220,6 +225,8 @@
   // Number of attempts so far.
   int attempts_ = 0;
   std::unique_ptr<Timer> attempt_timer_;
+  // Runs from the send of an attempt beside a kept one.
+  std::unique_ptr<Timer> overlap_timer_;
   // Outcome of the current attempt, as reported to the placement.
   PlacementOutcome outcome_ = PlacementOutcome::kNeutral;
 
--- a/relay/relayed_request_attempts.cc
+++ b/relay/relayed_request_attempts.cc
@@ -45,6 +45,7 @@
   context_.reach.OnSent(attempt_.path, target);
   attempt_.call =
       context_.targets.Start(MakeCall(), HandlersOf(attempt_.number));
+  if (!attempt_.call->connecting()) LimitOverlap();
   const RouteRule& route = *admission_.route;
   SetAttemptTimer(attempt_.call->connecting()
                       ? ConnectTimeout(route, Left())
@@ -101,8 +102,10 @@
 bool RelayedRequest::MaySend() {
   const bool sees_end = !attempt_.call || attempt_.call->sees_end();
   context_.reach.OnOpened(attempt_.path, attempt_.choice.target.name, sees_end);
-  return context_.placement.MayStillSend(context_.clock.Now(), attempt_.choice,
-                                         admission_.placement);
+  const bool may_send = context_.placement.MayStillSend(
+      context_.clock.Now(), attempt_.choice, admission_.placement);
+  if (may_send) LimitOverlap();
+  return may_send;
 }
 
 void RelayedRequest::SetAttemptTimer(Duration timeout) {
@@ -510,6 +513,7 @@
   end.ran = ran;
   end.fault = fault;
   end.now = context_.clock.Now();
+  end.beside = TimeBesideAnother(attempt);
   if (ran != Ran::kNo) {
     end.fingerprint = causes().request;
     end.parts = SharedParts(admission_.facts.parts);
--- a/relay/relayed_request_kept.cc
+++ b/relay/relayed_request_kept.cc
@@ -61,6 +61,58 @@
   EndKept(attempt.number, result.outcome, result.fault);
 }
 
+// How long the request has been sent to another target as well, as `attempt`
+// ends. The current attempt is the latest.
+Duration RelayedRequest::TimeBesideAnother(const AttemptState& attempt) const {
+  const bool is_current = attempt.number == attempt_.number;
+  const bool has_other = is_current ? !kept_.empty() : true;
+  return has_other ? context_.clock.Now() - attempt_.sent_at : Duration::zero();
+}
+
+// Called when the current attempt has been sent.
+void RelayedRequest::LimitOverlap() {
+  const bool overlaps = admission_.route->kind == RouteKind::kStreaming &&
+                        !kept_.SilentNumbers().empty();
+  if (!overlaps) return;
+  overlap_timer_ =
+      context_.loop.After(kMaxOverlap, [this, number = attempt_.number] {
+        if (attempt_.number == number && attempt_.call) OnOverlapOver();
+      });
+}
+
+void RelayedRequest::OnOverlapOver() {
+  const auto self = shared_from_this();
+  OverlapFacts facts;
+  facts.has_begun = progress_.events > 0;
+  facts.is_answering = IsByEvent(attempt_);
+  facts.is_target_alive = context_.reach.HasHeardFrom(
+      attempt_.choice.target.name, attempt_.sent_at);
+  switch (StepAfterOverlap(facts)) {
+    case OverlapStep::kNone:
+      return;
+    case OverlapStep::kStopSilent:
+      return EndSilentKept();
+    case OverlapStep::kStopCurrent:
+      if (kept_.SilentNumbers().empty()) return;
+      ReportStopped(attempt_);
+      StopAttempt(PlacementOutcome::kNeutral);
+      LogAttempt(attempt_, Ran::kUnknown, AttemptFault::kNoSign);
+      GoOnWithKept();
+      return;
+  }
+}
+
+void RelayedRequest::EndSilentKept() {
+  for (const int number : kept_.SilentNumbers()) {
+    const AttemptState& it = *kept_.Find(number);
+    ReportStopped(it);
+    EndKept(number,
+            it.target_was_silent ? PlacementOutcome::kFailed
+                                 : PlacementOutcome::kNeutral,
+            it.kept_for);
+  }
+}
+
 // Ends a kept attempt while another one goes on.
 void RelayedRequest::EndKept(int number, PlacementOutcome outcome,
                              AttemptFault fault) {
@@ -110,6 +162,7 @@
 }
 
 void RelayedRequest::MakeCurrent(int number) {
+  overlap_timer_.reset();
   attempt_ = kept_.Take(number);
   attempt_.kept_for = AttemptFault::kNone;
   events_ = attempt_.reader;
--- a/relay/request_log.cc
+++ b/relay/request_log.cc
@@ -39,6 +39,7 @@
        {"sends", std::to_string(progress.sends)},
        {"ms", MillisecondsText(end.now - attempt.sent_at)},
        {"begun_ms", head_at ? MillisecondsText(end.now - *head_at) : "none"},
+       {"beside_ms", MillisecondsText(end.beside)},
        {"fingerprint", end.fingerprint.value},
        {"parts", PartsText(end.parts)}});
 }
--- a/relay/request_log.h
+++ b/relay/request_log.h
@@ -66,6 +66,8 @@
   Ran ran = Ran::kUnknown;
   AttemptFault fault = AttemptFault::kNone;
   Instant now{};
+  // How long another attempt has run beside this one.
+  Duration beside{};
   // Fingerprint of the request if it may have run in this attempt; else empty.
   Fingerprint fingerprint;
   // The shared parts of its prompt.
--- a/relay/testing/kept_attempts_test.cc
+++ b/relay/testing/kept_attempts_test.cc
@@ -74,6 +74,38 @@
   BOOST_TEST((StepAfterKeptEnd(result, kOk) == KeptStep::kEnd));
 }
 
+// Guards against two targets that work on one stream, against a stream that is
+// taken from its target for one that may be silent as well, and against a
+// request that is left without the target that is about to take it.
+BOOST_AUTO_TEST_CASE(TheNextTargetMustBeAtWorkBeforeTheSilentOneIsStopped) {
+  OverlapFacts facts;
+  facts.has_begun = true;
+  BOOST_TEST((StepAfterOverlap(facts) == OverlapStep::kStopCurrent));
+  facts.is_target_alive = true;
+  BOOST_TEST((StepAfterOverlap(facts) == OverlapStep::kStopSilent));
+  facts.is_target_alive = false;
+  facts.is_answering = true;
+  BOOST_TEST((StepAfterOverlap(facts) == OverlapStep::kStopSilent));
+  facts.has_begun = false;
+  BOOST_TEST((StepAfterOverlap(facts) == OverlapStep::kStopSilent));
+  facts.is_answering = false;
+  BOOST_TEST((StepAfterOverlap(facts) == OverlapStep::kNone));
+}
+
+// Guards against an attempt over links that are lost being stopped like one
+// whose target is silent: its target can't be told.
+BOOST_AUTO_TEST_CASE(OnlyAttemptsWithASilentTargetCountAsSilent) {
+  KeptAttempts kept;
+  AttemptState first;
+  first.number = 1;
+  AttemptState second;
+  second.number = 2;
+  kept.Add(std::move(first), AttemptFault::kPathChanged, {});
+  BOOST_TEST(kept.SilentNumbers().empty());
+  kept.Add(std::move(second), AttemptFault::kTimeout, {});
+  BOOST_TEST((kept.SilentNumbers() == std::vector<int>{2}));
+}
+
 // Guards against a silent attempt that is stopped, or a stream that is cut,
 // where no other target may be asked.
 BOOST_AUTO_TEST_CASE(ASilentAttemptIsWaitedForUnlessARetryIsFree) {
