--- a/relay/planned_stop.cc
+++ b/relay/planned_stop.cc
@@ -26,7 +26,7 @@
 
 void PlannedStop::Check() {
   if (machine_.state() == DrainState::kUnready && balancer_delay_over_ &&
-      on_.requests_before(AcceptAllUntil()) == 0) {
+      on_.requests_before(LateFrom()) == 0) {
     Apply(DrainEvent::kBalancerNoticed);
   }
   if (machine_.state() == DrainState::kFinishing && on_.requests() == 0) {
@@ -60,7 +60,7 @@
       return Instant::max();
     case DrainState::kUnready:
     case DrainState::kFinishing:
-      return clock_.Now() < AcceptAllUntil() ? Instant::max() : RequestsEnd();
+      return RequestsEnd();
     case DrainState::kReturning:
     case DrainState::kStopped:
       return Instant::min();
--- a/relay/planned_stop.h
+++ b/relay/planned_stop.h
@@ -11,12 +11,12 @@
 //   unready    The router reports to the balancer that it isn't ready. The
 //              balancer continues to send connections until it notices, and for
 //              longer if too few other routers are ready. So connections are
-//              accepted, but each answer is the last of its connection. After
-//              `accept_all`, only requests whose own deadline ends in time are
-//              accepted (`LatestDeadline`); others are refused at once, so that
-//              their callers can go elsewhere. Ends when `balancer_delay` has
-//              passed and the requests that began within `accept_all` have
-//              ended. Later requests don't prolong it.
+//              accepted, but each answer is the last of its connection. Only
+//              requests whose own deadline falls within the stop are accepted
+//              (`LatestDeadline`); others are refused at once, so that their
+//              callers can go elsewhere. Ends when `balancer_delay` has passed
+//              and the requests that began within `late_after` have ended.
+//              Later requests don't prolong it.
 //   finishing  No connections are accepted, idle ones are closed. Ends when no
 //              request is unfinished.
 //   returning  New requests are refused. The grants that this router keeps are
@@ -29,9 +29,12 @@
 // (`end_unfinished`), so that its caller gets a correct answer and its cost is
 // part of what is returned.
 //
-// Reasons: a request that the balancer still sends must be served, since its
-// caller can't know of the stop. A stream that runs past the time to stop would
-// be cut by the kill, so the process ends by itself a little earlier. Grants
+// Reasons: a request that the balancer still sends is served if it ends in any
+// case, since its caller can't know of the stop. One that may outlast the stop
+// would be cut although it runs, and one that must not be repeated would be
+// lost; refused as not run, it is served elsewhere. A stream that was accepted
+// before and runs past the time to stop would be cut by the kill, so the
+// process ends by itself a little earlier. Grants
 // that aren't returned are charged as spent by the remaining routers. All other
 // time belongs to the requests: streams may need nearly all of it.
 //
@@ -59,11 +62,10 @@
   // it has another router. The platform's balancer checks every second and
   // needs two answers in a row: 2 s, plus 0.6 s for slow answers.
   Duration balancer_delay = std::chrono::milliseconds(2600);
-  // Time from SIGTERM in which requests are accepted whatever their deadline: 2
-  // s until the balancer has noticed, and 1 s for slow answers. Later requests
-  // arrive because the balancer has too few other routers. In a loaded hall,
-  // one stream in twenty takes more than the 4 s that are left then.
-  Duration accept_all = std::chrono::milliseconds(3000);
+  // Time from SIGTERM after which a request counts as late: 2 s until the
+  // balancer has noticed, and 1 s for slow answers. Later requests arrive
+  // because the balancer has too few other routers.
+  Duration late_after = std::chrono::milliseconds(3000);
   // Time of `total` that is reserved for the steps after the requests. The
   // margin is short, as it is taken from streams: with 1.5 s of 8 s, seven
   // routers on a quarter of a core each cut two streams that a stop has time
@@ -130,7 +132,7 @@
   Instant RequestsEnd() const {
     return started_at_ + times_.total - times_.margin;
   }
-  Instant AcceptAllUntil() const { return started_at_ + times_.accept_all; }
+  Instant LateFrom() const { return started_at_ + times_.late_after; }
   // Time until the process is killed; negative if that is overdue.
   Duration Left() const { return started_at_ + times_.total - clock_.Now(); }
 
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -229,6 +229,10 @@
     if (!GoOnWithKept()) RefuseBlamed();
     return;
   }
+  // A planned stop that began meanwhile may end the request while it runs.
+  if (machine_.state() == RelayState::kChoosing &&
+      admission_.deadline > context_.stop.LatestDeadline())
+    return GiveUp(Ran::kNo, RelayCause::kStopped);
   if (Left() < kMinTimeToSend) {
     if (!GoOnWithKept()) OnDeadline();
     return;
--- a/relay/testing/planned_stop_test.cc
+++ b/relay/testing/planned_stop_test.cc
@@ -22,7 +22,7 @@
 PlannedStopTimes LongTimes() {
   PlannedStopTimes out;
   out.balancer_delay = milliseconds(100);
-  out.accept_all = milliseconds(150);
+  out.late_after = milliseconds(150);
   out.return_timeout = milliseconds(80);
   out.final_writes = milliseconds(5);
   out.reserve = milliseconds(10);
@@ -82,7 +82,7 @@
   DrainChart chart = BoundChart();
   Steps steps;
   std::size_t requests = 1;
-  // Those that began within `accept_all`; unset: all of them.
+  // Those that began within `late_after`; unset: all of them.
   std::optional<std::size_t> old_requests;
   bool returned = false;
   PlannedStop stop;
@@ -165,8 +165,9 @@
   BOOST_TEST((stop.LatestDeadline() == Instant::max()));
   stop.Start();
   const Instant end = clock.Now() + LongTimes().total - LongTimes().margin;
-  // The balancer may not have noticed yet, so all requests are accepted.
-  BOOST_TEST((stop.LatestDeadline() == Instant::max()));
+  // Also before the balancer has noticed.
+  BOOST_TEST((stop.LatestDeadline() <= end));
+  BOOST_TEST((stop.LatestDeadline() > end - std::chrono::seconds(10)));
   RunFor(loop, milliseconds(200));
   BOOST_TEST((stop.LatestDeadline() <= end));
   BOOST_TEST((stop.LatestDeadline() > end - std::chrono::seconds(10)));
