--- a/evhttp/http_client.cc
+++ b/evhttp/http_client.cc
@@ -18,6 +18,11 @@
 namespace quaytrack {
 namespace {
 
+// Largest head of an answer, in bytes.
+constexpr ev_ssize_t kMaxHeadBytes = 64 * 1024;
+// Stands for no limit.
+constexpr ev_ssize_t kNoLimit = -1;
+
 evhttp_cmd_type MethodOf(const std::string& name) {
   if (name == "POST") return EVHTTP_REQ_POST;
   if (name == "PUT") return EVHTTP_REQ_PUT;
@@ -109,6 +114,11 @@
   connection_->write_began = false;
   const timeval tv = ToTimeval(spec_.idle_timeout);
   evhttp_connection_set_timeout_tv(connection_->handle, &tv);
+  evhttp_connection_set_max_headers_size(connection_->handle, kMaxHeadBytes);
+  evhttp_connection_set_max_body_size(
+      connection_->handle, handlers_.data
+                               ? kNoLimit
+                               : static_cast<ev_ssize_t>(spec_.max_body_bytes));
   request_ = evhttp_request_new(OnDone, this);
   evhttp_request_set_error_cb(request_,
                               [](evhttp_request_error error, void* self) {
--- a/evhttp/http_client.h
+++ b/evhttp/http_client.h
@@ -8,6 +8,9 @@
 // reported only if no byte of the request was handed to the kernel, so the
 // request certainly did not run. In every other failure (kBroken or kTimedOut)
 // the request may have run.
+//
+// An answer whose head or body doesn't end breaks the call at a limit, so that
+// its bytes don't fill the memory.
 
 #ifndef QUAYTRACK_EVHTTP_HTTP_CLIENT_H_
 #define QUAYTRACK_EVHTTP_HTTP_CLIENT_H_
@@ -34,6 +37,9 @@
   std::string path = "/";
   std::vector<HttpHeader> headers;
   std::string body;
+  // The call fails if the body of the answer is larger. Not applied to a body
+  // that a data handler takes.
+  std::size_t max_body_bytes = 16 * 1024 * 1024;
   // The call fails when no data is sent or received for this long.
   Duration idle_timeout = std::chrono::seconds(30);
   // Whether to open a new connection. The server may close a reused one at any
--- a/router/forward.h
+++ b/router/forward.h
@@ -77,6 +77,7 @@
   void OnData(evbuffer* data);
   void OnEnd(const HttpResult& result);
   void TimeOutAttempt();
+  void BreakAttempt();
   void RefuseUnsent();
   void AbortAttempt();
   void OnAttemptFailed(const HttpResult& result, AnswerKind kind);
--- a/router/forward_attempt_impl.h
+++ b/router/forward_attempt_impl.h
@@ -79,6 +79,7 @@
     }
     last_event_ = now;
   }
+  if (job_.IsBroken()) return BreakAttempt();
   if (paused_ || exchange_->UnsentBytes() <= kUnsentHighWater) return;
   paused_ = true;
   call_->PauseReading();
@@ -156,6 +157,14 @@
   OnAttemptFailed(timed_out, AnswerKind::kFailed);
 }
 
+// Ends an attempt whose answer can't be relayed.
+template <ForwardJob Job>
+void Forward<Job>::BreakAttempt() {
+  if (call_) call_->Cancel();
+  call_.reset();
+  OnAttemptFailed({}, AnswerKind::kFailed);
+}
+
 // Ends an attempt that may have run, without a retry. A model call is cancelled
 // as if its caller had disconnected, since its engine then reports the usage.
 template <ForwardJob Job>
--- a/router/forward_job.h
+++ b/router/forward_job.h
@@ -42,6 +42,8 @@
   { job.Begin(exchange) } -> std::same_as<void>;
   // Relays data to the caller; returns the number of events relayed.
   { job.Relay(data, exchange) } -> std::same_as<int>;
+  // Whether the stream can't be relayed further.
+  { job.IsBroken() } -> std::same_as<bool>;
   { job.Classify(result) } -> std::same_as<AnswerKind>;
   // Cost of a complete and of an incomplete answer.
   { job.Cost() } -> std::same_as<Tokens>;
--- a/router/model_job.h
+++ b/router/model_job.h
@@ -30,6 +30,8 @@
   bool streams() const { return call_.stream; }
   void Begin(HttpExchange& exchange);
   int Relay(evbuffer* data, HttpExchange& exchange);
+  // Whether the stream can't be relayed further.
+  bool IsBroken() const { return relay_.too_large(); }
   AnswerKind Classify(const HttpResult& result);
   Tokens Cost() const;
   Tokens CostIfIncomplete() const;
--- a/router/service_job.h
+++ b/router/service_job.h
@@ -33,6 +33,7 @@
   bool streams() const { return false; }
   void Begin(HttpExchange&) {}
   int Relay(evbuffer*, HttpExchange&) { return 0; }
+  bool IsBroken() const { return false; }
   AnswerKind Classify(const HttpResult& result);
   Tokens Cost() const { return price_; }
   // A call that may have run is billed as one that did.
--- a/router/sse_relay.cc
+++ b/router/sse_relay.cc
@@ -73,6 +73,10 @@
   const std::size_t size = evbuffer_get_length(in);
   const char* data = reinterpret_cast<const char*>(evbuffer_pullup(in, -1));
   if (data == nullptr) return 0;
+  if (too_large_) {
+    evbuffer_drain(in, size);
+    return 0;
+  }
   const std::string_view text(data, size);
   int events = 0;
   const bool complete = partial_.empty() && text.ends_with(kEventEnd);
@@ -83,6 +87,8 @@
     partial_ += text;
     evbuffer_drain(in, size);
     events = RelayEvents(out);
+    too_large_ =
+        partial_.size() > kMaxEventBytes || tail_.size() > kMaxEventBytes;
   }
   events_ += events;
   return events;
--- a/router/sse_relay.h
+++ b/router/sse_relay.h
@@ -29,6 +29,9 @@
 
 class SseRelay {
  public:
+  // Bytes of one event, and of the events that are held back.
+  static constexpr std::size_t kMaxEventBytes = 256 * 1024;
+
   // `show_usage` tells whether the caller asked for the usage event.
   explicit SseRelay(bool show_usage) : show_usage_(show_usage) {}
 
@@ -38,6 +41,9 @@
 
   // Whether the engine has reported the end of the answer.
   bool done() const { return done_; }
+  // Whether an event, or what follows the answer's end, is larger than any that
+  // is expected. Nothing more is taken then.
+  bool too_large() const { return too_large_; }
   const std::optional<Usage>& usage() const { return usage_; }
   // Number of events relayed; each has at least one token.
   std::int64_t events() const { return events_; }
@@ -50,6 +56,7 @@
 
   bool show_usage_;
   bool done_ = false;
+  bool too_large_ = false;
   std::optional<Usage> usage_;
   std::int64_t events_ = 0;
   // The start of an event that is still incomplete.
