--- a/relay/kept_attempts.cc
+++ b/relay/kept_attempts.cc
@@ -74,9 +74,10 @@
 }
 
 OverlapStep StepAfterOverlap(const OverlapFacts& facts) {
-  if (facts.is_answering || facts.is_target_alive)
-    return OverlapStep::kStopSilent;
-  return facts.has_begun ? OverlapStep::kStopCurrent : OverlapStep::kNone;
+  if (facts.is_answering) return OverlapStep::kStopSilent;
+  if (!facts.has_begun) return OverlapStep::kNone;
+  return facts.is_target_alive ? OverlapStep::kStopSilent
+                               : OverlapStep::kStopCurrent;
 }
 
 EndStep StepAfterEnd(bool has_retry, bool has_kept) {
--- a/relay/kept_attempts.h
+++ b/relay/kept_attempts.h
@@ -19,9 +19,9 @@
 //     to the second one. Then one of them is stopped (`StepAfterOverlap`). If
 //     the second target is at work, that is the silent one: the second one only
 //     has to prefill the prompt. A target that has neither taken the stream nor
-//     sent anything else may be silent itself, and a stream that has begun then
-//     stays where it is. One that hasn't begun may be in both queues, so both
-//     attempts stay.
+//     sent anything else may be silent itself, so the stream stays where it
+//     is. A stream that hasn't begun may wait in both queues, whatever else the
+//     targets send; until one has taken it, both attempts stay.
 //   - What follows the end of the current attempt: a kept one is waited for if
 //     no further one is made (`StepAfterEnd`).
 //
--- a/relay/testing/kept_attempts_test.cc
+++ b/relay/testing/kept_attempts_test.cc
@@ -90,6 +90,8 @@
   BOOST_TEST((StepAfterOverlap(facts) == OverlapStep::kStopSilent));
   facts.is_answering = false;
   BOOST_TEST((StepAfterOverlap(facts) == OverlapStep::kNone));
+  facts.is_target_alive = true;
+  BOOST_TEST((StepAfterOverlap(facts) == OverlapStep::kNone));
 }
 
 // Guards against an attempt over links that are lost being stopped like one
