--- a/relay/kept_attempts.h
+++ b/relay/kept_attempts.h
@@ -117,7 +117,7 @@
 // Which run of a stream is stopped when two targets have worked on it for
 // `kMaxOverlap`.
 enum class OverlapStep {
-  kNone,         // both stay
+  kNone,         // both stay; looked at again later
   kStopSilent,   // the kept attempts with a silent target
   kStopCurrent,  // the current one; a kept one is waited for
 };
--- a/relay/relayed_request_kept.cc
+++ b/relay/relayed_request_kept.cc
@@ -89,7 +89,7 @@
       attempt_.choice.target.name, attempt_.sent_at);
   switch (StepAfterOverlap(facts)) {
     case OverlapStep::kNone:
-      return;
+      return LimitOverlap();
     case OverlapStep::kStopSilent:
       return EndSilentKept();
     case OverlapStep::kStopCurrent:
