Don't pass on a refusal that doesn't state that nothing has run

Callers saw: 408, 429 or 503 for a call that its target had run. These statuses promise that the request hasn't run and won't, so a caller may send it again.

Cause: an error of a target was passed on as it is, and with it a promise that the target hadn't made. Whether a request may be sent again was decided by the header or 421 alone; what the caller was told wasn't.

Change: EvaluateAttempt ends such an attempt as fault=unproven, may have run. A request that may be repeated goes on elsewhere; others get 502 target_failed, without Retry-After.

--- a/net/http_message.h
+++ b/net/http_message.h
@@ -61,6 +61,12 @@
 // not be forwarded. `head` may list more such headers in `Connection`.
 bool IsHopHeader(const HttpHead& head, std::string_view name);
 
+// Whether a response with this status promises its caller that the request has
+// not run and won't run: the caller may send it again, whatever it does.
+constexpr bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 // The reason phrase of a status that quaytrack sends; "Status" for any other.
 std::string_view ReasonOf(int status);
 
--- a/relay/attempt.cc
+++ b/relay/attempt.cc
@@ -108,6 +108,10 @@
   // A stream that has started can't end with another answer.
   if (facts.streaming && !IsSuccess(facts.status)) return failed;
   // An error may be the fault of the request rather than of the target.
+  if (PromisesNotRun(facts.status)) {
+    return {false, Ran::kUnknown, PlacementOutcome::kNeutral,
+            AttemptFault::kUnproven};
+  }
   if (IsServerError(facts.status)) {
     return {true, Ran::kUnknown, PlacementOutcome::kNeutral,
             AttemptFault::kServerError};
--- a/relay/attempt.h
+++ b/relay/attempt.h
@@ -15,7 +15,9 @@
 // Answers. A success is forwarded only if it is complete and carries the seal
 // by which its target vouches for it. Errors carry no seal and are forwarded as
 // they are. A request counts as not run only if the target states so
-// explicitly, or if no byte left this VM.
+// explicitly, or if no byte left this VM. Without such a statement, an error
+// whose status promises its caller that nothing has run isn't forwarded: the
+// target may have run the request and then answered so.
 
 #ifndef QUAYTRACK_RELAY_ATTEMPT_H_
 #define QUAYTRACK_RELAY_ATTEMPT_H_
@@ -81,6 +83,7 @@
   kTimeout,       // no answer, or no further event, before another's
   kServerError,   // the target answered with an error
   kTurnedAway,    // the target states that it didn't run the request
+  kUnproven,      // a refusal that doesn't state so
   kInvalid,       // an answer that can't be forwarded
   kNoTunnel,      // no tunnel through the chosen peer; not sent
   kTunnelBroken,  // the tunnel ended before the answer did
@@ -100,6 +103,7 @@
        {AttemptFault::kTimeout, "timeout"},
        {AttemptFault::kServerError, "server_error"},
        {AttemptFault::kTurnedAway, "turned_away"},
+       {AttemptFault::kUnproven, "unproven"},
        {AttemptFault::kInvalid, "invalid"},
        {AttemptFault::kNoTunnel, "no_tunnel"},
        {AttemptFault::kTunnelBroken, "tunnel_broken"},
--- a/relay/ended_by.cc
+++ b/relay/ended_by.cc
@@ -9,6 +9,7 @@
     case AttemptFault::kBroken:
     case AttemptFault::kServerError:
     case AttemptFault::kTurnedAway:
+    case AttemptFault::kUnproven:
     case AttemptFault::kInvalid:
       return true;
     case AttemptFault::kNone:
--- a/relay/testing/attempt_test.cc
+++ b/relay/testing/attempt_test.cc
@@ -177,6 +177,22 @@
      Ran::kUnknown, PlacementOutcome::kNeutral, AttemptFault::kServerError},
 };
 
+// Guards against a caller that is told that its request hasn't run by a target
+// that may have run it.
+BOOST_AUTO_TEST_CASE(ARefusalNeedsAStatementThatNothingHasRun) {
+  for (const int status : {408, 429, 503}) {
+    for (const bool sealed : {false, true}) {
+      AttemptFacts facts = Facts(CallEnd::kComplete, status, sealed);
+      const AttemptResult unproven = EvaluateAttempt(facts);
+      BOOST_TEST(!unproven.answered);
+      BOOST_TEST(NameOf(unproven.ran) == NameOf(Ran::kUnknown));
+      BOOST_TEST(NameOf(unproven.fault) == NameOf(AttemptFault::kUnproven));
+      facts.answer.not_run = true;
+      BOOST_TEST(NameOf(EvaluateAttempt(facts).ran) == NameOf(Ran::kNo));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(EachEndHasItsMeaning) {
   for (const EndCase& it : kEndCases) {
     const AttemptResult result = EvaluateAttempt(it.facts);
