router: take a refusal for "not run" only with the target's statement

Callers saw: a call that must not be repeated ran at two targets, was refused with 429 and "ran": "no", and ran again when its caller repeated it. 408 of a service was passed on as it is.

Cause: the router took each 429 and 503 of a target for "nothing ran", without a statement of the target. Nothing in the interface let a target state it.

Change: a target states it by the header X-Not-Run, or 421. Other answers with a status that promises it (408, 429, 503) mean that the call may have run: it is sent again only if it may be repeated, and its caller is told outcome_unknown. The breaker still counts them as overload. The stand-ins' refusals, which never ran anything, send the header now.

RefusedByTheServiceMeansNotRun and RefusingEngineIsRoutedAround are unchanged.

--- a/evhttp/http_client.cc
+++ b/evhttp/http_client.cc
@@ -10,6 +10,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "net/address.h"
@@ -38,8 +39,22 @@
   return out == nullptr ? "" : out;
 }
 
+std::vector<HttpHeader> HeadersOf(evhttp_request* request) {
+  std::vector<HttpHeader> out;
+  const evkeyvalq* headers = evhttp_request_get_input_headers(request);
+  for (const evkeyval* it = headers->tqh_first; it; it = it->next.tqe_next)
+    out.push_back({it->key, it->value});
+  return out;
+}
+
 }  // namespace
 
+bool HttpResult::HasHeader(std::string_view name) const {
+  return std::any_of(headers.begin(), headers.end(), [&](const HttpHeader& it) {
+    return SameHeaderName(it.name, name);
+  });
+}
+
 // One connection and the state of the request on it.
 struct HttpCall::Connection {
   std::string address;
@@ -179,6 +194,7 @@
   if (request != nullptr) {
     result.status = evhttp_request_get_response_code(request);
     result.content_type = HeaderOf(request, "Content-Type");
+    result.headers = HeadersOf(request);
     evbuffer* in = evhttp_request_get_input_buffer(request);
     result.body.resize(evbuffer_get_length(in));
     evbuffer_remove(in, result.body.data(), result.body.size());
--- a/evhttp/http_client.h
+++ b/evhttp/http_client.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "evhttp/http_server.h"
@@ -53,9 +54,12 @@
   HttpEnd end = HttpEnd::kBroken;
   int status = 0;
   std::string content_type;
+  std::vector<HttpHeader> headers;
   // The body; empty if a data handler received it.
   std::string body;
 
+  // Whether there is a header with this name.
+  bool HasHeader(std::string_view name) const;
   bool ok() const { return end == HttpEnd::kComplete && status == 200; }
 };
 
--- a/router/forward_attempt_impl.h
+++ b/router/forward_attempt_impl.h
@@ -104,8 +104,10 @@
 
 template <ForwardJob Job>
 void Forward<Job>::OnAttemptFailed(const HttpResult& result, AnswerKind kind) {
-  const bool overloaded = kind == AnswerKind::kOverloaded;
-  const bool not_run = overloaded || result.end == HttpEnd::kNotSent;
+  const bool overloaded =
+      kind == AnswerKind::kOverloaded || kind == AnswerKind::kUnproven;
+  const bool not_run =
+      kind == AnswerKind::kOverloaded || result.end == HttpEnd::kNotSent;
   LogEvent(Event::kTargetFailed, {{"target", target_name_.value},
                                   {"request", basics_.request.value},
                                   {"status", std::to_string(result.status)},
--- a/router/forward_job.h
+++ b/router/forward_job.h
@@ -10,6 +10,7 @@
 #define QUAYTRACK_ROUTER_FORWARD_JOB_H_
 
 #include <concepts>
+#include <optional>
 #include <string>
 
 #include "base/ids.h"
@@ -27,10 +28,20 @@
 enum class AnswerKind {
   kComplete,    // a normal answer for the caller
   kRejected,    // rejected for an error of the caller; nothing ran
-  kOverloaded,  // refused for lack of capacity; nothing ran
+  kOverloaded,  // refused, with a statement that nothing ran
+  kUnproven,    // refused without that statement; it may have run
   kFailed,      // an error or an incomplete answer
 };
 
+// By this header, whatever its value, a target states in a refusal that it has
+// not run the call.
+inline constexpr char kNotRunHeader[] = "X-Not-Run";
+
+// Classifies a complete answer as a refusal; std::nullopt for other answers. A
+// target that refuses may have run the call before, unless it states otherwise
+// or the call wasn't meant for it (421).
+std::optional<AnswerKind> ClassifyRefusal(const HttpResult& result);
+
 // Call-specific code of a request.
 template <class J>
 concept ForwardJob = requires(J job, const std::string& address,
--- a/router/model_job.cc
+++ b/router/model_job.cc
@@ -49,9 +49,7 @@
 
 AnswerKind ModelJob::Classify(const HttpResult& result) {
   if (result.end != HttpEnd::kComplete) return AnswerKind::kFailed;
-  if (result.status == 429 || result.status == 503) {
-    return AnswerKind::kOverloaded;
-  }
+  if (const auto refusal = ClassifyRefusal(result)) return *refusal;
   if (result.status >= 400 && result.status < 500) return AnswerKind::kRejected;
   if (result.status != 200) return AnswerKind::kFailed;
   if (call_.stream) {
--- a/router/service_job.cc
+++ b/router/service_job.cc
@@ -16,7 +16,7 @@
 
 AnswerKind ServiceJob::Classify(const HttpResult& result) {
   if (result.end != HttpEnd::kComplete) return AnswerKind::kFailed;
-  if (result.status == 429) return AnswerKind::kOverloaded;
+  if (const auto refusal = ClassifyRefusal(result)) return *refusal;
   // A server error leaves unknown whether the call ran.
   if (result.status >= 500) return AnswerKind::kFailed;
   answer_ = result;
--- a/testing/engine_standin.cc
+++ b/testing/engine_standin.cc
@@ -94,7 +94,10 @@
 
   void Start(const ExchangePtr& exchange, bool chat) {
     if (mode_ == Mode::kRefuse) {
-      exchange->Reply({503, "application/json", {}, R"({"error":"full"})"});
+      exchange->Reply({503,
+                       "application/json",
+                       {{"X-Not-Run", "1"}},
+                       R"({"error":"full"})"});
       return;
     }
     const Json body = Json::parse(exchange->Body(), nullptr, false);
--- a/testing/process/claim_failure_test.cc
+++ b/testing/process/claim_failure_test.cc
@@ -66,6 +66,25 @@
   BOOST_TEST(ServiceRuns("r1") == 1);
 }
 
+// Guards against a caller that is told that its call hasn't run, because the
+// service ran it and then answered with a status that promises this.
+BOOST_FIXTURE_TEST_CASE(ARefusalWithoutProofIsAnUnknownOutcome, ClaimFixture) {
+  int calls = 0;
+  for (const std::string status : {"408", "429", "503"}) {
+    for (const std::string it : {"forms-1", "forms-2"})
+      fleet.Control(it, "mode?mode=refuse_after_run&status=" + status);
+    const std::string key = "u" + std::to_string(++calls);
+    const TestRequest sign = RouterFleet::Service(kLakhon, "/sign", "{}", key);
+    const TestReply first = fleet.Call(fleet.Router(1), sign);
+    BOOST_TEST(first.status == 502);
+    BOOST_TEST(first.Json()["ran"] == "unknown");
+    BOOST_TEST(ServiceRuns(key) == 1);
+    const TestReply again = fleet.Call(fleet.Router(2), sign);
+    BOOST_TEST(again.Json()["ran"] == "unknown");
+    BOOST_TEST(ServiceRuns(key) == 1);
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(DeadServicesMeanNotRun, ClaimFixture) {
   fleet.Kill("forms-1", SIGKILL);
   fleet.Kill("forms-2", SIGKILL);
--- a/testing/service_standin.cc
+++ b/testing/service_standin.cc
@@ -13,11 +13,12 @@
 
 using Json = nlohmann::ordered_json;
 
-enum class Mode { kNormal, kRefuse, kLose, kHang };
+enum class Mode { kNormal, kRefuse, kRefuseAfterRun, kLose, kHang };
 
 constexpr auto kModes =
     std::to_array<EnumEntry<Mode>>({{Mode::kNormal, "normal"},
                                     {Mode::kRefuse, "refuse"},
+                                    {Mode::kRefuseAfterRun, "refuse_after_run"},
                                     {Mode::kLose, "lose"},
                                     {Mode::kHang, "hang"}});
 
@@ -37,8 +38,10 @@
   explicit ServiceStandin(std::string name) : name_(std::move(name)) {
     standin_.OnPath("/executions",
                     [this](const ExchangePtr& it) { Executions(it); });
-    standin_.OnControl(
-        "mode", [this](const Params& it) { SetMode(it, kModes, mode_); });
+    standin_.OnControl("mode", [this](const Params& it) {
+      SetMode(it, kModes, mode_);
+      status_ = it.Number("status", 429);
+    });
     standin_.OnControl(
         "delay", [this](const Params& it) { delay_ms_ = it.Number("ms", 0); });
     standin_.OnPrefix("/", [this](const ExchangePtr& it) { Run(it); });
@@ -51,7 +54,10 @@
  private:
   void Run(const ExchangePtr& exchange) {
     if (mode_ == Mode::kRefuse) {
-      exchange->Reply({429, "application/json", {}, R"({"error":"full"})"});
+      exchange->Reply({429,
+                       "application/json",
+                       {{"X-Not-Run", "1"}},
+                       R"({"error":"full"})"});
       return;
     }
     auto it = std::make_shared<Execution>();
@@ -67,6 +73,11 @@
       unanswered_.push_back(exchange);
       return;
     }
+    if (mode_ == Mode::kRefuseAfterRun) {
+      it->ended = "complete";
+      exchange->Reply({status_, "application/json", {}, R"({"error":"busy"})"});
+      return;
+    }
     if (delay_ms_ == 0) return Finish(exchange, it);
     standin_.Later(delay_ms_, [this, exchange, it] { Finish(exchange, it); });
   }
@@ -106,6 +117,8 @@
   std::vector<ExchangePtr> unanswered_;
   Mode mode_ = Mode::kNormal;
   int delay_ms_ = 0;
+  // Status of an answer that refuses a call which has run.
+  int status_ = 429;
 };
 
 }  // namespace
