Refuse deeply nested CBOR, and entries that aren't of their router

Operators saw: one entry of another writer below quaytrack/router/ ended all routers, again after each start.

Cause: the CBOR parser calls itself for each level of nesting, also for strings of strings, and the stack ends before any exception. All records and the messages of peers pass FromCbor. Besides, an entry could name another router's VM, and so replace its address, and a size class out of range was converted.

Change: FromCbor first scans the bytes without recursion: at most 32 levels, no length beyond the end, no tags, nothing after the value. The list of routers leaves out entries at another key than their VM's and without a valid address, and bounds the size class.

--- a/base/cbor.h
+++ b/base/cbor.h
@@ -4,7 +4,9 @@
 // are encoded and decoded here. The bytes are untrusted: they may come from
 // another version, a damaged record or a foreign process. So decoding never
 // throws and never ends the process: for anything but the expected value it
-// returns std::nullopt, and the caller logs that.
+// returns std::nullopt, and the caller logs that. The parser calls itself for
+// each level of nesting, so bytes that nest deeper than `kMaxCborDepth` are
+// refused before they are parsed.
 //
 //   const std::string bytes = ToCbor({{"vm", "vm-7"}});
 //   const auto vm = FromCbor(bytes, [](const nlohmann::json& json) {
@@ -17,6 +19,7 @@
 #ifndef QUAYTRACK_BASE_CBOR_H_
 #define QUAYTRACK_BASE_CBOR_H_
 
+#include <cstddef>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -30,6 +33,13 @@
   return {bytes.begin(), bytes.end()};
 }
 
+// Containers within each other; quaytrack's own values have far fewer.
+inline constexpr std::size_t kMaxCborDepth = 32;
+
+// Whether `bytes` are exactly one CBOR value without tags, nested no deeper
+// than `kMaxCborDepth`, with no length beyond the end of `bytes`.
+bool IsBoundedCbor(std::string_view bytes);
+
 // Decodes `bytes` and returns the result of `read`. Returns std::nullopt if
 // they aren't CBOR, or if `read` throws a nlohmann::json::exception, as `at`
 // and `get` do for a missing key or a wrong type.
@@ -39,6 +49,7 @@
 template <class Read>
 auto FromCbor(std::string_view bytes, Read read)
     -> std::optional<decltype(read(nlohmann::json()))> {
+  if (!IsBoundedCbor(bytes)) return std::nullopt;
   try {
     return read(nlohmann::json::from_cbor(bytes.begin(), bytes.end()));
   } catch (const nlohmann::json::exception&) {
--- a/fleet/fleet.cc
+++ b/fleet/fleet.cc
@@ -11,6 +11,11 @@
 namespace quaytrack {
 namespace {
 
+// Bounds of a size class that is read; real ones are the logarithms of a VM's
+// link and cores.
+constexpr std::int64_t kMinSizeClass = -64;
+constexpr std::int64_t kMaxSizeClass = 64;
+
 // Orders `members` by their rendezvous weights for `key`, highest first.
 void SortByWeight(const std::string& key, std::vector<FleetMember>& members) {
   std::map<VmName, std::uint64_t> weights;
@@ -190,7 +195,8 @@
     out.vm = VmName(json.at("vm").get<std::string>());
     out.hall = HallName(json.at("hall").get<std::string>());
     out.address = json.at("address").get<std::string>();
-    out.size_class = json.value("size", 0);
+    out.size_class = static_cast<int>(std::clamp<std::int64_t>(
+        json.value("size", std::int64_t{0}), kMinSizeClass, kMaxSizeClass));
     return out;
   });
 }
--- a/relay/fleet_driver.cc
+++ b/relay/fleet_driver.cc
@@ -5,6 +5,7 @@
 
 #include "base/jitter.h"
 #include "base/log.h"
+#include "net/address.h"
 
 namespace quaytrack {
 namespace {
@@ -32,6 +33,13 @@
 constexpr double kMinJitter = 0.8;
 constexpr double kMaxJitter = 1.2;
 
+// Whether the entry at `key` is one that the router of `member` may have
+// written. Any process may write below the prefix.
+bool IsEntryOf(const FleetMember& member, const std::string& key) {
+  return key == kPrefix + member.vm.value &&
+         ParseAddress(member.address).has_value();
+}
+
 }  // namespace
 
 FleetDriver::FleetDriver(Loop& loop, KvStore& store, FleetMember self,
@@ -127,7 +135,7 @@
   std::vector<FleetMember> out;
   for (const StoreItem& it : snapshot.items) {
     const auto member = DecodeMember(it.value);
-    if (!member) {
+    if (!member || !IsEntryOf(*member, it.key)) {
       LogEvent(Event::kRecordRefused, {{"key", it.key}});
       continue;
     }
--- a/relay/testing/fleet_driver_test.cc
+++ b/relay/testing/fleet_driver_test.cc
@@ -210,5 +210,24 @@
              before + 1);
 }
 
+// Guards against an entry of another writer that replaces a router's address,
+// counts as a router, or ends the process.
+BOOST_FIXTURE_TEST_CASE(OddEntriesAreLeftOut, Fixture) {
+  AnswerWrite(StoreEnd::kDone);
+  FleetMember without_port = Member("vm-3");
+  without_port.address = "10.0.0.9:99999";
+  StoreSnapshot out;
+  out.end = StoreEnd::kDone;
+  out.items = {{kPrefix + std::string("vm-2"), EncodeMember(Member("vm-2")), 1},
+               {kPrefix + std::string("a"), EncodeMember(Member("vm-2")), 1},
+               {kPrefix + std::string("vm-3"), EncodeMember(without_port), 1},
+               {kPrefix + std::string("x"), std::string(300'000, '\x81'), 1},
+               {kPrefix + std::string("y"), "", 1}};
+  BOOST_REQUIRE(store.AnswerRange(kPrefix, out));
+  const auto others = driver.directory().Others();
+  BOOST_REQUIRE(others.size() == 1U);
+  BOOST_TEST((others[0] == Member("vm-2")));
+}
+
 }  // namespace
 }  // namespace quaytrack
