Forget a version once its streams have ended

Callers saw: after a release, streams whose version nobody knows are refused for as long as the router runs, though one version serves.

Cause: the only version was taken from all that were ever listed.

Found by reading; two new cases of dispatch_placement_version_test.

--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -90,13 +90,19 @@
 
 void Placement::SetTargets(Instant now,
                            const std::map<TargetName, TargetEntry>& entries) {
-  std::erase_if(targets_,
-                [&](const auto& it) { return !entries.contains(it.first); });
+  std::erase_if(targets_, [&](const auto& it) {
+    if (entries.contains(it.first)) return false;
+    NoteRemoved(now, it.second.entry);
+    return true;
+  });
   for (const auto& [name, entry] : entries) {
     const auto [it, is_new] = targets_.try_emplace(name);
     State& state = it->second;
     const bool restarted = !is_new && state.entry.start != entry.start;
     const bool cold_changed = is_new || state.entry.cold_for != entry.cold_for;
+    const bool other_version =
+        is_new || restarted || state.entry.version != entry.version;
+    if (other_version && !is_new) NoteRemoved(now, state.entry);
     // Of what is known of the previous start, only a recent limit or pause may
     // be true of the new one.
     if (restarted) {
@@ -104,8 +110,6 @@
       back_offs_.OnRestart(now, state.entry.start, entry.start);
       state = State{};
     }
-    const bool other_version =
-        is_new || restarted || state.entry.version != entry.version;
     state.entry = entry;
     if (other_version) NoteVersion(now, state);
     state.region = regions_.RegionOf(entry.hall);
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -165,6 +165,9 @@
  public:
   // A stream's caller comes back within this time of its first event.
   static constexpr Duration kMaxStreamAge = std::chrono::seconds(60);
+  // Streams of a version may be taken up for this long after its last target
+  // was listed, as a target serves on for a while.
+  static constexpr Duration kVersionMemory = kMaxStreamAge + kMaxEntryDelay;
 
   // `hall` is the hall of this router.
   explicit Placement(HallName hall, PlacementRates rates = {},
@@ -199,9 +202,11 @@
   // have started again since its entry was written, perhaps as another version.
   std::optional<VersionName> VersionOf(Instant now,
                                        const TargetEntry& target) const;
-  // The only version of the service that this router has ever seen listed, if
-  // it has followed the list for `min_time`; std::nullopt otherwise. After
-  // `kMaxStreamAge`, each stream that a caller can take up began there.
+  // The only version of the service that this router has seen listed within
+  // `kVersionMemory`, if it has known the service's list for `min_time`;
+  // std::nullopt otherwise. After `kMaxStreamAge`, each stream that a caller
+  // can take up began there, if the list is current and was complete meanwhile
+  // (relay/target_follower.h).
   std::optional<VersionName> OnlyVersion(Instant now,
                                          const ServiceName& service,
                                          Duration min_time) const;
@@ -256,7 +261,8 @@
   // Notes that an answer began `waited` after the request was sent, so the
   // prompt has been prefilled. `prefill` is the result of OnSent.
   void OnAnswering(const TargetName& name, Tokens prefill, Duration waited);
-  // Notes that the target has answered a request that was sent at `sent_at`.
+  // Notes that the target has answered a request that was sent at `sent_at`, or
+  // sent an event of the answer.
   void OnAlive(Instant now, const TargetName& name, Instant sent_at);
   // Notes that a request was without an answer at the target for too long. It
   // counts as a failure; the request still runs there.
@@ -433,6 +439,9 @@
   bool IsNextAlone(const PlacementRequest& request,
                    const VersionGate& gate) const;
   void NoteVersion(Instant now, State& state);
+  void NoteRemoved(Instant now, const TargetEntry& entry);
+  std::set<VersionName> RecentVersions(Instant now,
+                                       const ServiceName& service) const;
   void ChooseShareTargets(const ServiceName& service);
 
   HallName hall_;
@@ -459,6 +468,8 @@
   struct ServiceVersions {
     Instant first_listed_at{};
     std::map<VersionName, Instant> since;
+    // When a target of the version was last removed from the list.
+    std::map<VersionName, Instant> removed_at;
   };
   std::map<ServiceName, ServiceVersions> versions_;
   // The latest time in `versions_`.
--- a/dispatch/placement_versions.cc
+++ b/dispatch/placement_versions.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cmath>
 #include <cstdint>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -60,10 +61,23 @@
                                                   Duration min_time) const {
   const auto it = versions_.find(service);
   if (it == versions_.end()) return std::nullopt;
-  const ServiceVersions& known = it->second;
-  if (known.since.size() != 1) return std::nullopt;
-  if (now - known.first_listed_at < min_time) return std::nullopt;
-  return known.since.begin()->first;
+  if (now - it->second.first_listed_at < min_time) return std::nullopt;
+  const std::set<VersionName> versions = RecentVersions(now, service);
+  if (versions.size() != 1) return std::nullopt;
+  return *versions.begin();
+}
+
+// The versions that are listed, or were within `kVersionMemory`.
+std::set<VersionName> Placement::RecentVersions(
+    Instant now, const ServiceName& service) const {
+  std::set<VersionName> out;
+  for (const auto& [name, state] : targets_) {
+    if (state.entry.service == service) out.insert(state.entry.version);
+  }
+  for (const auto& [version, removed_at] : versions_.at(service).removed_at) {
+    if (now - removed_at < kVersionMemory) out.insert(version);
+  }
+  return out;
 }
 
 std::size_t Placement::RunningAtOtherVersions(
@@ -90,6 +104,10 @@
   latest_version_ = std::max(latest_version_, it->second);
 }
 
+void Placement::NoteRemoved(Instant now, const TargetEntry& entry) {
+  versions_[entry.service].removed_at[entry.version] = now;
+}
+
 bool Placement::IsVersionReady(Instant now, const State& state,
                                const VersionGate& gate) {
   return gate.IsNext(state.entry.version) ||
--- a/dispatch/testing/placement_version_test.cc
+++ b/dispatch/testing/placement_version_test.cc
@@ -268,5 +268,29 @@
   BOOST_TEST(!it.OnlyVersion(kStart + 2 * age, kEngines, {}));
 }
 
+// Guards against streams that are refused for a version that left long ago, and
+// against a guess while its streams may still be taken up.
+BOOST_FIXTURE_TEST_CASE(AVersionCountsUntilItsStreamsHaveEnded, Fixture) {
+  const Duration age = Placement::kMaxStreamAge;
+  StartNew(kStart + age);
+  const Instant left_at = kStart + 2 * age;
+  std::erase_if(targets, [](const auto& target) {
+    return target.second.version == kOld;
+  });
+  it.SetTargets(left_at, targets);
+  const Instant forgotten_at = left_at + Placement::kVersionMemory;
+  BOOST_TEST(!it.OnlyVersion(forgotten_at - milliseconds(1), kEngines, age));
+  BOOST_TEST((it.OnlyVersion(forgotten_at, kEngines, age) == kNew));
+}
+
+// The same for a target that starts again as another version.
+BOOST_FIXTURE_TEST_CASE(AVersionThatWasReplacedCountsUntilThen, Fixture) {
+  for (auto& [name, entry] : targets) entry.version = kNew;
+  it.SetTargets(kStart, targets);
+  const Instant forgotten_at = kStart + Placement::kVersionMemory;
+  BOOST_TEST(!it.OnlyVersion(forgotten_at - milliseconds(1), kEngines, {}));
+  BOOST_TEST((it.OnlyVersion(forgotten_at, kEngines, {}) == kNew));
+}
+
 }  // namespace
 }  // namespace quaytrack
