Tell a router that links again which streams began meanwhile

Callers would see: a stream refused as unknown by a router that was frozen, or cut off, as it began, and whose links are down or have just opened again.

Cause: what was sent while a link was down is lost, and a router without a link answered at once that nobody knows.

Change: a hello has the other side told of the streams that began here, and asked what is still open. A router without any link waits for the first one for the time of an answer, unless it is alone.

Found by reading; three cases of relay_version_lookup_test, not run without the change.

--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -401,6 +401,7 @@
   out.to_ask_for_others = [this] {
     return LinkedHolders(HolderSet::kOtherHalls);
   };
+  out.has_others = [this] { return !fleet_.directory().Others().empty(); };
   return out;
 }
 
--- a/relay/stream_versions.h
+++ b/relay/stream_versions.h
@@ -2,7 +2,7 @@
 // began, so that the stream goes on at that version only.
 //
 //   StreamVersions versions;
-//   versions.Note(now, id, version, deadline);
+//   versions.Note(now, id, version, deadline);        // or NoteOwn
 //   if (const auto version = versions.Find(now, id)) ...
 //
 // A note is kept until the caller can't come back any more. A later note for
@@ -34,12 +34,12 @@
 
   void Note(Instant now, const RequestId& id, const VersionName& version,
             Instant until) {
-    DropOld(now);
-    if (until <= now) return;
-    const bool is_new = notes_.try_emplace(id, Entry{version, until}).second;
-    if (!is_new) return;
-    ends_.emplace(until, id);
-    if (notes_.size() > kMaxNotes) DropFirst();
+    Add(now, id, {version, until, false});
+  }
+  // The same for a stream that began at this router.
+  void NoteOwn(Instant now, const RequestId& id, const VersionName& version,
+               Instant until) {
+    Add(now, id, {version, until, true});
   }
 
   std::optional<VersionName> Find(Instant now, const RequestId& id) {
@@ -49,14 +49,33 @@
     return it->second.version;
   }
 
+  // Calls `visit(id, version, until)` for each stream that began at this
+  // router.
+  template <class Visit>
+  void ForEachOwn(Instant now, Visit visit) {
+    DropOld(now);
+    for (const auto& [id, it] : notes_) {
+      if (it.is_own) visit(id, it.version, it.until);
+    }
+  }
+
   std::size_t size() const { return notes_.size(); }
 
  private:
   struct Entry {
     VersionName version;
     Instant until{};
+    bool is_own = false;
   };
 
+  void Add(Instant now, const RequestId& id, const Entry& entry) {
+    DropOld(now);
+    if (entry.until <= now) return;
+    if (!notes_.try_emplace(id, entry).second) return;
+    ends_.emplace(entry.until, id);
+    if (notes_.size() > kMaxNotes) DropFirst();
+  }
+
   void DropOld(Instant now) {
     while (!ends_.empty() && ends_.begin()->first <= now) DropFirst();
   }
--- a/relay/testing/version_lookup_test.cc
+++ b/relay/testing/version_lookup_test.cc
@@ -38,6 +38,7 @@
     int hall = 0;
     bool is_holder = false;
     bool is_down = false;
+    bool has_links = true;
     std::unique_ptr<VersionLookup> lookup;
   };
   struct Sent {
@@ -61,6 +62,7 @@
 
   std::vector<Incarnation> Holders(const Node& of, bool own, bool others) {
     std::vector<Incarnation> out;
+    if (!of.has_links) return out;
     for (const Node& it : nodes) {
       const bool same_hall = it.hall == of.hall;
       const bool is_linked = same_hall || of.is_holder;
@@ -79,6 +81,7 @@
     on.witnesses = [this, &node] { return Holders(node, true, false); };
     on.to_ask = [this, &node] { return Holders(node, true, true); };
     on.to_ask_for_others = [this, &node] { return Holders(node, false, true); };
+    on.has_others = [this] { return has_others; };
     node.lookup = std::make_unique<VersionLookup>(loop, clock, std::move(on));
   }
   Node& At(int hall, int n) {
@@ -99,6 +102,15 @@
       Turn();
     }
   }
+  // A link between the two has opened.
+  void Hello(Node& from, Node& to) {
+    PeerMessage it;
+    it.kind = PeerMessageKind::kHello;
+    it.from = from.self;
+    to.lookup->OnPeer(it);
+    DeliverAll();
+    Turn();
+  }
   // Much shorter than the times for answers.
   void Turn() {
     const auto stop = loop.After(Duration::zero(), [this] { loop.Stop(); });
@@ -120,6 +132,7 @@
   FakeClock clock;
   Loop loop;
   std::vector<Node> nodes;
+  bool has_others = true;
   std::list<Sent> sent;
   std::vector<std::optional<VersionName>> answers;
 };
@@ -176,6 +189,40 @@
   BOOST_TEST(At(0, 0).lookup->size() == 0U);
 }
 
+// Guards against streams that a router doesn't know because it was frozen, or
+// its link was cut, as they began.
+BOOST_FIXTURE_TEST_CASE(ALinkThatOpensTellsWhatWasMissed, Fixture) {
+  for (const int n : {0, 1}) At(0, n).is_down = true;
+  Begin(At(0, 3), kStream, kV1);
+  for (const int n : {0, 1}) At(0, n).is_down = false;
+  Hello(At(0, 0), At(0, 3));
+  At(0, 3).is_down = true;
+  Ask(At(0, 2));
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST((answers.front() == kV1));
+}
+
+// Guards against a refusal by a router that has just started, or was frozen,
+// and has no link yet.
+BOOST_FIXTURE_TEST_CASE(WithoutALinkTheFirstOneIsAwaited, Fixture) {
+  Begin(At(0, 3), kStream, kV1);
+  At(0, 2).has_links = false;
+  Ask(At(0, 2));
+  BOOST_TEST(answers.empty());
+  At(0, 2).has_links = true;
+  Hello(At(0, 1), At(0, 2));
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST((answers.front() == kV1));
+}
+
+BOOST_FIXTURE_TEST_CASE(ALoneRouterAwaitsNoLink, Fixture) {
+  At(0, 2).has_links = false;
+  has_others = false;
+  Ask(At(0, 2));
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST(!answers.front().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(TheNumberOfNotesIsBounded) {
   StreamVersions versions;
   const Instant now{std::chrono::hours(1)};
--- a/relay/version_lookup.cc
+++ b/relay/version_lookup.cc
@@ -1,5 +1,6 @@
 #include "relay/version_lookup.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace quaytrack {
@@ -7,13 +8,47 @@
 void VersionLookup::Announce(const RequestId& id, const VersionName& version,
                              Duration time_left) {
   const Instant now = clock_.Now();
-  versions_.Note(now, id, version, now + time_left);
+  versions_.NoteOwn(now, id, version, now + time_left);
+  for (const Incarnation& it : on_.witnesses())
+    SendBegan(it, id, version, time_left);
+}
+
+void VersionLookup::SendBegan(const Incarnation& peer, const RequestId& id,
+                              const VersionName& version, Duration keep_for) {
   PeerMessage out;
   out.kind = PeerMessageKind::kStreamBegan;
   out.request = id;
   out.version = version;
-  out.keep_for = time_left;
-  for (const Incarnation& it : on_.witnesses()) on_.send(it, out);
+  out.keep_for = keep_for;
+  on_.send(peer, out);
+}
+
+void VersionLookup::SendRequest(const Incarnation& peer, const RequestId& id,
+                                bool for_other) {
+  PeerMessage out;
+  out.kind = PeerMessageKind::kVersionRequest;
+  out.request = id;
+  out.for_other = for_other;
+  on_.send(peer, out);
+}
+
+// Called when a link to the peer has opened, perhaps after a gap.
+void VersionLookup::OnLinked(const Incarnation& peer) {
+  const auto is_in = [&](const std::vector<Incarnation>& peers) {
+    return std::find(peers.begin(), peers.end(), peer) != peers.end();
+  };
+  const Instant now = clock_.Now();
+  if (is_in(on_.witnesses())) {
+    versions_.ForEachOwn(
+        now, [&](const RequestId& id, const VersionName& version,
+                 Instant until) { SendBegan(peer, id, version, until - now); });
+  }
+  if (!is_in(on_.to_ask())) return;
+  for (auto& [id, question] : questions_) {
+    if (question.for_other) continue;
+    question.unanswered.insert(peer);
+    SendRequest(peer, id, false);
+  }
 }
 
 void VersionLookup::Find(const RequestId& id, Found found) {
@@ -26,18 +61,17 @@
 void VersionLookup::Ask(const RequestId& id,
                         const std::vector<Incarnation>& peers, Duration time,
                         bool for_other, Found found) {
-  if (peers.empty()) {
+  const bool awaits_link = !for_other && on_.has_others();
+  if (peers.empty() && !awaits_link) {
     return loop_.Post([found = std::move(found)] { found(std::nullopt); });
   }
   const auto [it, is_new] = questions_.try_emplace(id);
   Question& question = it->second;
+  question.for_other = for_other;
   question.waiting.push_back(std::move(found));
-  PeerMessage out;
-  out.kind = PeerMessageKind::kVersionRequest;
-  out.request = id;
-  out.for_other = for_other;
   for (const Incarnation& peer : peers) {
-    if (question.unanswered.insert(peer).second) on_.send(peer, out);
+    if (question.unanswered.insert(peer).second)
+      SendRequest(peer, id, for_other);
   }
   if (!is_new) return;
   question.timer = loop_.After(time, [this, id] { End(id, std::nullopt); });
@@ -54,6 +88,8 @@
       return OnRequest(message);
     case PeerMessageKind::kVersion:
       return OnAnswer(message);
+    case PeerMessageKind::kHello:
+      return OnLinked(message.from);
     default:
       return;
   }
--- a/relay/version_lookup.h
+++ b/relay/version_lookup.h
@@ -14,6 +14,10 @@
 // were asked have answered that they don't know, or `kAnswerTime` has passed,
 // nobody knows.
 //
+// A link that opens again, as after a freeze or a cut, has missed what was sent
+// meanwhile. So its hello has the other router told of the streams that began
+// here, and asked what is still open. A router without any link waits for one.
+//
 // Which routers are asked is up to the handlers. Owns this router's notes
 // (relay/stream_versions.h) and its open questions; loop and clock must outlive
 // it. Messages may be lost; the time-out covers that.
@@ -45,6 +49,8 @@
     std::function<std::vector<Incarnation>()> to_ask;
     // The linked peers that this router asks on behalf of another.
     std::function<std::vector<Incarnation>()> to_ask_for_others;
+    // Whether there are other routers, linked or not.
+    std::function<bool()> has_others = [] { return true; };
   };
   using Found = std::function<void(std::optional<VersionName>)>;
 
@@ -70,6 +76,8 @@
 
  private:
   struct Question {
+    // Asked on behalf of another router.
+    bool for_other = false;
     std::set<Incarnation> unanswered;
     std::vector<Found> waiting;
     std::unique_ptr<Timer> timer;
@@ -77,6 +85,11 @@
 
   void Ask(const RequestId& id, const std::vector<Incarnation>& peers,
            Duration time, bool for_other, Found found);
+  void SendBegan(const Incarnation& peer, const RequestId& id,
+                 const VersionName& version, Duration keep_for);
+  void SendRequest(const Incarnation& peer, const RequestId& id,
+                   bool for_other);
+  void OnLinked(const Incarnation& peer);
   void OnRequest(const PeerMessage& message);
   void OnAnswer(const PeerMessage& message);
   void End(const RequestId& id, const std::optional<VersionName>& version);
