Take the only listed version for a stream's only by a current list

Callers saw: a stream joined of two versions. A router that had listed one version for over a minute was frozen for 5 s while another came, and took streams of that version up by its own list as it woke.

Cause: "there is one version" is a decision by what a list lacks, and nothing showed that the list was current. The time for which it had been followed counts while a router stands still, too.

Change: such a decision awaits a list that the store, or a peer without later changes, has shown current since the caller's request was read: a version that began a stream was listed before its caller came back. Without an answer within 400 ms the stream is refused as not run. A list that was read anew, or whose removals name targets that were never seen, counts as followed from then on. Callers that name no first try are served without an answer, as before. The waits of the configuration's currency are now shared with this (relay/currency_wait_list.h), and ask again for those that the running question can't serve. The log names what showed the version (QT1422, by).

--- a/relay/config_follower.cc
+++ b/relay/config_follower.cc
@@ -18,6 +18,9 @@
       clock_(context.clock),
       reader_(reader),
       on_(std::move(handlers)),
+      waits_(
+          loop_, [this](Instant at) { return IsCurrentAt(at); },
+          [this] { feed_.AskNow(); }),
       feed_(context, {FeedName::kConfig, {reader.ConfigPrefix()}},
             StoreHandlers(), LinksOfFeed()) {}
 
@@ -39,10 +42,7 @@
     on_.store_reachable(reachable);
   };
   // The state that the answer shows is passed on first.
-  on.answered = [this](Instant) {
-    if (awaiting_.empty()) return;
-    serve_timer_ = loop_.After(Duration::zero(), [this] { ServeAwaiting(); });
-  };
+  on.answered = [this](Instant) { waits_.ServeLater(); };
   return on;
 }
 
@@ -223,7 +223,7 @@
   const auto asked_at = AskedAt(message, clock_.Now());
   if (!is_mine || !asked_at) return;
   current_by_peer_ = std::max(current_by_peer_, *asked_at - message.update.age);
-  ServeAwaiting();
+  waits_.Serve();
 }
 
 bool ConfigFollower::IsCurrentAt(Instant at) const {
@@ -231,32 +231,6 @@
   return std::max(feed_.current_at(), current_by_peer_) >= at;
 }
 
-void ConfigFollower::AwaitCurrent(Instant at, std::function<void(bool)> done) {
-  awaiting_.push_back({at, std::move(done)});
-  if (awaiting_timer_) return;
-  awaiting_timer_ = loop_.After(kAnswerTime, [this] { EndAwaiting(); });
-  feed_.AskNow();
-}
-
-void ConfigFollower::ServeAwaiting() {
-  serve_timer_.reset();
-  std::vector<Awaiting> served;
-  std::erase_if(awaiting_, [&](Awaiting& it) {
-    if (!IsCurrentAt(it.at)) return false;
-    served.push_back(std::move(it));
-    return true;
-  });
-  if (awaiting_.empty()) awaiting_timer_.reset();
-  for (const Awaiting& it : served) it.done(true);
-}
-
-void ConfigFollower::EndAwaiting() {
-  awaiting_timer_.reset();
-  for (const Awaiting& it : std::exchange(awaiting_, {})) {
-    it.done(IsCurrentAt(it.at));
-  }
-}
-
 void ConfigFollower::NoteLaterVersion() {
   later_heard_ = clock_.Now();
   if (!later_since_) later_since_ = later_heard_;
--- a/relay/config_follower.h
+++ b/relay/config_follower.h
@@ -65,6 +65,7 @@
 #include "config/service_map.h"
 #include "fleet/closed_halls.h"
 #include "net/loop.h"
+#include "relay/currency_wait_list.h"
 #include "relay/dialect.h"
 #include "relay/packed_value_cache.h"
 #include "relay/peer_messages.h"
@@ -75,8 +76,6 @@
 
 class ConfigFollower {
  public:
-  // How long `AwaitCurrent` waits for an answer.
-  static constexpr Duration kAnswerTime = std::chrono::milliseconds(400);
   // How long a router may know of a later configuration before it stops using
   // its own: less than the 2 s within which a configuration must be in force.
   static constexpr Duration kMaxBehind = std::chrono::milliseconds(1500);
@@ -118,9 +117,11 @@
   // Whether every configuration that was accepted by `at` has been read here.
   bool IsCurrentAt(Instant at) const;
   // Asks the store and peers, and calls `done` with true once
-  // `IsCurrentAt(at)`, or with false after `kAnswerTime`. Never calls it from
+  // `IsCurrentAt(at)`, or with false if no answer comes. Never calls it from
   // inside.
-  void AwaitCurrent(Instant at, std::function<void(bool)> done);
+  void AwaitCurrent(Instant at, CurrencyWaitList::Done done) {
+    waits_.Await(at, std::move(done));
+  }
   // Whether a peer has had a later configuration for over `kMaxBehind`.
   bool IsOutdated() const;
 
@@ -152,8 +153,6 @@
   FeedLinks LinksOfFeed() const;
   void OnMark(const PeerMessage& message);
   void NoteLaterVersion();
-  void ServeAwaiting();
-  void EndAwaiting();
 
   Loop& loop_;
   const Clock& clock_;
@@ -174,14 +173,7 @@
   // Since when peers have a later configuration, and when one last said so.
   std::optional<Instant> later_since_;
   Instant later_heard_{};
-  struct Awaiting {
-    Instant at{};
-    std::function<void(bool)> done;
-  };
-  std::vector<Awaiting> awaiting_;
-  // Runs until those that wait are told that no answer came.
-  std::unique_ptr<Timer> awaiting_timer_;
-  std::unique_ptr<Timer> serve_timer_;
+  CurrencyWaitList waits_;
   StateFeed feed_;
   // Peers that were asked for a later configuration than the present one.
   std::set<Incarnation> requested_from_;
--- a/relay/relay_context.h
+++ b/relay/relay_context.h
@@ -29,6 +29,7 @@
 class CrashWatch;
 class ReachDriver;
 class RolloutDriver;
+class TargetFollower;
 class VersionLookup;
 
 // A prompt that was sent to an engine, as announced to peers.
@@ -50,6 +51,7 @@
   std::minstd_rand& random;
   BudgetDriver& budgets;
   Placement& placement;
+  TargetFollower& target_list;
   ReachDriver& reach;
   TargetConnections& targets;
   RetryShares& retries;
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -7,6 +7,7 @@
 #include "relay/budget_driver.h"
 #include "relay/config_follower.h"
 #include "relay/reach_driver.h"
+#include "relay/target_follower.h"
 #include "relay/version_lookup.h"
 
 namespace quaytrack {
@@ -102,16 +103,44 @@
 void RelayedRequest::OnVersionFound(std::optional<VersionName> version) {
   const auto self = shared_from_this();
   if (machine_.state() == RelayState::kEnded) return;
-  if (!version) {
-    // A caller that names no first try knows nothing of versions, so it comes
-    // from a deployment that has had one.
-    const Duration min_time = admission_.facts.first_try.empty()
-                                  ? Duration::zero()
-                                  : Placement::kMaxStreamAge;
-    version = context_.placement.OnlyVersion(
-        context_.clock.Now(), admission_.service->name, min_time);
-  }
-  LogStreamTakenUp(admission_, version);
+  if (version) return TakeUpAt(std::move(version), VersionSource::kNote);
+  // Waiting can't make a version the only one.
+  if (!OnlyVersion()) return TakeUpAt(std::nullopt, VersionSource::kNone);
+  context_.target_list.AwaitCurrent(request_.begun, [self](bool is_current) {
+    self->OnListAsked(is_current);
+  });
+}
+
+// The version at which every stream of the service began, by the list of
+// targets as it is known here.
+std::optional<VersionName> RelayedRequest::OnlyVersion() const {
+  const Instant now = context_.clock.Now();
+  // A caller that names no first try knows nothing of versions, so it comes
+  // from a deployment that has had one.
+  const Duration min_time = admission_.facts.first_try.empty()
+                                ? Duration::zero()
+                                : Placement::kMaxStreamAge;
+  if (now - context_.target_list.complete_since() < min_time)
+    return std::nullopt;
+  return context_.placement.OnlyVersion(now, admission_.service->name,
+                                        min_time);
+}
+
+// Called when the store or a peer has shown the present list of targets, or
+// none has answered.
+void RelayedRequest::OnListAsked(bool is_current) {
+  const auto self = shared_from_this();
+  if (machine_.state() == RelayState::kEnded) return;
+  // Without a first try there is nothing else to go by while the store is away.
+  const bool is_proof = is_current || admission_.facts.first_try.empty();
+  auto version = is_proof ? OnlyVersion() : std::nullopt;
+  const auto source = version ? VersionSource::kList : VersionSource::kNone;
+  TakeUpAt(std::move(version), source);
+}
+
+void RelayedRequest::TakeUpAt(std::optional<VersionName> version,
+                              VersionSource source) {
+  LogStreamTakenUp(admission_, version, source);
   if (!version) return GiveUp(Ran::kNo, RelayCause::kVersionUnknown);
   if (!context_.placement.HasVersion(admission_.service->name, *version))
     return GiveUp(Ran::kNo, RelayCause::kVersionGone);
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -122,7 +122,11 @@
   void Begin();
   void FindVersion();
   void OnVersionFound(std::optional<VersionName> version);
+  std::optional<VersionName> OnlyVersion() const;
+  void OnListAsked(bool is_current);
+  void TakeUpAt(std::optional<VersionName> version, VersionSource source);
   void BindToVersion();
+  void NoteAlive(Instant now) const;
   void Hold();
   void Choose();
   RelayCause CauseOfNoChoice() const;
--- a/relay/request_log.cc
+++ b/relay/request_log.cc
@@ -84,11 +84,13 @@
 }
 
 void LogStreamTakenUp(const Admission& admission,
-                      const std::optional<VersionName>& version) {
+                      const std::optional<VersionName>& version,
+                      VersionSource source) {
   LogEvent(Event::kStreamTakenUp,
            {{"request", admission.facts.id.value},
             {"first", admission.facts.first_try.value},
             {"known", version ? "yes" : "no"},
+            {"by", std::string(NameOf(source))},
             {"version", version.value_or(VersionName()).value}});
 }
 
--- a/relay/request_log.h
+++ b/relay/request_log.h
@@ -94,10 +94,26 @@
 void LogBlamedRefused(const RequestId& id, const Fingerprint& fingerprint,
                       const Blame& blame, Duration left);
 
+// What shows the version of a stream that a caller takes up.
+enum class VersionSource {
+  kNote,  // a router that has heard of the stream
+  kList,  // the list of targets, which has had one version
+  kNone,  // nothing
+};
+
+template <>
+struct EnumTable<VersionSource> {
+  static constexpr auto kEntries =
+      std::to_array<EnumEntry<VersionSource>>({{VersionSource::kNote, "note"},
+                                               {VersionSource::kList, "list"},
+                                               {VersionSource::kNone, "none"}});
+};
+
 // Logs a request whose caller takes a stream up, and the version that began it;
-// unset if nobody knows.
+// unset if nothing shows it.
 void LogStreamTakenUp(const Admission& admission,
-                      const std::optional<VersionName>& version);
+                      const std::optional<VersionName>& version,
+                      VersionSource source);
 
 // Logs a request that was not written to a target, as the target may no longer
 // receive work.
--- a/relay/target_follower.cc
+++ b/relay/target_follower.cc
@@ -1,5 +1,6 @@
 #include "relay/target_follower.h"
 
+#include <algorithm>
 #include <random>
 #include <set>
 #include <string>
@@ -56,8 +57,12 @@
                                const SharedStateReader& reader,
                                Handlers handlers)
     : loop_(context.loop),
+      clock_(context.clock),
       reader_(reader),
       on_(std::move(handlers)),
+      waits_(
+          loop_, [this](Instant at) { return IsCurrentAt(at); },
+          [this] { feed_.AskNow(); }),
       feed_(context, {FeedName::kTargets, FollowerOptions(reader)},
             StoreHandlers(), on_.feed) {}
 
@@ -79,6 +84,7 @@
     on_.changed();
     DropMissingLater();
   };
+  on.answered = [this](Instant) { waits_.ServeLater(); };
   on.reachable = [this](bool reachable) {
     LogEvent(reachable ? Event::kKvBack : Event::kKvLost, {{"by", "targets"}});
     on_.store_reachable(reachable);
@@ -89,6 +95,7 @@
 // --- The store's list --------------------------------------------------------
 
 void TargetFollower::Replace(const std::vector<StoreItem>& items) {
+  complete_since_ = clock_.Now();
   std::vector<ReadEntry> read;
   for (const StoreItem& it : items) {
     auto entry = ReadOrLog(it, [&] { return reader_.Target(it); });
@@ -166,7 +173,10 @@
 void TargetFollower::Remove(const TargetName& name) {
   unconfirmed_.erase(name);
   const auto it = registry_.entries().find(name);
-  if (it == registry_.entries().end()) return;
+  if (it == registry_.entries().end()) {
+    complete_since_ = clock_.Now();
+    return;
+  }
   const TargetEntry entry = it->second;
   if (!registry_.Remove(name)) return;
   LogEvent(Event::kTargetGone, {{"target", name.value}});
@@ -175,6 +185,7 @@
 
 void TargetFollower::OnPeer(const PeerMessage& message) {
   feed_.OnPeer(message);
+  if (message.kind == PeerMessageKind::kMark) OnMark(message);
   OnPeerRevision(message.targets_revision);
   for (const auto& [name, started_at] : message.leaving) {
     MarkLeaving(name, started_at, "peer");
@@ -201,6 +212,24 @@
   });
 }
 
+// --- Currency ----------------------------------------------------------------
+
+// In a small fleet a peer that knows no later change shows this router current,
+// also while the store doesn't answer here. In others the feed does this.
+void TargetFollower::OnMark(const PeerMessage& message) {
+  const FeedUpdate& mark = message.update;
+  const auto asked_at = AskedAt(message, clock_.Now());
+  if (mark.feed != FeedName::kTargets || !asked_at) return;
+  if (!era_ || mark.revision.era != *era_ || !feed_.HasRead(mark.revision))
+    return;
+  current_by_peer_ = std::max(current_by_peer_, *asked_at - mark.age);
+  waits_.Serve();
+}
+
+bool TargetFollower::IsCurrentAt(Instant at) const {
+  return era_ && std::max(feed_.current_at(), current_by_peer_) >= at;
+}
+
 // --- Entries kept through an outage ------------------------------------------
 
 void TargetFollower::OnStoreReachable(bool reachable) {
--- a/relay/target_follower.h
+++ b/relay/target_follower.h
@@ -41,6 +41,14 @@
 // known to leave stays leaving, and peers are notified
 // (fleet/target_registry.h).
 //
+// Currency. A decision that rests on what the list lacks, such as another
+// version of a service, needs a list that is known to be complete:
+// `IsCurrentAt` says whether every change that the store accepted by a time is
+// known here, as shown by the store or by a peer that was asked
+// (relay/state_feed.h), and `complete_since` since when no version can have
+// come and gone unseen. A router that was frozen or cut off learns of its gap
+// only so.
+//
 // The inputs are the store's answers and `OnStoreReachable`; times are the
 // loop's. Without keeping, all targets would seem gone after an outage; if each
 // report extended it, targets that have left would keep getting work.
@@ -61,6 +69,7 @@
 
 #include "fleet/target_registry.h"
 #include "net/loop.h"
+#include "relay/currency_wait_list.h"
 #include "relay/dialect.h"
 #include "relay/state_feed.h"
 
@@ -99,6 +108,17 @@
   // (true).
   void OnStoreReachable(bool reachable);
 
+  // Whether every change that the store accepted by `at` is known here.
+  bool IsCurrentAt(Instant at) const;
+  // Asks the store and peers, and calls `done` with true once
+  // `IsCurrentAt(at)`, or with false if no answer comes. Never calls it from
+  // inside.
+  void AwaitCurrent(Instant at, CurrencyWaitList::Done done) {
+    waits_.Await(at, std::move(done));
+  }
+  // Every target that was listed since this time has been known here.
+  Instant complete_since() const { return complete_since_; }
+
   const TargetRegistry& registry() const { return registry_; }
   // Revision of the latest change in the list; sent to peers.
   StoreRevision revision() const { return feed_.latest_change(); }
@@ -108,6 +128,7 @@
   StateFeed::Handlers StoreHandlers();
   // Called when a peer knows a change of the list at `revision`.
   void OnPeerRevision(StoreRevision revision);
+  void OnMark(const PeerMessage& message);
   void Replace(const std::vector<StoreItem>& items);
   // An entry and the revision at which it was read.
   struct ReadEntry {
@@ -126,9 +147,14 @@
   void DropMissing();
 
   Loop& loop_;
+  const Clock& clock_;
   const SharedStateReader& reader_;
   Handlers on_;
   TargetRegistry registry_;
+  CurrencyWaitList waits_;
+  // As `StateFeed::current_at`, as shown by a peer in a small fleet.
+  Instant current_by_peer_{};
+  Instant complete_since_{};
   StateFeed feed_;
   // Runs while a change that a peer knows is awaited.
   std::unique_ptr<Timer> behind_timer_;
--- a/relay/testing/target_follower_test.cc
+++ b/relay/testing/target_follower_test.cc
@@ -247,5 +247,74 @@
   BOOST_TEST(!Listed("b"));
 }
 
+// --- Currency ----------------------------------------------------------------
+
+// Longer than `AwaitCurrent` waits.
+constexpr Duration kUnanswered = milliseconds(500);
+
+struct CurrencyFixture : Fixture {
+  void Await(Instant at) {
+    follower.AwaitCurrent(at, [this](bool it) { answers.push_back(it); });
+  }
+  void PeerMark(std::int64_t revision, Instant asked_at) {
+    PeerMessage it;
+    it.kind = PeerMessageKind::kMark;
+    it.from = Incarnation("vm-2@1");
+    it.update.feed = FeedName::kTargets;
+    it.update.revision = revision;
+    it.asked_ms = AskedMs(asked_at);
+    follower.OnPeer(it);
+  }
+  std::vector<bool> answers;
+};
+
+// Guards against a decision by a list that was read before the question.
+BOOST_FIXTURE_TEST_CASE(TheListIsCurrentAsOfAnAnsweredCall, CurrencyFixture) {
+  RunFor(loop, milliseconds(20));
+  const Instant now = clock.Now();
+  BOOST_TEST(!follower.IsCurrentAt(now));
+  RunFor(loop, milliseconds(20));
+  Await(now);
+  // The wait that was open before says nothing of `now`, the question does.
+  BOOST_TEST(store.AnswerWait("t/", {StoreEnd::kDone, false, 2, {}}));
+  BOOST_TEST(!follower.IsCurrentAt(now));
+  BOOST_TEST(store.AnswerWait("t/", {StoreEnd::kDone, false, 2, {}}));
+  RunFor(loop, milliseconds(20));
+  BOOST_TEST((answers == std::vector<bool>{true}));
+  BOOST_TEST(follower.IsCurrentAt(now));
+}
+
+BOOST_FIXTURE_TEST_CASE(WithoutAnAnswerTheListIsNotCurrent, CurrencyFixture) {
+  Await(clock.Now());
+  RunFor(loop, kUnanswered);
+  BOOST_TEST((answers == std::vector<bool>{false}));
+}
+
+// While the store doesn't answer, a peer that knows no later change shows the
+// list current, and one that does doesn't.
+BOOST_FIXTURE_TEST_CASE(APeerWithoutLaterChangesShowsItCurrent,
+                        CurrencyFixture) {
+  RunFor(loop, milliseconds(20));
+  const Instant asked_at = clock.Now();
+  // A mark names the time of its question in milliseconds.
+  Await(asked_at - milliseconds(1));
+  PeerMark(3, asked_at);
+  BOOST_TEST(answers.empty());
+  PeerMark(2, asked_at);
+  BOOST_TEST((answers == std::vector<bool>{true}));
+}
+
+// Guards against a version that came and went while this router was away.
+BOOST_FIXTURE_TEST_CASE(ATargetThatWasNeverSeenShowsAGap, Fixture) {
+  const Instant before = follower.complete_since();
+  StoreShows("t/c", "ready", 3);
+  RunFor(loop, kNextWait);
+  StoreRemoves("t/c", 4);
+  BOOST_TEST((follower.complete_since() == before));
+  RunFor(loop, kNextWait);
+  StoreRemoves("t/d", 6);
+  BOOST_TEST((follower.complete_since() > before));
+}
+
 }  // namespace
 }  // namespace quaytrack
