Note a stream's version as soon as its target is known not to have restarted

Callers saw: take-ups refused (version_unknown) though one version serves, where targets state when they started.

Cause: a stream whose target may have started again as another version when its first event comes is never noted, and stays unknown to its end: for 5.6 s after any request that broke or was silent there. Events that go on at the target were no sign of life, only heads were.

Change: while a stream's version is unknown, each event looks again; it stays on its connection, so what is then known of the target holds from its begin. Events of requests that were sent before the loss show that the target didn't restart, unless reading was paused.

--- a/dispatch/target_warmth.h
+++ b/dispatch/target_warmth.h
@@ -94,14 +94,16 @@
   // Forgets that the target may have ended.
   void ForgetLost() { uncertain_until_ = restart_until_ = {}; }
 
-  // Notes that the target answered a request that was sent at `sent_at`.
+  // Notes that the target answered a request that was sent at `sent_at`, or
+  // sent an event of its answer.
   void OnAlive(Instant now, Instant sent_at, Duration cold_start) {
-    if (now >= uncertain_until_) return;
-    if (sent_at >= lost_at_) {
-      uncertain_until_ = {};
-      return OnCold(now, cold_start, ColdSign::kLost);
+    if (sent_at < lost_at_) {
+      if (now - lost_at_ > kInFlightGrace) ForgetLost();
+      return;
     }
-    if (now - lost_at_ > kInFlightGrace) ForgetLost();
+    if (now >= uncertain_until_) return;
+    uncertain_until_ = {};
+    OnCold(now, cold_start, ColdSign::kLost);
   }
 
   // Whether the target may have started again since its entry was written. An
--- a/dispatch/testing/target_warmth_test.cc
+++ b/dispatch/testing/target_warmth_test.cc
@@ -65,6 +65,17 @@
   BOOST_TEST(!it.IsCold(kStart + seconds(1)));
 }
 
+// Guards against streams of unknown version at a target that has answered a
+// later request, and whose earlier streams go on.
+BOOST_AUTO_TEST_CASE(AnEarlierStreamThatGoesOnShowsThatItDidntStartAgain) {
+  TargetWarmth it;
+  it.OnLost(kStart);
+  it.OnAlive(kStart + seconds(1), kStart + milliseconds(500), kColdStart);
+  BOOST_TEST(it.MayHaveRestarted(kStart + seconds(1)));
+  it.OnAlive(kStart + seconds(2), kStart - seconds(2), kColdStart);
+  BOOST_TEST(!it.MayHaveRestarted(kStart + seconds(2)));
+}
+
 // The answer may have been in flight when the target ended.
 BOOST_AUTO_TEST_CASE(AnAnswerThatWasOnItsWayShowsNothing) {
   TargetWarmth it;
--- a/relay/attempt_state.h
+++ b/relay/attempt_state.h
@@ -59,6 +59,8 @@
   bool reported_ran = false;
   // The caller reads too slowly, so reading from the target is paused.
   bool paused = false;
+  // Reading was paused at some time.
+  bool was_paused = false;
   // Of a kept attempt: why another one was begun, and the events read so far.
   AttemptFault kept_for = AttemptFault::kNone;
   EventReader reader;
--- a/relay/relayed_request_attempts.cc
+++ b/relay/relayed_request_attempts.cc
@@ -208,7 +208,8 @@
   EndAllKept();
   context_.reach.OnHeard(attempt_.path, attempt_.choice.target.name);
   const Instant now = context_.clock.Now();
-  if (progress_.events == 0) BindToVersion();
+  NoteAlive(now);
+  if (progress_.events == 0 || !may_go_on_) BindToVersion();
   attempt_.first_event_at ? OnLaterEvents(now) : OnFirstEvent(now);
   if (machine_.state() != RelayState::kStreaming)
     Apply(RelayEvent::kFirstEvent);
@@ -218,6 +219,7 @@
   caller_->WriteChunk(events.bytes);
   if (!attempt_.paused && caller_->Unsent() > kMaxUnsentBytes) {
     attempt_.paused = true;
+    attempt_.was_paused = true;
     attempt_.call->PauseReading();
   }
   // While reading is paused, a missing event says nothing about the target, so
@@ -228,16 +230,16 @@
   if (route.Repeatable()) SetAttemptTimer(NextEventTimeout(route));
 }
 
-// Called before the first event is passed on. From then on the stream belongs
-// to its target's version, also if this router ends and the caller comes back
-// elsewhere.
+// Called before the first event is passed on, and before each later one while
+// the version isn't known: the stream stays on its connection, so a target that
+// turns out not to have started again had the version that it has now. From
+// then on the stream belongs to that version, also if this router ends and the
+// caller comes back elsewhere.
 void RelayedRequest::BindToVersion() {
   const auto version = context_.placement.VersionOf(context_.clock.Now(),
                                                     attempt_.choice.target);
-  if (!version) {
-    may_go_on_ = false;
-    return;
-  }
+  may_go_on_ = version.has_value();
+  if (!version) return;
   admission_.placement.version = version;
   if (!admission_.route->resumable) return;
   const Duration waits =
@@ -246,6 +248,14 @@
   context_.versions.Announce(id(), *version, std::min(waits, longest));
 }
 
+// Events that waited while reading was paused don't show that their target is
+// still there.
+void RelayedRequest::NoteAlive(Instant now) const {
+  const TargetEntry& target = attempt_.choice.target;
+  if (attempt_.was_paused || !context_.placement.IsListed(target)) return;
+  context_.placement.OnAlive(now, target.name, attempt_.sent_at);
+}
+
 void RelayedRequest::OnFirstEvent(Instant now) {
   attempt_.first_event_at = now;
   const Duration waited = now - attempt_.sent_at;
