Let no router that hears nobody guess a stream's version

Callers that name no first try are served by the only listed version while neither the store nor a peer proves the list current. A router that is cut off from both can't tell an outage from its own cut, and may have missed the version that began the stream.

Change: without proof such a caller is served only if a peer said within the last 2.5 s that it knows no later change, or if there is no other router.

--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -132,8 +132,11 @@
   const auto self = shared_from_this();
   if (machine_.state() == RelayState::kEnded) return;
   // Without a first try there is nothing else to go by while the store is away.
-  const bool is_proof = is_current || admission_.facts.first_try.empty();
-  auto version = is_proof ? OnlyVersion() : std::nullopt;
+  const bool agrees =
+      context_.versions.IsAlone() || context_.target_list.AgreesWithPeers();
+  const bool may_decide =
+      is_current || (admission_.facts.first_try.empty() && agrees);
+  auto version = may_decide ? OnlyVersion() : std::nullopt;
   const auto source = version ? VersionSource::kList : VersionSource::kNone;
   TakeUpAt(std::move(version), source);
 }
--- a/relay/target_follower.cc
+++ b/relay/target_follower.cc
@@ -34,6 +34,9 @@
 constexpr Duration kReaderTimeout = std::chrono::milliseconds(1000);
 constexpr Duration kReadInterval = std::chrono::milliseconds(20);
 
+// How long a peer's word on its list holds: two heartbeats.
+constexpr Duration kPeerHeard = std::chrono::milliseconds(2500);
+
 void LogLeaving(const TargetEntry& entry, const char* source) {
   LogEvent(Event::kTargetLeaving,
            {{"target", entry.name.value},
@@ -186,6 +189,7 @@
 void TargetFollower::OnPeer(const PeerMessage& message) {
   feed_.OnPeer(message);
   if (message.kind == PeerMessageKind::kMark) OnMark(message);
+  NotePeerRevision(message.targets_revision);
   OnPeerRevision(message.targets_revision);
   for (const auto& [name, started_at] : message.leaving) {
     MarkLeaving(name, started_at, "peer");
@@ -226,6 +230,17 @@
   waits_.Serve();
 }
 
+void TargetFollower::NotePeerRevision(StoreRevision revision) {
+  if (revision == StoreRevision()) return;
+  peer_revision_ = std::max(peer_revision_, revision);
+  peer_heard_at_ = clock_.Now();
+}
+
+bool TargetFollower::AgreesWithPeers() const {
+  return clock_.Now() - peer_heard_at_ <= kPeerHeard &&
+         feed_.HasRead(peer_revision_);
+}
+
 bool TargetFollower::IsCurrentAt(Instant at) const {
   return era_ && std::max(feed_.current_at(), current_by_peer_) >= at;
 }
--- a/relay/target_follower.h
+++ b/relay/target_follower.h
@@ -116,6 +116,10 @@
   void AwaitCurrent(Instant at, CurrencyWaitList::Done done) {
     waits_.Await(at, std::move(done));
   }
+  // Whether peers have lately said that they know no later change either. That
+  // is no proof, but all that can be known while the store is away for all; a
+  // router that is cut off hears no peer.
+  bool AgreesWithPeers() const;
   // Every target that was listed since this time has been known here.
   Instant complete_since() const { return complete_since_; }
 
@@ -129,6 +133,7 @@
   // Called when a peer knows a change of the list at `revision`.
   void OnPeerRevision(StoreRevision revision);
   void OnMark(const PeerMessage& message);
+  void NotePeerRevision(StoreRevision revision);
   void Replace(const std::vector<StoreItem>& items);
   // An entry and the revision at which it was read.
   struct ReadEntry {
@@ -154,6 +159,9 @@
   CurrencyWaitList waits_;
   // As `StateFeed::current_at`, as shown by a peer in a small fleet.
   Instant current_by_peer_{};
+  // The latest change that a peer knows, and when a peer last named one.
+  StoreRevision peer_revision_;
+  Instant peer_heard_at_{};
   Instant complete_since_{};
   StateFeed feed_;
   // Runs while a change that a peer knows is awaited.
--- a/relay/testing/target_follower_test.cc
+++ b/relay/testing/target_follower_test.cc
@@ -304,6 +304,22 @@
   BOOST_TEST((answers == std::vector<bool>{true}));
 }
 
+// Guards against a decision by the list of a router that is cut off from the
+// store and from its peers, or that they know to be behind.
+BOOST_FIXTURE_TEST_CASE(OnlyPeersThatWereHeardLatelyAgree, CurrencyFixture) {
+  BOOST_TEST(!follower.AgreesWithPeers());
+  PeerKnows(follower, 2);
+  BOOST_TEST(follower.AgreesWithPeers());
+  PeerKnows(follower, 3);
+  PeerKnows(follower, 2);
+  BOOST_TEST(!follower.AgreesWithPeers());
+  RunFor(loop, kCalledAgainBy);
+  StoreShows("t/c", "ready", 3);
+  BOOST_TEST(follower.AgreesWithPeers());
+  RunFor(loop, milliseconds(2600));
+  BOOST_TEST(!follower.AgreesWithPeers());
+}
+
 // Guards against a version that came and went while this router was away.
 BOOST_FIXTURE_TEST_CASE(ATargetThatWasNeverSeenShowsAGap, Fixture) {
   const Instant before = follower.complete_since();
--- a/relay/version_lookup.h
+++ b/relay/version_lookup.h
@@ -72,6 +72,9 @@
   void Find(const RequestId& id, Found found);
   void OnPeer(const PeerMessage& message);
 
+  // Whether there are no other routers, so that each stream began here.
+  bool IsAlone() const { return !on_.has_others(); }
+
   std::size_t size() const { return versions_.size(); }
 
  private:
