Ask a new link what is open for this router, also if a peer asks the same

A question of this router that a peer's question joined was taken for the peer's, so a link that opened meanwhile wasn't asked. Found on reading the whole change.

--- a/relay/version_lookup.cc
+++ b/relay/version_lookup.cc
@@ -67,7 +67,7 @@
   }
   const auto [it, is_new] = questions_.try_emplace(id);
   Question& question = it->second;
-  question.for_other = for_other;
+  question.for_other = for_other && (is_new || question.for_other);
   question.waiting.push_back(std::move(found));
   for (const Incarnation& peer : peers) {
     if (question.unanswered.insert(peer).second)
