--- a/base/cbor.cc
+++ b/base/cbor.cc
@@ -38,7 +38,7 @@
   return major == Major::kBytes || major == Major::kText;
 }
 
-// Reads one value without building it.
+// Reads one value without building it, and without recursion.
 class Scanner {
  public:
   explicit Scanner(std::string_view bytes) : bytes_(bytes) {}
--- a/base/cbor.h
+++ b/base/cbor.h
@@ -33,7 +33,7 @@
   return {bytes.begin(), bytes.end()};
 }
 
-// Containers within each other; quaytrack's own values have far fewer.
+// Maximum nesting of arrays, maps and strings in chunks.
 inline constexpr std::size_t kMaxCborDepth = 32;
 
 // Whether `bytes` are exactly one CBOR value without tags, nested no deeper
--- a/relay/currency_wait_list.h
+++ b/relay/currency_wait_list.h
@@ -1,9 +1,7 @@
 // CurrencyWaitList: callbacks that wait until a copy of the store's state is
 // known to be current.
 //
-//   CurrencyWaitList waits(loop, [this](Instant at) { return IsCurrentAt(at);
-//   },
-//                          [this] { feed_.AskNow(); });
+//   CurrencyWaitList waits(loop, is_current_at, ask);
 //   waits.Await(request.begun, [](bool is_current) {...});
 //   waits.ServeLater();                 // whenever an answer has arrived
 //
