router: let no later attempt deny what an earlier one may have run

Callers saw: target_failed with "ran": "no" for a call that may be repeated and that its first target had run and refused without proof; the second refused it with proof, or none was left.

Cause: what a caller is told was decided by the last attempt, or the refusal after it, alone.

Change: once an attempt may have run the call, every refusal that denies a run becomes outcome_unknown.

Evidence: process_claim_failure_test/AnEarlierAttemptMayHaveRunTheCall failed without the change and passes now, as do the other cases of that test.

--- a/router/forward.h
+++ b/router/forward.h
@@ -117,6 +117,8 @@
   // target reported.
   std::optional<StoredAnswer> replay_;
   Refusal refusal_;
+  // Whether some attempt may have run the call.
+  bool may_have_run_ = false;
 };
 
 }  // namespace quaytrack
--- a/router/forward_attempt_impl.h
+++ b/router/forward_attempt_impl.h
@@ -108,6 +108,7 @@
       kind == AnswerKind::kOverloaded || kind == AnswerKind::kUnproven;
   const bool not_run =
       kind == AnswerKind::kOverloaded || result.end == HttpEnd::kNotSent;
+  may_have_run_ = may_have_run_ || !not_run;
   LogEvent(Event::kTargetFailed, {{"target", target_name_.value},
                                   {"request", basics_.request.value},
                                   {"status", std::to_string(result.status)},
--- a/router/forward_impl.h
+++ b/router/forward_impl.h
@@ -89,6 +89,9 @@
 template <ForwardJob Job>
 void Forward<Job>::Refuse(Refusal refusal) {
   refusal_ = std::move(refusal);
+  // What the last attempt didn't run, an earlier one may have.
+  const bool denies_run = !replay_ && InfoOf(refusal_.code).ran == Ran::kNo;
+  if (may_have_run_ && denies_run) refusal_.code = RefusalCode::kOutcomeUnknown;
   Apply(ForwardEvent::kRefused);
 }
 
--- a/testing/process/claim_failure_test.cc
+++ b/testing/process/claim_failure_test.cc
@@ -85,6 +85,23 @@
   }
 }
 
+// Guards against a promise by the last attempt alone: an earlier one of a call
+// that may be repeated has run it.
+BOOST_FIXTURE_TEST_CASE(AnEarlierAttemptMayHaveRunTheCall, ClaimFixture) {
+  fleet.Control("forms-1", "mode?mode=refuse_after_run&status=503");
+  fleet.Control("forms-2", "mode?mode=refuse");
+  int ran = 0;
+  for (int n = 0; n < 12; ++n) {
+    const std::size_t before = fleet.Executions("service").size();
+    const TestReply it = fleet.Call(
+        fleet.Router(1), RouterFleet::Service(kLakhon, "/read", "{}", ""));
+    if (fleet.Executions("service").size() == before) continue;
+    ++ran;
+    BOOST_TEST(it.Json()["ran"] == "unknown", it.body);
+  }
+  BOOST_TEST(ran > 0);
+}
+
 BOOST_FIXTURE_TEST_CASE(DeadServicesMeanNotRun, ClaimFixture) {
   fleet.Kill("forms-1", SIGKILL);
   fleet.Kill("forms-2", SIGKILL);
