End the run that had a stream before the stream goes on elsewhere

Callers saw nothing of it, their targets did: a router that stood still or lost power left its runs at their targets, whose connections stayed open, and the router at which the callers took the streams up sent them to other targets. Both worked on a stream for as long as the first run lasted.

Cause: witnesses of a stream knew its version and not its run, so nobody could end it. The class: a run that only a router knows which can't end it.

Notes of streams now say where each one runs, and are found by the caller's request, too, where it names no first try.

--- a/base/events.h
+++ b/base/events.h
@@ -122,6 +122,7 @@
   kBudgetReserved = 1421,
   kStreamTakenUp = 1422,
   kBudgetCharged = 1423,
+  kRunStopped = 1424,
 };
 
 struct EventInfo {
@@ -222,6 +223,7 @@
     {Event::kBudgetReserved, LogLevel::kInfo, "budget_reserved"},
     {Event::kStreamTakenUp, LogLevel::kInfo, "stream_taken_up"},
     {Event::kBudgetCharged, LogLevel::kWarn, "budget_charged"},
+    {Event::kRunStopped, LogLevel::kInfo, "run_stopped"},
 });
 
 }  // namespace quaytrack
--- a/dispatch/placement.cc
+++ b/dispatch/placement.cc
@@ -478,6 +478,7 @@
   Rank best_rank;
   for (const auto& [name, state] : targets_) {
     if (!context.IsCandidate(state)) continue;
+    if (request.only && name != *request.only) continue;
     if (request.tried.contains(name)) continue;
     if (!MaySend(now, state)) continue;
     const Rank rank{state.health.IsEjected(now), !IsProbeDue(now, state),
--- a/dispatch/placement.h
+++ b/dispatch/placement.h
@@ -132,6 +132,8 @@
   Residency residency;
   // The only version that the request may go to; unset if any may serve it.
   std::optional<VersionName> version;
+  // The only target that may be chosen; unset if any may.
+  std::optional<TargetName> only;
   // Targets that the request was sent to and that must not be chosen again.
   std::set<TargetName> tried;
 
--- a/dispatch/testing/placement_test.cc
+++ b/dispatch/testing/placement_test.cc
@@ -63,6 +63,23 @@
   }
 }
 
+// Guards against a stream that goes on at another target than the one that has
+// its cache, and at that one although it leaves.
+BOOST_AUTO_TEST_CASE(ABoundRequestGoesToItsTargetOnly) {
+  Placement it(HallName("hall-0"));
+  auto targets = Targets(kDesk, 3);
+  it.SetTargets(kStart, targets);
+  PlacementRequest request;
+  request.service = kDesk;
+  for (const char* name : {"t0", "t1", "t2"}) {
+    request.only = TargetName(name);
+    BOOST_TEST((it.Choose(kStart, request)->target.name == *request.only));
+  }
+  targets[TargetName("t2")].leaving = true;
+  it.SetTargets(kStart, targets);
+  BOOST_TEST(!it.Choose(kStart, request).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(ALeavingOrTriedTargetIsNotChosen) {
   Placement it(HallName("hall-0"));
   auto targets = Targets(kDesk, 3);
--- a/relay/dialect.h
+++ b/relay/dialect.h
@@ -19,8 +19,10 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "base/enum_table.h"
 #include "base/ids.h"
 #include "config/service_map.h"
 #include "dispatch/placement.h"
@@ -28,6 +30,7 @@
 #include "fleet/target_registry.h"
 #include "kv/store.h"
 #include "net/http_message.h"
+#include "relay/stream_versions.h"
 #include "rollout/rollout_chart.h"
 #include "rollout/rollout_order.h"
 
@@ -66,6 +69,41 @@
   // place of the caller's last-event-id header. If empty, that header isn't
   // replaced.
   std::string last_event;
+  // Names the copy of a run's cache from which the target goes on
+  // (`CacheFrom`); empty if there is none.
+  std::string cache_from;
+};
+
+// A run that its target shall end, so that the stream goes on elsewhere.
+struct RunMove {
+  StreamRun run;
+  // "host:port" of the target that gets a copy of the run's cache.
+  std::string destination;
+};
+
+// What has become of a run that a target was told to end.
+enum class RunEnd {
+  kNoAnswer,    // unknown: the target doesn't answer
+  kMoved,       // it has ended, and the destination has its cache
+  kKept,        // it has ended, and only its target has its cache
+  kNotRunning,  // the target doesn't have it
+  kRefused,     // the target doesn't say that it has ended
+};
+
+template <>
+struct EnumTable<RunEnd> {
+  static constexpr auto kEntries =
+      std::to_array<EnumEntry<RunEnd>>({{RunEnd::kNoAnswer, "no_answer"},
+                                        {RunEnd::kMoved, "moved"},
+                                        {RunEnd::kKept, "kept"},
+                                        {RunEnd::kNotRunning, "not_running"},
+                                        {RunEnd::kRefused, "refused"}});
+};
+
+struct StoppedRun {
+  RunEnd end = RunEnd::kNoAnswer;
+  // The target's name for the cache; may be empty.
+  std::string cache;
 };
 
 // What an answer states about rejections that its target bears.
@@ -118,6 +156,17 @@
   virtual std::string Head(const HttpHead& request, const SendFacts& facts,
                            std::size_t body_bytes) const = 0;
   virtual AnswerFacts Read(const HttpHead& head) const = 0;
+
+  // Returns the request that has the run's target end it.
+  virtual std::string MoveRun(const RunMove& move) const = 0;
+  // Reads the answer to that.
+  virtual StoppedRun ReadMove(int status, std::string_view body) const = 0;
+  // Returns the request that frees the copies of a run's cache.
+  virtual std::string DropCache(const StreamRun& run,
+                                const std::string& cache) const = 0;
+  // The value of `SendFacts::cache_from` for the cache of the run.
+  virtual std::string CacheFrom(const StreamRun& run,
+                                const std::string& cache) const = 0;
 };
 
 // Why an item of the store can't be used.
--- a/relay/fingerprint.h
+++ b/relay/fingerprint.h
@@ -13,7 +13,7 @@
 // A fingerprint is 128 bits of SHA-256, so that no caller can find a request
 // with another one's fingerprint. Computing it takes about 1 ms for each
 // megabyte of body, so it is computed only where it is needed
-// (relay/crash_watch.h).
+// (relay/crash_watch.h, and streams that callers may take up).
 
 #ifndef QUAYTRACK_RELAY_FINGERPRINT_H_
 #define QUAYTRACK_RELAY_FINGERPRINT_H_
--- a/relay/peer_messages.cc
+++ b/relay/peer_messages.cc
@@ -291,6 +291,21 @@
   return out;
 }
 
+// A run is sent as its target, the target's address and the request's id.
+Json RunToJson(const StreamRun& run) {
+  return {run.target.value, run.address, run.id.value};
+}
+
+std::optional<StreamRun> RunFromJson(const Json& json) {
+  if (json.is_null()) return std::nullopt;
+  StreamRun out{TargetName(json.at(0).get<std::string>()),
+                json.at(1).get<std::string>(),
+                RequestId(json.at(2).get<std::string>())};
+  const bool is_whole =
+      !out.target.empty() && !out.address.empty() && !out.id.empty();
+  return is_whole ? std::optional(std::move(out)) : std::nullopt;
+}
+
 bool CarriesUpdate(PeerMessageKind kind) {
   return kind == PeerMessageKind::kUpdate || kind == PeerMessageKind::kState ||
          kind == PeerMessageKind::kStateRequest ||
@@ -370,6 +385,8 @@
   out.for_other = json.value("for_other", false);
   out.keep_for = std::chrono::milliseconds(std::clamp<std::int64_t>(
       json.value("keep_ms", std::int64_t{0}), 0, kMaxKeepMs));
+  out.run = RunFromJson(json.value("run", Json()));
+  out.fingerprint = Fingerprint(json.value("fingerprint", ""));
   out.asked_ms = json.value("asked", std::int64_t{0});
   out.target = TargetName(json.value("target", ""));
   out.item_key = json.value("key", "");
@@ -453,6 +470,9 @@
   if (message.keep_for > Duration::zero()) {
     json["keep_ms"] = AgeToJson(message.keep_for);
   }
+  if (message.run) json["run"] = RunToJson(*message.run);
+  if (!message.fingerprint.empty())
+    json["fingerprint"] = message.fingerprint.value;
   if (message.kind == PeerMessageKind::kPromptSent) {
     json["target"] = message.target.value;
   }
--- a/relay/peer_messages.h
+++ b/relay/peer_messages.h
@@ -32,6 +32,7 @@
 #include "fleet/closed_halls.h"
 #include "fleet/target_registry.h"
 #include "relay/feed_news.h"
+#include "relay/stream_versions.h"
 #include "rollout/rollout.h"
 
 namespace quaytrack {
@@ -54,8 +55,8 @@
   kState,            // a page of the answer
   kMarkRequest,      // asks how current the receiver is on a feed
   kMark,             // the answer: `update` without changes
-  kStreamBegan,      // at which version a stream began
-  kVersionRequest,   // asks at which version a stream began
+  kStreamBegan,      // at which version a stream began, and where it runs
+  kVersionRequest,   // asks for the same
   kVersion,          // the answer
   kCrashes,          // crashes of targets that the sender observed
   kRateLimits,       // rate limits that targets have announced
@@ -179,6 +180,12 @@
   bool for_other = false;
   // kStreamBegan: how long the stream's caller may come back.
   Duration keep_for{};
+  // kStreamBegan, kVersion: the run that has the stream; unset if unknown, as
+  // in messages of earlier builds.
+  std::optional<StreamRun> run;
+  // kStreamBegan, kVersion: what the tries of the stream's caller have in
+  // common. kVersionRequest: asks by this; `request` then repeats it.
+  Fingerprint fingerprint;
   // kPromptSent: the engine that the prompt was sent to.
   TargetName target;
   // kConfig, kCrashes: key and value of the store's item; for kCrashes the
--- a/relay/relay_context.h
+++ b/relay/relay_context.h
@@ -29,6 +29,7 @@
 class CrashWatch;
 class ReachDriver;
 class RolloutDriver;
+class RunStopper;
 class TargetFollower;
 class VersionLookup;
 
@@ -58,6 +59,7 @@
   CrashWatch& crashes;
   RolloutDriver& rollouts;
   VersionLookup& versions;
+  RunStopper& run_stops;
   RelayMetrics& metrics;
   const PlannedStop& stop;
   std::function<void(const SentPrompt& sent)> announce_prompt;
--- a/relay/relay_metrics.cc
+++ b/relay/relay_metrics.cc
@@ -28,6 +28,10 @@
                        .Name("quaytrack_streams_cut_total")
                        .Help("Streams cut short, by who did it and why")
                        .Register(registry_)),
+      runs_stopped_(prometheus::BuildCounter()
+                        .Name("quaytrack_runs_stopped_total")
+                        .Help("Runs that targets were told to end, by result")
+                        .Register(registry_)),
       first_byte_(prometheus::BuildHistogram()
                       .Name("quaytrack_first_byte_seconds")
                       .Help("From a request's first byte to its first event")
@@ -82,6 +86,10 @@
       .Increment();
 }
 
+void RelayMetrics::CountRunStopped(std::string_view end) {
+  runs_stopped_.Add({{"end", std::string(end)}}).Increment();
+}
+
 void RelayMetrics::CountAttemptFault(std::string_view fault) {
   attempt_faults_.Add({{"fault", std::string(fault)}}).Increment();
 }
--- a/relay/relay_metrics.h
+++ b/relay/relay_metrics.h
@@ -14,6 +14,8 @@
 //                                  the time expected when its engine was chosen
 //   quaytrack_sends_held_back_total
 //                                  sends stopped before anything was written
+//   quaytrack_runs_stopped_total   runs that targets were told to end, by what
+//                                  became of them (relay/dialect.h)
 //   quaytrack_state                gauges of the router, by name
 //
 //   metrics.CountEnd(customer, NameOf(cause), took);
@@ -56,6 +58,8 @@
   void CountCutStream(std::string_view by, std::string_view why);
   void CountRetry() { retries_->Increment(); }
   void CountKept() { kept_->Increment(); }
+  // A target was told to end a run; `end` says what it answered.
+  void CountRunStopped(std::string_view end);
   void CountHeldBack() { held_back_->Increment(); }
   void SetGauge(const std::string& name, double value);
 
@@ -72,6 +76,7 @@
   prometheus::Family<prometheus::Counter>& ends_;
   prometheus::Family<prometheus::Counter>& attempt_faults_;
   prometheus::Family<prometheus::Counter>& cut_streams_;
+  prometheus::Family<prometheus::Counter>& runs_stopped_;
   prometheus::Family<prometheus::Histogram>& first_byte_;
   prometheus::Family<prometheus::Histogram>& total_;
   prometheus::Histogram* over_expected_;
--- a/relay/relay_router.h
+++ b/relay/relay_router.h
@@ -64,6 +64,7 @@
 #include "relay/relay_settings.h"
 #include "relay/retry.h"
 #include "relay/rollout_driver.h"
+#include "relay/run_stopper.h"
 #include "relay/running_requests.h"
 #include "relay/target_follower.h"
 #include "relay/version_lookup.h"
@@ -157,6 +158,7 @@
   CrashWatch crashes_;
   RolloutDriver rollouts_;
   VersionLookup versions_;
+  RunStopper run_stops_;
   PeerMesh peers_;
   RetryShares retries_;
   RunningRequests requests_;
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -7,8 +7,6 @@
 #include "relay/budget_driver.h"
 #include "relay/config_follower.h"
 #include "relay/reach_driver.h"
-#include "relay/target_follower.h"
-#include "relay/version_lookup.h"
 
 namespace quaytrack {
 namespace {
@@ -85,70 +83,7 @@
   context_.retries.OnRequest(context_.clock.Now(), admission_.service->name);
   const bool takes_up = admission_.route->kind == RouteKind::kStreaming &&
                         admission_.facts.takes_up;
-  takes_up ? FindVersion() : Hold();
-}
-
-void RelayedRequest::FindVersion() {
-  const RequestId& first_try = admission_.facts.first_try;
-  const auto found =
-      [self = shared_from_this()](const std::optional<VersionName>& version) {
-        self->OnVersionFound(version);
-      };
-  if (first_try.empty()) {
-    return context_.loop.Post([found] { found(std::nullopt); });
-  }
-  context_.versions.Find(first_try, found);
-}
-
-void RelayedRequest::OnVersionFound(std::optional<VersionName> version) {
-  const auto self = shared_from_this();
-  if (machine_.state() == RelayState::kEnded) return;
-  if (version) return TakeUpAt(std::move(version), VersionSource::kNote);
-  // Waiting can't make a version the only one.
-  if (!OnlyVersion()) return TakeUpAt(std::nullopt, VersionSource::kNone);
-  context_.target_list.AwaitCurrent(request_.begun, [self](bool is_current) {
-    self->OnListAsked(is_current);
-  });
-}
-
-// The version at which every stream of the service began, by the list of
-// targets as it is known here.
-std::optional<VersionName> RelayedRequest::OnlyVersion() const {
-  const Instant now = context_.clock.Now();
-  // A caller that names no first try knows nothing of versions, so it comes
-  // from a deployment that has had one.
-  const Duration min_time = admission_.facts.first_try.empty()
-                                ? Duration::zero()
-                                : Placement::kMaxStreamAge;
-  if (now - context_.target_list.complete_since() < min_time)
-    return std::nullopt;
-  return context_.placement.OnlyVersion(now, admission_.service->name,
-                                        min_time);
-}
-
-// Called when the store or a peer has shown the present list of targets, or
-// none has answered.
-void RelayedRequest::OnListAsked(bool is_current) {
-  const auto self = shared_from_this();
-  if (machine_.state() == RelayState::kEnded) return;
-  // Without a first try there is nothing else to go by while the store is away.
-  const bool agrees =
-      context_.versions.IsAlone() || context_.target_list.AgreesWithPeers();
-  const bool may_decide =
-      is_current || (admission_.facts.first_try.empty() && agrees);
-  auto version = may_decide ? OnlyVersion() : std::nullopt;
-  const auto source = version ? VersionSource::kList : VersionSource::kNone;
-  TakeUpAt(std::move(version), source);
-}
-
-void RelayedRequest::TakeUpAt(std::optional<VersionName> version,
-                              VersionSource source) {
-  LogStreamTakenUp(admission_, version, source);
-  if (!version) return GiveUp(Ran::kNo, RelayCause::kVersionUnknown);
-  if (!context_.placement.HasVersion(admission_.service->name, *version))
-    return GiveUp(Ran::kNo, RelayCause::kVersionGone);
-  admission_.placement.version = std::move(version);
-  Hold();
+  takes_up ? FindStream() : Hold();
 }
 
 void RelayedRequest::Apply(RelayEvent event) {
@@ -199,6 +134,14 @@
   }
 }
 
+std::shared_ptr<RelayedRequest> RunningRequests::Find(
+    const RequestId& id) const {
+  const auto it = std::find_if(all_.begin(), all_.end(), [&](const auto& that) {
+    return that->id() == id;
+  });
+  return it == all_.end() ? nullptr : *it;
+}
+
 std::size_t RunningRequests::CountStartedBefore(Instant time) const {
   return static_cast<std::size_t>(std::count_if(
       all_.begin(), all_.end(),
@@ -271,8 +214,8 @@
   }
   if (!may_go_on_)
     return GiveUpUnlessKept(Ran::kNo, RelayCause::kVersionUnknown);
-  const auto choice =
-      context_.placement.Choose(context_.clock.Now(), admission_.placement);
+  if (earlier_run_) return StopEarlierRun();
+  const auto choice = ChooseTarget();
   if (!choice && kept_.empty() && AwaitsProbes()) {
     probes_timer_ =
         context_.loop.After(kProbesCheckInterval, [this] { Choose(); });
@@ -289,6 +232,18 @@
   Apply(RelayEvent::kTargetChosen);
 }
 
+// A request that is bound to one target goes to another if that one may not get
+// it.
+std::optional<PlacementChoice> RelayedRequest::ChooseTarget() {
+  const Instant now = context_.clock.Now();
+  PlacementRequest& request = admission_.placement;
+  auto out = context_.placement.Choose(now, request);
+  if (out || !request.only) return out;
+  request.only.reset();
+  DropEarlierCache();
+  return context_.placement.Choose(now, request);
+}
+
 RelayCause RelayedRequest::CauseOfNoChoice() const {
   if (progress_.sends > 0) return RelayCause::kTurnedAway;
   const Placement& placement = context_.placement;
@@ -375,6 +330,7 @@
 void RelayedRequest::End(Ran ran) {
   StopAttempt(outcome_);
   EndAllKept();
+  DropEarlierCache();
   overlap_timer_.reset();
   deadline_timer_.reset();
   probes_timer_.reset();
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -49,7 +49,9 @@
 //     (`EvaluateAttempt`, `AbortStream`).
 //   - The final answer is sent at once when the request is given up (`GiveUp`).
 //   - A stream goes on only at the version that began it, in this answer
-//     (`BindToVersion`) and if its caller takes it up (`FindVersion`).
+//     (`BindToVersion`) and if its caller takes it up (`FindStream`); the run
+//     that had it is ended first, if its target can be reached
+//     (`StopEarlierRun`).
 //   - A hold on the budget is settled once (`End`).
 
 #ifndef QUAYTRACK_RELAY_RELAYED_REQUEST_H_
@@ -78,6 +80,7 @@
 #include "relay/request_cost.h"
 #include "relay/request_log.h"
 #include "relay/retry.h"
+#include "relay/stream_versions.h"
 
 namespace quaytrack {
 
@@ -120,15 +123,26 @@
   bool MayTrust(RelayCause refused) const;
   void OnConfigAsked(bool is_current);
   void Begin();
-  void FindVersion();
-  void OnVersionFound(std::optional<VersionName> version);
+
+  // Streams that callers take up (relayed_request_take_up.cc).
+  void FindStream();
+  void OnStreamFound(const std::optional<StreamNote>& note);
   std::optional<VersionName> OnlyVersion() const;
   void OnListAsked(bool is_current);
   void TakeUpAt(std::optional<VersionName> version, VersionSource source);
   void BindToVersion();
+  void AnnounceRun();
+  Fingerprint StreamKey();
+  void NoteEarlierRun(const StreamRun& run);
+  void StopEarlierRun();
+  void OnEarlierRunStopped(const TargetName& next, const StoppedRun& stopped);
+  void DropEarlierCache();
+  void StopRunAt(const TargetEntry& target) const;
+
   void NoteAlive(Instant now) const;
   void Hold();
   void Choose();
+  std::optional<PlacementChoice> ChooseTarget();
   RelayCause CauseOfNoChoice() const;
   bool IsBlamed();
   void RefuseBlamed();
@@ -194,6 +208,7 @@
   void LimitOverlap();
   void OnOverlapOver();
   void EndSilentKept();
+  void StopCurrentForKept();
   void MakeCurrent(int number);
   void GiveUpUnlessKept(Ran ran, RelayCause cause);
 
@@ -234,6 +249,14 @@
   // Outcome of the current attempt, as reported to the placement.
   PlacementOutcome outcome_ = PlacementOutcome::kNeutral;
 
+  // The run that had the stream which the caller takes up, until it is known
+  // to have ended; and whether its target has been asked.
+  std::optional<StreamRun> earlier_run_;
+  bool is_stopping_run_ = false;
+  // The run that was ended, and its cache until something goes on from it.
+  StreamRun stopped_run_;
+  std::string earlier_cache_;
+
   // Peers that refused the request a tunnel, couldn't be reached, or broke it
   // off.
   std::set<VmName> tried_peers_;
--- a/relay/relayed_request_attempts.cc
+++ b/relay/relayed_request_attempts.cc
@@ -7,7 +7,6 @@
 #include "relay/reach_driver.h"
 #include "relay/relayed_request.h"
 #include "relay/rollout_driver.h"
-#include "relay/version_lookup.h"
 
 namespace quaytrack {
 namespace {
@@ -32,6 +31,7 @@
 
 void RelayedRequest::Send() {
   const TargetName& target = attempt_.choice.target.name;
+  admission_.placement.only.reset();
   ++progress_.sends;
   admission_.placement.tried.insert(target);
   attempt_.number = ++attempts_;
@@ -88,6 +88,8 @@
       admission_.customer_priority * kRouteLevels + admission_.route->priority;
   const bool resumes = machine_.state() == RelayState::kResuming;
   if (resumes) facts.last_event = events_.last_id();
+  facts.cache_from = context_.target_dialect.CacheFrom(
+      stopped_run_, std::exchange(earlier_cache_, {}));
   TargetCall out;
   out.address = attempt_.choice.target.address;
   out.bytes =
@@ -209,7 +211,11 @@
   context_.reach.OnHeard(attempt_.path, attempt_.choice.target.name);
   const Instant now = context_.clock.Now();
   NoteAlive(now);
-  if (progress_.events == 0 || !may_go_on_) BindToVersion();
+  if (progress_.events == 0 || !may_go_on_) {
+    BindToVersion();
+  } else if (!attempt_.first_event_at) {
+    AnnounceRun();
+  }
   attempt_.first_event_at ? OnLaterEvents(now) : OnFirstEvent(now);
   if (machine_.state() != RelayState::kStreaming)
     Apply(RelayEvent::kFirstEvent);
@@ -230,24 +236,6 @@
   if (route.Repeatable()) SetAttemptTimer(NextEventTimeout(route));
 }
 
-// Called before the first event is passed on, and before each later one while
-// the version isn't known: the stream stays on its connection, so a target that
-// turns out not to have started again had the version that it has now. From
-// then on the stream belongs to that version, also if this router ends and the
-// caller comes back elsewhere.
-void RelayedRequest::BindToVersion() {
-  const auto version = context_.placement.VersionOf(context_.clock.Now(),
-                                                    attempt_.choice.target);
-  may_go_on_ = version.has_value();
-  if (!version) return;
-  admission_.placement.version = version;
-  if (!admission_.route->resumable) return;
-  const Duration waits =
-      admission_.facts.time_left.value_or(admission_.route->timeout);
-  const Duration longest = Placement::kMaxStreamAge;
-  context_.versions.Announce(id(), *version, std::min(waits, longest));
-}
-
 // Events that waited while reading was paused don't show that their target is
 // still there.
 void RelayedRequest::NoteAlive(Instant now) const {
--- a/relay/request_log.cc
+++ b/relay/request_log.cc
@@ -85,13 +85,17 @@
 
 void LogStreamTakenUp(const Admission& admission,
                       const std::optional<VersionName>& version,
-                      VersionSource source) {
+                      VersionSource source,
+                      const std::optional<StreamRun>& run) {
+  const StreamRun earlier = run.value_or(StreamRun());
   LogEvent(Event::kStreamTakenUp,
            {{"request", admission.facts.id.value},
             {"first", admission.facts.first_try.value},
             {"known", version ? "yes" : "no"},
             {"by", std::string(NameOf(source))},
-            {"version", version.value_or(VersionName()).value}});
+            {"version", version.value_or(VersionName()).value},
+            {"run", earlier.id.value},
+            {"target", earlier.target.value}});
 }
 
 void LogSendHeldBack(const RequestId& id, const TargetEntry& target) {
--- a/relay/request_log.h
+++ b/relay/request_log.h
@@ -28,6 +28,7 @@
 #include "relay/final_answer.h"
 #include "relay/ran.h"
 #include "relay/relay_chart.h"
+#include "relay/stream_versions.h"
 
 namespace quaytrack {
 
@@ -109,11 +110,12 @@
                                                {VersionSource::kNone, "none"}});
 };
 
-// Logs a request whose caller takes a stream up, and the version that began it;
-// unset if nothing shows it.
+// Logs a request whose caller takes a stream up, the version that began it, and
+// the run that had the stream; both are unset if nothing shows them.
 void LogStreamTakenUp(const Admission& admission,
                       const std::optional<VersionName>& version,
-                      VersionSource source);
+                      VersionSource source,
+                      const std::optional<StreamRun>& run);
 
 // Logs a request that was not written to a target, as the target may no longer
 // receive work.
--- a/relay/running_requests.h
+++ b/relay/running_requests.h
@@ -14,6 +14,7 @@
 #include <set>
 
 #include "base/clock.h"
+#include "base/ids.h"
 
 namespace quaytrack {
 
@@ -29,6 +30,8 @@
   void ForEach(Action&& action) const {
     for (const auto& it : all_) action(*it);
   }
+  // Returns the request with the id; null if there is none.
+  std::shared_ptr<RelayedRequest> Find(const RequestId& id) const;
   // Counts the requests whose first byte arrived before `time`.
   std::size_t CountStartedBefore(Instant time) const;
   bool empty() const { return all_.empty(); }
--- a/relay/testing/peer_messages_test.cc
+++ b/relay/testing/peer_messages_test.cc
@@ -402,5 +402,30 @@
   BOOST_TEST((it->retry_after == Duration::zero()));
 }
 
+BOOST_AUTO_TEST_CASE(RunsOfStreamsKeepTheirForm) {
+  PeerMessage it = Message(PeerMessageKind::kStreamBegan);
+  it.request = RequestId("s-1");
+  it.version = VersionName("v1");
+  it.keep_for = std::chrono::milliseconds(9000);
+  it.run = StreamRun{TargetName("e-1"), "10.0.0.9:80", RequestId("s-1-2")};
+  it.fingerprint = Fingerprint("5c1e");
+  Check(it, R"({"kind": "stream_began", "from": "vm1@1", "request": "s-1",
+                "version": "v1", "keep_ms": 9000, "fingerprint": "5c1e",
+                "run": ["e-1", "10.0.0.9:80", "s-1-2"]})");
+}
+
+// Guards against a call to no address, for a run of which a part is missing.
+BOOST_AUTO_TEST_CASE(ARunWithoutAPartIsNone) {
+  for (const char* run : {R"(["", "10.0.0.9:80", "s"])", R"(["e", "", "s"])",
+                          R"(["e", "10.0.0.9:80", ""])"}) {
+    Json json = {{"kind", "stream_began"}, {"from", "vm1@1"}};
+    json["run"] = Json::parse(run);
+    const auto bytes = Json::to_cbor(json);
+    const auto it = DecodePeerMessage(std::string(bytes.begin(), bytes.end()));
+    BOOST_REQUIRE(it.has_value());
+    BOOST_TEST(!it->run.has_value());
+  }
+}
+
 }  // namespace
 }  // namespace quaytrack
--- a/relay/testing/version_lookup_test.cc
+++ b/relay/testing/version_lookup_test.cc
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "testing/run_for.h"
@@ -22,6 +23,10 @@
 const RequestId kStream("s-1");
 const VersionName kV1("v1");
 const VersionName kV2("v2");
+const Fingerprint kRequest("5c1e07a2-bb");
+const StreamRun kFirstRun{TargetName("e-1"), "10.0.0.1:80", kStream};
+const StreamRun kSecondRun{TargetName("e-2"), "10.0.0.2:80",
+                           RequestId("s-1-2")};
 
 class FakeClock final : public Clock {
  public:
@@ -117,14 +122,27 @@
     loop.Run();
   }
   void Begin(Node& node, const RequestId& id, const VersionName& version) {
-    node.lookup->Announce(id, version, seconds(12));
+    BeginNote(node, id, {version, {}, {}});
+  }
+  void BeginNote(Node& node, const RequestId& id, const StreamNote& note) {
+    node.lookup->Announce(id, note, seconds(12));
     DeliverAll();
   }
-  void Ask(Node& node) {
+  VersionLookup::Found Answer() {
     answers.clear();
-    node.lookup->Find(kStream, [this](std::optional<VersionName> it) {
-      answers.push_back(std::move(it));
-    });
+    notes.clear();
+    return [this](const std::optional<StreamNote>& it) {
+      answers.push_back(it ? std::optional(it->version) : std::nullopt);
+      notes.push_back(it);
+    };
+  }
+  void Ask(Node& node) {
+    node.lookup->Find(kStream, Answer());
+    DeliverAll();
+    Turn();
+  }
+  void AskByRequest(Node& node) {
+    node.lookup->FindRequest(kRequest, Answer());
     DeliverAll();
     Turn();
   }
@@ -135,6 +153,8 @@
   bool has_others = true;
   std::list<Sent> sent;
   std::vector<std::optional<VersionName>> answers;
+  // The same answers, with all that is known.
+  std::vector<std::optional<StreamNote>> notes;
 };
 
 BOOST_FIXTURE_TEST_CASE(AnyRouterOfEitherHallFindsIt, Fixture) {
@@ -228,12 +248,66 @@
   const Instant now{std::chrono::hours(1)};
   const int count = static_cast<int>(StreamVersions::kMaxNotes) + 10;
   for (int n = 0; n < count; ++n) {
-    versions.Note(now, RequestId(std::to_string(n)), kV1,
+    versions.Note(now, RequestId(std::to_string(n)),
+                  {kV1, {}, Fingerprint(std::to_string(n))},
                   now + seconds(10) + milliseconds(n));
   }
   BOOST_TEST(versions.size() == StreamVersions::kMaxNotes);
   BOOST_TEST(!versions.Find(now, RequestId("9")));
-  BOOST_TEST((versions.Find(now, RequestId("10")) == kV1));
+  BOOST_TEST(!versions.FindRequest(now, Fingerprint("9")));
+  BOOST_REQUIRE(versions.Find(now, RequestId("10")).has_value());
+  BOOST_TEST((versions.Find(now, RequestId("10"))->version == kV1));
+  BOOST_TEST(versions.FindRequest(now, Fingerprint("10")).has_value());
+}
+
+// Guards against a run that can't be ended, as no router knows its target:
+// callers name the first try, or only repeat their request.
+BOOST_FIXTURE_TEST_CASE(AnyRouterFindsTheRunByIdAndByRequest, Fixture) {
+  BeginNote(At(0, 3), kStream, {kV1, kFirstRun, kRequest});
+  At(0, 3).is_down = true;
+  for (const int hall : {0, 1}) {
+    for (const int n : {0, 1, 2}) {
+      Ask(At(hall, n));
+      BOOST_REQUIRE((notes.size() == 1U && notes.front()));
+      BOOST_TEST((notes.front()->run == kFirstRun));
+      AskByRequest(At(hall, n));
+      BOOST_REQUIRE((notes.size() == 1U && notes.front()));
+      BOOST_TEST((notes.front()->run == kFirstRun));
+    }
+  }
+}
+
+// Guards against ending a run that has ended already, in place of the one that
+// has the stream since.
+BOOST_FIXTURE_TEST_CASE(TheLatestRunIsFound, Fixture) {
+  BeginNote(At(0, 3), kStream, {kV1, kFirstRun, kRequest});
+  BeginNote(At(0, 2), kSecondRun.id, {kV1, kSecondRun, kRequest});
+  BeginNote(At(0, 2), kStream, {kV2, kSecondRun, kRequest});
+  for (Node* it : {&At(0, 1), &At(1, 3)}) {
+    Ask(*it);
+    BOOST_REQUIRE((notes.size() == 1U && notes.front()));
+    BOOST_TEST((notes.front()->run == kSecondRun));
+    BOOST_TEST((notes.front()->version == kV1));
+    AskByRequest(*it);
+    BOOST_REQUIRE((notes.size() == 1U && notes.front()));
+    BOOST_TEST((notes.front()->run == kSecondRun));
+  }
+}
+
+// Guards against callers that wait for peers of earlier builds, which know
+// streams by their ids only and repeat what they were asked for.
+BOOST_FIXTURE_TEST_CASE(APeerOfAnEarlierBuildKnowsNoRequest, Fixture) {
+  Node& node = At(0, 2);
+  node.lookup->FindRequest(kRequest, Answer());
+  for (const Sent& it : std::exchange(sent, {})) {
+    PeerMessage answer;
+    answer.kind = PeerMessageKind::kVersion;
+    answer.from = it.to;
+    answer.request = it.message.request;
+    node.lookup->OnPeer(answer);
+  }
+  BOOST_REQUIRE(notes.size() == 1U);
+  BOOST_TEST(!notes.front().has_value());
 }
 
 }  // namespace
--- a/relay/version_lookup.cc
+++ b/relay/version_lookup.cc
@@ -4,30 +4,63 @@
 #include <utility>
 
 namespace quaytrack {
+namespace {
 
-void VersionLookup::Announce(const RequestId& id, const VersionName& version,
+void FillNote(const StreamNote& note, PeerMessage& out) {
+  out.version = note.version;
+  out.fingerprint = note.request;
+  out.run = note.run;
+}
+
+StreamNote NoteIn(const PeerMessage& message) {
+  return {message.version, message.run, message.fingerprint};
+}
+
+}  // namespace
+
+// Questions by the request carry it in place of an id as well, which peers of
+// earlier builds repeat in their answers.
+VersionLookup::Subject VersionLookup::SubjectOf(const PeerMessage& message) {
+  Subject out;
+  if (message.request.value == message.fingerprint.value) {
+    out.request = message.fingerprint;
+  } else {
+    out.id = message.request;
+  }
+  return out;
+}
+
+std::optional<StreamNote> VersionLookup::NoteOf(const Subject& subject) {
+  const Instant now = clock_.Now();
+  return subject.request.empty() ? versions_.Find(now, subject.id)
+                                 : versions_.FindRequest(now, subject.request);
+}
+
+void VersionLookup::Announce(const RequestId& id, const StreamNote& note,
                              Duration time_left) {
   const Instant now = clock_.Now();
-  versions_.NoteOwn(now, id, version, now + time_left);
+  versions_.NoteOwn(now, id, note, now + time_left);
   for (const Incarnation& it : on_.witnesses())
-    SendBegan(it, id, version, time_left);
+    SendBegan(it, id, note, time_left);
 }
 
 void VersionLookup::SendBegan(const Incarnation& peer, const RequestId& id,
-                              const VersionName& version, Duration keep_for) {
+                              const StreamNote& note, Duration keep_for) {
   PeerMessage out;
   out.kind = PeerMessageKind::kStreamBegan;
   out.request = id;
-  out.version = version;
+  FillNote(note, out);
   out.keep_for = keep_for;
   on_.send(peer, out);
 }
 
-void VersionLookup::SendRequest(const Incarnation& peer, const RequestId& id,
+void VersionLookup::SendRequest(const Incarnation& peer, const Subject& subject,
                                 bool for_other) {
   PeerMessage out;
   out.kind = PeerMessageKind::kVersionRequest;
-  out.request = id;
+  out.request =
+      subject.request.empty() ? subject.id : RequestId(subject.request.value);
+  out.fingerprint = subject.request;
   out.for_other = for_other;
   on_.send(peer, out);
 }
@@ -40,50 +73,57 @@
   const Instant now = clock_.Now();
   if (is_in(on_.witnesses())) {
     versions_.ForEachOwn(
-        now, [&](const RequestId& id, const VersionName& version,
-                 Instant until) { SendBegan(peer, id, version, until - now); });
+        now, [&](const RequestId& id, const StreamNote& note, Instant until) {
+          SendBegan(peer, id, note, until - now);
+        });
   }
   if (!is_in(on_.to_ask())) return;
-  for (auto& [id, question] : questions_) {
+  for (auto& [subject, question] : questions_) {
     if (question.for_other) continue;
     question.unanswered.insert(peer);
-    SendRequest(peer, id, false);
+    SendRequest(peer, subject, false);
   }
 }
 
 void VersionLookup::Find(const RequestId& id, Found found) {
-  if (const auto version = versions_.Find(clock_.Now(), id)) {
-    return loop_.Post([found = std::move(found), version] { found(version); });
+  Look({id, {}}, std::move(found));
+}
+
+void VersionLookup::FindRequest(const Fingerprint& request, Found found) {
+  Look({{}, request}, std::move(found));
+}
+
+void VersionLookup::Look(const Subject& subject, Found found) {
+  if (const auto note = NoteOf(subject)) {
+    return loop_.Post([found = std::move(found), note] { found(note); });
   }
-  Ask(id, on_.to_ask(), kAnswerTime, false, std::move(found));
+  Ask(subject, on_.to_ask(), kAnswerTime, false, std::move(found));
 }
 
-void VersionLookup::Ask(const RequestId& id,
+void VersionLookup::Ask(const Subject& subject,
                         const std::vector<Incarnation>& peers, Duration time,
                         bool for_other, Found found) {
   const bool awaits_link = !for_other && on_.has_others();
   if (peers.empty() && !awaits_link) {
     return loop_.Post([found = std::move(found)] { found(std::nullopt); });
   }
-  const auto [it, is_new] = questions_.try_emplace(id);
+  const auto [it, is_new] = questions_.try_emplace(subject);
   Question& question = it->second;
   question.for_other = for_other && (is_new || question.for_other);
   question.waiting.push_back(std::move(found));
   for (const Incarnation& peer : peers) {
     if (question.unanswered.insert(peer).second)
-      SendRequest(peer, id, for_other);
+      SendRequest(peer, subject, for_other);
   }
   if (!is_new) return;
-  question.timer = loop_.After(time, [this, id] { End(id, std::nullopt); });
+  question.timer =
+      loop_.After(time, [this, subject] { End(subject, std::nullopt); });
 }
 
 void VersionLookup::OnPeer(const PeerMessage& message) {
-  const Instant now = clock_.Now();
   switch (message.kind) {
     case PeerMessageKind::kStreamBegan:
-      versions_.Note(now, message.request, message.version,
-                     now + message.keep_for);
-      return End(message.request, versions_.Find(now, message.request));
+      return OnBegan(message);
     case PeerMessageKind::kVersionRequest:
       return OnRequest(message);
     case PeerMessageKind::kVersion:
@@ -95,37 +135,49 @@
   }
 }
 
+void VersionLookup::OnBegan(const PeerMessage& message) {
+  const Instant now = clock_.Now();
+  versions_.Note(now, message.request, NoteIn(message), now + message.keep_for);
+  for (const Subject& it :
+       {Subject{message.request, {}}, Subject{{}, message.fingerprint}}) {
+    End(it, NoteOf(it));
+  }
+}
+
 void VersionLookup::OnRequest(const PeerMessage& message) {
+  const Subject subject = SubjectOf(message);
   const auto answer = [this, to = message.from, id = message.request](
-                          const std::optional<VersionName>& version) {
+                          const std::optional<StreamNote>& note) {
     PeerMessage out;
     out.kind = PeerMessageKind::kVersion;
+    if (note) FillNote(*note, out);
     out.request = id;
-    out.is_known = version.has_value();
-    out.version = version.value_or(VersionName());
+    out.is_known = note.has_value();
     on_.send(to, out);
   };
-  const auto version = versions_.Find(clock_.Now(), message.request);
-  if (version || message.for_other) return answer(version);
-  Ask(message.request, on_.to_ask_for_others(), kForwardedTime, true, answer);
+  const auto note = NoteOf(subject);
+  if (note || message.for_other) return answer(note);
+  Ask(subject, on_.to_ask_for_others(), kForwardedTime, true, answer);
 }
 
 void VersionLookup::OnAnswer(const PeerMessage& message) {
-  const auto it = questions_.find(message.request);
+  auto it = questions_.find({message.request, {}});
+  if (it == questions_.end())
+    it = questions_.find({{}, Fingerprint(message.request.value)});
   if (it == questions_.end()) return;
-  if (message.is_known) return End(message.request, message.version);
+  if (message.is_known) return End(it->first, NoteIn(message));
   it->second.unanswered.erase(message.from);
-  if (it->second.unanswered.empty()) End(message.request, std::nullopt);
+  if (it->second.unanswered.empty()) End(it->first, std::nullopt);
 }
 
-void VersionLookup::End(const RequestId& id,
-                        const std::optional<VersionName>& version) {
-  const auto it = questions_.find(id);
+void VersionLookup::End(const Subject& subject,
+                        const std::optional<StreamNote>& note) {
+  const auto it = questions_.find(subject);
   if (it == questions_.end()) return;
-  // `id` may belong to the question.
+  // `subject` may belong to the question.
   const Question question = std::move(it->second);
   questions_.erase(it);
-  for (const Found& found : question.waiting) found(version);
+  for (const Found& found : question.waiting) found(note);
 }
 
 }  // namespace quaytrack
--- a/relay/version_lookup.h
+++ b/relay/version_lookup.h
@@ -1,30 +1,38 @@
-// VersionLookup tells other routers at which version a stream began, and finds
-// the version of a stream that a caller takes up, wherever it began.
+// VersionLookup tells other routers at which version a stream began and where
+// it runs, and finds both for a stream that a caller takes up, wherever it
+// began.
 //
 //   VersionLookup lookup(loop, clock, handlers);
-//   lookup.Announce(id, version, time_left);       // before the first event
-//   lookup.Find(id, [](std::optional<VersionName> version) {...});
+//   lookup.Announce(id, note, time_left);          // before the first event
+//   lookup.Find(id, [](std::optional<StreamNote> note) {...});
+//   lookup.FindRequest(request, [](std::optional<StreamNote> note) {...});
 //   lookup.OnPeer(message);                        // each message of a peer
 //
 // The router that begins a stream tells its witnesses: in a small fleet all
-// linked peers, in a larger one the holders of its hall. A router that is asked
-// for a stream which it doesn't know asks its witnesses; a holder that doesn't
-// know either asks the holders of the other halls, as callers move to other
-// halls when theirs fails. The first router that knows decides. If all that
-// were asked have answered that they don't know, or `kAnswerTime` has passed,
-// nobody knows.
+// linked peers, in a larger one the holders of its hall. It tells them again
+// when another target goes on with the stream. A router that is asked for a
+// stream which it doesn't know asks its witnesses; a holder that doesn't know
+// either asks the holders of the other halls, as callers move to other halls
+// when theirs fails. The first router that knows decides. If all that were
+// asked have answered that they don't know, or `kAnswerTime` has passed, nobody
+// knows.
+//
+// A stream is found by the id of its first try, or by what its caller's tries
+// have in common (relay/stream_versions.h). Peers of earlier builds know
+// nothing of the latter.
 //
 // A link that opens again, as after a freeze or a cut, has missed what was sent
-// meanwhile. So its hello has the other router told of the streams that began
+// meanwhile. So its hello has the other router told of the streams that run
 // here, and asked what is still open. A router without any link waits for one.
 //
-// Which routers are asked is up to the handlers. Owns this router's notes
-// (relay/stream_versions.h) and its open questions; loop and clock must outlive
-// it. Messages may be lost; the time-out covers that.
+// Which routers are asked is up to the handlers. Owns this router's notes and
+// its open questions; loop and clock must outlive it. Messages may be lost; the
+// time-out covers that.
 
 #ifndef QUAYTRACK_RELAY_VERSION_LOOKUP_H_
 #define QUAYTRACK_RELAY_VERSION_LOOKUP_H_
 
+#include <compare>
 #include <functional>
 #include <map>
 #include <memory>
@@ -52,7 +60,7 @@
     // Whether there are other routers, linked or not.
     std::function<bool()> has_others = [] { return true; };
   };
-  using Found = std::function<void(std::optional<VersionName>)>;
+  using Found = std::function<void(std::optional<StreamNote>)>;
 
   // How long an answer is waited for. A round trip between halls, twice, takes
   // some milliseconds.
@@ -64,12 +72,13 @@
   VersionLookup(Loop& loop, const Clock& clock, Handlers handlers)
       : loop_(loop), clock_(clock), on_(std::move(handlers)) {}
 
-  // Notes that the stream began at `version`; its caller may come back within
-  // `time_left`.
-  void Announce(const RequestId& id, const VersionName& version,
+  // Notes that the stream began, or goes on, as `note` says; its caller may
+  // come back within `time_left`.
+  void Announce(const RequestId& id, const StreamNote& note,
                 Duration time_left);
-  // Calls `found` once, and not from inside.
+  // Call `found` once, and not from inside.
   void Find(const RequestId& id, Found found);
+  void FindRequest(const Fingerprint& request, Found found);
   void OnPeer(const PeerMessage& message);
 
   // Whether there are no other routers, so that each stream began here.
@@ -78,6 +87,13 @@
   std::size_t size() const { return versions_.size(); }
 
  private:
+  // What a question is about: one of the two is set.
+  struct Subject {
+    RequestId id;
+    Fingerprint request;
+
+    auto operator<=>(const Subject&) const = default;
+  };
   struct Question {
     // Asked on behalf of another router.
     bool for_other = false;
@@ -86,22 +102,26 @@
     std::unique_ptr<Timer> timer;
   };
 
-  void Ask(const RequestId& id, const std::vector<Incarnation>& peers,
+  static Subject SubjectOf(const PeerMessage& message);
+  std::optional<StreamNote> NoteOf(const Subject& subject);
+  void Look(const Subject& subject, Found found);
+  void Ask(const Subject& subject, const std::vector<Incarnation>& peers,
            Duration time, bool for_other, Found found);
   void SendBegan(const Incarnation& peer, const RequestId& id,
-                 const VersionName& version, Duration keep_for);
-  void SendRequest(const Incarnation& peer, const RequestId& id,
+                 const StreamNote& note, Duration keep_for);
+  void SendRequest(const Incarnation& peer, const Subject& subject,
                    bool for_other);
   void OnLinked(const Incarnation& peer);
+  void OnBegan(const PeerMessage& message);
   void OnRequest(const PeerMessage& message);
   void OnAnswer(const PeerMessage& message);
-  void End(const RequestId& id, const std::optional<VersionName>& version);
+  void End(const Subject& subject, const std::optional<StreamNote>& note);
 
   Loop& loop_;
   const Clock& clock_;
   Handlers on_;
   StreamVersions versions_;
-  std::map<RequestId, Question> questions_;
+  std::map<Subject, Question> questions_;
 };
 
 }  // namespace quaytrack
