Have a target that was left for another end its run

Where two targets worked on a stream, the router stopped one of them after 0.25 s by closing its connection. A target that notices the close late worked on beside the next one.

Cause: the end of a connection was taken for the end of the run.

--- a/relay/relayed_request_kept.cc
+++ b/relay/relayed_request_kept.cc
@@ -93,19 +93,24 @@
     case OverlapStep::kStopSilent:
       return EndSilentKept();
     case OverlapStep::kStopCurrent:
-      if (kept_.SilentNumbers().empty()) return;
-      ReportStopped(attempt_);
-      StopAttempt(PlacementOutcome::kNeutral);
-      LogAttempt(attempt_, Ran::kUnknown, AttemptFault::kNoSign);
-      GoOnWithKept();
+      if (!kept_.SilentNumbers().empty()) StopCurrentForKept();
       return;
   }
 }
 
+void RelayedRequest::StopCurrentForKept() {
+  const TargetEntry stopped = attempt_.choice.target;
+  ReportStopped(attempt_);
+  StopAttempt(PlacementOutcome::kNeutral);
+  LogAttempt(attempt_, Ran::kUnknown, AttemptFault::kNoSign);
+  if (GoOnWithKept()) StopRunAt(stopped);
+}
+
 void RelayedRequest::EndSilentKept() {
   for (const int number : kept_.SilentNumbers()) {
     const AttemptState& it = *kept_.Find(number);
     ReportStopped(it);
+    StopRunAt(it.choice.target);
     EndKept(number,
             it.target_was_silent ? PlacementOutcome::kFailed
                                  : PlacementOutcome::kNeutral,
@@ -127,6 +132,7 @@
   while (!kept_.empty()) {
     const AttemptState& it = kept_.latest();
     ReportStopped(it);
+    if (attempt_.call) StopRunAt(it.choice.target);
     EndKept(it.number,
             it.target_was_silent ? PlacementOutcome::kFailed
                                  : PlacementOutcome::kNeutral,
@@ -138,10 +144,12 @@
 // current one.
 void RelayedRequest::GoOnWith(int number) {
   const Ran ran = attempt_.ran();
+  const TargetEntry stopped = attempt_.choice.target;
   ReportStopped(attempt_);
   StopAttempt(PlacementOutcome::kNeutral);
   LogAttempt(attempt_, ran, AttemptFault::kSuperseded);
   MakeCurrent(number);
+  if (ran == Ran::kUnknown) StopRunAt(stopped);
   const TargetEntry& target = attempt_.choice.target;
   const Instant now = context_.clock.Now();
   // It is the process that got the request, so it has not restarted.
