--- a/relay/relayed_request_take_up.cc
+++ b/relay/relayed_request_take_up.cc
@@ -136,8 +136,8 @@
 // has left it; where the caller named no try, it may be another caller's.
 void RelayedRequest::NoteEarlierRun(const StreamRun& run) {
   const auto request = context_.requests.Find(run.id);
-  const bool runs_here =
-      request && request->machine_.state() != RelayState::kEnded;
+  const bool runs_here = request && request.get() != this &&
+                         request->machine_.state() != RelayState::kEnded;
   if (runs_here && admission_.facts.first_try.empty()) return;
   if (runs_here) request->OnCallerGone();
   earlier_run_ = run;
