Take a run for the earlier one only if it is of the same request

A caller who names another's try would have ended that run, and its stream would have gone on from that one's cache. Cause: the id that a caller names was trusted to be its own; so far it only decided a version. A note's run is now used only if its request, with customer, body and last prompt part, is the caller's.

Found by reading.

--- a/relay/relayed_request_take_up.cc
+++ b/relay/relayed_request_take_up.cc
@@ -35,11 +35,13 @@
 }
 
 // A note that was found by the request may be another caller's, so it doesn't
-// show the version.
+// show the version. One that was found by an id may be of another request,
+// whose run and cache are not this caller's.
 void RelayedRequest::OnStreamFound(const std::optional<StreamNote>& note) {
   const auto self = shared_from_this();
   if (machine_.state() == RelayState::kEnded) return;
-  if (note && note->run) NoteEarlierRun(*note->run);
+  if (note && note->run && note->request == StreamKey())
+    NoteEarlierRun(*note->run);
   if (note && !admission_.facts.first_try.empty())
     return TakeUpAt(note->version, VersionSource::kNote);
   // Waiting can't make a version the only one.
--- a/relay/run_stopper.h
+++ b/relay/run_stopper.h
@@ -40,7 +40,8 @@
 class RunStopper {
  public:
   // How long a caller waits. A target that lives answers within a round trip
-  // and the copy of a cache, some milliseconds.
+  // and the time to copy a cache; waiting longer costs callers of dead targets
+  // more than reading a prompt anew.
   static constexpr Duration kAnswerTime = std::chrono::milliseconds(150);
   // How long a late answer is listened to, so that its copy can be dropped.
   static constexpr Duration kMaxCallTime = std::chrono::seconds(2);
