Log on which connection an attempt was made

The logs couldn't tell whether two attempts of a request used the same connection to a target, which one hypothesis about calls that run twice depends on.

--- a/http/target_connection.cc
+++ b/http/target_connection.cc
@@ -234,6 +234,7 @@
   int heads = 0;
   // Whether the current answer isn't the expected one.
   bool skipping = false;
+  std::uint64_t number = 0;
   // Whether the expected answer is complete.
   bool complete = false;
   // Whether another request may follow the current one.
@@ -296,6 +297,10 @@
 }
 
 TargetConnections::ConnectionPtr TargetConnections::TakeIdle(
+std::uint64_t CallHandle::connection_number() const {
+  return connection_ ? connection_->number : 0;
+}
+
     const std::string& address) {
   auto& list = idle_[address];
   if (list.empty()) return nullptr;
@@ -304,7 +309,7 @@
   return out;
 }
 
-TargetConnections::ConnectionPtr TargetConnections::Open(
+TargetConnections::ConnectionPtr TargetConnections::MakeConnection(
     const std::string& address) {
   auto out = std::make_shared<CallHandle::Connection>(*this);
   out->address = address;
@@ -315,8 +320,7 @@
 
 TargetConnections::ConnectionPtr TargetConnections::OpenTunnel(
     const std::string& address, const std::string& via) {
-  auto out = std::make_shared<CallHandle::Connection>(*this);
-  out->address = address;
+  ConnectionPtr out = MakeConnection(address);
   out->tunnel.emplace();
   out->reusable = false;
   out->socket = TcpSocket::Connect(loop_, via, Options(), HandlersOf(out));
@@ -336,7 +340,14 @@
   TcpOptions out;
   out.user_timeout = kTargetUserTimeout;
   return out;
+  out->number = ++last_number_;
 }
+  return out;
+}
+
+TargetConnections::ConnectionPtr TargetConnections::Open(
+    const std::string& address) {
+  ConnectionPtr out = MakeConnection(address);
 
 TcpSocket::Handlers TargetConnections::HandlersOf(
     const ConnectionPtr& connection) {
--- a/http/target_connection.h
+++ b/http/target_connection.h
@@ -44,6 +44,7 @@
 
 #include <functional>
 #include <map>
+#include <cstdint>
 #include <memory>
 #include <set>
 #include <string>
@@ -116,6 +117,9 @@
   bool is_first() const;
   // Whether the end of the target's connection would be seen: always, unless
   // the call goes through a peer that can't state it.
+  // Number of the connection, to tell whether two calls had the same one; 0 if
+  // there is none.
+  std::uint64_t connection_number() const;
   bool sees_end() const;
 
  private:
@@ -162,6 +166,7 @@
   using ConnectionPtr = std::shared_ptr<CallHandle::Connection>;
 
   ConnectionPtr TakeIdle(const std::string& address);
+  ConnectionPtr MakeConnection(const std::string& address);
   ConnectionPtr Open(const std::string& address);
   ConnectionPtr OpenTunnel(const std::string& address, const std::string& via);
   static TcpSocket::Handlers HandlersOf(const ConnectionPtr& connection);
@@ -186,6 +191,8 @@
   std::unique_ptr<Timer> sweep_;
 };
 
+  // Number of the latest connection; those through tunnels count as well.
+  std::uint64_t last_number_ = 0;
 }  // namespace quaytrack
 
 #endif  // QUAYTRACK_HTTP_TARGET_CONNECTION_H_
--- a/relay/attempt_state.h
+++ b/relay/attempt_state.h
@@ -11,6 +11,7 @@
 #define QUAYTRACK_RELAY_ATTEMPT_STATE_H_
 
 #include <algorithm>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -41,6 +42,8 @@
   TargetPath path;
   // The call to the target; null before the send and after the end.
   std::shared_ptr<CallHandle> call;
+  // CallHandle::connection_number of the call.
+  std::uint64_t connection = 0;
   Instant sent_at{};
   // Arrival of the answer's head, of its first event, and of its latest events.
   std::optional<Instant> head_at;
--- a/relay/relayed_request_attempts.cc
+++ b/relay/relayed_request_attempts.cc
@@ -45,6 +45,7 @@
   context_.reach.OnSent(attempt_.path, target);
   attempt_.call =
       context_.targets.Start(MakeCall(), HandlersOf(attempt_.number));
+  attempt_.connection = attempt_.call->connection_number();
   if (!attempt_.call->connecting()) LimitOverlap();
   const RouteRule& route = *admission_.route;
   SetAttemptTimer(attempt_.call->connecting()
