Don't send a request again on the connection that refused it

Callers of calls that must run once saw them run twice, or were told that they had not run though they had. A target may send the copy of a refusal late. It bears the id of the refused request, so where that request is under way again on the same connection, the copy is read as its answer. A target that was tried is known by its name, a kept connection by its address: once the list names another target at the address, the request goes out on the connection that refused it.

The class: the answer to a request is recognized by its id, but a connection may carry that id twice. Now a connection remembers which requests it has answered with an error and doesn't carry them again; after 64 it isn't kept. This covers the repeat of a request under whatever name, callers that use an id again, and orders that end the run of a request. A call through a peer has a connection of its own, at the peer as well.

ARefusedRequestIsNotSentOnItsConnectionAgain and AConnectionWithManyRefusalsIsNotKept failed before.

--- a/http/target_connection.cc
+++ b/http/target_connection.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <charconv>
+#include <functional>
+#include <iterator>
 #include <optional>
 #include <utility>
 
@@ -32,6 +34,11 @@
 constexpr int kMaxSkipped = 16;
 // Lower statuses are those of interim answers.
 constexpr int kFirstFinalStatus = 200;
+// The statuses of errors, with refusals, begin here.
+constexpr int kFirstErrorStatus = 400;
+// Maximum number of requests that a connection remembers as answered with an
+// error. It isn't kept beyond that.
+constexpr std::size_t kMaxFailedRequests = 64;
 
 // Reads `Keep-Alive: timeout=5`; without this header, returns the default. An
 // unreadable number counts as 0, so that the connection isn't kept for long.
@@ -47,6 +54,10 @@
   return std::chrono::seconds(seconds);
 }
 
+std::size_t IdHash(const std::string& id) {
+  return std::hash<std::string>()(id);
+}
+
 }  // namespace
 
 struct CallHandle::Connection
@@ -66,6 +77,7 @@
     // final answer follows.
     if (head.status < kFirstFinalStatus) return;
     idle_time = IdleTimeOf(head);
+    last_status = head.status;
     if (!head.keep_alive) reusable = false;
     const auto it = call;
     if (!it) return;
@@ -102,6 +114,7 @@
       bytes.remove_prefix(used);
     }
     if (!call || !complete) return;
+    if (last_status >= kFirstErrorStatus) RememberFailed();
     const bool clean = bytes.empty() && socket->Unsent() == 0;
     owner.Finish(keep, CallEnd::kComplete, reusable && clean);
   }
@@ -204,6 +217,18 @@
     socket->Write(std::exchange(unsent, {}));
   }
 
+  // Whether no late copy of an answer can be mistaken for that to the request.
+  bool MayCarry(std::size_t request_hash) const {
+    return std::find(failed.begin(), failed.end(), request_hash) ==
+           failed.end();
+  }
+
+  void RememberFailed() {
+    if (request.empty()) return;
+    failed.push_back(IdHash(request));
+    if (failed.size() >= kMaxFailedRequests) reusable = false;
+  }
+
   // Removes an idle connection that ended, or that received bytes without a
   // request.
   void Drop() {
@@ -214,6 +239,7 @@
   }
 
   TargetConnections& owner;
+  std::uint64_t number = 0;
   std::string address;
   std::shared_ptr<TcpSocket> socket;
   HttpParser parser;
@@ -230,11 +256,15 @@
   std::uint64_t taken_before = 0;
   // Number of calls that it has carried, with the current one.
   int calls = 0;
+  // `TargetCall::request` of the current call, and the status of its answer.
+  std::string request;
+  int last_status = 0;
+  // Hashes of the requests whose answers were errors.
+  std::vector<std::size_t> failed;
   // Number of heads that have arrived for the current call.
   int heads = 0;
   // Whether the current answer isn't the expected one.
   bool skipping = false;
-  std::uint64_t number = 0;
   // Whether the expected answer is complete.
   bool complete = false;
   // Whether another request may follow the current one.
@@ -272,6 +302,10 @@
   return !connection_->socket->connected() || (tunnel && !tunnel->complete());
 }
 
+std::uint64_t CallHandle::connection_number() const {
+  return connection_ ? connection_->number : 0;
+}
+
 bool CallHandle::is_first() const {
   return connection_ && connection_->calls == 1;
 }
@@ -297,22 +331,29 @@
 }
 
 TargetConnections::ConnectionPtr TargetConnections::TakeIdle(
-std::uint64_t CallHandle::connection_number() const {
-  return connection_ ? connection_->number : 0;
-}
-
-    const std::string& address) {
+    const std::string& address, const std::string& request) {
   auto& list = idle_[address];
-  if (list.empty()) return nullptr;
-  ConnectionPtr out = list.back();
-  list.pop_back();
+  const std::size_t hash = IdHash(request);
+  const auto it = std::find_if(
+      list.rbegin(), list.rend(),
+      [hash](const ConnectionPtr& that) { return that->MayCarry(hash); });
+  if (it == list.rend()) return nullptr;
+  ConnectionPtr out = *it;
+  list.erase(std::next(it).base());
   return out;
 }
 
 TargetConnections::ConnectionPtr TargetConnections::MakeConnection(
     const std::string& address) {
   auto out = std::make_shared<CallHandle::Connection>(*this);
+  out->number = ++last_number_;
   out->address = address;
+  return out;
+}
+
+TargetConnections::ConnectionPtr TargetConnections::Open(
+    const std::string& address) {
+  ConnectionPtr out = MakeConnection(address);
   out->socket = dial_(loop_, address, Options(), HandlersOf(out));
   ++opened_;
   return out->socket ? out : nullptr;
@@ -340,15 +381,8 @@
   TcpOptions out;
   out.user_timeout = kTargetUserTimeout;
   return out;
-  out->number = ++last_number_;
-}
-  return out;
 }
 
-TargetConnections::ConnectionPtr TargetConnections::Open(
-    const std::string& address) {
-  ConnectionPtr out = MakeConnection(address);
-
 TcpSocket::Handlers TargetConnections::HandlersOf(
     const ConnectionPtr& connection) {
   TcpSocket::Handlers on;
@@ -371,7 +405,8 @@
   out->owner_ = this;
   out->on_ = std::move(handlers);
   const bool direct = call.via.empty();
-  ConnectionPtr connection = direct ? TakeIdle(call.address) : nullptr;
+  ConnectionPtr connection =
+      direct ? TakeIdle(call.address, call.request) : nullptr;
   if (!connection) {
     connection =
         direct ? Open(call.address) : OpenTunnel(call.address, call.via);
@@ -386,6 +421,7 @@
   out->connection_ = connection;
   connection->call = out;
   ++connection->calls;
+  connection->request = call.request;
   connection->complete = false;
   connection->heads = 0;
   connection->taken_before = connection->socket->bytes_accepted();
--- a/http/target_connection.h
+++ b/http/target_connection.h
@@ -16,11 +16,13 @@
 // A connection is reused only after a clean exchange. A target may send a
 // delayed surplus answer on a kept connection: the handler `head` decides
 // whether an answer is the expected one; others are skipped, and the connection
-// isn't reused. A connection isn't reused either after it has received bytes
-// without a request, or an answer before the request was fully sent. An idle
-// connection is closed before its target would close it (`Keep-Alive:
-// timeout=`), because a request that meets that close would count as one that
-// may have run.
+// isn't reused. It can't tell the copy of a refusal from the answer to the same
+// request, sent again. So a connection that has answered a request with an
+// error doesn't carry that request again (`TargetCall::request`). A connection
+// isn't reused either after it has received bytes without a request, or an
+// answer before the request was fully sent. An idle connection is closed before
+// its target would close it (`Keep-Alive: timeout=`), because a request that
+// meets that close would count as one that may have run.
 //
 // Tunnels. With `TargetCall::via`, the call goes through a tunnel of a peer
 // (http/tunnel.h) to the address. It counts as connecting until the peer has
@@ -42,9 +44,9 @@
 #ifndef QUAYTRACK_HTTP_TARGET_CONNECTION_H_
 #define QUAYTRACK_HTTP_TARGET_CONNECTION_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
-#include <cstdint>
 #include <memory>
 #include <set>
 #include <string>
@@ -87,6 +89,9 @@
   std::function<bool()> may_send = {};
   // Address of the peer whose tunnel is used; empty for a direct connection.
   std::string via = {};
+  // Id of the request that the call carries or is about, as the target repeats
+  // it in answers. Empty if answers have none.
+  std::string request = {};
 };
 
 class TargetConnections;
@@ -112,14 +117,14 @@
   bool sent() const;
   // Whether the call waits for its connection, or its tunnel, to open.
   bool connecting() const;
+  // Number of the connection, to tell whether two calls had the same one; 0 if
+  // there is none.
+  std::uint64_t connection_number() const;
   // Whether the connection has carried no other call, so that nothing of an
   // earlier answer can arrive.
   bool is_first() const;
   // Whether the end of the target's connection would be seen: always, unless
   // the call goes through a peer that can't state it.
-  // Number of the connection, to tell whether two calls had the same one; 0 if
-  // there is none.
-  std::uint64_t connection_number() const;
   bool sees_end() const;
 
  private:
@@ -165,7 +170,9 @@
   friend class CallHandle;
   using ConnectionPtr = std::shared_ptr<CallHandle::Connection>;
 
-  ConnectionPtr TakeIdle(const std::string& address);
+  // Returns an idle connection that may carry the request, or null.
+  ConnectionPtr TakeIdle(const std::string& address,
+                         const std::string& request);
   ConnectionPtr MakeConnection(const std::string& address);
   ConnectionPtr Open(const std::string& address);
   ConnectionPtr OpenTunnel(const std::string& address, const std::string& via);
@@ -186,13 +193,13 @@
   // Connections that are being opened by `Probe`.
   std::set<ConnectionPtr> probes_;
   std::uint64_t opened_ = 0;
+  // Number of the latest connection; those through tunnels count as well.
+  std::uint64_t last_number_ = 0;
   std::function<void(const std::string&)> on_unexpected_end_ = [](const auto&) {
   };
   std::unique_ptr<Timer> sweep_;
 };
 
-  // Number of the latest connection; those through tunnels count as well.
-  std::uint64_t last_number_ = 0;
 }  // namespace quaytrack
 
 #endif  // QUAYTRACK_HTTP_TARGET_CONNECTION_H_
--- a/http/testing/connections_test.cc
+++ b/http/testing/connections_test.cc
@@ -24,6 +24,11 @@
 constexpr char kForeign[] =
     "HTTP/1.1 200 OK\r\nX-Id: 0\r\nContent-Length: 2\r\n\r\nno";
 
+std::string AnswerTo(const std::string& request, int status) {
+  return "HTTP/1.1 " + std::to_string(status) + " X\r\nX-Id: " + request +
+         "\r\nContent-Length: 2\r\n\r\nok";
+}
+
 // A target that answers each read on a connection with the next of `answers`;
 // an empty answer closes the connection.
 struct Target {
@@ -87,6 +92,27 @@
     return out;
   }
 
+  // Runs the loop until a call that carries the request has ended.
+  Result CallFor(const std::string& request) {
+    Result out;
+    CallHandle::Handlers on;
+    on.head = [&](const HttpHead& head) {
+      return *head.Find("X-Id") == request;
+    };
+    on.body = [&](std::string_view it) { out.body += it; };
+    on.end = [&](CallEnd it) {
+      out.end = it;
+      loop.Stop();
+    };
+    TargetCall call;
+    call.address = target.Address();
+    call.bytes = kRequest;
+    call.request = request;
+    const auto handle = connections.Start(call, std::move(on));
+    loop.Run();
+    return out;
+  }
+
   // Runs the loop until a call with `may_send` has ended.
   Result CallIf(const std::function<bool()>& may_send) {
     Result out;
@@ -180,6 +206,32 @@
   BOOST_TEST(connections.opened() == 2U);
 }
 
+// Guards against the late copy of a refusal that is taken for the answer to the
+// same request, sent again: nothing in the copy tells which one it answers.
+BOOST_FIXTURE_TEST_CASE(ARefusedRequestIsNotSentOnItsConnectionAgain, Fixture) {
+  target.answers = {AnswerTo("1", 503), AnswerTo("2", 200), AnswerTo("1", 200)};
+  CallFor("1");
+  BOOST_TEST((CallFor("2").end == CallEnd::kComplete));
+  BOOST_TEST(connections.opened() == 1U);
+  BOOST_TEST((CallFor("1").end == CallEnd::kComplete));
+  BOOST_TEST(connections.opened() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ACallWithoutARequestIsSentOnAnyConnection, Fixture) {
+  target.answers = {AnswerTo("", 404), AnswerTo("", 200)};
+  CallFor("");
+  CallFor("");
+  BOOST_TEST(connections.opened() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AConnectionWithManyRefusalsIsNotKept, Fixture) {
+  constexpr int kCalls = 200;
+  for (int n = 0; n < kCalls; ++n)
+    target.answers.push_back(AnswerTo(std::to_string(n), 503));
+  for (int n = 0; n < kCalls; ++n) CallFor(std::to_string(n));
+  BOOST_TEST(connections.opened() == 4U);
+}
+
 BOOST_FIXTURE_TEST_CASE(BytesAfterAnAnswerEndItsConnection, Fixture) {
   target.answers = {std::string(kAnswer) + kForeign, kAnswer};
   BOOST_TEST((Call(target.Address()).end == CallEnd::kComplete));
--- a/relay/relayed_request_attempts.cc
+++ b/relay/relayed_request_attempts.cc
@@ -98,6 +98,7 @@
   out.bytes += request_.body;
   out.may_send = [this] { return MaySend(); };
   out.via = attempt_.path.address;
+  out.request = id().value;
   return out;
 }
 
--- a/relay/run_stopper.cc
+++ b/relay/run_stopper.cc
@@ -59,8 +59,11 @@
 void RunStopper::Start(int number, const std::string& bytes) {
   Call& call = calls_.at(number);
   call.begun = clock_.Now();
-  call.handle =
-      targets_.Start({call.move.run.address, bytes}, HandlersOf(number));
+  TargetCall order;
+  order.address = call.move.run.address;
+  order.bytes = bytes;
+  order.request = call.move.run.id.value;
+  call.handle = targets_.Start(order, HandlersOf(number));
   call.end_timer = loop_.After(
       kMaxCallTime, [this, number] { OnEnd(number, CallEnd::kBroken); });
 }
