router: don't read surplus bytes as the answer to the next request

The own interface's answers don't name their request, and evhttp keeps bytes that follow an answer for the next one on the connection. So a target that sends the copy of a refusal, or any surplus bytes, made the next request on that connection look refused while it ran, and its caller got another's answer. Connections are kept only after a success with nothing behind it.

A copy of a success that comes with the next answer isn't recognized.

--- a/evhttp/http_client.cc
+++ b/evhttp/http_client.cc
@@ -21,6 +21,8 @@
 
 // Largest head of an answer, in bytes.
 constexpr ev_ssize_t kMaxHeadBytes = 64 * 1024;
+// The statuses of errors, with refusals, begin here.
+constexpr int kFirstErrorStatus = 400;
 // Stands for no limit.
 constexpr ev_ssize_t kNoLimit = -1;
 
@@ -66,6 +68,12 @@
     if (handle != nullptr) evhttp_connection_free(handle);
   }
 
+  // Whether bytes have arrived after the answer.
+  bool HasSurplus() const {
+    bufferevent* bev = evhttp_connection_get_bufferevent(handle);
+    return evbuffer_get_length(bufferevent_get_input(bev)) > 0;
+  }
+
   static void OnOutput(evbuffer*, const evbuffer_cb_info* info, void* self) {
     if (info->n_deleted > 0) static_cast<Connection*>(self)->write_began = true;
   }
@@ -199,7 +207,10 @@
     result.body.resize(evbuffer_get_length(in));
     evbuffer_remove(in, result.body.data(), result.body.size());
   }
-  ReleaseConnection(end == HttpEnd::kComplete && !spec_.fresh_connection);
+  const bool answered = end == HttpEnd::kComplete;
+  ReleaseConnection(answered && !spec_.fresh_connection &&
+                    result.status < kFirstErrorStatus &&
+                    !connection_->HasSurplus());
   const Handlers handlers = std::exchange(handlers_, {});
   if (handlers.end) handlers.end(result);
 }
--- a/evhttp/http_client.h
+++ b/evhttp/http_client.h
@@ -9,6 +9,11 @@
 // request certainly did not run. In every other failure (kBroken or kTimedOut)
 // the request may have run.
 //
+// Answers don't name their request. So a connection isn't reused after bytes
+// that follow an answer, nor after an error: a server may send the copy of a
+// refusal late, which would be read as the answer to the next request. A late
+// copy of a success isn't recognized.
+//
 // An answer whose head or body doesn't end breaks the call at a limit, so that
 // its bytes don't fill the memory.
 
