Read heads up to their limit in bytes, whatever their lines are

Callers with a head inside max-header-bytes got 400 from 201 lines on, and 431 where lines are short: a bound of 200 lines held for requests too, and the size of a head counted 4 bytes of marks for each line, also for a: with 3. The parser now takes the bytes of a head up to the limit as they are sent, and requests have no other bound. Answers of targets keep that of 200 lines.

--- a/http/http_parser.cc
+++ b/http/http_parser.cc
@@ -12,9 +12,9 @@
 // The library has one bound on a head, in bytes, for the whole process; it must
 // be above the limit of any `HttpParser`.
 constexpr std::uint32_t kLibraryHeadBytes = 1 << 20;
-// Maximum number of headers of a message. It bounds the work for one message,
-// as each header is examined several times.
-constexpr std::size_t kMaxHeaders = 200;
+// Maximum number of headers of a response. Requests may have as many as their
+// limit in bytes allows.
+constexpr std::size_t kMaxResponseHeaders = 200;
 
 bool HasControl(std::string_view text) {
   return std::any_of(text.begin(), text.end(), [](char it) {
@@ -44,7 +44,7 @@
   bool in_message = false;
   bool in_head = true;
   bool complete = false;
-  // Bytes fed while the head of the current message was incomplete.
+  // Bytes of the head of the current message, with its start line.
   std::size_t head_bytes = 0;
   std::size_t body_bytes = 0;
   HttpFault fault = HttpFault::kNone;
@@ -77,7 +77,8 @@
   }
 
   bool HeadersAreValid() const {
-    if (head.headers.size() > kMaxHeaders) return false;
+    const bool response = kind == Kind::kResponse;
+    if (response && head.headers.size() > kMaxResponseHeaders) return false;
     return std::all_of(head.headers.begin(), head.headers.end(),
                        [](const HttpHeader& it) {
                          return IsPlainName(it.name) && !HasControl(it.value);
@@ -93,21 +94,8 @@
     return head.Count("host") == 1 && !HasControl(head.target);
   }
 
-  // Size of the head as sent, except for folded lines and surplus blanks.
-  std::size_t HeadSize() const {
-    constexpr std::size_t kLineMarks = 4;  // ": " and the line's end
-    std::size_t out = head.target.size();
-    for (const HttpHeader& it : head.headers) {
-      out += it.name.size() + it.value.size() + kLineMarks;
-    }
-    return out;
-  }
-
   int OnHead() {
     in_head = false;
-    if (HeadSize() > limits.max_head_bytes) {
-      return Fail(HttpFault::kHeadTooLarge);
-    }
     head.chunked = (library.flags & F_CHUNKED) != 0;
     if ((library.flags & F_CONTENTLENGTH) != 0) {
       head.content_length = library.content_length;
@@ -137,6 +125,24 @@
     return 0;
   }
 
+  // Takes bytes of the head up to its limit, or of the rest of the message.
+  std::size_t FeedPart(std::string_view bytes) {
+    const bool was_in_head = in_head;
+    const std::size_t max = std::max(limits.max_head_bytes, head_bytes);
+    if (was_in_head) bytes = bytes.substr(0, max - head_bytes);
+    const std::size_t used = bytes.empty() ? 0 : Execute(bytes);
+    if (was_in_head) head_bytes += used;
+    const http_errno error = HTTP_PARSER_ERRNO(&library);
+    if (complete || fault != HttpFault::kNone) return used;
+    if (error != HPE_OK) {
+      fault = error == HPE_HEADER_OVERFLOW ? HttpFault::kHeadTooLarge
+                                           : HttpFault::kMalformed;
+    } else if (in_head && head_bytes >= limits.max_head_bytes) {
+      fault = HttpFault::kHeadTooLarge;
+    }
+    return used;
+  }
+
   // Passes `bytes` to the library. Empty `bytes` mean that the connection has
   // ended.
   std::size_t Execute(std::string_view bytes) {
@@ -204,22 +210,16 @@
 
 std::size_t HttpParser::Feed(std::string_view bytes) {
   State& s = *state_;
-  if (s.fault != HttpFault::kNone || bytes.empty()) return 0;
-  const bool was_in_head = s.in_head;
-  const std::size_t used = s.Execute(bytes);
-  if (s.complete) {
-    s.Begin();
-    s.on.complete();
-    return used;
-  }
-  const http_errno error = HTTP_PARSER_ERRNO(&s.library);
-  if (error != HPE_OK && s.fault == HttpFault::kNone) {
-    s.fault = error == HPE_HEADER_OVERFLOW ? HttpFault::kHeadTooLarge
-                                           : HttpFault::kMalformed;
-  }
-  if (was_in_head) s.head_bytes += used;
-  if (s.in_head && s.head_bytes > s.limits.max_head_bytes) {
-    s.fault = HttpFault::kHeadTooLarge;
+  std::size_t used = 0;
+  while (s.fault == HttpFault::kNone && used < bytes.size()) {
+    const std::size_t n = s.FeedPart(bytes.substr(used));
+    used += n;
+    if (s.complete) {
+      s.Begin();
+      s.on.complete();
+      break;
+    }
+    if (n == 0) break;
   }
   return used;
 }
--- a/http/http_parser.h
+++ b/http/http_parser.h
@@ -40,7 +40,8 @@
 // Limits on the size of a message. The defaults apply until a configuration
 // sets others; they equal the defaults in config/service_map.h.
 struct HttpLimits {
-  // Size of the start line and the headers together.
+  // Size of the head, as sent, with its start line and the empty line at its
+  // end.
   std::size_t max_head_bytes = 16 * 1024;
   std::size_t max_body_bytes = 4 * 1024 * 1024;
 };
--- a/http/testing/http_parser_test.cc
+++ b/http/testing/http_parser_test.cc
@@ -113,6 +113,65 @@
   BOOST_TEST((chunked.parser.fault() == HttpFault::kBodyTooLarge));
 }
 
+// A request whose head has `bytes` bytes, with as many short lines as fit.
+std::string HeadOfShortLines(std::size_t bytes) {
+  constexpr std::string_view kLine = "a:\r\n";
+  std::string out = "GET / HTTP/1.1\r\nHost: h\r\n";
+  while (out.size() + kLine.size() + 2 <= bytes) out += kLine;
+  // Fills the last line up.
+  out.insert(out.size() - 2, std::string(bytes - out.size() - 2, 'x'));
+  return out + "\r\n";
+}
+
+// Guards against a legal request that is refused because its head has many
+// short lines: the limit is one on the bytes that are sent.
+BOOST_AUTO_TEST_CASE(AHeadOfShortLinesIsReadUpToItsLimit) {
+  for (const std::size_t max : {100U, 4096U, 16384U, 65536U}) {
+    HttpLimits limits;
+    limits.max_head_bytes = max;
+    Reader fits(HttpParser::Kind::kRequest, limits);
+    const std::string head = HeadOfShortLines(max);
+    BOOST_REQUIRE(head.size() == max);
+    fits.FeedAll(head);
+    BOOST_TEST(fits.parsed.complete == 1);
+    BOOST_TEST(fits.parsed.heads[0].headers.size() >= (max - 60) / 4);
+    Reader exceeds(HttpParser::Kind::kRequest, limits);
+    exceeds.FeedAll(HeadOfShortLines(max + 1));
+    BOOST_TEST((exceeds.parser.fault() == HttpFault::kHeadTooLarge));
+    BOOST_TEST(exceeds.parsed.heads.empty());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnyCutOfAHeadReadsTheSameLines) {
+  BOOST_TEST(rc::check("lines", [] {
+    const auto name = rc::gen::nonEmpty(
+        rc::gen::container<std::string>(rc::gen::inRange('a', 'z')));
+    const auto value =
+        rc::gen::container<std::string>(rc::gen::inRange('0', '9'));
+    const auto lines = *rc::gen::container<std::vector<std::string>>(
+        rc::gen::map(rc::gen::pair(name, value), [](const auto& it) {
+          return "x" + it.first + ":" + it.second;
+        }));
+    std::string head = "GET / HTTP/1.1\r\nHost: h\r\n";
+    for (const std::string& it : lines) head += it + "\r\n";
+    head += "\r\n";
+    HttpLimits limits;
+    limits.max_head_bytes = head.size();
+    Reader it(HttpParser::Kind::kRequest, limits);
+    std::string_view rest(head);
+    while (!rest.empty()) {
+      const auto n = *rc::gen::inRange<std::size_t>(1, rest.size() + 1);
+      it.FeedAll(rest.substr(0, n));
+      rest.remove_prefix(n);
+    }
+    RC_ASSERT(it.parsed.complete == 1);
+    const auto& headers = it.parsed.heads[0].headers;
+    RC_ASSERT(headers.size() == lines.size() + 1);
+    for (std::size_t n = 0; n < lines.size(); ++n)
+      RC_ASSERT(headers[n + 1].name + ":" + headers[n + 1].value == lines[n]);
+  }));
+}
+
 BOOST_AUTO_TEST_CASE(AnAnswerWithoutLengthEndsWithItsConnection) {
   Reader it(HttpParser::Kind::kResponse);
   it.FeedAll("HTTP/1.1 200 OK\r\n\r\nall of it");
