Keep the work for a head in proportion to its size

A head of very many lines was compared line by line with each Connection header, and a prompt of thousands of parts cost the square of their number at the prefix list of its target, so one caller could hold up all others. HopHeaders reads the Connection headers once; a prefix list notes the first 256 parts of a prompt, which is all that it keeps.

--- a/dispatch/prefix_cache.cc
+++ b/dispatch/prefix_cache.cc
@@ -38,9 +38,8 @@
 }
 
 void PrefixCache::OnSent(Instant now, const std::vector<PromptPart>& parts) {
-  for (std::size_t i = 0; i + 1 < parts.size(); ++i) {
-    sent_at_[parts[i].id] = now;
-  }
+  const std::size_t n = std::min(parts.size(), kMaxParts + 1);
+  for (std::size_t i = 0; i + 1 < n; ++i) sent_at_[parts[i].id] = now;
   while (sent_at_.size() > kMaxParts) ForgetOldest();
 }
 
--- a/dispatch/prefix_cache.h
+++ b/dispatch/prefix_cache.h
@@ -50,7 +50,8 @@
  public:
   // Tokens of the leading shared parts that are assumed to be cached.
   Tokens CachedTokens(const std::vector<PromptPart>& parts) const;
-  // Notes that a prompt with these parts was sent to the engine.
+  // Notes that a prompt with these parts was sent to the engine. Of a prompt
+  // with very many, the first `kMaxParts` are noted.
   void OnSent(Instant now, const std::vector<PromptPart>& parts);
 
  private:
--- a/net/http_message.cc
+++ b/net/http_message.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 
 namespace quaytrack {
 namespace {
@@ -43,14 +44,17 @@
   return text;
 }
 
-bool ListNames(std::string_view list, std::string_view name) {
-  while (!list.empty()) {
-    const std::size_t comma = list.find(',');
-    if (SameHeaderName(Trimmed(list.substr(0, comma)), name)) return true;
-    if (comma == std::string_view::npos) return false;
-    list.remove_prefix(comma + 1);
-  }
-  return false;
+std::string LowerCase(std::string_view text) {
+  std::string out(text);
+  for (char& it : out)
+    it = static_cast<char>(std::tolower(static_cast<unsigned char>(it)));
+  return out;
+}
+
+// Memory that a string takes beside itself.
+std::size_t HeapBytes(const std::string& text) {
+  static const std::size_t kInline = std::string().capacity();
+  return text.capacity() > kInline ? text.capacity() + 1 : 0;
 }
 
 }  // namespace
@@ -76,15 +80,31 @@
   return std::string_view(target).substr(0, target.find('?'));
 }
 
-bool IsHopHeader(const HttpHead& head, std::string_view name) {
-  for (std::string_view it : kHopHeaders) {
-    if (SameHeaderName(it, name)) return true;
-  }
+std::size_t HttpHead::MemoryBytes() const {
+  std::size_t out = HeapBytes(target) + headers.capacity() * sizeof(HttpHeader);
+  for (const HttpHeader& it : headers)
+    out += HeapBytes(it.name) + HeapBytes(it.value);
+  return out;
+}
+
+HopHeaders::HopHeaders(const HttpHead& head) {
   for (const HttpHeader& it : head.headers) {
-    const bool lists = SameHeaderName(it.name, "connection");
-    if (lists && ListNames(it.value, name)) return true;
+    if (!SameHeaderName(it.name, "connection")) continue;
+    std::string_view list = it.value;
+    while (!list.empty()) {
+      const std::size_t comma = std::min(list.find(','), list.size());
+      listed_.insert(LowerCase(Trimmed(list.substr(0, comma))));
+      list.remove_prefix(std::min(comma + 1, list.size()));
+    }
   }
-  return false;
+}
+
+bool HopHeaders::Contains(std::string_view name) const {
+  const auto is_name = [name](std::string_view it) {
+    return SameHeaderName(it, name);
+  };
+  return std::any_of(kHopHeaders.begin(), kHopHeaders.end(), is_name) ||
+         (!listed_.empty() && listed_.contains(LowerCase(name)));
 }
 
 std::string_view ReasonOf(int status) {
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -13,8 +13,10 @@
 #ifndef QUAYTRACK_NET_HTTP_MESSAGE_H_
 #define QUAYTRACK_NET_HTTP_MESSAGE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -55,11 +57,23 @@
 
   // The request target without its query.
   std::string_view Path() const;
+
+  // Memory that the head takes, in bytes.
+  std::size_t MemoryBytes() const;
 };
 
-// Whether a header applies to one connection only (RFC 9110, 7.6.1) and must
-// not be forwarded. `head` may list more such headers in `Connection`.
-bool IsHopHeader(const HttpHead& head, std::string_view name);
+// Tells which headers of a message apply to one connection only (RFC 9110,
+// 7.6.1) and must not be forwarded: the usual ones, and those that the message
+// lists in `Connection`. The lookup doesn't depend on the number of headers.
+class HopHeaders {
+ public:
+  explicit HopHeaders(const HttpHead& head);
+  bool Contains(std::string_view name) const;
+
+ private:
+  // In lower case.
+  std::set<std::string> listed_;
+};
 
 // Whether a response with this status promises its caller that the request has
 // not run and won't run: the caller may send it again, whatever it does.
--- a/relay/attempt.cc
+++ b/relay/attempt.cc
@@ -62,8 +62,9 @@
   HttpHead out;
   out.status = head.status;
   out.reason = head.reason;
+  const HopHeaders hop(head);
   for (const HttpHeader& it : head.headers) {
-    if (!IsHopHeader(head, it.name)) out.headers.push_back(it);
+    if (!hop.Contains(it.name)) out.headers.push_back(it);
   }
   return out;
 }
