Bound the memory that all connections of callers hold together

Clients that nobody controls ended a router for want of memory, each within the limits of a request: 2,500 heads of 16 KB with lines like a: took it from 13 to 622 MB, on a VM with 110. Limits held for one connection; nothing counted what all of them hold, and a line of an unfinished head or of trailers took 64 bytes.

Each connection of a caller now reports the memory that it and its request hold. An unfinished head takes about its size, trailers aren't kept, and buffers give memory back once their bytes are sent. QT1014 and gauges tell of it.

--- a/base/events.h
+++ b/base/events.h
@@ -40,6 +40,7 @@
   kLinkEased = 1011,
   kAcceptsLimited = 1012,
   kAcceptsUnlimited = 1013,
+  kCallersShed = 1014,
   // 11xx: the store, other routers, the VM list.
   kKvLost = 1101,
   kKvBack = 1102,
@@ -145,6 +146,7 @@
     {Event::kLinkEased, LogLevel::kInfo, "link_eased"},
     {Event::kAcceptsLimited, LogLevel::kWarn, "accepts_limited"},
     {Event::kAcceptsUnlimited, LogLevel::kInfo, "accepts_unlimited"},
+    {Event::kCallersShed, LogLevel::kWarn, "callers_shed"},
     {Event::kKvLost, LogLevel::kWarn, "kv_lost"},
     {Event::kKvBack, LogLevel::kInfo, "kv_back"},
     {Event::kRegistered, LogLevel::kInfo, "registered"},
--- a/http/caller_connection.cc
+++ b/http/caller_connection.cc
@@ -21,6 +21,13 @@
 // Upper bound on the bytes that frame a chunk: its size in hex digits and two
 // line ends.
 constexpr std::size_t kChunkFraming = 16;
+// The answer to a request that there is no memory for.
+constexpr int kUnavailable = 503;
+constexpr char kRetryAfter[] = "Retry-After";
+constexpr char kRetryAfterSeconds[] = "1";
+// A body is held twice while its request is under way: once more in the bytes
+// for its target.
+constexpr std::size_t kBodyCopies = 2;
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
 std::string HeadBytes(const HttpHead& head, std::string_view framing,
@@ -60,6 +67,7 @@
   on.data = [this](std::string_view bytes) { OnData(bytes); };
   on.ended = [this](SocketEnd) { OnEnded(); };
   on.drained = [this] {
+    UpdateHeld();
     if (flushing_) return Linger();
     if (on_drained_) on_drained_();
   };
@@ -68,7 +76,8 @@
 
 void CallerConnection::OnData(std::string_view bytes) {
   const auto keep = shared_from_this();
-  if (phase_ == Phase::kLingering) return;
+  server_.ShedExcess();
+  if (phase_ == Phase::kLingering || !open()) return;
   unused_ = false;
   if (phase_ == Phase::kIdle) {
     phase_ = Phase::kReading;
@@ -80,10 +89,40 @@
     progress_at_ = server_.clock_.Now();
   pending_.append(bytes);
   if (phase_ == Phase::kAnswering) {
-    if (pending_.size() > kMaxPending) socket_->PauseReading();
-    return;
+    if (pending_.size() > kMaxPending) PauseReading();
+    return UpdateHeld();
   }
   Consume();
+  UpdateHeld();
+}
+
+void CallerConnection::PauseReading() {
+  paused_ = true;
+  socket_->PauseReading();
+}
+
+void CallerConnection::ResumeReading() {
+  paused_ = false;
+  socket_->ResumeReading();
+}
+
+std::size_t CallerConnection::CountHeld() const {
+  if (!open()) return 0;
+  return parser_.HeldBytes() + pending_.capacity() +
+         request_.head.MemoryBytes() + request_.body.capacity() +
+         request_bytes_ + handler_bytes_ + socket_->BufferBytes() +
+         (paused_ ? socket_->Unread() : 0);
+}
+
+void CallerConnection::UpdateHeld() {
+  const std::size_t now = CountHeld();
+  server_.OnHeldChanged(held_, now);
+  held_ = now;
+}
+
+void CallerConnection::NoteHeld(std::size_t bytes) {
+  handler_bytes_ = bytes;
+  UpdateHeld();
 }
 
 void CallerConnection::Consume() {
@@ -112,14 +151,20 @@
   handing_over_ = true;
   // The handler is called in a posted task, so that an immediate answer doesn't
   // reenter the parser.
-  server_.loop_.Post([keep = shared_from_this()] {
-    keep->handing_over_ = false;
-    if (!keep->open()) return;
-    // If the caller disconnected before this task ran, the handler isn't
-    // called.
-    if (keep->socket_->PeerHasClosed()) return keep->Abort();
-    keep->server_.handler_(keep, std::exchange(keep->request_, {}));
-  });
+  server_.loop_.Post([keep = shared_from_this()] { keep->HandOver(); });
+}
+
+void CallerConnection::HandOver() {
+  // Many connections may have a request to hand over in one turn of the loop.
+  server_.ShedExcess();
+  const bool is_refused = !std::exchange(handing_over_, false);
+  if (is_refused || !open()) return;
+  // If the caller disconnected before this task ran, the handler isn't called.
+  if (socket_->PeerHasClosed()) return Abort();
+  request_bytes_ =
+      request_.head.MemoryBytes() + kBodyCopies * request_.body.capacity();
+  server_.handler_(shared_from_this(), std::exchange(request_, {}));
+  UpdateHeld();
 }
 
 void CallerConnection::RefuseFault(HttpFault fault) {
@@ -139,9 +184,27 @@
   phase_ = Phase::kAnswering;
   HttpHead head;
   head.status = status;
+  if (status == kUnavailable)
+    head.headers.push_back({kRetryAfter, kRetryAfterSeconds});
   Reply(head, "");
 }
 
+void CallerConnection::Shed() {
+  const auto keep = shared_from_this();
+  switch (phase_) {
+    case Phase::kIdle:
+    case Phase::kLingering:
+      return Abort();
+    case Phase::kReading:
+      return RefuseAndClose(kUnavailable);
+    case Phase::kAnswering:
+      if (std::exchange(handing_over_, false))
+        return RefuseAndClose(kUnavailable);
+      socket_->Close();
+      return OnEnded();
+  }
+}
+
 void CallerConnection::Reply(const HttpHead& head, std::string_view body) {
   if (!open()) return;
   const bool keep_alive = keep_alive_ && !server_.closing();
@@ -152,6 +215,7 @@
   bytes += body;
   socket_->Write(bytes);
   FinishExchange();
+  UpdateHeld();
 }
 
 void CallerConnection::StartStream(const HttpHead& head) {
@@ -173,18 +237,21 @@
   out += bytes;
   out += "\r\n";
   socket_->Write(out);
+  if (socket_->Unsent() > 0) UpdateHeld();
 }
 
 void CallerConnection::EndStream() {
   if (!open()) return;
   socket_->Write(kLastChunk);
   FinishExchange();
+  UpdateHeld();
 }
 
 void CallerConnection::Abort() {
   on_gone_ = nullptr;
   on_drained_ = nullptr;
   socket_->Close();
+  UpdateHeld();
   server_.Forget(shared_from_this());
 }
 
@@ -192,13 +259,15 @@
   on_gone_ = nullptr;
   on_drained_ = nullptr;
   head_read_ = false;
+  request_bytes_ = 0;
+  handler_bytes_ = 0;
   progress_at_ = server_.clock_.Now();
   // A stream that started before `StartClosing` didn't announce that the
   // connection closes, so the caller may send another request.
   if (!keep_alive_ || server_.closing_) return CloseAfterFlush();
   phase_ = Phase::kIdle;
   if (pending_.empty()) return;
-  socket_->ResumeReading();
+  ResumeReading();
   phase_ = Phase::kReading;
   request_.begun = progress_at_;
   server_.loop_.Post([keep = shared_from_this()] {
@@ -208,8 +277,10 @@
 
 void CallerConnection::CloseAfterFlush() {
   phase_ = Phase::kLingering;
-  pending_.clear();
-  socket_->ResumeReading();
+  std::string().swap(pending_);
+  std::exchange(request_, {});
+  parser_.Discard();
+  ResumeReading();
   if (socket_->Unsent() == 0) return Linger();
   flushing_ = true;
 }
@@ -232,6 +303,7 @@
 
 void CallerConnection::OnEnded() {
   const auto keep = shared_from_this();
+  UpdateHeld();
   server_.Forget(keep);
   const auto gone = std::exchange(on_gone_, nullptr);
   on_drained_ = nullptr;
@@ -243,6 +315,7 @@
 }
 
 void CallerConnection::Sweep(Instant now) {
+  if (paused_) UpdateHeld();
   const Duration silent = now - progress_at_;
   const CallerLimits& limits = server_.limits_;
   switch (phase_) {
--- a/http/caller_connection.h
+++ b/http/caller_connection.h
@@ -21,6 +21,12 @@
 // during an answer, and relies on its server for limits, clock and loop. Sizes
 // are in bytes. Calls on a connection that has ended do nothing, so they need
 // no check of `open`.
+//
+// A connection reports the memory that it holds to its server, with that of the
+// request that its handler has taken and what the handler adds (`NoteHeld`).
+// When all connections together hold too much, the server has some end
+// (`Shed`): a request that the handler doesn't have yet is refused with 503;
+// where the handler has it, the caller counts as gone.
 
 #ifndef QUAYTRACK_HTTP_CALLER_CONNECTION_H_
 #define QUAYTRACK_HTTP_CALLER_CONNECTION_H_
@@ -73,6 +79,9 @@
   // Ends the connection at once, also in the middle of an answer.
   void Abort();
 
+  // Sets the memory that the handler holds for the exchange beside the request.
+  void NoteHeld(std::size_t bytes);
+
   // Sets the action that is called, at most once for each exchange, when the
   // caller leaves before its answer has ended.
   void OnGone(std::function<void()> action) { on_gone_ = std::move(action); }
@@ -99,8 +108,15 @@
   void Consume();
   void OnHead(HttpHead& head);
   void OnRequest();
+  void HandOver();
   void RefuseFault(HttpFault fault);
   void RefuseAndClose(int status);
+  // Ends the connection so that it holds no more memory.
+  void Shed();
+  std::size_t CountHeld() const;
+  void UpdateHeld();
+  void PauseReading();
+  void ResumeReading();
   void OnEnded();
   void FinishExchange();
   void CloseAfterFlush();
@@ -132,6 +148,13 @@
   bool handing_over_ = false;
   // Whether `Consume` is running; a nested call does nothing.
   bool consuming_ = false;
+  // Whether reading is paused, as too much of the next request has arrived.
+  bool paused_ = false;
+  // Memory of the request that the handler has, and what the handler added.
+  std::size_t request_bytes_ = 0;
+  std::size_t handler_bytes_ = 0;
+  // Memory in all that was last reported to the server.
+  std::size_t held_ = 0;
   // Time of the last progress, for the time limits.
   Instant progress_at_{};
   std::function<void()> on_gone_;
--- a/http/caller_server.cc
+++ b/http/caller_server.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <vector>
 
 namespace quaytrack {
@@ -44,6 +45,39 @@
   it->Start();
 }
 
+void CallerServer::OnHeldChanged(std::size_t before, std::size_t now) {
+  held_bytes_ += now - before;
+  if (held_bytes_ <= bounds_.memory_bytes || will_shed_) return;
+  will_shed_ = true;
+  loop_.Post([this] {
+    will_shed_ = false;
+    ShedExcess();
+  });
+}
+
+void CallerServer::ShedExcess() {
+  if (held_bytes_ <= bounds_.memory_bytes) return;
+  const auto is_at_handler = [](const CallerConnection& it) {
+    return it.phase_ == CallerConnection::Phase::kAnswering &&
+           !it.handing_over_;
+  };
+  const auto is_first = [&](const auto& a, const auto& b) {
+    const bool a_later = is_at_handler(*a);
+    const bool b_later = is_at_handler(*b);
+    return a_later != b_later ? b_later : a->held_ > b->held_;
+  };
+  std::vector<std::shared_ptr<CallerConnection>> all(connections_.begin(),
+                                                     connections_.end());
+  std::sort(all.begin(), all.end(), is_first);
+  const std::size_t enough = bounds_.memory_bytes - bounds_.memory_bytes / 8;
+  for (const auto& it : all) {
+    if (held_bytes_ <= enough) return;
+    if (it->held_ == 0) continue;
+    ++shed_for_memory_;
+    it->Shed();
+  }
+}
+
 void CallerServer::Sweep() {
   const Instant now = clock_.Now();
   const std::vector<std::shared_ptr<CallerConnection>> all(connections_.begin(),
--- a/http/caller_server.h
+++ b/http/caller_server.h
@@ -12,6 +12,12 @@
 // `StartClosing` makes each answer the last of its connection, `StopListening`
 // accepts no new connections, `CloseIdle` ends those without a request.
 //
+// Bounds on what all connections take together (`CallerBounds`), so that no
+// crowd of callers, each within its limits, ends the process:
+//   - Memory. If they hold too much, connections end until an eighth of the
+//     bound is free: first those without a request at the handler, then the
+//     others, and among them first those that hold most.
+//
 // The server owns the connections and relies on the loop and the clock, which
 // must outlive it. Its only error is an address that it can't listen on; an
 // accepted connection handles its own failures.
@@ -34,6 +40,12 @@
 
 namespace quaytrack {
 
+// Bounds on all connections of a server together. The defaults are those of a
+// VM with 110 MB of memory (relay/relay_options.h).
+struct CallerBounds {
+  std::size_t memory_bytes = std::size_t{36} * 1024 * 1024;
+};
+
 class CallerServer {
  public:
   using Handler =
@@ -51,6 +63,13 @@
   void SetLimits(const CallerLimits& limits) { limits_ = limits; }
   const CallerLimits& limits() const { return limits_; }
 
+  void SetBounds(const CallerBounds& bounds) { bounds_ = bounds; }
+  const CallerBounds& bounds() const { return bounds_; }
+  // Memory that the connections hold.
+  std::size_t held_bytes() const { return held_bytes_; }
+  // Number of connections that were ended for it.
+  std::uint64_t shed_for_memory() const { return shed_for_memory_; }
+
   // Sets what decides whether a new connection is accepted. One that isn't is
   // closed before anything of it is read. Without this, all are accepted.
   void SetGate(std::function<bool()> may_accept) {
@@ -82,6 +101,11 @@
  private:
   friend class CallerConnection;
   void Accept(int fd);
+  // Called when a connection holds other memory than before.
+  void OnHeldChanged(std::size_t before, std::size_t now);
+  // Ends connections if all hold too much. No function of another connection
+  // may be running.
+  void ShedExcess();
   // Ends the connections whose time limits have passed.
   void Sweep();
   // Removes a connection that has ended.
@@ -90,6 +114,11 @@
   Loop& loop_;
   const Clock& clock_;
   CallerLimits limits_;
+  CallerBounds bounds_;
+  std::size_t held_bytes_ = 0;
+  std::uint64_t shed_for_memory_ = 0;
+  // Whether a call of `ShedExcess` is posted.
+  bool will_shed_ = false;
   Handler handler_;
   std::function<bool()> may_accept_ = [] { return true; };
   std::uint64_t closed_unread_ = 0;
--- a/http/http_parser.cc
+++ b/http/http_parser.cc
@@ -15,6 +15,9 @@
 // Maximum number of headers of a response. Requests may have as many as their
 // limit in bytes allows.
 constexpr std::size_t kMaxResponseHeaders = 200;
+// Ends each name and each value in `HttpParser::State::lines`; neither can
+// contain it.
+constexpr char kFieldEnd = '\n';
 
 bool HasControl(std::string_view text) {
   return std::any_of(text.begin(), text.end(), [](char it) {
@@ -37,9 +40,13 @@
   HttpLimits limits;
   http_parser library{};
   HttpHead head;
-  // Whether the last header has part of its value, so that a name starts a new
-  // header.
-  bool in_value = false;
+  // The headers that have arrived of a head that isn't complete: name, value,
+  // name, and so on, each with a `kFieldEnd` behind it. As an HttpHeader each,
+  // short ones would take many times their size.
+  std::string lines;
+  enum class Field { kNone, kName, kValue };
+  // What the latest bytes of `lines` belong to.
+  Field field = Field::kNone;
   // Whether some bytes of the current message have arrived.
   bool in_message = false;
   bool in_head = true;
@@ -47,6 +54,7 @@
   // Bytes of the head of the current message, with its start line.
   std::size_t head_bytes = 0;
   std::size_t body_bytes = 0;
+  std::size_t trailer_bytes = 0;
   HttpFault fault = HttpFault::kNone;
 
   static http_parser_settings Callbacks();
@@ -57,23 +65,56 @@
                      kind == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
     library.data = this;
     head = HttpHead();
-    in_value = false;
+    std::string().swap(lines);
+    field = Field::kNone;
     in_message = false;
     in_head = true;
     complete = false;
     head_bytes = 0;
     body_bytes = 0;
+    trailer_bytes = 0;
   }
 
-  void AddName(std::string_view part) {
-    if (in_value || head.headers.empty()) head.headers.emplace_back();
-    in_value = false;
-    head.headers.back().name.append(part);
+  int AddName(std::string_view part) {
+    if (!in_head) return AddTrailer(part);
+    if (field == Field::kValue) lines += kFieldEnd;
+    field = Field::kName;
+    lines += part;
+    return 0;
+  }
+
+  int AddValue(std::string_view part) {
+    if (!in_head) return AddTrailer(part);
+    if (field == Field::kName) lines += kFieldEnd;
+    field = Field::kValue;
+    lines += part;
+    return 0;
   }
 
-  void AddValue(std::string_view part) {
-    in_value = true;
-    head.headers.back().value.append(part);
+  // Nobody reads the trailers of a body in chunks.
+  int AddTrailer(std::string_view part) {
+    trailer_bytes += part.size();
+    if (trailer_bytes <= limits.max_head_bytes) return 0;
+    return Fail(HttpFault::kHeadTooLarge);
+  }
+
+  // Moves `lines` to the head.
+  void SplitLines() {
+    if (field != Field::kNone) lines += kFieldEnd;
+    const auto ends = std::count(lines.begin(), lines.end(), kFieldEnd);
+    head.headers.reserve(static_cast<std::size_t>(ends) / 2);
+    std::string_view rest = lines;
+    const auto next = [&rest] {
+      const std::string_view out = rest.substr(0, rest.find(kFieldEnd));
+      rest.remove_prefix(out.size() + 1);
+      return std::string(out);
+    };
+    while (!rest.empty()) {
+      HttpHeader& it = head.headers.emplace_back();
+      it.name = next();
+      it.value = next();
+    }
+    std::string().swap(lines);
   }
 
   bool HeadersAreValid() const {
@@ -96,6 +137,7 @@
 
   int OnHead() {
     in_head = false;
+    SplitLines();
     head.chunked = (library.flags & F_CHUNKED) != 0;
     if ((library.flags & F_CONTENTLENGTH) != 0) {
       head.content_length = library.content_length;
@@ -175,12 +217,10 @@
     return 0;
   };
   on.on_header_field = [](http_parser* it, const char* at, std::size_t n) {
-    State::Of(it).AddName({at, n});
-    return 0;
+    return State::Of(it).AddName({at, n});
   };
   on.on_header_value = [](http_parser* it, const char* at, std::size_t n) {
-    State::Of(it).AddValue({at, n});
-    return 0;
+    return State::Of(it).AddValue({at, n});
   };
   on.on_headers_complete = [](http_parser* it) {
     return State::Of(it).OnHead();
@@ -234,6 +274,15 @@
   return true;
 }
 
+void HttpParser::Discard() {
+  state_->Begin();
+  state_->fault = HttpFault::kMalformed;
+}
+
+std::size_t HttpParser::HeldBytes() const {
+  return state_->lines.capacity() + state_->head.target.capacity();
+}
+
 HttpFault HttpParser::fault() const { return state_->fault; }
 
 void HttpParser::SetLimits(HttpLimits limits) { state_->limits = limits; }
--- a/http/http_parser.h
+++ b/http/http_parser.h
@@ -15,8 +15,8 @@
 // understood in two ways (request smuggling, RFC 9112, 11.2).
 //
 // The parser owns the head of the current message and passes on a body as it
-// arrives. Sizes are in bytes. A fault is final: the parser then uses no more
-// bytes.
+// arrives. It keeps no trailers. Sizes are in bytes, as sent. A fault is final:
+// the parser then uses no more bytes.
 
 #ifndef QUAYTRACK_HTTP_HTTP_PARSER_H_
 #define QUAYTRACK_HTTP_HTTP_PARSER_H_
@@ -40,8 +40,8 @@
 // Limits on the size of a message. The defaults apply until a configuration
 // sets others; they equal the defaults in config/service_map.h.
 struct HttpLimits {
-  // Size of the head, as sent, with its start line and the empty line at its
-  // end.
+  // Size of the head, with its start line and the empty line at its end; and
+  // of the trailers.
   std::size_t max_head_bytes = 16 * 1024;
   std::size_t max_body_bytes = 4 * 1024 * 1024;
 };
@@ -74,6 +74,12 @@
 
   HttpFault fault() const;
 
+  // Drops the message that is being read. No more bytes are used.
+  void Discard();
+
+  // Memory that a head which isn't complete takes.
+  std::size_t HeldBytes() const;
+
   // Sets the limits for all bytes that are fed from now on.
   void SetLimits(HttpLimits limits);
 
--- a/http/testing/http_parser_test.cc
+++ b/http/testing/http_parser_test.cc
@@ -172,6 +172,37 @@
   }));
 }
 
+BOOST_AUTO_TEST_CASE(AHeadThatIsntCompleteTakesAboutItsSize) {
+  constexpr std::size_t kMax = 64 * 1024;
+  HttpLimits limits;
+  limits.max_head_bytes = kMax;
+  Reader it(HttpParser::Kind::kRequest, limits);
+  it.FeedAll(HeadOfShortLines(kMax).substr(0, kMax - 2));
+  BOOST_TEST((it.parser.fault() == HttpFault::kNone));
+  BOOST_TEST(it.parser.HeldBytes() <= 2 * kMax);
+  it.parser.Discard();
+  BOOST_TEST(it.parser.HeldBytes() < 100U);
+  BOOST_TEST(it.parser.Feed("GET / HTTP/1.1\r\n") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(TrailersAreReadUpToTheLimitOfAHead) {
+  const std::string start =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "1\r\na\r\n0\r\n";
+  Reader fits(HttpParser::Kind::kRequest);
+  fits.FeedAll(start + "T: 1\r\n\r\n");
+  BOOST_TEST(fits.parsed.complete == 1);
+  BOOST_TEST(fits.parsed.body == "a");
+  HttpLimits limits;
+  limits.max_head_bytes = 1000;
+  Reader exceeds(HttpParser::Kind::kRequest, limits);
+  std::string trailers;
+  for (int n = 0; n < 1000; ++n) trailers += "aa:\r\n";
+  exceeds.FeedAll(start + trailers);
+  BOOST_TEST((exceeds.parser.fault() == HttpFault::kHeadTooLarge));
+  BOOST_TEST(exceeds.parser.HeldBytes() < 100U);
+}
+
 BOOST_AUTO_TEST_CASE(AnAnswerWithoutLengthEndsWithItsConnection) {
   Reader it(HttpParser::Kind::kResponse);
   it.FeedAll("HTTP/1.1 200 OK\r\n\r\nall of it");
--- a/net/tcp_socket.cc
+++ b/net/tcp_socket.cc
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -19,6 +20,8 @@
 
 // Largest number of bytes of one read.
 constexpr std::size_t kReadBytes = 64 * 1024;
+// A larger buffer is freed once its bytes are sent.
+constexpr std::size_t kMaxEmptyBuffer = 4 * 1024;
 
 void SetOption(int fd, int level, int name, int value) {
   setsockopt(fd, level, name, &value, sizeof value);
@@ -153,6 +156,7 @@
     return;
   }
   buffer_.clear();
+  if (buffer_.capacity() > kMaxEmptyBuffer) std::string().swap(buffer_);
   buffer_sent_ = 0;
   if (on_.drained) on_.drained();
 }
@@ -183,6 +187,12 @@
   return poll(&it, 1, 0) > 0;
 }
 
+std::size_t TcpSocket::Unread() const {
+  int out = 0;
+  if (fd_ < 0 || ioctl(fd_, FIONREAD, &out) != 0) return 0;
+  return static_cast<std::size_t>(out);
+}
+
 void TcpSocket::PauseReading() {
   if (read_event_ != nullptr) event_del(read_event_);
 }
--- a/net/tcp_socket.h
+++ b/net/tcp_socket.h
@@ -111,11 +111,17 @@
   // even if bytes from before that are still unread. Makes a system call.
   bool PeerHasClosed() const;
 
+  // Number of bytes that have arrived and weren't read; for a socket whose
+  // reading is paused. Makes a system call.
+  std::size_t Unread() const;
+
   // The descriptor, for its options; -1 once the connection has ended.
   int fd() const { return fd_; }
 
   // Number of written bytes that the kernel has not accepted.
   std::size_t Unsent() const { return buffer_.size() - buffer_sent_; }
+  // Memory of the buffer for these bytes.
+  std::size_t BufferBytes() const { return buffer_.capacity(); }
   // Number of bytes that the kernel has accepted since the connection was made.
   std::uint64_t bytes_accepted() const { return bytes_accepted_; }
 
--- a/relay/crash_watch.cc
+++ b/relay/crash_watch.cc
@@ -267,6 +267,8 @@
   for (std::size_t n = 0; n < others.size(); ++n)
     out.push_back(others[(from + n) % others.size()]);
   out.resize(kMaxPartsPerRequest);
+  // The result is kept, and callers determine the number of parts.
+  out.shrink_to_fit();
   return out;
 }
 
--- a/relay/events.h
+++ b/relay/events.h
@@ -53,12 +53,16 @@
   // Largest event that is read, in bytes. Events hold some tokens each, and a
   // target in trouble may send bytes without end.
   static constexpr std::size_t kMaxEventBytes = 256 * 1024;
+  // Memory that is kept for the next bytes, after more has been read at once.
+  static constexpr std::size_t kMaxSpareBytes = 4 * 1024;
 
   // Appends received bytes, and returns the events that these complete: all of
   // them, or none if an event was skipped. The caller must forward the returned
   // events, as `last_id` counts them.
   StreamEvents Take(std::string_view bytes);
 
+  // Memory of the incomplete event, in bytes.
+  std::size_t HeldBytes() const { return partial_.capacity(); }
   // Whether part of an event has arrived.
   bool InEvent() const { return !partial_.empty(); }
   // Drops the incomplete event, when another target continues.
@@ -134,6 +138,9 @@
     return {.bytes = "", .count = 0, .too_large = true};
   }
   partial_.erase(0, used);
+  if (partial_.capacity() > kMaxSpareBytes &&
+      partial_.size() < partial_.capacity() / 2)
+    partial_.shrink_to_fit();
   // The last byte may be the first half of the end.
   searched_ = partial_.empty() ? 0 : partial_.size() - 1;
   last_id_ = last;
--- a/relay/kept_attempts.cc
+++ b/relay/kept_attempts.cc
@@ -33,6 +33,12 @@
   return out;
 }
 
+std::size_t KeptAttempts::BodyBytes() const {
+  std::size_t out = 0;
+  for (const AttemptState& it : attempts_) out += it.body.capacity();
+  return out;
+}
+
 std::vector<int> KeptAttempts::SilentNumbers() const {
   std::vector<int> out;
   for (const AttemptState& it : attempts_) {
--- a/relay/kept_attempts.h
+++ b/relay/kept_attempts.h
@@ -64,6 +64,9 @@
   // Removes and returns the attempt, which must be kept.
   AttemptState Take(int number);
 
+  // Memory of the bodies that the attempts have received, in bytes.
+  std::size_t BodyBytes() const;
+
   // The attempts whose target was silent while it could be reached.
   std::vector<int> SilentNumbers() const;
 
--- a/relay/relay_options.h
+++ b/relay/relay_options.h
@@ -85,6 +85,20 @@
   return out;
 }
 
+// Part of the VM's memory that callers' connections may hold. Most of the rest
+// is what the process holds without callers, and the loss of the allocator.
+inline constexpr double kCallerMemoryShare = 1.0 / 3;
+inline CallerBounds CallerBoundsFrom(const RelaySettings& settings) {
+  constexpr double kBytesPerMb = 1024 * 1024;
+  CallerBounds out;
+  out.memory_bytes = static_cast<std::size_t>(settings.memory_mb * kBytesPerMb *
+                                              kCallerMemoryShare);
+  return out;
+}
+
+// Of each server that serves no callers.
+inline constexpr CallerBounds kAdminBounds{2 * 1024 * 1024};
+
 inline CallerLimits CallerLimitsFrom(const RequestLimits& limits) {
   CallerLimits out;
   out.http.max_head_bytes = limits.max_head_bytes;
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -141,6 +141,9 @@
 }
 
 void RelayRouter::ServeCallers() {
+  caller_server_.SetBounds(CallerBoundsFrom(settings_));
+  admin_server_.SetBounds(kAdminBounds);
+  metrics_server_.SetBounds(kAdminBounds);
   caller_server_.SetGate(
       [this] { return accept_gate_.MayAccept(clock_.Now()); });
   caller_server_.Serve(
@@ -188,6 +191,7 @@
     LogColdTargets();
     BroadcastRateLimits();
     CheckLink();
+    LogShedCallers();
   });
   accept_timer_ = loop_.Every(AcceptGate::kTick, [this] { CheckDelay(); });
   configs_.Start();
--- a/relay/relay_router.h
+++ b/relay/relay_router.h
@@ -139,6 +139,7 @@
   void AnswerMetrics(const std::shared_ptr<CallerConnection>& caller);
   void CheckLink();
   void CheckDelay();
+  void LogShedCallers();
   void LogColdTargets();
 
   Loop& loop_;
@@ -174,6 +175,9 @@
   std::unique_ptr<Timer> accept_timer_;
   std::unique_ptr<Timer> check_timer_;
   bool announced_ready_ = false;
+  // Number of callers' connections that `callers_shed` has told of, and when.
+  std::uint64_t shed_logged_ = 0;
+  Instant shed_logged_at_{};
   // The latest era of the store that a peer has sent.
   std::int64_t peer_era_ = 0;
 };
--- a/relay/relay_router_messages.cc
+++ b/relay/relay_router_messages.cc
@@ -10,6 +10,12 @@
 #include "relay/request_log.h"
 
 namespace quaytrack {
+namespace {
+
+// Interval between two lines about ended connections of callers.
+constexpr Duration kShedLogInterval = std::chrono::seconds(1);
+
+}  // namespace
 
 // --- Messages of peers -------------------------------------------------------
 
@@ -150,6 +156,10 @@
   metrics_.SetGauge("link_load", link_.load());
   metrics_.SetGauge("connections_closed_unread",
                     static_cast<double>(caller_server_.closed_unread()));
+  metrics_.SetGauge("callers_held_bytes",
+                    static_cast<double>(caller_server_.held_bytes()));
+  metrics_.SetGauge("callers_shed_for_memory",
+                    static_cast<double>(caller_server_.shed_for_memory()));
   metrics_.SetGauge("config_version", static_cast<double>(configs_.version()));
   metrics_.SetGauge("cold_targets",
                     static_cast<double>(placement_.cold(clock_.Now())));
@@ -212,6 +222,20 @@
             {"requests", std::to_string(context_.requests.size())}});
 }
 
+void RelayRouter::LogShedCallers() {
+  const std::uint64_t for_memory = caller_server_.shed_for_memory();
+  const Instant now = clock_.Now();
+  const bool is_soon = now - shed_logged_at_ < kShedLogInterval;
+  if (for_memory == shed_logged_ || is_soon) return;
+  shed_logged_ = for_memory;
+  shed_logged_at_ = now;
+  const CallerBounds& bounds = caller_server_.bounds();
+  LogEvent(Event::kCallersShed,
+           {{"for_memory", std::to_string(for_memory)},
+            {"held", std::to_string(caller_server_.held_bytes())},
+            {"limit", std::to_string(bounds.memory_bytes)}});
+}
+
 void RelayRouter::CheckDelay() {
   if (!accept_gate_.OnTick(clock_.Now())) return;
   LogEvent(accept_gate_.IsLimited() ? Event::kAcceptsLimited
--- a/relay/relay_settings.h
+++ b/relay/relay_settings.h
@@ -61,6 +61,9 @@
   // which may be a fraction; 0 if unknown.
   double link_mbps = 0;
   double cores = 0;
+  // Memory of the VM in megabytes. It bounds what the connections of callers
+  // hold together.
+  double memory_mb = 110;
 };
 
 // The flags as given, before they are checked.
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -20,6 +20,9 @@
 // round that finds the links lost tells the requests (`OnLinksLost`).
 constexpr Duration kProbesCheckInterval = std::chrono::milliseconds(20);
 
+// Memory of one possible cause of a crash, with the text of its name.
+constexpr std::size_t kCauseBytes = sizeof(CauseId) + 48;
+
 }  // namespace
 
 RelayedRequest::RelayedRequest(const RelayContext& context,
@@ -80,12 +83,32 @@
     is_test_ = context_.crashes.TakeTest(id(), causes());
     if (!is_test_) return RefuseBlamed();
   }
+  ReportMemory();
   context_.retries.OnRequest(context_.clock.Now(), admission_.service->name);
   const bool takes_up = admission_.route->kind == RouteKind::kStreaming &&
                         admission_.facts.takes_up;
   takes_up ? FindStream() : Hold();
 }
 
+// Tells the caller's connection what this object holds beside the request, as
+// far as callers and targets determine it.
+void RelayedRequest::ReportMemory() {
+  const std::size_t parts =
+      admission_.facts.parts.capacity() + admission_.placement.parts.capacity();
+  const std::size_t causes = causes_ ? causes_->parts.capacity() : 0;
+  caller_->NoteHeld(parts * sizeof(PromptPart) + causes * kCauseBytes +
+                    attempt_.body.capacity() + events_.HeldBytes() +
+                    kept_.BodyBytes());
+}
+
+// Frees the request, which isn't sent again. Its connection may be closed, so
+// that nothing counts its memory.
+void RelayedRequest::DropRequest() {
+  causes();
+  std::exchange(request_.head, {});
+  std::string().swap(request_.body);
+}
+
 void RelayedRequest::Apply(RelayEvent event) {
   const auto self = shared_from_this();
   why_ = cause_;
@@ -305,7 +328,10 @@
   // A call that must not be repeated runs on to its end.
   const bool runs_on = ran == Ran::kUnknown &&
                        admission_.route->kind == RouteKind::kNonIdempotent;
-  if (runs_on) return Apply(RelayEvent::kCallerGoneCallRunsOn);
+  if (runs_on) {
+    DropRequest();
+    return Apply(RelayEvent::kCallerGoneCallRunsOn);
+  }
   ReportStopped(attempt_);
   StopAttempt(PlacementOutcome::kNeutral);
   cause_ = RelayCause::kCallerGone;
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -123,6 +123,8 @@
   bool MayTrust(RelayCause refused) const;
   void OnConfigAsked(bool is_current);
   void Begin();
+  void ReportMemory();
+  void DropRequest();
 
   // Streams that callers take up (relayed_request_take_up.cc).
   void FindStream();
@@ -231,7 +233,7 @@
   // router hadn't read one.
   ServiceMapPtr map_;
   const std::shared_ptr<CallerConnection> caller_;
-  const CallerRequest request_;
+  CallerRequest request_;
   ChartMachine<RelayState, RelayEvent, RelayAction> machine_;
   Admission admission_;
   std::unique_ptr<Timer> deadline_timer_;
--- a/relay/relayed_request_attempts.cc
+++ b/relay/relayed_request_attempts.cc
@@ -193,10 +193,11 @@
   const auto self = shared_from_this();
   if (machine_.state() == RelayState::kEnded) return;
   if (!IsByEvent(attempt_)) {
-    if (!attempt_.TakeBody(bytes)) EndInvalid();
-    return;
+    if (!attempt_.TakeBody(bytes)) return EndInvalid();
+    return ReportMemory();
   }
   const StreamEvents events = events_.Take(bytes);
+  if (events_.HeldBytes() > EventReader::kMaxSpareBytes) ReportMemory();
   if (!events.valid()) return EndInvalid();
   if (!events.bytes.empty()) Forward(events);
 }
@@ -526,6 +527,7 @@
     const Fingerprint request =
         FingerprintOf(request_.head, request_.body, customer());
     causes_ = RequestCauses{request, PartCauses()};
+    ReportMemory();
   }
   return *causes_;
 }
--- a/relay/relayed_request_kept.cc
+++ b/relay/relayed_request_kept.cc
@@ -32,7 +32,7 @@
   const KeptBytes read = StepAfterBytes(admission_.route->kind, attempt, bytes);
   switch (read.step) {
     case KeptStep::kStay:
-      return;
+      return ReportMemory();
     case KeptStep::kEnd:
       return EndKept(number, PlacementOutcome::kFailed, AttemptFault::kInvalid);
     case KeptStep::kGoOn:
