--- a/http/caller_connection.cc
+++ b/http/caller_connection.cc
@@ -310,6 +310,10 @@
   if (gone) gone();
 }
 
+bool CallerConnection::IsSpare() const {
+  return phase_ != Phase::kAnswering && socket_->Unsent() == 0;
+}
+
 bool CallerConnection::AwaitsFirstRequest(Instant now) const {
   return unused_ && open() && now - progress_at_ < kFirstRequestTime;
 }
--- a/http/caller_connection.h
+++ b/http/caller_connection.h
@@ -117,6 +117,8 @@
   void UpdateHeld();
   void PauseReading();
   void ResumeReading();
+  // Whether the connection may be closed to make room for another one.
+  bool IsSpare() const;
   void OnEnded();
   void FinishExchange();
   void CloseAfterFlush();
--- a/http/caller_server.cc
+++ b/http/caller_server.cc
@@ -32,7 +32,8 @@
 }
 
 void CallerServer::Accept(int fd) {
-  if (!may_accept_()) {
+  const bool has_room = connections_.size() < bounds_.connections;
+  if (!may_accept_() || !(has_room || MakeRoom())) {
     ++closed_unread_;
     ::close(fd);
     return;
@@ -45,6 +46,20 @@
   it->Start();
 }
 
+bool CallerServer::MakeRoom() {
+  const auto is_better = [](const auto& a, const auto& b) {
+    if (a->IsSpare() != b->IsSpare()) return a->IsSpare();
+    return a->progress_at_ < b->progress_at_;
+  };
+  const auto it =
+      std::min_element(connections_.begin(), connections_.end(), is_better);
+  if (it == connections_.end() || !(*it)->IsSpare()) return false;
+  ++shed_for_room_;
+  const auto keep = *it;
+  keep->Abort();
+  return true;
+}
+
 void CallerServer::OnHeldChanged(std::size_t before, std::size_t now) {
   held_bytes_ += now - before;
   if (held_bytes_ <= bounds_.memory_bytes || will_shed_) return;
--- a/http/caller_server.h
+++ b/http/caller_server.h
@@ -17,6 +17,9 @@
 //   - Memory. If they hold too much, connections end until an eighth of the
 //     bound is free: first those without a request at the handler, then the
 //     others, and among them first those that hold most.
+//   - Descriptors. If too many connections are open, a new one takes the place
+//     of the one without a request at the handler that has been without
+//     progress for longest; it is closed unread if there is none.
 //
 // The server owns the connections and relies on the loop and the clock, which
 // must outlive it. Its only error is an address that it can't listen on; an
@@ -41,9 +44,10 @@
 namespace quaytrack {
 
 // Bounds on all connections of a server together. The defaults are those of a
-// VM with 110 MB of memory (relay/relay_options.h).
+// VM with 110 MB of memory and 4,100 descriptors (relay/relay_options.h).
 struct CallerBounds {
   std::size_t memory_bytes = std::size_t{36} * 1024 * 1024;
+  std::size_t connections = 2400;
 };
 
 class CallerServer {
@@ -67,8 +71,9 @@
   const CallerBounds& bounds() const { return bounds_; }
   // Memory that the connections hold.
   std::size_t held_bytes() const { return held_bytes_; }
-  // Number of connections that were ended for it.
+  // Number of connections that were ended for each of the bounds.
   std::uint64_t shed_for_memory() const { return shed_for_memory_; }
+  std::uint64_t shed_for_room() const { return shed_for_room_; }
 
   // Sets what decides whether a new connection is accepted. One that isn't is
   // closed before anything of it is read. Without this, all are accepted.
@@ -101,6 +106,8 @@
  private:
   friend class CallerConnection;
   void Accept(int fd);
+  // Closes a connection to make room for a new one; false if none may be.
+  bool MakeRoom();
   // Called when a connection holds other memory than before.
   void OnHeldChanged(std::size_t before, std::size_t now);
   // Ends connections if all hold too much. No function of another connection
@@ -117,6 +124,7 @@
   CallerBounds bounds_;
   std::size_t held_bytes_ = 0;
   std::uint64_t shed_for_memory_ = 0;
+  std::uint64_t shed_for_room_ = 0;
   // Whether a call of `ShedExcess` is posted.
   bool will_shed_ = false;
   Handler handler_;
--- a/http/testing/caller_bounds_test.cc
+++ b/http/testing/caller_bounds_test.cc
@@ -1,5 +1,5 @@
 // Tests which connections a CallerServer ends when all together hold too much
-// memory.
+// memory, or when there are too many.
 
 #include <boost/test/unit_test.hpp>
 #include <memory>
@@ -31,7 +31,7 @@
 
 struct Fixture {
   Fixture() {
-    server.SetBounds({kMemory});
+    server.SetBounds({kMemory, 4});
     CallerLimits limits;
     limits.http.max_body_bytes = kMaxBody;
     server.SetLimits(limits);
@@ -139,5 +139,27 @@
   BOOST_TEST(server.held_bytes() == 0U);
 }
 
+// Guards against callers that find no room behind connections without use.
+BOOST_FIXTURE_TEST_CASE(ANewConnectionTakesThePlaceOfTheOldestIdleOne,
+                        Fixture) {
+  answers = true;
+  for (int n = 0; n < 4; ++n) Open(n % 2 == 0 ? "" : "POST ");
+  Client& caller = Open(Post(0));
+  BOOST_TEST(caller.received.starts_with("HTTP/1.1 200 "));
+  BOOST_TEST(clients[0]->ended);
+  BOOST_TEST(!clients[1]->ended);
+  BOOST_TEST(server.connections() == 4U);
+  BOOST_TEST(server.shed_for_room() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(NoRequestAtItsHandlerMakesRoom, Fixture) {
+  for (int n = 0; n < 4; ++n) Open(Post(0));
+  Client& caller = Open(Post(0));
+  BOOST_TEST(caller.ended);
+  BOOST_TEST(caller.received.empty());
+  BOOST_TEST(gone == 0);
+  BOOST_TEST(server.closed_unread() == 1U);
+}
+
 }  // namespace
 }  // namespace quaytrack
--- a/relay/relay_options.h
+++ b/relay/relay_options.h
@@ -88,16 +88,23 @@
 // Part of the VM's memory that callers' connections may hold. Most of the rest
 // is what the process holds without callers, and the loss of the allocator.
 inline constexpr double kCallerMemoryShare = 1.0 / 3;
+// Descriptors that files keep, and the part of the others that is left for
+// callers: each of their requests needs a connection to a target as well.
+inline constexpr int kFileDescriptors = 200;
+inline constexpr double kCallerDescriptorShare = 5.0 / 8;
+
 inline CallerBounds CallerBoundsFrom(const RelaySettings& settings) {
   constexpr double kBytesPerMb = 1024 * 1024;
   CallerBounds out;
   out.memory_bytes = static_cast<std::size_t>(settings.memory_mb * kBytesPerMb *
                                               kCallerMemoryShare);
+  out.connections = static_cast<std::size_t>(
+      (settings.max_descriptors - kFileDescriptors) * kCallerDescriptorShare);
   return out;
 }
 
 // Of each server that serves no callers.
-inline constexpr CallerBounds kAdminBounds{2 * 1024 * 1024};
+inline constexpr CallerBounds kAdminBounds{2 * 1024 * 1024, 64};
 
 inline CallerLimits CallerLimitsFrom(const RequestLimits& limits) {
   CallerLimits out;
--- a/relay/relay_router_messages.cc
+++ b/relay/relay_router_messages.cc
@@ -160,6 +160,8 @@
                     static_cast<double>(caller_server_.held_bytes()));
   metrics_.SetGauge("callers_shed_for_memory",
                     static_cast<double>(caller_server_.shed_for_memory()));
+  metrics_.SetGauge("callers_shed_for_room",
+                    static_cast<double>(caller_server_.shed_for_room()));
   metrics_.SetGauge("config_version", static_cast<double>(configs_.version()));
   metrics_.SetGauge("cold_targets",
                     static_cast<double>(placement_.cold(clock_.Now())));
@@ -224,16 +226,20 @@
 
 void RelayRouter::LogShedCallers() {
   const std::uint64_t for_memory = caller_server_.shed_for_memory();
+  const std::uint64_t for_room = caller_server_.shed_for_room();
   const Instant now = clock_.Now();
   const bool is_soon = now - shed_logged_at_ < kShedLogInterval;
-  if (for_memory == shed_logged_ || is_soon) return;
-  shed_logged_ = for_memory;
+  if (for_memory + for_room == shed_logged_ || is_soon) return;
+  shed_logged_ = for_memory + for_room;
   shed_logged_at_ = now;
   const CallerBounds& bounds = caller_server_.bounds();
   LogEvent(Event::kCallersShed,
            {{"for_memory", std::to_string(for_memory)},
             {"held", std::to_string(caller_server_.held_bytes())},
-            {"limit", std::to_string(bounds.memory_bytes)}});
+            {"limit", std::to_string(bounds.memory_bytes)},
+            {"for_room", std::to_string(for_room)},
+            {"open", std::to_string(caller_server_.connections())},
+            {"most", std::to_string(bounds.connections)}});
 }
 
 void RelayRouter::CheckDelay() {
--- a/relay/relay_settings.cc
+++ b/relay/relay_settings.cc
@@ -48,6 +48,9 @@
       "Processors of this VM, may be a fraction; 0 if unknown");
   add("--memory-mb", flags.memory_mb,
       "Megabytes of memory of this VM; callers together hold at most a third");
+  add("--max-descriptors", flags.max_descriptors,
+      "Descriptors of this process; callers together have at most five "
+      "eighths");
   add("--cover-s", flags.cover_s,
       "Seconds of its own spending that a router keeps granted at least");
   add("--scarce-horizon-s", flags.scarce_horizon_s,
@@ -84,6 +87,7 @@
   check.Range("--link-mbps", flags.link_mbps, 0.0, 1e6);
   check.Range("--cores", flags.cores, 0.0, 4096.0);
   check.Range("--memory-mb", flags.memory_mb, 16.0, 1e6);
+  check.Range("--max-descriptors", flags.max_descriptors, 300, 1 << 20);
   check.Range("--cover-s", flags.cover_s, 0, 600);
   check.Range("--scarce-horizon-s", flags.scarce_horizon_s, 0, 600);
   static_cast<RelayValues&>(out) = flags;
--- a/relay/relay_settings.h
+++ b/relay/relay_settings.h
@@ -61,9 +61,10 @@
   // which may be a fraction; 0 if unknown.
   double link_mbps = 0;
   double cores = 0;
-  // Memory of the VM in megabytes. It bounds what the connections of callers
-  // hold together.
+  // Memory of the VM in megabytes, and the number of descriptors that the
+  // process may have. They bound what the connections of callers take together.
   double memory_mb = 110;
+  int max_descriptors = 4100;
 };
 
 // The flags as given, before they are checked.
