Don't end idle connections for memory that others hold

When requests at their handlers held too much, all idle connections ended first, in vain: each holds some dozen bytes and comes before those requests. Connections that hold less than 1 KiB are left alone.

ACallerIsGoneIfItsRequestHoldsTooMuch, with an idle connection beside it, failed before and passes.

--- a/http/caller_server.cc
+++ b/http/caller_server.cc
@@ -10,6 +10,9 @@
 
 // Interval of the checks of time limits; a limit may be exceeded by this much.
 constexpr Duration kSweepEvery = std::chrono::milliseconds(500);
+// Connections that hold less aren't ended for memory: idle ones would be in
+// vain, as they come before those with a request at its handler.
+constexpr std::size_t kMinShedBytes = 1024;
 // How long sent bytes may stay unacknowledged before the caller counts as
 // disconnected.
 constexpr Duration kUserTimeout = std::chrono::seconds(5);
@@ -87,7 +90,7 @@
   const std::size_t enough = bounds_.memory_bytes - bounds_.memory_bytes / 8;
   for (const auto& it : all) {
     if (held_bytes_ <= enough) return;
-    if (it->held_ == 0) continue;
+    if (it->held_ < kMinShedBytes) continue;
     ++shed_for_memory_;
     it->Shed();
   }
