--- a/http/caller_server.cc
+++ b/http/caller_server.cc
@@ -58,8 +58,7 @@
       std::min_element(connections_.begin(), connections_.end(), is_better);
   if (it == connections_.end() || !(*it)->IsSpare()) return false;
   ++shed_for_room_;
-  const auto keep = *it;
-  keep->Abort();
+  (*it)->Abort();
   return true;
 }
 
