Answer 502 where a request that a target may have is given up for memory

When callers' connections held too much, one whose request was at its handler was closed without an answer. To its caller that may look as if the request hadn't been read, so a call that must run once could be sent again while a target has it. It is now answered with 502, which promises nothing; a stream that has begun is broken off, as before.

--- a/http/caller_connection.cc
+++ b/http/caller_connection.cc
@@ -23,6 +23,8 @@
 constexpr std::size_t kChunkFraming = 16;
 // The answer to a request that there is no memory for.
 constexpr int kUnavailable = 503;
+// The answer to a request that may have run.
+constexpr int kBadGateway = 502;
 constexpr char kRetryAfter[] = "Retry-After";
 constexpr char kRetryAfterSeconds[] = "1";
 // A body is held twice while its request is under way: once more in the bytes
@@ -200,11 +202,22 @@
     case Phase::kAnswering:
       if (std::exchange(handing_over_, false))
         return RefuseAndClose(kUnavailable);
-      socket_->Close();
-      return OnEnded();
+      return ShedAnswering();
   }
 }
 
+// A target may have the request. A close without an answer could look to the
+// caller as if the request hadn't been read, so that it may be sent again.
+void CallerConnection::ShedAnswering() {
+  const auto gone = std::exchange(on_gone_, nullptr);
+  if (answer_begun_) {
+    Abort();
+  } else {
+    RefuseAndClose(kBadGateway);
+  }
+  if (gone) gone();
+}
+
 void CallerConnection::Reply(const HttpHead& head, std::string_view body) {
   if (!open()) return;
   const bool keep_alive = keep_alive_ && !server_.closing();
@@ -221,6 +234,7 @@
 void CallerConnection::StartStream(const HttpHead& head) {
   if (!open()) return;
   keep_alive_ = keep_alive_ && !server_.closing();
+  answer_begun_ = true;
   socket_->Write(
       HeadBytes(head, "Transfer-Encoding: chunked\r\n", keep_alive_));
 }
@@ -259,6 +273,7 @@
   on_gone_ = nullptr;
   on_drained_ = nullptr;
   head_read_ = false;
+  answer_begun_ = false;
   request_bytes_ = 0;
   handler_bytes_ = 0;
   progress_at_ = server_.clock_.Now();
--- a/http/caller_connection.h
+++ b/http/caller_connection.h
@@ -26,7 +26,8 @@
 // request that its handler has taken and what the handler adds (`NoteHeld`).
 // When all connections together hold too much, the server has some end
 // (`Shed`): a request that the handler doesn't have yet is refused with 503;
-// where the handler has it, the caller counts as gone.
+// where the handler has it, it is answered with 502, or its stream is broken
+// off, and the caller counts as gone.
 
 #ifndef QUAYTRACK_HTTP_CALLER_CONNECTION_H_
 #define QUAYTRACK_HTTP_CALLER_CONNECTION_H_
@@ -113,6 +114,7 @@
   void RefuseAndClose(int status);
   // Ends the connection so that it holds no more memory.
   void Shed();
+  void ShedAnswering();
   std::size_t CountHeld() const;
   void UpdateHeld();
   void PauseReading();
@@ -150,6 +152,8 @@
   bool handing_over_ = false;
   // Whether `Consume` is running; a nested call does nothing.
   bool consuming_ = false;
+  // Whether the head of a streamed answer has been written.
+  bool answer_begun_ = false;
   // Whether reading is paused, as too much of the next request has arrived.
   bool paused_ = false;
   // Memory of the request that the handler has, and what the handler added.
