--- a/review/4/case.cc
+++ b/review/4/case.cpp
@@ -6,7 +6,7 @@
 // spoils one of its answers, less than 0.05 of them: the event with id 2 is
 // lost, and behind event 3 stand bytes that are no chunk, in the same segment.
 
-#include "rig.h"
+#include "rig.hpp"
 
 using namespace rig;
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,8 +4,8 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 for it in 4 5 6 7 8; do
-  [ -f "$it/case.cc" ] || continue
+  [ -f "$it/case.cpp" ] || continue
   mkdir -p "../target/review-2"
-  g++ -std=c++20 -O1 -Wall -pthread -Icommon-2 "$it/case.cc" \
+  g++ -std=c++20 -O1 -Wall -pthread -Icommon-2 "$it/case.cpp" \
     -o "../target/review-2/case-$it"
 done
