Handlers may end what calls them: sockets, links, exchanges, parsers

Cause: code that goes on after a handler which has ended its connection. A link that its owner dropped in a message handler still delivered the messages behind it in the same read. Handlers of a link, and the actions of a drained connection and of a caller that left, were destroyed while they ran if they ended the exchange. A socket that was released as it opened went on writing. A parser called handlers after `Discard`.

Change: whoever calls a handler holds it, or a copy, until it returns; a link loses its handlers with its owner's pointer; a released socket stops.

--- a/evhttp/http_server.cc
+++ b/evhttp/http_server.cc
@@ -149,7 +149,10 @@
   // The handler is called from a posted callback, as libevent is still closing
   // the connection.
   loop_.Post([this, exists = exists_] {
-    if (*exists && on_gone_) on_gone_();
+    if (!*exists) return;
+    // A copy, as the action may destroy the exchange.
+    const auto gone = on_gone_;
+    if (gone) gone();
   });
 }
 
@@ -266,8 +269,10 @@
 void HttpExchange::OnOutput(evbuffer* output, const evbuffer_cb_info* info,
                             void* self) {
   auto* it = static_cast<HttpExchange*>(self);
-  const bool drained = info->n_deleted > 0 && evbuffer_get_length(output) == 0;
-  if (drained && it->on_drained_) it->on_drained_();
+  if (info->n_deleted == 0 || evbuffer_get_length(output) > 0) return;
+  // A copy, as the action may destroy the exchange.
+  const auto drained = it->on_drained_;
+  if (drained) drained();
 }
 
 void HttpExchange::EndStream() {
--- a/http/caller_connection.cc
+++ b/http/caller_connection.cc
@@ -71,7 +71,9 @@
   on.drained = [this] {
     UpdateHeld();
     if (flushing_) return Linger();
-    if (on_drained_) on_drained_();
+    // A copy, as the action may end the exchange and so be replaced.
+    const auto drained = on_drained_;
+    if (drained) drained();
   };
   socket_->SetHandlers(std::move(on));
 }
--- a/http/http_parser.cc
+++ b/http/http_parser.cc
@@ -155,7 +155,7 @@
       return Fail(HttpFault::kBodyTooLarge);
     }
     on.head(head);
-    return 0;
+    return ContinueUnlessDropped();
   }
 
   int OnBody(std::string_view bytes) {
@@ -164,7 +164,12 @@
       return Fail(HttpFault::kBodyTooLarge);
     }
     on.body(bytes);
-    return 0;
+    return ContinueUnlessDropped();
+  }
+
+  // A handler may have dropped the message (`Discard`).
+  int ContinueUnlessDropped() const {
+    return fault == HttpFault::kNone ? 0 : -1;
   }
 
   // Takes bytes of the head up to its limit, or of the rest of the message.
--- a/http/http_parser.h
+++ b/http/http_parser.h
@@ -50,7 +50,7 @@
  public:
   enum class Kind { kRequest, kResponse };
   // The handlers are called inside `Feed` and `FeedEnd`, in this order for each
-  // message.
+  // message. They may call `Discard`, and must not destroy the parser.
   struct Handlers {
     // Gets the head of the message, and may move from it.
     std::function<void(HttpHead& head)> head;
@@ -74,7 +74,8 @@
 
   HttpFault fault() const;
 
-  // Drops the message that is being read. No more bytes are used.
+  // Drops the message that is being read. No more bytes are used, and no more
+  // handlers are called.
   void Discard();
 
   // Memory that a head which isn't complete takes.
--- a/net/peer_link.cc
+++ b/net/peer_link.cc
@@ -56,7 +56,7 @@
   }
 
   void SetHandlers(Handlers handlers) override {
-    handlers_ = std::move(handlers);
+    handlers_ = std::make_shared<const Handlers>(std::move(handlers));
   }
 
   void Send(const std::string& message) override {
@@ -74,14 +74,16 @@
           return ws::lib::error_code();
         });
     connection_->set_open_handler([this](const ws::connection_hdl&) {
-      if (handlers_.open) handlers_.open();
+      const auto on = handlers_;
+      if (on->open) on->open();
     });
     connection_->set_message_handler(
         [this](const ws::connection_hdl&,
                const typename Endpoint::message_ptr& message) {
           partial_ = 0;
           message_ended_ = true;
-          if (handlers_.message) handlers_.message(message->get_payload());
+          const auto on = handlers_;
+          if (on->message) on->message(message->get_payload());
         });
     const auto lost = [this](const ws::connection_hdl&) { Close(); };
     connection_->set_close_handler(lost);
@@ -139,8 +141,9 @@
     closed_ = true;
     bufferevent_disable(bev_, EV_READ | EV_WRITE);
     loop_.Post([keep = this->shared_from_this()] {
-      if (keep->handlers_.closed) keep->handlers_.closed();
-      keep->handlers_ = {};
+      const auto on = keep->handlers_;
+      if (on->closed) on->closed();
+      keep->SetHandlers({});
     });
   }
 
@@ -148,7 +151,10 @@
   bufferevent* bev_;
   Endpoint endpoint_;
   ConnectionPtr connection_;
-  Handlers handlers_;
+  // Whoever calls one of the handlers holds a pointer to them meanwhile, as the
+  // handler may set others.
+  std::shared_ptr<const Handlers> handlers_ =
+      std::make_shared<const Handlers>();
   std::uint64_t received_ = 0;
   std::uint64_t partial_ = 0;
   // Whether the bytes that are being read have completed a message.
@@ -156,6 +162,15 @@
   bool closed_ = false;
 };
 
+// Returns the pointer that the owner gets. A link that is released in one of
+// its handlers lives until that returns, so the release takes the handlers
+// away.
+template <class Link>
+std::shared_ptr<PeerLink> ForOwner(std::shared_ptr<Link> link) {
+  Link* raw = link.get();
+  return {raw, [link = std::move(link)](PeerLink*) { link->SetHandlers({}); }};
+}
+
 void SetNoDelay(evutil_socket_t fd) {
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -185,7 +200,7 @@
   sockaddr_in target = ToSocketAddress(*at);
   bufferevent_socket_connect(bev, reinterpret_cast<sockaddr*>(&target),
                              sizeof target);
-  return link;
+  return ForOwner(std::move(link));
 }
 
 PeerServer::PeerServer(Loop& loop, Accepted accepted)
@@ -246,7 +261,7 @@
   auto link = std::make_shared<Link>(loop_, bev);
   auto connection = link->endpoint().get_connection();
   link->Start(connection);
-  accepted_(link);
+  accepted_(ForOwner(link));
   connection->start();
   link->TakeFirstBytes(first_bytes);
 }
--- a/net/peer_link.h
+++ b/net/peer_link.h
@@ -50,6 +50,7 @@
 
 class PeerLink {
  public:
+  // Handlers may set others, or release the link. None is called after that.
   struct Handlers {
     // Called when the link has opened: messages may be sent from now on.
     std::function<void()> open;
--- a/net/tcp_socket.cc
+++ b/net/tcp_socket.cc
@@ -144,7 +144,8 @@
     connected_ = true;
     event_add(read_event_, nullptr);
     if (on_.connected) on_.connected();
-    if (!open()) return;
+    // The handler may have closed the socket, or released the last pointer.
+    if (!open() || keep.use_count() == 1) return;
   }
   const std::string_view rest = std::string_view(buffer_).substr(buffer_sent_);
   if (rest.empty()) return;
