A handler may cancel its call: a spoiled answer ended the process

Cause: a connection to a target went on after a handler that had cancelled its call. `OnAnswer` ended the call again, which was null; `SendCall` did so after the check before a send; `Cancel` moved the handlers while one of them ran.

Change: the call is looked at again after each handler; whoever calls a handler holds the handlers, and `Cancel` only gives them up. The fault can't come back by a further handler, as each is followed by that look.

--- a/http/target_connection.cc
+++ b/http/target_connection.cc
@@ -79,16 +79,16 @@
     idle_time = IdleTimeOf(head);
     last_status = head.status;
     if (!head.keep_alive) reusable = false;
-    const auto it = call;
-    if (!it) return;
-    skipping = !it->on_.head(head);
+    if (!call) return;
+    const auto on = call->on_;
+    skipping = !on->head(head);
     if (skipping) reusable = false;
   }
 
   void OnBody(std::string_view bytes) {
     if (skipping || !call) return;
-    const auto it = call;
-    it->on_.body(bytes);
+    const auto on = call->on_;
+    on->body(bytes);
   }
 
   void OnComplete() {
@@ -107,13 +107,15 @@
     const auto keep = shared_from_this();
     while (!bytes.empty() && call && !complete) {
       const std::size_t used = parser.Feed(bytes);
+      // A handler may have cancelled the call.
+      if (!call) return;
       const bool too_many = skipping && heads > kMaxSkipped;
       if (parser.fault() != HttpFault::kNone || too_many) {
         return owner.Finish(keep, CallEnd::kBroken, false);
       }
       bytes.remove_prefix(used);
     }
-    if (!call || !complete) return;
+    if (!complete) return;
     if (last_status >= kFirstErrorStatus) RememberFailed();
     const bool clean = bytes.empty() && socket->Unsent() == 0;
     owner.Finish(keep, CallEnd::kComplete, reusable && clean);
@@ -211,9 +213,12 @@
   // Sends the bytes of the call that waited for the connection.
   void SendCall() {
     const auto keep = shared_from_this();
-    if (may_send && !may_send()) {
+    const auto check = std::exchange(may_send, nullptr);
+    const bool is_allowed = !check || check();
+    // The check may have cancelled the call.
+    if (!call) return;
+    if (!is_allowed)
       return owner.Finish(keep, CallEnd::kCancelledBeforeSend, false);
-    }
     socket->Write(std::exchange(unsent, {}));
   }
 
@@ -276,7 +281,7 @@
 void CallHandle::Cancel() {
   // Without a connection, the report that it couldn't be opened may be on its
   // way.
-  const auto on = std::exchange(on_, {});
+  on_.reset();
   if (!connection_) return;
   const auto connection = std::exchange(connection_, nullptr);
   connection->call.reset();
@@ -403,7 +408,7 @@
     const TargetCall& call, CallHandle::Handlers handlers) {
   auto out = std::make_shared<CallHandle>();
   out->owner_ = this;
-  out->on_ = std::move(handlers);
+  out->on_ = std::make_shared<CallHandle::Handlers>(std::move(handlers));
   const bool direct = call.via.empty();
   ConnectionPtr connection =
       direct ? TakeIdle(call.address, call.request) : nullptr;
@@ -413,8 +418,9 @@
   }
   if (!connection) {
     loop_.Post([out, direct] {
-      if (!out->on_.end) return;
-      out->on_.end(direct ? CallEnd::kNotSent : CallEnd::kNoTunnel);
+      const auto on = std::exchange(out->on_, nullptr);
+      if (on && on->end)
+        on->end(direct ? CallEnd::kNotSent : CallEnd::kNoTunnel);
     });
     return out;
   }
@@ -443,8 +449,8 @@
   } else {
     connection->socket->Close();
   }
-  const auto on = std::exchange(call->on_, {});
-  if (on.end) on.end(end);
+  const auto on = std::exchange(call->on_, nullptr);
+  if (on->end) on->end(end);
 }
 
 void TargetConnections::KeepIdle(const ConnectionPtr& connection) {
--- a/http/target_connection.h
+++ b/http/target_connection.h
@@ -39,7 +39,8 @@
 // A TargetConnections owns the idle connections; a running call owns its
 // connection. The loop and the clock must outlive the TargetConnections, which
 // must outlive its calls. Handlers are called from the loop, never from inside
-// `Start`. If the connection can't be opened, the call ends as not sent.
+// `Start`. Each handler, and `may_send`, may cancel its call; none is called
+// after that. If the connection can't be opened, the call ends as not sent.
 
 #ifndef QUAYTRACK_HTTP_TARGET_CONNECTION_H_
 #define QUAYTRACK_HTTP_TARGET_CONNECTION_H_
@@ -133,7 +134,9 @@
 
   TargetConnections* owner_ = nullptr;
   std::shared_ptr<Connection> connection_;
-  Handlers on_;
+  // Null once the call has ended. Whoever calls one of the handlers holds a
+  // pointer to them meanwhile, as the handler may cancel the call.
+  std::shared_ptr<const Handlers> on_;
 };
 
 class TargetConnections {
