Check the status line of every answer

Cause: the status line was used unchecked. The library's parser accepts any number, version and reason; what was below 200 counted as interim. evhttp is as lenient, and ended calls with interim answers other than 100.

Change: ReadStatusLine accepts HTTP/1.x, three digits from 100 to 599 but 101, and a reason without control bytes. HttpParser applies it when the line is complete, which covers targets, tunnels, kept and taken-up streams and the store; the heads of tunnels and evhttp's client use it too. What fails is a broken answer at once, without a promise.

--- a/evhttp/http_client.cc
+++ b/evhttp/http_client.cc
@@ -11,9 +11,11 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "net/address.h"
+#include "net/http_message.h"
 #include "net/timeval.h"
 
 namespace quaytrack {
@@ -25,6 +27,7 @@
 constexpr int kFirstErrorStatus = 400;
 // Stands for no limit.
 constexpr ev_ssize_t kNoLimit = -1;
+constexpr int kContinue = 100;
 
 evhttp_cmd_type MethodOf(const std::string& name) {
   if (name == "POST") return EVHTTP_REQ_POST;
@@ -63,6 +66,10 @@
   evhttp_connection* handle = nullptr;
   // Whether a byte of the present request was handed to the kernel.
   bool write_began = false;
+  // The call that awaits a status line; null if none does.
+  HttpCall* reader = nullptr;
+  // Whether the latest status line is one of an answer, final or to be skipped.
+  bool is_answer = false;
 
   ~Connection() {
     if (handle != nullptr) evhttp_connection_free(handle);
@@ -77,6 +84,26 @@
   static void OnOutput(evbuffer*, const evbuffer_cb_info* info, void* self) {
     if (info->n_deleted > 0) static_cast<Connection*>(self)->write_began = true;
   }
+
+  static void OnInput(evbuffer* in, const evbuffer_cb_info* info, void* self) {
+    if (info->n_added > 0) static_cast<Connection*>(self)->ReadStatus(in);
+  }
+
+  // Reads the status line at the start of the buffer once it is complete.
+  // evhttp accepts nearly any number as a status, and any reason.
+  void ReadStatus(evbuffer* in) {
+    if (reader == nullptr) return;
+    const evbuffer_ptr end =
+        evbuffer_search_eol(in, nullptr, nullptr, EVBUFFER_EOL_CRLF);
+    if (end.pos < 0) return;
+    std::string line(static_cast<std::size_t>(end.pos), '\0');
+    evbuffer_copyout(in, line.data(), line.size());
+    const std::optional<int> status = ReadStatusLine(line);
+    is_answer =
+        status && (*status >= kFirstFinalStatus || *status == kContinue);
+    HttpCall& call = *std::exchange(reader, nullptr);
+    if (!is_answer) call.BreakLater();
+  }
 };
 
 std::shared_ptr<HttpCall> HttpClient::Start(HttpRequest request,
@@ -105,6 +132,8 @@
   bufferevent* bev = evhttp_connection_get_bufferevent(out->handle);
   evbuffer_add_cb(bufferevent_get_output(bev), HttpCall::Connection::OnOutput,
                   out.get());
+  evbuffer_add_cb(bufferevent_get_input(bev), HttpCall::Connection::OnInput,
+                  out.get());
   return out;
 }
 
@@ -135,6 +164,7 @@
     return;
   }
   connection_->write_began = false;
+  connection_->reader = this;
   const timeval tv = ToTimeval(spec_.idle_timeout);
   evhttp_connection_set_timeout_tv(connection_->handle, &tv);
   evhttp_connection_set_max_headers_size(connection_->handle, kMaxHeadBytes);
@@ -160,11 +190,21 @@
                       spec_.path.c_str());
 }
 
+// Returns a negative number if evhttp shall give up the answer.
 int HttpCall::OnHead(evhttp_request* request, void* self) {
   const std::shared_ptr<HttpCall> keep = static_cast<HttpCall*>(self)->self_;
-  if (!keep || !keep->handlers_.head) return 0;
-  keep->handlers_.head(evhttp_request_get_response_code(request),
-                       HeaderOf(request, "Content-Type"));
+  if (!keep) return 0;
+  Connection& connection = *keep->connection_;
+  if (!connection.is_answer) return -1;
+  const int status = evhttp_request_get_response_code(request);
+  if (status == kContinue) {
+    connection.reader = keep.get();
+    connection.ReadStatus(bufferevent_get_input(
+        evhttp_connection_get_bufferevent(connection.handle)));
+    return 0;
+  }
+  if (keep->handlers_.head)
+    keep->handlers_.head(status, HeaderOf(request, "Content-Type"));
   return 0;
 }
 
@@ -215,8 +255,20 @@
   if (handlers.end) handlers.end(result);
 }
 
+void HttpCall::BreakLater() {
+  client_.loop_.Post([self = self_] {
+    if (!self->self_) return;
+    const Handlers handlers = std::exchange(self->handlers_, {});
+    self->Cancel();
+    HttpResult result;
+    result.end = HttpEnd::kBroken;
+    if (handlers.end) handlers.end(result);
+  });
+}
+
 void HttpCall::ReleaseConnection(bool reusable) {
   if (!connection_) return;
+  connection_->reader = nullptr;
   if (reusable) {
     client_.ReturnConnection(std::move(connection_));
     return;
@@ -228,6 +280,7 @@
 void HttpCall::Cancel() {
   const std::shared_ptr<HttpCall> keep = std::exchange(self_, nullptr);
   if (!keep) return;
+  if (connection_) connection_->reader = nullptr;
   // This may run inside one of the handlers, and evhttp may call back until its
   // connection is freed. So this call and the connection live until the next
   // iteration of the loop.
--- a/evhttp/http_client.h
+++ b/evhttp/http_client.h
@@ -15,7 +15,9 @@
 // copy of a success isn't recognized.
 //
 // An answer whose head or body doesn't end breaks the call at a limit, so that
-// its bytes don't fill the memory.
+// its bytes don't fill the memory. One whose status line isn't valid
+// (`ReadStatusLine`), or whose status isn't that of a final answer, breaks it
+// at once; only 100 is skipped.
 
 #ifndef QUAYTRACK_EVHTTP_HTTP_CLIENT_H_
 #define QUAYTRACK_EVHTTP_HTTP_CLIENT_H_
@@ -99,6 +101,8 @@
   HttpCall(HttpClient& client, HttpRequest request, Handlers handlers);
   void Send();
   void Finish(HttpEnd end, evhttp_request* request);
+  // Ends the call as broken after the current callback.
+  void BreakLater();
   void ReleaseConnection(bool reusable);
 
   static void OnDone(evhttp_request* request, void* self);
--- a/http/http_parser.cc
+++ b/http/http_parser.cc
@@ -19,13 +19,6 @@
 // contain it.
 constexpr char kFieldEnd = '\n';
 
-bool HasControl(std::string_view text) {
-  return std::any_of(text.begin(), text.end(), [](char it) {
-    const auto c = static_cast<unsigned char>(it);
-    return (c < 0x20 && c != '\t') || c == 0x7f;
-  });
-}
-
 // Whether a header's name is neither empty nor contains blanks, which the
 // lenient build of the library accepts.
 bool IsPlainName(std::string_view name) {
@@ -40,6 +33,10 @@
   HttpLimits limits;
   http_parser library{};
   HttpHead head;
+  // The status line of a response, as far as it has arrived; empty again once
+  // it is complete.
+  std::string status_line;
+  bool awaits_status_line = false;
   // The headers that have arrived of a head that isn't complete: name, value,
   // name, and so on, each with a `kFieldEnd` behind it. As an HttpHeader each,
   // short ones would take many times their size.
@@ -65,6 +62,8 @@
                      kind == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
     library.data = this;
     head = HttpHead();
+    std::string().swap(status_line);
+    awaits_status_line = kind == Kind::kResponse;
     std::string().swap(lines);
     field = Field::kNone;
     in_message = false;
@@ -75,6 +74,25 @@
     trailer_bytes = 0;
   }
 
+  // Reads the status line from the next bytes of the head. The library accepts
+  // any number as a status, any version and any reason. Returns false if the
+  // line is complete and isn't valid.
+  bool TakeStatusLine(std::string_view bytes) {
+    if (!awaits_status_line) return true;
+    // The library skips empty lines before it.
+    if (status_line.empty())
+      bytes.remove_prefix(
+          std::min(bytes.find_first_not_of("\r\n"), bytes.size()));
+    const std::size_t end = bytes.find('\n');
+    status_line += bytes.substr(0, end);
+    if (end == std::string_view::npos) return true;
+    awaits_status_line = false;
+    const std::string line = std::exchange(status_line, {});
+    std::string_view text = line;
+    if (text.ends_with('\r')) text.remove_suffix(1);
+    return ReadStatusLine(text).has_value();
+  }
+
   int AddName(std::string_view part) {
     if (!in_head) return AddTrailer(part);
     if (field == Field::kValue) lines += kFieldEnd;
@@ -177,6 +195,10 @@
     const bool was_in_head = in_head;
     const std::size_t max = std::max(limits.max_head_bytes, head_bytes);
     if (was_in_head) bytes = bytes.substr(0, max - head_bytes);
+    if (!TakeStatusLine(bytes)) {
+      fault = HttpFault::kMalformed;
+      return 0;
+    }
     const std::size_t used = bytes.empty() ? 0 : Execute(bytes);
     if (was_in_head) head_bytes += used;
     const http_errno error = HTTP_PARSER_ERRNO(&library);
@@ -285,7 +307,8 @@
 }
 
 std::size_t HttpParser::HeldBytes() const {
-  return state_->lines.capacity() + state_->head.target.capacity();
+  return state_->lines.capacity() + state_->head.target.capacity() +
+         state_->status_line.capacity();
 }
 
 HttpFault HttpParser::fault() const { return state_->fault; }
--- a/http/http_parser.h
+++ b/http/http_parser.h
@@ -12,7 +12,8 @@
 //
 // `Feed` stops after each message, so that the bytes after it stay with the
 // caller. Beyond the checks of the library, a request is refused if it could be
-// understood in two ways (request smuggling, RFC 9112, 11.2).
+// understood in two ways (request smuggling, RFC 9112, 11.2), and a response as
+// soon as its status line is complete and not valid.
 //
 // The parser owns the head of the current message and passes on a body as it
 // arrives. It keeps no trailers. Sizes are in bytes, as sent. A fault is final:
@@ -32,7 +33,9 @@
 
 enum class HttpFault {
   kNone,
-  kMalformed,  // not HTTP/1.1, or a request that can be understood in two ways
+  kMalformed,  // not HTTP/1.x, a response with a status that isn't a valid one
+               // (`ReadStatusLine`), or a request that can be understood in two
+               // ways
   kHeadTooLarge,
   kBodyTooLarge,
 };
--- a/http/target_connection.cc
+++ b/http/target_connection.cc
@@ -32,8 +32,6 @@
 // Maximum number of answers that are skipped before the expected one: interim
 // ones, and delayed ones to earlier requests.
 constexpr int kMaxSkipped = 16;
-// Lower statuses are those of interim answers.
-constexpr int kFirstFinalStatus = 200;
 // The statuses of errors, with refusals, begin here.
 constexpr int kFirstErrorStatus = 400;
 // Maximum number of requests that a connection remembers as answered with an
--- a/http/testing/connections_test.cc
+++ b/http/testing/connections_test.cc
@@ -556,5 +556,30 @@
   BOOST_TEST(received.starts_with("HTTP/1.1 408 "));
 }
 
+// Guards against a call that waits behind an answer whose status line isn't
+// valid, or that ends with it. The rest of its head doesn't have to come.
+BOOST_FIXTURE_TEST_CASE(AStatusLineThatIsNotValidBreaksACallAtOnce, Fixture) {
+  for (const char* status : {"000 X", "099 X", "20 X", "101 X", "600 X",
+                             "999 X", "0200 X", "200 O\x02K"}) {
+    for (const char* rest : {"", "X-Id: 1\r\nContent-Length: 2\r\n\r\nok"}) {
+      target.answers = {"HTTP/1.1 " + std::string(status) + "\r\n" + rest};
+      const Result it = Call(target.Address());
+      BOOST_TEST((it.end == CallEnd::kBroken), status);
+      BOOST_TEST(it.heads == 0);
+      BOOST_TEST(it.body.empty());
+    }
+  }
+  BOOST_TEST(!connections.HasIdle(target.Address()));
+}
+
+// The same behind an answer that is skipped.
+BOOST_FIXTURE_TEST_CASE(AStatusLineAfterAnInterimAnswerIsChecked, Fixture) {
+  target.answers = {"HTTP/1.1 103 X\r\n\r\n" + std::string(kForeign) +
+                    "HTTP/1.1 600 X\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n"};
+  const Result it = Call(target.Address());
+  BOOST_TEST((it.end == CallEnd::kBroken));
+  BOOST_TEST(it.heads == 1);
+}
+
 }  // namespace
 }  // namespace quaytrack
--- a/http/testing/http_parser_test.cc
+++ b/http/testing/http_parser_test.cc
@@ -224,5 +224,50 @@
   }
 }
 
+// Guards against an answer whose status isn't checked, however it is cut into
+// pieces. The fault doesn't wait for the end of the head.
+BOOST_AUTO_TEST_CASE(AStatusLineThatIsNotValidIsAFaultAtItsEnd) {
+  for (const char* line :
+       {"HTTP/1.1 000 X", "HTTP/1.1 20 X", "HTTP/1.1 600 X", "HTTP/1.1 0200 X",
+        "HTTP/9.9 200 X", "HTTP/0.9 200 X", "HTTP/1.1 101 X",
+        "HTTP/1.1 200 O\x01K"}) {
+    for (const char* end : {"\r\n", "\n"}) {
+      Reader whole(HttpParser::Kind::kResponse);
+      whole.FeedAll(std::string(line) + end);
+      BOOST_TEST((whole.parser.fault() == HttpFault::kMalformed), line);
+      Reader bytewise(HttpParser::Kind::kResponse);
+      for (char byte : std::string(line) + end)
+        bytewise.FeedAll(std::string(1, byte));
+      BOOST_TEST((bytewise.parser.fault() == HttpFault::kMalformed), line);
+      BOOST_TEST(whole.parsed.heads.empty());
+      BOOST_TEST(bytewise.parsed.heads.empty());
+    }
+  }
+}
+
+// Each answer on a connection is checked.
+BOOST_AUTO_TEST_CASE(StatusLinesOfLaterAnswersAreChecked) {
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  Reader it(HttpParser::Kind::kResponse);
+  it.FeedAll("HTTP/1.1 100 Continue\r\n\r\n" + answer + answer);
+  BOOST_TEST(it.parsed.complete == 3);
+  BOOST_TEST((it.parser.fault() == HttpFault::kNone));
+  it.FeedAll("HTTP/1.1 999 X\r\nContent-Length: 0\r\n\r\n");
+  BOOST_TEST((it.parser.fault() == HttpFault::kMalformed));
+  BOOST_TEST(it.parsed.complete == 3);
+}
+
+// Guards against sound answers that are refused.
+BOOST_AUTO_TEST_CASE(UnusualStatusLinesAreRead) {
+  Reader it(HttpParser::Kind::kResponse);
+  it.FeedAll(
+      "\r\nHTTP/1.1 299\r\nContent-Length: 0\r\n\r\n"
+      "HTTP/1.0 404 \nContent-Length: 0\n\n");
+  BOOST_REQUIRE(it.parsed.heads.size() == 2U);
+  BOOST_TEST(it.parsed.heads[0].status == 299);
+  BOOST_TEST(it.parsed.heads[1].status == 404);
+  BOOST_TEST((it.parser.fault() == HttpFault::kNone));
+}
+
 }  // namespace
 }  // namespace quaytrack
--- a/http/testing/tunnel_test.cc
+++ b/http/testing/tunnel_test.cc
@@ -422,5 +422,28 @@
   BOOST_TEST(endless.malformed());
 }
 
+// Guards against an answer that comes through a peer and isn't checked.
+BOOST_FIXTURE_TEST_CASE(AStatusLineThatIsNotValidBreaksACall, Fixture) {
+  for (const char* status : {"000 X", "20 X", "600 X", "200 O\x02K"}) {
+    target.answer =
+        "HTTP/1.1 " + std::string(status) + "\r\nContent-Length: 2\r\n\r\nok";
+    Call();
+    BOOST_TEST((end == CallEnd::kBroken), status);
+    BOOST_TEST(body.empty());
+  }
+}
+
+// Guards against a tunnel whose peer didn't open it.
+BOOST_AUTO_TEST_CASE(ATunnelsStatusLineIsChecked) {
+  for (const char* line :
+       {"HTTP/1.1 200x", "HTTP/1.1 0200 open", "HTTP/9.9 200 open",
+        "HTTP/1.1 200 op\x02n", "HTTP/1.1"}) {
+    TunnelHead head;
+    head.Feed(std::string(line) + "\r\n\r\n");
+    BOOST_TEST(head.complete());
+    BOOST_TEST((head.Status() == std::nullopt), line);
+  }
+}
+
 }  // namespace
 }  // namespace quaytrack
--- a/http/tunnel.cc
+++ b/http/tunnel.cc
@@ -1,7 +1,8 @@
 #include "http/tunnel.h"
 
 #include <algorithm>
-#include <charconv>
+
+#include "net/http_message.h"
 
 namespace quaytrack {
 namespace {
@@ -109,16 +110,14 @@
 }
 
 std::optional<TunnelStatus> TunnelHead::Status() const {
+  if (!complete_) return std::nullopt;
   const std::string_view text = text_;
-  if (!complete_ || !text.starts_with(kVersion)) return std::nullopt;
-  const std::size_t at = kVersion.size() + 1;
-  if (text.size() <= at) return std::nullopt;
-  int status = 0;
-  std::from_chars(text.data() + at, text.data() + text.size(), status);
+  const auto status = ReadStatusLine(text.substr(0, text.find("\r\n")));
+  if (!status) return std::nullopt;
   const auto& known = EnumTable<TunnelStatus>::kEntries;
-  const auto it = std::find_if(
-      known.begin(), known.end(),
-      [status](const auto& e) { return static_cast<int>(e.value) == status; });
+  const auto it = std::find_if(known.begin(), known.end(), [&](const auto& e) {
+    return static_cast<int>(e.value) == *status;
+  });
   if (it == known.end()) return std::nullopt;
   return it->value;
 }
--- a/net/http_message.cc
+++ b/net/http_message.cc
@@ -44,6 +44,17 @@
   return text;
 }
 
+// The first statuses of an interim response and behind those of all others
+// (RFC 9110, 15), and that of a change of the protocol.
+constexpr int kFirstStatus = 100;
+constexpr int kEndOfStatuses = 600;
+constexpr int kSwitchingProtocols = 101;
+
+constexpr std::string_view kVersionBegin = "HTTP/1.";
+constexpr std::size_t kStatusDigits = 3;
+
+bool IsDigit(char it) { return it >= '0' && it <= '9'; }
+
 std::string LowerCase(std::string_view text) {
   std::string out(text);
   for (char& it : out)
@@ -107,6 +118,32 @@
          (!listed_.empty() && listed_.contains(LowerCase(name)));
 }
 
+bool HasControl(std::string_view text) {
+  return std::any_of(text.begin(), text.end(), [](char it) {
+    const auto c = static_cast<unsigned char>(it);
+    return (c < 0x20 && c != '\t') || c == 0x7f;
+  });
+}
+
+std::optional<int> ReadStatusLine(std::string_view line) {
+  constexpr std::size_t kStatusAt = kVersionBegin.size() + 2;
+  constexpr std::size_t kStatusEnd = kStatusAt + kStatusDigits;
+  if (line.size() < kStatusEnd || !line.starts_with(kVersionBegin) ||
+      !IsDigit(line[kVersionBegin.size()]) || line[kStatusAt - 1] != ' ')
+    return std::nullopt;
+  int out = 0;
+  for (char it : line.substr(kStatusAt, kStatusDigits)) {
+    if (!IsDigit(it)) return std::nullopt;
+    out = out * 10 + (it - '0');
+  }
+  const std::string_view reason = line.substr(kStatusEnd);
+  const bool is_ended = reason.empty() || reason.front() == ' ';
+  const bool is_status =
+      out >= kFirstStatus && out < kEndOfStatuses && out != kSwitchingProtocols;
+  if (!is_ended || !is_status || HasControl(reason)) return std::nullopt;
+  return out;
+}
+
 std::string_view ReasonOf(int status) {
   for (const StatusReason& it : kReasons) {
     if (it.status == status) return it.reason;
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -75,6 +75,19 @@
   std::set<std::string> listed_;
 };
 
+// Whether the text has control bytes other than tabs, which no field or line of
+// a head may have.
+bool HasControl(std::string_view text);
+
+// Lower statuses are those of interim responses.
+inline constexpr int kFirstFinalStatus = 200;
+
+// Returns the status in a status line (RFC 9112, 4), which is given without the
+// end of the line; std::nullopt if the line isn't one of HTTP/1.x with three
+// digits from 100 to 599. A line without a reason is accepted. 101 isn't, as no
+// client here asks for another protocol.
+std::optional<int> ReadStatusLine(std::string_view line);
+
 // Whether a response with this status promises its caller that the request has
 // not run and won't run: the caller may send it again, whatever it does.
 constexpr bool PromisesNotRun(int status) {
