Take no other caller's run for an earlier try of a stream

Cause: a caller that names no first try is found by what its tries have in common, and two callers that send equal requests have that in common. The run that was found was taken for the caller's own.

Change: such a caller never goes on from a cache. Before the run of such a note is told, the router that has it is asked whether it serves it to a caller; if so, the run is left out. A router that doesn't answer in 100 ms or isn't linked has stopped, and its run is ended as before.

--- a/relay/peer_messages.h
+++ b/relay/peer_messages.h
@@ -58,6 +58,8 @@
   kStreamBegan,      // at which version a stream began, and where it runs
   kVersionRequest,   // asks for the same
   kVersion,          // the answer
+  kRunQuestion,      // asks whether the receiver serves a run to its caller
+  kRunAnswer,        // the answer
   kCrashes,          // crashes of targets that the sender observed
   kRateLimits,       // rate limits that targets have announced
 };
@@ -84,6 +86,8 @@
        {PeerMessageKind::kStreamBegan, "stream_began"},
        {PeerMessageKind::kVersionRequest, "version_wanted"},
        {PeerMessageKind::kVersion, "version"},
+       {PeerMessageKind::kRunQuestion, "run_wanted"},
+       {PeerMessageKind::kRunAnswer, "run"},
        {PeerMessageKind::kCrashes, "crashes"},
        {PeerMessageKind::kRateLimits, "rate_limits"}});
 };
@@ -118,7 +122,7 @@
   // keeps half.
   bool all = false;
   // kHoldRequest, kHoldAnswer, kSettle, kSettled, kStreamBegan,
-  // kVersionRequest, kVersion.
+  // kVersionRequest, kVersion, kRunQuestion, kRunAnswer.
   RequestId request;
   HoldAnswer answer = HoldAnswer::kNotHolder;
   // kHoldRequest: the urgency of the request; 0 is the most urgent.
@@ -174,7 +178,8 @@
   std::int64_t asked_ms = 0;
   // kStreamBegan, kVersion: the software version of the stream's targets.
   VersionName version;
-  // kVersion: whether the sender knows `version`.
+  // kVersion: whether the sender knows `version`. kRunAnswer: whether it serves
+  // the run to its caller.
   bool is_known = false;
   // kVersionRequest: the sender asks on behalf of another router.
   bool for_other = false;
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -409,6 +409,13 @@
     return LinkedHolders(HolderSet::kOtherHalls);
   };
   out.has_others = [this] { return !fleet_.directory().Others().empty(); };
+  out.is_linked = [this](const Incarnation& it) {
+    return peers_.LinkedOn(VmOf(it)) == it;
+  };
+  out.is_served = [this](const RequestId& it) {
+    const auto request = context_.requests.Find(it);
+    return request && request->HasCaller();
+  };
   return out;
 }
 
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -52,6 +52,9 @@
 //     (`BindToVersion`) and if its caller takes it up (`FindStream`); the run
 //     that had it is ended first, if its target can be reached
 //     (`StopEarlierRun`).
+//   - A stream goes on from the cache of an earlier run only if its caller
+//   names
+//     that run's try (`OnEarlierRunStopped`).
 //   - A hold on the budget is settled once (`End`).
 
 #ifndef QUAYTRACK_RELAY_RELAYED_REQUEST_H_
@@ -108,6 +111,12 @@
   // connection, or if it may run twice and the links have been silent.
   void OnLinksLost(const ServiceName& service);
 
+  // Whether the caller is still there and awaits the answer, or the rest of it.
+  bool HasCaller() const {
+    const RelayState state = machine_.state();
+    return state != RelayState::kEnded && state != RelayState::kCallerLeft;
+  }
+
   Instant started_at() const { return request_.begun; }
 
   const RequestId& id() const override { return admission_.facts.id; }
@@ -138,6 +147,7 @@
   void NoteEarlierRun(const StreamRun& run);
   void StopEarlierRun();
   void OnEarlierRunStopped(const TargetName& next, const StoppedRun& stopped);
+  void GoOnWithoutCache(RunEnd end);
   void DropEarlierCache();
   void StopRunAt(const TargetEntry& target) const;
 
--- a/relay/relayed_request_take_up.cc
+++ b/relay/relayed_request_take_up.cc
@@ -136,6 +136,7 @@
 
 // Notes the run that had the stream. If it is one of this router, its caller
 // has left it; where the caller named no try, it may be another caller's.
+// VersionLookup looks at those of other routers.
 void RelayedRequest::NoteEarlierRun(const StreamRun& run) {
   const auto request = context_.requests.Find(run.id);
   const bool runs_here = request && request.get() != this &&
@@ -174,6 +175,7 @@
   stopped_run_ = *std::exchange(earlier_run_, std::nullopt);
   earlier_cache_ = stopped.cache;
   if (machine_.state() == RelayState::kEnded) return DropEarlierCache();
+  if (admission_.facts.first_try.empty()) return GoOnWithoutCache(stopped.end);
   const Instant heard_since = context_.clock.Now() - kHeardFor;
   const bool is_next_alive = context_.reach.HasHeardFrom(next, heard_since);
   switch (stopped.end) {
@@ -193,6 +195,15 @@
   Choose();
 }
 
+// The run was found by what the tries of a caller have in common. Two callers
+// that send equal requests have that in common as well, so its cache may be
+// that of another caller's request.
+void RelayedRequest::GoOnWithoutCache(RunEnd end) {
+  DropEarlierCache();
+  if (end == RunEnd::kRefused) admission_.placement.only = stopped_run_.target;
+  Choose();
+}
+
 // Frees the copies of the earlier run's cache, from which nothing goes on.
 void RelayedRequest::DropEarlierCache() {
   context_.run_stops.Drop(stopped_run_, std::exchange(earlier_cache_, {}));
--- a/relay/stream_versions.h
+++ b/relay/stream_versions.h
@@ -16,7 +16,7 @@
 // A caller that doesn't name the try that began the stream sends the same
 // request again, so the latest stream of that request is found as well. Another
 // caller of the same customer may have sent an equal one, so such a note shows
-// where the stream may run, and not its version.
+// where the stream may run, and neither its version nor whose it is.
 //
 // Owns the notes. Reads no clock.
 
@@ -53,6 +53,9 @@
   std::optional<StreamRun> run;
   // What the caller's tries have in common; may be empty.
   Fingerprint request;
+  // The router that has the run; empty in the notes of that router itself. It
+  // isn't part of messages.
+  Incarnation router = {};
 };
 
 class StreamVersions {
@@ -117,6 +120,7 @@
     ends_.erase({known.until, id});
     known.until = std::max(known.until, entry.until);
     known.note.run = entry.note.run;
+    known.note.router = entry.note.router;
     known.is_own = entry.is_own;
   }
 
--- a/relay/testing/version_lookup_test.cc
+++ b/relay/testing/version_lookup_test.cc
@@ -43,7 +43,11 @@
     int hall = 0;
     bool is_holder = false;
     bool is_down = false;
+    // It stands still: its links stay open.
+    bool is_frozen = false;
     bool has_links = true;
+    // Whether it serves the runs that are noted as its own to their callers.
+    bool has_callers = false;
     std::unique_ptr<VersionLookup> lookup;
   };
   struct Sent {
@@ -87,23 +91,27 @@
     on.to_ask = [this, &node] { return Holders(node, true, true); };
     on.to_ask_for_others = [this, &node] { return Holders(node, false, true); };
     on.has_others = [this] { return has_others; };
+    on.is_linked = [this](const Incarnation& it) { return !Find(it).is_down; };
+    on.is_served = [&node](const RequestId&) { return node.has_callers; };
     node.lookup = std::make_unique<VersionLookup>(loop, clock, std::move(on));
   }
   Node& At(int hall, int n) {
     return nodes.at(static_cast<std::size_t>(hall) * 4 +
                     static_cast<std::size_t>(n));
   }
+  Node& Find(const Incarnation& router) {
+    return *std::find_if(nodes.begin(), nodes.end(),
+                         [&](const Node& it) { return it.self == router; });
+  }
   void DeliverAll() {
     while (!sent.empty()) {
       const Sent it = sent.front();
       sent.pop_front();
-      const auto node =
-          std::find_if(nodes.begin(), nodes.end(),
-                       [&](const Node& n) { return n.self == it.to; });
-      if (node->is_down) continue;
+      Node& node = Find(it.to);
+      if (node.is_down || node.is_frozen) continue;
       const auto message =
           DecodePeerMessage(EncodePeerMessage(it.message)).value();
-      node->lookup->OnPeer(message);
+      node.lookup->OnPeer(message);
       Turn();
     }
   }
@@ -143,6 +151,8 @@
   }
   void AskByRequest(Node& node) {
     node.lookup->FindRequest(kRequest, Answer());
+    // A note that is known here is confirmed in the next turn.
+    Turn();
     DeliverAll();
     Turn();
   }
@@ -310,5 +320,48 @@
   BOOST_TEST(!notes.front().has_value());
 }
 
+// Guards against a run that is ended though its caller is still there: the
+// stream was found by a request that another caller has sent as well.
+BOOST_FIXTURE_TEST_CASE(TheRunOfAStreamThatIsServedIsNotTold, Fixture) {
+  At(0, 3).has_callers = true;
+  BeginNote(At(0, 3), kStream, {kV1, kFirstRun, kRequest});
+  // A router that heard of it, one that didn't, one of another hall, and its
+  // own.
+  for (Node* it : {&At(0, 0), &At(0, 2), &At(1, 2), &At(0, 3)}) {
+    AskByRequest(*it);
+    BOOST_REQUIRE(notes.size() == 1U);
+    BOOST_REQUIRE(notes[0].has_value());
+    BOOST_TEST(!notes[0]->run.has_value());
+  }
+  // By its id it is found with its run, as its caller names it.
+  Ask(At(0, 2));
+  BOOST_REQUIRE(notes.size() == 1U);
+  BOOST_TEST((notes[0]->run == kFirstRun));
+}
+
+// Guards against a run that nobody ends, as its router has stopped without a
+// sign or its caller has left.
+BOOST_FIXTURE_TEST_CASE(TheRunOfAStreamThatIsNotServedIsTold, Fixture) {
+  BeginNote(At(0, 3), kStream, {kV1, kFirstRun, kRequest});
+  AskByRequest(At(0, 2));
+  BOOST_REQUIRE(notes.size() == 1U);
+  BOOST_TEST((notes[0]->run == kFirstRun));
+  At(0, 3).has_callers = true;
+  At(0, 3).is_frozen = true;
+  for (Node* it : {&At(0, 0), &At(0, 2)}) {
+    AskByRequest(*it);
+    RunFor(loop, VersionLookup::kConfirmTime + milliseconds(50));
+    DeliverAll();
+    Turn();
+    BOOST_REQUIRE(notes.size() == 1U);
+    BOOST_TEST((notes[0]->run == kFirstRun));
+  }
+  // A link that has ended needs no question.
+  At(0, 3).is_down = true;
+  AskByRequest(At(0, 2));
+  BOOST_REQUIRE(notes.size() == 1U);
+  BOOST_TEST((notes[0]->run == kFirstRun));
+}
+
 }  // namespace
 }  // namespace quaytrack
--- a/relay/version_lookup.cc
+++ b/relay/version_lookup.cc
@@ -13,7 +13,12 @@
 }
 
 StreamNote NoteIn(const PeerMessage& message) {
-  return {message.version, message.run, message.fingerprint};
+  return {message.version, message.run, message.fingerprint, {}};
+}
+
+StreamNote WithoutRun(StreamNote note) {
+  note.run.reset();
+  return note;
 }
 
 }  // namespace
@@ -95,11 +100,51 @@
 
 void VersionLookup::Look(const Subject& subject, Found found) {
   if (const auto note = NoteOf(subject)) {
-    return loop_.Post([found = std::move(found), note] { found(note); });
+    return loop_.Post([this, subject, note, found = std::move(found)] {
+      Report(subject, *note, found);
+    });
   }
   Ask(subject, on_.to_ask(), kAnswerTime, false, std::move(found));
 }
 
+void VersionLookup::Report(const Subject& subject, const StreamNote& note,
+                           Found found) {
+  if (subject.request.empty() || !note.run) return found(note);
+  const bool is_own = note.router.empty();
+  if (is_own)
+    return found(on_.is_served(note.run->id) ? WithoutRun(note) : note);
+  if (!on_.is_linked(note.router)) return found(note);
+  Confirm(note, std::move(found));
+}
+
+// Asks the router that has the run whether it serves it to its caller.
+void VersionLookup::Confirm(const StreamNote& note, Found found) {
+  const RequestId id = note.run->id;
+  const auto [it, is_new] = confirmations_.try_emplace(id);
+  it->second.waiting.push_back(std::move(found));
+  if (!is_new) return;
+  it->second.note = note;
+  it->second.timer = loop_.After(kConfirmTime, [this, id] {
+    const auto confirmation = confirmations_.extract(id);
+    for (const Found& each : confirmation.mapped().waiting)
+      each(confirmation.mapped().note);
+  });
+  PeerMessage out;
+  out.kind = PeerMessageKind::kRunQuestion;
+  out.request = id;
+  on_.send(note.router, out);
+}
+
+void VersionLookup::OnConfirmation(const PeerMessage& message) {
+  const auto it = confirmations_.find(message.request);
+  if (it == confirmations_.end() || it->second.note.router != message.from)
+    return;
+  const auto confirmation = confirmations_.extract(it);
+  const StreamNote& note = confirmation.mapped().note;
+  for (const Found& each : confirmation.mapped().waiting)
+    each(message.is_known ? WithoutRun(note) : note);
+}
+
 void VersionLookup::Ask(const Subject& subject,
                         const std::vector<Incarnation>& peers, Duration time,
                         bool for_other, Found found) {
@@ -128,6 +173,10 @@
       return OnRequest(message);
     case PeerMessageKind::kVersion:
       return OnAnswer(message);
+    case PeerMessageKind::kRunQuestion:
+      return AnswerConfirmation(message);
+    case PeerMessageKind::kRunAnswer:
+      return OnConfirmation(message);
     case PeerMessageKind::kHello:
       return OnLinked(message.from);
     default:
@@ -137,11 +186,13 @@
 
 void VersionLookup::OnBegan(const PeerMessage& message) {
   const Instant now = clock_.Now();
-  versions_.Note(now, message.request, NoteIn(message), now + message.keep_for);
-  for (const Subject& it :
-       {Subject{message.request, {}}, Subject{{}, message.fingerprint}}) {
-    End(it, NoteOf(it));
-  }
+  StreamNote note = NoteIn(message);
+  note.router = message.from;
+  versions_.Note(now, message.request, note, now + message.keep_for);
+  const Subject by_id{message.request, {}};
+  End(by_id, NoteOf(by_id));
+  // A router that tells of a stream serves it.
+  End({{}, message.fingerprint}, WithoutRun(note));
 }
 
 void VersionLookup::OnRequest(const PeerMessage& message) {
@@ -156,10 +207,19 @@
     on_.send(to, out);
   };
   const auto note = NoteOf(subject);
-  if (note || message.for_other) return answer(note);
+  if (note) return Report(subject, *note, answer);
+  if (message.for_other) return answer(note);
   Ask(subject, on_.to_ask_for_others(), kForwardedTime, true, answer);
 }
 
+void VersionLookup::AnswerConfirmation(const PeerMessage& message) {
+  PeerMessage out;
+  out.kind = PeerMessageKind::kRunAnswer;
+  out.request = message.request;
+  out.is_known = on_.is_served(message.request);
+  on_.send(message.from, out);
+}
+
 void VersionLookup::OnAnswer(const PeerMessage& message) {
   auto it = questions_.find({message.request, {}});
   if (it == questions_.end())
--- a/relay/version_lookup.h
+++ b/relay/version_lookup.h
@@ -21,6 +21,12 @@
 // have in common (relay/stream_versions.h). Peers of earlier builds know
 // nothing of the latter.
 //
+// A stream that is found by what tries have in common may be another caller's.
+// So the router that knows it asks the one that has its run, and leaves the run
+// out of the note if that router serves it to a caller. One that doesn't answer
+// in `kConfirmTime`, or isn't linked any more, has stopped, so that nobody else
+// ends the run.
+//
 // A link that opens again, as after a freeze or a cut, has missed what was sent
 // meanwhile. So its hello has the other router told of the streams that run
 // here, and asked what is still open. A router without any link waits for one.
@@ -59,6 +65,9 @@
     std::function<std::vector<Incarnation>()> to_ask_for_others;
     // Whether there are other routers, linked or not.
     std::function<bool()> has_others = [] { return true; };
+    std::function<bool(const Incarnation&)> is_linked;
+    // Whether this router serves the request of a run to its caller.
+    std::function<bool(const RequestId&)> is_served;
   };
   using Found = std::function<void(std::optional<StreamNote>)>;
 
@@ -68,6 +77,9 @@
   // The same for a question that is asked on behalf of another router, which
   // needs the answer within its own time.
   static constexpr Duration kForwardedTime = std::chrono::milliseconds(150);
+  // The same for the question to the router that has a run. It is part of the
+  // two others.
+  static constexpr Duration kConfirmTime = std::chrono::milliseconds(100);
 
   VersionLookup(Loop& loop, const Clock& clock, Handlers handlers)
       : loop_(loop), clock_(clock), on_(std::move(handlers)) {}
@@ -76,7 +88,8 @@
   // come back within `time_left`.
   void Announce(const RequestId& id, const StreamNote& note,
                 Duration time_left);
-  // Call `found` once, and not from inside.
+  // Call `found` once, and not from inside. A note that is found by the request
+  // has no run if a caller is being served with it.
   void Find(const RequestId& id, Found found);
   void FindRequest(const Fingerprint& request, Found found);
   void OnPeer(const PeerMessage& message);
@@ -102,9 +115,20 @@
     std::unique_ptr<Timer> timer;
   };
 
+  struct Confirmation {
+    StreamNote note;
+    std::vector<Found> waiting;
+    std::unique_ptr<Timer> timer;
+  };
+
   static Subject SubjectOf(const PeerMessage& message);
   std::optional<StreamNote> NoteOf(const Subject& subject);
   void Look(const Subject& subject, Found found);
+  // Reports a note that is known here, after its run is confirmed.
+  void Report(const Subject& subject, const StreamNote& note, Found found);
+  void Confirm(const StreamNote& note, Found found);
+  void AnswerConfirmation(const PeerMessage& message);
+  void OnConfirmation(const PeerMessage& message);
   void Ask(const Subject& subject, const std::vector<Incarnation>& peers,
            Duration time, bool for_other, Found found);
   void SendBegan(const Incarnation& peer, const RequestId& id,
@@ -122,6 +146,8 @@
   Handlers on_;
   StreamVersions versions_;
   std::map<Subject, Question> questions_;
+  // Runs that are being confirmed, by the id of their request.
+  std::map<RequestId, Confirmation> confirmations_;
 };
 
 }  // namespace quaytrack
