An empty list of customers knows no key

Cause: a configuration with an empty list was taken for one without the field, in which no route needs a key.

Change: ServiceMap keeps whether there is a list. In tests, customers are given as a list in a list, as the argument is optional now.

--- a/config/service_map.cc
+++ b/config/service_map.cc
@@ -7,12 +7,13 @@
 
 ServiceMap::ServiceMap(std::uint64_t version, std::vector<RouteRule> routes,
                        std::vector<ServiceRule> services,
-                       std::vector<CustomerRule> customers,
+                       std::optional<std::vector<CustomerRule>> customers,
                        RequestLimits limits)
     : version_(version),
       routes_(std::move(routes)),
       services_(std::move(services)),
-      customers_(std::move(customers)),
+      needs_keys_(customers.has_value()),
+      customers_(std::move(customers).value_or(std::vector<CustomerRule>())),
       limits_(limits) {
   for (std::size_t i = 0; i < routes_.size(); ++i) {
     hosts_[routes_[i].host][routes_[i].path_prefix] = i;
--- a/config/service_map.h
+++ b/config/service_map.h
@@ -23,6 +23,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -132,16 +133,19 @@
 
 class ServiceMap {
  public:
+  // Without a list of customers, callers need no keys; with an empty one, no
+  // key is known.
   ServiceMap(std::uint64_t version, std::vector<RouteRule> routes,
              std::vector<ServiceRule> services,
-             std::vector<CustomerRule> customers, RequestLimits limits);
+             std::optional<std::vector<CustomerRule>> customers,
+             RequestLimits limits);
 
   std::uint64_t version() const { return version_; }
   const RequestLimits& limits() const { return limits_; }
   const std::vector<CustomerRule>& customers() const { return customers_; }
   const std::vector<ServiceRule>& services() const { return services_; }
-  // Without customers there are no keys, and every caller may use every route.
-  bool needs_keys() const { return !customers_.empty(); }
+  // Whether callers need keys for routes that aren't open to all.
+  bool needs_keys() const { return needs_keys_; }
 
   // Returns, among the routes of `host`, the one with the longest prefix of
   // `path`; null if there is none.
@@ -157,6 +161,7 @@
   std::uint64_t version_;
   std::vector<RouteRule> routes_;
   std::vector<ServiceRule> services_;
+  bool needs_keys_;
   std::vector<CustomerRule> customers_;
   RequestLimits limits_;
   // For each host, positions in `routes_` by prefix.
--- a/config/testing/service_map_test.cc
+++ b/config/testing/service_map_test.cc
@@ -41,15 +41,18 @@
   BOOST_TEST((PickService(route, 0.5) == ServiceName("b")));
 }
 
-BOOST_AUTO_TEST_CASE(WithoutCustomersNoKeyIsNeeded) {
-  const ServiceMap open(1, {}, {}, {}, {});
+BOOST_AUTO_TEST_CASE(WithoutAListOfCustomersNoKeyIsNeeded) {
+  const ServiceMap open(1, {}, {}, std::nullopt, {});
   BOOST_TEST(!open.needs_keys());
   CustomerRule customer;
   customer.keys = {"k1", "k2"};
-  const ServiceMap keyed(2, {}, {}, {customer}, {});
+  const ServiceMap keyed(2, {}, {}, {{customer}}, {});
   BOOST_TEST(keyed.needs_keys());
   BOOST_TEST(keyed.FindKey("k2") == &keyed.customers()[0]);
   BOOST_TEST(keyed.FindKey("k3") == nullptr);
+  const ServiceMap empty(3, {}, {}, std::vector<CustomerRule>(), {});
+  BOOST_TEST(empty.needs_keys());
+  BOOST_TEST(empty.FindKey("k1") == nullptr);
 }
 
 }  // namespace
--- a/relay/testing/admission_test.cc
+++ b/relay/testing/admission_test.cc
@@ -55,7 +55,7 @@
   return ServiceMap(7,
                     {Route("stream", "/stream/", "llm"), open, split,
                      Route("lost", "/lost/", "nowhere"), north, east},
-                    {llm, desk}, {customer}, {});
+                    {llm, desk}, {{customer}}, {});
 }
 
 struct Fixture {
--- a/relay/testing/budgets_test.cc
+++ b/relay/testing/budgets_test.cc
@@ -192,7 +192,7 @@
     CustomerRule rule;
     rule.name = kCustomer;
     rule.prepaid = limit;
-    budgets.SetConfig(ServiceMap(version, {}, {}, {rule}, {}));
+    budgets.SetConfig(ServiceMap(version, {}, {}, {{rule}}, {}));
   }
 
   // Starts, and waits until this router has its share of the budget.
