Charge the tokens that a request states, at any service

On routes that are no streams, answers of engines cost their prompt only.

Cause: admission set the worst case only for engines, and the cost counted only events of a known number of tokens.

Change: the worst case is what the request states. Where events don't show their tokens, a request that may have run costs it, unless its target answered with an error. The unit case APlainServiceDrawsOnNoBudget fixed the wrong rule; three cases replace it, which say when a plain service draws on the budget, and when not.

--- a/relay/admission.cc
+++ b/relay/admission.cc
@@ -56,8 +56,9 @@
   out.deadline = DeadlineOf(input.request, out);
   if (out.deadline > input.latest_deadline) return RelayCause::kStopped;
   out.placement.service = name;
-  if (!out.service->IsEngine()) return std::nullopt;
+  // Whatever the service is, the request states the tokens that it may get.
   out.worst_case = out.facts.prompt_tokens + out.facts.max_output_tokens;
+  if (!out.service->IsEngine()) return std::nullopt;
   out.placement.parts = out.facts.parts;
   out.placement.prompt_tokens = std::max<Tokens>(1, out.facts.prompt_tokens);
   out.placement.pause_limit = out.route->target_gap;
--- a/relay/testing/admission_test.cc
+++ b/relay/testing/admission_test.cc
@@ -95,10 +95,27 @@
   BOOST_TEST(admission.placement.parts.size() == 2U);
 }
 
-BOOST_FIXTURE_TEST_CASE(APlainServiceDrawsOnNoBudget, Fixture) {
-  BOOST_TEST(!AdmitTo("/open/x"));
+// Guards against a customer whose requests cost nothing once their route is
+// moved to a service without an engine.
+BOOST_FIXTURE_TEST_CASE(APlainServiceDrawsOnTheBudgetForTheTokens, Fixture) {
+  BOOST_TEST(!AdmitTo("/split/x", 0.9));
+  BOOST_TEST(admission.service->name.value == "desk");
+  BOOST_TEST(admission.customer.value == "lakhon");
+  BOOST_TEST(admission.worst_case == 130);
+  BOOST_TEST(!admission.placement.ForEngine());
+}
+
+BOOST_FIXTURE_TEST_CASE(ARequestWithoutTokensDrawsOnNoBudget, Fixture) {
+  dialect.facts.prompt_tokens = 0;
+  dialect.facts.max_output_tokens = 0;
+  BOOST_TEST(!AdmitTo("/split/x", 0.9));
   BOOST_TEST(admission.worst_case == 0);
   BOOST_TEST(!admission.placement.ForEngine());
+}
+
+BOOST_FIXTURE_TEST_CASE(AnOpenRouteDrawsOnNobodysBudget, Fixture) {
+  BOOST_TEST(!AdmitTo("/open/x"));
+  BOOST_TEST(!admission.placement.ForEngine());
   // The route needs no key, so the request's key isn't looked up.
   BOOST_TEST(admission.customer.empty());
 }
--- a/relay/testing/request_cost_test.cc
+++ b/relay/testing/request_cost_test.cc
@@ -12,8 +12,8 @@
 constexpr Tokens kPrompt = 100;
 constexpr int kEventTokens = 3;
 
-Tokens Cost(Ran ran, int events) {
-  return CostOf({ran, kWorstCase, kPrompt, events, kEventTokens});
+Tokens Cost(Ran ran, int events, AnswerTokens tokens = AnswerTokens::kByEvent) {
+  return CostOf({ran, kWorstCase, kPrompt, tokens, events, kEventTokens});
 }
 
 BOOST_AUTO_TEST_CASE(WhatHasNotRunCostsNothing) {
@@ -31,5 +31,14 @@
   BOOST_TEST(Cost(Ran::kUnknown, 11) == kWorstCase);
 }
 
+// Guards against a budget that is passed by answers whose tokens aren't
+// counted.
+BOOST_AUTO_TEST_CASE(AnAnswerOfUnknownTokensCostsTheWorstCase) {
+  BOOST_TEST(Cost(Ran::kUnknown, 0, AnswerTokens::kUnknown) == kWorstCase);
+  BOOST_TEST(Cost(Ran::kUnknown, 4, AnswerTokens::kUnknown) == kWorstCase);
+  BOOST_TEST(Cost(Ran::kNo, 0, AnswerTokens::kUnknown) == 0);
+  BOOST_TEST(Cost(Ran::kUnknown, 0, AnswerTokens::kNone) == kPrompt);
+}
+
 }  // namespace
 }  // namespace quaytrack
