A planned stop answers what was read behind a running request

Cause: at the end of an exchange the connection closed once a stop had begun, whatever had been read.

Change: an answer is the last of its connection only if nothing of a next request has been read.

--- a/http/caller_connection.cc
+++ b/http/caller_connection.cc
@@ -220,9 +220,15 @@
   if (gone) gone();
 }
 
+// Whether the connection is to end with the present answer. A request that was
+// read behind it is answered first.
+bool CallerConnection::IsLastAnswer() const {
+  return server_.closing() && pending_.empty();
+}
+
 void CallerConnection::Reply(const HttpHead& head, std::string_view body) {
   if (!open()) return;
-  const bool keep_alive = keep_alive_ && !server_.closing();
+  const bool keep_alive = keep_alive_ && !IsLastAnswer();
   keep_alive_ = keep_alive;
   const std::string framing =
       "Content-Length: " + std::to_string(body.size()) + "\r\n";
@@ -235,7 +241,7 @@
 
 void CallerConnection::StartStream(const HttpHead& head) {
   if (!open()) return;
-  keep_alive_ = keep_alive_ && !server_.closing();
+  keep_alive_ = keep_alive_ && !IsLastAnswer();
   answer_begun_ = true;
   socket_->Write(
       HeadBytes(head, "Transfer-Encoding: chunked\r\n", keep_alive_));
@@ -281,7 +287,8 @@
   progress_at_ = server_.clock_.Now();
   // A stream that started before `StartClosing` didn't announce that the
   // connection closes, so the caller may send another request.
-  if (!keep_alive_ || server_.closing_) return CloseAfterFlush();
+  const bool ends = server_.closing_ && pending_.empty();
+  if (!keep_alive_ || ends) return CloseAfterFlush();
   phase_ = Phase::kIdle;
   if (pending_.empty()) return;
   ResumeReading();
--- a/http/caller_connection.h
+++ b/http/caller_connection.h
@@ -122,6 +122,7 @@
   // Whether the connection may be closed to make room for another one.
   bool IsSpare() const;
   void OnEnded();
+  bool IsLastAnswer() const;
   void FinishExchange();
   void CloseAfterFlush();
   void CloseIdle();
--- a/http/caller_server.h
+++ b/http/caller_server.h
@@ -87,7 +87,8 @@
   std::uint16_t Listen(const std::string& address);
   // Accepts no more connections; open ones stay.
   void StopListening() { listener_.Stop(); }
-  // From now on every answer is the last of its connection.
+  // From now on every answer is the last of its connection, unless a part of
+  // the next request has been read already.
   void StartClosing() { closing_ = true; }
   // The same until it is called with false, but only answers that begin
   // meanwhile, as those announce that their connection closes.
