--- a/http/testing/cancel_in_handler_test.cc
+++ b/http/testing/cancel_in_handler_test.cc
@@ -345,9 +345,8 @@
 struct CallerFixture {
   CallerFixture() {
     port = server.Listen("127.0.0.1:0");
-    server.Serve([this](std::shared_ptr<CallerConnection> it, CallerRequest) {
-      handler(std::move(it));
-    });
+    server.Serve([this](const std::shared_ptr<CallerConnection>& it,
+                        const CallerRequest&) { handler(it); });
   }
   std::shared_ptr<TcpSocket> Ask(const std::string& bytes) {
     TcpSocket::Handlers on;
--- a/net/tcp_socket.h
+++ b/net/tcp_socket.h
@@ -58,8 +58,8 @@
 
 class TcpSocket : public std::enable_shared_from_this<TcpSocket> {
  public:
-  // Handlers may close or release the socket, but not set others. None is called
-  // after that. `bytes` are valid only during the call.
+  // Handlers may close or release the socket, but not set others. None is
+  // called after that. `bytes` are valid only during the call.
   struct Handlers {
     // Called when a connection made by `Connect` is open.
     std::function<void()> connected;
--- a/net/testing/end_in_handler_test.cc
+++ b/net/testing/end_in_handler_test.cc
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "net/loop.h"
@@ -165,8 +166,8 @@
 
   Loop loop;
   std::shared_ptr<PeerLink> accepted;
-  PeerServer server{loop,
-                    [this](std::shared_ptr<PeerLink> it) { accepted = it; }};
+  PeerServer server{
+      loop, [this](std::shared_ptr<PeerLink> it) { accepted = std::move(it); }};
   std::uint16_t port = 0;
   std::shared_ptr<PeerLink> link;
   PeerLink::Handlers on;
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -52,9 +52,8 @@
 //     (`BindToVersion`) and if its caller takes it up (`FindStream`); the run
 //     that had it is ended first, if its target can be reached
 //     (`StopEarlierRun`).
-//   - A stream goes on from the cache of an earlier run only if its caller
-//   names
-//     that run's try (`OnEarlierRunStopped`).
+//   - A stream goes on from an earlier run's cache only if its caller names the
+//     try of that run (`GoOnWithoutCache`).
 //   - A hold on the budget is settled once (`End`).
 
 #ifndef QUAYTRACK_RELAY_RELAYED_REQUEST_H_
