--- a/relay/budget_driver.cc
+++ b/relay/budget_driver.cc
@@ -334,6 +334,8 @@
     case PeerMessageKind::kStreamBegan:
     case PeerMessageKind::kVersionRequest:
     case PeerMessageKind::kVersion:
+    case PeerMessageKind::kRunQuestion:
+    case PeerMessageKind::kRunAnswer:
     case PeerMessageKind::kCrashes:
     case PeerMessageKind::kRateLimits:
       return;
