Compare event ids without overflow

Cause: whether an event is the next one was asked by adding 1 to the last id, which a target may set to the largest number. The sum overflows, and the smallest id counts as its successor.

Change: an id that isn't above the last one is a repeated event, before anything is added.

--- a/relay/events.h
+++ b/relay/events.h
@@ -81,8 +81,10 @@
   // The position of an event relative to the one with the id `last`.
   enum class Order { kNext, kRepeated, kSkips };
   static Order OrderOf(const EventId& id, const EventId& last) {
-    if (!id || !last || *id == *last + 1) return Order::kNext;
-    return *id <= *last ? Order::kRepeated : Order::kSkips;
+    if (!id || !last) return Order::kNext;
+    if (*id <= *last) return Order::kRepeated;
+    // No id is above the largest one, so this doesn't overflow.
+    return *id == *last + 1 ? Order::kNext : Order::kSkips;
   }
 
   // Returns the number in the first `id:` line that has a number.
--- a/relay/testing/events_test.cc
+++ b/relay/testing/events_test.cc
@@ -106,5 +106,14 @@
   }));
 }
 
+// Guards against ids whose successor overflows.
+BOOST_AUTO_TEST_CASE(TheLargestIdHasNoSuccessor) {
+  EventReader it;
+  BOOST_TEST(it.Take("id: 9223372036854775807\ndata: a\n\n").count == 1);
+  BOOST_TEST(it.Take("id: -9223372036854775808\ndata: b\n\n").valid());
+  BOOST_TEST(it.Take("id: 9223372036854775807\ndata: c\n\n").count == 0);
+  BOOST_TEST(it.last_id() == "9223372036854775807");
+}
+
 }  // namespace
 }  // namespace quaytrack
