--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -146,7 +146,7 @@
   void NoteEarlierRun(const StreamRun& run);
   void StopEarlierRun();
   void OnEarlierRunStopped(const TargetName& next, const StoppedRun& stopped);
-  void GoOnWithoutCache(RunEnd end);
+  void GoOnWithoutCache(const TargetName& next, RunEnd end);
   void DropEarlierCache();
   void StopRunAt(const TargetEntry& target) const;
 
--- a/relay/relayed_request_take_up.cc
+++ b/relay/relayed_request_take_up.cc
@@ -175,7 +175,8 @@
   stopped_run_ = *std::exchange(earlier_run_, std::nullopt);
   earlier_cache_ = stopped.cache;
   if (machine_.state() == RelayState::kEnded) return DropEarlierCache();
-  if (admission_.facts.first_try.empty()) return GoOnWithoutCache(stopped.end);
+  if (admission_.facts.first_try.empty())
+    return GoOnWithoutCache(next, stopped.end);
   const Instant heard_since = context_.clock.Now() - kHeardFor;
   const bool is_next_alive = context_.reach.HasHeardFrom(next, heard_since);
   switch (stopped.end) {
@@ -198,9 +199,11 @@
 // The run was found by what the tries of a caller have in common. Two callers
 // that send equal requests have that in common as well, so its cache may be
 // that of another caller's request.
-void RelayedRequest::GoOnWithoutCache(RunEnd end) {
+void RelayedRequest::GoOnWithoutCache(const TargetName& next, RunEnd end) {
   DropEarlierCache();
   if (end == RunEnd::kRefused) admission_.placement.only = stopped_run_.target;
+  // The target that gave no answer may have ended.
+  if (end == RunEnd::kNoAnswer) admission_.placement.only = next;
   Choose();
 }
 
