--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -53,7 +53,7 @@
 //     that had it is ended first, if its target can be reached
 //     (`StopEarlierRun`).
 //   - A stream goes on from an earlier run's cache only if its caller names the
-//     try of that run (`GoOnWithoutCache`).
+//     try of that run (`OnEarlierRunStopped`).
 //   - A hold on the budget is settled once (`End`).
 
 #ifndef QUAYTRACK_RELAY_RELAYED_REQUEST_H_
@@ -146,7 +146,6 @@
   void NoteEarlierRun(const StreamRun& run);
   void StopEarlierRun();
   void OnEarlierRunStopped(const TargetName& next, const StoppedRun& stopped);
-  void GoOnWithoutCache(const TargetName& next, RunEnd end);
   void DropEarlierCache();
   void StopRunAt(const TargetEntry& target) const;
 
--- a/relay/relayed_request_take_up.cc
+++ b/relay/relayed_request_take_up.cc
@@ -168,15 +168,16 @@
 // Binds the request to the target that can go on best: one that has the cache
 // of the earlier run, or the one that may still have that run. The target that
 // has answered lives; the next one may have ended without a sign if nothing has
-// come from it lately.
+// come from it lately. The run of a caller that names no try was found by what
+// two callers that send equal requests have in common as well, so its cache may
+// be that of another caller's request, and isn't used.
 void RelayedRequest::OnEarlierRunStopped(const TargetName& next,
                                          const StoppedRun& stopped) {
   is_stopping_run_ = false;
   stopped_run_ = *std::exchange(earlier_run_, std::nullopt);
   earlier_cache_ = stopped.cache;
   if (machine_.state() == RelayState::kEnded) return DropEarlierCache();
-  if (admission_.facts.first_try.empty())
-    return GoOnWithoutCache(next, stopped.end);
+  if (admission_.facts.first_try.empty()) DropEarlierCache();
   const Instant heard_since = context_.clock.Now() - kHeardFor;
   const bool is_next_alive = context_.reach.HasHeardFrom(next, heard_since);
   switch (stopped.end) {
@@ -196,17 +197,6 @@
   Choose();
 }
 
-// The run was found by what the tries of a caller have in common. Two callers
-// that send equal requests have that in common as well, so its cache may be
-// that of another caller's request.
-void RelayedRequest::GoOnWithoutCache(const TargetName& next, RunEnd end) {
-  DropEarlierCache();
-  if (end == RunEnd::kRefused) admission_.placement.only = stopped_run_.target;
-  // The target that gave no answer may have ended.
-  if (end == RunEnd::kNoAnswer) admission_.placement.only = next;
-  Choose();
-}
-
 // Frees the copies of the earlier run's cache, from which nothing goes on.
 void RelayedRequest::DropEarlierCache() {
   context_.run_stops.Drop(stopped_run_, std::exchange(earlier_cache_, {}));
