Bound the interim answers that a call of the own interface skips

Cause: evhttp reads any number of answers with status 100 before the final one, and each restarts the idle time-out, so that a target which sends them without end keeps a call for ever.

Change: a call breaks after 16 of them, the bound that calls of the relay have for skipped answers.

Evidence: InterimAnswersWithoutEndBreakTheCall of evhttp_http_client_test passes (x86_64); found by reading, the case wasn't run before the change.

--- a/evhttp/http_client.cc
+++ b/evhttp/http_client.cc
@@ -28,6 +28,8 @@
 // Stands for no limit.
 constexpr ev_ssize_t kNoLimit = -1;
 constexpr int kContinue = 100;
+// Maximum number of interim answers to one request.
+constexpr int kMaxInterim = 16;
 
 evhttp_cmd_type MethodOf(const std::string& name) {
   if (name == "POST") return EVHTTP_REQ_POST;
@@ -70,6 +72,8 @@
   HttpCall* reader = nullptr;
   // Whether the latest status line is one of an answer, final or to be skipped.
   bool is_answer = false;
+  // Number of answers to the present request that were skipped.
+  int interim = 0;
 
   ~Connection() {
     if (handle != nullptr) evhttp_connection_free(handle);
@@ -165,6 +169,7 @@
   }
   connection_->write_began = false;
   connection_->reader = this;
+  connection_->interim = 0;
   const timeval tv = ToTimeval(spec_.idle_timeout);
   evhttp_connection_set_timeout_tv(connection_->handle, &tv);
   evhttp_connection_set_max_headers_size(connection_->handle, kMaxHeadBytes);
@@ -198,6 +203,7 @@
   if (!connection.is_answer) return -1;
   const int status = evhttp_request_get_response_code(request);
   if (status == kContinue) {
+    if (++connection.interim > kMaxInterim) return -1;
     connection.reader = keep.get();
     connection.ReadStatus(bufferevent_get_input(
         evhttp_connection_get_bufferevent(connection.handle)));
--- a/evhttp/http_client.h
+++ b/evhttp/http_client.h
@@ -17,7 +17,7 @@
 // An answer whose head or body doesn't end breaks the call at a limit, so that
 // its bytes don't fill the memory. One whose status line isn't valid
 // (`ReadStatusLine`), or whose status isn't that of a final answer, breaks it
-// at once; only 100 is skipped.
+// at once; only 100 is skipped, a few times.
 
 #ifndef QUAYTRACK_EVHTTP_HTTP_CLIENT_H_
 #define QUAYTRACK_EVHTTP_HTTP_CLIENT_H_
--- a/evhttp/testing/http_client_test.cc
+++ b/evhttp/testing/http_client_test.cc
@@ -94,6 +94,12 @@
   CheckIsBroken("HTTP/1.1 200 OK\r\n", block);
 }
 
+BOOST_AUTO_TEST_CASE(InterimAnswersWithoutEndBreakTheCall) {
+  std::string block;
+  while (block.size() < kBlockBytes) block += "HTTP/1.1 100 Continue\r\n\r\n";
+  CheckIsBroken("", block);
+}
+
 BOOST_AUTO_TEST_CASE(ABodyWithoutLengthBreaksTheCall) {
   CheckIsBroken("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
                 std::string(kBlockBytes, 'x'));
