--- a/base/events.h
+++ b/base/events.h
@@ -124,6 +124,7 @@
   kStreamTakenUp = 1422,
   kBudgetCharged = 1423,
   kRunStopped = 1424,
+  kRunServed = 1425,
 };
 
 struct EventInfo {
@@ -226,6 +227,7 @@
     {Event::kStreamTakenUp, LogLevel::kInfo, "stream_taken_up"},
     {Event::kBudgetCharged, LogLevel::kWarn, "budget_charged"},
     {Event::kRunStopped, LogLevel::kInfo, "run_stopped"},
+    {Event::kRunServed, LogLevel::kInfo, "run_served"},
 });
 
 }  // namespace quaytrack
--- a/relay/version_lookup.cc
+++ b/relay/version_lookup.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/log.h"
+
 namespace quaytrack {
 namespace {
 
@@ -21,6 +23,14 @@
   return note;
 }
 
+// Takes the run out of a note, as its router serves it to a caller.
+StreamNote LeaveOutRun(const StreamNote& note) {
+  LogEvent(Event::kRunServed, {{"request", note.run->id.value},
+                               {"target", note.run->target.value},
+                               {"by", note.router.value}});
+  return WithoutRun(note);
+}
+
 }  // namespace
 
 // Questions by the request carry it in place of an id as well, which peers of
@@ -112,7 +122,7 @@
   if (subject.request.empty() || !note.run) return found(note);
   const bool is_own = note.router.empty();
   if (is_own)
-    return found(on_.is_served(note.run->id) ? WithoutRun(note) : note);
+    return found(on_.is_served(note.run->id) ? LeaveOutRun(note) : note);
   if (!on_.is_linked(note.router)) return found(note);
   Confirm(note, std::move(found));
 }
@@ -141,8 +151,8 @@
     return;
   const auto confirmation = confirmations_.extract(it);
   const StreamNote& note = confirmation.mapped().note;
-  for (const Found& each : confirmation.mapped().waiting)
-    each(message.is_known ? WithoutRun(note) : note);
+  const StreamNote out = message.is_known ? LeaveOutRun(note) : note;
+  for (const Found& each : confirmation.mapped().waiting) each(out);
 }
 
 void VersionLookup::Ask(const Subject& subject,
--- a/relay/version_lookup.h
+++ b/relay/version_lookup.h
@@ -24,8 +24,8 @@
 // A stream that is found by what tries have in common may be another caller's.
 // So the router that knows it asks the one that has its run, and leaves the run
 // out of the note if that router serves it to a caller. One that doesn't answer
-// in `kConfirmTime`, or isn't linked any more, has stopped, so that nobody else
-// ends the run.
+// in `kConfirmTime`, or isn't linked any more, counts as stopped: nobody else
+// would end the run. Peers of earlier builds don't answer.
 //
 // A link that opens again, as after a freeze or a cut, has missed what was sent
 // meanwhile. So its hello has the other router told of the streams that run
@@ -77,8 +77,9 @@
   // The same for a question that is asked on behalf of another router, which
   // needs the answer within its own time.
   static constexpr Duration kForwardedTime = std::chrono::milliseconds(150);
-  // The same for the question to the router that has a run. It is part of the
-  // two others.
+  // The same for the question to the router that has a run. A router that asks
+  // it on behalf of another, or of one that asks for another, has to answer
+  // within the two times above.
   static constexpr Duration kConfirmTime = std::chrono::milliseconds(100);
 
   VersionLookup(Loop& loop, const Clock& clock, Handlers handlers)
