Decide without a socket how the tokens of an answer count

TokensOfAnswer moves from RelayedRequest, where only process tests reach it, to relay/request_cost.h, with its four cases in the unit test. No change of what is done.

--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -362,9 +362,12 @@
   probes_timer_.reset();
   Tokens cost = 0;
   if (held_) {
-    cost = CostOf({ran, worst_case(), admission_.facts.prompt_tokens,
-                   TokensOfAnswer(), progress_.events,
-                   admission_.service->event_tokens});
+    const bool by_event = admission_.service->IsEngine() &&
+                          admission_.route->kind == RouteKind::kStreaming;
+    const AnswerTokens tokens =
+        TokensOfAnswer(by_event, cause_ == RelayCause::kTargetError);
+    cost = CostOf({ran, worst_case(), admission_.facts.prompt_tokens, tokens,
+                   progress_.events, admission_.service->event_tokens});
     context_.budgets.Settle(*this, cost);
   }
   const Duration took = context_.clock.Now() - request_.begun;
@@ -380,14 +383,6 @@
       [this, self = shared_from_this()] { context_.requests.Remove(self); });
 }
 
-AnswerTokens RelayedRequest::TokensOfAnswer() const {
-  const bool by_event = admission_.service->IsEngine() &&
-                        admission_.route->kind == RouteKind::kStreaming;
-  if (by_event) return AnswerTokens::kByEvent;
-  return cause_ == RelayCause::kTargetError ? AnswerTokens::kNone
-                                            : AnswerTokens::kUnknown;
-}
-
 int RelayedRequest::EndStatus(Ran ran) const {
   const bool forwarded =
       cause_ == RelayCause::kServed || cause_ == RelayCause::kTargetError;
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -232,7 +232,6 @@
   void GiveUp(Ran ran, RelayCause cause);
   void AnswerCaller(Ran ran);
   void End(Ran ran);
-  AnswerTokens TokensOfAnswer() const;
   int EndStatus(Ran ran) const;
 
   Duration Left() const { return admission_.deadline - context_.clock.Now(); }
--- a/relay/request_cost.h
+++ b/relay/request_cost.h
@@ -35,6 +35,13 @@
   kUnknown,  // up to those that the request allows
 };
 
+// `by_event`: the answer is a stream of a service that names the number of
+// tokens in an event. `is_error`: the target has answered with an error.
+constexpr AnswerTokens TokensOfAnswer(bool by_event, bool is_error) {
+  if (by_event) return AnswerTokens::kByEvent;
+  return is_error ? AnswerTokens::kNone : AnswerTokens::kUnknown;
+}
+
 struct CostFacts {
   // Whether the request may have run in any attempt.
   Ran ran = Ran::kNo;
--- a/relay/testing/request_cost_test.cc
+++ b/relay/testing/request_cost_test.cc
@@ -38,6 +38,10 @@
   BOOST_TEST(Cost(Ran::kUnknown, 4, AnswerTokens::kUnknown) == kWorstCase);
   BOOST_TEST(Cost(Ran::kNo, 0, AnswerTokens::kUnknown) == 0);
   BOOST_TEST(Cost(Ran::kUnknown, 0, AnswerTokens::kNone) == kPrompt);
+  BOOST_TEST((TokensOfAnswer(false, false) == AnswerTokens::kUnknown));
+  BOOST_TEST((TokensOfAnswer(false, true) == AnswerTokens::kNone));
+  BOOST_TEST((TokensOfAnswer(true, false) == AnswerTokens::kByEvent));
+  BOOST_TEST((TokensOfAnswer(true, true) == AnswerTokens::kByEvent));
 }
 
 }  // namespace
