--- a/relay/testing/target_follower_test.cc
+++ b/relay/testing/target_follower_test.cc
@@ -148,6 +148,22 @@
   BOOST_TEST(!Listed("b"));
 }
 
+// Guards against work for a target that has gone, as its entry went some time
+// after the store's return and was then kept for as long as one that lapsed in
+// the outage.
+BOOST_FIXTURE_TEST_CASE(AnEntryThatGoesAfterTheStoresReturnIsKeptNoLonger,
+                        Fixture) {
+  follower.OnStoreReachable(false);
+  follower.OnStoreReachable(true);
+  RunFor(loop, kKeptFor / 2);
+  StoreRemoves("t/a", 3);
+  BOOST_TEST(Listed("a"));
+  const int before = changes;
+  RunFor(loop, kKeptFor / 2 + kGoneAfter);
+  BOOST_TEST(!Listed("a"));
+  BOOST_TEST(changes == before + 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(AnOutageThatComesBackKeepsOn, Fixture) {
   follower.OnStoreReachable(false);
   follower.OnStoreReachable(true);
