Ask again who serves a run after this router stood still

Cause: a router that stands still after it has asked finds its time-out over as it wakes, which says nothing about the router that it asked; it would end a run whose caller is served.

Change: a time-out that comes late asks once more.

--- a/kv/testing/follower_test.cc
+++ b/kv/testing/follower_test.cc
@@ -272,5 +272,46 @@
   BOOST_TEST((store.last_timeout["a/"] == options.wait_timeout));
 }
 
+// Guards against a follower that goes on after a handler has paused it, with
+// the answer that the handler was called for.
+BOOST_AUTO_TEST_CASE(AHandlerMayPauseTheFollower) {
+  enum class Where { kReplaced, kChanged, kSettled, kAnswered };
+  for (const Where where :
+       {Where::kReplaced, Where::kChanged, Where::kSettled, Where::kAnswered}) {
+    const SystemClock clock;
+    Loop loop;
+    BusyStore store(loop);
+    StoreFollower::Options options;
+    options.prefix = "a/";
+    options.spacing = milliseconds(1);
+    StoreFollower* follower = nullptr;
+    bool is_paused = false;
+    const auto enter = [&](Where at) {
+      if (at != where) return;
+      is_paused = true;
+      follower->Pause();
+    };
+    StoreFollower::Handlers on;
+    on.replaced = [&](const std::vector<StoreItem>&) {
+      enter(Where::kReplaced);
+    };
+    on.changed = [&](const StoreChange&) { enter(Where::kChanged); };
+    on.settled = [&] { enter(Where::kSettled); };
+    on.answered = [&](Instant) { enter(Where::kAnswered); };
+    on.reachable = [](bool) {};
+    StoreFollower it(loop, clock, store, options, on);
+    follower = &it;
+    it.Start();
+    RunFor(loop, milliseconds(30));
+    BOOST_TEST(is_paused);
+    const std::uint64_t waits = store.waits;
+    RunFor(loop, milliseconds(30));
+    BOOST_TEST(store.waits == waits);
+    it.Resume();
+    RunFor(loop, milliseconds(30));
+    BOOST_TEST(store.waits > waits);
+  }
+}
+
 }  // namespace
 }  // namespace quaytrack
--- a/relay/testing/run_stopper_test.cc
+++ b/relay/testing/run_stopper_test.cc
@@ -4,6 +4,7 @@
 #include "relay/run_stopper.h"
 
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -158,5 +159,19 @@
   BOOST_TEST(HasReceived("DELETE /c-1"));
 }
 
+// Guards against orders that are used after the report of one has given others.
+BOOST_FIXTURE_TEST_CASE(AReportMayGiveFurtherOrders, Fixture) {
+  constexpr int kOrders = 4;
+  std::function<void()> order = [&] {
+    stops.Stop(Move(), [&](const StoppedRun& it) {
+      ends.push_back(it);
+      for (int n = 0; n < 2 && ends.size() < kOrders; ++n) order();
+    });
+  };
+  order();
+  RunFor(loop, milliseconds(200));
+  BOOST_TEST(ends.size() >= static_cast<std::size_t>(kOrders));
+}
+
 }  // namespace
 }  // namespace quaytrack
--- a/relay/testing/version_lookup_test.cc
+++ b/relay/testing/version_lookup_test.cc
@@ -339,6 +339,23 @@
   BOOST_TEST((notes[0]->run == kFirstRun));
 }
 
+// Guards against a run that is ended though its caller is still there: the
+// router that asked stood still, and so it heard nothing.
+BOOST_FIXTURE_TEST_CASE(ARouterThatStoodStillAsksAgain, Fixture) {
+  At(0, 3).has_callers = true;
+  BeginNote(At(0, 3), kStream, {kV1, kFirstRun, kRequest});
+  At(0, 3).is_frozen = true;
+  AskByRequest(At(0, 0));
+  BOOST_TEST(notes.empty());
+  At(0, 3).is_frozen = false;
+  clock.now += seconds(1);
+  RunFor(loop, VersionLookup::kConfirmTime + milliseconds(20));
+  DeliverAll();
+  Turn();
+  BOOST_REQUIRE(notes.size() == 1U);
+  BOOST_TEST(!notes[0]->run.has_value());
+}
+
 // Guards against a run that nobody ends, as its router has stopped without a
 // sign or its caller has left.
 BOOST_FIXTURE_TEST_CASE(TheRunOfAStreamThatIsNotServedIsTold, Fixture) {
--- a/relay/version_lookup.cc
+++ b/relay/version_lookup.cc
@@ -134,15 +134,29 @@
   it->second.waiting.push_back(std::move(found));
   if (!is_new) return;
   it->second.note = note;
-  it->second.timer = loop_.After(kConfirmTime, [this, id] {
-    const auto confirmation = confirmations_.extract(id);
-    for (const Found& each : confirmation.mapped().waiting)
-      each(confirmation.mapped().note);
-  });
+  SendRunQuestion(it->second);
+}
+
+void VersionLookup::SendRunQuestion(Confirmation& confirmation) {
+  const RequestId id = confirmation.note.run->id;
+  confirmation.asked_at = clock_.Now();
+  confirmation.timer =
+      loop_.After(kConfirmTime, [this, id] { OnUnconfirmed(id); });
   PeerMessage out;
   out.kind = PeerMessageKind::kRunQuestion;
   out.request = id;
-  on_.send(note.router, out);
+  on_.send(confirmation.note.router, out);
+}
+
+// Called when there is no answer in time. If this router has stood still
+// meanwhile, that says nothing about the other one.
+void VersionLookup::OnUnconfirmed(const RequestId& id) {
+  const auto it = confirmations_.find(id);
+  if (clock_.Now() - it->second.asked_at >= 2 * kConfirmTime)
+    return SendRunQuestion(it->second);
+  const auto confirmation = confirmations_.extract(it);
+  for (const Found& each : confirmation.mapped().waiting)
+    each(confirmation.mapped().note);
 }
 
 void VersionLookup::OnConfirmation(const PeerMessage& message) {
--- a/relay/version_lookup.h
+++ b/relay/version_lookup.h
@@ -118,6 +118,7 @@
 
   struct Confirmation {
     StreamNote note;
+    Instant asked_at{};
     std::vector<Found> waiting;
     std::unique_ptr<Timer> timer;
   };
@@ -128,6 +129,8 @@
   // Reports a note that is known here, after its run is confirmed.
   void Report(const Subject& subject, const StreamNote& note, Found found);
   void Confirm(const StreamNote& note, Found found);
+  void SendRunQuestion(Confirmation& confirmation);
+  void OnUnconfirmed(const RequestId& id);
   void AnswerConfirmation(const PeerMessage& message);
   void OnConfirmation(const PeerMessage& message);
   void Ask(const Subject& subject, const std::vector<Incarnation>& peers,
