Comments: what a bound leaves room for, and what a late time-out means

The header of VersionLookup didn't say that a router which stood still asks again, as often as its time-out comes late. A test case of http_parser_test didn't say which failure it guards against.

--- a/http/testing/http_parser_test.cc
+++ b/http/testing/http_parser_test.cc
@@ -245,7 +245,7 @@
   }
 }
 
-// Each answer on a connection is checked.
+// Guards against status lines that are checked in a first answer only.
 BOOST_AUTO_TEST_CASE(StatusLinesOfLaterAnswersAreChecked) {
   const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
   Reader it(HttpParser::Kind::kResponse);
--- a/relay/target_follower.cc
+++ b/relay/target_follower.cc
@@ -17,9 +17,9 @@
 // A target whose entry expired in an outage is listed again within about 2 s of
 // the store's return, and a target that left may get work until 2 s after its
 // entry went. So entries are kept until this long after the store's return, or
-// after they were seen missing if that is earlier. The value leaves 0.3 s of
-// the second bound for what follows: the change reaches all routers, and
-// requests that were just sent arrive.
+// after they were seen missing if that is earlier. In the 0.3 s that are left
+// of the second bound, the change reaches all routers, and requests that were
+// just sent arrive.
 constexpr Duration kRelistTime = std::chrono::milliseconds(1700);
 
 // Delay from an answer with changes to the next wait. Targets change in series,
--- a/relay/version_lookup.h
+++ b/relay/version_lookup.h
@@ -25,7 +25,8 @@
 // So the router that knows it asks the one that has its run, and leaves the run
 // out of the note if that router serves it to a caller. One that doesn't answer
 // in `kConfirmTime`, or isn't linked any more, counts as stopped: nobody else
-// would end the run. Peers of earlier builds don't answer.
+// would end the run. Peers of earlier builds don't answer. A router that finds
+// the time over late has stood still itself, and asks again.
 //
 // A link that opens again, as after a freeze or a cut, has missed what was sent
 // meanwhile. So its hello has the other router told of the streams that run
