Let nobody in by what can't be read of a configuration

Callers saw: after `tenants: null` every key ran; with an empty key in its list, a customer paid for requests without a key. Found beside it: entries without a name, with a null, negative or overflowing prepaid, keys of two customers, two customers of one name, a stride that overflows to 0.

Cause: what was absent, empty or out of range counted as what is allowed, and any other fault refused the whole configuration, so that the keys that it took away were served on.

Change: each customer, route and service is read for itself. A key that may be somebody's gets 503, one that is nobody's 401. A route that can't be read keeps its requests, so that no shorter prefix gets them.

--- a/config/service_map.cc
+++ b/config/service_map.cc
@@ -15,12 +15,31 @@
       needs_keys_(customers.has_value()),
       customers_(std::move(customers).value_or(std::vector<CustomerRule>())),
       limits_(limits) {
-  for (std::size_t i = 0; i < routes_.size(); ++i) {
-    hosts_[routes_[i].host][routes_[i].path_prefix] = i;
-  }
+  for (std::size_t i = 0; i < routes_.size(); ++i) AddRoute(i);
+  AddKeys();
+}
+
+void ServiceMap::AddRoute(std::size_t i) {
+  RouteRule& it = routes_[i];
+  const auto [at, is_new] = hosts_[it.host].emplace(it.path_prefix, i);
+  if (is_new) return;
+  it.open_to_all = it.open_to_all && routes_[at->second].open_to_all;
+  at->second = i;
+}
+
+void ServiceMap::AddKeys() {
+  std::map<CustomerName, int> entries;
+  for (const CustomerRule& it : customers_) ++entries[it.name];
   for (std::size_t i = 0; i < customers_.size(); ++i) {
-    for (const std::string& it : customers_[i].keys) keys_[it] = i;
+    const CustomerRule& it = customers_[i];
+    const bool is_sound = !it.is_unreadable && entries[it.name] == 1;
+    for (const std::string& key : it.keys) {
+      const auto [at, is_new] = keys_.emplace(key, i);
+      if (!is_sound || (!is_new && at->second != i)) at->second.reset();
+    }
+    if (it.is_unreadable || it.has_unreadable_keys) has_unreadable_keys_ = true;
   }
+  keys_.erase("");
 }
 
 // Prefixes end with a slash, so only leading parts of the path that end with a
@@ -40,7 +59,22 @@
 
 const CustomerRule* ServiceMap::FindKey(const std::string& key) const {
   const auto it = keys_.find(key);
-  return it == keys_.end() ? nullptr : &customers_[it->second];
+  const bool is_known = it != keys_.end() && it->second;
+  return is_known ? &customers_[*it->second] : nullptr;
+}
+
+bool ServiceMap::IsInDoubt(const std::string& key) const {
+  if (key.empty()) return false;
+  const auto it = keys_.find(key);
+  return it == keys_.end() ? has_unreadable_keys_ : !it->second;
+}
+
+std::shared_ptr<const ServiceMap> ServiceMap::WithoutAccess() const {
+  CustomerRule unknown;
+  unknown.is_unreadable = true;
+  return std::make_shared<const ServiceMap>(version_, routes_, services_,
+                                            std::vector<CustomerRule>{unknown},
+                                            limits_);
 }
 
 const ServiceRule* ServiceMap::FindService(const ServiceName& name) const {
--- a/config/service_map.h
+++ b/config/service_map.h
@@ -11,8 +11,15 @@
 //
 // The map owns the rules, relies on nothing and validates nothing;
 // platform/config_reader.h checks the rules before a map is made. Of two routes
-// with the same host and prefix, or two customers with the same key, the later
-// one counts. A lookup that finds nothing returns null.
+// with the same host and prefix the later one counts, which is open to all only
+// if both are. A lookup that finds nothing returns null.
+//
+// What is in doubt lets nobody in. A key that more than one customer has finds
+// none of them, and so does each key of customers that share a name. A route or
+// customer that could be read only in part stays in the map and serves nobody
+// (`is_unreadable`), so that a shorter prefix doesn't take the route's
+// requests. `IsInDoubt` tells a key that may be somebody's from one that is
+// nobody's.
 //
 // The defaults below apply to fields that the configuration leaves out.
 
@@ -82,6 +89,8 @@
   std::chrono::milliseconds target_gap{0};
   // Where the route's requests may be processed.
   Residency residency;
+  // Only the host, the prefix and maybe the name are known.
+  bool is_unreadable = false;
 
   // Whether a request may be run again although an earlier attempt may have
   // run.
@@ -118,6 +127,10 @@
   // Where the customer's requests may be processed; the route's residency
   // applies as well.
   Residency residency;
+  // The entry has faults for which nobody may use its keys.
+  bool is_unreadable = false;
+  // The customer may have more keys than `keys`.
+  bool has_unreadable_keys = false;
 };
 
 // Limits on what a caller may send, and on how long sending may take.
@@ -150,14 +163,22 @@
   // Returns, among the routes of `host`, the one with the longest prefix of
   // `path`; null if there is none.
   const RouteRule* Match(std::string_view host, std::string_view path) const;
-  // The customer that has this key; null if there is none.
+  // The only customer that has this key; null if there is none. An empty key is
+  // nobody's.
   const CustomerRule* FindKey(const std::string& key) const;
+  // Whether a key that `FindKey` doesn't find may be some customer's.
+  bool IsInDoubt(const std::string& key) const;
+  // The same configuration, in which callers need keys and no key is known.
+  std::shared_ptr<const ServiceMap> WithoutAccess() const;
   // The service of this name; null if there is none.
   const ServiceRule* FindService(const ServiceName& name) const;
 
  private:
   using PrefixMap = std::unordered_map<std::string, std::size_t>;
 
+  void AddRoute(std::size_t i);
+  void AddKeys();
+
   std::uint64_t version_;
   std::vector<RouteRule> routes_;
   std::vector<ServiceRule> services_;
@@ -166,8 +187,10 @@
   RequestLimits limits_;
   // For each host, positions in `routes_` by prefix.
   std::map<std::string, PrefixMap, std::less<>> hosts_;
-  // Positions in `customers_` by key.
-  std::unordered_map<std::string, std::size_t> keys_;
+  // Positions in `customers_` by key; unset for a key in doubt.
+  std::unordered_map<std::string, std::optional<std::size_t>> keys_;
+  // There may be keys that aren't in `keys_`.
+  bool has_unreadable_keys_ = false;
 };
 
 using ServiceMapPtr = std::shared_ptr<const ServiceMap>;
--- a/relay/admission.cc
+++ b/relay/admission.cc
@@ -17,15 +17,21 @@
   return std::string_view(*host).substr(0, host->find(':'));
 }
 
-// Returns false if the route needs a key and the request's key is unknown.
-bool AdmitCustomer(const ServiceMap& map, Admission& out) {
-  if (out.route->open_to_all || !map.needs_keys()) return true;
+RelayCause RefusalOfKey(const ServiceMap& map, const std::string& key) {
+  return map.IsInDoubt(key) ? RelayCause::kConfigurationInDoubt
+                            : RelayCause::kUnknownKey;
+}
+
+// Refuses the request if the route needs a key and the request's key is that of
+// no customer.
+std::optional<RelayCause> AdmitCustomer(const ServiceMap& map, Admission& out) {
+  if (out.route->open_to_all || !map.needs_keys()) return std::nullopt;
   const CustomerRule* customer = map.FindKey(out.facts.key);
-  if (customer == nullptr) return false;
+  if (customer == nullptr) return RefusalOfKey(map, out.facts.key);
   out.customer = customer->name;
   out.customer_priority = customer->priority;
   out.placement.residency = customer->residency;
-  return true;
+  return std::nullopt;
 }
 
 // The caller's time limit, capped by the route's, counted from the request's
@@ -47,7 +53,8 @@
   out.facts = std::move(facts.value());
   out.route = map.Match(HostName(head), head.Path());
   if (out.route == nullptr) return RelayCause::kNoRoute;
-  if (!AdmitCustomer(map, out)) return RelayCause::kUnknownKey;
+  if (out.route->is_unreadable) return RelayCause::kConfigurationInDoubt;
+  if (const auto refused = AdmitCustomer(map, out)) return refused;
   const ServiceName& name = PickService(*out.route, input.draw);
   out.service = map.FindService(name);
   if (out.service == nullptr) return RelayCause::kNoTarget;
--- a/relay/admission.h
+++ b/relay/admission.h
@@ -8,8 +8,8 @@
 // Checks, in this order; the first that fails decides:
 //   1. A configuration is in force.
 //   2. The head can be read, and has a request id.
-//   3. A route matches its host and path.
-//   4. Its key is known, if the route needs one.
+//   3. A route matches its host and path, and could be read.
+//   4. Its key is known to be one customer's, if the route needs one.
 //   5. The service that the route selects is configured.
 //   6. Route and customer have an allowed region in common (base/residency.h).
 //   7. The deadline falls within the time that a planned stop, if there is one,
--- a/relay/testing/admission_test.cc
+++ b/relay/testing/admission_test.cc
@@ -206,5 +206,33 @@
   BOOST_TEST(admission.facts.id.value == "r-1");
 }
 
+// Guards against an empty key that is some customer's, and a key that is two
+// customers'.
+BOOST_FIXTURE_TEST_CASE(AKeyInDoubtIsRefusedAsSuch, Fixture) {
+  CustomerRule a;
+  a.name = CustomerName("a");
+  a.keys = {"", "shared", "own"};
+  CustomerRule b;
+  b.name = CustomerName("b");
+  b.keys = {"shared"};
+  RouteRule broken = Route("broken", "/broken/", "desk");
+  broken.is_unreadable = true;
+  ServiceRule desk;
+  desk.name = ServiceName("desk");
+  const ServiceMap doubted(8, {Route("r", "/r/", "desk"), broken}, {desk},
+                           {{a, b}}, {});
+  const auto admit = [&](const char* key, const char* target) {
+    dialect.facts.key = key;
+    request.head.target = target;
+    admission = {};
+    return Admit({&doubted, dialect, request, 0}, admission);
+  };
+  BOOST_TEST((admit("", "/r/") == RelayCause::kUnknownKey));
+  BOOST_TEST((admit("nobody", "/r/") == RelayCause::kUnknownKey));
+  BOOST_TEST((admit("shared", "/r/") == RelayCause::kConfigurationInDoubt));
+  BOOST_TEST((admit("own", "/broken/") == RelayCause::kConfigurationInDoubt));
+  BOOST_TEST(!admit("own", "/r/"));
+}
+
 }  // namespace
 }  // namespace quaytrack
