Keep access closed where a later version mentions no customers

Cause: a configuration without a list of customers needs no keys, also if the one before had a list; so leaving the field out opened every route. Change: a router that needed keys goes on to need them, knows none, and says so (keys_still_needed). A router that starts after such a change can't tell, and needs none.

--- a/base/events.h
+++ b/base/events.h
@@ -67,6 +67,7 @@
   kItemRefused = 1204,
   kRecordRefused = 1205,
   kFieldRefused = 1206,
+  kKeysStillNeeded = 1207,
   // 13xx: targets.
   kTargetLeaving = 1301,
   kTargetFailed = 1302,
@@ -172,6 +173,7 @@
     {Event::kItemRefused, LogLevel::kWarn, "item_refused"},
     {Event::kRecordRefused, LogLevel::kError, "record_refused"},
     {Event::kFieldRefused, LogLevel::kWarn, "field_refused"},
+    {Event::kKeysStillNeeded, LogLevel::kWarn, "keys_still_needed"},
     {Event::kTargetLeaving, LogLevel::kInfo, "target_leaving"},
     {Event::kTargetFailed, LogLevel::kWarn, "target_failed"},
     {Event::kBreakerOpened, LogLevel::kWarn, "breaker_opened"},
--- a/relay/config_follower.cc
+++ b/relay/config_follower.cc
@@ -139,7 +139,7 @@
   if (!next) return;
   if (source == Source::kStore) is_unreadable_ = false;
   if (next->version() <= version()) return;
-  map_ = next;
+  map_ = KeepAccessClosed(next);
   item_ = item;
   packed_values_ = {};
   later_since_.reset();
@@ -150,6 +150,16 @@
   on_.adopted();
 }
 
+ServiceMapPtr ConfigFollower::KeepAccessClosed(
+    const ServiceMapPtr& next) const {
+  const bool opens = map_ && map_->needs_keys() && !next->needs_keys();
+  if (!opens) return next;
+  LogEvent(Event::kKeysStillNeeded,
+           {{"version", std::to_string(next->version())},
+            {"before", std::to_string(version())}});
+  return next->WithoutAccess();
+}
+
 void ConfigFollower::OnPeer(const PeerMessage& message) {
   feed_.OnPeer(message);
   ReportHalls(halls_.Merge(message.halls), Source::kPeer);
--- a/relay/config_follower.h
+++ b/relay/config_follower.h
@@ -28,6 +28,10 @@
 // asks both. A configuration that was accepted and can't be read here leaves
 // that unknown.
 //
+// Access. What is in doubt lets nobody in:
+//   - Callers that needed keys go on to need them if a later configuration
+//     doesn't mention customers: to say nothing isn't to open access.
+//
 // `IsOutdated` says whether a peer has had a later configuration in force for
 // so long that this one must not be used any more. Without such a peer a router
 // serves by what it has: an outage of the store must not stop the fleet.
@@ -145,6 +149,7 @@
   void DropCarriedOrdersLater();
   void ReportHalls(const std::vector<HallName>& changed, Source source);
   void AdoptIfHigher(const StoreItem& item, Source source);
+  ServiceMapPtr KeepAccessClosed(const ServiceMapPtr& next) const;
   void RequestFromPeerLater(const Incarnation& peer);
   bool IsReceiving() const;
   void SendTo(const PeerMessage& request);
--- a/relay/testing/config_follower_test.cc
+++ b/relay/testing/config_follower_test.cc
@@ -225,6 +225,26 @@
   BOOST_TEST(!follower.IsOutdated());
 }
 
+// --- Access ---------------------------------------------------------------
+
+// Guards against access that is opened by a configuration which doesn't mention
+// customers, after one that did.
+BOOST_FIXTURE_TEST_CASE(ToMentionNoCustomersOpensNothing, Fixture) {
+  StoreHas("5");
+  StoreShows({"6-open"});
+  BOOST_TEST(follower.version() == 6U);
+  BOOST_TEST(follower.map()->needs_keys());
+  BOOST_TEST(follower.map()->IsInDoubt("key"));
+  RunFor(loop, milliseconds(300));
+  StoreShows({"7"});
+  BOOST_TEST(!follower.map()->IsInDoubt("key"));
+}
+
+BOOST_FIXTURE_TEST_CASE(WithoutCustomersFromTheStartNoKeyIsNeeded, Fixture) {
+  StoreHas("5-open");
+  BOOST_TEST(!follower.map()->needs_keys());
+}
+
 // --- Closed halls ------------------------------------------------------------
 
 struct HallsFixture : Fixture {
--- a/relay/testing/plain_state_reader.h
+++ b/relay/testing/plain_state_reader.h
@@ -28,13 +28,19 @@
   boost::leaf::result<ServiceMapPtr> Config(
       const StoreItem& item) const override {
     if (item.key != "c/config") return ServiceMapPtr();
-    if (item.value.find_first_not_of("0123456789") != std::string::npos) {
+    // A version with this behind it mentions no customers.
+    constexpr std::string_view kOpen = "-open";
+    const bool is_open = item.value.ends_with(kOpen);
+    const std::string number =
+        item.value.substr(0, item.value.size() - (is_open ? kOpen.size() : 0));
+    if (number.find_first_not_of("0123456789") != std::string::npos) {
       return boost::leaf::new_error(ItemError{"version", "is not a number"});
     }
+    std::optional<std::vector<CustomerRule>> customers;
+    if (!is_open) customers.emplace();
     return std::make_shared<const ServiceMap>(
-        std::stoull(item.value), std::vector<RouteRule>(),
-        std::vector<ServiceRule>(), std::vector<CustomerRule>(),
-        RequestLimits());
+        std::stoull(number), std::vector<RouteRule>(),
+        std::vector<ServiceRule>(), std::move(customers), RequestLimits());
   }
 
   boost::leaf::result<TargetEntry> Target(
