Refuse keys while the present configuration can't be read

Cause: a configuration that can't be read changed nothing, so keys that it may have taken away were served without an end. Change: requests that need a key get 503 as not run until it can be read, at once; public routes are served by the one in force. It is read again every 2 s, in case an answer was spoiled. That the store has none any more is logged (config_gone); what is in force stays.

--- a/base/events.h
+++ b/base/events.h
@@ -68,6 +68,7 @@
   kRecordRefused = 1205,
   kFieldRefused = 1206,
   kKeysStillNeeded = 1207,
+  kConfigGone = 1208,
   // 13xx: targets.
   kTargetLeaving = 1301,
   kTargetFailed = 1302,
@@ -174,6 +175,7 @@
     {Event::kRecordRefused, LogLevel::kError, "record_refused"},
     {Event::kFieldRefused, LogLevel::kWarn, "field_refused"},
     {Event::kKeysStillNeeded, LogLevel::kWarn, "keys_still_needed"},
+    {Event::kConfigGone, LogLevel::kWarn, "config_gone"},
     {Event::kTargetLeaving, LogLevel::kInfo, "target_leaving"},
     {Event::kTargetFailed, LogLevel::kWarn, "target_failed"},
     {Event::kBreakerOpened, LogLevel::kWarn, "breaker_opened"},
--- a/relay/config_follower.cc
+++ b/relay/config_follower.cc
@@ -29,12 +29,19 @@
   on.replaced = [this](const std::vector<StoreItem>& items) {
     ReplaceHalls(items);
     ReplaceOrders(items);
-    for (const StoreItem& it : items) AdoptIfHigher(it, Source::kStore);
+    bool has_config = false;
+    for (const StoreItem& it : items)
+      has_config = AdoptIfHigher(it, Source::kStore) || has_config;
+    if (map_ && !has_config) LogConfigGone();
   };
   on.changed = [this](const StoreChange& it) {
     ApplyHall(it);
     ApplyOrder(it);
-    if (!it.removed) AdoptIfHigher(it.item, Source::kStore);
+    if (!it.removed) {
+      AdoptIfHigher(it.item, Source::kStore);
+    } else if (map_ && it.item.key == item_.key) {
+      LogConfigGone();
+    }
   };
   on.settled = [this] { halls_.SetAppliedUpTo(feed_.known()); };
   on.reachable = [this](bool reachable) {
@@ -131,14 +138,20 @@
 
 // --- The configuration -------------------------------------------------------
 
-void ConfigFollower::AdoptIfHigher(const StoreItem& item, Source source) {
+// The configuration in force stays, as the store may have lost it.
+void ConfigFollower::LogConfigGone() const {
+  LogEvent(Event::kConfigGone, {{"version", std::to_string(version())}});
+}
+
+// Returns whether the item is a configuration, be it one that can't be read.
+bool ConfigFollower::AdoptIfHigher(const StoreItem& item, Source source) {
   const auto read = ReadOrLog(item, [&] { return reader_.Config(item); });
-  if (!read && source == Source::kStore) is_unreadable_ = true;
+  if (!read && source == Source::kStore) SetUnreadable(true);
   // `next` is null if the item isn't the configuration or can't be read.
   const ServiceMapPtr next = read.value_or(ServiceMapPtr());
-  if (!next) return;
-  if (source == Source::kStore) is_unreadable_ = false;
-  if (next->version() <= version()) return;
+  if (!next) return !read;
+  if (source == Source::kStore) SetUnreadable(false);
+  if (next->version() <= version()) return true;
   map_ = KeepAccessClosed(next);
   item_ = item;
   packed_values_ = {};
@@ -148,6 +161,7 @@
            {{"version", std::to_string(version())},
             {"from", source == Source::kStore ? "store" : "peer"}});
   on_.adopted();
+  return true;
 }
 
 ServiceMapPtr ConfigFollower::KeepAccessClosed(
@@ -160,6 +174,16 @@
   return next->WithoutAccess();
 }
 
+void ConfigFollower::SetUnreadable(bool is_unreadable) {
+  is_unreadable_ = is_unreadable;
+  read_again_timer_.reset();
+  if (!is_unreadable) return;
+  read_again_timer_ = loop_.After(kReadAgain, [this] {
+    read_again_timer_.reset();
+    feed_.ReadAgain();
+  });
+}
+
 void ConfigFollower::OnPeer(const PeerMessage& message) {
   feed_.OnPeer(message);
   ReportHalls(halls_.Merge(message.halls), Source::kPeer);
--- a/relay/config_follower.h
+++ b/relay/config_follower.h
@@ -29,6 +29,9 @@
 // that unknown.
 //
 // Access. What is in doubt lets nobody in:
+//   - A configuration that was accepted and can't be read may have taken keys
+//     away (`IsUnreadable`). It is read again every `kReadAgain`, in case the
+//     answer was spoiled.
 //   - Callers that needed keys go on to need them if a later configuration
 //     doesn't mention customers: to say nothing isn't to open access.
 //
@@ -89,6 +92,8 @@
   // replace those known from before. Operators write again within some seconds
   // what the store has lost.
   static constexpr Duration kRewriteTime = std::chrono::seconds(10);
+  // How often a configuration that can't be read is read again.
+  static constexpr Duration kReadAgain = std::chrono::seconds(2);
 
   struct Handlers {
     // Called when a configuration was adopted: the first one, or one of a
@@ -128,6 +133,8 @@
   }
   // Whether a peer has had a later configuration for over `kMaxBehind`.
   bool IsOutdated() const;
+  // Whether the store's configuration can't be read.
+  bool IsUnreadable() const { return is_unreadable_; }
 
   // Null until a configuration was adopted.
   const ServiceMapPtr& map() const { return map_; }
@@ -148,8 +155,10 @@
   void NotifyOrders(const std::vector<ServiceName>& changed);
   void DropCarriedOrdersLater();
   void ReportHalls(const std::vector<HallName>& changed, Source source);
-  void AdoptIfHigher(const StoreItem& item, Source source);
+  void LogConfigGone() const;
+  bool AdoptIfHigher(const StoreItem& item, Source source);
   ServiceMapPtr KeepAccessClosed(const ServiceMapPtr& next) const;
+  void SetUnreadable(bool is_unreadable);
   void RequestFromPeerLater(const Incarnation& peer);
   bool IsReceiving() const;
   void SendTo(const PeerMessage& request);
@@ -172,6 +181,8 @@
   RolloutOrders orders_;
   // The latest configuration of the store can't be read.
   bool is_unreadable_ = false;
+  // Runs while that is so.
+  std::unique_ptr<Timer> read_again_timer_;
   // Every configuration that was accepted by this time is known here, as shown
   // by a peer that has the same one in force.
   Instant current_by_peer_{};
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -39,13 +39,14 @@
   caller_->OnGone([self] { self->OnCallerGone(); });
   const auto refused = AdmitByCurrentMap();
   if (refused && !MayTrust(*refused)) {
+    if (context_.configs.IsUnreadable())
+      return GiveUp(Ran::kNo, RelayCause::kConfigurationInDoubt);
     return context_.configs.AwaitCurrent(
         request_.begun - kTrustedAge,
         [self](bool is_current) { self->OnConfigAsked(is_current); });
   }
   if (refused) return GiveUp(Ran::kNo, *refused);
-  if (context_.configs.IsOutdated())
-    return GiveUp(Ran::kNo, RelayCause::kConfigurationInDoubt);
+  if (IsInDoubt()) return GiveUp(Ran::kNo, RelayCause::kConfigurationInDoubt);
   Begin();
 }
 
@@ -71,9 +72,17 @@
   const auto self = shared_from_this();
   if (machine_.state() == RelayState::kEnded) return;
   const auto refused = AdmitByCurrentMap();
-  if (!refused) return Begin();
-  const bool holds = is_current || MayTrust(*refused);
-  GiveUp(Ran::kNo, holds ? *refused : RelayCause::kConfigurationInDoubt);
+  const bool is_in_doubt =
+      refused ? !is_current && !MayTrust(*refused) : IsInDoubt();
+  if (is_in_doubt) return GiveUp(Ran::kNo, RelayCause::kConfigurationInDoubt);
+  refused ? GiveUp(Ran::kNo, *refused) : Begin();
+}
+
+// Whether a later configuration, which isn't in force here, may not allow the
+// request.
+bool RelayedRequest::IsInDoubt() const {
+  return context_.configs.IsOutdated() ||
+         (context_.configs.IsUnreadable() && !admission_.route->open_to_all);
 }
 
 void RelayedRequest::Begin() {
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -35,9 +35,8 @@
 //
 // Guarantees, and where they are implemented:
 //   - A request is refused for its route or its key only by a configuration
-//   that
-//     is known to be current (`OnConfigAsked`), and isn't served by one that is
-//     known to be replaced (`Start`).
+//     that is known to be current (`OnConfigAsked`), and isn't sent by one that
+//     is known to be replaced (`IsInDoubt`).
 //   - A request that may have run is never reported as not run (the chart). One
 //     that must not be repeated is sent again only if it certainly has not run
 //     (`MaySendAgain`).
@@ -130,6 +129,7 @@
   std::optional<RelayCause> AdmitByCurrentMap();
   bool MayTrust(RelayCause refused) const;
   void OnConfigAsked(bool is_current);
+  bool IsInDoubt() const;
   void Begin();
   void ReportMemory();
   void DropRequest();
--- a/relay/state_feed.cc
+++ b/relay/state_feed.cc
@@ -522,6 +522,10 @@
   RequestState();
 }
 
+void StateFeed::ReadAgain() {
+  if (state() != FeedState::kNotified) follower_.ReadAgain();
+}
+
 void StateFeed::RestartWait() {
   if (state() != FeedState::kNotified) follower_.RestartWait();
 }
--- a/relay/state_feed.h
+++ b/relay/state_feed.h
@@ -178,6 +178,8 @@
   void AskNow();
   // Starts the open wait for changes again, as it may be lost.
   void RestartWait();
+  // Reads all items again, if this router follows the store itself.
+  void ReadAgain();
   // Reads up to `revision`, which a peer knows and this router doesn't.
   void ReadUpTo(StoreRevision revision);
 
--- a/relay/testing/config_follower_test.cc
+++ b/relay/testing/config_follower_test.cc
@@ -245,6 +245,18 @@
   BOOST_TEST(!follower.map()->needs_keys());
 }
 
+// Guards against a reading that was spoiled on its way and keeps callers out
+// for good.
+BOOST_FIXTURE_TEST_CASE(WhatCantBeReadIsReadAgain, Fixture) {
+  StoreHas("5");
+  StoreShows({"six"});
+  BOOST_TEST(follower.IsUnreadable());
+  RunFor(loop, ConfigFollower::kReadAgain + milliseconds(50));
+  StoreHas("6");
+  BOOST_TEST(!follower.IsUnreadable());
+  BOOST_TEST(follower.version() == 6U);
+}
+
 // --- Closed halls ------------------------------------------------------------
 
 struct HallsFixture : Fixture {
