Learn the present configuration after a standstill

Callers saw: a router that stood still over a change ran what waited there with the key that had been taken away. Cause: its sockets are served before the store's answer arrives, by what it knew before. While the store is lost, and no peer has a later configuration, the router serves by what it has, as others do.

--- a/relay/config_follower.cc
+++ b/relay/config_follower.cc
@@ -46,6 +46,7 @@
   on.settled = [this] { halls_.SetAppliedUpTo(feed_.known()); };
   on.reachable = [this](bool reachable) {
     LogEvent(reachable ? Event::kKvBack : Event::kKvLost, {{"by", "config"}});
+    is_store_lost_ = !reachable;
     on_.store_reachable(reachable);
   };
   // The state that the answer shows is passed on first.
@@ -265,6 +266,12 @@
   return std::max(feed_.current_at(), current_by_peer_) >= at;
 }
 
+bool ConfigFollower::MayHaveMissedChanges() {
+  Check();
+  if (resumed_at() == Instant() || IsCurrentAt(resumed_at())) return false;
+  return !is_store_lost_ || later_since_;
+}
+
 void ConfigFollower::NoteLaterVersion() {
   later_heard_ = clock_.Now();
   if (!later_since_) later_since_ = later_heard_;
--- a/relay/config_follower.h
+++ b/relay/config_follower.h
@@ -32,6 +32,10 @@
 //   - A configuration that was accepted and can't be read may have taken keys
 //     away (`IsUnreadable`). It is read again every `kReadAgain`, in case the
 //     answer was spoiled.
+//   - A router that stood still, with its process or VM, doesn't know what was
+//     changed meanwhile, until the store or a peer has shown the present state
+//     (`MayHaveMissedChanges`). While the store is away it serves by what it
+//     has, as any router does.
 //   - Callers that needed keys go on to need them if a later configuration
 //     doesn't mention customers: to say nothing isn't to open access.
 //
@@ -76,6 +80,7 @@
 #include "relay/dialect.h"
 #include "relay/packed_value_cache.h"
 #include "relay/peer_messages.h"
+#include "relay/standstill.h"
 #include "relay/state_feed.h"
 #include "rollout/order_book.h"
 
@@ -135,6 +140,12 @@
   bool IsOutdated() const;
   // Whether the store's configuration can't be read.
   bool IsUnreadable() const { return is_unreadable_; }
+  // Whether this router stood still, and changes of that time may be unknown.
+  bool MayHaveMissedChanges();
+  // When this router last ran again after it had stood still.
+  Instant resumed_at() const { return standstill_.resumed_at(); }
+  // Shows that the loop runs; called several times a second.
+  void Check() { standstill_.Note(clock_.Now()); }
 
   // Null until a configuration was adopted.
   const ServiceMapPtr& map() const { return map_; }
@@ -183,6 +194,8 @@
   bool is_unreadable_ = false;
   // Runs while that is so.
   std::unique_ptr<Timer> read_again_timer_;
+  Standstill standstill_;
+  bool is_store_lost_ = false;
   // Every configuration that was accepted by this time is known here, as shown
   // by a peer that has the same one in force.
   Instant current_by_peer_{};
--- a/relay/relay_router.cc
+++ b/relay/relay_router.cc
@@ -183,6 +183,7 @@
                              {"listen", settings_.listen}});
   check_timer_ = loop_.Every(kCheckInterval, [this] {
     stop_.Check();
+    configs_.Check();
     for (StateFeed* it : Feeds()) it->Check();
     crashes_.Check();
     rollouts_.Check();
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -46,6 +46,11 @@
         [self](bool is_current) { self->OnConfigAsked(is_current); });
   }
   if (refused) return GiveUp(Ran::kNo, *refused);
+  if (context_.configs.MayHaveMissedChanges()) {
+    return context_.configs.AwaitCurrent(
+        context_.configs.resumed_at(),
+        [self](bool is_current) { self->OnConfigAsked(is_current); });
+  }
   if (IsInDoubt()) return GiveUp(Ran::kNo, RelayCause::kConfigurationInDoubt);
   Begin();
 }
@@ -73,7 +78,8 @@
   if (machine_.state() == RelayState::kEnded) return;
   const auto refused = AdmitByCurrentMap();
   const bool is_in_doubt =
-      refused ? !is_current && !MayTrust(*refused) : IsInDoubt();
+      refused ? !is_current && !MayTrust(*refused)
+              : context_.configs.MayHaveMissedChanges() || IsInDoubt();
   if (is_in_doubt) return GiveUp(Ran::kNo, RelayCause::kConfigurationInDoubt);
   refused ? GiveUp(Ran::kNo, *refused) : Begin();
 }
@@ -85,6 +91,25 @@
          (context_.configs.IsUnreadable() && !admission_.route->open_to_all);
 }
 
+// Goes on once it is known what was changed while this router stood still.
+void RelayedRequest::AwaitConfig() {
+  if (awaits_config_) return;
+  awaits_config_ = true;
+  context_.configs.AwaitCurrent(
+      context_.configs.resumed_at(),
+      [self = shared_from_this()](bool) { self->OnConfigShown(); });
+}
+
+void RelayedRequest::OnConfigShown() {
+  const auto self = shared_from_this();
+  awaits_config_ = false;
+  // A kept attempt may have gone on meanwhile.
+  if (machine_.state() == RelayState::kEnded || attempt_.call) return;
+  if (context_.configs.MayHaveMissedChanges())
+    return GiveUpUnlessKept(Ran::kNo, RelayCause::kConfigurationInDoubt);
+  Choose();
+}
+
 void RelayedRequest::Begin() {
   deadline_timer_ = context_.loop.After(std::max(Left(), Duration::zero()),
                                         [this] { OnDeadline(); });
@@ -230,6 +255,7 @@
 void RelayedRequest::Choose() {
   const auto self = shared_from_this();
   probes_timer_.reset();
+  if (context_.configs.MayHaveMissedChanges()) return AwaitConfig();
   ForgiveDoubtedTargets();
   const bool passes = is_test_ && attempts_ == 0;
   if (!passes && IsBlamed()) {
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -130,6 +130,8 @@
   bool MayTrust(RelayCause refused) const;
   void OnConfigAsked(bool is_current);
   bool IsInDoubt() const;
+  void AwaitConfig();
+  void OnConfigShown();
   void Begin();
   void ReportMemory();
   void DropRequest();
@@ -277,6 +279,8 @@
   std::set<TargetName> doubted_targets_;
   // Runs while the request waits to learn whether the links are lost.
   std::unique_ptr<Timer> probes_timer_;
+  // The request waits to learn the present configuration before it is sent.
+  bool awaits_config_ = false;
 
   // State of all attempts. What may be the cause of a crash is unset until it
   // is first needed.
--- a/relay/relayed_request_attempts.cc
+++ b/relay/relayed_request_attempts.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "relay/config_follower.h"
 #include "relay/reach_driver.h"
 #include "relay/relayed_request.h"
 #include "relay/rollout_driver.h"
@@ -106,6 +107,7 @@
 bool RelayedRequest::MaySend() {
   const bool sees_end = !attempt_.call || attempt_.call->sees_end();
   context_.reach.OnOpened(attempt_.path, attempt_.choice.target.name, sees_end);
+  if (context_.configs.MayHaveMissedChanges()) return false;
   const bool may_send = context_.placement.MayStillSend(
       context_.clock.Now(), attempt_.choice, admission_.placement);
   if (may_send) LimitOverlap();
--- a/relay/testing/config_follower_test.cc
+++ b/relay/testing/config_follower_test.cc
@@ -227,6 +227,26 @@
 
 // --- Access ---------------------------------------------------------------
 
+// Guards against a router that takes what it knew before it stood still for the
+// present.
+BOOST_FIXTURE_TEST_CASE(AfterAStandstillItMayHaveMissedChanges,
+                        CurrencyFixture) {
+  StoreHas("5");
+  follower.Check();
+  BOOST_TEST(!follower.MayHaveMissedChanges());
+  RunFor(loop, Standstill::kLongestGap + milliseconds(50));
+  BOOST_TEST(follower.MayHaveMissedChanges());
+  follower.Check();
+  BOOST_TEST(follower.MayHaveMissedChanges());
+  const Instant asked_at = clock.Now();
+  PeerMark(5, asked_at);
+  // The peer's state was that old.
+  BOOST_TEST(follower.MayHaveMissedChanges());
+  RunFor(loop, milliseconds(150));
+  PeerMark(5, clock.Now());
+  BOOST_TEST(!follower.MayHaveMissedChanges());
+}
+
 // Guards against access that is opened by a configuration which doesn't mention
 // customers, after one that did.
 BOOST_FIXTURE_TEST_CASE(ToMentionNoCustomersOpensNothing, Fixture) {
