Look at the key again before each send

Cause: a request kept the configuration that admitted it, so it was sent, or sent again to another target, with a key that had been taken away or moved to another customer while it waited. Change: each send looks at the configuration in force. A key that is gone gets 401, one that has moved 503, as not run where nothing ran. What runs at a target when its key goes runs on.

--- a/relay/admission.cc
+++ b/relay/admission.cc
@@ -72,4 +72,20 @@
   return std::nullopt;
 }
 
+std::optional<RelayCause> RefusalByLater(const ServiceMap& map,
+                                         const HttpHead& head,
+                                         const Admission& admission) {
+  if (!map.needs_keys()) return std::nullopt;
+  // A route that has gone goes on as it was for the requests that it admitted.
+  const RouteRule* route = map.Match(HostName(head), head.Path());
+  const bool is_open =
+      route != nullptr ? route->open_to_all : admission.customer.empty();
+  if (is_open) return std::nullopt;
+  const CustomerRule* customer = map.FindKey(admission.facts.key);
+  if (customer == nullptr) return RefusalOfKey(map, admission.facts.key);
+  if (customer->name != admission.customer)
+    return RelayCause::kConfigurationInDoubt;
+  return std::nullopt;
+}
+
 }  // namespace quaytrack
--- a/relay/admission.h
+++ b/relay/admission.h
@@ -69,6 +69,13 @@
 // log.
 std::optional<RelayCause> Admit(const AdmissionInput& input, Admission& out);
 
+// Returns why an admitted request may not be sent, now that `map` is in force:
+// its key isn't its customer's any more, or is needed only now. The rest of an
+// admission stays as it was. `head` is that of the request.
+std::optional<RelayCause> RefusalByLater(const ServiceMap& map,
+                                         const HttpHead& head,
+                                         const Admission& admission);
+
 }  // namespace quaytrack
 
 #endif  // QUAYTRACK_RELAY_ADMISSION_H_
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -91,6 +91,14 @@
          (context_.configs.IsUnreadable() && !admission_.route->open_to_all);
 }
 
+// Why the request may not be sent any more, by the present configuration.
+std::optional<RelayCause> RelayedRequest::RefusalNow() const {
+  if (IsInDoubt()) return RelayCause::kConfigurationInDoubt;
+  const ServiceMapPtr& map = context_.configs.map();
+  if (map == map_) return std::nullopt;
+  return RefusalByLater(*map, request_.head, admission_);
+}
+
 // Goes on once it is known what was changed while this router stood still.
 void RelayedRequest::AwaitConfig() {
   if (awaits_config_) return;
@@ -256,6 +264,8 @@
   const auto self = shared_from_this();
   probes_timer_.reset();
   if (context_.configs.MayHaveMissedChanges()) return AwaitConfig();
+  if (const auto refused = RefusalNow())
+    return GiveUpUnlessKept(Ran::kNo, *refused);
   ForgiveDoubtedTargets();
   const bool passes = is_test_ && attempts_ == 0;
   if (!passes && IsBlamed()) {
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -37,6 +37,8 @@
 //   - A request is refused for its route or its key only by a configuration
 //     that is known to be current (`OnConfigAsked`), and isn't sent by one that
 //     is known to be replaced (`IsInDoubt`).
+//   - A request is sent only while its key is its customer's, also if it waited
+//     or goes on at another target (`RefusalNow`).
 //   - A request that may have run is never reported as not run (the chart). One
 //     that must not be repeated is sent again only if it certainly has not run
 //     (`MaySendAgain`).
@@ -130,6 +132,7 @@
   bool MayTrust(RelayCause refused) const;
   void OnConfigAsked(bool is_current);
   bool IsInDoubt() const;
+  std::optional<RelayCause> RefusalNow() const;
   void AwaitConfig();
   void OnConfigShown();
   void Begin();
--- a/relay/relayed_request_attempts.cc
+++ b/relay/relayed_request_attempts.cc
@@ -107,7 +107,7 @@
 bool RelayedRequest::MaySend() {
   const bool sees_end = !attempt_.call || attempt_.call->sees_end();
   context_.reach.OnOpened(attempt_.path, attempt_.choice.target.name, sees_end);
-  if (context_.configs.MayHaveMissedChanges()) return false;
+  if (context_.configs.MayHaveMissedChanges() || RefusalNow()) return false;
   const bool may_send = context_.placement.MayStillSend(
       context_.clock.Now(), attempt_.choice, admission_.placement);
   if (may_send) LimitOverlap();
--- a/relay/testing/admission_test.cc
+++ b/relay/testing/admission_test.cc
@@ -234,5 +234,43 @@
   BOOST_TEST(!admit("own", "/r/"));
 }
 
+// Guards against a request that is sent by a configuration which has taken its
+// key away, moved it, or closed its route meanwhile.
+BOOST_FIXTURE_TEST_CASE(ALaterConfigurationMayRefuseWhatWasAdmitted, Fixture) {
+  const auto later = [](const char* name, const char* key, bool opens) {
+    RouteRule stream = Route("stream", "/stream/", "llm");
+    stream.open_to_all = opens;
+    CustomerRule customer;
+    customer.name = CustomerName(name);
+    customer.keys = {key};
+    return ServiceMap(8, {stream, Route("open", "/open/", "desk")}, {},
+                      {{customer}}, {});
+  };
+  const auto refusal = [&](const ServiceMap& it) {
+    return RefusalByLater(it, request.head, admission);
+  };
+  BOOST_REQUIRE(!AdmitTo("/stream/x"));
+  BOOST_TEST(!refusal(later("lakhon", "key-a", false)));
+  BOOST_TEST(
+      (refusal(later("lakhon", "key-b", false)) == RelayCause::kUnknownKey));
+  BOOST_TEST((refusal(later("zellij", "key-a", false)) ==
+              RelayCause::kConfigurationInDoubt));
+  BOOST_TEST(!refusal(later("zellij", "key-b", true)));
+  BOOST_TEST(!refusal(ServiceMap(8, {}, {}, std::nullopt, {})));
+  // A route that has gone keeps what it admitted, and its key counts.
+  BOOST_TEST(!refusal(ServiceMap(8, {}, {}, map.customers(), {})));
+  BOOST_TEST((refusal(ServiceMap(8, {}, {}, std::vector<CustomerRule>(), {})) ==
+              RelayCause::kUnknownKey));
+  // The route was open to all, and isn't any more.
+  dialect.facts.key = "";
+  BOOST_REQUIRE(!AdmitTo("/open/x"));
+  BOOST_TEST(
+      (refusal(later("lakhon", "key-a", false)) == RelayCause::kUnknownKey));
+  dialect.facts.key = "key-a";
+  BOOST_REQUIRE(!AdmitTo("/open/x"));
+  BOOST_TEST((refusal(later("lakhon", "key-a", false)) ==
+              RelayCause::kConfigurationInDoubt));
+}
+
 }  // namespace
 }  // namespace quaytrack
