End the run of a target whose answer can't be read

Cause: after bytes that are no answer, or a gap of event ids, a stream goes on elsewhere, and its first target, which lives, was only left to notice the closed connection. Orders to end a run were sent for superseded and silent attempts.

--- a/relay/attempt.h
+++ b/relay/attempt.h
@@ -115,6 +115,12 @@
        {AttemptFault::kNoSign, "no_sign"}});
 };
 
+// Whether the target sent something that isn't the answer. It lives, and may
+// work on the request.
+inline bool IsUnreadableAnswer(AttemptFault fault) {
+  return fault == AttemptFault::kMalformed || fault == AttemptFault::kInvalid;
+}
+
 // Whether nothing of the attempt was sent.
 inline bool IsUnsent(AttemptFault fault) {
   return fault == AttemptFault::kNotOpened ||
--- a/relay/relayed_request.h
+++ b/relay/relayed_request.h
@@ -65,6 +65,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "config/service_map.h"
 #include "http/caller_connection.h"
@@ -153,6 +154,9 @@
   void OnEarlierRunStopped(const TargetName& next, const StoppedRun& stopped);
   void DropEarlierCache();
   void StopRunAt(const TargetEntry& target) const;
+  void NoteRunLeft(const AttemptState& attempt, AttemptFault fault);
+  void EndRunsLeft();
+  void EndRunAt(const TargetEntry& target) const;
 
   void NoteAlive(Instant now) const;
   void Hold();
@@ -271,6 +275,8 @@
   // The run that was ended, and its cache until something goes on from it.
   StreamRun stopped_run_;
   std::string earlier_cache_;
+  // Targets whose answers couldn't be read, until their runs are ended.
+  std::vector<TargetEntry> runs_left_;
 
   // Peers that refused the request a tunnel, couldn't be reached, or broke it
   // off.
--- a/relay/relayed_request_attempts.cc
+++ b/relay/relayed_request_attempts.cc
@@ -47,6 +47,7 @@
   attempt_.call =
       context_.targets.Start(MakeCall(), HandlersOf(attempt_.number));
   attempt_.connection = attempt_.call->connection_number();
+  EndRunsLeft();
   if (!attempt_.call->connecting()) LimitOverlap();
   const RouteRule& route = *admission_.route;
   SetAttemptTimer(attempt_.call->connecting()
@@ -456,6 +457,7 @@
   const auto self = shared_from_this();
   StopAttempt(outcome);
   LogAttempt(attempt_, ran, fault);
+  NoteRunLeft(attempt_, fault);
   if (machine_.state() == RelayState::kCallerLeft) {
     return GiveUp(ran, RelayCause::kCallerGone);
   }
--- a/relay/relayed_request_kept.cc
+++ b/relay/relayed_request_kept.cc
@@ -124,6 +124,8 @@
   AttemptState attempt = kept_.Take(number);
   Stop(attempt, outcome);
   LogAttempt(attempt, Ran::kUnknown, fault);
+  NoteRunLeft(attempt, fault);
+  if (attempt_.call) EndRunsLeft();
 }
 
 // Stops the kept attempts, as the answer has gone on elsewhere or the request
@@ -174,6 +176,7 @@
   attempt_ = kept_.Take(number);
   attempt_.kept_for = AttemptFault::kNone;
   events_ = attempt_.reader;
+  EndRunsLeft();
   Apply(RelayEvent::kAttemptGoesOn);
 }
 
--- a/relay/relayed_request_take_up.cc
+++ b/relay/relayed_request_take_up.cc
@@ -206,9 +206,26 @@
 // in the current one. Closing the connection ends its run there, but not all
 // targets notice that at once.
 void RelayedRequest::StopRunAt(const TargetEntry& target) const {
+  if (progress_.events > 0) EndRunAt(target);
+}
+
+// Notes that the attempt's target has sent what can't be read, so that it lives
+// and may work on.
+void RelayedRequest::NoteRunLeft(const AttemptState& attempt,
+                                 AttemptFault fault) {
+  if (IsUnreadableAnswer(fault)) runs_left_.push_back(attempt.choice.target);
+}
+
+// Ends the runs that were left so, once the stream goes on in the current
+// attempt.
+void RelayedRequest::EndRunsLeft() {
+  for (const TargetEntry& it : std::exchange(runs_left_, {})) EndRunAt(it);
+}
+
+void RelayedRequest::EndRunAt(const TargetEntry& target) const {
   const TargetEntry& current = attempt_.choice.target;
-  const bool goes_on = progress_.events > 0 && admission_.route->resumable &&
-                       current.name != target.name;
+  const bool goes_on =
+      admission_.route->resumable && current.name != target.name;
   if (!goes_on || context_.reach.IsCutOff(admission_.service->name)) return;
   context_.run_stops.StopAfterClose(
       {{target.name, target.address, id()}, current.address});
