Let a handler of a parser destroy the parser

Cause: Feed and FeedEnd went on with the parser's state after a handler. Change: a running call keeps the state, and no handler is called after the parser's end.

--- a/http/http_parser.cc
+++ b/http/http_parser.cc
@@ -264,7 +264,7 @@
 }
 
 HttpParser::HttpParser(Kind kind, Handlers handlers, HttpLimits limits)
-    : state_(std::make_unique<State>()) {
+    : state_(std::make_shared<State>()) {
   http_parser_set_max_header_size(kLibraryHeadBytes);
   State& s = *state_;
   s.kind = kind;
@@ -273,10 +273,12 @@
   s.Begin();
 }
 
-HttpParser::~HttpParser() = default;
+// A running call goes on without the parser, and calls no more handlers.
+HttpParser::~HttpParser() { state_->fault = HttpFault::kMalformed; }
 
 std::size_t HttpParser::Feed(std::string_view bytes) {
-  State& s = *state_;
+  const auto keep = state_;
+  State& s = *keep;
   std::size_t used = 0;
   while (s.fault == HttpFault::kNone && used < bytes.size()) {
     const std::size_t n = s.FeedPart(bytes.substr(used));
@@ -292,7 +294,8 @@
 }
 
 bool HttpParser::FeedEnd() {
-  State& s = *state_;
+  const auto keep = state_;
+  State& s = *keep;
   if (s.fault != HttpFault::kNone || !s.in_message || s.in_head) return false;
   s.Execute({});
   if (!s.complete) return false;
--- a/http/http_parser.h
+++ b/http/http_parser.h
@@ -53,7 +53,8 @@
  public:
   enum class Kind { kRequest, kResponse };
   // The handlers are called inside `Feed` and `FeedEnd`, in this order for each
-  // message. They may call `Discard`, and must not destroy the parser.
+  // message. They may call `Discard`, or destroy the parser; none is called
+  // after that.
   struct Handlers {
     // Gets the head of the message, and may move from it.
     std::function<void(HttpHead& head)> head;
@@ -89,7 +90,8 @@
 
  private:
   struct State;
-  std::unique_ptr<State> state_;
+  // Shared with a running call of `Feed` or `FeedEnd`.
+  std::shared_ptr<State> state_;
 };
 
 }  // namespace quaytrack
--- a/http/testing/cancel_in_handler_test.cc
+++ b/http/testing/cancel_in_handler_test.cc
@@ -268,6 +268,62 @@
   }
 }
 
+// Guards against a parser that is used after one of its handlers has destroyed
+// it.
+BOOST_AUTO_TEST_CASE(AParserHandlerMayDestroyItsParser) {
+  const std::string bytes =
+      std::string(kHeadBytes) + kChunk + kChunk + kEndBytes + kHeadBytes;
+  for (const Where where : {Where::kHead, Where::kBody, Where::kEnd}) {
+    std::unique_ptr<HttpParser> parser;
+    std::weak_ptr<int> captured;
+    int calls_after = 0;
+    bool outlived = false;
+    auto keep = std::make_shared<int>(0);
+    captured = keep;
+    const auto enter = [&](Where at) {
+      if (!parser) ++calls_after;
+      if (at != where || !parser) return;
+      parser.reset();
+      outlived = !captured.expired();
+    };
+    parser = std::make_unique<HttpParser>(
+        HttpParser::Kind::kResponse,
+        HttpParser::Handlers{
+            [&, keep](HttpHead&) { enter(Where::kHead); },
+            [&, keep](std::string_view) { enter(Where::kBody); },
+            [&, keep] { enter(Where::kEnd); }},
+        HttpLimits());
+    keep.reset();
+    parser->Feed(bytes);
+    BOOST_TEST(!parser);
+    BOOST_TEST(outlived);
+    BOOST_TEST(calls_after == 0);
+    BOOST_TEST(captured.expired());
+  }
+}
+
+// The same at the end of a connection that completes an answer.
+BOOST_AUTO_TEST_CASE(AParserMayEndWithItsConnection) {
+  std::unique_ptr<HttpParser> parser;
+  std::weak_ptr<int> captured;
+  bool outlived = false;
+  auto keep = std::make_shared<int>(0);
+  captured = keep;
+  parser = std::make_unique<HttpParser>(
+      HttpParser::Kind::kResponse,
+      HttpParser::Handlers{[](HttpHead&) {}, [](std::string_view) {},
+                           [&, keep] {
+                             parser.reset();
+                             outlived = !captured.expired();
+                           }},
+      HttpLimits());
+  keep.reset();
+  parser->Feed("HTTP/1.1 200 OK\r\n\r\nok");
+  BOOST_TEST(parser->FeedEnd());
+  BOOST_TEST(outlived);
+  BOOST_TEST(captured.expired());
+}
+
 // --- Connections of callers --------------------------------------------------
 
 // Bytes for a caller that the kernel doesn't accept at once.
