Let a handler of a server of tunnels destroy the server

Cause: after asking whether a tunnel is carried, or telling that it has opened, the server went on with its lists, and its handlers were destroyed while one ran. Change: handlers are held by whoever calls one, and the server's end is looked at after each.

--- a/http/testing/tunnel_test.cc
+++ b/http/testing/tunnel_test.cc
@@ -30,8 +30,13 @@
       : tunnels(std::make_unique<TunnelServer>(
             loop, TcpSocket::Connect,
             TunnelServer::Handlers{
-                [this](const std::string&) { return status; },
-                [](const std::string&, bool) {}})),
+                [this, keep = captured_by()](const std::string&) {
+                  if (ends == Ends::kInCheck) End();
+                  return status;
+                },
+                [this, keep = captured_by()](const std::string&, bool) {
+                  if (ends == Ends::kAsDialed) End();
+                }})),
         server(loop, [](const std::shared_ptr<PeerLink>&) {}) {
     server.OnOther([this](std::shared_ptr<TcpSocket> socket,
                           std::string_view first_bytes) {
@@ -41,6 +46,24 @@
   }
   std::string Address() const { return "127.0.0.1:" + std::to_string(port); }
 
+  // Which handler destroys the server.
+  enum class Ends { kNever, kInCheck, kAsDialed };
+  void End() {
+    tunnels.reset();
+    outlived = !captured.expired();
+  }
+  // What the handlers own.
+  std::shared_ptr<int> captured_by() {
+    auto out = captured.lock();
+    if (!out) out = std::make_shared<int>();
+    captured = out;
+    return out;
+  }
+
+  Ends ends = Ends::kNever;
+  std::weak_ptr<int> captured;
+  // What a handler owns was there after it had destroyed the server.
+  bool outlived = false;
   TunnelStatus status = TunnelStatus::kOpen;
   std::unique_ptr<TunnelServer> tunnels;
   PeerServer server;
@@ -400,5 +423,24 @@
   }
 }
 
+// Guards against a server that is used after its handler has destroyed it, as a
+// tunnel is asked for, has opened, or can't be opened.
+BOOST_FIXTURE_TEST_CASE(AHandlerMayDestroyItsServer, Fixture) {
+  const std::string closed = "127.0.0.1:1";
+  for (const std::string& address : {target.Address(), closed}) {
+    for (const auto ends : {Peer::Ends::kInCheck, Peer::Ends::kAsDialed}) {
+      Peer other(loop);
+      other.ends = ends;
+      end.reset();
+      Start(address, other.Address());
+      Run();
+      BOOST_TEST((end != CallEnd::kComplete));
+      BOOST_TEST(!other.tunnels);
+      BOOST_TEST(other.outlived);
+      BOOST_TEST(other.captured.expired());
+    }
+  }
+}
+
 }  // namespace
 }  // namespace quaytrack
--- a/http/tunnel_server.cc
+++ b/http/tunnel_server.cc
@@ -85,7 +85,10 @@
   if (!it->head.complete()) return;
   const auto address = it->head.TargetAddress();
   if (!address) return Refuse(it, TunnelStatus::kMalformed);
-  const TunnelStatus status = on_.check(*address);
+  const auto on = on_;
+  const std::weak_ptr<int> lifetime = lifetime_;
+  const TunnelStatus status = on->check(*address);
+  if (lifetime.expired()) return;
   if (status != TunnelStatus::kOpen) return Refuse(it, status);
   Connect(it, *address);
 }
@@ -117,15 +120,22 @@
 
 // Called when the connection to the target fails, or doesn't open in time.
 void TunnelServer::OnNotConnected(const TunnelPtr& it) {
-  if (const auto address = it->head.TargetAddress())
-    on_.dialed(*address, false);
-  Refuse(it, TunnelStatus::kUnreachable);
+  if (ReportDialed(it, false)) Refuse(it, TunnelStatus::kUnreachable);
+}
+
+bool TunnelServer::ReportDialed(const TunnelPtr& it, bool opened) {
+  const auto address = it->head.TargetAddress();
+  if (!address) return true;
+  const auto on = on_;
+  const std::weak_ptr<int> lifetime = lifetime_;
+  on->dialed(*address, opened);
+  return !lifetime.expired();
 }
 
 void TunnelServer::OnConnected(const TunnelPtr& it) {
   it->timer.reset();
   ++opened_;
-  on_.dialed(*it->head.TargetAddress(), true);
+  if (!ReportDialed(it, true)) return;
   const bool framed = it->head.framed();
   if (!framed) it->peer->ResetWhenClosed();
   it->peer->Write(TunnelAnswer(TunnelStatus::kOpen, framed));
--- a/http/tunnel_server.h
+++ b/http/tunnel_server.h
@@ -40,6 +40,7 @@
 
 class TunnelServer {
  public:
+  // The handlers may destroy the server.
   struct Handlers {
     // Whether a tunnel to the address is carried.
     std::function<TunnelStatus(const std::string& address)> check;
@@ -48,7 +49,9 @@
   };
 
   TunnelServer(Loop& loop, Dialer dial, Handlers handlers)
-      : loop_(loop), dial_(std::move(dial)), on_(std::move(handlers)) {}
+      : loop_(loop),
+        dial_(std::move(dial)),
+        on_(std::make_shared<const Handlers>(std::move(handlers))) {}
   ~TunnelServer();
   TunnelServer(const TunnelServer&) = delete;
   TunnelServer& operator=(const TunnelServer&) = delete;
@@ -77,6 +80,9 @@
   void ReadHead(const TunnelPtr& it, std::string_view bytes);
   void Connect(const TunnelPtr& it, const std::string& address);
   void OnConnected(const TunnelPtr& it);
+  // Reports whether a connection has opened. Returns false if the handler has
+  // destroyed the server.
+  bool ReportDialed(const TunnelPtr& it, bool opened);
   void OnNotConnected(const TunnelPtr& it);
   void Refuse(const TunnelPtr& it, TunnelStatus status);
   void OnTargetEnded(const TunnelPtr& it, SocketEnd end);
@@ -85,7 +91,10 @@
 
   Loop& loop_;
   Dialer dial_;
-  Handlers on_;
+  // Shared with a handler that runs.
+  std::shared_ptr<const Handlers> on_;
+  // Expires with the server.
+  std::shared_ptr<int> lifetime_ = std::make_shared<int>();
   std::set<TunnelPtr> tunnels_;
   // Tunnels whose last bytes are on their way to the peer.
   std::set<TunnelPtr> closing_;
