Let a callback of a server of callers destroy the server

Cause: connections went on with their server after its handler, an action or a connection that was ended for memory had destroyed it; so did tasks that they had posted, and the listener whose gate did it. Change: a connection that ended, or whose server is gone, refers to none; handlers and gates are held by whoever calls one, and loops over connections end with the server.

Measured (x86_64): three new cases of http_cancel_in_handler_test end with a memory error on and pass.

--- a/http/caller_connection.cc
+++ b/http/caller_connection.cc
@@ -54,7 +54,7 @@
 
 CallerConnection::CallerConnection(CallerServer& server,
                                    std::shared_ptr<TcpSocket> socket)
-    : server_(server),
+    : server_(&server),
       socket_(std::move(socket)),
       parser_(HttpParser::Kind::kRequest,
               {[this](HttpHead& head) { OnHead(head); },
@@ -80,17 +80,17 @@
 
 void CallerConnection::OnData(std::string_view bytes) {
   const auto keep = shared_from_this();
-  server_.ShedExcess();
-  if (phase_ == Phase::kLingering || !open()) return;
+  server_->ShedExcess();
+  if (server_ == nullptr || phase_ == Phase::kLingering || !open()) return;
   unused_ = false;
   if (phase_ == Phase::kIdle) {
     phase_ = Phase::kReading;
-    progress_at_ = server_.clock_.Now();
+    progress_at_ = server_->clock_.Now();
     request_.begun = progress_at_;
-    parser_.SetLimits(server_.limits_.http);
+    parser_.SetLimits(server_->limits_.http);
   }
   if (phase_ == Phase::kReading && head_read_)
-    progress_at_ = server_.clock_.Now();
+    progress_at_ = server_->clock_.Now();
   pending_.append(bytes);
   if (phase_ == Phase::kAnswering) {
     if (pending_.size() > kMaxPending) PauseReading();
@@ -120,7 +120,7 @@
 
 void CallerConnection::UpdateHeld() {
   const std::size_t now = CountHeld();
-  server_.OnHeldChanged(held_, now);
+  if (server_ != nullptr) server_->OnHeldChanged(held_, now);
   held_ = now;
 }
 
@@ -151,23 +151,26 @@
 
 void CallerConnection::OnRequest() {
   phase_ = Phase::kAnswering;
-  request_.read = server_.clock_.Now();
+  request_.read = server_->clock_.Now();
   handing_over_ = true;
   // The handler is called in a posted task, so that an immediate answer doesn't
   // reenter the parser.
-  server_.loop_.Post([keep = shared_from_this()] { keep->HandOver(); });
+  server_->loop_.Post([keep = shared_from_this()] { keep->HandOver(); });
 }
 
 void CallerConnection::HandOver() {
+  if (server_ == nullptr) return;
   // Many connections may have a request to hand over in one turn of the loop.
-  server_.ShedExcess();
+  server_->ShedExcess();
+  if (server_ == nullptr) return;
   const bool is_refused = !std::exchange(handing_over_, false);
   if (is_refused || !open()) return;
   // If the caller disconnected before this task ran, the handler isn't called.
   if (socket_->PeerHasClosed()) return Abort();
   request_bytes_ =
       request_.head.MemoryBytes() + kBodyCopies * request_.body.capacity();
-  server_.handler_(shared_from_this(), std::exchange(request_, {}));
+  const auto handler = server_->handler_;
+  (*handler)(shared_from_this(), std::exchange(request_, {}));
   UpdateHeld();
 }
 
@@ -223,7 +226,7 @@
 // Whether the connection is to end with the present answer. A request that was
 // read behind it is answered first.
 bool CallerConnection::IsLastAnswer() const {
-  return server_.closing() && pending_.empty();
+  return server_->closing() && pending_.empty();
 }
 
 void CallerConnection::Reply(const HttpHead& head, std::string_view body) {
@@ -274,7 +277,14 @@
   on_drained_ = nullptr;
   socket_->Close();
   UpdateHeld();
-  server_.Forget(shared_from_this());
+  if (server_ != nullptr) server_->Forget(shared_from_this());
+}
+
+void CallerConnection::Leave() {
+  on_gone_ = nullptr;
+  on_drained_ = nullptr;
+  socket_->Close();
+  server_ = nullptr;
 }
 
 void CallerConnection::FinishExchange() {
@@ -284,17 +294,17 @@
   answer_begun_ = false;
   request_bytes_ = 0;
   handler_bytes_ = 0;
-  progress_at_ = server_.clock_.Now();
+  progress_at_ = server_->clock_.Now();
   // A stream that started before `StartClosing` didn't announce that the
   // connection closes, so the caller may send another request.
-  const bool ends = server_.closing_ && pending_.empty();
+  const bool ends = server_->closing_ && pending_.empty();
   if (!keep_alive_ || ends) return CloseAfterFlush();
   phase_ = Phase::kIdle;
   if (pending_.empty()) return;
   ResumeReading();
   phase_ = Phase::kReading;
   request_.begun = progress_at_;
-  server_.loop_.Post([keep = shared_from_this()] {
+  server_->loop_.Post([keep = shared_from_this()] {
     if (keep->open() && keep->phase_ == Phase::kReading) keep->Consume();
   });
 }
@@ -321,14 +331,14 @@
 // both sides would reset the connection and lose the answer.
 void CallerConnection::Linger() {
   flushing_ = false;
-  progress_at_ = server_.clock_.Now();
+  progress_at_ = server_->clock_.Now();
   socket_->ShutdownWrite();
 }
 
 void CallerConnection::OnEnded() {
   const auto keep = shared_from_this();
   UpdateHeld();
-  server_.Forget(keep);
+  if (server_ != nullptr) server_->Forget(keep);
   const auto gone = std::exchange(on_gone_, nullptr);
   on_drained_ = nullptr;
   if (gone) gone();
@@ -345,7 +355,7 @@
 void CallerConnection::Sweep(Instant now) {
   if (paused_) UpdateHeld();
   const Duration silent = now - progress_at_;
-  const CallerLimits& limits = server_.limits_;
+  const CallerLimits& limits = server_->limits_;
   switch (phase_) {
     case Phase::kIdle:
       if (silent >= limits.idle_timeout) CloseIdle();
--- a/http/caller_connection.h
+++ b/http/caller_connection.h
@@ -131,8 +131,11 @@
   bool AwaitsFirstRequest(Instant now) const;
   // Ends the connection if a time limit has passed.
   void Sweep(Instant now);
+  // Ends the connection for good, as the server is being destroyed.
+  void Leave();
 
-  CallerServer& server_;
+  // Null once the connection has ended or the server is gone.
+  CallerServer* server_;
   std::shared_ptr<TcpSocket> socket_;
   HttpParser parser_;
   Phase phase_ = Phase::kIdle;
--- a/http/caller_server.cc
+++ b/http/caller_server.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace quaytrack {
@@ -27,7 +28,7 @@
 
 CallerServer::~CallerServer() {
   listener_.Stop();
-  for (const auto& it : connections_) it->socket_->Close();
+  for (const auto& it : std::exchange(connections_, {})) it->Leave();
 }
 
 std::uint16_t CallerServer::Listen(const std::string& address) {
@@ -35,8 +36,15 @@
 }
 
 void CallerServer::Accept(int fd) {
+  const std::weak_ptr<int> lifetime = lifetime_;
+  const auto gate = may_accept_;
+  const bool may_accept = !gate || (*gate)();
+  if (lifetime.expired()) {
+    ::close(fd);
+    return;
+  }
   const bool has_room = connections_.size() < bounds_.connections;
-  if (!may_accept_() || !(has_room || MakeRoom())) {
+  if (!may_accept || !(has_room || MakeRoom())) {
     ++closed_unread_;
     ::close(fd);
     return;
@@ -66,7 +74,8 @@
   held_bytes_ += now - before;
   if (held_bytes_ <= bounds_.memory_bytes || will_shed_) return;
   will_shed_ = true;
-  loop_.Post([this] {
+  loop_.Post([this, lifetime = std::weak_ptr<int>(lifetime_)] {
+    if (lifetime.expired()) return;
     will_shed_ = false;
     ShedExcess();
   });
@@ -87,8 +96,9 @@
                                                      connections_.end());
   std::sort(all.begin(), all.end(), is_first);
   const std::size_t enough = bounds_.memory_bytes - bounds_.memory_bytes / 8;
+  const std::weak_ptr<int> lifetime = lifetime_;
   for (const auto& it : all) {
-    if (held_bytes_ <= enough) return;
+    if (lifetime.expired() || held_bytes_ <= enough) return;
     if (it->held_ < kMinShedBytes) continue;
     ++shed_for_memory_;
     it->Shed();
@@ -127,6 +137,7 @@
   // The connection is released in a posted task, since one of its functions may
   // still be running.
   loop_.Post([keep = it] {});
+  it->server_ = nullptr;
   connections_.erase(it);
 }
 
--- a/http/caller_server.h
+++ b/http/caller_server.h
@@ -22,8 +22,10 @@
 //     progress for longest; it is closed unread if there is none.
 //
 // The server owns the connections and relies on the loop and the clock, which
-// must outlive it. Its only error is an address that it can't listen on; an
-// accepted connection handles its own failures.
+// must outlive it. A handler, an action of a connection and the gate may
+// destroy the server; connections that others still hold are closed then. Its
+// only error is an address that it can't listen on; an accepted connection
+// handles its own failures.
 
 #ifndef QUAYTRACK_HTTP_CALLER_SERVER_H_
 #define QUAYTRACK_HTTP_CALLER_SERVER_H_
@@ -61,7 +63,9 @@
   CallerServer& operator=(const CallerServer&) = delete;
 
   // `handler` gets each request that keeps to the limits and the protocol.
-  void Serve(Handler handler) { handler_ = std::move(handler); }
+  void Serve(Handler handler) {
+    handler_ = std::make_shared<const Handler>(std::move(handler));
+  }
   // Sets the limits. Sizes apply to requests that start from now on, times at
   // once.
   void SetLimits(const CallerLimits& limits) { limits_ = limits; }
@@ -78,7 +82,8 @@
   // Sets what decides whether a new connection is accepted. One that isn't is
   // closed before anything of it is read. Without this, all are accepted.
   void SetGate(std::function<bool()> may_accept) {
-    may_accept_ = std::move(may_accept);
+    may_accept_ =
+        std::make_shared<const std::function<bool()>>(std::move(may_accept));
   }
   // Number of connections that were closed unread.
   std::uint64_t closed_unread() const { return closed_unread_; }
@@ -128,8 +133,11 @@
   std::uint64_t shed_for_room_ = 0;
   // Whether a call of `ShedExcess` is posted.
   bool will_shed_ = false;
-  Handler handler_;
-  std::function<bool()> may_accept_ = [] { return true; };
+  // Shared with a handler or a gate that runs.
+  std::shared_ptr<const Handler> handler_;
+  std::shared_ptr<const std::function<bool()>> may_accept_;
+  // Expires with the server.
+  std::shared_ptr<int> lifetime_ = std::make_shared<int>();
   std::uint64_t closed_unread_ = 0;
   bool closing_ = false;
   bool closing_after_answers_ = false;
--- a/http/testing/cancel_in_handler_test.cc
+++ b/http/testing/cancel_in_handler_test.cc
@@ -347,7 +347,9 @@
 
   SystemClock clock;
   Loop loop;
-  CallerServer server{loop, clock};
+  std::unique_ptr<CallerServer> owned =
+      std::make_unique<CallerServer>(loop, clock);
+  CallerServer& server = *owned;
   std::uint16_t port = 0;
   std::function<void(std::shared_ptr<CallerConnection>)> handler;
   std::size_t received = 0;
@@ -447,5 +449,102 @@
   BOOST_TEST(ended == kCallers);
 }
 
+// Guards against a server that is used after the handler of a request has
+// destroyed it, with requests of other connections about to be handed over.
+BOOST_FIXTURE_TEST_CASE(TheHandlerOfARequestMayDestroyItsServer,
+                        CallerFixture) {
+  int requests = 0;
+  std::weak_ptr<int> captured;
+  bool outlived = false;
+  {
+    auto keep = std::make_shared<int>(0);
+    captured = keep;
+    server.Serve([&, keep](const std::shared_ptr<CallerConnection>& it,
+                           const CallerRequest&) {
+      ++requests;
+      owned.reset();
+      outlived = !captured.expired();
+      it->Reply({}, "late");
+      it->StartStream({});
+      it->WriteChunk("late");
+      it->EndStream();
+      it->NoteHeld(1);
+      it->Abort();
+    });
+  }
+  std::vector<std::shared_ptr<TcpSocket>> sockets;
+  for (int n = 0; n < 3; ++n)
+    sockets.push_back(Ask(std::string(kRequest) + kRequest));
+  RunFor(loop, kShort);
+  BOOST_TEST(requests == 1);
+  BOOST_TEST(outlived);
+  BOOST_TEST(captured.expired());
+  BOOST_TEST(received == 0U);
+  BOOST_TEST(ended == 3);
+}
+
+// The same in the action of a caller that left, and of one that is ended as its
+// request holds too much.
+BOOST_FIXTURE_TEST_CASE(AnActionOfAConnectionMayDestroyItsServer,
+                        CallerFixture) {
+  for (const bool is_shed : {false, true}) {
+    if (!owned) {
+      owned = std::make_unique<CallerServer>(loop, clock);
+      port = owned->Listen("127.0.0.1:0");
+    }
+    CallerServer& it = *owned;
+    int gone = 0;
+    std::vector<std::shared_ptr<CallerConnection>> held;
+    it.Serve([&](const std::shared_ptr<CallerConnection>& caller,
+                 const CallerRequest&) {
+      held.push_back(caller);
+      caller->OnGone([&] {
+        ++gone;
+        owned.reset();
+      });
+    });
+    std::vector<std::shared_ptr<TcpSocket>> sockets;
+    for (int n = 0; n < 3; ++n) sockets.push_back(Ask(kRequest));
+    RunFor(loop, kShort);
+    BOOST_REQUIRE(held.size() == 3U);
+    if (is_shed) {
+      it.SetBounds({1, 10});
+      for (const auto& caller : held) caller->NoteHeld(1024 * 1024);
+    } else {
+      sockets[1]->Close();
+    }
+    RunFor(loop, kShort);
+    BOOST_TEST(!owned);
+    BOOST_TEST(gone == 1);
+    for (const auto& caller : held) {
+      BOOST_TEST(!caller->open());
+      caller->NoteHeld(1);
+      caller->Abort();
+    }
+  }
+}
+
+// The same in the gate that decides on a new connection.
+BOOST_FIXTURE_TEST_CASE(TheGateMayDestroyItsServer, CallerFixture) {
+  std::weak_ptr<int> captured;
+  bool outlived = false;
+  {
+    auto keep = std::make_shared<int>(0);
+    captured = keep;
+    server.SetGate([&, keep] {
+      owned.reset();
+      outlived = !captured.expired();
+      return true;
+    });
+  }
+  std::vector<std::shared_ptr<TcpSocket>> sockets;
+  for (int n = 0; n < 3; ++n) sockets.push_back(Ask(kRequest));
+  RunFor(loop, kShort);
+  BOOST_TEST(!owned);
+  BOOST_TEST(outlived);
+  BOOST_TEST(captured.expired());
+  BOOST_TEST(received == 0U);
+}
+
 }  // namespace
 }  // namespace quaytrack
--- a/net/tcp_socket.cc
+++ b/net/tcp_socket.cc
@@ -214,7 +214,9 @@
   if (!at) return 0;
   const auto on_accept = [](evconnlistener*, evutil_socket_t fd, sockaddr*, int,
                             void* self) {
-    static_cast<TcpListener*>(self)->accepted_(fd);
+    // Kept, as the handler may destroy the listener.
+    const auto accepted = static_cast<TcpListener*>(self)->accepted_;
+    (*accepted)(fd);
   };
   sockaddr_in bound = ToSocketAddress(*at);
   listener_ = evconnlistener_new_bind(
--- a/net/tcp_socket.h
+++ b/net/tcp_socket.h
@@ -156,11 +156,13 @@
 // accepted connections stay open.
 class TcpListener {
  public:
-  // Gets an accepted connection, and becomes the owner of `fd`.
+  // Gets an accepted connection, and becomes the owner of `fd`. It may destroy
+  // the listener.
   using Accepted = std::function<void(int fd)>;
 
   TcpListener(Loop& loop, Accepted accepted)
-      : loop_(loop), accepted_(std::move(accepted)) {}
+      : loop_(loop),
+        accepted_(std::make_shared<const Accepted>(std::move(accepted))) {}
   ~TcpListener();
   TcpListener(const TcpListener&) = delete;
   TcpListener& operator=(const TcpListener&) = delete;
@@ -172,7 +174,7 @@
 
  private:
   Loop& loop_;
-  Accepted accepted_;
+  std::shared_ptr<const Accepted> accepted_;
   evconnlistener* listener_ = nullptr;
 };
 
