Give an empty key to no customer of the own interface

Cause: a bundle accepted the digest of an empty key, and a folded header brought one. Change: the bundle is refused with the line, and a request with an empty key gets 401.

--- a/bundle/bundle.cc
+++ b/bundle/bundle.cc
@@ -6,6 +6,7 @@
 #include <limits>
 #include <set>
 
+#include "base/digest.h"
 #include "bundle/line.h"
 
 namespace quaytrack {
@@ -141,6 +142,8 @@
       return;
     }
     it.key_sha256 = key.substr(kPrefix.size());
+    if (it.key_sha256 == Sha256Hex(""))
+      line.Problem("key", "is an empty key's");
     if (!bundle_.customer_by_key.emplace(it.key_sha256, it.name).second) {
       line.Problem("key", "belongs to another customer too");
     }
--- a/bundle/testing/bundle_test.cc
+++ b/bundle/testing/bundle_test.cc
@@ -67,6 +67,10 @@
     {"budget b limit=1 cover=5y", "cover"},
     {"budget a/b limit=1", "name"},
     {"customer c budget=none key=sha256:1", "key"},
+    // The digest of an empty key.
+    {"customer c budget=clinics key=sha256:"
+     "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855",
+     "key"},
     {"model n price-prompt=-3", "price-prompt"},
     {"target t models=m address=nowhere hall=h", "address"},
     {"target t address=1.2.3.4:5 hall=h", "models"},
--- a/router/request_reader.cc
+++ b/router/request_reader.cc
@@ -39,6 +39,9 @@
   if (!header->starts_with(kScheme)) {
     return fail("Authorization must be 'Bearer KEY'");
   }
+  if (header->size() == kScheme.size()) {
+    return fail("Authorization has an empty key");
+  }
   // The lookup is by digest, so its duration reveals nothing about the key.
   const std::string digest = Sha256Hex(header->substr(kScheme.size()));
   auto it = bundle.customer_by_key.find(digest);
