Doubt a lost store's state only while a peer has a later one

Cause: found by reading the change: a router that stood still and whose store is lost refused all requests if any peer had ever had a later configuration, also one that is gone since.

Measured (x86_64): relay_config_follower_test/ WhileTheStoreIsLostOnlyALaterPeerIsADoubt passes.

--- a/relay/config_follower.cc
+++ b/relay/config_follower.cc
@@ -144,7 +144,7 @@
   LogEvent(Event::kConfigGone, {{"version", std::to_string(version())}});
 }
 
-// Returns whether the item is a configuration, be it one that can't be read.
+// Returns whether the item is a configuration, even if it can't be read.
 bool ConfigFollower::AdoptIfHigher(const StoreItem& item, Source source) {
   const auto read = ReadOrLog(item, [&] { return reader_.Config(item); });
   if (!read && source == Source::kStore) SetUnreadable(true);
@@ -269,7 +269,7 @@
 bool ConfigFollower::MayHaveMissedChanges() {
   Check();
   if (resumed_at() == Instant() || IsCurrentAt(resumed_at())) return false;
-  return !is_store_lost_ || later_since_;
+  return !is_store_lost_ || HasLaterPeer();
 }
 
 void ConfigFollower::NoteLaterVersion() {
@@ -277,10 +277,12 @@
   if (!later_since_) later_since_ = later_heard_;
 }
 
+bool ConfigFollower::HasLaterPeer() const {
+  return later_since_ && clock_.Now() - later_heard_ < kVersionHeard;
+}
+
 bool ConfigFollower::IsOutdated() const {
-  const Instant now = clock_.Now();
-  return later_since_ && now - *later_since_ > kMaxBehind &&
-         now - later_heard_ < kVersionHeard;
+  return HasLaterPeer() && clock_.Now() - *later_since_ > kMaxBehind;
 }
 
 }  // namespace quaytrack
--- a/relay/config_follower.h
+++ b/relay/config_follower.h
@@ -178,6 +178,8 @@
   FeedLinks LinksOfFeed() const;
   void OnMark(const PeerMessage& message);
   void NoteLaterVersion();
+  // Whether a peer has lately said that it has a later configuration.
+  bool HasLaterPeer() const;
 
   Loop& loop_;
   const Clock& clock_;
--- a/relay/testing/config_follower_test.cc
+++ b/relay/testing/config_follower_test.cc
@@ -247,6 +247,22 @@
   BOOST_TEST(!follower.MayHaveMissedChanges());
 }
 
+// Guards against a router that serves nobody during an outage, as it stood
+// still or as a peer that is gone had a later configuration.
+BOOST_FIXTURE_TEST_CASE(WhileTheStoreIsLostOnlyALaterPeerIsADoubt,
+                        CurrencyFixture) {
+  StoreHas("5");
+  follower.Check();
+  RunFor(loop, Standstill::kLongestGap + milliseconds(50));
+  BOOST_TEST(follower.MayHaveMissedChanges());
+  BOOST_TEST(store.AnswerWait("c/", {StoreEnd::kUnknown, false, 0, {}}));
+  BOOST_TEST(!follower.MayHaveMissedChanges());
+  PeerHasVersion(6);
+  BOOST_TEST(follower.MayHaveMissedChanges());
+  RunFor(loop, ConfigFollower::kVersionHeard + milliseconds(50));
+  BOOST_TEST(!follower.MayHaveMissedChanges());
+}
+
 // Guards against access that is opened by a configuration which doesn't mention
 // customers, after one that did.
 BOOST_FIXTURE_TEST_CASE(ToMentionNoCustomersOpensNothing, Fixture) {
