Await a kept attempt while the configuration is in doubt

Cause: found by reading the change again: after a standstill, a request with a silent attempt waited for the configuration without a current attempt, so that the kept one, when it answered, superseded an attempt that wasn't there (attempt_ended without a target, a fault counted). Change: while something may still come of a kept attempt it is the current one; only requests without any attempt wait.

--- a/relay/config_follower.h
+++ b/relay/config_follower.h
@@ -97,7 +97,8 @@
   // replace those known from before. Operators write again within some seconds
   // what the store has lost.
   static constexpr Duration kRewriteTime = std::chrono::seconds(10);
-  // How often a configuration that can't be read is read again.
+  // How often a configuration that can't be read is read again: seldom enough
+  // that the reads of a fleet don't weigh on the store.
   static constexpr Duration kReadAgain = std::chrono::seconds(2);
 
   struct Handlers {
--- a/relay/relayed_request.cc
+++ b/relay/relayed_request.cc
@@ -99,7 +99,8 @@
   return RefusalByLater(*map, request_.head, admission_);
 }
 
-// Goes on once it is known what was changed while this router stood still.
+// Goes on once it is known what was changed while this router stood still. No
+// attempt is running or kept meanwhile.
 void RelayedRequest::AwaitConfig() {
   if (awaits_config_) return;
   awaits_config_ = true;
@@ -111,10 +112,9 @@
 void RelayedRequest::OnConfigShown() {
   const auto self = shared_from_this();
   awaits_config_ = false;
-  // A kept attempt may have gone on meanwhile.
-  if (machine_.state() == RelayState::kEnded || attempt_.call) return;
+  if (machine_.state() == RelayState::kEnded) return;
   if (context_.configs.MayHaveMissedChanges())
-    return GiveUpUnlessKept(Ran::kNo, RelayCause::kConfigurationInDoubt);
+    return GiveUp(Ran::kNo, RelayCause::kConfigurationInDoubt);
   Choose();
 }
 
@@ -263,7 +263,10 @@
 void RelayedRequest::Choose() {
   const auto self = shared_from_this();
   probes_timer_.reset();
-  if (context_.configs.MayHaveMissedChanges()) return AwaitConfig();
+  if (context_.configs.MayHaveMissedChanges()) {
+    if (!GoOnWithKept()) AwaitConfig();
+    return;
+  }
   if (const auto refused = RefusalNow())
     return GiveUpUnlessKept(Ran::kNo, *refused);
   ForgiveDoubtedTargets();
--- a/relay/testing/config_follower_test.cc
+++ b/relay/testing/config_follower_test.cc
@@ -276,6 +276,7 @@
   BOOST_TEST(!follower.map()->IsInDoubt("key"));
 }
 
+// Guards against a deployment without customers whose callers are refused.
 BOOST_FIXTURE_TEST_CASE(WithoutCustomersFromTheStartNoKeyIsNeeded, Fixture) {
   StoreHas("5-open");
   BOOST_TEST(!follower.map()->needs_keys());
